--- /dev/null
+++ b/src/base/node/system-clock.ts
@@ -0,0 +1,13 @@
+import {performance} from 'node:perf_hooks';
+import {Clock} from '../common/clock.js';
+
+/** The clock of the operating system. */
+export class SystemClock extends Clock {
+	monotonic(): number {
+		return performance.now();
+	}
+
+	wall(): number {
+		return Date.now();
+	}
+}
--- /dev/null
+++ b/src/contracts/log-service.ts
@@ -0,0 +1,73 @@
+import {type ResultAsync} from 'neverthrow';
+import {type LogOffset, type RecordId} from './ids.js';
+
+/** The streams that the system keeps in the log. */
+export type StreamName = 'control' | 'claims' | 'snapshots';
+
+/** A record to append. */
+export type LogRecord = {
+	readonly id: RecordId;
+	readonly body: unknown;
+};
+
+/** A record at its place in the stream. */
+export type StoredRecord = LogRecord & {
+	readonly offset: LogOffset;
+};
+
+/** Records from one read and the offset to read from next. */
+export type LogBatch = {
+	readonly records: readonly StoredRecord[];
+	readonly next: LogOffset;
+};
+
+/** The retained part of a stream: `earliest` is kept, `next` is not yet written. */
+export type StreamBounds = {
+	readonly earliest: LogOffset;
+	readonly next: LogOffset;
+};
+
+/** A failure of the log service. */
+export abstract class LogError extends Error {}
+
+/** The log did not answer. An append may or may not have taken effect. */
+export class LogUnavailableError extends LogError {
+	override readonly name = 'LogUnavailableError';
+}
+
+/** The requested offset is no longer retained. */
+export class LogTruncatedError extends LogError {
+	override readonly name = 'LogTruncatedError';
+
+	constructor(readonly earliest: LogOffset) {
+		super(`the log keeps no records before offset ${earliest}`);
+	}
+}
+
+/** The log answered in a form that does not follow its protocol. */
+export class LogProtocolError extends LogError {
+	override readonly name = 'LogProtocolError';
+}
+
+/** The platform's append-only log. */
+export abstract class LogService {
+	/**
+	 * Appends records in order and returns the offset of the first one.
+	 * After an error the append may still have taken effect: repeat it with the same record ids.
+	 */
+	abstract append(
+		stream: StreamName,
+		records: readonly LogRecord[],
+	): ResultAsync<LogOffset, LogError>;
+
+	/** Reads from an offset on. Waits up to `waitMilliseconds` when there is nothing to read yet. */
+	abstract read(
+		stream: StreamName,
+		from: LogOffset,
+		options: {readonly limit: number; readonly waitMilliseconds: number},
+		signal?: AbortSignal,
+	): ResultAsync<LogBatch, LogError>;
+
+	/** Returns the retained part of a stream. */
+	abstract bounds(stream: StreamName): ResultAsync<StreamBounds, LogError>;
+}
