--- a/src/contracts/claim-record.ts
+++ b/src/contracts/claim-record.ts
@@ -30,6 +30,8 @@
 	host: hostIdSchema,
 	incarnation: incarnationIdSchema,
 	time: z.number(),
+	/** Wall time after which the key may be claimed anew. */
+	expiresAt: z.number(),
 });
 
 /** The claimant did not dispatch the call and never will. The key is free again. */
@@ -59,6 +61,7 @@
 			requestId: requestIdSchema,
 			incarnation: incarnationIdSchema,
 			time: z.number(),
+			expiresAt: z.number(),
 			state: z.enum(['claimed', 'settled']),
 			outcome: recordedOutcomeSchema.nullable(),
 		}),
--- /dev/null
+++ b/src/services/targets/target-directory.ts
@@ -0,0 +1,160 @@
+import {type Clock} from '../../base/common/clock.js';
+import {Disposable} from '../../base/common/disposable.js';
+import {TypedEvent} from '../../base/common/typed-event.js';
+import {type Engine, type TargetReport} from '../../contracts/engine.js';
+import {
+	type FleetDocument,
+	type Pool,
+	type TargetDefinition,
+} from '../../contracts/fleet-document.js';
+import {type PoolName, type TargetId} from '../../contracts/ids.js';
+import {type PlainService} from '../../contracts/plain-service.js';
+import {type TargetConnector} from '../../contracts/target-connector.js';
+
+/** Why a target gets no new work. */
+export type Unavailability = 'leaving' | 'unreachable';
+
+/** One target of the document in force, as this host sees it. */
+export type KnownTarget = {
+	readonly definition: TargetDefinition;
+	readonly pool: Pool;
+	readonly engine: Engine | undefined;
+	readonly service: PlainService | undefined;
+	/** Newest report and the monotonic time at which it was true. */
+	report: TargetReport | undefined;
+	reportedAt: number;
+	/** Set by the host list, a report or a refusal, whichever tells first. */
+	unavailability: Unavailability | undefined;
+};
+
+/** A report that replaced an older one. */
+export type ObservedReport = {
+	readonly target: KnownTarget;
+	readonly previous: TargetReport | undefined;
+};
+
+/** Owns the connections to the targets of the document in force and what is known of them. */
+export class TargetDirectory extends Disposable {
+	readonly reportObserved = new TypedEvent<ObservedReport>();
+	readonly targetRemoved = new TypedEvent<TargetId>();
+	private readonly targets = new Map<TargetId, KnownTarget>();
+
+	constructor(
+		private readonly connector: TargetConnector,
+		private readonly clock: Clock,
+	) {
+		super();
+	}
+
+	/** Connects new targets and drops those that the document no longer names. */
+	applyDocument(document: FleetDocument): void {
+		const named = new Set<TargetId>();
+		for (const pool of document.pools) {
+			for (const definition of pool.targets) {
+				named.add(definition.id);
+				this.keepOrConnect(pool, definition);
+			}
+		}
+
+		for (const [id, target] of this.targets) {
+			if (named.has(id)) {
+				continue;
+			}
+
+			this.targets.delete(id);
+			disconnect(target);
+			this.targetRemoved.publish(id);
+		}
+	}
+
+	/** Finds a target. */
+	target(id: TargetId): KnownTarget | undefined {
+		return this.targets.get(id);
+	}
+
+	/** All targets of a pool. */
+	targetsOf(pool: PoolName): KnownTarget[] {
+		return [...this.targets.values()].filter(
+			(target) => target.pool.name === pool,
+		);
+	}
+
+	/** All targets. */
+	all(): KnownTarget[] {
+		return [...this.targets.values()];
+	}
+
+	/** Takes in a report unless a newer one of the same run of the target is known. */
+	observe(report: TargetReport, ageMilliseconds: number): void {
+		const target = this.targets.get(report.target);
+		if (!target) {
+			return;
+		}
+
+		const previous = target.report;
+		const reportedAt = this.clock.monotonic() - ageMilliseconds;
+		const isSameRun = previous?.incarnation === report.incarnation;
+		if (previous && isSameRun && report.sequence < previous.sequence) {
+			return;
+		}
+
+		if (previous && !isSameRun && reportedAt < target.reportedAt) {
+			return;
+		}
+
+		target.report = report;
+		target.reportedAt = reportedAt;
+		if (report.leaving) {
+			target.unavailability = 'leaving';
+		} else target.unavailability &&= undefined;
+
+		this.reportObserved.publish({target, previous});
+	}
+
+	/** Notes that a target must get no new work until a later report says otherwise. */
+	markUnavailable(id: TargetId, reason: Unavailability): void {
+		const target = this.targets.get(id);
+		if (target) {
+			target.unavailability = reason;
+		}
+	}
+
+	dispose(): void {
+		for (const target of this.targets.values()) {
+			disconnect(target);
+		}
+
+		this.targets.clear();
+	}
+
+	private keepOrConnect(pool: Pool, definition: TargetDefinition): void {
+		const current = this.targets.get(definition.id);
+		if (
+			current?.definition.address === definition.address &&
+			current.pool.kind === pool.kind
+		) {
+			this.targets.set(definition.id, {...current, pool, definition});
+			return;
+		}
+
+		if (current) {
+			disconnect(current);
+		}
+
+		const isEngine = pool.kind === 'engine';
+		this.targets.set(definition.id, {
+			definition,
+			pool,
+			engine: isEngine ? this.connector.connectEngine(definition) : undefined,
+			service: isEngine ? undefined : this.connector.connectService(definition),
+			report: undefined,
+			reportedAt: Number.NEGATIVE_INFINITY,
+			unavailability: undefined,
+		});
+	}
+}
+
+function disconnect(target: KnownTarget): void {
+	target.engine?.dropConnections();
+	target.service?.dropConnections();
+}
