--- /dev/null
+++ b/src/stand-ins/generation-run.ts
@@ -0,0 +1,74 @@
+import {
+	type GenerationEvent,
+	type GenerationRequest,
+} from '../contracts/engine.js';
+import {TypedEvent} from '../base/common/typed-event.js';
+import {expectedAnswer} from './answer-generator.js';
+
+/** One generation inside an engine stand-in. It outlives the connections that watch it. */
+export class GenerationRun {
+	/** Announces that events were added. */
+	readonly grown = new TypedEvent<void>();
+	/** Events so far. The first one follows the continuation. */
+	readonly events: GenerationEvent[] = [];
+	/** Position of the run in the queue among runs of the same priority. */
+	readonly firstSequence: number;
+	started = false;
+	watchers = 0;
+	private readonly answer: ReturnType<typeof expectedAnswer>;
+	private produced: number;
+
+	constructor(readonly request: GenerationRequest) {
+		this.answer = expectedAnswer(request);
+		this.firstSequence = request.continuation.length;
+		this.produced = this.firstSequence;
+	}
+
+	get finished(): boolean {
+		return this.events.at(-1)?.kind === 'end';
+	}
+
+	/** Adds the next token, or the end marker after the last one. */
+	advance(): void {
+		if (this.finished) {
+			return;
+		}
+
+		const text = this.answer.tokens[this.produced];
+		if (text === undefined) {
+			this.end(this.answer.reason);
+			return;
+		}
+
+		this.events.push({
+			kind: 'token',
+			requestId: this.request.requestId,
+			sequence: this.produced,
+			text,
+		});
+		this.produced++;
+		if (this.produced >= this.answer.tokens.length) {
+			this.end(this.answer.reason);
+			return;
+		}
+
+		this.grown.publish();
+	}
+
+	/** Ends the run before its last token. */
+	cancel(): void {
+		if (!this.finished) {
+			this.end('cancelled');
+		}
+	}
+
+	private end(reason: 'stop' | 'length' | 'cancelled'): void {
+		this.events.push({
+			kind: 'end',
+			requestId: this.request.requestId,
+			tokens: this.produced,
+			reason,
+		});
+		this.grown.publish();
+	}
+}
