--- /dev/null
+++ b/src/program/settings-loader.ts
@@ -0,0 +1,123 @@
+import {readFileSync} from 'node:fs';
+import {err, type Result} from 'neverthrow';
+import {settingsSchema, type Settings} from './settings.js';
+import {
+	YamlSource,
+	YamlValidationError,
+	type YamlProblem,
+} from './yaml-validation.js';
+
+/** Variables of the environment. */
+export type Environment = Readonly<Record<string, string | undefined>>;
+
+/** Settings whose value may be `{environment: NAME}` in place of a literal. */
+const secretPaths = [['peerSecret'], ['operators', '*', 'tokenDigest']];
+
+type ReplaceContext = {
+	readonly source: YamlSource;
+	readonly environment: Environment;
+	readonly problems: YamlProblem[];
+};
+
+function resolveSecret(
+	value: unknown,
+	path: ReadonlyArray<string | number>,
+	{source, environment, problems}: ReplaceContext,
+): unknown {
+	if (
+		typeof value !== 'object' ||
+		value === null ||
+		Object.keys(value).length !== 1 ||
+		!('environment' in value) ||
+		typeof value.environment !== 'string'
+	) {
+		return value;
+	}
+
+	const secret = environment[value.environment];
+	if (secret === undefined || secret === '') {
+		problems.push(
+			source.problemAt(
+				path,
+				`the environment variable ${value.environment} is not set`,
+			),
+		);
+	}
+
+	return secret;
+}
+
+function replaceAt(
+	value: unknown,
+	remaining: readonly string[],
+	path: ReadonlyArray<string | number>,
+	context: ReplaceContext,
+): unknown {
+	const [first, ...rest] = remaining;
+	if (first === undefined) {
+		return resolveSecret(value, path, context);
+	}
+
+	if (first === '*') {
+		return Array.isArray(value)
+			? value.map((item, index) =>
+					replaceAt(item, rest, [...path, index], context),
+				)
+			: value;
+	}
+
+	if (typeof value !== 'object' || value === null || !(first in value)) {
+		return value;
+	}
+
+	const member = (value as Record<string, unknown>)[first];
+	return {
+		...value,
+		[first]: replaceAt(member, rest, [...path, first], context),
+	};
+}
+
+/** Checks settings text. Secrets named by `{environment: NAME}` come from the environment. */
+export function parseSettings(
+	text: string,
+	file: string,
+	environment: Environment,
+): Result<Settings, YamlValidationError> {
+	const source = new YamlSource(file, text);
+	return source.validate(settingsSchema, (content) => {
+		const problems: YamlProblem[] = [];
+		const context = {source, environment, problems};
+		let value = content;
+		for (const path of secretPaths) {
+			value = replaceAt(value, path, [], context);
+		}
+
+		return {value, problems};
+	});
+}
+
+/** Reads and checks a settings file. */
+export function loadSettings(
+	file: string,
+	environment: Environment,
+): Result<Settings, YamlValidationError> {
+	let text: string;
+	try {
+		text = readFileSync(file, 'utf8');
+	} catch (error) {
+		const reason = error instanceof Error ? error.message : String(error);
+		return err(
+			new YamlValidationError([
+				{
+					file,
+					line: 1,
+					column: 1,
+					path: '',
+					message: `cannot be read: ${reason}`,
+				},
+			]),
+		);
+	}
+
+	return parseSettings(text, file, environment);
+}
