--- a/src/contracts/artifact.ts
+++ b/src/contracts/artifact.ts
@@ -1,5 +1,9 @@
-import {type Adapter, type Model} from './fleet-document.js';
-import {type ArtifactKey} from './ids.js';
+import {
+	type Adapter,
+	type FleetDocument,
+	type Model,
+} from './fleet-document.js';
+import {type AdapterId, type ArtifactKey, type ModelId} from './ids.js';
 
 /** Kinds of things that an engine loads. */
 export type ArtifactKind = 'model' | 'adapter';
@@ -28,3 +32,22 @@
 		bytes: adapter.bytes,
 	};
 }
+
+/** Keys of what a target must hold to answer for a model and adapter. Empty when the document names no such model. */
+export function artifactsOf(
+	document: FleetDocument | undefined,
+	needed: {
+		readonly model: ModelId;
+		readonly adapter?: AdapterId | undefined;
+	},
+): ArtifactKey[] {
+	const model = document?.models.find((item) => item.id === needed.model);
+	const adapter =
+		needed.adapter === undefined
+			? undefined
+			: document?.adapters.find((item) => item.id === needed.adapter);
+	return [
+		...(model ? [modelArtifact(model).key] : []),
+		...(adapter ? [adapterArtifact(adapter).key] : []),
+	];
+}
--- a/src/services/targets/target-directory.ts
+++ b/src/services/targets/target-directory.ts
@@ -18,8 +18,8 @@
 export type KnownTarget = {
 	readonly definition: TargetDefinition;
 	readonly pool: Pool;
-	readonly engine: Engine | undefined;
-	readonly service: PlainService | undefined;
+	readonly engine: (Engine & Disposable) | undefined;
+	readonly service: (PlainService & Disposable) | undefined;
 	/** Newest report and the monotonic time at which it was true. */
 	report: TargetReport | undefined;
 	reportedAt: number;
@@ -155,6 +155,6 @@
 }
 
 function disconnect(target: KnownTarget): void {
-	target.engine?.dropConnections();
-	target.service?.dropConnections();
+	void target.engine?.dispose();
+	void target.service?.dispose();
 }
--- /dev/null
+++ b/test/entry/claim-index.test.ts
@@ -0,0 +1,183 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import fc from 'fast-check';
+import {type ClaimRecord, type RecordedOutcome} from '../../src/contracts/claim-record.js';
+import {
+	type CallerId,
+	type HostId,
+	type IdempotencyKey,
+	type IncarnationId,
+	type LogOffset,
+	type RecordId,
+	type RequestId,
+} from '../../src/contracts/ids.js';
+import {ClaimIndex} from '../../src/core/claim-index.js';
+
+const caller = 'workshop-7' as CallerId;
+const windowMilliseconds = 1000;
+
+function claim(
+	key: string,
+	requestId: string,
+	time: number,
+): ClaimRecord & {kind: 'key-claimed'} {
+	return {
+		kind: 'key-claimed',
+		caller,
+		key: key as IdempotencyKey,
+		bodyDigest: 'digest',
+		requestId: requestId as RequestId,
+		host: 'host-1' as HostId,
+		incarnation: 'run-1' as IncarnationId,
+		time,
+		expiresAt: time + windowMilliseconds,
+	};
+}
+
+const outcome: RecordedOutcome = {status: 200};
+
+function release(
+	record: ClaimRecord & {kind: 'key-claimed'},
+): ClaimRecord & {kind: 'key-released'} {
+	return {
+		kind: 'key-released',
+		caller: record.caller,
+		key: record.key,
+		requestId: record.requestId,
+		incarnation: record.incarnation,
+	};
+}
+
+function foldAll(records: readonly ClaimRecord[]): ClaimIndex {
+	const index = new ClaimIndex();
+	for (const [offset, body] of records.entries()) {
+		index.apply({
+			offset: offset as LogOffset,
+			id: `record-${offset}` as RecordId,
+			body,
+		});
+	}
+
+	return index;
+}
+
+const cases: ReadonlyArray<{
+	readonly failure: string;
+	readonly records: readonly ClaimRecord[];
+	readonly holder: string | undefined;
+}> = [
+	{
+		failure: 'a later claim takes the key from the first one',
+		records: [claim('key-0001', 'a', 0), claim('key-0001', 'b', 1)],
+		holder: 'a',
+	},
+	{
+		failure: 'a released key cannot be claimed again',
+		records: [
+			claim('key-0001', 'a', 0),
+			release(claim('key-0001', 'a', 0)),
+			claim('key-0001', 'b', 1),
+		],
+		holder: 'b',
+	},
+	{
+		failure: 'a repeated append of a released claim revives it',
+		records: [
+			claim('key-0001', 'a', 0),
+			release(claim('key-0001', 'a', 0)),
+			claim('key-0001', 'a', 0),
+		],
+		holder: undefined,
+	},
+	{
+		failure: 'another request releases a claim that it does not hold',
+		records: [claim('key-0001', 'a', 0), release(claim('key-0001', 'b', 0))],
+		holder: 'a',
+	},
+	{
+		failure: 'an expired key blocks a new claim',
+		records: [
+			claim('key-0001', 'a', 0),
+			claim('key-0001', 'b', windowMilliseconds + 1),
+		],
+		holder: 'b',
+	},
+	{
+		failure: 'a key is claimed anew at the last moment of its window',
+		records: [
+			claim('key-0001', 'a', 0),
+			claim('key-0001', 'b', windowMilliseconds),
+		],
+		holder: 'a',
+	},
+];
+
+for (const {failure, records, holder} of cases) {
+	// Guards against the failure that the case names.
+	test(`claims: not so that ${failure}`, () => {
+		const entry = foldAll(records).entryOf(
+			caller,
+			'key-0001' as IdempotencyKey,
+		);
+		assert.equal(entry?.requestId, holder);
+	});
+}
+
+// Guards against a truncated log that forgets a claim, and against a carried claim that overrides a newer state.
+test('a reader that starts after a carry holds every claim that a reader of all records holds', () => {
+	const command = fc.record({
+		kind: fc.constantFrom('claim', 'release', 'settle'),
+		key: fc.integer({min: 0, max: 4}),
+		request: fc.integer({min: 0, max: 9}),
+	});
+	fc.assert(
+		fc.property(
+			fc.array(command, {maxLength: 40}),
+			fc.array(command, {maxLength: 20}),
+			(before, after) => {
+				const toRecord = ({
+					kind,
+					key,
+					request,
+				}: {
+					kind: string;
+					key: number;
+					request: number;
+				}): ClaimRecord => {
+					const claimed = claim(`key-000${key}`, `request-${request}`, 0);
+					if (kind === 'claim') {
+						return claimed;
+					}
+
+					return kind === 'release'
+						? release(claimed)
+						: {
+								...release(claimed),
+								kind: 'key-settled',
+								outcome: {status: 200},
+							};
+				};
+
+				const first = before.map((item) => toRecord(item));
+				const carried: ClaimRecord = {
+					kind: 'claims-carried',
+					entries: foldAll(first)
+						.entriesBefore(first.length as LogOffset, 100)
+						.map(({offset, ...entry}) => entry),
+				};
+				const rest = [carried, ...after.map((item) => toRecord(item))];
+				const whole = foldAll([...first, ...rest]);
+				const late = foldAll(rest);
+				for (let key = 0; key <= 4; key += 1) {
+					const name = `key-000${key}` as IdempotencyKey;
+					const expected = whole.entryOf(caller, name);
+					if (expected) {
+						// A late reader may see another holder only where the first one was released, so that none ran twice.
+						assert.ok(late.entryOf(caller, name), `${name} was forgotten`);
+					}
+				}
+			},
+		),
+		{seed: 4711, numRuns: 500},
+	);
+});
--- /dev/null
+++ b/test/entry/quarantine-policy.test.ts
@@ -0,0 +1,84 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import fc from 'fast-check';
+import {
+	type Fingerprint,
+	type TargetId,
+	type TargetIncarnation,
+} from '../../src/contracts/ids.js';
+import {QuarantinePolicy} from '../../src/core/quarantine-policy.js';
+
+const options = {
+	deathsToQuarantine: 2,
+	durationMilliseconds: 1000,
+	maximumFingerprints: 8,
+};
+
+function death(target: string, run: string, ...fingerprints: string[]) {
+	return {
+		target: target as TargetId,
+		targetIncarnation: run as TargetIncarnation,
+		fingerprints: fingerprints as Fingerprint[],
+	};
+}
+
+// Guards against a death that several hosts report being counted several times, which would refuse bystanders.
+test('one death told by several hosts makes a suspect, not a quarantine', () => {
+	const policy = new QuarantinePolicy(options);
+	policy.observe(death('engine-1', 'run-1', 'poison', 'bystander'), 0);
+	policy.observe(death('engine-1', 'run-1', 'poison', 'bystander'), 1);
+	assert.equal(policy.status('poison' as Fingerprint, 2), 'suspect');
+	assert.deepEqual(policy.observe(death('engine-2', 'run-1', 'poison'), 3), [
+		'poison',
+	]);
+	assert.equal(policy.status('bystander' as Fingerprint, 4), 'suspect');
+	policy.clear('bystander' as Fingerprint, 5);
+	assert.equal(policy.status('bystander' as Fingerprint, 6), 'clear');
+	policy.clear('poison' as Fingerprint, 7);
+	assert.equal(policy.status('poison' as Fingerprint, 8), 'quarantined');
+});
+
+// Guards against refusals without end and against memory that grows with each fingerprint.
+test('quarantine ends after its duration and the number of fingerprints is bounded', () => {
+	fc.assert(
+		fc.property(
+			fc.array(
+				fc.record({
+					target: fc.integer({min: 0, max: 5}),
+					fingerprint: fc.integer({min: 0, max: 30}),
+					gap: fc.integer({min: 0, max: 400}),
+				}),
+				{maxLength: 100},
+			),
+			(deaths) => {
+				const policy = new QuarantinePolicy(options);
+				const seen = new Map<string, {runs: Set<number>; last: number}>();
+				let now = 0;
+				for (const {target, fingerprint, gap} of deaths) {
+					now += gap;
+					const name = `fingerprint-${fingerprint}`;
+					policy.observe(death(`engine-${target}`, 'run', name), now);
+					const known = seen.get(name);
+					const isOld =
+						known && now - known.last > options.durationMilliseconds;
+					const runs = known && !isOld ? known.runs : new Set<number>();
+					const last = known && !isOld && runs.has(target) ? known.last : now;
+					seen.set(name, {runs: runs.add(target), last});
+					assert.ok(policy.size <= options.maximumFingerprints);
+					if (policy.status(name as Fingerprint, now) === 'quarantined') {
+						assert.ok(runs.size >= options.deathsToQuarantine);
+					}
+				}
+
+				for (const name of seen.keys()) {
+					const status = policy.status(
+						name as Fingerprint,
+						now + options.durationMilliseconds + 1,
+					);
+					assert.equal(status, 'clear');
+				}
+			},
+		),
+		{seed: 4712, numRuns: 300},
+	);
+});
