--- a/src/core/control-state.ts
+++ b/src/core/control-state.ts
@@ -286,6 +286,11 @@
 		return current?.token === token && !current.released;
 	}
 
+	/** True when a record with this id is among the last few thousand folded ones. */
+	hasRecord(id: RecordId): boolean {
+		return this.recordIds.has(id);
+	}
+
 	/** Folds one record. Records must come in log order; earlier ones are ignored. */
 	apply(record: StoredRecord): ApplyOutcome {
 		const {offset} = record;
--- /dev/null
+++ b/src/services/service-options.ts
@@ -0,0 +1,12 @@
+import {type Clock} from '../base/common/clock.js';
+import {type EventLogger} from '../base/common/event-logger.js';
+import {type MetricRegistry} from '../base/common/metric-registry.js';
+import {type RandomSource} from '../base/common/random-source.js';
+
+/** What every service takes besides its own collaborators. */
+export type ServiceOptions = {
+	readonly clock: Clock;
+	readonly random: RandomSource;
+	readonly events: EventLogger;
+	readonly metrics: MetricRegistry;
+};
