--- /dev/null
+++ b/src/program/run-host.ts
@@ -0,0 +1,22 @@
+import process from 'node:process';
+import {startHost} from './composition-root.js';
+import {type Settings} from './settings.js';
+
+/** Runs a host until it is told to stop. The first signal stops it gracefully, the second one at once. */
+export async function runHost(settings: Settings): Promise<void> {
+	const host = await startHost(settings);
+	let isStopping = false;
+	const stop = () => {
+		if (isStopping) {
+			process.exit(1);
+		}
+
+		isStopping = true;
+		void host.stop().then(() => {
+			process.exit(0);
+		});
+	};
+
+	process.on('SIGTERM', stop);
+	process.on('SIGINT', stop);
+}
--- a/src/services/entry/claim-keeper.ts
+++ b/src/services/entry/claim-keeper.ts
@@ -67,7 +67,7 @@
 	readonly appender: ClaimAppender;
 	readonly incarnations: IncarnationDirectory;
 	readonly clock: Clock;
-	readonly logger: EventLogger;
+	readonly events: EventLogger;
 	/** How long a key is remembered. */
 	readonly windowMilliseconds: () => number;
 	/** Time for the log to confirm a claim. */
@@ -192,7 +192,7 @@
 
 			if (!isReported) {
 				isReported = true;
-				this.options.logger.record(entryEvents.claimUnsettled, {
+				this.options.events.record(entryEvents.claimUnsettled, {
 					requestId: request.requestId,
 					error: settled.error.message,
 				});
@@ -312,7 +312,7 @@
 	}
 
 	private abandon(request: ClaimRequest): void {
-		this.options.logger.record(entryEvents.claimAbandoned, {
+		this.options.events.record(entryEvents.claimAbandoned, {
 			requestId: request.requestId,
 		});
 		this.abandoned.set(request.requestId, request);
@@ -336,7 +336,7 @@
 		while (!this.stopping.signal.aborted) {
 			const bounds = await this.options.log.bounds('claims');
 			if (bounds.isErr()) {
-				this.options.logger.record(entryEvents.claimsUnreadable, {
+				this.options.events.record(entryEvents.claimsUnreadable, {
 					error: bounds.error.message,
 				});
 				await this.pause(retryMilliseconds);
--- a/src/services/entry/entry-server.ts
+++ b/src/services/entry/entry-server.ts
@@ -55,7 +55,7 @@
 	readonly services: ServiceGateway;
 	readonly limits: EntryLimits;
 	readonly clock: Clock;
-	readonly logger: EventLogger;
+	readonly events: EventLogger;
 	readonly metrics: MetricRegistry;
 	readonly mintRequestId: () => RequestId;
 };
@@ -372,7 +372,7 @@
 			problem.execution === 'unknown'
 				? entryEvents.requestFailed
 				: entryEvents.requestRefused;
-		this.options.logger.record(event, {
+		this.options.events.record(event, {
 			requestId,
 			code: problem.code,
 			execution: problem.execution,
@@ -382,7 +382,7 @@
 
 	private internalError(error: Error): Response {
 		const requestId = this.options.mintRequestId();
-		this.options.logger.record(entryEvents.internalError, {
+		this.options.events.record(entryEvents.internalError, {
 			requestId,
 			error: error.stack ?? error.message,
 		});
--- /dev/null
+++ b/test/process/test-deployment.ts
@@ -0,0 +1,130 @@
+import {sha256} from '../../src/base/common/digest.js';
+import {HttpLogService} from '../../src/adapters/node/http-log-service.js';
+import {type RecordId} from '../../src/contracts/ids.js';
+import {
+	send,
+	type TestFleet,
+	type TestHost,
+	type TestStandIn,
+} from './processes.js';
+
+const operatorToken = 'operator-token-of-the-test';
+
+/** Key of the caller in the test document. */
+export const callerKey = 'key-of-workshop-7';
+
+/** The platform's stand-ins. */
+export type TestPlatform = {
+	readonly log: TestStandIn;
+	readonly hostList: TestStandIn;
+	readonly weightStore: TestStandIn;
+};
+
+/** Starts the platform's stand-ins. */
+export async function startPlatform(fleet: TestFleet): Promise<TestPlatform> {
+	const [log, hostList, weightStore] = await Promise.all([
+		fleet.standIn('log'),
+		fleet.standIn('host-list'),
+		fleet.standIn('weight-store'),
+	]);
+	return {log, hostList, weightStore};
+}
+
+/** Settings of a host on kernel-chosen ports. */
+export function hostSettings(
+	platform: TestPlatform,
+	name: string,
+	failureDomain: string,
+) {
+	return {
+		host: name,
+		failureDomain,
+		listen: {
+			callers: '127.0.0.1:0',
+			operators: '127.0.0.1:0',
+			peers: '127.0.0.1:0',
+		},
+		platform: {
+			logService: platform.log.address,
+			hostList: platform.hostList.address,
+			weightStore: platform.weightStore.address,
+		},
+		peerSecret: 'peer-secret-of-the-test',
+		operators: [{name: 'tester', tokenDigest: sha256(operatorToken)}],
+	};
+}
+
+/** Targets of the test document. */
+export type TestTargets = {
+	readonly engines: ReadonlyArray<{
+		readonly id: string;
+		readonly address: string;
+		readonly failureDomain: string;
+	}>;
+	readonly services: ReadonlyArray<{
+		readonly id: string;
+		readonly address: string;
+		readonly failureDomain: string;
+	}>;
+};
+
+/** A document with one model, one adapter, one plain service and one caller. */
+export function testDocument(
+	targets: TestTargets,
+	changes: Record<string, unknown> = {},
+) {
+	return {
+		schema: 1,
+		pools: [
+			{
+				name: 'sarto-lm',
+				kind: 'engine',
+				honoursFencing: true,
+				targets: targets.engines.map((target) => ({
+					...target,
+					memoryBytes: 1_000_000,
+					slots: 8,
+				})),
+			},
+			{
+				name: 'ordini',
+				kind: 'service',
+				targets: targets.services.map((target) => ({...target, slots: 16})),
+			},
+		],
+		models: [{id: 'hem-base', pool: 'sarto-lm', bytes: 400_000}],
+		adapters: [{id: 'ward-linen', model: 'hem-base', bytes: 10_000}],
+		offerings: [
+			{name: 'measure', model: 'hem-base'},
+			{name: 'draft', model: 'hem-base', adapter: 'ward-linen'},
+		],
+		services: [
+			{
+				name: 'orders',
+				pool: 'ordini',
+				routes: [
+					{method: 'GET', pathPrefix: '/', idempotent: true},
+					{method: 'POST', pathPrefix: '/', idempotent: false},
+				],
+			},
+		],
+		callerClasses: [
+			{name: 'workshop', urgency: 'urgent', deadlineSeconds: 30},
+		],
+		callers: [
+			{
+				id: 'workshop-7',
+				class: 'workshop',
+				keyDigests: [sha256(callerKey)],
+				offerings: ['measure', 'draft'],
+				services: ['orders'],
+			},
+		],
+		weightStore: {
+			loadsPerSecond: 20,
+			concurrentLoads: 5,
+			concurrentAdapterLoads: 40,
+		},
+		...changes,
+	};
+}
