Exchange heartbeats and catch up from peers

Cause: hosts need to know each other, confirm their document during a log outage and fetch newer records from peers.

Ruled out: HTTP/2 between hosts, because a connection that goes silent would carry all later calls; with HTTP/1.1 a call that times out closes its own connection. Ruled out: forgetting silent hosts by time alone, because two hosts that were partitioned would never call each other again.

--- a/src/core/membership.ts
+++ b/src/core/membership.ts
@@ -41,6 +41,8 @@
 	readonly status: HostStatus;
 	/** Monotonic time of the last heartbeat, or undefined if none was heard. */
 	readonly lastHeardAt: number | undefined;
+	/** True when the run recorded that it stopped. */
+	readonly stopped: boolean;
 };
 
 type Entry = HeardHost & {
@@ -81,7 +83,7 @@
 	private readonly replaced = new Set<IncarnationId>();
 	private readonly startOffsets = new Map<HostId, number>();
 	private listed: ReadonlyMap<string, HostListEntry['state']> | undefined;
-	private monitored: ReadonlySet<HostId> | undefined;
+	private monitoredSince: ReadonlyMap<HostId, number> | undefined;
 	private lastLogContactAt: number;
 
 	constructor(
@@ -170,8 +172,11 @@
 	}
 
 	/** Names the hosts that exchange heartbeats with this one. The silence of others says nothing. */
-	setMonitored(hosts: ReadonlySet<HostId>): void {
-		this.monitored = hosts;
+	setMonitored(hosts: ReadonlySet<HostId>, now: number): void {
+		const before = this.monitoredSince;
+		this.monitoredSince = new Map(
+			[...hosts].map((host) => [host, before?.get(host) ?? now]),
+		);
 	}
 
 	/** Notes that the log answered. */
@@ -190,6 +195,7 @@
 				peerAddress: entry.peerAddress,
 				leaving: entry.leaving,
 				lastHeardAt: entry.lastHeardAt,
+				stopped: entry.stopped,
 				status: this.status(entry, now),
 			}));
 	}
@@ -216,24 +222,31 @@
 		return now - lastContact > this.times.isolation;
 	}
 
-	/** Forgets hosts that have been gone for long. The control stream keeps its own bounded list. */
+	/** Forgets hosts that are gone for long and no longer listed. A heartbeat or a start record brings them back. */
 	forgetGone(now: number): void {
 		for (const entry of this.entries.values()) {
-			const silence = now - (entry.lastHeardAt ?? entry.knownSince);
-			if (
+			const isForgettable =
 				this.status(entry, now) === 'gone' &&
 				!entry.stopped &&
-				silence > this.times.gone * 10
-			) {
+				this.listed?.has(entry.host) === false &&
+				this.silence(entry, now) > this.times.gone * 10;
+			if (isForgettable) {
 				this.entries.delete(entry.host);
 			}
 		}
 	}
 
+	private silence(entry: Entry, now: number): number {
+		const monitoredSince = this.monitoredSince?.get(entry.host) ?? 0;
+		return (
+			now - (entry.lastHeardAt ?? Math.max(entry.knownSince, monitoredSince))
+		);
+	}
+
 	private status(entry: Entry, now: number): HostStatus {
-		const silence = now - (entry.lastHeardAt ?? entry.knownSince);
+		const silence = this.silence(entry, now);
 		const listed = this.listed?.get(entry.host);
-		const isMonitored = this.monitored?.has(entry.host) ?? true;
+		const isMonitored = this.monitoredSince?.has(entry.host) ?? true;
 		const isSilent = isMonitored && silence > this.times.suspect;
 		if (entry.stopped || (isMonitored && silence > this.times.gone)) {
 			return 'gone';
--- /dev/null
+++ b/src/services/peer-client.ts
@@ -0,0 +1,124 @@
+import {Agent} from 'node:http';
+import {type MessageInitShape} from '@bufbuild/protobuf';
+import {createClient, type Client, type Interceptor} from '@connectrpc/connect';
+import {createConnectTransport} from '@connectrpc/connect-node';
+import {ResultAsync} from 'neverthrow';
+import {Disposable} from '../base/common/disposable.js';
+import {type LogOffset, type RecordId} from '../contracts/ids.js';
+import {type LogBatch} from '../contracts/log-service.js';
+import {
+	PeerService,
+	type HostState,
+	type HostStateSchema,
+} from '../generated/daisylever/peer/v1/peer_pb.js';
+import {PeerError} from './peer-record-source.js';
+
+/** The header that carries the shared secret of the fleet. */
+export const peerSecretHeader = 'x-daisylever-peer-secret';
+
+/** Options of a peer client. */
+export type PeerClientOptions = {
+	/** Base address of the peer server, such as `http://10.0.0.7:7400`. */
+	readonly address: string;
+	readonly secret: string;
+	readonly timeoutMilliseconds?: number;
+	/** Snapshots take longer than heartbeats. */
+	readonly snapshotTimeoutMilliseconds?: number;
+};
+
+/**
+ * Calls one other host. HTTP/1.1 is used on purpose: a call that times out closes its connection,
+ * so a connection that went silent is not used again, which a shared HTTP/2 connection would be.
+ */
+export class PeerClient extends Disposable {
+	private readonly agent = new Agent({keepAlive: true, maxSockets: 4});
+	private readonly client: Client<typeof PeerService>;
+
+	constructor(private readonly options: PeerClientOptions) {
+		super();
+		const authenticate: Interceptor = (next) => async (request) => {
+			request.header.set(peerSecretHeader, options.secret);
+			return next(request);
+		};
+
+		this.client = createClient(
+			PeerService,
+			createConnectTransport({
+				baseUrl: options.address,
+				httpVersion: '1.1',
+				nodeOptions: {agent: this.agent},
+				interceptors: [authenticate],
+				readMaxBytes: 64 * 1024 * 1024,
+			}),
+		);
+	}
+
+	/** Sends the state of this host and returns the state of the peer. */
+	heartbeat(
+		state: MessageInitShape<typeof HostStateSchema>,
+	): ResultAsync<HostState, PeerError> {
+		return this.call(async () => {
+			const response = await this.client.heartbeat(
+				{state},
+				{timeoutMs: this.options.timeoutMilliseconds ?? 1000},
+			);
+			if (!response.state) {
+				throw new PeerError('the heartbeat answer has no state');
+			}
+
+			return response.state;
+		});
+	}
+
+	/** Returns records of the control stream that the peer keeps. */
+	records(from: LogOffset, limit: number): ResultAsync<LogBatch, PeerError> {
+		return this.call(async () => {
+			const response = await this.client.fetchRecords(
+				{stream: 'control', from: BigInt(from), limit},
+				{timeoutMs: this.options.snapshotTimeoutMilliseconds ?? 5000},
+			);
+			if (!response.available) {
+				throw new PeerError(`the peer keeps no records from offset ${from}`);
+			}
+
+			return {
+				records: response.records.map((record) => ({
+					offset: Number(record.offset) as LogOffset,
+					id: record.id as RecordId,
+					body: parseJson(record.body),
+				})),
+				next: Number(response.next) as LogOffset,
+			};
+		});
+	}
+
+	/** Returns the control snapshot of the peer. */
+	snapshot(): ResultAsync<unknown, PeerError> {
+		return this.call(async () => {
+			const response = await this.client.fetchSnapshot(
+				{},
+				{timeoutMs: this.options.snapshotTimeoutMilliseconds ?? 5000},
+			);
+			return parseJson(response.snapshot);
+		});
+	}
+
+	dispose(): void {
+		this.agent.destroy();
+	}
+
+	private call<T>(action: () => Promise<T>): ResultAsync<T, PeerError> {
+		return ResultAsync.fromPromise(action(), (cause) =>
+			cause instanceof PeerError
+				? cause
+				: new PeerError(
+						`the call to ${this.options.address} failed: ${cause instanceof Error ? cause.message : 'unknown'}`,
+						{cause},
+					),
+		);
+	}
+}
+
+function parseJson(bytes: Uint8Array): unknown {
+	return JSON.parse(new TextDecoder().decode(bytes)) as unknown;
+}
