--- a/src/program/composition-root.ts
+++ b/src/program/composition-root.ts
@@ -1,9 +1,11 @@
 import {randomInt} from 'node:crypto';
-import {errAsync, type ResultAsync} from 'neverthrow';
+import {err, ok, type Result} from 'neverthrow';
 import {v7 as timeOrderedUuid, v4 as uuid} from 'uuid';
 import {DisposableStore} from '../base/common/disposable.js';
+import {type EventLogger} from '../base/common/event-logger.js';
 import {SeededRandomSource} from '../base/common/random-source.js';
 import {SystemClock} from '../base/node/system-clock.js';
+import {HttpHostList} from '../adapters/node/http-host-list.js';
 import {HttpLogService} from '../adapters/node/http-log-service.js';
 import {HttpTargetConnector} from '../adapters/node/http-target-connector.js';
 import {operatorEvents} from '../contracts/events/operator-events.js';
@@ -12,19 +14,25 @@
 	type RequestId,
 	type Revision,
 } from '../contracts/ids.js';
-import {type LogBatch, type StreamName} from '../contracts/log-service.js';
+import {type StreamName} from '../contracts/log-service.js';
 import {SchemaOnlyDocumentValidator} from '../core/document-validator.js';
 import {snapshotLeaseName} from '../core/lease-names.js';
-import {ClaimKeeper} from '../services/entry/claim-keeper.js';
+import {
+	ClaimKeeper,
+	IncarnationDirectory,
+} from '../services/entry/claim-keeper.js';
 import {ClaimingServiceGateway} from '../services/entry/claiming-service-gateway.js';
 import {EngineModelGateway} from '../services/entry/engine-model-gateway.js';
 import {EntryServer} from '../services/entry/entry-server.js';
 import {HostGate} from '../services/entry/host-gate.js';
 import {LogClaimAppender} from '../services/entry/log-claim-appender.js';
+import {MemberIncarnations} from '../services/entry/member-incarnations.js';
 import {HistogramMetricRegistry} from '../services/histogram-metric-registry.js';
 import {LeaseKeeper} from '../services/lease-keeper.js';
 import {LogFollower} from '../services/log-follower.js';
-import {PeerError, PeerRecordSource} from '../services/peer-record-source.js';
+import {MembershipTask} from '../services/membership-task.js';
+import {PeerDirectory} from '../services/peer-directory.js';
+import {PeerServer} from '../services/peer-server.js';
 import {RecordAppender} from '../services/record-appender.js';
 import {type ServiceOptions} from '../services/service-options.js';
 import {SnapshotWriter} from '../services/snapshot-writer.js';
@@ -41,42 +49,65 @@
 const defaultWindowHours = 168;
 const seedRange = 2 ** 31;
 
+/** A host could not start. The message says which listener failed. */
+export class StartError extends Error {
+	override readonly name = 'StartError';
+}
+
 /** Ports that a running host listens on. */
 export type HostPorts = {
 	readonly callers: number;
+	readonly peers: number;
+};
+
+type RunningParts = {
+	readonly owned: DisposableStore;
+	readonly gate: HostGate;
+	readonly membership: MembershipTask;
+	readonly leases: LeaseKeeper;
+	readonly events: EventLogger;
+	readonly drainMilliseconds: number;
 };
 
 /** A host that serves. */
 export class RunningHost {
 	constructor(
 		readonly ports: HostPorts,
-		private readonly parts: DisposableStore,
-		private readonly gate: HostGate,
-		private readonly drainMilliseconds: number,
+		private readonly parts: RunningParts,
 	) {}
 
-	/** Takes no new work, lets running requests end, and releases everything. */
+	/** Takes no new work, hands its leases over, lets running requests end, and releases everything. */
 	async stop(): Promise<void> {
-		this.gate.stop();
-		const limit = new AbortController();
-		const timer = setTimeout(() => {
-			limit.abort();
-		}, this.drainMilliseconds);
-		await Promise.race([
-			this.gate.idle(),
-			new Promise<void>((resolve) => {
-				limit.signal.addEventListener('abort', () => {
-					resolve();
-				});
-			}),
+		const {gate, membership, leases, owned, events} = this.parts;
+		events.record(operatorEvents.hostStopping, {inFlight: gate.inFlight});
+		gate.stop();
+		await Promise.all([
+			membership.leave(),
+			leases.releaseAll(),
+			withinLimit(gate.idle(), this.parts.drainMilliseconds),
 		]);
-		clearTimeout(timer);
-		await this.parts.dispose();
+		await membership.recordStop();
+		await owned.dispose();
+		events.record(operatorEvents.hostStopped, {unfinished: gate.inFlight});
 	}
 }
 
+async function withinLimit(
+	work: Promise<void>,
+	milliseconds: number,
+): Promise<void> {
+	let timer: NodeJS.Timeout | undefined;
+	const limit = new Promise<void>((resolve) => {
+		timer = setTimeout(resolve, milliseconds);
+	});
+	await Promise.race([work, limit]);
+	clearTimeout(timer);
+}
+
 /** Builds all parts of a host and starts them. */
-export async function startHost(settings: Settings): Promise<RunningHost> {
+export async function startHost(
+	settings: Settings,
+): Promise<Result<RunningHost, StartError>> {
 	const parts = new DisposableStore();
 	const clock = new SystemClock();
 	const incarnation = uuid() as IncarnationId;
@@ -100,13 +131,20 @@
 	);
 	const createAppender = (stream: StreamName) =>
 		parts.add(new RecordAppender({...services, log, stream}));
+	const peers = parts.add(
+		new PeerDirectory({
+			secret: settings.peerSecret,
+			seedAddresses: settings.seedPeers,
+			timeoutMilliseconds: settings.timeouts.peerMilliseconds,
+		}),
+	);
 	const follower = parts.add(
 		new LogFollower({
 			...services,
 			log,
 			appender: createAppender('control'),
 			validator: new SchemaOnlyDocumentValidator(),
-			peers: new NoPeerRecordSource(),
+			peers,
 		}),
 	);
 	const targets = parts.add(
@@ -123,7 +161,11 @@
 			incarnation,
 			log,
 			appender: new LogClaimAppender(createAppender('claims')),
-			incarnations: {isLive: () => true},
+			incarnations: new MemberIncarnations(
+				incarnation,
+				clock,
+				() => membership,
+			),
 			clock,
 			events,
 			windowMilliseconds: () =>
@@ -134,6 +176,46 @@
 			settlementWaitMilliseconds,
 		}),
 	);
+	const peerServer = parts.add(
+		new PeerServer({
+			...services,
+			secret: settings.peerSecret,
+			bindAddress: settings.listen.peers.address,
+			port: settings.listen.peers.port,
+			follower,
+			localState: () => membership.localState(),
+		}),
+	);
+	const peerPort = await peerServer.listen();
+	if (peerPort.isErr()) {
+		await parts.dispose();
+		return err(new StartError(peerPort.error.message, {cause: peerPort.error}));
+	}
+
+	const membership: MembershipTask = parts.add(
+		new MembershipTask({
+			...services,
+			host: settings.host,
+			incarnation,
+			failureDomain: settings.failureDomain,
+			peerAddress:
+				settings.advertisedPeerUrl ??
+				`http://${settings.listen.peers.address}:${peerPort.value}`,
+			follower,
+			directory: peers,
+			hostList: parts.add(
+				new HttpHostList({address: settings.platform.hostList}),
+			),
+			seedAddresses: settings.seedPeers,
+			load: () => ({ready: gate.isOpen}),
+		}),
+	);
+	peerServer.heartbeatReceived.subscribe((state) => {
+		membership.receive(state);
+	});
+	membership.isolationChanged.subscribe((isIsolated) => {
+		gate.setStale(isIsolated);
+	});
 	const poller = parts.add(
 		new ReportPoller(targets, reportIntervalMilliseconds, () => true),
 	);
@@ -143,7 +225,7 @@
 			host: settings.host,
 			incarnation,
 			follower,
-			liveHosts: () => [settings.host],
+			liveHosts: () => membership.leaseCandidates,
 		}),
 	);
 	const snapshots = parts.add(
@@ -158,10 +240,7 @@
 		new EntryServer({
 			gate,
 			models: new EngineModelGateway(
-				new LeastOutstandingAssigner(
-					targets,
-					() => follower.control.document,
-				),
+				new LeastOutstandingAssigner(targets, () => follower.control.document),
 				clock,
 			),
 			services: new ClaimingServiceGateway({
@@ -186,18 +265,29 @@
 	follower.start();
 	claims.start();
 	poller.start();
+	membership.start();
 	leases.start();
 	snapshots.start();
 	const {callers} = settings.listen;
-	const ports = {
-		callers: await entry.listen(callers.port, callers.address),
-	};
+	const callersPort = await entry.listen(callers.port, callers.address);
+	if (callersPort.isErr()) {
+		await parts.dispose();
+		return err(
+			new StartError(callersPort.error.message, {cause: callersPort.error}),
+		);
+	}
+
+	const ports = {callers: callersPort.value, peers: peerPort.value};
 	events.record(operatorEvents.hostStarted, ports);
-	return new RunningHost(
-		ports,
-		parts,
-		gate,
-		settings.timeouts.drainMilliseconds,
+	return ok(
+		new RunningHost(ports, {
+			owned: parts,
+			gate,
+			membership,
+			leases,
+			events,
+			drainMilliseconds: settings.timeouts.drainMilliseconds,
+		}),
 	);
 }
 
@@ -222,13 +312,3 @@
 	follower.recordApplied.subscribe(apply);
 	follower.stateRestored.subscribe(apply);
 }
-
-class NoPeerRecordSource extends PeerRecordSource {
-	records(): ResultAsync<LogBatch, PeerError> {
-		return errAsync(new PeerError('there are no peers'));
-	}
-
-	snapshot(): ResultAsync<unknown, PeerError> {
-		return errAsync(new PeerError('there are no peers'));
-	}
-}
--- a/src/program/run-host.ts
+++ b/src/program/run-host.ts
@@ -1,10 +1,18 @@
 import process from 'node:process';
-import {startHost} from './composition-root.js';
+import {err, ok, type Result} from 'neverthrow';
+import {startHost, type StartError} from './composition-root.js';
 import {type Settings} from './settings.js';
 
 /** Runs a host until it is told to stop. The first signal stops it gracefully, the second one at once. */
-export async function runHost(settings: Settings): Promise<void> {
-	const host = await startHost(settings);
+export async function runHost(
+	settings: Settings,
+): Promise<Result<void, StartError>> {
+	const started = await startHost(settings);
+	if (started.isErr()) {
+		return err(started.error);
+	}
+
+	const host = started.value;
 	let isStopping = false;
 	const stop = () => {
 		if (isStopping) {
@@ -19,4 +27,5 @@
 
 	process.on('SIGTERM', stop);
 	process.on('SIGINT', stop);
+	return ok(undefined);
 }
--- a/src/program/settings.ts
+++ b/src/program/settings.ts
@@ -41,6 +41,8 @@
 	}),
 	/** URL under which other hosts reach `listen.peers`. Derived from the address when left out. */
 	advertisedPeerUrl: urlSchema.optional(),
+	/** URLs of some other hosts, for a start during an outage of the log service. */
+	seedPeers: z.array(urlSchema).default([]),
 	platform: z.strictObject({
 		logService: urlSchema,
 		hostList: urlSchema,
--- a/src/services/entry/claim-keeper.ts
+++ b/src/services/entry/claim-keeper.ts
@@ -56,7 +56,8 @@
 
 /** Tells whether a run of a host still goes on. */
 export abstract class IncarnationDirectory {
-	abstract isLive(incarnation: IncarnationId): boolean;
+	/** `claimedAt` is the wall time of the claim, for a run that the membership has not heard of yet. */
+	abstract isLive(incarnation: IncarnationId, claimedAt: number): boolean;
 }
 
 /** Collaborators and bounds of the claim keeper. */
@@ -307,7 +308,7 @@
 			current?.requestId === entry.requestId &&
 			current.state === 'claimed' &&
 			!this.localOutcomes.has(entry.requestId) &&
-			this.options.incarnations.isLive(entry.incarnation)
+			this.options.incarnations.isLive(entry.incarnation, entry.time)
 		);
 	}
 
--- a/src/services/entry/entry-server.ts
+++ b/src/services/entry/entry-server.ts
@@ -60,6 +60,14 @@
 	readonly mintRequestId: () => RequestId;
 };
 
+/** The callers' listener could not start. */
+export class ListenError extends Error {
+	override readonly name = 'ListenError';
+}
+
+// Requests have ended when the server is disposed; clients get this time to read their answers.
+const closeGraceMilliseconds = 1000;
+
 type RequestScope = {
 	readonly requestId: RequestId;
 	readonly directory: CallerDirectory;
@@ -119,7 +127,10 @@
 	}
 
 	/** Listens and returns the port. */
-	async listen(port: number, hostname: string): Promise<number> {
+	async listen(
+		port: number,
+		hostname: string,
+	): Promise<Result<number, ListenError>> {
 		const {limits} = this.options;
 		const server = createAdaptorServer({
 			fetch: this.app.fetch,
@@ -130,17 +141,21 @@
 		}) as Server;
 		server.maxConnections = limits.connections;
 		this.server = server;
-		return new Promise((resolve, reject) => {
-			server.once('error', reject);
+		return new Promise((resolve) => {
+			server.once('error', (cause) => {
+				resolve(
+					err(new ListenError(`cannot listen on ${hostname}:${port}`, {cause})),
+				);
+			});
 			server.listen(port, hostname, () => {
-				resolve((server.address() as AddressInfo).port);
+				resolve(ok((server.address() as AddressInfo).port));
 			});
 		});
 	}
 
 	async dispose(): Promise<void> {
 		const {server} = this;
-		if (!server) {
+		if (!server?.listening) {
 			return;
 		}
 
@@ -149,6 +164,9 @@
 				resolve();
 			});
 			server.closeIdleConnections();
+			setTimeout(() => {
+				server.closeAllConnections();
+			}, closeGraceMilliseconds).unref();
 		});
 	}
 
--- /dev/null
+++ b/src/services/entry/member-incarnations.ts
@@ -0,0 +1,32 @@
+import {type Clock} from '../../base/common/clock.js';
+import {type IncarnationId} from '../../contracts/ids.js';
+import {defaultMembershipTimes} from '../../core/membership.js';
+import {type MembershipTask} from '../membership-task.js';
+import {IncarnationDirectory} from './claim-keeper.js';
+
+/** Tells from the membership whether a run of a host goes on. A silent host counts as running until it is gone. */
+export class MemberIncarnations extends IncarnationDirectory {
+	constructor(
+		private readonly own: IncarnationId,
+		private readonly clock: Clock,
+		private readonly membership: () => MembershipTask,
+	) {
+		super();
+	}
+
+	isLive(incarnation: IncarnationId, claimedAt: number): boolean {
+		if (incarnation === this.own) {
+			return true;
+		}
+
+		const member = this.membership().members.find(
+			(candidate) => candidate.incarnation === incarnation,
+		);
+		if (member) {
+			return member.status !== 'gone';
+		}
+
+		// A host that has just started can claim before its first heartbeat arrives here.
+		return this.clock.wall() - claimedAt < defaultMembershipTimes.gone;
+	}
+}
--- a/test/entry/claim-index.test.ts
+++ b/test/entry/claim-index.test.ts
@@ -1,7 +1,10 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import fc from 'fast-check';
-import {type ClaimRecord, type RecordedOutcome} from '../../src/contracts/claim-record.js';
+import {
+	type ClaimRecord,
+	type RecordedOutcome,
+} from '../../src/contracts/claim-record.js';
 import {
 	type CallerId,
 	type HostId,
--- a/xo.config.js
+++ b/xo.config.js
@@ -110,6 +110,12 @@
 			// The test functions of node:test return promises that the runner awaits itself.
 			'@typescript-eslint/no-floating-promises': 'off',
 			'@typescript-eslint/no-unsafe-assignment': 'off',
+			// Tests read JSON answers as clients do, without types.
+			'@typescript-eslint/no-unsafe-return': 'off',
+			'@typescript-eslint/no-unsafe-argument': 'off',
+			'@typescript-eslint/no-unsafe-member-access': 'off',
+			'@typescript-eslint/no-unsafe-call': 'off',
+			'@typescript-eslint/no-explicit-any': 'off',
 		},
 	},
 ];
