--- /dev/null
+++ b/src/adapters/node/http-host-list.ts
@@ -0,0 +1,55 @@
+import {err, ok, type ResultAsync} from 'neverthrow';
+import {z} from 'zod';
+import {
+	HostList,
+	HostListError,
+	hostListEntrySchema,
+	type HostListEntry,
+} from '../../contracts/host-list.js';
+import {HttpTransport, type HttpTransportOptions} from './http-transport.js';
+import {parseJson} from './json-body.js';
+
+const hostsSchema = z.object({hosts: z.array(hostListEntrySchema)});
+
+/** Settings of the host list adapter. */
+export type HttpHostListOptions = HttpTransportOptions & {
+	readonly answerTimeoutMilliseconds?: number;
+};
+
+/** The platform's host list over HTTP. */
+export class HttpHostList extends HostList {
+	private readonly transport: HttpTransport;
+
+	constructor(private readonly options: HttpHostListOptions) {
+		super();
+		this.transport = new HttpTransport(options);
+	}
+
+	list(): ResultAsync<readonly HostListEntry[], HostListError> {
+		return this.transport
+			.exchange(
+				{method: 'GET', path: '/hosts'},
+				{timeoutMilliseconds: this.options.answerTimeoutMilliseconds ?? 2000},
+			)
+			.mapErr(
+				(cause) => new HostListError('the host list did not answer', {cause}),
+			)
+			.andThen(({status, body}) =>
+				status === 200
+					? ok(body)
+					: err(new HostListError(`the host list answered ${status}`)),
+			)
+			.andThen((body) =>
+				parseJson(body, hostsSchema).mapErr(
+					(cause) =>
+						new HostListError('the host list has another form', {cause}),
+				),
+			)
+			.map(({hosts}) => hosts);
+	}
+
+	/** Closes all connections. */
+	async dispose(): Promise<void> {
+		await this.transport.dispose();
+	}
+}
--- /dev/null
+++ b/src/adapters/node/http-log-service.ts
@@ -0,0 +1,164 @@
+import {err, ok, type ResultAsync} from 'neverthrow';
+import {z} from 'zod';
+import {
+	logOffsetSchema,
+	recordIdSchema,
+	type LogOffset,
+} from '../../contracts/ids.js';
+import {
+	LogProtocolError,
+	LogService,
+	LogTruncatedError,
+	LogUnavailableError,
+	type LogBatch,
+	type LogError,
+	type LogRecord,
+	type StreamBounds,
+	type StreamName,
+} from '../../contracts/log-service.js';
+import {
+	HttpTransport,
+	type HttpTransportOptions,
+	type TransportRequest,
+	type TransportResponse,
+} from './http-transport.js';
+import {parseJson} from './json-body.js';
+
+const appendedSchema = z.object({first: logOffsetSchema});
+const batchSchema = z.object({
+	records: z.array(
+		z.object({
+			id: recordIdSchema,
+			offset: logOffsetSchema,
+			body: z.unknown(),
+		}),
+	),
+	next: logOffsetSchema,
+});
+const boundsSchema = z.object({
+	earliest: logOffsetSchema,
+	next: logOffsetSchema,
+});
+const truncatedSchema = z.object({earliest: logOffsetSchema});
+
+/** Settings of the log adapter. */
+export type HttpLogServiceOptions = HttpTransportOptions & {
+	/** Longest wait for an answer, beyond the wait that a read asks for. */
+	readonly answerTimeoutMilliseconds?: number;
+};
+
+/** The log service over HTTP. */
+export class HttpLogService extends LogService {
+	private readonly transport: HttpTransport;
+	private readonly answerTimeout: number;
+
+	constructor(options: HttpLogServiceOptions) {
+		super();
+		this.transport = new HttpTransport({
+			// A snapshot of the whole document travels as one record.
+			maximumBodyBytes: 256 * 1024 * 1024,
+			...options,
+		});
+		this.answerTimeout = options.answerTimeoutMilliseconds ?? 2000;
+	}
+
+	append(
+		stream: StreamName,
+		records: readonly LogRecord[],
+	): ResultAsync<LogOffset, LogError> {
+		return this.exchange(
+			{
+				method: 'POST',
+				path: `/streams/${stream}/records`,
+				body: JSON.stringify({records}),
+				contentType: 'application/json',
+			},
+			appendedSchema,
+		).map(({first}) => first);
+	}
+
+	read(
+		stream: StreamName,
+		from: LogOffset,
+		options: {readonly limit: number; readonly waitMilliseconds: number},
+		signal?: AbortSignal,
+	): ResultAsync<LogBatch, LogError> {
+		const {limit, waitMilliseconds} = options;
+		const query = `from=${from}&limit=${limit}&wait=${waitMilliseconds}`;
+		return this.exchange(
+			{method: 'GET', path: `/streams/${stream}/records?${query}`},
+			batchSchema,
+			{waitMilliseconds, signal},
+		).andThen((batch) =>
+			isContiguous(batch, from)
+				? ok(batch)
+				: err(new LogProtocolError('the records have a gap in their offsets')),
+		);
+	}
+
+	bounds(stream: StreamName): ResultAsync<StreamBounds, LogError> {
+		return this.exchange(
+			{method: 'GET', path: `/streams/${stream}/bounds`},
+			boundsSchema,
+		);
+	}
+
+	/** Closes all connections. */
+	async dispose(): Promise<void> {
+		await this.transport.dispose();
+	}
+
+	private exchange<T>(
+		request: TransportRequest,
+		schema: z.ZodType<T>,
+		options: {
+			readonly waitMilliseconds?: number;
+			readonly signal?: AbortSignal;
+		} = {},
+	): ResultAsync<T, LogError> {
+		return this.transport
+			.exchange(request, {
+				timeoutMilliseconds:
+					this.answerTimeout + (options.waitMilliseconds ?? 0),
+				signal: options.signal,
+			})
+			.mapErr(
+				(cause): LogError =>
+					new LogUnavailableError('the log did not answer', {cause}),
+			)
+			.andThen((response) =>
+				response.status === 200
+					? parseJson(response.body, schema).mapErr(
+							(cause) =>
+								new LogProtocolError('the answer of the log has another form', {
+									cause,
+								}),
+						)
+					: err(toLogError(response)),
+			);
+	}
+}
+
+function toLogError(response: TransportResponse): LogError {
+	const {status, body} = response;
+	if (status === 410) {
+		const truncated = parseJson(body, truncatedSchema);
+		if (truncated.isOk()) {
+			return new LogTruncatedError(truncated.value.earliest);
+		}
+	}
+
+	if (status === 429 || status >= 500) {
+		return new LogUnavailableError(`the log answered ${status}`);
+	}
+
+	return new LogProtocolError(`the log answered ${status}`);
+}
+
+// A gap would make this host fold another history than the others.
+function isContiguous(batch: LogBatch, from: LogOffset): boolean {
+	return (
+		batch.records.every((record, index) => record.offset === from + index) &&
+		(batch.next as number) === from + batch.records.length
+	);
+}
--- /dev/null
+++ b/src/adapters/node/http-plain-service.ts
@@ -0,0 +1,82 @@
+import {err, ok, type ResultAsync} from 'neverthrow';
+import {
+	PlainService,
+	type ServiceRequest,
+	type ServiceResponse,
+} from '../../contracts/plain-service.js';
+import {
+	TargetProtocolError,
+	type TargetError,
+} from '../../contracts/target-error.js';
+import {HttpTransport, type HttpTransportOptions} from './http-transport.js';
+import {parseJson} from './json-body.js';
+import {
+	pingSchema,
+	readRefusal,
+	toAnswerError,
+	toTargetError,
+} from './target-answer.js';
+
+/** A plain service instance over HTTP. */
+export class HttpPlainService extends PlainService {
+	private readonly transport: HttpTransport;
+
+	constructor(options: HttpTransportOptions) {
+		super();
+		this.transport = new HttpTransport(options);
+	}
+
+	call(
+		request: ServiceRequest,
+		signal: AbortSignal,
+	): ResultAsync<ServiceResponse, TargetError> {
+		const {method, path, contentType, timeoutMilliseconds} = request;
+		const body = request.body.length > 0 ? request.body : undefined;
+		return this.transport
+			.exchange(
+				{method, path, contentType, body},
+				{timeoutMilliseconds, signal, newConnection: request.newConnection},
+			)
+			.mapErr(toTargetError)
+			.andThen((response) => {
+				const refusal = readRefusal(response.headers, response.body);
+				return refusal
+					? err(refusal)
+					: ok({
+							status: response.status,
+							contentType: response.headers['content-type'],
+							body: response.body,
+						});
+			});
+	}
+
+	ping(
+		timeoutMilliseconds: number,
+	): ResultAsync<{readonly incarnation: string}, TargetError> {
+		return this.transport
+			.exchange(
+				{method: 'GET', path: '/ping'},
+				{timeoutMilliseconds, newConnection: true},
+			)
+			.mapErr(toTargetError)
+			.andThen((response) =>
+				response.status === 200
+					? parseJson(response.body, pingSchema).mapErr(
+							(cause) =>
+								new TargetProtocolError('the ping answer has another form', {
+									cause,
+								}),
+						)
+					: err(toAnswerError(response)),
+			);
+	}
+
+	dropConnections(): void {
+		this.transport.dropConnections();
+	}
+
+	/** Closes all connections. */
+	async dispose(): Promise<void> {
+		await this.transport.dispose();
+	}
+}
--- /dev/null
+++ b/src/adapters/node/http-weight-store.ts
@@ -0,0 +1,54 @@
+import {err, ok, type ResultAsync} from 'neverthrow';
+import {
+	WeightStore,
+	WeightStoreError,
+	weightStoreStatusSchema,
+	type WeightStoreStatus,
+} from '../../contracts/weight-store.js';
+import {HttpTransport, type HttpTransportOptions} from './http-transport.js';
+import {parseJson} from './json-body.js';
+
+/** Settings of the weight store adapter. */
+export type HttpWeightStoreOptions = HttpTransportOptions & {
+	readonly answerTimeoutMilliseconds?: number;
+};
+
+/** The platform's weight store over HTTP. */
+export class HttpWeightStore extends WeightStore {
+	private readonly transport: HttpTransport;
+
+	constructor(private readonly options: HttpWeightStoreOptions) {
+		super();
+		this.transport = new HttpTransport(options);
+	}
+
+	status(): ResultAsync<WeightStoreStatus, WeightStoreError> {
+		return this.transport
+			.exchange(
+				{method: 'GET', path: '/status'},
+				{timeoutMilliseconds: this.options.answerTimeoutMilliseconds ?? 2000},
+			)
+			.mapErr(
+				(cause) =>
+					new WeightStoreError('the weight store did not answer', {cause}),
+			)
+			.andThen(({status, body}) =>
+				status === 200
+					? ok(body)
+					: err(new WeightStoreError(`the weight store answered ${status}`)),
+			)
+			.andThen((body) =>
+				parseJson(body, weightStoreStatusSchema).mapErr(
+					(cause) =>
+						new WeightStoreError('the weight store status has another form', {
+							cause,
+						}),
+				),
+			);
+	}
+
+	/** Closes all connections. */
+	async dispose(): Promise<void> {
+		await this.transport.dispose();
+	}
+}
--- /dev/null
+++ b/src/adapters/node/target-answer.ts
@@ -0,0 +1,68 @@
+import {type IncomingHttpHeaders} from 'node:http';
+import {z} from 'zod';
+import {
+	TargetLostError,
+	TargetProtocolError,
+	TargetRefusedError,
+	TargetUnreachableError,
+	type RefusalReason,
+	type TargetError,
+} from '../../contracts/target-error.js';
+import {type TransportError, type TransportResponse} from './http-transport.js';
+import {parseJson} from './json-body.js';
+
+/** Header by which a target says that it did not run the request, with the reason. */
+export const refusalHeader = 'target-refusal';
+
+const refusalReasons = new Set<string>([
+	'busy',
+	'leaving',
+	'not-resident',
+	'insufficient-memory',
+	'stale-token',
+	'unknown-request',
+	'invalid',
+] satisfies RefusalReason[]);
+
+const refusalBodySchema = z.object({message: z.string()});
+
+/** Body of a ping answer. */
+export const pingSchema = z.object({incarnation: z.string().min(1)});
+
+/** Maps an exchange without an answer. Only a request that cannot have left is unreachable. */
+export function toTargetError(error: TransportError): TargetError {
+	if (!error.isSent) {
+		return new TargetUnreachableError(error.message, {cause: error});
+	}
+
+	if (error.loss === 'too-large') {
+		return new TargetProtocolError('the answer is too large', {cause: error});
+	}
+
+	return new TargetLostError(error.loss, error.message, {cause: error});
+}
+
+/** Returns the refusal of a target, or undefined when the answer is not an explicit refusal. */
+export function readRefusal(
+	headers: IncomingHttpHeaders,
+	body: Uint8Array,
+): TargetRefusedError | undefined {
+	const reason = headers[refusalHeader];
+	if (typeof reason !== 'string' || !refusalReasons.has(reason)) {
+		return undefined;
+	}
+
+	const text = parseJson(body, refusalBodySchema);
+	return new TargetRefusedError(
+		reason as RefusalReason,
+		text.isOk() ? text.value.message : `the target refused: ${reason}`,
+	);
+}
+
+/** Maps an answer that is not a success. */
+export function toAnswerError(response: TransportResponse): TargetError {
+	return (
+		readRefusal(response.headers, response.body) ??
+		new TargetProtocolError(`the target answered ${response.status}`)
+	);
+}
--- a/src/contracts/plain-service.ts
+++ b/src/contracts/plain-service.ts
@@ -11,6 +11,11 @@
 	readonly contentType: string | undefined;
 	readonly body: Uint8Array;
 	readonly timeoutMilliseconds: number;
+	/**
+	 * Opens a new connection for this call. An idle connection can have gone silent, which
+	 * leaves the outcome of a call unknown; a failed new connection proves that it did not run.
+	 */
+	readonly newConnection?: boolean;
 };
 
 /** The answer of a plain service. */
--- a/src/stand-ins/engine-server.ts
+++ b/src/stand-ins/engine-server.ts
@@ -152,7 +152,10 @@
 });
 
 /** Stand-in for an engine worker. */
-export class EngineServer extends StandInServer<EngineFaults> {
+export class EngineServer extends StandInServer<
+	EngineFaults,
+	z.input<typeof engineFaultsSchema>
+> {
 	readonly memory: EngineMemory;
 	/** Generations started, resumed ones not counted again. */
 	generations = 0;
@@ -268,7 +271,7 @@
 
 			const request = parsed.data;
 			const known = this.runs.get(request.requestId);
-			if (known) {
+			if (known && !known.isCancelled) {
 				return this.streamRun(context, known, known.firstSequence);
 			}
 
--- a/src/stand-ins/generation-run.ts
+++ b/src/stand-ins/generation-run.ts
@@ -11,7 +11,7 @@
 	readonly grown = new TypedEvent<void>();
 	/** Events so far. The first one follows the continuation. */
 	readonly events: GenerationEvent[] = [];
-	/** Position of the run in the queue among runs of the same priority. */
+	/** Sequence number of the first event, equal to the length of the continuation. */
 	readonly firstSequence: number;
 	started = false;
 	watchers = 0;
@@ -28,6 +28,12 @@
 		return this.events.at(-1)?.kind === 'end';
 	}
 
+	/** True when the run ended before its last token. */
+	get isCancelled(): boolean {
+		const last = this.events.at(-1);
+		return last?.kind === 'end' && last.reason === 'cancelled';
+	}
+
 	/** Adds the next token, or the end marker after the last one. */
 	advance(): void {
 		if (this.finished) {
--- a/src/stand-ins/service-server.ts
+++ b/src/stand-ins/service-server.ts
@@ -23,7 +23,10 @@
 };
 
 /** Stand-in for a plain service: bookings that must not be repeated, and status reads. */
-export class ServiceServer extends StandInServer<ServiceFaults> {
+export class ServiceServer extends StandInServer<
+	ServiceFaults,
+	z.input<typeof serviceFaultsSchema>
+> {
 	/** Executions of each marker, which a test writes as `marker=<text>` in a body or path. */
 	readonly executions = new Map<string, number>();
 	/** Executions of calls that change something. */
--- a/src/stand-ins/stand-in-server.ts
+++ b/src/stand-ins/stand-in-server.ts
@@ -25,7 +25,7 @@
 export type AnswerFault = z.infer<typeof answerFaultSchema>;
 
 /** Faults that every stand-in can show. */
-export const standInFaultsSchema = z.object({
+export const standInFaultsSchema = z.strictObject({
 	/** `unavailable` answers 503, `closed` closes each connection on its first request. */
 	outage: z.enum(['none', 'unavailable', 'closed']).default('none'),
 	/** Multiplies all times of the stand-in. */
@@ -39,6 +39,7 @@
 	answers: z.array(answerFaultSchema).default([]),
 });
 export type StandInFaults = z.infer<typeof standInFaultsSchema>;
+export type StandInFaultsInput = z.input<typeof standInFaultsSchema>;
 
 /** Address of a started stand-in. */
 export type StandInAddress = {readonly address: string};
@@ -46,6 +47,7 @@
 /** An HTTP server on 127.0.0.1 that stands in for an outside system and shows faults on request. */
 export abstract class StandInServer<
 	Faults extends StandInFaults = StandInFaults,
+	FaultsInput extends object = StandInFaultsInput,
 > extends Disposable {
 	/** Faults in force. Tests change them with `setFaults`. */
 	faults: Faults;
@@ -56,14 +58,15 @@
 	/** Connections accepted since the start. */
 	acceptedConnections = 0;
 	protected readonly app = new Hono<StandInEnvironment>();
-	private readonly faultsSchema: z.ZodType<Faults>;
+	private readonly faultsSchema: z.ZodType<Faults, FaultsInput>;
 	private readonly sockets = new Set<Socket>();
+	private readonly silentSockets = new WeakSet<Socket>();
 	private readonly timers = new Set<NodeJS.Timeout>();
 	private server: Server | undefined;
 	private port = 0;
 	private disposed = false;
 
-	constructor(faultsSchema: z.ZodType<Faults>) {
+	constructor(faultsSchema: z.ZodType<Faults, FaultsInput>) {
 		super();
 		this.faultsSchema = faultsSchema;
 		this.faults = faultsSchema.parse({});
@@ -84,7 +87,9 @@
 			overrideGlobalObjects: false,
 		});
 		const server = createServer((incoming, outgoing) => {
-			void listener(incoming, outgoing);
+			if (!this.silentSockets.has(incoming.socket)) {
+				void listener(incoming, outgoing);
+			}
 		});
 		server.keepAliveTimeout = 60_000;
 		server.on('connection', (socket) => {
@@ -109,9 +114,7 @@
 	}
 
 	/** Changes some faults and keeps the others. */
-	setFaults(
-		changes: Partial<z.input<typeof standInFaultsSchema>> & object,
-	): void {
+	setFaults(changes: Partial<FaultsInput>): void {
 		this.faults = this.faultsSchema.parse({...this.faults, ...changes});
 		this.faultsChanged();
 	}
@@ -125,8 +128,8 @@
 	/** Makes all open connections silent for good. New connections work. */
 	silenceConnections(): void {
 		for (const socket of this.sockets) {
+			this.silentSockets.add(socket);
 			socket.pause();
-			socket.removeAllListeners('data');
 			// The connection stays open on the network but nothing leaves on it any more.
 			socket.write = () => false;
 			socket.end = () => socket;
@@ -230,7 +233,7 @@
 
 	private addControlRoutes(): void {
 		this.app.put('/stand-in/faults', async (context) => {
-			this.setFaults(await context.req.json<Record<string, unknown>>());
+			this.setFaults(await context.req.json<Partial<FaultsInput>>());
 			return context.json(this.faults);
 		});
 		this.app.delete('/stand-in/faults', (context) => {
