Continue lost generations elsewhere and quarantine requests that end targets

Cause: a generation had one try on one stream, and a request that crashes each engine that runs it would have crashed the pool. The gateway now runs a generation session on each attempt, continues from the tokens so far, and tells the quarantine of a death when there is evidence that the process ended. Ruled out: counting a timeout as a death, since a cut between a host and two targets would quarantine requests that harmed nothing; waiting for the log to accept the death, since sightings in heartbeats reach the peers in a log outage.

--- a/src/program/composition-root.ts
+++ b/src/program/composition-root.ts
@@ -2,17 +2,22 @@
 import {err, ok, type Result} from 'neverthrow';
 import {v7 as timeOrderedUuid, v4 as uuid} from 'uuid';
 import {DisposableStore} from '../base/common/disposable.js';
+import {type Clock} from '../base/common/clock.js';
 import {type EventLogger} from '../base/common/event-logger.js';
 import {SeededRandomSource} from '../base/common/random-source.js';
 import {SystemClock} from '../base/node/system-clock.js';
 import {HttpHostList} from '../adapters/node/http-host-list.js';
 import {HttpLogService} from '../adapters/node/http-log-service.js';
 import {HttpTargetConnector} from '../adapters/node/http-target-connector.js';
+import {targetDiedSchema} from '../contracts/control-record.js';
 import {operatorEvents} from '../contracts/events/operator-events.js';
 import {
+	type Fingerprint,
 	type IncarnationId,
 	type RequestId,
 	type Revision,
+	type TargetId,
+	type TargetIncarnation,
 } from '../contracts/ids.js';
 import {type StreamName} from '../contracts/log-service.js';
 import {SchemaOnlyDocumentValidator} from '../core/document-validator.js';
@@ -27,6 +32,7 @@
 import {HostGate} from '../services/entry/host-gate.js';
 import {LogClaimAppender} from '../services/entry/log-claim-appender.js';
 import {MemberIncarnations} from '../services/entry/member-incarnations.js';
+import {QuarantineKeeper} from '../services/entry/quarantine-keeper.js';
 import {HistogramMetricRegistry} from '../services/histogram-metric-registry.js';
 import {LeaseKeeper} from '../services/lease-keeper.js';
 import {LogFollower} from '../services/log-follower.js';
@@ -207,7 +213,10 @@
 				new HttpHostList({address: settings.platform.hostList}),
 			),
 			seedAddresses: settings.seedPeers,
-			load: () => ({ready: gate.isOpen}),
+			load: () => ({
+				ready: gate.isOpen,
+				sightings: [...quarantine.ownSightings()],
+			}),
 		}),
 	);
 	peerServer.heartbeatReceived.subscribe((state) => {
@@ -236,13 +245,22 @@
 			holdsLease: () => leases.held.has(snapshotLeaseName),
 		}),
 	);
+	const quarantine = parts.add(
+		new QuarantineKeeper({...services, host: settings.host, control: follower}),
+	);
+	followTargetDeaths(follower, membership, quarantine, clock);
 	const entry = parts.add(
 		new EntryServer({
 			gate,
-			models: new EngineModelGateway(
-				new LeastOutstandingAssigner(targets, () => follower.control.document),
-				clock,
-			),
+			models: new EngineModelGateway({
+				...services,
+				assigner: new LeastOutstandingAssigner(
+					targets,
+					() => follower.control.document,
+				),
+				targets,
+				quarantine,
+			}),
 			services: new ClaimingServiceGateway({
 				claims,
 				targets,
@@ -312,3 +330,30 @@
 	follower.recordApplied.subscribe(apply);
 	follower.stateRestored.subscribe(apply);
 }
+
+/** Tells the quarantine of the deaths that the log and the peers report. */
+function followTargetDeaths(
+	follower: LogFollower,
+	membership: MembershipTask,
+	quarantine: QuarantineKeeper,
+	clock: Clock,
+): void {
+	follower.recordApplied.subscribe(({record, outcome}) => {
+		const death = targetDiedSchema.safeParse(record.body);
+		if (outcome.accepted && death.success) {
+			quarantine.observe(death.data, clock.wall() - death.data.time);
+		}
+	});
+	membership.heartbeatReceived.subscribe(({sightings}) => {
+		for (const sighting of sightings) {
+			quarantine.observe(
+				{
+					target: sighting.target as TargetId,
+					targetIncarnation: sighting.targetIncarnation as TargetIncarnation,
+					fingerprints: [sighting.fingerprint as Fingerprint],
+				},
+				0,
+			);
+		}
+	});
+}
--- /dev/null
+++ b/src/services/entry/quarantine-keeper.ts
@@ -0,0 +1,138 @@
+import {type Clock} from '../../base/common/clock.js';
+import {type Disposable} from '../../base/common/disposable.js';
+import {type EventLogger} from '../../base/common/event-logger.js';
+import {type MetricRegistry} from '../../base/common/metric-registry.js';
+import {type ControlLog} from '../../contracts/control-log.js';
+import {entryEvents} from '../../contracts/events/entry-events.js';
+import {
+	type Fingerprint,
+	type HostId,
+	type TargetId,
+	type TargetIncarnation,
+} from '../../contracts/ids.js';
+import {
+	QuarantinePolicy,
+	type QuarantineStatus,
+	type TargetDeath,
+} from '../../core/quarantine-policy.js';
+
+/** Collaborators of the quarantine keeper. */
+export type QuarantineKeeperOptions = {
+	readonly host: HostId;
+	readonly control: ControlLog;
+	readonly clock: Clock;
+	readonly events: EventLogger;
+	readonly metrics: MetricRegistry;
+};
+
+/** A fingerprint that was in flight at a death, as peers exchange it. */
+export type Sighting = {
+	readonly fingerprint: Fingerprint;
+	readonly target: TargetId;
+	readonly targetIncarnation: TargetIncarnation;
+};
+
+type TimedSighting = Sighting & {readonly at: number};
+
+// Heartbeats repeat a sighting this long, so that peers learn of it during a log outage too.
+const sightingMilliseconds = 60_000;
+const maximumSightings = 200;
+
+// Requests that were in flight together notice the death one after the other.
+const collectMilliseconds = 20;
+
+/** Owns what this host knows of requests that end targets, and shares it with the fleet. */
+export class QuarantineKeeper implements Disposable {
+	private readonly policy = new QuarantinePolicy();
+	private readonly collecting = new Map<string, Set<Fingerprint>>();
+	private readonly timers = new Set<NodeJS.Timeout>();
+	private sightings: TimedSighting[] = [];
+
+	constructor(private readonly options: QuarantineKeeperOptions) {}
+
+	/** Tells how a request may run now. */
+	status(fingerprint: Fingerprint): QuarantineStatus {
+		return this.policy.status(fingerprint, this.options.clock.monotonic());
+	}
+
+	/** Seconds until a quarantined request may run again. */
+	remainingSeconds(fingerprint: Fingerprint): number {
+		const now = this.options.clock.monotonic();
+		return this.policy.remaining(fingerprint, now) / 1000;
+	}
+
+	/** Notes that a request was in flight at a death that this host noticed, and tells the fleet. */
+	reportDeath(sighting: Sighting): void {
+		const {fingerprint, target, targetIncarnation} = sighting;
+		this.observe({target, targetIncarnation, fingerprints: [fingerprint]}, 0);
+		const at = this.options.clock.monotonic();
+		this.sightings = [...this.recentSightings(at), {...sighting, at}].slice(
+			-maximumSightings,
+		);
+		const name = `${target}\n${targetIncarnation}`;
+		const collected = this.collecting.get(name);
+		if (collected) {
+			collected.add(fingerprint);
+			return;
+		}
+
+		const fingerprints = new Set([fingerprint]);
+		this.collecting.set(name, fingerprints);
+		const timer = setTimeout(() => {
+			this.timers.delete(timer);
+			this.collecting.delete(name);
+			void this.record({
+				target,
+				targetIncarnation,
+				fingerprints: [...fingerprints],
+			});
+		}, collectMilliseconds);
+		this.timers.add(timer);
+	}
+
+	/** Takes in a death from the log or a peer, with its age in milliseconds. */
+	observe(death: TargetDeath, ageMilliseconds: number): void {
+		const at = this.options.clock.monotonic() - Math.max(0, ageMilliseconds);
+		for (const fingerprint of this.policy.observe(death, at)) {
+			this.options.metrics.count('daisylever_quarantined_total');
+			this.options.events.record(entryEvents.fingerprintQuarantined, {
+				fingerprint,
+				target: death.target,
+			});
+		}
+	}
+
+	/** Notes that a request ran to its end, so that it is no suspect any more on this host. */
+	clear(fingerprint: Fingerprint): void {
+		this.policy.clear(fingerprint, this.options.clock.monotonic());
+	}
+
+	/** The sightings of this host for its next heartbeat. */
+	ownSightings(): readonly Sighting[] {
+		return this.recentSightings(this.options.clock.monotonic());
+	}
+
+	dispose(): void {
+		for (const timer of this.timers) {
+			clearTimeout(timer);
+		}
+	}
+
+	private async record(death: TargetDeath): Promise<void> {
+		// A failed append is no loss: heartbeats carry the sightings as well.
+		await this.options.control.submit({
+			kind: 'target-died',
+			target: death.target,
+			targetIncarnation: death.targetIncarnation,
+			host: this.options.host,
+			fingerprints: [...death.fingerprints],
+			time: this.options.clock.wall(),
+		});
+	}
+
+	private recentSightings(now: number): TimedSighting[] {
+		return this.sightings.filter(
+			(sighting) => now - sighting.at < sightingMilliseconds,
+		);
+	}
+}
