--- /dev/null
+++ b/test/targets/http-platform.test.ts
@@ -0,0 +1,210 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {setImmediate} from 'node:timers/promises';
+import {HttpHostList} from '../../src/adapters/node/http-host-list.js';
+import {HttpLogService} from '../../src/adapters/node/http-log-service.js';
+import {HttpWeightStore} from '../../src/adapters/node/http-weight-store.js';
+import {type LogOffset, type RecordId} from '../../src/contracts/ids.js';
+import {type LogRecord} from '../../src/contracts/log-service.js';
+import {HostListServer} from '../../src/stand-ins/host-list-server.js';
+import {LogServer} from '../../src/stand-ins/log-server.js';
+import {LogStore} from '../../src/stand-ins/log-store.js';
+import {WeightStoreServer} from '../../src/stand-ins/weight-store-server.js';
+
+const at = (offset: number) => offset as LogOffset;
+const range = {limit: 10, waitMilliseconds: 0};
+
+function record(id: string): LogRecord {
+	return {id: id as RecordId, body: {id}};
+}
+
+async function withLog(
+	work: (log: HttpLogService, server: LogServer) => Promise<void>,
+	server = new LogServer(),
+): Promise<void> {
+	const {address} = await server.start();
+	const log = new HttpLogService({address, answerTimeoutMilliseconds: 200});
+	try {
+		await work(log, server);
+	} finally {
+		await log.dispose();
+		await server.dispose();
+	}
+}
+
+// Guards against records that are lost, reordered or read at another offset.
+test('log adapter: appends, reads and bounds agree', async () => {
+	await withLog(async (log) => {
+		const first = await log.append('control', [record('a'), record('b')]);
+		assert.equal(first._unsafeUnwrap(), 0);
+		const second = await log.append('control', [record('c')]);
+		assert.equal(second._unsafeUnwrap(), 2);
+		const batch = await log.read('control', at(1), range);
+		assert.deepEqual(batch._unsafeUnwrap(), {
+			records: [
+				{...record('b'), offset: 1},
+				{...record('c'), offset: 2},
+			],
+			next: 3,
+		});
+		const bounds = await log.bounds('control');
+		assert.deepEqual(bounds._unsafeUnwrap(), {earliest: 0, next: 3});
+		const empty = await log.bounds('claims');
+		assert.deepEqual(empty._unsafeUnwrap(), {earliest: 0, next: 0});
+	});
+});
+
+// Guards against a long poll that returns before there is a record, or never.
+test('log adapter: a long poll returns with the next record', async () => {
+	await withLog(async (log, server) => {
+		const poll = log.read('control', at(0), {
+			limit: 10,
+			waitMilliseconds: 5000,
+		});
+		await log.append('claims', [record('other')]);
+		assert.equal(server.reads, 0);
+		await log.append('control', [record('a')]);
+		const batch = await poll;
+		assert.equal(batch._unsafeUnwrap().records.length, 1);
+	});
+});
+
+type LogCase = {
+	readonly name: string;
+	readonly faults?: Parameters<LogServer['setFaults']>[0];
+	readonly arrange?: (server: LogServer) => void | Promise<void>;
+	readonly expected: string;
+	/** Records with the appended id that the log holds afterwards. */
+	readonly stored: number;
+};
+
+// Guards against an append that counts as failed although it took effect.
+const appendCases: LogCase[] = [
+	{
+		name: 'answer lost',
+		faults: {answers: [{kind: 'answer-lost'}]},
+		expected: 'LogUnavailableError',
+		stored: 1,
+	},
+	{
+		name: 'answer late',
+		faults: {answers: [{kind: 'answer-late', delayMilliseconds: 60_000}]},
+		expected: 'LogUnavailableError',
+		stored: 1,
+	},
+	{
+		name: 'request lost',
+		faults: {answers: [{kind: 'request-lost'}]},
+		expected: 'LogUnavailableError',
+		stored: 0,
+	},
+	{
+		name: 'outage with answers',
+		faults: {outage: 'unavailable'},
+		expected: 'LogUnavailableError',
+		stored: 0,
+	},
+	{
+		name: 'outage without answers',
+		arrange: async (server) => server.dispose(),
+		expected: 'LogUnavailableError',
+		stored: 0,
+	},
+	{
+		name: 'silent connection',
+		arrange(server) {
+			server.silenceConnections();
+		},
+		expected: 'LogUnavailableError',
+		stored: 0,
+	},
+];
+
+for (const {name, faults, arrange, expected, stored} of appendCases) {
+	test(`log adapter: an append with ${name} is ${expected}`, async () => {
+		await withLog(async (log, server) => {
+			await log.append('control', [record('before')]);
+			await setImmediate();
+			server.setFaults(faults ?? {});
+			await arrange?.(server);
+			const result = await log.append('control', [record('a')]);
+			assert.equal(result._unsafeUnwrapErr().name, expected);
+			const id = 'a' as RecordId;
+			assert.equal(server.store.occurrences('control', id), stored);
+			if (server.faults.outage !== 'none' || name.startsWith('outage')) {
+				return;
+			}
+
+			const repeated = await log.append('control', [record('a')]);
+			assert.ok(repeated.isOk());
+			assert.equal(server.store.occurrences('control', id), stored + 1);
+		});
+	});
+}
+
+// Guards against a reader that skips records which retention removed.
+test('log adapter: reading removed records names the earliest one', async () => {
+	const server = new LogServer({store: new LogStore(2)});
+	await withLog(async (log) => {
+		await log.append('control', ['a', 'b', 'c'].map(record));
+		const result = await log.read('control', at(0), range);
+		const error = result._unsafeUnwrapErr();
+		assert.equal(error.name, 'LogTruncatedError');
+		assert.equal('earliest' in error && error.earliest, 1);
+	}, server);
+});
+
+// Guards against a wrong host list that passes for an empty one.
+test('host list adapter: list, lag and outage', async () => {
+	const server = new HostListServer({
+		entries: [{name: 'h1', state: 'live'}],
+		lagMilliseconds: 30,
+	});
+	const {address} = await server.start();
+	const hosts = new HttpHostList({address});
+	server.publish([{name: 'h1', state: 'leaving'}]);
+	const states: string[] = [];
+	while (states.at(-1) !== 'leaving') {
+		const list = await hosts.list();
+		states.push(list._unsafeUnwrap()[0]!.state);
+	}
+
+	assert.equal(states[0], 'live');
+	for (const outage of ['unavailable', 'closed'] as const) {
+		server.setFaults({outage});
+		const list = await hosts.list();
+		assert.equal(list._unsafeUnwrapErr().name, 'HostListError');
+	}
+
+	await hosts.dispose();
+	await server.dispose();
+});
+
+// Guards against orders that are paced by a wrong number of loads.
+test('weight store adapter: status and outage', async () => {
+	const server = new WeightStoreServer({modelMilliseconds: 60_000});
+	const {address} = await server.start();
+	const store = new HttpWeightStore({address});
+	const idle = await store.status();
+	assert.deepEqual(idle._unsafeUnwrap(), {inFlight: 0, available: true});
+	const stop = new AbortController();
+	const load = fetch(`${address}/fetch`, {
+		method: 'POST',
+		body: JSON.stringify({artifact: 'model/m@1', kind: 'model'}),
+		signal: stop.signal,
+	}).catch(() => undefined);
+	for (;;) {
+		const busy = await store.status();
+		if (busy._unsafeUnwrap().inFlight === 1) {
+			break;
+		}
+	}
+
+	stop.abort();
+	await load;
+	server.setFaults({outage: 'closed'});
+	const down = await store.status();
+	assert.equal(down._unsafeUnwrapErr().name, 'WeightStoreError');
+	await store.dispose();
+	await server.dispose();
+});
