Test agreement over the log with faults in any order

Cause: the fold, the follower and the appender had no tests.

Conclusion: hosts agree under the faults listed in the test.

--- a/src/core/membership.ts
+++ b/src/core/membership.ts
@@ -239,7 +239,7 @@
 	private silence(entry: Entry, now: number): number {
 		const monitoredSince = this.monitoredSince?.get(entry.host) ?? 0;
 		return (
-			now - (entry.lastHeardAt ?? Math.max(entry.knownSince, monitoredSince))
+			now - Math.max(entry.lastHeardAt ?? entry.knownSince, monitoredSince)
 		);
 	}
 
--- a/src/services/log-follower.ts
+++ b/src/services/log-follower.ts
@@ -1,5 +1,8 @@
 import {err, ok, ResultAsync, type Result} from 'neverthrow';
-import {backoffMilliseconds} from '../base/common/backoff.js';
+import {
+	backoffMilliseconds,
+	type BackoffOptions,
+} from '../base/common/backoff.js';
 import {type Disposable} from '../base/common/disposable.js';
 import {TypedEvent} from '../base/common/typed-event.js';
 import {wait} from '../base/node/wait.js';
@@ -24,6 +27,8 @@
 /** Options of the log follower. */
 export type LogFollowerOptions = ServiceOptions & {
 	readonly log: LogService;
+	/** Delay between attempts. */
+	readonly retry?: BackoffOptions;
 	/** Appender of the stream `control`. The follower does not dispose it. */
 	readonly appender: RecordAppender;
 	readonly validator: DocumentValidator;
@@ -50,7 +55,7 @@
 
 type PendingSubmit = (outcome: Result<ApplyOutcome, LogError>) => void;
 
-const backoff = {firstMilliseconds: 50, maximumMilliseconds: 1000};
+const defaultRetry = {firstMilliseconds: 50, maximumMilliseconds: 1000};
 // A snapshot can be malformed or older than the one before, when its writer was paused.
 const examinedSnapshots = 4;
 
@@ -213,7 +218,11 @@
 			}
 
 			await wait(
-				backoffMilliseconds(failures, backoff, this.options.random),
+				backoffMilliseconds(
+					failures,
+					this.options.retry ?? defaultRetry,
+					this.options.random,
+				),
 				this.stopping.signal,
 			);
 			failures++;
--- a/src/services/record-appender.ts
+++ b/src/services/record-appender.ts
@@ -1,6 +1,9 @@
 import {err, ok, ResultAsync, type Result} from 'neverthrow';
 import {v4 as uuid} from 'uuid';
-import {backoffMilliseconds} from '../base/common/backoff.js';
+import {
+	backoffMilliseconds,
+	type BackoffOptions,
+} from '../base/common/backoff.js';
 import {Disposable} from '../base/common/disposable.js';
 import {wait} from '../base/node/wait.js';
 import {agreementEvents} from '../contracts/events/agreement-events.js';
@@ -17,6 +20,8 @@
 /** Options of the record appender. */
 export type RecordAppenderOptions = ServiceOptions & {
 	readonly log: LogService;
+	/** Delay between attempts. */
+	readonly retry?: BackoffOptions;
 	readonly stream: StreamName;
 	/** Time for a record from submission to confirmation, over all attempts. */
 	readonly deadlineMilliseconds?: number;
@@ -35,7 +40,7 @@
 };
 
 // Full attempts reach the deadline after about eight repetitions.
-const backoff = {firstMilliseconds: 50, maximumMilliseconds: 1000};
+const defaultRetry = {firstMilliseconds: 50, maximumMilliseconds: 1000};
 
 /** Appends the records of one host to one stream: in batches, in order, and again with the same id after a lost answer. */
 export class RecordAppender extends Disposable {
@@ -118,7 +123,11 @@
 			}
 
 			await wait(
-				backoffMilliseconds(attempt, backoff, this.options.random),
+				backoffMilliseconds(
+					attempt,
+					this.options.retry ?? defaultRetry,
+					this.options.random,
+				),
 				this.stopping.signal,
 			);
 			attempt++;
--- a/src/stand-ins/memory-log-service.ts
+++ b/src/stand-ins/memory-log-service.ts
@@ -23,6 +23,7 @@
 
 	private readonly streams = new Map<StreamName, Stream>();
 	private readonly waiters = new Set<() => void>();
+	private changes = 0;
 	private outage = false;
 	private answersToLose = 0;
 	private delayMilliseconds = 0;
@@ -66,17 +67,7 @@
 		options: {readonly limit: number; readonly waitMilliseconds: number},
 		signal?: AbortSignal,
 	): ResultAsync<LogBatch, LogError> {
-		return this.delayed(() =>
-			this.readNow(stream, from, options.limit),
-		).andThen((batch) =>
-			batch.records.length > 0 || options.waitMilliseconds <= 0
-				? okAsync<LogBatch, LogError>(batch)
-				: new ResultAsync<LogBatch, LogError>(
-						this.waitForChange(options.waitMilliseconds, signal).then(() =>
-							this.readNow(stream, from, options.limit),
-						),
-					),
-		);
+		return new ResultAsync(this.readOrWait(stream, from, options, signal));
 	}
 
 	bounds(stream: StreamName): ResultAsync<StreamBounds, LogError> {
@@ -123,6 +114,30 @@
 		return ok(first as LogOffset);
 	}
 
+	private async readOrWait(
+		stream: StreamName,
+		from: LogOffset,
+		options: {readonly limit: number; readonly waitMilliseconds: number},
+		signal?: AbortSignal,
+	): Promise<Result<LogBatch, LogError>> {
+		let {changes} = this;
+		const result = await this.delayed(() => {
+			changes = this.changes;
+			return this.readNow(stream, from, options.limit);
+		});
+		const isDone = result.isErr() || result.value.records.length > 0;
+		if (isDone || options.waitMilliseconds <= 0) {
+			return result;
+		}
+
+		// A change between the read and the wait must not be missed.
+		if (changes === this.changes && !signal?.aborted) {
+			await this.waitForChange(options.waitMilliseconds, signal);
+		}
+
+		return this.readNow(stream, from, options.limit);
+	}
+
 	private readNow(
 		name: StreamName,
 		from: LogOffset,
@@ -199,6 +214,7 @@
 	}
 
 	private wake(): void {
+		this.changes++;
 		for (const waiter of this.waiters) {
 			waiter();
 		}
--- /dev/null
+++ b/test/agreement/agreement-stateful.test.ts
@@ -0,0 +1,321 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {setImmediate as yieldToLoop} from 'node:timers/promises';
+import fc from 'fast-check';
+import {type ControlRecord} from '../../src/contracts/control-record.js';
+import {type FencingToken, type LogOffset} from '../../src/contracts/ids.js';
+import {
+	type LogRecord,
+	type StoredRecord,
+	type StreamName,
+} from '../../src/contracts/log-service.js';
+import {MemoryLogService} from '../../src/stand-ins/memory-log-service.js';
+import {planLease, TestHost, waitUntil} from './harness.js';
+
+const seed = Number(process.env.DAISYLEVER_SEED ?? 20_261_204);
+const hostCount = 3;
+
+/** A log that also keeps what retention drops, for the oracle. */
+class WitnessedLog extends MemoryLogService {
+	readonly control: StoredRecord[] = [];
+
+	override append(stream: StreamName, records: readonly LogRecord[]) {
+		const before = this.appendedRecords;
+		const result = super.append(stream, records);
+		if (stream === 'control' && this.appendedRecords > before) {
+			for (const record of records) {
+				const offset = this.control.length as LogOffset;
+				this.control.push({...record, offset});
+			}
+		}
+
+		return result;
+	}
+}
+
+/** What must hold, computed from all records in the simplest way. */
+function oracle(records: readonly StoredRecord[]) {
+	const seen = new Set<string>();
+	const edits: string[] = [];
+	let leaseOffset: number | null = null;
+	let token: number | undefined;
+	let plans = 0;
+	for (const {id, body, offset} of records) {
+		const record = body as ControlRecord;
+		if (seen.has(id)) {
+			continue;
+		}
+
+		seen.add(id);
+		if (
+			record.kind === 'document-submitted' &&
+			record.expectedRevision === edits.length
+		) {
+			edits.push(`${record.operator} ${record.summary} at ${offset}`);
+		} else if (
+			record.kind === 'lease-claimed' &&
+			record.expectedOffset === leaseOffset
+		) {
+			leaseOffset = offset;
+			token = offset;
+		} else if (record.kind === 'plan-made' && record.token === token) {
+			plans++;
+		}
+	}
+
+	return {edits, token, plans};
+}
+
+type Step =
+	| {
+			kind: 'edit' | 'claim' | 'plan' | 'pause' | 'resume' | 'snapshot';
+			host: number;
+	  }
+	| {kind: 'replace'; host: number}
+	| {kind: 'replace-all' | 'outage' | 'recover' | 'trim' | 'settle'}
+	| {kind: 'lose'; count: number};
+
+const host = fc.nat({max: hostCount - 1});
+const step: fc.Arbitrary<Step> = fc.oneof(
+	{
+		weight: 6,
+		arbitrary: fc.record({
+			kind: fc.constantFrom('edit', 'claim', 'plan'),
+			host,
+		}),
+	},
+	{
+		weight: 3,
+		arbitrary: fc.record({
+			kind: fc.constantFrom('pause', 'resume', 'snapshot', 'replace'),
+			host,
+		}),
+	},
+	{
+		weight: 3,
+		arbitrary: fc.record({
+			kind: fc.constantFrom(
+				'replace-all',
+				'outage',
+				'recover',
+				'trim',
+				'settle',
+			),
+		}),
+	},
+	{
+		weight: 1,
+		arbitrary: fc.record({
+			kind: fc.constant('lose'),
+			count: fc.integer({min: 1, max: 3}),
+		}),
+	},
+);
+
+class Fleet {
+	readonly log = new WitnessedLog();
+	readonly acceptedEdits = new Set<string>();
+	hosts = Array.from({length: hostCount}, (_, index) => this.startHost(index));
+	private edits = 0;
+
+	async run(steps: readonly Step[]): Promise<void> {
+		for (const item of steps) {
+			await this.perform(item);
+			await yieldToLoop();
+		}
+
+		await this.settle();
+		this.check();
+		await Promise.all(this.hosts.map(async (item) => item.dispose()));
+	}
+
+	private startHost(index: number): TestHost {
+		const created = new TestHost(this.log, `host-${index}`);
+		let revision = 0;
+		const checkRevision = () => {
+			assert.ok(created.control.revision >= revision, 'a revision went back');
+			revision = created.control.revision;
+		};
+
+		created.follower.recordApplied.subscribe(checkRevision);
+		created.follower.stateRestored.subscribe(checkRevision);
+		return created;
+	}
+
+	private async perform(item: Step): Promise<void> {
+		switch (item.kind) {
+			case 'edit': {
+				this.edits++;
+				const name = `edit-${this.edits}`;
+				const editor = this.hosts[item.host]!;
+				void editor.edit(name).map((outcome) => {
+					if (outcome.accepted) {
+						this.acceptedEdits.add(
+							`${editor.host} ${name} at ${outcome.offset}`,
+						);
+					}
+
+					return outcome;
+				});
+				return;
+			}
+
+			case 'claim': {
+				void this.hosts[item.host]!.claim(planLease);
+				return;
+			}
+
+			case 'plan': {
+				this.plan(this.hosts[item.host]!);
+				return;
+			}
+
+			case 'pause': {
+				this.hosts[item.host]!.log.pause();
+				return;
+			}
+
+			case 'resume': {
+				this.hosts[item.host]!.log.resume();
+				return;
+			}
+
+			case 'snapshot': {
+				void this.hosts[item.host]!.snapshots.tick();
+				return;
+			}
+
+			case 'replace': {
+				await this.hosts[item.host]!.dispose();
+				this.hosts[item.host] = this.startHost(item.host);
+				return;
+			}
+
+			case 'replace-all': {
+				await Promise.all(this.hosts.map(async (old) => old.dispose()));
+				this.hosts = this.hosts.map((_, index) => this.startHost(index));
+				return;
+			}
+
+			case 'outage': {
+				this.log.setOutage(true);
+				return;
+			}
+
+			case 'recover': {
+				this.log.setOutage(false);
+				return;
+			}
+
+			case 'lose': {
+				this.log.loseAppendAnswers(item.count);
+				return;
+			}
+
+			case 'trim': {
+				await this.trim();
+				return;
+			}
+
+			case 'settle': {
+				await this.settle();
+			}
+		}
+	}
+
+	/** Plans with the last token that the host knows for itself, stale or not. */
+	private plan(planner: TestHost): void {
+		const lease = planner.control.leases.get(planLease);
+		if (lease?.holder !== planner.host) {
+			return;
+		}
+
+		void planner.follower.submit({
+			kind: 'plan-made',
+			pool: 'engines' as never,
+			token: lease.token,
+			changes: [
+				{
+					target: 'engine-1' as never,
+					artifact: 'model/base@1' as never,
+					desired: true,
+					reason: 'test',
+				},
+			],
+			time: 0,
+		});
+	}
+
+	/** Drops the records before the newest snapshot. */
+	private async trim(): Promise<void> {
+		const bounds = await this.log.bounds('snapshots');
+		if (bounds.isErr() || bounds.value.next === bounds.value.earliest) {
+			return;
+		}
+
+		const last = (bounds.value.next - 1) as LogOffset;
+		const read = await this.log.read('snapshots', last, {
+			limit: 1,
+			waitMilliseconds: 0,
+		});
+		const body = read._unsafeUnwrap().records[0]!.body as {next: number};
+		this.log.setRetention(Math.max(1, this.log.control.length - body.next));
+		this.log.setRetention(Number.POSITIVE_INFINITY);
+	}
+
+	private async settle(): Promise<void> {
+		this.log.setOutage(false);
+		this.log.loseAppendAnswers(0);
+		for (const item of this.hosts) {
+			item.log.resume();
+		}
+
+		await waitUntil(
+			() =>
+				this.hosts.every(
+					(item) =>
+						item.follower.state === 'following' &&
+						item.control.nextOffset === this.log.control.length,
+				),
+			'all hosts fold all records',
+		);
+	}
+
+	private check(): void {
+		const expected = oracle(this.log.control);
+		for (const {control} of this.hosts) {
+			assert.deepEqual(control.snapshot(), this.hosts[0]!.control.snapshot());
+			assert.equal(control.revision, expected.edits.length);
+			assert.deepEqual(
+				control.history.map(
+					(entry) => `${entry.operator} ${entry.summary} at ${entry.offset}`,
+				),
+				expected.edits,
+			);
+			assert.equal(
+				control.leases.get(planLease)?.token,
+				expected.token as FencingToken | undefined,
+			);
+			assert.equal(
+				control.plans.get('engines' as never)?.recentChanges.length ?? 0,
+				expected.plans,
+			);
+		}
+
+		for (const edit of this.acceptedEdits) {
+			assert.ok(expected.edits.includes(edit), `accepted, then lost: ${edit}`);
+		}
+	}
+}
+
+// Guards against hosts that disagree, reverted or lost edits, and two current tokens, under lost answers,
+// outages, pauses, conflicting edits, empty starts, snapshots and retention in any order.
+test(`all hosts fold the same state (seed ${seed})`, async () => {
+	await fc.assert(
+		fc.asyncProperty(
+			fc.array(step, {minLength: 5, maxLength: 60, size: 'max'}),
+			async (steps) => new Fleet().run(steps),
+		),
+		{seed, numRuns: Number(process.env.DAISYLEVER_RUNS ?? 100)},
+	);
+});
--- /dev/null
+++ b/test/agreement/harness.ts
@@ -0,0 +1,233 @@
+import assert from 'node:assert/strict';
+import {setImmediate as yieldToLoop} from 'node:timers/promises';
+import {errAsync, okAsync, ResultAsync} from 'neverthrow';
+import {type Clock} from '../../src/base/common/clock.js';
+import {SilentEventLogger} from '../../src/base/common/event-logger.js';
+import {NullMetricRegistry} from '../../src/base/common/metric-registry.js';
+import {SeededRandomSource} from '../../src/base/common/random-source.js';
+import {SystemClock} from '../../src/base/node/system-clock.js';
+import {
+	type HostId,
+	type IncarnationId,
+	type LeaseName,
+	type LogOffset,
+} from '../../src/contracts/ids.js';
+import {
+	LogService,
+	type LogRecord,
+	type LogBatch,
+	type StreamName,
+} from '../../src/contracts/log-service.js';
+import {SchemaOnlyDocumentValidator} from '../../src/core/document-validator.js';
+import {LogFollower} from '../../src/services/log-follower.js';
+import {
+	PeerError,
+	PeerRecordSource,
+} from '../../src/services/peer-record-source.js';
+import {RecordAppender} from '../../src/services/record-appender.js';
+import {SnapshotWriter} from '../../src/services/snapshot-writer.js';
+
+export const planLease = 'plan/engines' as LeaseName;
+export const groupLease = 'group/engines/north' as LeaseName;
+
+/** A valid document that differs by its model. */
+export function sampleDocument(model = 'base'): unknown {
+	return {
+		schema: 1,
+		pools: [
+			{
+				name: 'engines',
+				kind: 'engine',
+				targets: [
+					{
+						id: 'engine-1',
+						address: 'http://127.0.0.1:1',
+						failureDomain: 'north',
+						memoryBytes: 100,
+					},
+				],
+			},
+		],
+		models: [{id: model, pool: 'engines', bytes: 10}],
+		callerClasses: [{name: 'standard', urgency: 'standard'}],
+		weightStore: {
+			loadsPerSecond: 1,
+			concurrentLoads: 1,
+			concurrentAdapterLoads: 1,
+		},
+	};
+}
+
+/** Waits for a condition. Fails with the description instead of hanging. */
+export async function waitUntil(
+	condition: () => boolean,
+	description: string,
+	milliseconds = 10_000,
+): Promise<void> {
+	const end = performance.now() + milliseconds;
+	while (!condition()) {
+		assert.ok(performance.now() < end, `timed out: ${description}`);
+		await yieldToLoop();
+	}
+}
+
+/** The log as one host reaches it: calls of a paused host are held back until it resumes. */
+export class HostLog extends LogService {
+	private gate: Promise<void> | undefined;
+	private open: (() => void) | undefined;
+
+	constructor(private readonly shared: LogService) {
+		super();
+	}
+
+	pause(): void {
+		this.gate ??= new Promise((resolve) => {
+			this.open = resolve;
+		});
+	}
+
+	resume(): void {
+		this.gate = undefined;
+		this.open?.();
+	}
+
+	append(stream: StreamName, records: readonly LogRecord[]) {
+		return this.gated(() => this.shared.append(stream, records));
+	}
+
+	read(
+		stream: StreamName,
+		from: LogOffset,
+		options: {limit: number; waitMilliseconds: number},
+		signal?: AbortSignal,
+	) {
+		return this.gated(() =>
+			this.shared.read(stream, from, options, signal),
+		).andThen((batch) => this.gated(() => okAsync(batch)));
+	}
+
+	bounds(stream: StreamName) {
+		return this.gated(() => this.shared.bounds(stream));
+	}
+
+	private gated<T, E>(action: () => ResultAsync<T, E>): ResultAsync<T, E> {
+		return this.gate
+			? new ResultAsync(this.gate.then(async () => action()))
+			: action();
+	}
+}
+
+/** A host without peers. */
+export class NoPeers extends PeerRecordSource {
+	records(): ResultAsync<LogBatch, PeerError> {
+		return errAsync(new PeerError('no peers'));
+	}
+
+	snapshot(): ResultAsync<unknown, PeerError> {
+		return errAsync(new PeerError('no peers'));
+	}
+}
+
+let started = 0;
+
+/** Log follower, appender and snapshot writer of one run of a host, without its timers. */
+export class TestHost {
+	readonly host: HostId;
+	readonly incarnation: IncarnationId;
+	readonly log: HostLog;
+	readonly follower: LogFollower;
+	readonly snapshots: SnapshotWriter;
+	readonly common;
+	private readonly appenders: RecordAppender[];
+
+	constructor(
+		shared: LogService,
+		name: string,
+		options: {
+			peers?: PeerRecordSource;
+			clock?: Clock;
+			longPollMilliseconds?: number;
+			keptRecords?: number;
+		} = {},
+	) {
+		started++;
+		this.host = name as HostId;
+		this.incarnation = `${name}-run-${started}` as IncarnationId;
+		this.log = new HostLog(shared);
+		this.common = {
+			clock: options.clock ?? new SystemClock(),
+			random: new SeededRandomSource(started),
+			events: new SilentEventLogger(),
+			metrics: new NullMetricRegistry(),
+		};
+		const retry = {firstMilliseconds: 1, maximumMilliseconds: 4};
+		const appender = (stream: StreamName) =>
+			new RecordAppender({
+				...this.common,
+				log: this.log,
+				stream,
+				retry,
+				lingerMilliseconds: 0,
+				attemptMilliseconds: 200,
+			});
+		this.appenders = [appender('control'), appender('snapshots')];
+		this.follower = new LogFollower({
+			...this.common,
+			log: this.log,
+			appender: this.appenders[0]!,
+			validator: new SchemaOnlyDocumentValidator(),
+			peers: options.peers ?? new NoPeers(),
+			retry,
+			readLimit: 7,
+			longPollMilliseconds: options.longPollMilliseconds ?? 50,
+			...(options.keptRecords !== undefined && {
+				keptRecords: options.keptRecords,
+			}),
+		});
+		this.snapshots = new SnapshotWriter({
+			...this.common,
+			follower: this.follower,
+			appender: this.appenders[1]!,
+			holdsLease: () => true,
+			everyRecords: 1,
+		});
+		this.follower.start();
+	}
+
+	get control() {
+		return this.follower.control;
+	}
+
+	/** Submits an edit on top of the revision that this host knows. */
+	edit(model: string) {
+		return this.follower.submit({
+			kind: 'document-submitted',
+			expectedRevision: this.control.revision,
+			operator: this.host,
+			summary: model,
+			time: 0,
+			document: sampleDocument(model),
+		});
+	}
+
+	/** Claims a lease on top of the record that this host knows. */
+	claim(lease: LeaseName) {
+		return this.follower.submit({
+			kind: 'lease-claimed',
+			lease,
+			holder: this.host,
+			incarnation: this.incarnation,
+			expectedOffset: this.control.leases.get(lease)?.lastOffset ?? null,
+			reason: 'test',
+			time: 0,
+		});
+	}
+
+	async dispose(): Promise<void> {
+		this.log.resume();
+		await this.follower.dispose();
+		for (const appender of this.appenders) {
+			await appender.dispose();
+		}
+	}
+}
