Compute burn rates and write the burn report

Cause: operators need to see how fast each caller class spends its error budget.

Requests are judged by the objectives of their class; refusals that the caller brought about, its own limit among them, are excluded from the rate.

--- /dev/null
+++ b/src/core/burn-report.ts
@@ -0,0 +1,211 @@
+import {
+	type CallerClass,
+	type Objectives,
+} from '../contracts/fleet-document.js';
+import {type CallerClassName} from '../contracts/ids.js';
+import {
+	burnRate,
+	burnWindows,
+	errorBudgetLeft,
+	type ClassCounts,
+	type JudgementCounts,
+} from './burn-rate.js';
+
+/** `fast` needs a person at once, `slow` within days. */
+export type BurnAlert = 'none' | 'slow' | 'fast';
+
+/** Burn of one caller class. */
+export type ClassBurn = {
+	readonly callerClass: CallerClassName;
+	readonly objectives: Objectives;
+	readonly windows: ReadonlyArray<
+		JudgementCounts & {readonly label: string; readonly burnRate: number}
+	>;
+	/** Share of the error budget of the period that is left. */
+	readonly budgetLeft: number;
+	readonly alert: BurnAlert;
+	/** Time from which on requests are counted. Counts do not outlive the hosts. */
+	readonly since: number | null;
+	readonly series: ReadonlyArray<{
+		readonly time: number;
+		readonly burnRate: number;
+	}>;
+};
+
+/** Burn of all caller classes at one time. */
+export type BurnReport = {
+	readonly time: number;
+	readonly classes: readonly ClassBurn[];
+};
+
+/** Spends 2% of a 30-day budget within one hour. */
+const fastBurnRate = 14.4;
+
+const noCounts: JudgementCounts = {good: 0, bad: 0, excluded: 0};
+
+function alertOf(rates: Readonly<Record<string, number>>): BurnAlert {
+	// The short window ends the alert soon after the fault ends.
+	if (rates['1h']! >= fastBurnRate && rates['5m']! >= fastBurnRate) {
+		return 'fast';
+	}
+
+	return rates['3d']! >= 1 && rates['6h']! >= 1 ? 'slow' : 'none';
+}
+
+function classBurn(
+	{name, objectives}: CallerClass,
+	counts: ClassCounts | undefined,
+): ClassBurn {
+	const {attainment} = objectives;
+	const windows = burnWindows.map(({label}) => {
+		const sums = counts?.windows[label] ?? noCounts;
+		return {
+			label,
+			good: sums.good,
+			bad: sums.bad,
+			excluded: sums.excluded,
+			burnRate: burnRate(sums, attainment),
+		};
+	});
+	return {
+		callerClass: name,
+		objectives,
+		windows,
+		budgetLeft: errorBudgetLeft(counts?.period ?? noCounts, attainment),
+		alert: alertOf(
+			Object.fromEntries(
+				windows.map(({label, burnRate: rate}) => [label, rate]),
+			),
+		),
+		since: counts?.since ?? null,
+		series: (counts?.series ?? []).map((step) => ({
+			time: step.time,
+			burnRate: burnRate(step, attainment),
+		})),
+	};
+}
+
+/** Makes the report of all caller classes of the document. Classes without requests are listed too. */
+export function makeBurnReport(
+	classes: readonly CallerClass[],
+	counts: readonly ClassCounts[],
+	time: number,
+): BurnReport {
+	return {
+		time,
+		classes: classes.map((callerClass) =>
+			classBurn(
+				callerClass,
+				counts.find((one) => one.callerClass === callerClass.name),
+			),
+		),
+	};
+}
+
+function percent(share: number, digits = 1): string {
+	return `${(share * 100).toFixed(digits)}%`;
+}
+
+/** The report as a text table. */
+export function formatBurnTable(report: BurnReport): string {
+	const header = [
+		'class',
+		'objective',
+		...burnWindows.map(({label}) => `burn ${label}`),
+		'requests 3d',
+		'excluded 3d',
+		'budget left',
+		'alert',
+	];
+	const rows = report.classes.map((one) => {
+		const last = one.windows.at(-1)!;
+		return [
+			one.callerClass,
+			percent(one.objectives.attainment, 2),
+			...one.windows.map(({burnRate: rate}) => rate.toFixed(2)),
+			String(last.good + last.bad),
+			String(last.excluded),
+			percent(one.budgetLeft),
+			one.alert,
+		];
+	});
+	const widths = header.map((title, column) =>
+		Math.max(title.length, ...rows.map((row) => row[column]!.length)),
+	);
+	return [header, ...rows]
+		.map((row) =>
+			row
+				.map((cell, column) =>
+					column === 0
+						? cell.padEnd(widths[column]!)
+						: cell.padStart(widths[column]!),
+				)
+				.join('  '),
+		)
+		.join('\n');
+}
+
+const colours = [
+	'#1f77b4',
+	'#d62728',
+	'#2ca02c',
+	'#9467bd',
+	'#ff7f0e',
+	'#17becf',
+];
+const plot = {left: 60, top: 30, width: 640, height: 260};
+
+function escapeXml(text: string): string {
+	return text
+		.replaceAll('&', '&amp;')
+		.replaceAll('<', '&lt;')
+		.replaceAll('>', '&gt;')
+		.replaceAll('"', '&quot;');
+}
+
+/** The burn rates of the last six hours as an SVG plot, one line per caller class. */
+export function formatBurnPlot(report: BurnReport): string {
+	const points = report.classes.flatMap(({series}) => series);
+	const first = Math.min(
+		report.time - 21_600_000,
+		...points.map(({time}) => time),
+	);
+	const span = Math.max(1, report.time - first);
+	const highest = Math.max(2, ...points.map((point) => point.burnRate));
+	const x = (time: number): string =>
+		(plot.left + ((time - first) / span) * plot.width).toFixed(1);
+	const y = (rate: number): string =>
+		(plot.top + plot.height * (1 - rate / highest)).toFixed(1);
+	const right = plot.left + plot.width;
+	const bottom = plot.top + plot.height;
+	const steps = [0, 0.25, 0.5, 0.75, 1].map((share) => share * highest);
+	const hours = Array.from({length: 7}, (_, index) => index);
+	const height = bottom + 40 + report.classes.length * 18;
+	return [
+		`<svg xmlns="http://www.w3.org/2000/svg" width="${right + 30}" height="${height}" font-family="sans-serif" font-size="12">`,
+		'<rect width="100%" height="100%" fill="white"/>',
+		`<text x="${plot.left}" y="18">Burn rate of the error budget, last 6 hours</text>`,
+		...steps.map(
+			(rate) =>
+				`<line x1="${plot.left}" x2="${right}" y1="${y(rate)}" y2="${y(rate)}" stroke="#ddd"/><text x="${plot.left - 8}" y="${y(rate)}" text-anchor="end" dy="4">${rate.toFixed(1)}</text>`,
+		),
+		...hours.map(
+			(hour) =>
+				`<text x="${x(report.time - hour * 3_600_000)}" y="${bottom + 16}" text-anchor="middle">${hour === 0 ? 'now' : `-${hour} h`}</text>`,
+		),
+		`<line x1="${plot.left}" x2="${right}" y1="${y(1)}" y2="${y(1)}" stroke="#888" stroke-dasharray="4 3"/>`,
+		...report.classes.flatMap((one, index) => {
+			const colour = colours[index % colours.length]!;
+			const line = one.series
+				.map((point) => `${x(point.time)},${y(point.burnRate)}`)
+				.join(' ');
+			const legend = bottom + 38 + index * 18;
+			return [
+				`<polyline fill="none" stroke="${colour}" stroke-width="1.5" points="${line}"/>`,
+				`<rect x="${plot.left}" y="${legend - 10}" width="12" height="12" fill="${colour}"/><text x="${plot.left + 18}" y="${legend}">${escapeXml(one.callerClass)}: budget left ${percent(one.budgetLeft)}</text>`,
+			];
+		}),
+		'</svg>',
+		'',
+	].join('\n');
+}
--- /dev/null
+++ b/test/product/burn-rate.test.ts
@@ -0,0 +1,123 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {ManualClock} from '../../src/base/common/clock.js';
+import {callerClassSchema} from '../../src/contracts/fleet-document.js';
+import {type CallerClassName} from '../../src/contracts/ids.js';
+import {
+	BurnRateTracker,
+	burnRate,
+	errorBudgetLeft,
+	judgeRequest,
+	mergeCounts,
+	type Judgement,
+	type RequestOutcome,
+} from '../../src/core/burn-rate.js';
+import {
+	formatBurnPlot,
+	formatBurnTable,
+	makeBurnReport,
+} from '../../src/core/burn-report.js';
+
+const schools = callerClassSchema.parse({name: 'schools', urgency: 'urgent'});
+const name = 'schools' as CallerClassName;
+const hour = 3_600_000;
+
+// 20 of 1000 bad at an objective of 99%: 2% spent against 1% allowed, so twice the allowed speed.
+test('burn rate and budget agree with figures worked by hand', () => {
+	const counts = {good: 980, bad: 20, excluded: 500};
+	assert.equal(burnRate(counts, 0.99).toFixed(6), '2.000000');
+	assert.equal(errorBudgetLeft(counts, 0.99).toFixed(6), '-1.000000');
+	assert.equal(
+		errorBudgetLeft({good: 9995, bad: 5, excluded: 0}, 0.999).toFixed(6),
+		'0.500000',
+	);
+	assert.equal(burnRate({good: 0, bad: 0, excluded: 9}, 0.99), 0);
+});
+
+const judgements: ReadonlyArray<
+	readonly [outcome: RequestOutcome, expected: Judgement]
+> = [
+	[{completed: true, firstTokenMilliseconds: 900}, 'good'],
+	[{completed: true, firstTokenMilliseconds: 901}, 'bad'],
+	[{completed: true, betweenTokensMilliseconds: 80}, 'bad'],
+	[{completed: true, serviceCallMilliseconds: 1001}, 'bad'],
+	[{completed: false, firstTokenMilliseconds: 10}, 'bad'],
+	[{completed: false, refusal: 'overload'}, 'bad'],
+	[{completed: false, refusal: 'caller-limit'}, 'excluded'],
+	[{completed: false, cancelledByCaller: true}, 'excluded'],
+];
+
+// Guards against a caller that runs into its own limit and thereby spends the class's budget.
+test('requests are judged by the objectives of their class', () => {
+	for (const [outcome, expected] of judgements) {
+		assert.equal(
+			judgeRequest(outcome, schools.objectives),
+			expected,
+			JSON.stringify(outcome),
+		);
+	}
+});
+
+function recordMany(
+	tracker: BurnRateTracker,
+	judgement: Judgement,
+	count: number,
+): void {
+	for (let index = 0; index < count; index++) {
+		tracker.record(name, judgement);
+	}
+}
+
+// Guards against windows that keep old requests or drop recent ones.
+test('windows forget requests when they are older', () => {
+	const clock = new ManualClock(400 * 24 * hour);
+	const tracker = new BurnRateTracker(clock);
+	recordMany(tracker, 'bad', 10);
+	clock.advance(2 * hour);
+	recordMany(tracker, 'good', 90);
+	recordMany(tracker, 'excluded', 3);
+	const [counts] = tracker.counts();
+	assert.deepEqual(counts?.windows, {
+		'5m': {good: 90, bad: 0, excluded: 3},
+		'1h': {good: 90, bad: 0, excluded: 3},
+		'6h': {good: 90, bad: 10, excluded: 3},
+		'3d': {good: 90, bad: 10, excluded: 3},
+	});
+	clock.advance(4 * 24 * hour);
+	const [later] = tracker.counts();
+	assert.deepEqual(later?.windows['3d'], {good: 0, bad: 0, excluded: 0});
+	assert.deepEqual(later?.period, {good: 90, bad: 10, excluded: 3});
+	clock.advance(31 * 24 * hour);
+	assert.deepEqual(tracker.counts()[0]?.period, {
+		good: 0,
+		bad: 0,
+		excluded: 0,
+	});
+});
+
+test('the report adds up hosts and raises the alert', () => {
+	const clock = new ManualClock(400 * 24 * hour);
+	const left = new BurnRateTracker(clock);
+	const right = new BurnRateTracker(clock);
+	recordMany(left, 'good', 80);
+	recordMany(right, 'bad', 20);
+	const report = makeBurnReport(
+		[schools, {...schools, name: 'a<b' as CallerClassName}],
+		mergeCounts([left.counts(), right.counts()]),
+		clock.wall(),
+	);
+	const [first, second] = report.classes;
+	// 20% bad against 1% allowed.
+	assert.equal(first?.windows[0]?.burnRate.toFixed(3), '20.000');
+	assert.equal(first?.alert, 'fast');
+	assert.equal(second?.alert, 'none');
+	assert.equal(second?.budgetLeft, 1);
+	const table = formatBurnTable(report).split('\n');
+	assert.equal(table.length, 3);
+	assert.match(table[1]!, /^schools +99\.00% +20\.00 .* -1900\.0% +fast$/);
+	const svg = formatBurnPlot(report);
+	assert.match(svg, /^<svg xmlns/);
+	assert.match(svg, /a&lt;b/);
+	assert.equal(svg.match(/<polyline/g)?.length, 2);
+	assert.doesNotMatch(svg, /NaN|Infinity/);
+});
