--- a/src/core/burn-rate.ts
+++ b/src/core/burn-rate.ts
@@ -23,6 +23,7 @@
 const callerRefusals: ReadonlySet<string> = new Set([
 	'caller-limit',
 	'unknown-offering',
+	'unknown-service',
 	'unauthenticated',
 	'forbidden',
 	'bad-request',
--- a/src/core/document-validator.ts
+++ b/src/core/document-validator.ts
@@ -14,6 +14,28 @@
 	type ValuePath,
 } from './schema-problems.js';
 
+/** Semantic checks of a document beyond its schema. Deterministic, because every host runs them in the fold. */
+export abstract class DocumentValidator {
+	/** Returns the problems found, each with its place in the document. Empty for a valid document. */
+	abstract problems(document: FleetDocument): readonly string[];
+}
+
+/** Applies no check beyond the schema. */
+export class SchemaOnlyDocumentValidator extends DocumentValidator {
+	problems(): readonly string[] {
+		return [];
+	}
+}
+
+/** Checks names, references, kinds of pools and memory. */
+export class SemanticDocumentValidator extends DocumentValidator {
+	problems(document: FleetDocument): readonly string[] {
+		return semanticProblems(document).map(
+			({path, message}) => `${formatPath(path)}: ${message}`,
+		);
+	}
+}
+
 /** All problems of a document at once. */
 export class DocumentValidationError extends Error {
 	override readonly name = 'DocumentValidationError';
