Serve operators over HTTP and on the command line

Cause: operators need to submit documents safely, see what the fleet does and why, and settle orders of dead senders.

OperatorServer sees the rest of the system through OperatorBackend. A submission carries the expected revision; the second of two concurrent ones gets a conflict with the winner's name. Tokens are compared with every digest in constant time. Health and metrics on this listener need no token, as probes and scrapers expect.

Each kind of failure has its own exit code. Ruled out: a token option, because the process list would show the token; it comes from the environment or a file.

--- a/src/contracts/events/operator-events.ts
+++ b/src/contracts/events/operator-events.ts
@@ -1,7 +1,98 @@
 import {type LogEventDefinition} from '../../base/common/event-logger.js';
 
 /** Events about operators, settings and the program itself. Numbers 5000 to 5999. */
-export const operatorEvents = {} as const satisfies Record<
-	string,
-	LogEventDefinition
->;
+export const operatorEvents = {
+	hostStarted: {
+		number: 5001,
+		name: 'host-started',
+		level: 'info',
+		description: 'The process listens on all its addresses.',
+	},
+	hostReady: {
+		number: 5002,
+		name: 'host-ready',
+		level: 'info',
+		description: 'The host has a document in force and serves callers.',
+	},
+	hostNotReady: {
+		number: 5003,
+		name: 'host-not-ready',
+		level: 'warn',
+		description:
+			'The host stopped to be ready. The field reasons tells why; callers should be sent to other hosts.',
+	},
+	hostDraining: {
+		number: 5004,
+		name: 'host-draining',
+		level: 'info',
+		description:
+			'A planned stop began. Running requests finish; a second signal ends the process at once.',
+	},
+	hostStopped: {
+		number: 5005,
+		name: 'host-stopped',
+		level: 'info',
+		description: 'The planned stop is complete.',
+	},
+	hostStartFailed: {
+		number: 5006,
+		name: 'host-start-failed',
+		level: 'error',
+		description:
+			'The process could not start. The field reason names the address or the platform service.',
+	},
+	hostAborted: {
+		number: 5007,
+		name: 'host-aborted',
+		level: 'error',
+		description:
+			'The process ends on a second signal or on an error that is not handled. Requests in flight are interrupted.',
+	},
+	operatorUnauthenticated: {
+		number: 5101,
+		name: 'operator-unauthenticated',
+		level: 'warn',
+		description:
+			'A call to /operator/ carried no token or an unknown one. Check the token digests in the settings; many of these can mean an attack.',
+	},
+	operatorRequestFailed: {
+		number: 5102,
+		name: 'operator-request-failed',
+		level: 'error',
+		description:
+			'A call to the operators’ listener failed in a way that is not foreseen. Report it with the field error.',
+	},
+	documentAccepted: {
+		number: 5201,
+		name: 'document-accepted',
+		level: 'info',
+		description: 'An operator submitted a document and it is in force.',
+	},
+	documentConflict: {
+		number: 5202,
+		name: 'document-conflict',
+		level: 'warn',
+		description:
+			'A document was refused because another operator was first. Show the document in force, apply the change to it and submit again.',
+	},
+	documentInvalid: {
+		number: 5203,
+		name: 'document-invalid',
+		level: 'warn',
+		description: 'A document was refused by the checks.',
+	},
+	documentNotRecorded: {
+		number: 5204,
+		name: 'document-not-recorded',
+		level: 'error',
+		description:
+			'The log service did not confirm a document. It can still take effect: read the history before submitting again.',
+	},
+	ordersSettled: {
+		number: 5301,
+		name: 'orders-settled',
+		level: 'warn',
+		description:
+			'An operator declared open orders settled. Their memory is no longer charged.',
+	},
+} as const satisfies Record<string, LogEventDefinition>;
--- a/src/core/burn-report.ts
+++ b/src/core/burn-report.ts
@@ -3,6 +3,7 @@
 	type Objectives,
 } from '../contracts/fleet-document.js';
 import {type CallerClassName} from '../contracts/ids.js';
+import {formatTable} from './text-table.js';
 import {
 	burnRate,
 	burnWindows,
@@ -129,20 +130,7 @@
 			one.alert,
 		];
 	});
-	const widths = header.map((title, column) =>
-		Math.max(title.length, ...rows.map((row) => row[column]!.length)),
-	);
-	return [header, ...rows]
-		.map((row) =>
-			row
-				.map((cell, column) =>
-					column === 0
-						? cell.padEnd(widths[column]!)
-						: cell.padStart(widths[column]!),
-				)
-				.join('  '),
-		)
-		.join('\n');
+	return formatTable([header, ...rows]);
 }
 
 const colours = [
--- a/src/core/document-difference.ts
+++ b/src/core/document-difference.ts
@@ -88,7 +88,12 @@
 	after: FleetDocument,
 ): DocumentChange[] {
 	return compare(
-		before ?? Object.fromEntries(Object.keys(after).map((key) => [key, []])),
+		before ??
+			Object.fromEntries(
+				Object.entries(after)
+					.filter(([, value]) => Array.isArray(value))
+					.map(([key]) => [key, []]),
+			),
 		after,
 		'',
 	);
--- /dev/null
+++ b/src/program/command-line.ts
@@ -0,0 +1,56 @@
+import process from 'node:process';
+import {Command, CommanderError} from 'commander';
+import {err} from 'neverthrow';
+import {finish} from './command-context.js';
+import {CommandFailure, exitCodes, formatExitCodes} from './command-failure.js';
+import {addDocumentCommands} from './document-commands.js';
+import {addHostCommands, type StartHost} from './host-commands.js';
+import {addInspectionCommands} from './inspection-commands.js';
+import {programVersion} from './version.js';
+
+/** Makes the command line of the program. */
+export function makeCommandLine(startHost: StartHost): Command {
+	const program = new Command('daisylever')
+		.description('Serves many models on fewer accelerators.')
+		.showSuggestionAfterError()
+		.exitOverride()
+		.addHelpText('afterAll', `\nExit codes:\n${formatExitCodes()}`);
+	addHostCommands(program, startHost);
+	addDocumentCommands(program);
+	addInspectionCommands(program);
+	program
+		.command('version')
+		.description('Print the version.')
+		.action(() => {
+			process.stdout.write(`${programVersion}\n`);
+		});
+	return program;
+}
+
+/** Runs the command line and sets the exit code of the process. */
+export async function runCommandLine(
+	program: Command,
+	argv: readonly string[],
+): Promise<void> {
+	try {
+		await program.parseAsync([...argv]);
+	} catch (error) {
+		if (error instanceof CommanderError) {
+			// Commander has written its message; help and version end without an error.
+			process.exitCode =
+				error.exitCode === 0 ? exitCodes.success.code : exitCodes.usage.code;
+			return;
+		}
+
+		finish(
+			err(
+				new CommandFailure(
+					'failure',
+					error instanceof Error
+						? (error.stack ?? error.message)
+						: String(error),
+				),
+			),
+		);
+	}
+}
--- /dev/null
+++ b/src/program/document-commands.ts
@@ -0,0 +1,221 @@
+import {type Command} from 'commander';
+import {err, ok, type Result} from 'neverthrow';
+import {stringify} from 'yaml';
+import {type FleetDocument} from '../contracts/fleet-document.js';
+import {
+	documentDifference,
+	formatDifference,
+	type DocumentChange,
+} from '../core/document-difference.js';
+import {formatTable} from '../core/text-table.js';
+import {
+	type DocumentInForce,
+	type HistoryEntry,
+} from '../services/operator-backend.js';
+import {
+	addHostOptions,
+	clientOf,
+	finish,
+	toJson,
+	type CommandResult,
+	type HostOptions,
+} from './command-context.js';
+import {CommandFailure} from './command-failure.js';
+import {loadDocument} from './document-loader.js';
+
+function loadOrFail(file: string): Result<FleetDocument, CommandFailure> {
+	return loadDocument(file).mapErr(
+		(error) =>
+			new CommandFailure(
+				'invalid',
+				`the document has ${error.problems.length} errors\n${error.message}`,
+				'Correct the document and run "daisylever document check" on it.',
+				{cause: error},
+			),
+	);
+}
+
+function check(file: string, {json}: {readonly json?: boolean}): CommandResult {
+	const loaded = loadDocument(file);
+	if (json === true) {
+		const text = toJson({
+			valid: loaded.isOk(),
+			problems: loaded.isErr() ? loaded.error.problems : [],
+		});
+		// The problems go to standard output, the exit code still tells that there are some.
+		return loaded.isOk()
+			? ok(text)
+			: finishAndFail(text, loaded.error.problems.length);
+	}
+
+	return loadOrFail(file).map(
+		(document) =>
+			`${file} is valid: ${document.pools.length} pools, ${document.models.length} models, ${document.adapters.length} adapters, ${document.offerings.length} offerings, ${document.callers.length} callers`,
+	);
+}
+
+function finishAndFail(text: string, count: number): CommandResult {
+	finish(ok(text));
+	return err(new CommandFailure('invalid', `the document has ${count} errors`));
+}
+
+async function difference(
+	file: string,
+	other: string | undefined,
+	options: HostOptions,
+): Promise<CommandResult> {
+	const loaded = loadOrFail(file);
+	if (loaded.isErr()) {
+		return err(loaded.error);
+	}
+
+	const write = (changes: readonly DocumentChange[]): string => {
+		if (options.json === true) {
+			return toJson({changes});
+		}
+
+		return changes.length === 0 ? 'no difference' : formatDifference(changes);
+	};
+
+	if (other !== undefined) {
+		return loadOrFail(other).map((after) =>
+			write(documentDifference(loaded.value, after)),
+		);
+	}
+
+	return clientOf(options)
+		.asyncAndThen((client) =>
+			client.json<{changes: readonly DocumentChange[]}>(
+				'POST',
+				'/document/check',
+				loaded.value,
+			),
+		)
+		.map(({changes}) => write(changes));
+}
+
+type SubmitOptions = HostOptions & {
+	readonly expectedRevision: string;
+	readonly summary: string;
+};
+
+async function submit(
+	file: string,
+	options: SubmitOptions,
+): Promise<CommandResult> {
+	if (!/^\d+$/.test(options.expectedRevision)) {
+		return err(
+			new CommandFailure(
+				'usage',
+				`--expected-revision is "${options.expectedRevision}", but must be a number; "daisylever document history" shows the one in force`,
+			),
+		);
+	}
+
+	return loadOrFail(file)
+		.andThen((document) =>
+			clientOf(options).map((client) => ({client, document})),
+		)
+		.asyncAndThen(({client, document}) =>
+			client.json<{revision: number}>('PUT', '/document', {
+				expectedRevision: Number(options.expectedRevision),
+				summary: options.summary,
+				document,
+			}),
+		)
+		.map((answer) =>
+			options.json === true
+				? toJson(answer)
+				: `revision ${answer.revision} is in force`,
+		);
+}
+
+async function show(options: HostOptions): Promise<CommandResult> {
+	return clientOf(options)
+		.asyncAndThen((client) => client.json<DocumentInForce>('GET', '/document'))
+		.map((inForce) =>
+			options.json === true
+				? toJson(inForce)
+				: `# revision ${inForce.revision}\n${stringify(inForce.document)}`,
+		);
+}
+
+async function history(options: HostOptions): Promise<CommandResult> {
+	return clientOf(options)
+		.asyncAndThen((client) =>
+			client.json<{history: readonly HistoryEntry[]}>(
+				'GET',
+				'/document/history',
+			),
+		)
+		.map((answer) =>
+			options.json === true
+				? toJson(answer)
+				: formatTable([
+						['revision', 'time', 'operator', 'summary'],
+						...answer.history.map((entry) => [
+							String(entry.revision),
+							new Date(entry.time).toISOString(),
+							entry.operator,
+							entry.summary,
+						]),
+					]),
+		);
+}
+
+/** Adds the commands about the operators' document. */
+export function addDocumentCommands(program: Command): void {
+	const group = program
+		.command('document')
+		.description('Check, compare, submit and show the operators’ document.');
+	group
+		.command('check <file>')
+		.description('Check a document and report all errors with their lines.')
+		.option('--json', 'write the result as JSON')
+		.action((file: string, options: {json?: boolean}) => {
+			finish(check(file, options));
+		});
+	addHostOptions(
+		group
+			.command('diff <file> [other]')
+			.description(
+				'Compare the document in force with a file, or two files with each other.',
+			)
+			.option('--json', 'write the changes as JSON'),
+	).action(
+		async (file: string, other: string | undefined, options: HostOptions) => {
+			finish(await difference(file, other, options));
+		},
+	);
+	addHostOptions(
+		group
+			.command('submit <file>')
+			.description(
+				'Put a document in force, if the expected revision still is in force.',
+			)
+			.requiredOption(
+				'--expected-revision <number>',
+				'revision that the change was made from (0 for the first document)',
+			)
+			.option('--summary <text>', 'what was changed and why', '')
+			.option('--json', 'write the new revision as JSON'),
+	).action(async (file: string, options: SubmitOptions) => {
+		finish(await submit(file, options));
+	});
+	addHostOptions(
+		group
+			.command('show')
+			.description('Show the document in force as YAML.')
+			.option('--json', 'write it as JSON'),
+	).action(async (options: HostOptions) => {
+		finish(await show(options));
+	});
+	addHostOptions(
+		group
+			.command('history')
+			.description('List the accepted documents.')
+			.option('--json', 'write them as JSON'),
+	).action(async (options: HostOptions) => {
+		finish(await history(options));
+	});
+}
--- /dev/null
+++ b/src/program/host-commands.ts
@@ -0,0 +1,96 @@
+import process from 'node:process';
+import {type Command} from 'commander';
+import {err, ok} from 'neverthrow';
+import {finish, toJson, type CommandResult} from './command-context.js';
+import {CommandFailure} from './command-failure.js';
+import {loadSettings} from './settings-loader.js';
+import {type Settings} from './settings.js';
+
+/** Starts a host. Resolves once it listens. */
+export type StartHost = (settings: Settings) => Promise<unknown>;
+
+type CheckOptions = {readonly settings: string; readonly json?: boolean};
+
+function checkSettings({settings: file, json}: CheckOptions): CommandResult {
+	const loaded = loadSettings(file, process.env);
+	if (json === true) {
+		finish(
+			ok(
+				toJson({
+					valid: loaded.isOk(),
+					problems: loaded.isErr() ? loaded.error.problems : [],
+				}),
+			),
+		);
+	}
+
+	if (loaded.isErr()) {
+		const {problems, message} = loaded.error;
+		return err(
+			new CommandFailure(
+				'invalid',
+				`the settings have ${problems.length} errors\n${message}`,
+			),
+		);
+	}
+
+	return ok(json === true ? '' : `${file} is valid: host ${loaded.value.host}`);
+}
+
+async function run(
+	{settings: file}: CheckOptions,
+	startHost: StartHost,
+): Promise<CommandResult> {
+	const loaded = loadSettings(file, process.env);
+	if (loaded.isErr()) {
+		const {problems, message} = loaded.error;
+		return err(
+			new CommandFailure(
+				'invalid',
+				`the settings have ${problems.length} errors\n${message}`,
+				'Correct the settings and run "daisylever settings check" on them.',
+			),
+		);
+	}
+
+	try {
+		await startHost(loaded.value);
+		return ok('');
+	} catch (error) {
+		return err(
+			new CommandFailure(
+				'failure',
+				`the host could not start: ${error instanceof Error ? error.message : String(error)}`,
+				'Check the listen addresses and the platform addresses in the settings.',
+				{cause: error},
+			),
+		);
+	}
+}
+
+/** Adds the commands that start a host and check its settings. */
+export function addHostCommands(program: Command, startHost: StartHost): void {
+	const defaultFile = process.env.DAISYLEVER_SETTINGS ?? 'settings.yaml';
+	const settingsOption = [
+		'--settings <file>',
+		'settings file (environment: DAISYLEVER_SETTINGS)',
+		defaultFile,
+	] as const;
+	program
+		.command('run')
+		.description('Run a host.')
+		.option(...settingsOption)
+		.action(async (options: CheckOptions) => {
+			finish(await run(options, startHost));
+		});
+	program
+		.command('settings')
+		.description('Check the settings of a host.')
+		.command('check')
+		.description('Check settings and report all errors with their lines.')
+		.option(...settingsOption)
+		.option('--json', 'write the result as JSON')
+		.action((options: CheckOptions) => {
+			finish(checkSettings(options));
+		});
+}
--- a/src/program/main.ts
+++ b/src/program/main.ts
@@ -1,16 +1,13 @@
 import process from 'node:process';
-import {Command} from 'commander';
-import {programVersion} from './version.js';
+import {makeCommandLine, runCommandLine} from './command-line.js';
+import {type StartHost} from './host-commands.js';
 
-const command = new Command('daisylever').description(
-	'Serves many models on fewer accelerators.',
-);
+// Loaded on demand, so that the operators' commands start without the serving path.
+const startHost: StartHost = async (settings) => {
+	const root = (await import('./composition-root.js')) as unknown as {
+		readonly startHost: StartHost;
+	};
+	return root.startHost(settings);
+};
 
-command
-	.command('version')
-	.description('Print the version.')
-	.action(() => {
-		process.stdout.write(`${programVersion}\n`);
-	});
-
-void command.parseAsync(process.argv);
+void runCommandLine(makeCommandLine(startHost), process.argv);
--- a/src/program/settings-loader.ts
+++ b/src/program/settings-loader.ts
@@ -1,5 +1,5 @@
 import {readFileSync} from 'node:fs';
-import {err, type Result} from 'neverthrow';
+import {err, ok, type Result} from 'neverthrow';
 import {settingsSchema, type Settings} from './settings.js';
 import {
 	YamlSource,
@@ -84,7 +84,7 @@
 	environment: Environment,
 ): Result<Settings, YamlValidationError> {
 	const source = new YamlSource(file, text);
-	return source.validate(settingsSchema, (content) => {
+	return source.content().andThen((content) => {
 		const problems: YamlProblem[] = [];
 		const context = {source, environment, problems};
 		let value = content;
@@ -92,18 +92,16 @@
 			value = replaceAt(value, path, [], context);
 		}
 
-		return {value, problems};
+		return source.validate(settingsSchema, value, problems);
 	});
 }
 
-/** Reads and checks a settings file. */
-export function loadSettings(
+/** Reads a text file. */
+export function readTextFile(
 	file: string,
-	environment: Environment,
-): Result<Settings, YamlValidationError> {
-	let text: string;
+): Result<string, YamlValidationError> {
 	try {
-		text = readFileSync(file, 'utf8');
+		return ok(readFileSync(file, 'utf8'));
 	} catch (error) {
 		const reason = error instanceof Error ? error.message : String(error);
 		return err(
@@ -118,6 +116,14 @@
 			]),
 		);
 	}
+}
 
-	return parseSettings(text, file, environment);
+/** Reads and checks a settings file. */
+export function loadSettings(
+	file: string,
+	environment: Environment,
+): Result<Settings, YamlValidationError> {
+	return readTextFile(file).andThen((text) =>
+		parseSettings(text, file, environment),
+	);
 }
--- a/src/program/yaml-validation.ts
+++ b/src/program/yaml-validation.ts
@@ -4,6 +4,7 @@
 import {
 	formatPath,
 	schemaProblems,
+	type SchemaProblem,
 	type ValuePath,
 } from '../core/schema-problems.js';
 
@@ -21,8 +22,15 @@
 export class YamlValidationError extends Error {
 	override readonly name = 'YamlValidationError';
 
-	constructor(readonly problems: readonly YamlProblem[]) {
-		super(problems.map(formatProblem).join('\n'));
+	/** The problems in the order of the file. */
+	readonly problems: readonly YamlProblem[];
+
+	constructor(problems: readonly YamlProblem[]) {
+		const sorted = [...problems].sort(
+			(left, right) => left.line - right.line || left.column - right.column,
+		);
+		super(sorted.map(formatProblem).join('\n'));
+		this.problems = sorted;
 	}
 }
 
@@ -44,43 +52,46 @@
 		this.document = parseDocument(text, {lineCounter: this.lineCounter});
 	}
 
-	/** Checks the content against a schema. Returns the value or all errors. */
-	validate<T extends z.ZodType>(
-		schema: T,
-		replace: (value: unknown) => {
-			readonly value: unknown;
-			readonly problems: readonly YamlProblem[];
-		} = (value) => ({value, problems: []}),
-	): Result<z.infer<T>, YamlValidationError> {
-		const syntaxProblems = this.document.errors.map((error) => ({
+	/** Returns the content as plain data, or the errors of the YAML syntax. */
+	content(): Result<unknown, YamlValidationError> {
+		const problems = this.document.errors.map((error) => ({
 			file: this.file,
 			line: error.linePos?.[0].line ?? 1,
 			column: error.linePos?.[0].col ?? 1,
 			path: '',
 			message: error.message.split('\n')[0]!.replace(/ at line .*$/, ''),
 		}));
-		if (syntaxProblems.length > 0) {
-			return err(new YamlValidationError(syntaxProblems));
-		}
+		return problems.length === 0
+			? ok(this.document.toJS() as unknown)
+			: err(new YamlValidationError(problems));
+	}
 
-		const {value, problems: replacementProblems} = replace(
-			this.document.toJS() as unknown,
-		);
+	/** Checks data against a schema. Returns the value or all errors, the given ones included. */
+	validate<T extends z.ZodType>(
+		schema: T,
+		value: unknown,
+		earlierProblems: readonly YamlProblem[] = [],
+	): Result<z.infer<T>, YamlValidationError> {
 		const parsed = schema.safeParse(value);
-		const replaced = new Set(replacementProblems.map(({path}) => path));
+		const reported = new Set(earlierProblems.map(({path}) => path));
 		const problems = [
-			...replacementProblems,
-			...schemaProblems(schema, parsed.error?.issues ?? [])
-				.map(({path, message}) => this.problemAt(path, message))
-				.filter(({path}) => !replaced.has(path)),
-		].sort(
-			(left, right) => left.line - right.line || left.column - right.column,
-		);
+			...earlierProblems,
+			...this.locate(
+				schemaProblems(schema, parsed.error?.issues ?? []),
+			).problems.filter(({path}) => !reported.has(path)),
+		];
 		return parsed.success && problems.length === 0
 			? ok(parsed.data)
 			: err(new YamlValidationError(problems));
 	}
 
+	/** Gives problems their places in the file. */
+	locate(problems: readonly SchemaProblem[]): YamlValidationError {
+		return new YamlValidationError(
+			problems.map(({path, message}) => this.problemAt(path, message)),
+		);
+	}
+
 	/** Makes a problem at the place of a path, or at the nearest enclosing value. */
 	problemAt(path: ValuePath, message: string): YamlProblem {
 		const offset = this.offsetOf(path);
--- /dev/null
+++ b/src/services/operator-server.ts
@@ -0,0 +1,498 @@
+import {Buffer} from 'node:buffer';
+import {timingSafeEqual} from 'node:crypto';
+import {type Server} from 'node:http';
+import {type AddressInfo} from 'node:net';
+import {createAdaptorServer} from '@hono/node-server';
+import {Hono, type Context, type MiddlewareHandler} from 'hono';
+import {bodyLimit} from 'hono/body-limit';
+import {err, ok, ResultAsync, type Result} from 'neverthrow';
+import {z} from 'zod';
+import {sha256} from '../base/common/digest.js';
+import {Disposable} from '../base/common/disposable.js';
+import {
+	type EventLogger,
+	type LogEventDefinition,
+} from '../base/common/event-logger.js';
+import {operatorEvents} from '../contracts/events/operator-events.js';
+import {type FleetDocument} from '../contracts/fleet-document.js';
+import {orderIdSchema, revisionSchema} from '../contracts/ids.js';
+import {formatBurnPlot, formatBurnTable} from '../core/burn-report.js';
+import {
+	documentDifference,
+	formatDifference,
+} from '../core/document-difference.js';
+import {validateDocument} from '../core/document-validator.js';
+import {formatPath, schemaProblems} from '../core/schema-problems.js';
+import {
+	NotRecordedError,
+	RevisionConflictError,
+	UnknownOrderError,
+	type OperatorBackend,
+	type OperatorBackendError,
+} from './operator-backend.js';
+
+/** An operator and the SHA-256 digest of the operator's bearer token. */
+export type OperatorCredential = {
+	readonly name: string;
+	readonly tokenDigest: string;
+};
+
+/** Collaborators and limits of the operators' listener. */
+export type OperatorServerOptions = {
+	readonly backend: OperatorBackend;
+	readonly credentials: readonly OperatorCredential[];
+	readonly logger: EventLogger;
+	readonly limits: {
+		readonly documentBytes: number;
+		readonly headerBytes: number;
+		readonly connections: number;
+		readonly requestTimeoutMilliseconds: number;
+	};
+};
+
+type Bindings = {Variables: {operator: string}};
+type OperatorContext = Context<Bindings>;
+
+const submissionSchema = z.strictObject({
+	expectedRevision: revisionSchema,
+	summary: z.string().max(1000).default(''),
+	document: z.unknown(),
+});
+
+const settlementSchema = z.strictObject({
+	orders: z.array(orderIdSchema).min(1),
+});
+
+const explainSchema = z.strictObject({
+	request: z.string().optional(),
+	caller: z.string().optional(),
+	offering: z.string().optional(),
+	pool: z.string().optional(),
+	target: z.string().optional(),
+	artifact: z.string().optional(),
+	lease: z.string().optional(),
+	fingerprint: z.string().optional(),
+	kind: z
+		.enum([
+			'takeover',
+			'move',
+			'refusal',
+			'quarantine',
+			'routing',
+			'retry',
+			'order',
+		])
+		.optional(),
+	limit: z.coerce.number().int().positive().max(1000).default(100),
+});
+
+type ProblemStatus = 400 | 401 | 404 | 409 | 413 | 422 | 500 | 503;
+
+/** A refusal with its status and code. */
+class OperatorProblem extends Error {
+	override readonly name = 'OperatorProblem';
+
+	constructor(
+		readonly status: ProblemStatus,
+		readonly code: string,
+		message: string,
+		readonly details: Readonly<Record<string, unknown>> = {},
+	) {
+		super(message);
+	}
+}
+
+function problemResponse(problem: OperatorProblem): Response {
+	return Response.json(
+		{
+			type: 'about:blank',
+			status: problem.status,
+			code: problem.code,
+			detail: problem.message,
+			...problem.details,
+		},
+		{
+			status: problem.status,
+			headers: {
+				'content-type': 'application/problem+json',
+				...(problem.status === 401 ? {'www-authenticate': 'Bearer'} : {}),
+			},
+		},
+	);
+}
+
+/** Serves operators: document, status, explain, burn, orders, metrics and health. */
+export class OperatorServer extends Disposable {
+	private readonly app = new Hono<Bindings>();
+	private server: Server | undefined;
+
+	constructor(private readonly options: OperatorServerOptions) {
+		super();
+		this.addHealthRoutes();
+		this.app.use('/operator/*', this.authentication());
+		this.app.use(
+			'/operator/*',
+			bodyLimit({
+				maxSize: options.limits.documentBytes,
+				onError: () =>
+					problemResponse(
+						new OperatorProblem(
+							413,
+							'body-too-large',
+							`the body is larger than ${options.limits.documentBytes} bytes; see limits.documentBytes in the settings`,
+						),
+					),
+			}),
+		);
+		this.addDocumentRoutes();
+		this.addInspectionRoutes();
+		this.addOrderRoutes();
+		this.app.notFound((context) =>
+			problemResponse(
+				new OperatorProblem(
+					404,
+					'unknown-path',
+					`there is no ${context.req.method} ${context.req.path}; see docs/operations.md`,
+				),
+			),
+		);
+		this.app.onError((error) => {
+			options.logger.record(operatorEvents.operatorRequestFailed, {error});
+			return problemResponse(
+				new OperatorProblem(500, 'internal-error', 'the request failed'),
+			);
+		});
+	}
+
+	/** Listens and returns the port. */
+	async listen(port: number, hostname: string): Promise<number> {
+		const {limits} = this.options;
+		const server = createAdaptorServer({
+			fetch: this.app.fetch,
+			serverOptions: {
+				maxHeaderSize: limits.headerBytes,
+				requestTimeout: limits.requestTimeoutMilliseconds,
+			},
+		}) as Server;
+		server.maxConnections = limits.connections;
+		this.server = server;
+		return new Promise((resolve, reject) => {
+			server.once('error', reject);
+			server.listen(port, hostname, () => {
+				resolve((server.address() as AddressInfo).port);
+			});
+		});
+	}
+
+	async dispose(): Promise<void> {
+		const {server} = this;
+		if (!server) {
+			return;
+		}
+
+		this.server = undefined;
+		await new Promise<void>((resolve) => {
+			server.close(() => {
+				resolve();
+			});
+			server.closeIdleConnections();
+		});
+	}
+
+	private addHealthRoutes(): void {
+		const {backend} = this.options;
+		this.app.get('/healthz', (context) => context.text('ok\n'));
+		this.app.get('/readyz', (context) => {
+			const reasons = backend.notReadyReasons();
+			return reasons.length === 0
+				? context.text('ready\n')
+				: context.text(`not ready: ${reasons.join('; ')}\n`, 503);
+		});
+		this.app.get('/metrics', (context) =>
+			context.body(backend.metrics(), 200, {
+				'content-type': 'text/plain; version=0.0.4; charset=utf-8',
+			}),
+		);
+	}
+
+	private authentication(): MiddlewareHandler<Bindings> {
+		return async (context, next) => {
+			const header = context.req.header('authorization') ?? '';
+			const token = /^bearer +(\S+)$/i.exec(header)?.[1];
+			const operator = token === undefined ? undefined : this.operatorOf(token);
+			if (operator === undefined) {
+				this.options.logger.record(operatorEvents.operatorUnauthenticated, {
+					path: context.req.path,
+				});
+				return problemResponse(
+					new OperatorProblem(
+						401,
+						'unauthenticated',
+						'a bearer token of an operator is needed; its digest stands under operators in the settings',
+					),
+				);
+			}
+
+			context.set('operator', operator);
+			await next();
+		};
+	}
+
+	/** Compares with every digest in constant time, so that the time tells nothing about the digests. */
+	private operatorOf(token: string): string | undefined {
+		const digest = Buffer.from(sha256(token), 'hex');
+		let operator: string | undefined;
+		for (const {name, tokenDigest} of this.options.credentials) {
+			const known = Buffer.from(tokenDigest, 'hex');
+			if (known.length === digest.length && timingSafeEqual(known, digest)) {
+				operator = name;
+			}
+		}
+
+		return operator;
+	}
+
+	private addDocumentRoutes(): void {
+		const {backend} = this.options;
+		this.app.get('/operator/v1/document', (context) => {
+			const inForce = backend.document();
+			return inForce
+				? context.json(inForce)
+				: problemResponse(
+						new OperatorProblem(
+							404,
+							'no-document',
+							'no document is in force yet; submit one with expected revision 0',
+						),
+					);
+		});
+		this.app.get('/operator/v1/document/history', (context) =>
+			context.json({history: backend.history()}),
+		);
+		this.app.post('/operator/v1/document/check', async (context) =>
+			this.respond(
+				context,
+				readJson(context).andThen((body) =>
+					checkDocument(body).map((document) => {
+						const changes = documentDifference(
+							backend.document()?.document,
+							document,
+						);
+						return {
+							valid: true,
+							revision: backend.document()?.revision ?? 0,
+							changes,
+							text: formatDifference(changes),
+						};
+					}),
+				),
+			),
+		);
+		this.app.put('/operator/v1/document', async (context) =>
+			this.respond(context, this.submit(context)),
+		);
+	}
+
+	private submit(
+		context: OperatorContext,
+	): ResultAsync<unknown, OperatorProblem> {
+		const {backend, logger} = this.options;
+		const operator = context.get('operator');
+		return readJson(context)
+			.andThen((body) => parseBody(submissionSchema, body))
+			.andThen(({document, ...rest}) =>
+				checkDocument(document)
+					.map((valid) => ({...rest, document: valid}))
+					.mapErr((problem) => {
+						logger.record(operatorEvents.documentInvalid, {
+							operator,
+							problems: problem.details.problems,
+						});
+						return problem;
+					}),
+			)
+			.andThen((submission) =>
+				backend
+					.submit({...submission, operator})
+					.map((revision) => {
+						logger.record(operatorEvents.documentAccepted, {
+							operator,
+							revision,
+							summary: submission.summary,
+						});
+						return {revision};
+					})
+					.mapErr((error) => {
+						logger.record(eventOf(error), {operator, error});
+						return problemOf(error);
+					}),
+			);
+	}
+
+	private addInspectionRoutes(): void {
+		const {backend} = this.options;
+		this.app.get('/operator/v1/status', (context) =>
+			context.json(backend.status()),
+		);
+		this.app.get('/operator/v1/explain', async (context) =>
+			this.respond(
+				context,
+				parseBody(explainSchema, context.req.query()).asyncAndThen(
+					({kind, limit, ...subjects}) =>
+						backend
+							.explain({
+								kinds: kind === undefined ? undefined : [kind],
+								subjects,
+								limit,
+							})
+							.map((decisions) => ({decisions}))
+							.mapErr(problemOf),
+				),
+			),
+		);
+		this.app.get('/operator/v1/burn', async (context) => {
+			const format = context.req.query('format') ?? 'json';
+			if (!['json', 'text', 'svg'].includes(format)) {
+				return problemResponse(
+					new OperatorProblem(
+						400,
+						'bad-request',
+						`format is "${format}", but must be json, text or svg`,
+					),
+				);
+			}
+
+			const report = await backend.burn();
+			if (report.isErr()) {
+				return problemResponse(problemOf(report.error));
+			}
+
+			if (format === 'json') {
+				return context.json(report.value);
+			}
+
+			return format === 'text'
+				? context.text(`${formatBurnTable(report.value)}\n`)
+				: context.body(formatBurnPlot(report.value), 200, {
+						'content-type': 'image/svg+xml',
+					});
+		});
+	}
+
+	private addOrderRoutes(): void {
+		const {backend, logger} = this.options;
+		this.app.get('/operator/v1/orders', (context) =>
+			context.json({orders: backend.openOrders()}),
+		);
+		this.app.post('/operator/v1/orders/settle', async (context) => {
+			const operator = context.get('operator');
+			return this.respond(
+				context,
+				readJson(context)
+					.andThen((body) => parseBody(settlementSchema, body))
+					.andThen(({orders}) =>
+						backend
+							.settle(orders, operator)
+							.map(() => {
+								logger.record(operatorEvents.ordersSettled, {operator, orders});
+								return {settled: orders};
+							})
+							.mapErr(problemOf),
+					),
+			);
+		});
+	}
+
+	private async respond(
+		context: OperatorContext,
+		result: ResultAsync<unknown, OperatorProblem>,
+	): Promise<Response> {
+		return result.match(
+			(value) => context.json(value as Record<string, unknown>),
+			(problem) => problemResponse(problem),
+		);
+	}
+}
+
+function readJson(
+	context: OperatorContext,
+): ResultAsync<unknown, OperatorProblem> {
+	return ResultAsync.fromPromise(
+		context.req.json<unknown>(),
+		() => new OperatorProblem(400, 'bad-request', 'the body is not JSON'),
+	);
+}
+
+function parseBody<T extends z.ZodType>(
+	schema: T,
+	body: unknown,
+): Result<z.infer<T>, OperatorProblem> {
+	const parsed = schema.safeParse(body);
+	if (parsed.success) {
+		return ok(parsed.data);
+	}
+
+	const problems = schemaProblems(schema, parsed.error.issues).map(
+		({path, message}) => ({path: formatPath(path), message}),
+	);
+	return err(
+		new OperatorProblem(
+			400,
+			'bad-request',
+			problems.map(({path, message}) => `${path}: ${message}`).join('; '),
+			{problems},
+		),
+	);
+}
+
+function checkDocument(body: unknown): Result<FleetDocument, OperatorProblem> {
+	return validateDocument(body).mapErr(
+		(error) =>
+			new OperatorProblem(
+				422,
+				'invalid-document',
+				`the document has ${error.problems.length} errors`,
+				{
+					problems: error.problems.map(({path, message}) => ({
+						path: formatPath(path),
+						message,
+					})),
+				},
+			),
+	);
+}
+
+function eventOf(error: OperatorBackendError): LogEventDefinition {
+	if (error instanceof RevisionConflictError) {
+		return operatorEvents.documentConflict;
+	}
+
+	return error instanceof NotRecordedError
+		? operatorEvents.documentNotRecorded
+		: operatorEvents.documentInvalid;
+}
+
+function problemOf(error: OperatorBackendError): OperatorProblem {
+	if (error instanceof RevisionConflictError) {
+		return new OperatorProblem(
+			409,
+			'revision-conflict',
+			`${error.message}; apply the change to the document in force and submit it again`,
+			{currentRevision: error.current, winner: error.winner},
+		);
+	}
+
+	if (error instanceof UnknownOrderError) {
+		return new OperatorProblem(404, 'unknown-order', error.message, {
+			orders: error.orders,
+		});
+	}
+
+	return error instanceof NotRecordedError
+		? new OperatorProblem(
+				503,
+				'store-outage',
+				`${error.message}; the record can still take effect, so look at the state before trying again`,
+			)
+		: new OperatorProblem(422, 'refused', error.message);
+}
