--- a/src/services/entry/entry-server.ts
+++ b/src/services/entry/entry-server.ts
@@ -1,10 +1,10 @@
 import {Buffer} from 'node:buffer';
 import {type Server} from 'node:http';
-import {type AddressInfo} from 'node:net';
 import {createAdaptorServer, type HttpBindings} from '@hono/node-server';
 import {Hono, type Context} from 'hono';
 import {bodyLimit} from 'hono/body-limit';
 import {err, ok, type Result} from 'neverthrow';
+import {listenOn, type ListenError} from '../../base/node/listen.js';
 import {Disposable} from '../../base/common/disposable.js';
 import {
 	type EventLogger,
@@ -60,11 +60,6 @@
 	readonly mintRequestId: () => RequestId;
 };
 
-/** The callers' listener could not start. */
-export class ListenError extends Error {
-	override readonly name = 'ListenError';
-}
-
 // Requests have ended when the server is disposed; clients get this time to read their answers.
 const closeGraceMilliseconds = 1000;
 
@@ -141,16 +136,7 @@
 		}) as Server;
 		server.maxConnections = limits.connections;
 		this.server = server;
-		return new Promise((resolve) => {
-			server.once('error', (cause) => {
-				resolve(
-					err(new ListenError(`cannot listen on ${hostname}:${port}`, {cause})),
-				);
-			});
-			server.listen(port, hostname, () => {
-				resolve(ok((server.address() as AddressInfo).port));
-			});
-		});
+		return listenOn(server, port, hostname);
 	}
 
 	async dispose(): Promise<void> {
--- a/test/process/whole-path.test.ts
+++ b/test/process/whole-path.test.ts
@@ -42,7 +42,8 @@
 			{id: 'ordini-1', address: service.address, failureDomain: 'palermo'},
 		],
 	});
-	await submitDocument(platform, document, 0);
+	const submitted = await submitDocument(palermo, document, 0);
+	assert.equal(submitted.status, 200, submitted.text);
 
 	const client = new OpenAI({
 		apiKey: callerKey,
