--- a/src/contracts/events/operator-events.ts
+++ b/src/contracts/events/operator-events.ts
@@ -62,9 +62,9 @@
 		description:
 			'A call to the operators’ listener failed in a way that is not foreseen. Report it with the field error.',
 	},
-	documentAccepted: {
+	documentSubmitted: {
 		number: 5201,
-		name: 'document-accepted',
+		name: 'document-submitted',
 		level: 'info',
 		description: 'An operator submitted a document and it is in force.',
 	},
--- a/src/services/operator-server.ts
+++ b/src/services/operator-server.ts
@@ -315,7 +315,7 @@
 				backend
 					.submit({...submission, operator})
 					.map((revision) => {
-						logger.record(operatorEvents.documentAccepted, {
+						logger.record(operatorEvents.documentSubmitted, {
 							operator,
 							revision,
 							summary: submission.summary,
