--- a/src/program/main.ts
+++ b/src/program/main.ts
@@ -1,13 +1,11 @@
 import process from 'node:process';
 import {makeCommandLine, runCommandLine} from './command-line.js';
-import {type StartHost} from './host-commands.js';
+import {type RunHost} from './host-commands.js';
 
 // Loaded on demand, so that the operators' commands start without the serving path.
-const startHost: StartHost = async (settings) => {
-	const root = (await import('./composition-root.js')) as unknown as {
-		readonly startHost: StartHost;
-	};
-	return root.startHost(settings);
+const runHost: RunHost = async (settings) => {
+	const module = await import('./run-host.js');
+	return module.runHost(settings);
 };
 
-void runCommandLine(makeCommandLine(startHost), process.argv);
+void runCommandLine(makeCommandLine(runHost), process.argv);
--- a/src/services/entry/claim-keeper.ts
+++ b/src/services/entry/claim-keeper.ts
@@ -56,7 +56,8 @@
 
 /** Tells whether a run of a host still goes on. */
 export abstract class IncarnationDirectory {
-	abstract isLive(incarnation: IncarnationId): boolean;
+	/** `claimedAt` is the wall time of the claim, for a run that the membership has not heard of yet. */
+	abstract isLive(incarnation: IncarnationId, claimedAt: number): boolean;
 }
 
 /** Collaborators and bounds of the claim keeper. */
@@ -67,7 +68,7 @@
 	readonly appender: ClaimAppender;
 	readonly incarnations: IncarnationDirectory;
 	readonly clock: Clock;
-	readonly logger: EventLogger;
+	readonly events: EventLogger;
 	/** How long a key is remembered. */
 	readonly windowMilliseconds: () => number;
 	/** Time for the log to confirm a claim. */
@@ -192,7 +193,7 @@
 
 			if (!isReported) {
 				isReported = true;
-				this.options.logger.record(entryEvents.claimUnsettled, {
+				this.options.events.record(entryEvents.claimUnsettled, {
 					requestId: request.requestId,
 					error: settled.error.message,
 				});
@@ -307,12 +308,12 @@
 			current?.requestId === entry.requestId &&
 			current.state === 'claimed' &&
 			!this.localOutcomes.has(entry.requestId) &&
-			this.options.incarnations.isLive(entry.incarnation)
+			this.options.incarnations.isLive(entry.incarnation, entry.time)
 		);
 	}
 
 	private abandon(request: ClaimRequest): void {
-		this.options.logger.record(entryEvents.claimAbandoned, {
+		this.options.events.record(entryEvents.claimAbandoned, {
 			requestId: request.requestId,
 		});
 		this.abandoned.set(request.requestId, request);
@@ -336,7 +337,7 @@
 		while (!this.stopping.signal.aborted) {
 			const bounds = await this.options.log.bounds('claims');
 			if (bounds.isErr()) {
-				this.options.logger.record(entryEvents.claimsUnreadable, {
+				this.options.events.record(entryEvents.claimsUnreadable, {
 					error: bounds.error.message,
 				});
 				await this.pause(retryMilliseconds);
