--- a/src/contracts/events/operator-events.ts
+++ b/src/contracts/events/operator-events.ts
@@ -7,47 +7,20 @@
 		name: 'host-started',
 		level: 'info',
 		description:
-			'The process listens on all its addresses. The fields name the ports for callers, operators and peers.',
+			'The host listens. The fields name the ports for callers, operators and peers.',
 	},
-	hostReady: {
+	hostStopping: {
 		number: 5002,
-		name: 'host-ready',
+		name: 'host-stopping',
 		level: 'info',
-		description: 'The host has a document in force and serves callers.',
-	},
-	hostNotReady: {
-		number: 5003,
-		name: 'host-not-ready',
-		level: 'warn',
 		description:
-			'The host stopped to be ready. The field reasons tells why; callers should be sent to other hosts.',
-	},
-	hostDraining: {
-		number: 5004,
-		name: 'host-draining',
-		level: 'info',
-		description:
-			'A planned stop began. Running requests finish; a second signal ends the process at once.',
+			'A planned stop began: the host takes no new work and waits for running requests.',
 	},
 	hostStopped: {
-		number: 5005,
+		number: 5003,
 		name: 'host-stopped',
 		level: 'info',
-		description: 'The planned stop is complete.',
-	},
-	hostStartFailed: {
-		number: 5006,
-		name: 'host-start-failed',
-		level: 'error',
-		description:
-			'The process could not start. The field reason names the address or the platform service.',
-	},
-	hostAborted: {
-		number: 5007,
-		name: 'host-aborted',
-		level: 'error',
-		description:
-			'The process ends on a second signal or on an error that is not handled. Requests in flight are interrupted.',
+		description: 'The host stopped.',
 	},
 	operatorUnauthenticated: {
 		number: 5101,
@@ -63,9 +36,9 @@
 		description:
 			'A call to the operators’ listener failed in a way that is not foreseen. Report it with the field error.',
 	},
-	documentAccepted: {
+	documentSubmitted: {
 		number: 5201,
-		name: 'document-accepted',
+		name: 'document-submitted',
 		level: 'info',
 		description: 'An operator submitted a document and it is in force.',
 	},
--- a/src/program/command-line.ts
+++ b/src/program/command-line.ts
@@ -4,18 +4,18 @@
 import {finish} from './command-context.js';
 import {CommandFailure, exitCodes, formatExitCodes} from './command-failure.js';
 import {addDocumentCommands} from './document-commands.js';
-import {addHostCommands, type StartHost} from './host-commands.js';
+import {addHostCommands, type RunHost} from './host-commands.js';
 import {addInspectionCommands} from './inspection-commands.js';
 import {programVersion} from './version.js';
 
 /** Makes the command line of the program. */
-export function makeCommandLine(startHost: StartHost): Command {
+export function makeCommandLine(runHost: RunHost): Command {
 	const program = new Command('daisylever')
 		.description('Serves many models on fewer accelerators.')
 		.showSuggestionAfterError()
 		.exitOverride()
 		.addHelpText('afterAll', `\nExit codes:\n${formatExitCodes()}`);
-	addHostCommands(program, startHost);
+	addHostCommands(program, runHost);
 	addDocumentCommands(program);
 	addInspectionCommands(program);
 	program
--- a/src/program/composition-root.ts
+++ b/src/program/composition-root.ts
@@ -94,7 +94,7 @@
 	/** Takes no new work, hands its leases over, lets running requests end, and releases everything. */
 	async stop(): Promise<void> {
 		const {gate, membership, leases, owned, events} = this.parts;
-		events.record(operatorEvents.hostDraining, {inFlight: gate.inFlight});
+		events.record(operatorEvents.hostStopping, {inFlight: gate.inFlight});
 		gate.stop();
 		await Promise.all([
 			membership.leave(),
--- a/src/program/host-commands.ts
+++ b/src/program/host-commands.ts
@@ -6,8 +6,8 @@
 import {loadSettings} from './settings-loader.js';
 import {type Settings} from './settings.js';
 
-/** Starts a host. Resolves once it listens. */
-export type StartHost = (settings: Settings) => Promise<Result<void, Error>>;
+/** Starts a host that stops on signals. Resolves once it listens. */
+export type RunHost = (settings: Settings) => Promise<Result<void, Error>>;
 
 type CheckOptions = {readonly settings: string; readonly json?: boolean};
 
@@ -39,7 +39,7 @@
 
 async function run(
 	{settings: file}: CheckOptions,
-	startHost: StartHost,
+	runHost: RunHost,
 ): Promise<CommandResult> {
 	const loaded = loadSettings(file, process.env);
 	if (loaded.isErr()) {
@@ -53,23 +53,22 @@
 		);
 	}
 
-	const started = await startHost(loaded.value);
-	if (started.isOk()) {
-		return ok('');
-	}
-
-	return err(
-		new CommandFailure(
-			'failure',
-			`the host could not start: ${started.error.message}`,
-			'Check the listen addresses and the platform addresses in the settings.',
-			{cause: started.error},
-		),
-	);
+	const started = await runHost(loaded.value);
+	return started
+		.map(() => '')
+		.mapErr(
+			(error) =>
+				new CommandFailure(
+					'failure',
+					`the host could not start: ${error.message}`,
+					'Check the listen addresses in the settings.',
+					{cause: error},
+				),
+		);
 }
 
 /** Adds the commands that start a host and check its settings. */
-export function addHostCommands(program: Command, startHost: StartHost): void {
+export function addHostCommands(program: Command, runHost: RunHost): void {
 	const defaultFile = process.env.DAISYLEVER_SETTINGS ?? 'settings.yaml';
 	const settingsOption = [
 		'--settings <file>',
@@ -81,7 +80,7 @@
 		.description('Run a host.')
 		.option(...settingsOption)
 		.action(async (options: CheckOptions) => {
-			finish(await run(options, startHost));
+			finish(await run(options, runHost));
 		});
 	program
 		.command('settings')
--- a/test/process/test-deployment.ts
+++ b/test/process/test-deployment.ts
@@ -133,14 +133,10 @@
 	expectedRevision: number,
 ) {
 	return until('the host can submit', async () => {
-		const answer = await send(
-			'PUT',
-			`${host.operators}/operator/v1/document`,
-			{
-				key: operatorToken,
-				body: {expectedRevision, summary: 'test', document},
-			},
-		);
+		const answer = await send('PUT', `${host.operators}/operator/v1/document`, {
+			key: operatorToken,
+			body: {expectedRevision, summary: 'test', document},
+		});
 		return answer.status === 503 ? undefined : answer;
 	});
 }
