Add routing policies, target view, outlier detection, affinity and hedging

Ruled out: the exact median of the peers of each target (a sort per target and request); the pool's lower median, reused for 20 ms, costs one sort. Full ejection (an unlucky target would get no work to prove itself with); ejected targets get probes and then a doubling share.

--- /dev/null
+++ b/test/dispatch/retry-budget.test.ts
@@ -0,0 +1,40 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import fc from 'fast-check';
+import {ManualClock} from '../../src/base/common/clock.js';
+import {RetryBudget} from '../../src/core/retry-budget.js';
+
+const step = fc.oneof(
+	fc.constant({kind: 'first'} as const),
+	fc.constant({kind: 'take'} as const),
+	fc.record({kind: fc.constant('wait' as const), milliseconds: fc.nat(3000)}),
+);
+
+// Guards against retries that multiply an overload: extra attempts never exceed the ratio, the minimum rate and the first attempt saved up.
+test('extra attempts stay within the budget, and are refused only when it is spent', () => {
+	fc.assert(
+		fc.property(fc.array(step, {maxLength: 200}), (steps) => {
+			const clock = new ManualClock();
+			const budget = new RetryBudget({clock, capacity: 5});
+			let balance = 1;
+			for (const each of steps) {
+				if (each.kind === 'wait') {
+					clock.advance(each.milliseconds);
+					balance = Math.min(5, balance + each.milliseconds / 1000);
+				} else if (each.kind === 'first') {
+					budget.recordFirstAttempt();
+					balance = Math.min(5, balance + 0.1);
+				} else {
+					const taken = budget.tryTake();
+					// The sums are made in another order, so a difference by rounding is allowed at the limit only.
+					if (Math.abs(balance - 1) > 1e-6) {
+						assert.equal(taken, balance >= 1);
+					}
+
+					balance -= taken ? 1 : 0;
+				}
+			}
+		}),
+		{seed: 20, numRuns: 500},
+	);
+});
--- /dev/null
+++ b/test/dispatch/routing.test.ts
@@ -0,0 +1,237 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {ManualClock} from '../../src/base/common/clock.js';
+import {SeededRandomSource} from '../../src/base/common/random-source.js';
+import {
+	type AdapterId,
+	type RequestId,
+	type TargetId,
+} from '../../src/contracts/ids.js';
+import {HedgingPolicy} from '../../src/core/hedging-policy.js';
+import {OutlierDetector} from '../../src/core/outlier-detector.js';
+import {PrefixAffinity} from '../../src/core/prefix-affinity.js';
+import {RetryBudget} from '../../src/core/retry-budget.js';
+import {
+	LeastOutstandingPolicy,
+	LoadAwarePolicy,
+	RoundRobinPolicy,
+	TwoChoicesPolicy,
+	type RoutingCandidate,
+} from '../../src/core/routing-policy.js';
+import {TargetView} from '../../src/core/target-view.js';
+
+const id = (name: string) => name as TargetId;
+
+function candidate(
+	name: string,
+	changes: Partial<RoutingCandidate> = {},
+): RoutingCandidate {
+	return {
+		target: id(name),
+		slots: 8,
+		ownOutstanding: 0,
+		otherOutstanding: 0,
+		weight: 1,
+		speed: 1,
+		isProbeDue: false,
+		affinity: 0,
+		...changes,
+	};
+}
+
+const random = () => new SeededRandomSource(1);
+
+// Each row guards against a policy that ignores the evidence named in it.
+const choices: Array<
+	readonly [string, RoutingCandidate[], string, {idempotent: boolean}?]
+> = [
+	['own work', [candidate('a', {ownOutstanding: 5}), candidate('b')], 'b'],
+	[
+		'work of others',
+		[candidate('a', {otherOutstanding: 5}), candidate('b')],
+		'b',
+	],
+	['slots', [candidate('a', {slots: 2}), candidate('b')], 'b'],
+	['speed', [candidate('a', {speed: 0.2}), candidate('b')], 'b'],
+	[
+		'ejection',
+		[candidate('a', {weight: 0}), candidate('b', {ownOutstanding: 7})],
+		'b',
+	],
+	['the only target, ejected', [candidate('a', {weight: 0})], 'a'],
+	[
+		'a due probe',
+		[candidate('a', {weight: 0, isProbeDue: true}), candidate('b')],
+		'a',
+	],
+	[
+		'no probe with non-idempotent work',
+		[candidate('a', {weight: 0, isProbeDue: true}), candidate('b')],
+		'b',
+		{idempotent: false},
+	],
+	[
+		'affinity below the load bound',
+		[
+			candidate('a', {affinity: 1, ownOutstanding: 4}),
+			candidate('b', {ownOutstanding: 3}),
+		],
+		'a',
+	],
+	[
+		'affinity above the load bound',
+		[candidate('a', {affinity: 1, ownOutstanding: 8}), candidate('b')],
+		'b',
+	],
+];
+for (const [name, candidates, expected, request] of choices) {
+	test(`the load-aware policy heeds ${name}`, () => {
+		const policy = new LoadAwarePolicy({random: random()});
+		const chosen = policy.choose(candidates, request ?? {idempotent: true});
+		assert.equal(chosen?.target, expected);
+	});
+}
+
+// Guards against a crash or an invented target when a pool is empty.
+test('every policy returns nothing without candidates', () => {
+	for (const policy of [
+		new RoundRobinPolicy({random: random()}),
+		new LeastOutstandingPolicy({random: random()}),
+		new TwoChoicesPolicy({random: random()}),
+		new LoadAwarePolicy({random: random()}),
+	]) {
+		assert.equal(policy.choose([], {idempotent: true}), undefined);
+	}
+});
+
+// Guards against own work counted twice, reordered reports and one wrong report.
+test('the view subtracts own work from late reports and ages them', () => {
+	const clock = new ManualClock();
+	const view = new TargetView({clock, reportHalfLifeMilliseconds: 500});
+	view.setTarget(id('a'), 8);
+	view.setTarget(id('b'), 8);
+	view.begin(id('a'), 'r1' as RequestId, false);
+	clock.advance(1000);
+	view.begin(id('a'), 'r2' as RequestId, true);
+	const report = {
+		target: id('a'),
+		incarnation: 'one' as never,
+		sequence: 5,
+		leaving: false,
+		running: 4,
+		queued: 1,
+		slots: 8,
+	};
+	assert.ok(view.applyReport(report, 500));
+	assert.equal(
+		view.applyReport({...report, sequence: 4, running: 0}, 0),
+		false,
+	);
+	let [load] = view.loads();
+	assert.equal(load?.ownOutstanding, 2);
+	assert.equal(load.ownLong, 1);
+	// Four of the five were not this host's when the report was made.
+	assert.equal(load.otherOutstanding, 4);
+	assert.ok(view.applyReport({...report, sequence: 6, running: 9999}, 0));
+	[load] = view.loads();
+	assert.equal(load?.otherOutstanding, 30);
+	clock.advance(60_000);
+	assert.ok(view.loads().every((each) => each.otherOutstanding < 0.01));
+	assert.equal(view.end(id('a'), 'r2' as RequestId), true);
+	assert.equal(view.end(id('a'), 'r2' as RequestId), false);
+	assert.equal(view.loads()[0]?.ownLong, 0);
+});
+
+// Guards against ejection of the whole pool, ejection without end, and ejection of a target as slow as its peers.
+test('the detector ejects slow targets in part and restores them by probes', () => {
+	const clock = new ManualClock();
+	const detector = new OutlierDetector({clock});
+	const names = ['a', 'b', 'c', 'd', 'e', 'f'].map(id);
+	for (const name of names) {
+		detector.addTarget(name);
+	}
+
+	const feed = (slow: readonly string[], factor: number) => {
+		for (let round = 0; round < 20; round++) {
+			clock.advance(25);
+			for (const name of names) {
+				const time = slow.includes(name) ? 20 * factor : 20;
+				detector.observe(name, 'between-tokens', time);
+			}
+		}
+	};
+
+	feed([], 1);
+	assert.equal(detector.ejectedCount, 0);
+	feed(['a', 'b', 'c'], 5);
+	assert.equal(detector.ejectedCount, 2);
+	assert.equal(detector.health(id('f')).weight, 1);
+	clock.advance(300);
+	const ejected = names.find((name) => detector.health(name).weight === 0)!;
+	assert.ok(detector.health(ejected).isProbeDue);
+	detector.recordProbe(ejected);
+	assert.equal(detector.health(ejected).isProbeDue, false);
+	detector.observe(ejected, 'between-tokens', 20);
+	assert.equal(detector.health(ejected).weight, 0.25);
+	detector.observe(ejected, 'between-tokens', 20);
+	assert.equal(detector.observe(ejected, 'between-tokens', 20), 'restored');
+	feed(names, 5);
+	feed(names, 5);
+	clock.advance(30_000);
+	feed(names, 5);
+	assert.equal(detector.ejectedCount, 0);
+});
+
+// Guards against trust in evictions that were lost and in events that came twice or late.
+test('affinity follows cache events with gaps', () => {
+	const clock = new ManualClock();
+	const affinity = new PrefixAffinity({clock, expiryMilliseconds: 1000});
+	const a = id('a');
+	const stored = (sequence: number, prefix: string) =>
+		({sequence, kind: 'stored', prefix}) as const;
+	affinity.applyCacheEvents(a, [stored(1, 'long'), stored(0, 'short')]);
+	assert.equal(affinity.affinity(a, ['long', 'short']), 0.5);
+	assert.equal(affinity.affinity(a, ['other', 'short']), 0.25);
+	affinity.applyCacheEvents(a, [stored(1, 'repeated')]);
+	assert.equal(affinity.affinity(a, ['repeated']), 0);
+	affinity.applyCacheEvents(a, [stored(9, 'new')]);
+	assert.equal(affinity.nextSequence(a), 10);
+	assert.equal(affinity.affinity(a, ['long']), 0.25);
+	assert.equal(affinity.affinity(a, ['new']), 0.5);
+	affinity.setAdapters(a, ['x' as AdapterId]);
+	assert.equal(affinity.affinity(a, ['new'], 'x' as AdapterId), 1);
+	clock.advance(1000);
+	assert.equal(affinity.affinity(a, ['new']), 0);
+	affinity.applyCacheEvents(a, [{sequence: 10, kind: 'cleared', prefix: ''}]);
+	assert.equal(affinity.affinity(a, ['long']), 0);
+});
+
+// Guards against hedges that run non-idempotent or suspect work twice or exceed the budget.
+test('hedging needs idempotent work, a wait beyond the quantile and budget', () => {
+	const clock = new ManualClock();
+	const budget = new RetryBudget({clock, minimumPerSecond: 0, capacity: 1});
+	const hedging = new HedgingPolicy({clock, budget});
+	const question = {
+		idempotent: true,
+		suspect: false,
+		alreadyHedged: false,
+		waitedMilliseconds: 100,
+	};
+	assert.equal(hedging.tryHedge(question), false);
+	for (let time = 1; time <= 100; time++) {
+		hedging.recordFirstToken(time / 2);
+	}
+
+	const refused = [
+		{idempotent: false},
+		{suspect: true},
+		{alreadyHedged: true},
+		{waitedMilliseconds: 40},
+	];
+	for (const change of refused) {
+		assert.equal(hedging.tryHedge({...question, ...change}), false);
+	}
+
+	assert.equal(hedging.tryHedge(question), true);
+	assert.equal(hedging.tryHedge(question), false);
+});
