--- /dev/null
+++ b/src/core/admission-policy.ts
@@ -0,0 +1,218 @@
+import {err, ok, type Result} from 'neverthrow';
+import {type Clock} from '../base/common/clock.js';
+import {type AdmissionSettings} from '../contracts/fleet-document.js';
+import {type CallerId, type HostId} from '../contracts/ids.js';
+
+/** Why a request was refused. */
+export type AdmissionRefusal = 'caller-limit' | 'overload' | 'deadline';
+
+/** A request was refused before it was queued, so it did not run. */
+export class AdmissionRefusedError extends Error {
+	override readonly name = 'AdmissionRefusedError';
+	readonly execution = 'not-run';
+
+	constructor(
+		readonly code: AdmissionRefusal,
+		readonly retryAfterMilliseconds: number,
+		message: string,
+	) {
+		super(message);
+	}
+
+	/** Placement must not give accelerators to a caller for work above its limit. */
+	get countsAsDemand(): boolean {
+		return this.code !== 'caller-limit';
+	}
+}
+
+/** A request that asks for admission. */
+export type AdmissionQuestion = {
+	readonly caller: CallerId;
+	/** Time until the answer is useless. */
+	readonly remainingMilliseconds: number;
+	readonly expectedMilliseconds: number;
+	/** Expected milliseconds of slots that waiting work takes first. */
+	readonly workAheadMilliseconds: number;
+	/** Requests that this host has in flight on the targets of the pool. */
+	readonly runningRequests: number;
+};
+
+/** An admitted request. */
+export type Admission = {
+	/** True in monitor mode when the caller is above its limit. */
+	readonly isOverLimit: boolean;
+	readonly estimatedWaitMilliseconds: number;
+};
+
+/** Settings of admission. */
+export type AdmissionPolicyOptions = {
+	readonly clock: Clock;
+	readonly settings: AdmissionSettings;
+	/** Age from which the counts of a silent peer no longer count. */
+	readonly peerLifetimeMilliseconds?: number;
+	/** Part of the time to the deadline that work may spend in the queue. The rest covers services that take longer than expected. */
+	readonly maximumWaitShare?: number;
+	/** Age at which a dispatch counts half in the drain rate. */
+	readonly drainHalfLifeMilliseconds?: number;
+};
+
+type PeerCounts = {
+	readonly counts: ReadonlyMap<CallerId, number>;
+	readonly receivedAt: number;
+};
+
+/** Decides whether a request may enter the queue: limits per caller over the fleet, and refusal of work that would wait too long. */
+export class AdmissionPolicy {
+	private readonly options: Required<Omit<AdmissionPolicyOptions, 'settings'>>;
+	private settings: AdmissionSettings;
+	private overrides: ReadonlyMap<CallerId, number> = new Map();
+	private readonly own = new Map<CallerId, number>();
+	private readonly peers = new Map<HostId, PeerCounts>();
+	private drained = 0;
+	private drainedAt: number;
+
+	constructor(options: AdmissionPolicyOptions) {
+		this.options = {
+			peerLifetimeMilliseconds: 5000,
+			maximumWaitShare: 0.5,
+			drainHalfLifeMilliseconds: 1000,
+			...options,
+		};
+		this.settings = options.settings;
+		this.drainedAt = options.clock.monotonic();
+	}
+
+	/** Replaces the limits. `overrides` are limits of single callers. */
+	configure(
+		settings: AdmissionSettings,
+		overrides: ReadonlyMap<CallerId, number>,
+	): void {
+		this.settings = settings;
+		this.overrides = overrides;
+	}
+
+	/** Takes the counts that a peer sent in its heartbeat. */
+	applyPeerCounts(host: HostId, counts: ReadonlyMap<CallerId, number>): void {
+		this.peers.set(host, {
+			counts,
+			receivedAt: this.options.clock.monotonic(),
+		});
+	}
+
+	/** Forgets a peer that left. */
+	removePeer(host: HostId): void {
+		this.peers.delete(host);
+	}
+
+	/** Requests that this host has admitted and not released, by caller. For the heartbeat. */
+	ownCounts(): ReadonlyMap<CallerId, number> {
+		return this.own;
+	}
+
+	/** Requests of a caller in flight in the fleet, as far as this host knows. */
+	inFlight(caller: CallerId): number {
+		const now = this.options.clock.monotonic();
+		let sum = this.own.get(caller) ?? 0;
+		for (const [host, {counts, receivedAt}] of this.peers) {
+			if (now - receivedAt > this.options.peerLifetimeMilliseconds) {
+				this.peers.delete(host);
+				continue;
+			}
+
+			sum += counts.get(caller) ?? 0;
+		}
+
+		return sum;
+	}
+
+	/** Admits and counts a request, or refuses it. Each admitted request is released once. */
+	admit(question: AdmissionQuestion): Result<Admission, AdmissionRefusedError> {
+		const limit =
+			this.overrides.get(question.caller) ??
+			this.settings.maximumConcurrentPerCaller;
+		const isOverLimit =
+			this.settings.mode !== 'disabled' &&
+			limit > 0 &&
+			this.inFlight(question.caller) >= limit;
+		if (isOverLimit && this.settings.mode === 'enforced') {
+			return err(
+				new AdmissionRefusedError(
+					'caller-limit',
+					1000,
+					`the caller has ${limit} requests in flight, which is its limit`,
+				),
+			);
+		}
+
+		const slack =
+			question.remainingMilliseconds - question.expectedMilliseconds;
+		if (slack < 0) {
+			return err(
+				new AdmissionRefusedError(
+					'deadline',
+					0,
+					'the request cannot finish before its deadline',
+				),
+			);
+		}
+
+		const wait = this.estimateWait(
+			question.workAheadMilliseconds,
+			question.runningRequests,
+		);
+		const allowed = Math.min(
+			slack,
+			question.remainingMilliseconds * this.options.maximumWaitShare,
+		);
+		if (wait > allowed) {
+			return err(
+				new AdmissionRefusedError(
+					'overload',
+					Math.ceil(wait - allowed),
+					`the estimated wait of ${Math.round(wait)} ms is above the ${Math.round(allowed)} ms that the deadline leaves`,
+				),
+			);
+		}
+
+		this.own.set(question.caller, (this.own.get(question.caller) ?? 0) + 1);
+		return ok({isOverLimit, estimatedWaitMilliseconds: wait});
+	}
+
+	/** Ends an admitted request. */
+	release(caller: CallerId): void {
+		const count = (this.own.get(caller) ?? 0) - 1;
+		if (count > 0) {
+			this.own.set(caller, count);
+		} else {
+			this.own.delete(caller);
+		}
+	}
+
+	/** Counts dispatched work, in the same expected milliseconds in which the queue is measured, so that a bias of the estimates cancels out. */
+	recordDispatch(expectedMilliseconds: number): void {
+		this.decayDrain();
+		this.drained += expectedMilliseconds;
+	}
+
+	/** Estimated time until a dispatch, from the work ahead and the rate at which the queue drains. */
+	estimateWait(workAheadMilliseconds: number, runningRequests: number): number {
+		if (workAheadMilliseconds <= 0) {
+			return 0;
+		}
+
+		this.decayDrain();
+		// Integral of the decay: work drained at a constant rate adds up to rate times this period.
+		const period = this.options.drainHalfLifeMilliseconds / Math.LN2;
+		// After an idle time the rate is too low, and the first burst would be refused. The requests in flight then
+		// show how many slots this host has; half of them allows for slow targets.
+		const rate = Math.max(1, this.drained / period, runningRequests / 2);
+		return workAheadMilliseconds / rate;
+	}
+
+	private decayDrain(): void {
+		const now = this.options.clock.monotonic();
+		this.drained *=
+			0.5 ** ((now - this.drainedAt) / this.options.drainHalfLifeMilliseconds);
+		this.drainedAt = now;
+	}
+}
--- /dev/null
+++ b/src/core/dispatch-queue.ts
@@ -0,0 +1,334 @@
+import {err, ok, type Result} from 'neverthrow';
+import {type Clock} from '../base/common/clock.js';
+import {
+	type CallerId,
+	type RequestId,
+	type TargetId,
+} from '../contracts/ids.js';
+
+/** Urgency of a class of callers, as in the document. */
+export type Urgency = 'urgent' | 'standard' | 'deferred';
+
+/** Work that waits for a target. */
+export type QueuedWork = {
+	readonly request: RequestId;
+	readonly caller: CallerId;
+	readonly urgency: Urgency;
+	readonly isLong: boolean;
+	/** Work with the same key can run on the same targets: model, adapter, idempotency and isolation. */
+	readonly routingKey: string;
+	/** Expected time in a slot. */
+	readonly expectedMilliseconds: number;
+	/** Time of the monotonic clock after which the answer is useless. */
+	readonly deadline: number;
+};
+
+/** Work bound to a target. */
+export type BoundWork<T extends QueuedWork> = {
+	readonly work: T;
+	readonly target: TargetId;
+	/** True if the work was taken by its age, ahead of its order. */
+	readonly byAge: boolean;
+	readonly waitedMilliseconds: number;
+};
+
+/** Finds a target with room. Work past its age bound may use room that is kept from other work of its kind. */
+export type FindTarget<T extends QueuedWork> = (
+	work: T,
+	isAged: boolean,
+) => TargetId | undefined;
+
+/** The queue did not take the work. */
+export class QueueRefusedError extends Error {
+	override readonly name = 'QueueRefusedError';
+	readonly execution = 'not-run';
+
+	constructor(readonly reason: 'full' | 'repeated') {
+		super(
+			reason === 'full'
+				? 'the queue is full'
+				: 'a request with this id is already in the queue',
+		);
+	}
+}
+
+/** Settings of the queue. */
+export type DispatchQueueOptions = {
+	readonly clock: Clock;
+	/** Waiting time from which work is taken by age. */
+	readonly ageBoundMilliseconds?: number;
+	/** One of this many dispatches goes to the oldest work past the age bound. Giving it all of them would make an overloaded queue first come, first served. */
+	readonly agedInterval?: number;
+	readonly maximumLength?: number;
+};
+
+type Item<T> = {readonly work: T; readonly enqueuedAt: number};
+
+type CallerQueue<T> = {
+	readonly items: Map<RequestId, Item<T>>;
+	/** Virtual time at which the next item starts. */
+	start: number;
+};
+
+const urgencies: readonly Urgency[] = ['urgent', 'standard', 'deferred'];
+
+/** Work of one urgency, length and routing key, with fair shares between callers (start-time fair queueing). */
+class Lane<T extends QueuedWork> {
+	readonly all = new Map<RequestId, Item<T>>();
+	private readonly callers = new Map<CallerId, CallerQueue<T>>();
+	/** Virtual times at which callers without waiting work used up their share. */
+	private readonly finishes = new Map<CallerId, number>();
+	private virtualTime = 0;
+
+	constructor(readonly rank: number) {}
+
+	oldest(): Item<T> | undefined {
+		return this.all.values().next().value;
+	}
+
+	/** The first item of the caller that has received least. */
+	next(): Item<T> | undefined {
+		let best: CallerQueue<T> | undefined;
+		for (const queue of this.callers.values()) {
+			if (!best || queue.start < best.start) {
+				best = queue;
+			}
+		}
+
+		return best?.items.values().next().value;
+	}
+
+	add(item: Item<T>): void {
+		const {caller, request} = item.work;
+		this.all.set(request, item);
+		let queue = this.callers.get(caller);
+		if (!queue) {
+			const finish = this.finishes.get(caller) ?? 0;
+			queue = {items: new Map(), start: Math.max(this.virtualTime, finish)};
+			this.callers.set(caller, queue);
+			this.finishes.delete(caller);
+		}
+
+		queue.items.set(request, item);
+	}
+
+	remove(work: T, wasDispatched: boolean): void {
+		const queue = this.callers.get(work.caller);
+		if (!queue || !this.all.delete(work.request)) {
+			return;
+		}
+
+		queue.items.delete(work.request);
+		if (wasDispatched) {
+			this.virtualTime = Math.max(this.virtualTime, queue.start);
+			queue.start += Math.max(1, work.expectedMilliseconds);
+		}
+
+		if (queue.items.size === 0) {
+			this.callers.delete(work.caller);
+			this.finishes.set(work.caller, queue.start);
+			this.forgetFinishes();
+		}
+	}
+
+	private forgetFinishes(): void {
+		if (this.finishes.size > 1024) {
+			for (const [caller, finish] of this.finishes) {
+				if (finish <= this.virtualTime) {
+					this.finishes.delete(caller);
+				}
+			}
+		}
+	}
+}
+
+/** The queue of one pool in the entry host. Work is bound to a target only when one has room. */
+export class DispatchQueue<T extends QueuedWork = QueuedWork> {
+	private readonly options: Required<DispatchQueueOptions>;
+	private readonly lanes = new Map<string, Lane<T>>();
+	private readonly laneOf = new Map<RequestId, Lane<T>>();
+	/** Expected milliseconds of waiting work by rank. */
+	private readonly waiting = urgencies.flatMap(() => [0, 0]);
+	private hopeless: T[] = [];
+	private dispatches = 0;
+
+	constructor(options: DispatchQueueOptions) {
+		this.options = {
+			ageBoundMilliseconds: 5000,
+			agedInterval: 4,
+			maximumLength: 10_000,
+			...options,
+		};
+	}
+
+	/** Number of waiting requests. */
+	get size(): number {
+		return this.laneOf.size;
+	}
+
+	/** Adds work. */
+	enqueue(work: T): Result<void, QueueRefusedError> {
+		if (this.laneOf.has(work.request)) {
+			return err(new QueueRefusedError('repeated'));
+		}
+
+		if (this.size >= this.options.maximumLength) {
+			return err(new QueueRefusedError('full'));
+		}
+
+		const rank = rankOf(work);
+		const key = `${rank}|${work.routingKey}`;
+		let lane = this.lanes.get(key);
+		if (!lane) {
+			lane = new Lane(rank);
+			this.lanes.set(key, lane);
+		}
+
+		lane.add({work, enqueuedAt: this.options.clock.monotonic()});
+		this.laneOf.set(work.request, lane);
+		this.waiting[rank]! += work.expectedMilliseconds;
+		return ok(undefined);
+	}
+
+	/** Removes waiting work. Returns it, or undefined if it does not wait here. */
+	cancel(request: RequestId): T | undefined {
+		const lane = this.laneOf.get(request);
+		const work = lane?.all.get(request)?.work;
+		if (lane && work) {
+			this.remove(lane, work, false);
+		}
+
+		return work;
+	}
+
+	/** Binds the next work for which a target has room. */
+	take(findTarget: FindTarget<T>): BoundWork<T> | undefined {
+		const isAgedTurn = (this.dispatches + 1) % this.options.agedInterval === 0;
+		return (
+			(isAgedTurn ? this.takeAged(findTarget) : undefined) ??
+			this.takeInOrder(findTarget) ??
+			// Work past the age bound may find room where other work does not.
+			this.takeAged(findTarget)
+		);
+	}
+
+	/** Removes and returns the work that can no longer finish before its deadline. */
+	takeHopeless(): T[] {
+		for (const lane of this.lanes.values()) {
+			for (const {work} of lane.all.values()) {
+				this.dropIfHopeless(lane, work);
+			}
+		}
+
+		const {hopeless} = this;
+		this.hopeless = [];
+		return hopeless;
+	}
+
+	/** Expected milliseconds of slots that waiting work takes before new work of this urgency and length. */
+	workAhead(urgency: Urgency, isLong: boolean): number {
+		let sum = 0;
+		for (let rank = 0; rank <= rankOf({urgency, isLong}); rank++) {
+			sum += this.waiting[rank]!;
+		}
+
+		return sum;
+	}
+
+	private takeAged(findTarget: FindTarget<T>): BoundWork<T> | undefined {
+		const bound =
+			this.options.clock.monotonic() - this.options.ageBoundMilliseconds;
+		const lanes = [...this.lanes.values()]
+			.map((lane) => ({lane, since: lane.oldest()?.enqueuedAt ?? Infinity}))
+			.filter(({since}) => since <= bound)
+			.sort((left, right) => left.since - right.since);
+		for (const {lane} of lanes) {
+			const item = this.firstHopeful(lane, () => lane.oldest());
+			const target =
+				item && item.enqueuedAt <= bound
+					? findTarget(item.work, true)
+					: undefined;
+			if (item && target !== undefined) {
+				return this.bind(lane, item, target, true);
+			}
+		}
+
+		return undefined;
+	}
+
+	private takeInOrder(findTarget: FindTarget<T>): BoundWork<T> | undefined {
+		const lanes = [...this.lanes.values()].sort(
+			(left, right) =>
+				left.rank - right.rank ||
+				(left.oldest()?.enqueuedAt ?? 0) - (right.oldest()?.enqueuedAt ?? 0),
+		);
+		for (const lane of lanes) {
+			const item = this.firstHopeful(lane, () => lane.next());
+			const target = item ? findTarget(item.work, false) : undefined;
+			if (item && target !== undefined) {
+				return this.bind(lane, item, target, false);
+			}
+		}
+
+		return undefined;
+	}
+
+	/** Returns the first item that can still meet its deadline and drops the others before it. */
+	private firstHopeful(
+		lane: Lane<T>,
+		next: () => Item<T> | undefined,
+	): Item<T> | undefined {
+		let item = next();
+		while (item && this.dropIfHopeless(lane, item.work)) {
+			item = next();
+		}
+
+		return item;
+	}
+
+	private dropIfHopeless(lane: Lane<T>, work: T): boolean {
+		const finish = this.options.clock.monotonic() + work.expectedMilliseconds;
+		if (finish <= work.deadline) {
+			return false;
+		}
+
+		this.remove(lane, work, false);
+		this.hopeless.push(work);
+		return true;
+	}
+
+	private bind(
+		lane: Lane<T>,
+		item: Item<T>,
+		target: TargetId,
+		byAge: boolean,
+	): BoundWork<T> {
+		this.remove(lane, item.work, true);
+		this.dispatches++;
+		return {
+			work: item.work,
+			target,
+			byAge,
+			waitedMilliseconds: this.options.clock.monotonic() - item.enqueuedAt,
+		};
+	}
+
+	private remove(lane: Lane<T>, work: T, wasDispatched: boolean): void {
+		lane.remove(work, wasDispatched);
+		this.laneOf.delete(work.request);
+		// Sums of fractions drift, so that an empty queue could seem to hold work.
+		this.waiting[lane.rank] =
+			this.size === 0
+				? 0
+				: Math.max(0, this.waiting[lane.rank]! - work.expectedMilliseconds);
+		if (lane.all.size === 0) {
+			// Without waiting work there is no share to keep, and empty lanes slow down each dispatch.
+			this.lanes.delete(`${lane.rank}|${work.routingKey}`);
+		}
+	}
+}
+
+/** Order of lanes: urgency first, then short before long. */
+function rankOf(work: Pick<QueuedWork, 'urgency' | 'isLong'>): number {
+	return urgencies.indexOf(work.urgency) * 2 + (work.isLong ? 1 : 0);
+}
--- /dev/null
+++ b/test/dispatch/dispatch-queue.test.ts
@@ -0,0 +1,297 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import fc from 'fast-check';
+import {ManualClock} from '../../src/base/common/clock.js';
+import {
+	type CallerId,
+	type HostId,
+	type OfferingName,
+	type RequestId,
+	type TargetId,
+} from '../../src/contracts/ids.js';
+import {
+	DispatchQueue,
+	type QueuedWork,
+	type Urgency,
+} from '../../src/core/dispatch-queue.js';
+import {LengthEstimator} from '../../src/core/length-estimator.js';
+import {SlotPolicy} from '../../src/core/slot-policy.js';
+import {type TargetLoad} from '../../src/core/target-view.js';
+
+const anywhere = () => 'a' as TargetId;
+
+function work(name: string, changes: Partial<QueuedWork> = {}): QueuedWork {
+	return {
+		request: name as RequestId,
+		caller: 'caller' as CallerId,
+		urgency: 'standard',
+		isLong: false,
+		routingKey: 'model',
+		expectedMilliseconds: 10,
+		deadline: Number.POSITIVE_INFINITY,
+		...changes,
+	};
+}
+
+// Guards against urgent or short work behind other work.
+test('urgency goes first, then short before long, then arrival', () => {
+	const queue = new DispatchQueue({clock: new ManualClock()});
+	for (const urgency of ['deferred', 'standard', 'urgent'] as const) {
+		for (const isLong of [true, false]) {
+			const name = `${urgency}-${isLong ? 'long' : 'short'}`;
+			queue.enqueue(work(name, {urgency, isLong}));
+		}
+	}
+
+	const order = Array.from(
+		{length: 6},
+		() => queue.take(anywhere)!.work.request,
+	);
+	assert.deepEqual(order, [
+		'urgent-short',
+		'urgent-long',
+		'standard-short',
+		'standard-long',
+		'deferred-short',
+		'deferred-long',
+	]);
+});
+
+// Guards against a caller that fills the queue and so keeps the others out.
+test('callers get equal shares of slot time', () => {
+	const queue = new DispatchQueue({clock: new ManualClock()});
+	for (let index = 0; index < 90; index++) {
+		queue.enqueue(work(`x${index}`, {caller: 'x' as CallerId}));
+	}
+
+	for (let index = 0; index < 10; index++) {
+		queue.enqueue(
+			work(`y${index}`, {caller: 'y' as CallerId, expectedMilliseconds: 30}),
+		);
+	}
+
+	const first = Array.from(
+		{length: 40},
+		() => queue.take(anywhere)!.work.caller,
+	);
+	assert.equal(first.filter((caller) => caller === 'y').length, 10);
+});
+
+const urgencies: Urgency[] = ['urgent', 'standard', 'deferred'];
+const step = fc.oneof(
+	fc.record({
+		kind: fc.constant('enqueue' as const),
+		caller: fc.nat(3),
+		urgency: fc.constantFrom(...urgencies),
+		isLong: fc.boolean(),
+		routingKey: fc.constantFrom('m1', 'm2'),
+		expectedMilliseconds: fc.integer({min: 1, max: 200}),
+		slack: fc.oneof(fc.integer({min: 1, max: 4000}), fc.constant(1e9)),
+	}),
+	fc.record({
+		kind: fc.constant('take' as const),
+		blocked: fc.constantFrom('', 'm1', 'm2'),
+	}),
+	fc.record({kind: fc.constant('cancel' as const), index: fc.nat(30)}),
+	fc.constant({kind: 'sweep'} as const),
+	fc.record({kind: fc.constant('wait' as const), milliseconds: fc.nat(800)}),
+);
+
+// Guards against lost, repeated and forgotten work, work bound without room, and hopeless work that is dispatched or feasible work that is dropped.
+test('each request leaves the queue exactly once, and none starves past the age bound', () => {
+	fc.assert(
+		fc.property(fc.array(step, {maxLength: 150}), (steps) => {
+			const clock = new ManualClock();
+			const ageBound = 1000;
+			const interval = 3;
+			const queue = new DispatchQueue({
+				clock,
+				ageBoundMilliseconds: ageBound,
+				agedInterval: interval,
+			});
+			const waiting = new Map<RequestId, {work: QueuedWork; since: number}>();
+			const leave = (request: RequestId) => {
+				assert.ok(waiting.delete(request), `${request} left twice`);
+			};
+
+			const hopeless = (each: QueuedWork) =>
+				clock.monotonic() + each.expectedMilliseconds > each.deadline;
+			const sweep = () => {
+				for (const each of queue.takeHopeless()) {
+					assert.ok(hopeless(each));
+					leave(each.request);
+				}
+			};
+
+			for (const [index, each] of steps.entries()) {
+				switch (each.kind) {
+					case 'enqueue': {
+						const added = work(`r${index}`, {
+							...each,
+							caller: `c${each.caller}` as CallerId,
+							deadline: clock.monotonic() + each.slack,
+						});
+						assert.ok(queue.enqueue(added).isOk());
+						assert.ok(queue.enqueue(added).isErr());
+						waiting.set(added.request, {
+							work: added,
+							since: clock.monotonic(),
+						});
+
+						break;
+					}
+
+					case 'take': {
+						const bound = queue.take((candidate) =>
+							candidate.routingKey === each.blocked ? undefined : anywhere(),
+						);
+						if (bound) {
+							assert.notEqual(bound.work.routingKey, each.blocked);
+							assert.equal(hopeless(bound.work), false);
+							leave(bound.work.request);
+						} else {
+							sweep();
+							assert.ok(
+								[...waiting.values()].every(
+									(entry) => entry.work.routingKey === each.blocked,
+								),
+							);
+						}
+
+						break;
+					}
+
+					case 'cancel': {
+						const request = `r${each.index}` as RequestId;
+						const expected = waiting.get(request)?.work;
+						const cancelled = queue.cancel(request);
+						// Hopeless work may have left the order already; the sweep then returns it.
+						if (expected && !hopeless(expected)) {
+							assert.ok(cancelled);
+						}
+
+						if (cancelled) {
+							assert.equal(cancelled, expected);
+							leave(request);
+						}
+
+						break;
+					}
+
+					case 'wait': {
+						clock.advance(each.milliseconds);
+
+						break;
+					}
+
+					case 'sweep': {
+						sweep();
+						assert.equal(queue.size, waiting.size);
+					}
+				}
+			}
+
+			sweep();
+			assert.equal(queue.size, waiting.size);
+			const aged = [...waiting.values()]
+				.filter((entry) => clock.monotonic() - entry.since >= ageBound)
+				.map((entry) => entry.work.request);
+			// Young urgent work keeps coming; the aged work must leave all the same.
+			for (let turn = 0; turn < aged.length * interval; turn++) {
+				const name = `young${turn}`;
+				queue.enqueue(work(name, {urgency: 'urgent'}));
+				waiting.set(name as RequestId, {work: work(name), since: 0});
+				leave(queue.take(anywhere)!.work.request);
+			}
+
+			assert.ok(aged.every((request) => !waiting.has(request)));
+			while (waiting.size > 0) {
+				leave(queue.take(anywhere)!.work.request);
+			}
+
+			assert.equal(queue.size, 0);
+			assert.equal(queue.workAhead('deferred', true), 0);
+		}),
+		{seed: 21, numRuns: 500},
+	);
+});
+
+// Guards against long work of several hosts that fills a target together, and against use beyond the slots.
+test('the long slots of all hosts together are the long share of the target', () => {
+	fc.assert(
+		fc.property(
+			fc.integer({min: 1, max: 12}),
+			fc.integer({min: 2, max: 64}),
+			(hostCount, slots) => {
+				const hosts = Array.from(
+					{length: hostCount},
+					(_, index) => `h${index}` as HostId,
+				);
+				const policies = hosts.map((host) => new SlotPolicy({host}));
+				for (const policy of policies) {
+					policy.setHosts(hosts);
+				}
+
+				const shares = policies.map((policy) =>
+					policy.ownLongSlots('t' as TargetId, slots),
+				);
+				const total = shares.reduce((sum, share) => sum + share, 0);
+				assert.equal(total, policies[0]!.longSlots(slots));
+				assert.ok(total < slots);
+			},
+		),
+		{seed: 22},
+	);
+});
+
+const room: Array<readonly [Partial<TargetLoad>, boolean, boolean, boolean]> = [
+	[{}, false, false, true],
+	[{leaving: true}, false, true, false],
+	[{ownOutstanding: 8}, false, true, false],
+	[{ownOutstanding: 4, otherOutstanding: 4}, false, true, false],
+	[{ownOutstanding: 4, ownLong: 4}, true, true, false],
+	[{ownOutstanding: 4, ownLong: 4}, false, false, true],
+	[{ownOutstanding: 3, ownLong: 3}, true, false, true],
+];
+// Guards against a target filled beyond its slots or its cap of long work.
+test('room follows slots, the long cap and leaving', () => {
+	for (const [changes, isLong, isAged, expected] of room) {
+		const load: TargetLoad = {
+			target: 't' as TargetId,
+			slots: 8,
+			leaving: false,
+			ownOutstanding: 0,
+			ownLong: 0,
+			otherOutstanding: 0,
+			...changes,
+		};
+		const policy = new SlotPolicy({host: 'h' as HostId});
+		assert.equal(policy.hasRoom(load, isLong, isAged), expected);
+	}
+});
+
+// Guards against long work of a known caller in short slots, and against one caller's habits applied to another.
+test('the estimator tells long from short work by caller and prompt size', () => {
+	const estimator = new LengthEstimator();
+	const question = (caller: string, promptCharacters: number) => ({
+		caller: caller as CallerId,
+		offering: 'talk' as OfferingName,
+		promptCharacters,
+		maximumTokens: 1024,
+	});
+	assert.equal(estimator.estimate(question('x', 100)).isLong, false);
+	for (let index = 0; index < 40; index++) {
+		estimator.observe(question('foreman', 4000), 700);
+		estimator.observe(question('foreman', 100), 20);
+		estimator.observe(question('picker', 100), 20);
+	}
+
+	assert.equal(estimator.estimate(question('foreman', 4000)).isLong, true);
+	assert.equal(estimator.estimate(question('foreman', 100)).isLong, false);
+	assert.equal(estimator.estimate(question('picker', 100)).isLong, false);
+	const {tokens} = estimator.estimate(question('picker', 100));
+	assert.ok(tokens > 15 && tokens < 30, `${tokens}`);
+	const capped = {...question('foreman', 4000), maximumTokens: 50};
+	assert.ok(estimator.estimate(capped).tokens <= 50);
+	assert.equal(estimator.estimate(capped).isLong, false);
+});
