Add the dispatcher and the measurements of routing, head-of-line blocking and admission

Cause: the queue, the routing and the admission need an owner that binds work late, and figures against named baselines.

No work beyond the slots (slots stay empty at high load); half of the slots may be exceeded.

--- a/src/core/dispatch-queue.ts
+++ b/src/core/dispatch-queue.ts
@@ -147,8 +147,12 @@
 	private readonly options: Required<DispatchQueueOptions>;
 	private readonly lanes = new Map<string, Lane<T>>();
 	private readonly laneOf = new Map<RequestId, Lane<T>>();
-	/** Expected milliseconds of waiting work by rank. */
-	private readonly waiting = urgencies.flatMap(() => [0, 0]);
+	/** Expected milliseconds of waiting work by rank and caller. */
+	private readonly waiting = urgencies.flatMap(() => [
+		new Map<CallerId, number>(),
+		new Map<CallerId, number>(),
+	]);
+
 	private hopeless: T[] = [];
 	private dispatches = 0;
 
@@ -186,7 +190,11 @@
 
 		lane.add({work, enqueuedAt: this.options.clock.monotonic()});
 		this.laneOf.set(work.request, lane);
-		this.waiting[rank]! += work.expectedMilliseconds;
+		const waiting = this.waiting[rank]!;
+		waiting.set(
+			work.caller,
+			(waiting.get(work.caller) ?? 0) + work.expectedMilliseconds,
+		);
 		return ok(undefined);
 	}
 
@@ -220,16 +228,37 @@
 			}
 		}
 
+		return this.drainHopeless();
+	}
+
+	/** Returns the work that was dropped while work was taken, without looking at the rest of the queue. */
+	drainHopeless(): T[] {
 		const {hopeless} = this;
 		this.hopeless = [];
 		return hopeless;
 	}
 
-	/** Expected milliseconds of slots that waiting work takes before new work of this urgency and length. */
-	workAhead(urgency: Urgency, isLong: boolean): number {
+	/**
+	 * Expected milliseconds of slots that waiting work takes before new work. Of each other caller, only as much counts
+	 * as this caller has waiting itself, because fair shares serve them in turn; a caller that floods the queue waits
+	 * behind its own work and does not make others wait.
+	 */
+	workAhead(
+		work: Pick<
+			QueuedWork,
+			'urgency' | 'isLong' | 'caller' | 'expectedMilliseconds'
+		>,
+	): number {
+		const rank = rankOf(work);
+		const own = this.waiting[rank]!.get(work.caller) ?? 0;
 		let sum = 0;
-		for (let rank = 0; rank <= rankOf({urgency, isLong}); rank++) {
-			sum += this.waiting[rank]!;
+		for (let each = 0; each <= rank; each++) {
+			for (const [caller, waiting] of this.waiting[each]!) {
+				const isOfOther = each === rank && caller !== work.caller;
+				sum += isOfOther
+					? Math.min(waiting, own + work.expectedMilliseconds)
+					: waiting;
+			}
 		}
 
 		return sum;
@@ -316,11 +345,15 @@
 	private remove(lane: Lane<T>, work: T, wasDispatched: boolean): void {
 		lane.remove(work, wasDispatched);
 		this.laneOf.delete(work.request);
-		// Sums of fractions drift, so that an empty queue could seem to hold work.
-		this.waiting[lane.rank] =
-			this.size === 0
-				? 0
-				: Math.max(0, this.waiting[lane.rank]! - work.expectedMilliseconds);
+		const waiting = this.waiting[lane.rank]!;
+		const rest = (waiting.get(work.caller) ?? 0) - work.expectedMilliseconds;
+		// Sums of fractions drift, so a rest below a microsecond is none.
+		if (rest > 0.001) {
+			waiting.set(work.caller, rest);
+		} else {
+			waiting.delete(work.caller);
+		}
+
 		if (lane.all.size === 0) {
 			// Without waiting work there is no share to keep, and empty lanes slow down each dispatch.
 			this.lanes.delete(`${lane.rank}|${work.routingKey}`);
--- a/src/core/outlier-detector.ts
+++ b/src/core/outlier-detector.ts
@@ -148,9 +148,11 @@
 			return {weight: 1, speed: 1, isProbeDue: false};
 		}
 
+		const ratio = this.ratio(entry);
 		return {
 			weight: entry.weight,
-			speed: Math.max(0.1, Math.min(1, 1 / this.ratio(entry))),
+			// Between equal targets the ratio is noise that would disturb the comparison of loads.
+			speed: ratio < this.options.recoveryRatio ? 1 : Math.max(0.1, 1 / ratio),
 			isProbeDue:
 				entry.weight === 0 && this.options.clock.monotonic() >= entry.probeAt,
 		};
--- a/src/core/routing-policy.ts
+++ b/src/core/routing-policy.ts
@@ -108,7 +108,7 @@
 	constructor(options: LoadAwarePolicyOptions) {
 		super();
 		this.random = options.random;
-		this.sampleSize = options.sampleSize ?? 3;
+		this.sampleSize = options.sampleSize ?? 6;
 		this.affinityLoadBound = options.affinityLoadBound ?? 1.25;
 	}
 
--- a/src/core/slot-policy.ts
+++ b/src/core/slot-policy.ts
@@ -7,8 +7,8 @@
 	readonly host: HostId;
 	/** Share of the slots of a target that long work may use. The others are reserved for short work. */
 	readonly longShare?: number;
-	/** Requests sent beyond the slots, so that a target does not wait for the next one to arrive. */
-	readonly extraOutstanding?: number;
+	/** Work sent beyond the slots, as a share of them. Hosts see each other's work late; without it slots stay empty at high load. */
+	readonly extraShare?: number;
 };
 
 /**
@@ -18,14 +18,14 @@
 export class SlotPolicy {
 	private readonly host: HostId;
 	private readonly longShare: number;
-	private readonly extraOutstanding: number;
+	private readonly extraShare: number;
 	private hosts: readonly HostId[];
 	private readonly orders = new Map<TargetId, number>();
 
 	constructor(options: SlotPolicyOptions) {
 		this.host = options.host;
 		this.longShare = options.longShare ?? 0.5;
-		this.extraOutstanding = options.extraOutstanding ?? 0;
+		this.extraShare = options.extraShare ?? 0.5;
 		this.hosts = [options.host];
 	}
 
@@ -56,23 +56,31 @@
 	}
 
 	/** Returns whether the target has room for one more request. */
-	hasRoom(load: TargetLoad, isLong: boolean, isAged: boolean): boolean {
-		const outstanding = load.ownOutstanding + load.otherOutstanding;
-		// A host whose own work alone fills the target never sends more; reports of others are estimates.
-		if (
-			load.leaving ||
-			load.ownOutstanding >= load.slots ||
-			outstanding >= load.slots + this.extraOutstanding
-		) {
+	hasRoom(load: TargetLoad, isLong: boolean): boolean {
+		const limit = load.slots * (1 + this.extraShare);
+		if (load.leaving || load.ownOutstanding + 1 > limit) {
 			return false;
 		}
 
-		if (!isLong) {
-			return true;
+		const outstanding = load.ownOutstanding + load.otherOutstanding;
+		// Within its part of the slots a host needs no room by the reports, which are late; the parts add up to the limit.
+		const isWithinShare = load.ownOutstanding + 1 <= limit / this.hosts.length;
+		if (!isWithinShare && outstanding + 1 > limit) {
+			return false;
 		}
 
-		const own = this.ownLongSlots(load.target, load.slots);
-		// A host without a long slot on any target of a model would otherwise never run its long work.
-		return load.ownLong < (isAged ? Math.max(1, own) : own);
+		return !isLong || load.ownLong < this.ownLongSlots(load.target, load.slots);
+	}
+
+	/**
+	 * Returns whether aged long work may use a target without a long slot of this host. It may only if the host has no
+	 * long slot on any target of the work and runs no long work there: then nothing else would ever run it. Without the
+	 * first condition, hosts with many summaries filled all slots with them.
+	 */
+	mayExceedShare(loads: readonly TargetLoad[]): boolean {
+		return loads.every(
+			({target, slots, ownLong}) =>
+				ownLong === 0 && this.ownLongSlots(target, slots) === 0,
+		);
 	}
 }
--- a/src/core/target-view.ts
+++ b/src/core/target-view.ts
@@ -31,6 +31,8 @@
 	readonly reportHalfLifeMilliseconds?: number;
 	/** A report above this multiple of the slots is taken as this multiple, so that one wrong report cannot exclude a target. */
 	readonly reportCeiling?: number;
+	/** Part of the difference to the estimate so far that a report makes good. Short work comes and goes between reports, so that a single one misleads. */
+	readonly smoothing?: number;
 };
 
 type Entry = {
@@ -53,12 +55,14 @@
 	private readonly clock: Clock;
 	private readonly halfLife: number;
 	private readonly ceiling: number;
+	private readonly smoothing: number;
 	private readonly entries = new Map<TargetId, Entry>();
 
 	constructor(options: TargetViewOptions) {
 		this.clock = options.clock;
-		this.halfLife = options.reportHalfLifeMilliseconds ?? 500;
+		this.halfLife = options.reportHalfLifeMilliseconds ?? 1000;
 		this.ceiling = options.reportCeiling ?? 4;
+		this.smoothing = options.smoothing ?? 0.1;
 	}
 
 	/** Adds a target or changes its number of slots. */
@@ -151,7 +155,8 @@
 			report.running + report.queued,
 			entry.slots * this.ceiling,
 		);
-		entry.others = Math.max(0, total - ownAt(entry, entry.measuredAt));
+		const others = Math.max(0, total - ownAt(entry, entry.measuredAt));
+		entry.others += (isSameRun ? this.smoothing : 1) * (others - entry.others);
 		return true;
 	}
 
--- /dev/null
+++ b/src/measure/target-model.ts
@@ -0,0 +1,143 @@
+import {type TargetId} from '../contracts/ids.js';
+import {type LoadReport} from '../core/target-view.js';
+import {type VirtualTimeline} from './virtual-timeline.js';
+
+/** A time in which a target is slower by a factor. */
+export type Slowdown = {
+	readonly from: number;
+	readonly to: number;
+	readonly factor: number;
+};
+
+/** Work on a target: a first token after `firstTokenMilliseconds`, then the others at equal distances. */
+export type ModelWork = {
+	readonly firstTokenMilliseconds: number;
+	readonly betweenTokensMilliseconds: number;
+	readonly tokens: number;
+	readonly progressed: (tokens: number) => void;
+	readonly completed: () => void;
+	isCancelled: boolean;
+};
+
+// Progress is reported in steps, which keeps the number of events small.
+const progressSteps = 4;
+
+/** A target with slots, a first come, first served queue, and slow-downs that its reports do not show. */
+export class TargetModel {
+	running = 0;
+	/** Milliseconds of slots used, at normal speed. */
+	used = 0;
+	private queue: ModelWork[] = [];
+	private sequence = 0;
+
+	constructor(
+		private readonly timeline: VirtualTimeline,
+		readonly id: TargetId,
+		readonly slots: number,
+		private readonly slowdowns: readonly Slowdown[],
+	) {}
+
+	/** Takes work into the queue and starts it as soon as a slot is free. */
+	accept(work: ModelWork): void {
+		this.queue.push(work);
+		this.startNext();
+	}
+
+	/** The load now. */
+	report(): LoadReport {
+		this.queue = this.queue.filter((work) => !work.isCancelled);
+		return {
+			target: this.id,
+			incarnation: 'one' as LoadReport['incarnation'],
+			sequence: this.sequence++,
+			leaving: false,
+			running: this.running,
+			queued: this.queue.length,
+			slots: this.slots,
+		};
+	}
+
+	private startNext(): void {
+		while (this.running < this.slots && this.queue.length > 0) {
+			const work = this.queue.shift()!;
+			if (!work.isCancelled) {
+				this.start(work);
+			}
+		}
+	}
+
+	private start(work: ModelWork): void {
+		this.running++;
+		const began = this.timeline.monotonic();
+		const first = this.finishOf(began, work.firstTokenMilliseconds);
+		this.used += work.firstTokenMilliseconds;
+		this.timeline.at(first, () => {
+			if (this.endIfCancelled(work)) {
+				return;
+			}
+
+			work.progressed(1);
+			this.continue(work, 1);
+		});
+	}
+
+	private continue(work: ModelWork, done: number): void {
+		if (done >= work.tokens) {
+			this.running--;
+			work.completed();
+			this.startNext();
+			return;
+		}
+
+		const step = Math.min(
+			work.tokens - done,
+			Math.max(1, Math.ceil((work.tokens - 1) / progressSteps)),
+		);
+		const duration = step * work.betweenTokensMilliseconds;
+		this.used += duration;
+		const until = this.finishOf(this.timeline.monotonic(), duration);
+		this.timeline.at(until, () => {
+			if (this.endIfCancelled(work)) {
+				return;
+			}
+
+			work.progressed(done + step);
+			this.continue(work, done + step);
+		});
+	}
+
+	private endIfCancelled(work: ModelWork): boolean {
+		if (work.isCancelled) {
+			this.running--;
+			this.startNext();
+		}
+
+		return work.isCancelled;
+	}
+
+	/** Time at which work of this length ends if it starts at `time`. */
+	private finishOf(time: number, duration: number): number {
+		let now = time;
+		let rest = duration;
+		for (const {from, to, factor} of this.slowdowns) {
+			if (to <= now) {
+				continue;
+			}
+
+			if (now + rest <= from) {
+				break;
+			}
+
+			rest -= Math.max(0, from - now);
+			now = Math.max(now, from);
+			if (rest * factor <= to - now) {
+				return now + rest * factor;
+			}
+
+			rest -= (to - now) / factor;
+			now = to;
+		}
+
+		return now + rest;
+	}
+}
--- /dev/null
+++ b/src/services/dispatcher.ts
@@ -0,0 +1,952 @@
+import {type Clock} from '../base/common/clock.js';
+import {Disposable} from '../base/common/disposable.js';
+import {type EventLogger} from '../base/common/event-logger.js';
+import {Mailbox} from '../base/common/mailbox.js';
+import {type RandomSource} from '../base/common/random-source.js';
+import {type CacheEvent} from '../contracts/engine.js';
+import {dispatchEvents} from '../contracts/events/dispatch-events.js';
+import {type Execution} from '../contracts/execution.js';
+import {type AdmissionSettings} from '../contracts/fleet-document.js';
+import {
+	type AdapterId,
+	type CallerId,
+	type Fingerprint,
+	type HostId,
+	type ModelId,
+	type OfferingName,
+	type RequestId,
+	type TargetId,
+} from '../contracts/ids.js';
+import {type RefusalReason} from '../contracts/target-error.js';
+import {AdmissionPolicy} from '../core/admission-policy.js';
+import {
+	DispatchQueue,
+	type BoundWork,
+	type QueuedWork,
+	type Urgency,
+} from '../core/dispatch-queue.js';
+import {HedgingPolicy} from '../core/hedging-policy.js';
+import {IsolationPolicy} from '../core/isolation-policy.js';
+import {LengthEstimator} from '../core/length-estimator.js';
+import {OutlierDetector, type LatencyKind} from '../core/outlier-detector.js';
+import {PrefixAffinity} from '../core/prefix-affinity.js';
+import {RetryBudget} from '../core/retry-budget.js';
+import {
+	LoadAwarePolicy,
+	type RoutingCandidate,
+	type RoutingPolicy,
+} from '../core/routing-policy.js';
+import {ServiceTimeEstimator} from '../core/service-time-estimator.js';
+import {SlotPolicy} from '../core/slot-policy.js';
+import {
+	TargetView,
+	type LoadReport,
+	type TargetLoad,
+} from '../core/target-view.js';
+
+/** Work that a caller asked for. */
+export type WorkItem = {
+	readonly request: RequestId;
+	readonly caller: CallerId;
+	readonly urgency: Urgency;
+	/** What the caller asked for: an offering, or the route of a plain service. */
+	readonly offering: OfferingName;
+	/** Absent for work of a plain service. */
+	readonly model?: ModelId;
+	readonly adapter?: AdapterId;
+	readonly promptCharacters: number;
+	/** Zero for work of a plain service. */
+	readonly maximumTokens: number;
+	/** Digests of the prompt's prefixes, longest first. */
+	readonly prefixes: readonly string[];
+	/** Time from now after which the answer is useless. */
+	readonly remainingMilliseconds: number;
+	readonly idempotent: boolean;
+	readonly fingerprint: Fingerprint;
+	/** True if a target died while it ran a request with this fingerprint. */
+	readonly suspect: boolean;
+};
+
+/** One try of a request on one target. */
+export type Attempt = {
+	readonly request: RequestId;
+	/** Counts from 1 for each request. */
+	readonly attempt: number;
+	readonly target: TargetId;
+};
+
+/** A target was chosen for work. */
+export type Binding = Attempt & {
+	readonly item: WorkItem;
+	readonly kind: 'first' | 'retry' | 'hedge';
+	readonly waitedMilliseconds: number;
+	readonly isLong: boolean;
+};
+
+/** Work was refused. It did not run, or an earlier attempt ended without running it. */
+export type WorkRefusal = {
+	readonly item: WorkItem;
+	readonly code: 'caller-limit' | 'overload' | 'deadline' | 'no-target';
+	readonly countsAsDemand: boolean;
+	readonly retryAfterMilliseconds: number;
+	readonly message: string;
+};
+
+/** What the dispatcher asks of its surroundings. Calls return at once; what follows comes back as messages. */
+export abstract class DispatchPort {
+	/** Sends work to the chosen target. */
+	abstract dispatch(binding: Binding): void;
+
+	/** Answers that the work was refused and not run. */
+	abstract refuse(refusal: WorkRefusal): void;
+
+	/** Answers that the last attempt failed and is not repeated. */
+	abstract fail(item: WorkItem, execution: Execution): void;
+
+	/** Lowers the priority of work that turned out long. */
+	abstract demote(attempt: Attempt): void;
+
+	/** Cancels an attempt whose answer is no longer needed. */
+	abstract cancel(attempt: Attempt): void;
+}
+
+/** Knows which targets can run which work. */
+export abstract class TargetDirectory {
+	/** Targets that hold the model and adapter, or all targets of the pool for a plain service. */
+	abstract targetsFor(item: WorkItem): readonly TargetId[];
+}
+
+/** What the dispatcher is told. */
+export type DispatcherMessage =
+	| {readonly kind: 'submitted'; readonly item: WorkItem}
+	| {readonly kind: 'abandoned'; readonly request: RequestId}
+	| ({readonly kind: 'progressed'; readonly tokens: number} & Attempt)
+	| ({readonly kind: 'completed'; readonly tokens: number} & Attempt)
+	| ({readonly kind: 'refused'; readonly reason: RefusalReason} & Attempt)
+	| ({readonly kind: 'lost'; readonly execution: Execution} & Attempt)
+	| {
+			readonly kind: 'target-set';
+			readonly target: TargetId;
+			readonly slots: number;
+	  }
+	| {readonly kind: 'target-removed'; readonly target: TargetId}
+	| {
+			readonly kind: 'target-leaving';
+			readonly target: TargetId;
+			readonly leaving: boolean;
+	  }
+	| {
+			readonly kind: 'target-reported';
+			readonly report: LoadReport;
+			readonly ageMilliseconds: number;
+			readonly adapters: readonly AdapterId[];
+	  }
+	| {
+			readonly kind: 'cache-changed';
+			readonly target: TargetId;
+			readonly events: readonly CacheEvent[];
+	  }
+	| {readonly kind: 'hosts-changed'; readonly hosts: readonly HostId[]}
+	| {
+			readonly kind: 'peer-counted';
+			readonly host: HostId;
+			readonly counts: ReadonlyMap<CallerId, number>;
+	  }
+	| {
+			readonly kind: 'suspects-reserved';
+			readonly targets: readonly TargetId[];
+	  }
+	| {
+			readonly kind: 'admission-configured';
+			readonly settings: AdmissionSettings;
+			readonly limits: ReadonlyMap<CallerId, number>;
+	  }
+	/** Sent every few milliseconds, for hedges and deadlines. */
+	| {readonly kind: 'ticked'};
+
+/** Collaborators and settings of the dispatcher. Policies that are not given have their default settings. */
+export type DispatcherOptions = {
+	readonly clock: Clock;
+	readonly random: RandomSource;
+	readonly host: HostId;
+	readonly port: DispatchPort;
+	readonly directory: TargetDirectory;
+	readonly logger: EventLogger;
+	readonly admission?: AdmissionPolicy;
+	readonly queue?: DispatchQueue<DispatchWork>;
+	readonly routing?: RoutingPolicy;
+	readonly slots?: SlotPolicy;
+	readonly view?: TargetView;
+	readonly outliers?: OutlierDetector;
+	readonly lengths?: LengthEstimator;
+	readonly budget?: RetryBudget;
+	/** False to send no hedges. */
+	readonly hedging?: boolean;
+	/** Attempts of a request, hedges included. */
+	readonly maximumAttempts?: number;
+};
+
+/** A work item as it waits in the queue. */
+export type DispatchWork = QueuedWork & {readonly item: WorkItem};
+
+type RunningAttempt = Attempt & {
+	readonly startedAt: number;
+	firstTokenAt: number | undefined;
+	lastTokenAt: number;
+	tokens: number;
+};
+
+type Tracked = {
+	readonly work: DispatchWork;
+	readonly attempts: Map<number, RunningAttempt>;
+	readonly triedTargets: Set<TargetId>;
+	attemptCount: number;
+	isLong: boolean;
+	isHedged: boolean;
+	/** True once an attempt ended without proof that it did not run. */
+	mayHaveRun: boolean;
+};
+
+/** Owns the queue of one pool in the entry host and binds work to targets as they get room. */
+export class Dispatcher extends Disposable {
+	private readonly mailbox = new Mailbox<DispatcherMessage>();
+	private readonly clock: Clock;
+	private readonly port: DispatchPort;
+	private readonly logger: EventLogger;
+	private readonly admission: AdmissionPolicy;
+	private readonly queue: DispatchQueue<DispatchWork>;
+	private readonly routing: RoutingPolicy;
+	private readonly slots: SlotPolicy;
+	private readonly view: TargetView;
+	private readonly outliers: OutlierDetector;
+	private readonly lengths: LengthEstimator;
+	private readonly budget: RetryBudget;
+	private readonly hedging: HedgingPolicy;
+	private readonly serviceTimes = new ServiceTimeEstimator();
+	private readonly isolation = new IsolationPolicy();
+	private readonly affinity: PrefixAffinity;
+	private readonly tracked = new Map<RequestId, Tracked>();
+	/** Requests whose first token is awaited, oldest first. */
+	private readonly awaitingFirstToken = new Map<RequestId, Tracked>();
+	private runningCount = 0;
+
+	constructor(private readonly options: DispatcherOptions) {
+		super();
+		const {clock, random, host} = options;
+		this.clock = clock;
+		this.port = options.port;
+		this.logger = options.logger;
+		this.admission =
+			options.admission ??
+			new AdmissionPolicy({
+				clock,
+				settings: {mode: 'disabled', maximumConcurrentPerCaller: 0},
+			});
+		this.queue = options.queue ?? new DispatchQueue({clock});
+		this.routing = options.routing ?? new LoadAwarePolicy({random});
+		this.slots = options.slots ?? new SlotPolicy({host});
+		this.view = options.view ?? new TargetView({clock});
+		this.outliers = options.outliers ?? new OutlierDetector({clock});
+		this.lengths = options.lengths ?? new LengthEstimator();
+		this.budget = options.budget ?? new RetryBudget({clock});
+		this.hedging = new HedgingPolicy({clock, budget: this.budget});
+		this.affinity = new PrefixAffinity({clock});
+	}
+
+	/** Number of waiting requests. */
+	get queueLength(): number {
+		return this.queue.size;
+	}
+
+	/** Number of attempts in flight. */
+	get running(): number {
+		return this.runningCount;
+	}
+
+	/** Admitted requests by caller, for the heartbeat. */
+	callerCounts(): ReadonlyMap<CallerId, number> {
+		return this.admission.ownCounts();
+	}
+
+	/** The target kept for a suspect, for the heartbeat. */
+	reservedTarget(): TargetId | undefined {
+		return this.isolation.reservedTarget;
+	}
+
+	/** Sequence number from which cache events of a target are to be fetched. */
+	nextCacheSequence(target: TargetId): number {
+		return this.affinity.nextSequence(target);
+	}
+
+	/** Sends a message to the task. */
+	post(message: DispatcherMessage): void {
+		this.mailbox.post(message);
+	}
+
+	/** Handles messages until the dispatcher is disposed. */
+	async run(): Promise<void> {
+		let message = await this.mailbox.take();
+		while (message) {
+			this.handle(message);
+			message = await this.mailbox.take();
+		}
+	}
+
+	dispose(): void {
+		this.mailbox.close();
+	}
+
+	/** Handles one message. The task calls it, and so do programs with a virtual clock. */
+	handle(message: DispatcherMessage): void {
+		switch (message.kind) {
+			case 'submitted': {
+				this.submit(message.item);
+				break;
+			}
+
+			case 'abandoned': {
+				this.abandon(message.request);
+				break;
+			}
+
+			case 'progressed': {
+				this.progress(message, message.tokens);
+				// Progress frees no room.
+				return;
+			}
+
+			case 'completed': {
+				this.complete(message, message.tokens);
+				break;
+			}
+
+			case 'refused': {
+				this.handleRefusal(message, message.reason);
+				break;
+			}
+
+			case 'lost': {
+				this.handleLoss(message, message.execution);
+				break;
+			}
+
+			case 'ticked': {
+				this.refuseHopeless();
+				this.hedgeOverdue();
+				break;
+			}
+
+			case 'admission-configured':
+			case 'cache-changed':
+			case 'hosts-changed':
+			case 'peer-counted':
+			case 'suspects-reserved':
+			case 'target-leaving':
+			case 'target-removed':
+			case 'target-reported':
+			case 'target-set': {
+				this.handleSurroundings(message);
+				break;
+			}
+		}
+
+		this.bindWaiting();
+	}
+
+	private handleSurroundings(
+		message: Exclude<
+			DispatcherMessage,
+			{
+				kind:
+					| 'submitted'
+					| 'abandoned'
+					| 'progressed'
+					| 'completed'
+					| 'refused'
+					| 'lost'
+					| 'ticked';
+			}
+		>,
+	): void {
+		switch (message.kind) {
+			case 'target-set': {
+				this.view.setTarget(message.target, message.slots);
+				this.outliers.addTarget(message.target);
+				break;
+			}
+
+			case 'target-removed': {
+				this.view.removeTarget(message.target);
+				this.outliers.removeTarget(message.target);
+				this.affinity.removeTarget(message.target);
+				break;
+			}
+
+			case 'target-leaving': {
+				this.view.setLeaving(message.target, message.leaving);
+				break;
+			}
+
+			case 'target-reported': {
+				this.view.applyReport(message.report, message.ageMilliseconds);
+				this.affinity.setAdapters(message.report.target, message.adapters);
+				break;
+			}
+
+			case 'cache-changed': {
+				this.affinity.applyCacheEvents(message.target, message.events);
+				break;
+			}
+
+			case 'hosts-changed': {
+				this.slots.setHosts(message.hosts);
+				break;
+			}
+
+			case 'peer-counted': {
+				this.admission.applyPeerCounts(message.host, message.counts);
+				break;
+			}
+
+			case 'suspects-reserved': {
+				this.isolation.setReservedElsewhere(message.targets);
+				break;
+			}
+
+			case 'admission-configured': {
+				this.admission.configure(message.settings, message.limits);
+				break;
+			}
+		}
+	}
+
+	private submit(item: WorkItem): void {
+		if (this.tracked.has(item.request)) {
+			return;
+		}
+
+		const estimate = this.lengths.estimate(item);
+		const work: DispatchWork = {
+			item,
+			request: item.request,
+			caller: item.caller,
+			urgency: item.urgency,
+			isLong: estimate.isLong,
+			// A suspect waits for an empty target and must not hold up other work.
+			routingKey: `${item.model ?? item.offering}|${item.adapter ?? ''}|${item.suspect ? 'suspect' : item.idempotent}`,
+			expectedMilliseconds: this.serviceTimes.estimate(estimate.tokens),
+			deadline: this.clock.monotonic() + item.remainingMilliseconds,
+		};
+		const admission = this.admission.admit({
+			caller: item.caller,
+			remainingMilliseconds: item.remainingMilliseconds,
+			expectedMilliseconds: work.expectedMilliseconds,
+			workAheadMilliseconds: this.queue.workAhead(work),
+			runningRequests: this.runningCount,
+		});
+		if (admission.isErr()) {
+			const {code, countsAsDemand, retryAfterMilliseconds} = admission.error;
+			const event = {
+				'caller-limit': dispatchEvents.callerLimitReached,
+				overload: dispatchEvents.overloadRefused,
+				deadline: dispatchEvents.deadlineRefused,
+			}[code];
+			this.logger.record(event, {caller: item.caller, request: item.request});
+			this.port.refuse({
+				item,
+				code,
+				countsAsDemand,
+				retryAfterMilliseconds,
+				message: admission.error.message,
+			});
+			return;
+		}
+
+		if (admission.value.isOverLimit) {
+			this.logger.record(dispatchEvents.callerLimitExceeded, {
+				caller: item.caller,
+			});
+		}
+
+		this.budget.recordFirstAttempt();
+		const tracked: Tracked = {
+			work,
+			attempts: new Map(),
+			triedTargets: new Set(),
+			attemptCount: 0,
+			isLong: work.isLong,
+			isHedged: false,
+			mayHaveRun: false,
+		};
+		this.tracked.set(item.request, tracked);
+		this.enqueue(tracked);
+	}
+
+	private enqueue(tracked: Tracked): void {
+		const {item} = tracked.work;
+		const queued = this.queue.enqueue({
+			...tracked.work,
+			isLong: tracked.isLong,
+		});
+		if (queued.isOk()) {
+			return;
+		}
+
+		this.logger.record(dispatchEvents.queueFull, {request: item.request});
+		this.giveUp(tracked, {
+			code: 'overload',
+			countsAsDemand: true,
+			retryAfterMilliseconds: 1000,
+			message: queued.error.message,
+		});
+	}
+
+	private bindWaiting(): void {
+		let bound = this.queue.take((work, isAged) =>
+			this.findTarget(work, isAged),
+		);
+		while (bound) {
+			this.dispatch(bound);
+			bound = this.queue.take((work, isAged) => this.findTarget(work, isAged));
+		}
+
+		this.refuseDropped(this.queue.drainHopeless());
+	}
+
+	private dispatch(bound: BoundWork<DispatchWork>): void {
+		const {work, target, byAge, waitedMilliseconds} = bound;
+		const tracked = this.tracked.get(work.request);
+		if (!tracked) {
+			return;
+		}
+
+		this.admission.recordDispatch(work.expectedMilliseconds);
+		if (byAge) {
+			this.logger.record(dispatchEvents.workDispatchedByAge, {
+				request: work.request,
+				waitedMilliseconds,
+			});
+		}
+
+		if (work.item.suspect) {
+			this.logger.record(dispatchEvents.suspectIsolated, {
+				fingerprint: work.item.fingerprint,
+				target,
+			});
+		}
+
+		this.start(
+			tracked,
+			target,
+			tracked.attemptCount === 0 ? 'first' : 'retry',
+			waitedMilliseconds,
+		);
+	}
+
+	private start(
+		tracked: Tracked,
+		target: TargetId,
+		kind: Binding['kind'],
+		waitedMilliseconds: number,
+	): void {
+		const {item} = tracked.work;
+		const now = this.clock.monotonic();
+		tracked.attemptCount++;
+		const attempt: RunningAttempt = {
+			request: item.request,
+			attempt: tracked.attemptCount,
+			target,
+			startedAt: now,
+			firstTokenAt: undefined,
+			lastTokenAt: now,
+			tokens: 0,
+		};
+		tracked.attempts.set(attempt.attempt, attempt);
+		tracked.triedTargets.add(target);
+		this.runningCount++;
+		this.view.begin(target, item.request, tracked.isLong);
+		this.affinity.recordDispatch(target, item.prefixes);
+		if (this.outliers.health(target).isProbeDue) {
+			this.outliers.recordProbe(target);
+		}
+
+		this.awaitingFirstToken.delete(item.request);
+		this.awaitingFirstToken.set(item.request, tracked);
+		this.port.dispatch({
+			request: item.request,
+			attempt: attempt.attempt,
+			target,
+			item,
+			kind,
+			waitedMilliseconds,
+			isLong: tracked.isLong,
+		});
+	}
+
+	private findTarget(
+		work: DispatchWork,
+		isAged: boolean,
+	): TargetId | undefined {
+		const tracked = this.tracked.get(work.request);
+		const loads = this.view.loads(this.options.directory.targetsFor(work.item));
+		if (work.item.suspect) {
+			return this.isolation.place(work.request, loads);
+		}
+
+		const untried = loads.filter(
+			({target}) => !tracked?.triedTargets.has(target),
+		);
+		// A pool of one target leaves no other for a retry.
+		const usable = untried.length > 0 ? untried : loads;
+		return this.choose(work, usable, isAged);
+	}
+
+	private choose(
+		work: DispatchWork,
+		loads: readonly TargetLoad[],
+		isAged: boolean,
+	): TargetId | undefined {
+		const isLong = this.tracked.get(work.request)?.isLong ?? work.isLong;
+		const known = loads.filter(({leaving}) => !leaving);
+		const countsAsLong =
+			isLong && !(isAged && this.slots.mayExceedShare(known));
+		const healths = new Map(
+			known.map(({target}) => [target, this.outliers.health(target)]),
+		);
+		// Waiting for a healthy target is faster than a slow one with room.
+		const hasHealthy = [...healths.values()].some(({weight}) => weight > 0);
+		const candidates: RoutingCandidate[] = [];
+		for (const load of known) {
+			const health = healths.get(load.target)!;
+			if (
+				!this.isolation.isOpen(load.target) ||
+				!this.slots.hasRoom(load, countsAsLong) ||
+				(hasHealthy && health.weight === 0 && !health.isProbeDue)
+			) {
+				continue;
+			}
+
+			// A target that recovers gets its share of the slots only.
+			const isRecovering = health.weight > 0 && health.weight < 1;
+			if (
+				isRecovering &&
+				load.ownOutstanding >= Math.ceil(load.slots * health.weight)
+			) {
+				continue;
+			}
+
+			candidates.push({
+				...load,
+				...health,
+				affinity: this.affinity.affinity(
+					load.target,
+					work.item.prefixes,
+					work.item.adapter,
+				),
+			});
+		}
+
+		const chosen = this.routing.choose(candidates, work.item);
+		// Without a healthy target with room, only a probe may go to an ejected one.
+		return chosen &&
+			hasHealthy &&
+			chosen.weight === 0 &&
+			!(chosen.isProbeDue && work.item.idempotent)
+			? undefined
+			: chosen?.target;
+	}
+
+	private progress(message: Attempt, tokens: number): void {
+		const tracked = this.tracked.get(message.request);
+		const attempt = tracked?.attempts.get(message.attempt);
+		if (!tracked || !attempt) {
+			return;
+		}
+
+		const now = this.clock.monotonic();
+		if (attempt.firstTokenAt === undefined) {
+			attempt.firstTokenAt = now;
+			this.awaitingFirstToken.delete(message.request);
+			const elapsed = now - attempt.startedAt;
+			this.observe(attempt.target, 'first-token', elapsed);
+			this.hedging.recordFirstToken(elapsed);
+			this.serviceTimes.observeFirstToken(elapsed);
+			this.cancelOthers(tracked, attempt);
+		} else if (tokens > attempt.tokens) {
+			const between = (now - attempt.lastTokenAt) / (tokens - attempt.tokens);
+			this.observe(attempt.target, 'between-tokens', between);
+			this.serviceTimes.observeBetweenTokens(between);
+		}
+
+		attempt.lastTokenAt = now;
+		attempt.tokens = Math.max(attempt.tokens, tokens);
+		if (!tracked.isLong && tokens >= this.lengths.longTokens) {
+			tracked.isLong = true;
+			this.view.markLong(attempt.target, message.request);
+			this.logger.record(dispatchEvents.workDemoted, {
+				request: message.request,
+			});
+			this.port.demote(identify(attempt));
+		}
+	}
+
+	private complete(message: Attempt, tokens: number): void {
+		const tracked = this.tracked.get(message.request);
+		const attempt = tracked?.attempts.get(message.attempt);
+		if (!tracked || !attempt) {
+			return;
+		}
+
+		this.progress(message, tokens);
+		const {item} = tracked.work;
+		if (item.maximumTokens > 0) {
+			this.lengths.observe(item, tokens);
+		}
+
+		this.endAttempt(tracked, attempt);
+		this.forget(tracked);
+	}
+
+	private handleRefusal(message: Attempt, reason: RefusalReason): void {
+		const tracked = this.tracked.get(message.request);
+		const attempt = tracked?.attempts.get(message.attempt);
+		if (reason === 'leaving') {
+			this.view.setLeaving(message.target, true);
+		}
+
+		if (!tracked || !attempt) {
+			return;
+		}
+
+		this.logger.record(dispatchEvents.targetRefused, {
+			...identify(attempt),
+			reason,
+		});
+		this.endAttempt(tracked, attempt);
+		if (tracked.attempts.size > 0) {
+			return;
+		}
+
+		// A leaving target refuses a burst at once, and none of it ran; the budget is for work that was executed in vain.
+		if (this.mayRepeat(tracked, reason !== 'leaving')) {
+			this.enqueue(tracked);
+			return;
+		}
+
+		this.giveUp(tracked, {
+			code: 'no-target',
+			countsAsDemand: true,
+			retryAfterMilliseconds: 1000,
+			message: `the targets refused the request, the last one because of ${reason}`,
+		});
+	}
+
+	private handleLoss(message: Attempt, execution: Execution): void {
+		const tracked = this.tracked.get(message.request);
+		const attempt = tracked?.attempts.get(message.attempt);
+		if (!tracked || !attempt) {
+			return;
+		}
+
+		this.logger.record(dispatchEvents.attemptLost, {
+			...identify(attempt),
+			execution,
+		});
+		this.endAttempt(tracked, attempt);
+		tracked.mayHaveRun ||= execution === 'unknown';
+		if (tracked.attempts.size > 0) {
+			return;
+		}
+
+		const {item} = tracked.work;
+		// A stream with tokens is continued by its owner, which knows the text so far.
+		if (
+			(item.idempotent || !tracked.mayHaveRun) &&
+			attempt.firstTokenAt === undefined &&
+			!item.suspect &&
+			this.mayRepeat(tracked, true)
+		) {
+			this.enqueue(tracked);
+			return;
+		}
+
+		this.forget(tracked);
+		this.port.fail(item, tracked.mayHaveRun ? 'unknown' : execution);
+	}
+
+	private mayRepeat(tracked: Tracked, needsBudget: boolean): boolean {
+		if (tracked.attemptCount >= (this.options.maximumAttempts ?? 3)) {
+			return false;
+		}
+
+		if (needsBudget && !this.budget.tryTake()) {
+			this.logger.record(dispatchEvents.retryBudgetSpent, {
+				request: tracked.work.request,
+			});
+			return false;
+		}
+
+		return true;
+	}
+
+	private abandon(request: RequestId): void {
+		const tracked = this.tracked.get(request);
+		if (!tracked) {
+			return;
+		}
+
+		this.queue.cancel(request);
+		for (const attempt of tracked.attempts.values()) {
+			this.endAttempt(tracked, attempt);
+			this.port.cancel(identify(attempt));
+		}
+
+		this.forget(tracked);
+	}
+
+	private hedgeOverdue(): void {
+		const delay = this.hedging.delay();
+		if (this.options.hedging === false || delay === undefined) {
+			return;
+		}
+
+		const now = this.clock.monotonic();
+		for (const tracked of this.awaitingFirstToken.values()) {
+			const [attempt] = tracked.attempts.values();
+			if (!attempt || now - attempt.startedAt < delay) {
+				// The requests are in the order of their start.
+				return;
+			}
+
+			this.hedge(tracked, now - attempt.startedAt);
+		}
+	}
+
+	private hedge(tracked: Tracked, waitedMilliseconds: number): void {
+		const {item} = tracked.work;
+		if (
+			tracked.isHedged ||
+			!item.idempotent ||
+			item.suspect ||
+			tracked.attemptCount >= (this.options.maximumAttempts ?? 3)
+		) {
+			return;
+		}
+
+		const loads = this.view
+			.loads(this.options.directory.targetsFor(item))
+			.filter(({target}) => !tracked.triedTargets.has(target));
+		const target = this.choose(tracked.work, loads, false);
+		if (
+			target === undefined ||
+			!this.hedging.tryHedge({
+				idempotent: item.idempotent,
+				suspect: item.suspect,
+				alreadyHedged: tracked.isHedged,
+				waitedMilliseconds,
+			})
+		) {
+			return;
+		}
+
+		tracked.isHedged = true;
+		this.logger.record(dispatchEvents.requestHedged, {request: item.request});
+		this.start(tracked, target, 'hedge', 0);
+	}
+
+	private cancelOthers(tracked: Tracked, winner: RunningAttempt): void {
+		for (const attempt of tracked.attempts.values()) {
+			if (attempt === winner) {
+				continue;
+			}
+
+			// The loser has waited at least this long; without this the detector would never see the slow one.
+			this.observe(
+				attempt.target,
+				'first-token',
+				this.clock.monotonic() - attempt.startedAt,
+			);
+			tracked.mayHaveRun = true;
+			this.endAttempt(tracked, attempt);
+			this.port.cancel(identify(attempt));
+		}
+	}
+
+	/** Ends work that waits or was refused. A refusal says "not run", which is untrue after a lost attempt. */
+	private giveUp(tracked: Tracked, refusal: Omit<WorkRefusal, 'item'>): void {
+		const {item} = tracked.work;
+		this.forget(tracked);
+		if (tracked.mayHaveRun) {
+			this.port.fail(item, 'unknown');
+			return;
+		}
+
+		this.port.refuse({item, ...refusal});
+	}
+
+	private refuseHopeless(): void {
+		this.refuseDropped(this.queue.takeHopeless());
+	}
+
+	private refuseDropped(dropped: readonly DispatchWork[]): void {
+		for (const {request} of dropped) {
+			const tracked = this.tracked.get(request);
+			if (!tracked) {
+				continue;
+			}
+
+			this.logger.record(dispatchEvents.deadlineRefused, {request});
+			this.giveUp(tracked, {
+				code: 'deadline',
+				countsAsDemand: true,
+				retryAfterMilliseconds: 0,
+				message: 'the request can no longer finish before its deadline',
+			});
+		}
+	}
+
+	private observe(
+		target: TargetId,
+		kind: LatencyKind,
+		milliseconds: number,
+	): void {
+		const change = this.outliers.observe(target, kind, milliseconds);
+		if (change === 'ejected') {
+			this.logger.record(dispatchEvents.targetEjected, {target, kind});
+		} else if (change === 'restored') {
+			this.logger.record(dispatchEvents.targetRestored, {target});
+		}
+	}
+
+	private endAttempt(tracked: Tracked, attempt: RunningAttempt): void {
+		if (!tracked.attempts.delete(attempt.attempt)) {
+			return;
+		}
+
+		this.runningCount--;
+		this.view.end(attempt.target, attempt.request);
+		if (tracked.attempts.size === 0) {
+			this.awaitingFirstToken.delete(attempt.request);
+		}
+	}
+
+	private forget(tracked: Tracked): void {
+		const {request, caller} = tracked.work;
+		if (!this.tracked.delete(request)) {
+			return;
+		}
+
+		for (const attempt of tracked.attempts.values()) {
+			this.endAttempt(tracked, attempt);
+			this.port.cancel(identify(attempt));
+		}
+
+		this.awaitingFirstToken.delete(request);
+		this.isolation.release(request);
+		this.admission.release(caller);
+	}
+}
+
+function identify({request, attempt, target}: Attempt): Attempt {
+	return {request, attempt, target};
+}
