--- a/src/measure/serving-model.ts
+++ b/src/measure/serving-model.ts
@@ -22,7 +22,7 @@
 	type Binding,
 	type DispatcherOptions,
 	type WorkRefusal,
-} from '../services/dispatcher.js';
+} from '../services/dispatch/dispatcher.js';
 import {TargetModel, type ModelWork, type Slowdown} from './target-model.js';
 import {VirtualTimeline} from './virtual-timeline.js';
 import {serviceTime, type WorkloadRequest} from './workload.js';
--- a/src/program/composition-root.ts
+++ b/src/program/composition-root.ts
@@ -1,34 +1,30 @@
 import {randomInt} from 'node:crypto';
 import {err, ok, type Result} from 'neverthrow';
-import {v7 as timeOrderedUuid, v4 as uuid} from 'uuid';
-import {DisposableStore} from '../base/common/disposable.js';
-import {type Clock} from '../base/common/clock.js';
-import {type EventLogger} from '../base/common/event-logger.js';
-import {SeededRandomSource} from '../base/common/random-source.js';
-import {SystemClock} from '../base/node/system-clock.js';
+import {v4 as uuid, v7 as timeOrderedUuid} from 'uuid';
 import {HttpHostList} from '../adapters/node/http-host-list.js';
 import {HttpLogService} from '../adapters/node/http-log-service.js';
 import {HttpTargetConnector} from '../adapters/node/http-target-connector.js';
+import {DisposableStore} from '../base/common/disposable.js';
+import {SeededRandomSource} from '../base/common/random-source.js';
+import {SystemClock} from '../base/node/system-clock.js';
 import {targetDiedSchema} from '../contracts/control-record.js';
 import {operatorEvents} from '../contracts/events/operator-events.js';
 import {
-	type Fingerprint,
 	type IncarnationId,
+	type OrderId,
 	type RequestId,
 	type Revision,
-	type TargetId,
-	type TargetIncarnation,
 } from '../contracts/ids.js';
 import {type StreamName} from '../contracts/log-service.js';
 import {BurnRateTracker} from '../core/burn-rate.js';
 import {SemanticDocumentValidator} from '../core/document-validator.js';
 import {snapshotLeaseName} from '../core/lease-names.js';
-import {
-	ClaimKeeper,
-	IncarnationDirectory,
-} from '../services/entry/claim-keeper.js';
+import {DecisionJournal} from '../services/decision-journal.js';
+import {DispatchSet} from '../services/dispatch/dispatch-set.js';
+import {ClaimKeeper} from '../services/entry/claim-keeper.js';
 import {ClaimingServiceGateway} from '../services/entry/claiming-service-gateway.js';
-import {EngineModelGateway} from '../services/entry/engine-model-gateway.js';
+import {DemandCounter} from '../services/entry/demand-counter.js';
+import {DispatchingModelGateway} from '../services/entry/dispatching-model-gateway.js';
 import {EntryServer} from '../services/entry/entry-server.js';
 import {HostGate} from '../services/entry/host-gate.js';
 import {LogClaimAppender} from '../services/entry/log-claim-appender.js';
@@ -39,91 +35,99 @@
 	ObservedServiceGateway,
 } from '../services/entry/request-observer.js';
 import {HistogramMetricRegistry} from '../services/histogram-metric-registry.js';
-import {DecisionJournal} from '../services/decision-journal.js';
 import {HostOperatorBackend} from '../services/host-operator-backend.js';
 import {LeaseKeeper} from '../services/lease-keeper.js';
+import {LogDecisionRecorder} from '../services/log-decision-recorder.js';
 import {LogFollower} from '../services/log-follower.js';
 import {MembershipTask} from '../services/membership-task.js';
 import {OperatorServer} from '../services/operator-server.js';
 import {PeerDirectory} from '../services/peer-directory.js';
+import {PeerExchange} from '../services/peer-exchange.js';
 import {PeerServer} from '../services/peer-server.js';
+import {FleetPlacement} from '../services/placement/fleet-placement.js';
 import {RecordAppender} from '../services/record-appender.js';
-import {type ServiceOptions} from '../services/service-options.js';
 import {SnapshotWriter} from '../services/snapshot-writer.js';
-import {LeastOutstandingAssigner} from '../services/targets/least-outstanding-assigner.js';
 import {ReportPoller} from '../services/targets/report-poller.js';
-import {TargetDirectory} from '../services/targets/target-directory.js';
+import {
+	TargetDirectory,
+	type KnownTarget,
+} from '../services/targets/target-directory.js';
 import {WinstonEventLogger} from '../services/winston-event-logger.js';
+import {
+	RunningHost,
+	StartError,
+	type HostPorts,
+	type RunningParts,
+} from './running-host.js';
 import {type Settings} from './settings.js';
 
 const reportIntervalMilliseconds = 250;
+// The owner of a group reports once a second; a report older than this is fetched directly.
+const staleReportMilliseconds = 3000;
 const claimTimeoutMilliseconds = 3000;
 const settlementWaitMilliseconds = 5000;
 const millisecondsPerHour = 3_600_000;
 const defaultWindowHours = 168;
 const seedRange = 2 ** 31;
 
-/** A host could not start. The message says which listener failed. */
-export class StartError extends Error {
-	override readonly name = 'StartError';
-}
-
-/** Ports that a running host listens on. */
-export type HostPorts = {
-	readonly callers: number;
-	readonly operators: number;
-	readonly peers: number;
-};
-
-type RunningParts = {
-	readonly owned: DisposableStore;
-	readonly gate: HostGate;
-	readonly membership: MembershipTask;
-	readonly leases: LeaseKeeper;
-	readonly events: EventLogger;
-	readonly drainMilliseconds: number;
-};
+/** What every part of a host is built from. */
+type Foundation = ReturnType<typeof layFoundation>;
+/** The parts that agree with the other hosts through the log and the peer protocol. */
+type Agreement = ReturnType<typeof buildAgreement>;
+/** The parts that know and direct the targets. */
+type Fleet = ReturnType<typeof buildFleet>;
 
-/** A host that serves. */
-export class RunningHost {
-	constructor(
-		readonly ports: HostPorts,
-		private readonly parts: RunningParts,
-	) {}
-
-	/** Takes no new work, hands its leases over, lets running requests end, and releases everything. */
-	async stop(): Promise<void> {
-		const {gate, membership, leases, owned, events} = this.parts;
-		events.record(operatorEvents.hostStopping, {inFlight: gate.inFlight});
-		gate.stop();
-		await Promise.all([
-			membership.leave(),
-			leases.releaseAll(),
-			withinLimit(gate.idle(), this.parts.drainMilliseconds),
-		]);
-		await membership.recordStop();
+/** Builds all parts of a host and starts them. */
+export async function startHost(
+	settings: Settings,
+): Promise<Result<RunningHost, StartError>> {
+	const foundation = layFoundation(settings);
+	const {owned, events} = foundation;
+	const agreement = buildAgreement(foundation);
+	const peerPort = await agreement.peerServer.listen();
+	if (peerPort.isErr()) {
 		await owned.dispose();
-		events.record(operatorEvents.hostStopped, {unfinished: gate.inFlight});
+		return err(new StartError(peerPort.error.message, {cause: peerPort.error}));
 	}
-}
 
-async function withinLimit(
-	work: Promise<void>,
-	milliseconds: number,
-): Promise<void> {
-	let timer: NodeJS.Timeout | undefined;
-	const limit = new Promise<void>((resolve) => {
-		timer = setTimeout(resolve, milliseconds);
+	const membership = buildMembership(foundation, agreement, peerPort.value);
+	const leases = owned.add(
+		new LeaseKeeper({
+			...foundation.services,
+			host: settings.host,
+			incarnation: foundation.incarnation,
+			follower: agreement.follower,
+			liveHosts: () => membership.leaseCandidates,
+		}),
+	);
+	const fleet = buildFleet(foundation, agreement, membership, leases);
+	agreement.late.load = () => ({
+		...fleet.exchange.load(),
+		ready: fleet.gate.isOpen,
 	});
-	await Promise.race([work, limit]);
-	clearTimeout(timer);
+	const entry = buildEntry(foundation, agreement, membership, fleet);
+	const operators = buildOperators(foundation, agreement, membership, fleet);
+	startTasks(foundation, agreement, membership, leases);
+	const ports = await listenAll(settings, entry, operators);
+	if (ports.isErr()) {
+		await owned.dispose();
+		return err(ports.error);
+	}
+
+	const allPorts = {...ports.value, peers: peerPort.value};
+	events.record(operatorEvents.hostStarted, allPorts);
+	const parts: RunningParts = {
+		owned,
+		gate: fleet.gate,
+		membership,
+		leases,
+		events,
+		drainMilliseconds: settings.timeouts.drainMilliseconds,
+	};
+	return ok(new RunningHost(allPorts, parts));
 }
 
-/** Builds all parts of a host and starts them. */
-export async function startHost(
-	settings: Settings,
-): Promise<Result<RunningHost, StartError>> {
-	const parts = new DisposableStore();
+function layFoundation(settings: Settings) {
 	const clock = new SystemClock();
 	const incarnation = uuid() as IncarnationId;
 	const events = new WinstonEventLogger({
@@ -133,88 +137,79 @@
 		fields: {host: settings.host, incarnation},
 	});
 	const metrics = new HistogramMetricRegistry();
-	const services: ServiceOptions = {
+	const random = new SeededRandomSource(randomInt(seedRange));
+	return {
+		settings,
+		owned: new DisposableStore(),
+		incarnation,
 		clock,
-		random: new SeededRandomSource(randomInt(seedRange)),
 		events,
 		metrics,
+		services: {clock, random, events, metrics},
+		observer: {
+			clock,
+			metrics,
+			burnRates: new BurnRateTracker(clock),
+			journal: new DecisionJournal({clock, host: settings.host}),
+		},
 	};
-	const observer = {
-		clock,
-		metrics,
-		burnRates: new BurnRateTracker(clock),
-		journal: new DecisionJournal({clock, host: settings.host}),
-	};
-	const log = parts.add(
+}
+
+function buildAgreement(foundation: Foundation) {
+	const {settings, owned, services, observer} = foundation;
+	const log = owned.add(
 		new HttpLogService({
 			address: settings.platform.logService,
 			answerTimeoutMilliseconds: settings.timeouts.platformMilliseconds,
 		}),
 	);
 	const createAppender = (stream: StreamName) =>
-		parts.add(new RecordAppender({...services, log, stream}));
-	const peers = parts.add(
+		owned.add(new RecordAppender({...services, log, stream}));
+	const directory = owned.add(
 		new PeerDirectory({
 			secret: settings.peerSecret,
 			seedAddresses: settings.seedPeers,
 			timeoutMilliseconds: settings.timeouts.peerMilliseconds,
 		}),
 	);
-	const follower = parts.add(
+	const follower = owned.add(
 		new LogFollower({
 			...services,
 			log,
 			appender: createAppender('control'),
 			validator: new SemanticDocumentValidator(),
-			peers,
-		}),
-	);
-	const targets = parts.add(
-		new TargetDirectory(
-			new HttpTargetConnector(settings.timeouts.connectMilliseconds),
-			clock,
-		),
-	);
-	const gate = new HostGate();
-	followDocument(follower, gate, targets);
-	const claims = parts.add(
-		new ClaimKeeper({
-			host: settings.host,
-			incarnation,
-			log,
-			appender: new LogClaimAppender(createAppender('claims')),
-			incarnations: new MemberIncarnations(
-				incarnation,
-				clock,
-				() => membership,
-			),
-			clock,
-			events,
-			windowMilliseconds: () =>
-				millisecondsPerHour *
-				(follower.control.document?.idempotency.windowHours ??
-					defaultWindowHours),
-			claimTimeoutMilliseconds,
-			settlementWaitMilliseconds,
+			peers: directory,
 		}),
 	);
-	const peerServer = parts.add(
+	owned.add(new LogDecisionRecorder(follower, observer.journal));
+	// Heartbeats need the membership and the load, which are built on top of these parts.
+	const late: LateParts = {membership: undefined, load: () => ({ready: false})};
+	const peerServer = owned.add(
 		new PeerServer({
 			...services,
 			secret: settings.peerSecret,
 			bindAddress: settings.listen.peers.address,
 			port: settings.listen.peers.port,
 			follower,
-			localState: () => membership.localState(),
+			localState: () => late.membership?.localState() ?? {},
 		}),
 	);
-	const peerPort = await peerServer.listen();
-	if (peerPort.isErr()) {
-		await parts.dispose();
-		return err(new StartError(peerPort.error.message, {cause: peerPort.error}));
-	}
+	return {log, createAppender, directory, follower, peerServer, late};
+}
+
+type LateParts = {
+	membership: MembershipTask | undefined;
+	load: () => ReturnType<PeerExchange['load']> & {readonly ready: boolean};
+};
 
-	const membership: MembershipTask = parts.add(
+function buildMembership(
+	foundation: Foundation,
+	agreement: Agreement,
+	peerPort: number,
+): MembershipTask {
+	const {settings, owned, services, incarnation} = foundation;
+	const {follower, directory, late, peerServer} = agreement;
+	const membership = owned.add(
 		new MembershipTask({
 			...services,
 			host: settings.host,
@@ -222,68 +217,144 @@
 			failureDomain: settings.failureDomain,
 			peerAddress:
 				settings.advertisedPeerUrl ??
-				`http://${settings.listen.peers.address}:${peerPort.value}`,
+				`http://${settings.listen.peers.address}:${peerPort}`,
 			follower,
-			directory: peers,
-			hostList: parts.add(
+			directory,
+			hostList: owned.add(
 				new HttpHostList({address: settings.platform.hostList}),
 			),
 			seedAddresses: settings.seedPeers,
-			load: () => ({
-				ready: gate.isOpen,
-				sightings: [...quarantine.ownSightings()],
-			}),
+			load: () => late.load(),
 		}),
 	);
+	late.membership = membership;
 	peerServer.heartbeatReceived.subscribe((state) => {
 		membership.receive(state);
 	});
-	membership.isolationChanged.subscribe((isIsolated) => {
-		gate.setStale(isIsolated);
-	});
-	const poller = parts.add(
-		new ReportPoller(targets, reportIntervalMilliseconds, () => true),
+	return membership;
+}
+
+function buildFleet(
+	foundation: Foundation,
+	agreement: Agreement,
+	membership: MembershipTask,
+	leases: LeaseKeeper,
+) {
+	const {settings, owned, services, clock, incarnation} = foundation;
+	const {follower} = agreement;
+	const targets = owned.add(
+		new TargetDirectory(
+			new HttpTargetConnector(settings.timeouts.connectMilliseconds),
+			clock,
+		),
 	);
-	const leases = parts.add(
-		new LeaseKeeper({
+	const quarantine = owned.add(
+		new QuarantineKeeper({
 			...services,
 			host: settings.host,
-			incarnation,
-			follower,
-			liveHosts: () => membership.leaseCandidates,
+			control: follower,
 		}),
 	);
-	const snapshots = parts.add(
-		new SnapshotWriter({
+	const demand = new DemandCounter();
+	const dispatches = new DispatchSet({
+		...services,
+		host: settings.host,
+		targets,
+		document: () => follower.control.document,
+		quarantine,
+	});
+	owned.addCallback(() => {
+		dispatches.dispose();
+	});
+	const placement: FleetPlacement = owned.add(
+		new FleetPlacement({
 			...services,
+			incarnation,
 			follower,
-			appender: createAppender('snapshots'),
-			holdsLease: () => leases.held.has(snapshotLeaseName),
+			leases,
+			targets,
+			demand: () => exchange.fleetDemand(),
+			newOrderId: () => timeOrderedUuid() as OrderId,
+		}),
+	);
+	const exchange: PeerExchange = owned.add(
+		new PeerExchange({
+			membership,
+			targets,
+			placement,
+			dispatches,
+			quarantine,
+			demand,
+			now: () => clock.monotonic(),
 		}),
 	);
-	const quarantine = parts.add(
-		new QuarantineKeeper({...services, host: settings.host, control: follower}),
+	const gate = new HostGate();
+	membership.isolationChanged.subscribe((isIsolated) => {
+		gate.setStale(isIsolated);
+	});
+	membership.memberChanged.subscribe(() => {
+		dispatches.setHosts(membership.leaseCandidates);
+	});
+	membership.hostListRead.subscribe((entries) => {
+		targets.applyHostList(entries);
+	});
+	const poller = owned.add(
+		new ReportPoller(
+			targets,
+			reportIntervalMilliseconds,
+			(target) =>
+				!placement.owns(target) &&
+				clock.monotonic() - target.reportedAt > staleReportMilliseconds,
+		),
+	);
+	poller.start();
+	followDocument(follower, [targets, dispatches, placement, gate]);
+	followTargetDeaths(foundation, follower, quarantine);
+	return {targets, quarantine, demand, dispatches, placement, exchange, gate};
+}
+
+function buildEntry(
+	foundation: Foundation,
+	agreement: Agreement,
+	membership: MembershipTask,
+	fleet: Fleet,
+): EntryServer {
+	const {settings, owned, services, clock, events, metrics, observer} =
+		foundation;
+	const {follower, log, createAppender} = agreement;
+	const claims = owned.add(
+		new ClaimKeeper({
+			host: settings.host,
+			incarnation: foundation.incarnation,
+			log,
+			appender: new LogClaimAppender(createAppender('claims')),
+			incarnations: new MemberIncarnations(
+				foundation.incarnation,
+				clock,
+				() => membership,
+			),
+			clock,
+			events,
+			windowMilliseconds: () =>
+				millisecondsPerHour *
+				(follower.control.document?.idempotency.windowHours ??
+					defaultWindowHours),
+			claimTimeoutMilliseconds,
+			settlementWaitMilliseconds,
+		}),
 	);
-	followTargetDeaths(follower, membership, quarantine, clock);
-	const entry = parts.add(
+	claims.start();
+	return owned.add(
 		new EntryServer({
-			gate,
+			gate: fleet.gate,
 			models: new ObservedModelGateway(
-				new EngineModelGateway({
-					...services,
-					assigner: new LeastOutstandingAssigner(
-						targets,
-						() => follower.control.document,
-					),
-					targets,
-					quarantine,
-				}),
+				new DispatchingModelGateway(fleet.dispatches, fleet.demand, clock),
 				observer,
 			),
 			services: new ObservedServiceGateway(
 				new ClaimingServiceGateway({
 					claims,
-					targets,
+					targets: fleet.targets,
 					clock,
 					random: services.random,
 				}),
@@ -298,26 +369,37 @@
 			},
 			clock,
 			events,
-			metrics: services.metrics,
+			metrics,
 			mintRequestId: () => timeOrderedUuid() as RequestId,
 		}),
 	);
-	const operators = parts.add(
+}
+
+function buildOperators(
+	foundation: Foundation,
+	agreement: Agreement,
+	membership: MembershipTask,
+	fleet: Fleet,
+): OperatorServer {
+	const {settings, owned, events, observer} = foundation;
+	const {follower} = agreement;
+	const openOrderBytes = ({definition}: KnownTarget) =>
+		(follower.control.openIntents.get(definition.id) ?? []).reduce(
+			(sum, intent) => sum + intent.bytes,
+			0,
+		);
+	return owned.add(
 		new OperatorServer({
 			backend: new HostOperatorBackend({
 				...observer,
 				host: settings.host,
-				incarnation,
+				incarnation: foundation.incarnation,
 				failureDomain: settings.failureDomain,
 				follower,
 				membership,
-				targets,
-				gate,
-				openOrderBytes: ({definition}) =>
-					(follower.control.openIntents.get(definition.id) ?? []).reduce(
-						(sum, intent) => sum + intent.bytes,
-						0,
-					),
+				targets: fleet.targets,
+				gate: fleet.gate,
+				openOrderBytes,
 			}),
 			credentials: settings.operators,
 			logger: events,
@@ -330,30 +412,28 @@
 			},
 		}),
 	);
+}
+
+function startTasks(
+	foundation: Foundation,
+	agreement: Agreement,
+	membership: MembershipTask,
+	leases: LeaseKeeper,
+): void {
+	const {owned, services} = foundation;
+	const {follower, createAppender} = agreement;
+	const snapshots = owned.add(
+		new SnapshotWriter({
+			...services,
+			follower,
+			appender: createAppender('snapshots'),
+			holdsLease: () => leases.held.has(snapshotLeaseName),
+		}),
+	);
 	follower.start();
-	claims.start();
-	poller.start();
 	membership.start();
 	leases.start();
 	snapshots.start();
-	const ports = await listenAll(settings, entry, operators);
-	if (ports.isErr()) {
-		await parts.dispose();
-		return err(ports.error);
-	}
-
-	const allPorts = {...ports.value, peers: peerPort.value};
-	events.record(operatorEvents.hostStarted, allPorts);
-	return ok(
-		new RunningHost(allPorts, {
-			owned: parts,
-			gate,
-			membership,
-			leases,
-			events,
-			drainMilliseconds: settings.timeouts.drainMilliseconds,
-		}),
-	);
 }
 
 async function listenAll(
@@ -376,11 +456,10 @@
 		.mapErr((cause) => new StartError(cause.message, {cause}));
 }
 
-/** Puts each accepted document in force on this host. */
+/** Puts each accepted document in force on this host. The gate comes last, so that it opens on parts that know the document. */
 function followDocument(
 	follower: LogFollower,
-	gate: HostGate,
-	targets: TargetDirectory,
+	followers: readonly [TargetDirectory, DispatchSet, FleetPlacement, HostGate],
 ): void {
 	let inForce = 0 as Revision;
 	const apply = () => {
@@ -390,20 +469,20 @@
 		}
 
 		inForce = revision;
-		targets.applyDocument(document);
-		gate.applyDocument(document);
+		for (const part of followers) {
+			part.applyDocument(document);
+		}
 	};
 
 	follower.recordApplied.subscribe(apply);
 	follower.stateRestored.subscribe(apply);
 }
 
-/** Tells the quarantine of the deaths that the log and the peers report. */
+/** Tells the quarantine of the deaths in the log. */
 function followTargetDeaths(
+	{clock}: Foundation,
 	follower: LogFollower,
-	membership: MembershipTask,
 	quarantine: QuarantineKeeper,
-	clock: Clock,
 ): void {
 	follower.recordApplied.subscribe(({record, outcome}) => {
 		const death = targetDiedSchema.safeParse(record.body);
@@ -411,16 +490,4 @@
 			quarantine.observe(death.data, clock.wall() - death.data.time);
 		}
 	});
-	membership.heartbeatReceived.subscribe(({sightings}) => {
-		for (const sighting of sightings) {
-			quarantine.observe(
-				{
-					target: sighting.target as TargetId,
-					targetIncarnation: sighting.targetIncarnation as TargetIncarnation,
-					fingerprints: [sighting.fingerprint as Fingerprint],
-				},
-				0,
-			);
-		}
-	});
 }
--- a/src/program/run-host.ts
+++ b/src/program/run-host.ts
@@ -1,6 +1,7 @@
 import process from 'node:process';
 import {err, ok, type Result} from 'neverthrow';
-import {startHost, type StartError} from './composition-root.js';
+import {startHost} from './composition-root.js';
+import {type StartError} from './running-host.js';
 import {type Settings} from './settings.js';
 
 /** Runs a host until it is told to stop. The first signal stops it gracefully, the second one at once. */
--- /dev/null
+++ b/src/program/running-host.ts
@@ -0,0 +1,64 @@
+import {type DisposableStore} from '../base/common/disposable.js';
+import {type EventLogger} from '../base/common/event-logger.js';
+import {operatorEvents} from '../contracts/events/operator-events.js';
+import {type HostGate} from '../services/entry/host-gate.js';
+import {type LeaseKeeper} from '../services/lease-keeper.js';
+import {type MembershipTask} from '../services/membership-task.js';
+
+/** A host could not start. The message says which listener failed. */
+export class StartError extends Error {
+	override readonly name = 'StartError';
+}
+
+/** Ports that a running host listens on. */
+export type HostPorts = {
+	readonly callers: number;
+	readonly operators: number;
+	readonly peers: number;
+};
+
+/** The parts of a host that a planned stop concerns. */
+export type RunningParts = {
+	readonly owned: DisposableStore;
+	readonly gate: HostGate;
+	readonly membership: MembershipTask;
+	readonly leases: LeaseKeeper;
+	readonly events: EventLogger;
+	readonly drainMilliseconds: number;
+};
+
+/** A host that serves. */
+export class RunningHost {
+	constructor(
+		readonly ports: HostPorts,
+		private readonly parts: RunningParts,
+	) {}
+
+	/** Takes no new work, hands its leases over, lets running requests end, and releases everything. */
+	async stop(): Promise<void> {
+		const {gate, membership, leases, owned, events} = this.parts;
+		events.record(operatorEvents.hostStopping, {inFlight: gate.inFlight});
+		gate.stop();
+		await Promise.all([
+			membership.leave(),
+			leases.releaseAll(),
+			withinLimit(gate.idle(), this.parts.drainMilliseconds),
+		]);
+		await membership.recordStop();
+		const unfinished = gate.inFlight;
+		await owned.dispose();
+		events.record(operatorEvents.hostStopped, {unfinished});
+	}
+}
+
+async function withinLimit(
+	work: Promise<void>,
+	milliseconds: number,
+): Promise<void> {
+	let timer: NodeJS.Timeout | undefined;
+	const limit = new Promise<void>((resolve) => {
+		timer = setTimeout(resolve, milliseconds);
+	});
+	await Promise.race([work, limit]);
+	clearTimeout(timer);
+}
--- /dev/null
+++ b/src/services/dispatch/dispatch-set.ts
@@ -0,0 +1,228 @@
+import {DisposableStore} from '../../base/common/disposable.js';
+import {
+	adapterIdSchema,
+	type AdapterId,
+	type CallerId,
+	type HostId,
+	type PoolName,
+	type TargetId,
+} from '../../contracts/ids.js';
+import {type FleetDocument} from '../../contracts/fleet-document.js';
+import {type HostState} from '../../generated/daisylever/peer/v1/peer_pb.js';
+import {DispatchDirectory} from '../entry/dispatching-model-gateway.js';
+import {
+	type KnownTarget,
+	type TargetDirectory,
+} from '../targets/target-directory.js';
+import {PoolDispatch, type PoolDispatchOptions} from './pool-dispatch.js';
+
+/** Collaborators of the set. */
+export type DispatchSetOptions = Omit<PoolDispatchOptions, 'pool'> & {
+	readonly targets: TargetDirectory;
+};
+
+/** The caller counts of one pool, as heartbeats carry them. */
+export type PoolCallerLoad = {
+	readonly pool: PoolName;
+	readonly caller: CallerId;
+	readonly inFlight: number;
+};
+
+const cacheEventMilliseconds = 1000;
+
+/** One dispatch for each pool of engines, told of all changes around it. */
+export class DispatchSet extends DispatchDirectory {
+	private readonly pools = new Map<PoolName, PoolDispatch>();
+	private readonly owned = new DisposableStore();
+	private readonly timer: NodeJS.Timeout;
+	private hosts: readonly HostId[];
+
+	constructor(private readonly options: DispatchSetOptions) {
+		super();
+		this.hosts = [options.host];
+		const {targets} = options;
+		this.owned.add(
+			targets.changed.subscribe((target) => {
+				if (target) {
+					this.tellTarget(target);
+				}
+			}),
+		);
+		this.owned.add(
+			targets.targetRemoved.subscribe((target) => {
+				for (const dispatch of this.pools.values()) {
+					dispatch.post({kind: 'target-removed', target});
+				}
+			}),
+		);
+		this.timer = setInterval(() => {
+			void this.fetchCacheEvents();
+		}, cacheEventMilliseconds);
+	}
+
+	dispatchOf(pool: PoolName): PoolDispatch | undefined {
+		return this.pools.get(pool);
+	}
+
+	/** Creates the dispatches that a document needs and passes its limits on. */
+	applyDocument(document: FleetDocument): void {
+		const limits = new Map<CallerId, number>();
+		for (const caller of document.callers) {
+			if (caller.maximumConcurrent !== undefined) {
+				limits.set(caller.id, caller.maximumConcurrent);
+			}
+		}
+
+		const named = new Set<PoolName>();
+		for (const pool of document.pools) {
+			if (pool.kind !== 'engine') {
+				continue;
+			}
+
+			named.add(pool.name);
+			const dispatch = this.ensure(pool.name);
+			dispatch.post({
+				kind: 'admission-configured',
+				settings: document.admission,
+				limits,
+			});
+			for (const {id, slots} of pool.targets) {
+				dispatch.post({kind: 'target-set', target: id, slots});
+			}
+		}
+
+		for (const [name, dispatch] of this.pools) {
+			if (!named.has(name)) {
+				this.pools.delete(name);
+				dispatch.dispose();
+			}
+		}
+	}
+
+	/** Takes over which hosts share the targets. */
+	setHosts(hosts: readonly HostId[]): void {
+		this.hosts = hosts;
+		for (const dispatch of this.pools.values()) {
+			dispatch.post({kind: 'hosts-changed', hosts});
+		}
+	}
+
+	/** Takes in what a peer tells of its callers and suspects. */
+	receive(state: HostState, reservedElsewhere: readonly TargetId[]): void {
+		for (const [pool, dispatch] of this.pools) {
+			const counts = new Map<CallerId, number>();
+			for (const load of state.callerLoads) {
+				if (load.pool === pool) {
+					counts.set(load.caller as CallerId, load.inFlight);
+				}
+			}
+
+			dispatch.post({
+				kind: 'peer-counted',
+				host: state.host as HostId,
+				counts,
+			});
+			dispatch.post({kind: 'suspects-reserved', targets: reservedElsewhere});
+		}
+	}
+
+	/** Caller counts of this host, for the heartbeat. */
+	callerLoads(): PoolCallerLoad[] {
+		return [...this.pools].flatMap(([pool, {dispatcher}]) =>
+			[...dispatcher.callerCounts()].map(([caller, inFlight]) => ({
+				pool,
+				caller,
+				inFlight,
+			})),
+		);
+	}
+
+	/** Targets on which this host runs suspects, for the heartbeat. */
+	reservedTargets(): TargetId[] {
+		return [...this.pools.values()].flatMap(({dispatcher}) => {
+			const reserved = dispatcher.reservedTarget();
+			return reserved === undefined ? [] : [reserved];
+		});
+	}
+
+	dispose(): void {
+		clearInterval(this.timer);
+		void this.owned.dispose();
+		for (const dispatch of this.pools.values()) {
+			dispatch.dispose();
+		}
+
+		this.pools.clear();
+	}
+
+	private ensure(pool: PoolName): PoolDispatch {
+		const known = this.pools.get(pool);
+		if (known) {
+			return known;
+		}
+
+		const dispatch = new PoolDispatch({...this.options, pool});
+		this.pools.set(pool, dispatch);
+		dispatch.start();
+		dispatch.post({kind: 'hosts-changed', hosts: this.hosts});
+		return dispatch;
+	}
+
+	private tellTarget(target: KnownTarget): void {
+		const dispatch = this.pools.get(target.pool.name);
+		if (!dispatch) {
+			return;
+		}
+
+		const {id} = target.definition;
+		dispatch.post({
+			kind: 'target-leaving',
+			target: id,
+			leaving: target.unavailability === 'leaving',
+		});
+		if (!target.report) {
+			return;
+		}
+
+		dispatch.post({
+			kind: 'target-reported',
+			report: target.report,
+			ageMilliseconds: this.options.clock.monotonic() - target.reportedAt,
+			adapters: residentAdapters(target),
+		});
+	}
+
+	private async fetchCacheEvents(): Promise<void> {
+		const busy = [...this.pools].flatMap(([pool, dispatch]) =>
+			dispatch.dispatcher.running === 0
+				? []
+				: this.options.targets
+						.targetsOf(pool)
+						.map((target) => ({dispatch, target})),
+		);
+		await Promise.all(
+			busy.map(async ({dispatch, target}) => {
+				const {id} = target.definition;
+				const events = await target.engine?.cacheEvents(
+					dispatch.dispatcher.nextCacheSequence(id),
+				);
+				if (events?.isOk() && events.value.length > 0) {
+					dispatch.post({
+						kind: 'cache-changed',
+						target: id,
+						events: events.value,
+					});
+				}
+			}),
+		);
+	}
+}
+
+const adapterKeyPattern = /^adapter\/(.+)@[^@]+$/;
+
+function residentAdapters(target: KnownTarget): AdapterId[] {
+	return (target.report?.artifacts ?? []).flatMap(({key, state}) => {
+		const id = adapterIdSchema.safeParse(adapterKeyPattern.exec(key)?.[1]);
+		return id.success && state === 'resident' ? [id.data] : [];
+	});
+}
--- a/src/services/dispatcher.ts
+++ b/src/services/dispatch/dispatcher.ts
@@ -1,12 +1,12 @@
-import {type Clock} from '../base/common/clock.js';
-import {Disposable} from '../base/common/disposable.js';
-import {type EventLogger} from '../base/common/event-logger.js';
-import {Mailbox} from '../base/common/mailbox.js';
-import {type RandomSource} from '../base/common/random-source.js';
-import {type CacheEvent} from '../contracts/engine.js';
-import {dispatchEvents} from '../contracts/events/dispatch-events.js';
-import {type Execution} from '../contracts/execution.js';
-import {type AdmissionSettings} from '../contracts/fleet-document.js';
+import {type Clock} from '../../base/common/clock.js';
+import {Disposable} from '../../base/common/disposable.js';
+import {type EventLogger} from '../../base/common/event-logger.js';
+import {Mailbox} from '../../base/common/mailbox.js';
+import {type RandomSource} from '../../base/common/random-source.js';
+import {type CacheEvent} from '../../contracts/engine.js';
+import {dispatchEvents} from '../../contracts/events/dispatch-events.js';
+import {type Execution} from '../../contracts/execution.js';
+import {type AdmissionSettings} from '../../contracts/fleet-document.js';
 import {
 	type AdapterId,
 	type CallerId,
@@ -16,33 +16,36 @@
 	type OfferingName,
 	type RequestId,
 	type TargetId,
-} from '../contracts/ids.js';
-import {type RefusalReason} from '../contracts/target-error.js';
-import {AdmissionPolicy} from '../core/admission-policy.js';
+} from '../../contracts/ids.js';
+import {type RefusalReason} from '../../contracts/target-error.js';
+import {AdmissionPolicy} from '../../core/admission-policy.js';
 import {
 	DispatchQueue,
 	type BoundWork,
 	type QueuedWork,
 	type Urgency,
-} from '../core/dispatch-queue.js';
-import {HedgingPolicy} from '../core/hedging-policy.js';
-import {IsolationPolicy} from '../core/isolation-policy.js';
-import {LengthEstimator} from '../core/length-estimator.js';
-import {OutlierDetector, type LatencyKind} from '../core/outlier-detector.js';
-import {PrefixAffinity} from '../core/prefix-affinity.js';
-import {RetryBudget} from '../core/retry-budget.js';
+} from '../../core/dispatch-queue.js';
+import {HedgingPolicy} from '../../core/hedging-policy.js';
+import {IsolationPolicy} from '../../core/isolation-policy.js';
+import {LengthEstimator} from '../../core/length-estimator.js';
+import {
+	OutlierDetector,
+	type LatencyKind,
+} from '../../core/outlier-detector.js';
+import {PrefixAffinity} from '../../core/prefix-affinity.js';
+import {RetryBudget} from '../../core/retry-budget.js';
 import {
 	LoadAwarePolicy,
 	type RoutingCandidate,
 	type RoutingPolicy,
-} from '../core/routing-policy.js';
-import {ServiceTimeEstimator} from '../core/service-time-estimator.js';
-import {SlotPolicy} from '../core/slot-policy.js';
+} from '../../core/routing-policy.js';
+import {ServiceTimeEstimator} from '../../core/service-time-estimator.js';
+import {SlotPolicy} from '../../core/slot-policy.js';
 import {
 	TargetView,
 	type LoadReport,
 	type TargetLoad,
-} from '../core/target-view.js';
+} from '../../core/target-view.js';
 
 /** Work that a caller asked for. */
 export type WorkItem = {
--- /dev/null
+++ b/src/services/dispatch/generation-run.ts
@@ -0,0 +1,122 @@
+import {err, ok, type Result} from 'neverthrow';
+import {Mailbox} from '../../base/common/mailbox.js';
+import {type Fingerprint, type RequestId} from '../../contracts/ids.js';
+import {type RequestProblem} from '../../contracts/request-problem.js';
+import {type AnswerPart, type ModelRequest} from '../entry/model-gateway.js';
+
+/** Names one attempt of a run. Attempts count anew in each submission. */
+export type AttemptName = {
+	readonly submission: number;
+	readonly attempt: number;
+};
+
+/** One model request of a caller from its arrival to its end, over all submissions and attempts. */
+export class GenerationRun {
+	/** Counts the submissions to the dispatcher. */
+	submission = 0;
+	private readonly parts = new Mailbox<Result<AnswerPart, RequestProblem>>();
+	private readonly attempts = new Map<string, AbortController>();
+	private readonly texts: string[] = [];
+	private winner: string | undefined;
+	private ended = false;
+
+	constructor(
+		readonly request: ModelRequest,
+		readonly fingerprint: Fingerprint,
+		readonly arrivedAt: number,
+		readonly deadline: number,
+	) {}
+
+	get isEnded(): boolean {
+		return this.ended;
+	}
+
+	/** Tokens that the caller received. */
+	get tokens(): readonly string[] {
+		return this.texts;
+	}
+
+	/** Id of the present submission, unique in the fleet. */
+	get submissionId(): RequestId {
+		return `${this.request.requestId}.${this.submission}` as RequestId;
+	}
+
+	/** Registers an attempt and returns the signal that ends it. */
+	begin(name: AttemptName): AbortSignal {
+		const controller = new AbortController();
+		this.attempts.set(keyOf(name), controller);
+		return controller.signal;
+	}
+
+	/**
+	 * Passes a token on if it comes from the first attempt that produced one.
+	 * Returns false for an attempt whose answer is no longer needed.
+	 */
+	accept(name: AttemptName, text: string): boolean {
+		this.winner ??= keyOf(name);
+		if (this.ended || this.winner !== keyOf(name)) {
+			return false;
+		}
+
+		this.texts.push(text);
+		this.parts.post(ok({kind: 'text', text}));
+		return true;
+	}
+
+	/** Ends the run with a whole answer, unless another attempt won. */
+	complete(
+		name: AttemptName,
+		tokens: number,
+		reason: 'stop' | 'length',
+	): boolean {
+		this.winner ??= keyOf(name);
+		if (this.ended || this.winner !== keyOf(name)) {
+			return false;
+		}
+
+		this.parts.post(ok({kind: 'end', tokens, reason}));
+		this.close();
+		return true;
+	}
+
+	/** Notes that an attempt ended. A later attempt may continue from the tokens so far. */
+	leave(name: AttemptName): void {
+		this.attempts.delete(keyOf(name));
+		if (this.winner === keyOf(name)) {
+			this.winner = undefined;
+		}
+	}
+
+	/** Ends one attempt whose answer is no longer needed. */
+	cancel(name: AttemptName): void {
+		this.attempts.get(keyOf(name))?.abort();
+	}
+
+	/** Ends the run with a problem. */
+	fail(problem: RequestProblem): void {
+		if (this.ended) {
+			return;
+		}
+
+		this.parts.post(err(problem));
+		this.close();
+	}
+
+	/** Ends the run and all its attempts without a further part. */
+	close(): void {
+		this.ended = true;
+		this.parts.close();
+		for (const controller of this.attempts.values()) {
+			controller.abort();
+		}
+	}
+
+	/** Returns the next part, or undefined after the last one. */
+	async next(): Promise<Result<AnswerPart, RequestProblem> | undefined> {
+		return this.parts.take();
+	}
+}
+
+function keyOf({submission, attempt}: AttemptName): string {
+	return `${submission}/${attempt}`;
+}
--- /dev/null
+++ b/src/services/dispatch/pool-dispatch.ts
@@ -0,0 +1,547 @@
+import {type Clock} from '../../base/common/clock.js';
+import {Disposable} from '../../base/common/disposable.js';
+import {type EventLogger} from '../../base/common/event-logger.js';
+import {type MetricRegistry} from '../../base/common/metric-registry.js';
+import {type RandomSource} from '../../base/common/random-source.js';
+import {artifactsOf} from '../../contracts/artifact.js';
+import {type Execution} from '../../contracts/execution.js';
+import {type FleetDocument} from '../../contracts/fleet-document.js';
+import {
+	type ArtifactKey,
+	type HostId,
+	type PoolName,
+	type RequestId,
+	type TargetId,
+} from '../../contracts/ids.js';
+import {promptPrefixes} from '../../contracts/prompt-prefix.js';
+import {
+	RequestProblem,
+	type ProblemCode,
+} from '../../contracts/request-problem.js';
+import {
+	TargetRefusedError,
+	TargetUnreachableError,
+} from '../../contracts/target-error.js';
+import {type QuarantineKeeper} from '../entry/quarantine-keeper.js';
+import {
+	GenerationSession,
+	type GenerationFailedError,
+} from '../generation-session.js';
+import {findEndedIncarnation} from '../targets/death-detector.js';
+import {
+	type KnownTarget,
+	type TargetDirectory,
+} from '../targets/target-directory.js';
+import {
+	Dispatcher,
+	DispatchPort,
+	TargetDirectory as CandidateDirectory,
+	type Attempt,
+	type Binding,
+	type DispatcherMessage,
+	type WorkItem,
+	type WorkRefusal,
+} from './dispatcher.js';
+import {type AttemptName, type GenerationRun} from './generation-run.js';
+
+/** Times after which a stream without progress is checked. */
+export type ProgressLimits = {
+	readonly firstTokenMilliseconds: number;
+	readonly betweenTokensMilliseconds: number;
+	readonly pingMilliseconds: number;
+};
+
+/** Several times the objectives, so that a slow target is not taken for a silent connection. */
+export const defaultProgressLimits: ProgressLimits = {
+	firstTokenMilliseconds: 10_000,
+	betweenTokensMilliseconds: 3000,
+	pingMilliseconds: 1000,
+};
+
+/** Collaborators of the dispatch of one pool. */
+export type PoolDispatchOptions = {
+	readonly pool: PoolName;
+	readonly host: HostId;
+	readonly targets: TargetDirectory;
+	readonly document: () => FleetDocument | undefined;
+	readonly quarantine: QuarantineKeeper;
+	readonly clock: Clock;
+	readonly random: RandomSource;
+	readonly events: EventLogger;
+	readonly metrics: MetricRegistry;
+	readonly limits?: ProgressLimits;
+};
+
+const tickMilliseconds = 10;
+
+// A lost target costs the caller a whole first-token time, so more tries do not meet its deadline.
+const maximumSubmissions = 3;
+
+const priorityByUrgency = {urgent: 0, standard: 10, deferred: 20};
+
+/** Runs the model requests of one pool: the dispatcher decides, this class talks to the engines. */
+export class PoolDispatch extends Disposable {
+	readonly dispatcher: Dispatcher;
+	private readonly runs = new Map<RequestId, GenerationRun>();
+	private timer: NodeJS.Timeout | undefined;
+
+	constructor(private readonly options: PoolDispatchOptions) {
+		super();
+		this.dispatcher = new Dispatcher({
+			clock: options.clock,
+			random: options.random,
+			host: options.host,
+			port: new EnginePort(this),
+			directory: new ResidentCandidates(options),
+			logger: options.events,
+		});
+	}
+
+	/** Starts the task. */
+	start(): void {
+		void this.dispatcher.run();
+		this.timer = setInterval(() => {
+			this.post({kind: 'ticked'});
+		}, tickMilliseconds);
+	}
+
+	/** Tells the dispatcher of a change around it. */
+	post(message: DispatcherMessage): void {
+		this.dispatcher.post(message);
+	}
+
+	/** Queues a run. Its parts are read from the run. */
+	submit(run: GenerationRun): void {
+		const {quarantine} = this.options;
+		if (run.isEnded) {
+			return;
+		}
+
+		const status = quarantine.status(run.fingerprint);
+		if (status === 'quarantined') {
+			run.fail(this.quarantined(run));
+			return;
+		}
+
+		run.submission += 1;
+		if (run.submission > maximumSubmissions) {
+			run.fail(interrupted());
+			return;
+		}
+
+		this.runs.set(run.submissionId, run);
+		this.post({
+			kind: 'submitted',
+			item: this.itemOf(run, status === 'suspect'),
+		});
+	}
+
+	/** Ends a run that nobody waits for any more. */
+	abandon(run: GenerationRun): void {
+		run.close();
+		this.forget(run);
+		this.post({kind: 'abandoned', request: run.submissionId});
+	}
+
+	/** Starts one attempt on the chosen target. */
+	startAttempt(binding: Binding): void {
+		const run = this.runs.get(binding.request);
+		const target = this.options.targets.target(binding.target);
+		if (!run) {
+			return;
+		}
+
+		if (!target?.engine) {
+			this.post({
+				kind: 'refused',
+				...identityOf(binding),
+				reason: 'not-resident',
+			});
+			return;
+		}
+
+		void this.attempt(run, binding, target, {
+			submission: run.submission,
+			attempt: binding.attempt,
+		});
+	}
+
+	/** Ends one attempt whose answer is no longer needed. */
+	cancelAttempt(attempt: Attempt): void {
+		const run = this.runs.get(attempt.request);
+		run?.cancel({submission: run.submission, attempt: attempt.attempt});
+	}
+
+	/** Answers a refusal of the dispatcher. */
+	refuse(refusal: WorkRefusal): void {
+		const run = this.runs.get(refusal.item.request);
+		if (!run) {
+			return;
+		}
+
+		this.forget(run);
+		run.fail(
+			this.mayHaveRun(run)
+				? interrupted()
+				: new RequestProblem(
+						refusal.code,
+						refusalTexts[refusal.code],
+						'not-run',
+						refusal.code === 'deadline'
+							? undefined
+							: Math.max(1, refusal.retryAfterMilliseconds / 1000),
+					),
+		);
+	}
+
+	/** Continues a run whose stream was lost after its first token, or fails it. */
+	continueOrFail(item: WorkItem, execution: Execution): void {
+		const run = this.runs.get(item.request);
+		if (!run) {
+			return;
+		}
+
+		this.forget(run);
+		if (execution === 'not-run' && !this.mayHaveRun(run)) {
+			run.fail(
+				new RequestProblem(
+					'no-target',
+					'Nothing can take the request now. Send it again.',
+					'not-run',
+					1,
+				),
+			);
+			return;
+		}
+
+		this.submit(run);
+	}
+
+	dispose(): void {
+		clearInterval(this.timer);
+		this.dispatcher.dispose();
+		for (const run of this.runs.values()) {
+			run.fail(interrupted());
+		}
+
+		this.runs.clear();
+	}
+
+	private async attempt(
+		run: GenerationRun,
+		binding: Binding,
+		target: KnownTarget,
+		name: AttemptName,
+	): Promise<void> {
+		const {engine} = target;
+		if (!engine) {
+			return;
+		}
+
+		const signal = run.begin(name);
+		const session = new GenerationSession({
+			engine,
+			request: this.requestOf(run, name),
+			...(this.options.limits ?? defaultProgressLimits),
+			logger: this.options.events,
+		});
+		let tokens = run.tokens.length;
+		for await (const progress of session.run(signal)) {
+			if (progress.isErr()) {
+				await this.endAttempt(run, binding, target, name, progress.error);
+				return;
+			}
+
+			if (progress.value.kind === 'token') {
+				if (!run.accept(name, progress.value.text)) {
+					break;
+				}
+
+				tokens += 1;
+				this.post({kind: 'progressed', ...identityOf(binding), tokens});
+				continue;
+			}
+
+			const count = progress.value.tokens.length;
+			if (run.complete(name, count, progress.value.reason)) {
+				this.options.quarantine.clear(run.fingerprint);
+				this.forget(run);
+			}
+
+			this.post({kind: 'completed', ...identityOf(binding), tokens: count});
+			return;
+		}
+
+		run.leave(name);
+	}
+
+	/** Learns from a failed attempt and tells the dispatcher. */
+	private async endAttempt(
+		run: GenerationRun,
+		binding: Binding,
+		target: KnownTarget,
+		name: AttemptName,
+		failure: GenerationFailedError,
+	): Promise<void> {
+		this.options.metrics.count('daisylever_generation_failures_total', {
+			reason: failure.reason,
+		});
+		const incarnation = target.report?.incarnation;
+		run.leave(name);
+		if (failure.reason === 'aborted') {
+			return;
+		}
+
+		if (failure.reason === 'conflict') {
+			// The caller holds tokens that the target contradicts; no continuation can be trusted.
+			this.forget(run);
+			run.fail(interrupted());
+			this.post({kind: 'abandoned', request: binding.request});
+			return;
+		}
+
+		if (
+			failure.cause instanceof TargetRefusedError &&
+			failure.execution === 'not-run'
+		) {
+			this.endRefused(run, binding, failure.cause);
+			return;
+		}
+
+		const {id} = target.definition;
+		if (failure.isTargetSuspect) {
+			this.options.targets.markUnavailable(id, 'unreachable');
+		}
+
+		const wasSent =
+			!(failure.cause instanceof TargetUnreachableError) ||
+			failure.execution === 'unknown';
+		const ended = wasSent
+			? await findEndedIncarnation(target, incarnation)
+			: undefined;
+		if (ended === undefined || run.isEnded) {
+			this.post({
+				kind: 'lost',
+				...identityOf(binding),
+				execution: failure.execution,
+			});
+			return;
+		}
+
+		this.options.targets.markUnavailable(id, 'unreachable');
+		this.options.quarantine.reportDeath({
+			fingerprint: run.fingerprint,
+			target: id,
+			targetIncarnation: ended,
+		});
+		// Submitted anew, because a suspect must run alone and the queued item does not say so.
+		this.forget(run);
+		this.post({kind: 'lost', ...identityOf(binding), execution: 'unknown'});
+		this.post({kind: 'abandoned', request: binding.request});
+		this.submit(run);
+	}
+
+	private endRefused(
+		run: GenerationRun,
+		binding: Binding,
+		refusal: TargetRefusedError,
+	): void {
+		if (refusal.reason === 'leaving') {
+			this.options.targets.markUnavailable(binding.target, 'leaving');
+		}
+
+		if (refusal.reason !== 'invalid') {
+			this.post({
+				kind: 'refused',
+				...identityOf(binding),
+				reason: refusal.reason,
+			});
+			return;
+		}
+
+		this.forget(run);
+		run.fail(
+			this.mayHaveRun(run)
+				? interrupted()
+				: new RequestProblem(
+						'bad-request',
+						'The model does not take this request.',
+						'not-run',
+					),
+		);
+		this.post({kind: 'abandoned', request: binding.request});
+	}
+
+	private mayHaveRun(run: GenerationRun): boolean {
+		return run.tokens.length > 0 || run.submission > 1;
+	}
+
+	private forget(run: GenerationRun): void {
+		this.runs.delete(run.submissionId);
+	}
+
+	private quarantined(run: GenerationRun): RequestProblem {
+		return new RequestProblem(
+			'quarantined',
+			'This request made its server fail several times and is refused for a while.',
+			run.submission > 0 ? 'unknown' : 'not-run',
+			this.options.quarantine.remainingSeconds(run.fingerprint),
+		);
+	}
+
+	private itemOf(run: GenerationRun, isSuspect: boolean): WorkItem {
+		const {offering, model} = run.request.offering;
+		const {caller, callerClass} = run.request.known;
+		const messages = [...run.request.messages];
+		let promptCharacters = 0;
+		for (const message of messages) {
+			promptCharacters += message.content.length;
+		}
+
+		return {
+			request: run.submissionId,
+			caller: caller.id,
+			urgency: callerClass.urgency,
+			offering: offering.name,
+			model: model.id,
+			adapter: offering.adapter,
+			promptCharacters,
+			maximumTokens: run.request.maximumTokens,
+			prefixes: [
+				...promptPrefixes({
+					model: model.id,
+					adapter: offering.adapter,
+					messages,
+				}),
+			].reverse(),
+			remainingMilliseconds: run.deadline - this.options.clock.monotonic(),
+			// A generation changes nothing, so it may run again.
+			idempotent: true,
+			fingerprint: run.fingerprint,
+			suspect: isSuspect,
+		};
+	}
+
+	private requestOf(run: GenerationRun, name: AttemptName) {
+		const {offering, model} = run.request.offering;
+		return {
+			// An engine that saw an earlier attempt must not take this one for a repetition.
+			requestId: `${run.submissionId}.${name.attempt}` as RequestId,
+			model: model.id,
+			adapter: offering.adapter,
+			messages: [...run.request.messages],
+			maximumTokens: run.request.maximumTokens,
+			priority: priorityByUrgency[run.request.known.callerClass.urgency],
+			continuation: [...run.tokens],
+		};
+	}
+}
+
+/** Passes the dispatcher's decisions on. */
+class EnginePort extends DispatchPort {
+	constructor(private readonly pool: PoolDispatch) {
+		super();
+	}
+
+	dispatch(binding: Binding): void {
+		this.pool.startAttempt(binding);
+	}
+
+	refuse(refusal: WorkRefusal): void {
+		this.pool.refuse(refusal);
+	}
+
+	fail(item: WorkItem, execution: Execution): void {
+		this.pool.continueOrFail(item, execution);
+	}
+
+	demote(): void {
+		// Engines have no call to change the priority of running work; the dispatcher counts it as long.
+	}
+
+	cancel(attempt: Attempt): void {
+		this.pool.cancelAttempt(attempt);
+	}
+}
+
+/** The targets whose newest report shows the needed artifacts resident. */
+class ResidentCandidates extends CandidateDirectory {
+	private readonly cache = new Map<string, readonly TargetId[]>();
+
+	constructor(private readonly options: PoolDispatchOptions) {
+		super();
+		options.targets.changed.subscribe(() => {
+			this.cache.clear();
+		});
+	}
+
+	targetsFor(item: WorkItem): readonly TargetId[] {
+		const name = `${item.model}|${item.adapter ?? ''}`;
+		const known = this.cache.get(name);
+		if (known) {
+			return known;
+		}
+
+		const found = this.find(item);
+		this.cache.set(name, found);
+		return found;
+	}
+
+	private find(item: WorkItem): readonly TargetId[] {
+		if (item.model === undefined) {
+			return [];
+		}
+
+		const needed = artifactsOf(this.options.document(), {
+			model: item.model,
+			adapter: item.adapter,
+		});
+		return this.options.targets
+			.targetsOf(this.options.pool)
+			.filter((target) => isUsable(target, needed))
+			.map((target) => target.definition.id);
+	}
+}
+
+function isUsable(
+	target: KnownTarget,
+	needed: readonly ArtifactKey[],
+): boolean {
+	if (
+		target.unavailability !== undefined ||
+		!target.report ||
+		needed.length === 0
+	) {
+		return false;
+	}
+
+	const resident = new Set(
+		target.report.artifacts
+			.filter((artifact) => artifact.state === 'resident')
+			.map((artifact) => artifact.key),
+	);
+	return needed.every((key) => resident.has(key));
+}
+
+const refusalTexts: Readonly<
+	Record<Extract<ProblemCode, WorkRefusal['code']>, string>
+> = {
+	'caller-limit':
+		'This key has as many requests in progress as it may have. Send the request again later.',
+	overload: 'The service is overloaded. Send the request again later.',
+	deadline: 'The request cannot finish in time, so it was not started.',
+	'no-target': 'Nothing can take the request now. Send it again.',
+};
+
+function identityOf({request, attempt, target}: Attempt): Attempt {
+	return {request, attempt, target};
+}
+
+function interrupted(): RequestProblem {
+	return new RequestProblem(
+		'interrupted',
+		'The answer broke off before its end. Send the request again.',
+		'unknown',
+		1,
+	);
+}
--- /dev/null
+++ b/src/services/entry/dispatching-model-gateway.ts
@@ -0,0 +1,88 @@
+import {type Result} from 'neverthrow';
+import {type Clock} from '../../base/common/clock.js';
+import {canonicalJson, sha256} from '../../base/common/digest.js';
+import {type Fingerprint, type PoolName} from '../../contracts/ids.js';
+import {RequestProblem} from '../../contracts/request-problem.js';
+import {GenerationRun} from '../dispatch/generation-run.js';
+import {type PoolDispatch} from '../dispatch/pool-dispatch.js';
+import {type DemandCounter} from './demand-counter.js';
+import {
+	ModelGateway,
+	type AnswerPart,
+	type ModelRequest,
+} from './model-gateway.js';
+
+/** Finds the dispatch of a pool. */
+export abstract class DispatchDirectory {
+	abstract dispatchOf(pool: PoolName): PoolDispatch | undefined;
+}
+
+/** Runs model requests through the dispatch of their pool. */
+export class DispatchingModelGateway extends ModelGateway {
+	constructor(
+		private readonly directory: DispatchDirectory,
+		private readonly demand: DemandCounter,
+		private readonly clock: Clock,
+	) {
+		super();
+	}
+
+	async *run(
+		request: ModelRequest,
+		signal: AbortSignal,
+	): AsyncGenerator<Result<AnswerPart, RequestProblem>> {
+		const {model} = request.offering;
+		const arrivedAt = this.clock.monotonic();
+		const run = new GenerationRun(
+			request,
+			fingerprintOf(request),
+			arrivedAt,
+			arrivedAt + request.known.callerClass.deadlineSeconds * 1000,
+		);
+		const dispatch = this.directory.dispatchOf(model.pool);
+		const abandon = () => {
+			dispatch?.abandon(run);
+		};
+
+		if (dispatch) {
+			dispatch.submit(run);
+		} else {
+			run.fail(noPool());
+		}
+
+		signal.addEventListener('abort', abandon, {once: true});
+		const left = this.demand.enter(model.id);
+		try {
+			let part = await run.next();
+			while (part) {
+				yield part;
+				part = await run.next();
+			}
+		} finally {
+			left();
+			signal.removeEventListener('abort', abandon);
+			if (!run.isEnded) {
+				abandon();
+			}
+		}
+	}
+}
+
+function noPool(): RequestProblem {
+	return new RequestProblem(
+		'no-target',
+		'Nothing can take the request now. Send it again.',
+		'not-run',
+		1,
+	);
+}
+
+/** Digest that repeated requests share, whatever their request id. */
+export function fingerprintOf(request: ModelRequest): Fingerprint {
+	return sha256(
+		canonicalJson({
+			offering: request.offering.offering.name,
+			messages: request.messages,
+		}),
+	).slice(0, 32) as Fingerprint;
+}
--- a/src/services/lease-keeper.ts
+++ b/src/services/lease-keeper.ts
@@ -1,3 +1,4 @@
+import {err, errAsync, ok, type ResultAsync} from 'neverthrow';
 import {type Disposable} from '../base/common/disposable.js';
 import {TypedEvent} from '../base/common/typed-event.js';
 import {agreementEvents} from '../contracts/events/agreement-events.js';
@@ -7,6 +8,7 @@
 	type IncarnationId,
 	type LeaseName,
 } from '../contracts/ids.js';
+import {LogError} from '../contracts/log-service.js';
 import {
 	defaultLeaseTimes,
 	LeasePolicy,
@@ -34,6 +36,11 @@
 /** A lease that this host acquired or lost. */
 export type LeaseChange = HeldLease & {readonly reason: string};
 
+/** A claim was not accepted. */
+export class LeaseClaimError extends LogError {
+	override readonly name = 'LeaseClaimError';
+}
+
 type Confirmation = {readonly token: FencingToken; readonly at: number};
 
 /** Claims, renews and releases the leases of one host. */
@@ -101,6 +108,43 @@
 		return token !== undefined && this.isRenewed(lease, token);
 	}
 
+	/**
+	 * Claims a held lease again and returns the newer token. Fails when the lease is not held, or when
+	 * another record of the lease, such as a renewal of this host, came first; it can then be tried again.
+	 */
+	claimAgain(
+		lease: LeaseName,
+		reason: string,
+	): ResultAsync<FencingToken, LogError> {
+		const {follower, host, incarnation, clock} = this.options;
+		const current = follower.control.leases.get(lease);
+		if (!current || !this.held.has(lease)) {
+			return errAsync(new LeaseClaimError(`the lease ${lease} is not held`));
+		}
+
+		const submittedAt = clock.monotonic();
+		return follower
+			.submit({
+				kind: 'lease-claimed',
+				lease,
+				holder: host,
+				incarnation,
+				expectedOffset: current.lastOffset,
+				reason,
+				time: clock.wall(),
+			})
+			.andThen((outcome) => {
+				if (!outcome.accepted) {
+					return err(new LeaseClaimError(outcome.reason));
+				}
+
+				const token = outcome.offset as number as FencingToken;
+				this.confirmations.set(lease, {token, at: submittedAt});
+				this.announceChanges();
+				return ok(token);
+			});
+	}
+
 	/** Starts to tick. */
 	start(): void {
 		this.timer ??= setInterval(() => {
--- a/src/services/membership-task.ts
+++ b/src/services/membership-task.ts
@@ -2,7 +2,7 @@
 import {type Disposable} from '../base/common/disposable.js';
 import {TypedEvent} from '../base/common/typed-event.js';
 import {agreementEvents} from '../contracts/events/agreement-events.js';
-import {type HostList} from '../contracts/host-list.js';
+import {type HostList, type HostListEntry} from '../contracts/host-list.js';
 import {
 	type FailureDomain,
 	type HostId,
@@ -26,7 +26,7 @@
 /** The part of a heartbeat that other components of this host provide. */
 export type HostLoad = Pick<
 	MessageInitShape<typeof HostStateSchema>,
-	'callerLoads' | 'demands' | 'observations' | 'sightings'
+	'callerLoads' | 'demands' | 'observations' | 'sightings' | 'reservedTargets'
 > & {readonly ready: boolean};
 
 /** Options of the membership task. */
@@ -53,6 +53,8 @@
 	readonly memberChanged = new TypedEvent<Member>();
 	/** Another host sent its state, in a call or in an answer. */
 	readonly heartbeatReceived = new TypedEvent<HostState>();
+	/** The host list was read. */
+	readonly hostListRead = new TypedEvent<readonly HostListEntry[]>();
 	/** True: this host became isolated and must refuse new work. False: it hears others again. */
 	readonly isolationChanged = new TypedEvent<boolean>();
 
@@ -229,7 +231,7 @@
 	}
 
 	private async refreshHostList(now: number): Promise<void> {
-		const interval = this.options.hostListMilliseconds ?? 5000;
+		const interval = this.options.hostListMilliseconds ?? 1000;
 		if (this.listing || now - this.listedAt < interval) {
 			return;
 		}
@@ -240,6 +242,7 @@
 		this.listing = false;
 		if (result.isOk()) {
 			this.membership.observeHostList(result.value);
+			this.hostListRead.publish(result.value);
 		}
 	}
 
--- /dev/null
+++ b/src/services/placement/fleet-placement.ts
@@ -0,0 +1,402 @@
+import {type ResultAsync} from 'neverthrow';
+import {Disposable} from '../../base/common/disposable.js';
+import {
+	adapterArtifact,
+	modelArtifact,
+	type Artifact,
+} from '../../contracts/artifact.js';
+import {type OrderIntent} from '../../contracts/control-record.js';
+import {
+	type FleetDocument,
+	type Pool,
+	type TargetDefinition,
+} from '../../contracts/fleet-document.js';
+import {
+	type ArtifactKey,
+	type FailureDomain,
+	type FencingToken,
+	type IncarnationId,
+	type LeaseName,
+	type ModelId,
+	type OrderId,
+	type PoolName,
+	type TargetId,
+} from '../../contracts/ids.js';
+import {type LogError} from '../../contracts/log-service.js';
+import {groupLeaseName, planLeaseName} from '../../core/lease-names.js';
+import {PlacementPlanner} from '../../core/placement-planner.js';
+import {
+	type PlacementInput,
+	type PlacementTarget,
+} from '../../core/placement-policy.js';
+import {type LeaseKeeper} from '../lease-keeper.js';
+import {type LogFollower} from '../log-follower.js';
+import {type ServiceOptions} from '../service-options.js';
+import {
+	type KnownTarget,
+	type TargetDirectory,
+} from '../targets/target-directory.js';
+import {GroupOwner, GroupView, type GroupDefinition} from './group-owner.js';
+import {PlacementTask, PlanLease, PoolView} from './placement-task.js';
+import {GroupLease} from './target-owner.js';
+
+/** Collaborators of the placement duties of one host. */
+export type FleetPlacementOptions = ServiceOptions & {
+	readonly incarnation: IncarnationId;
+	readonly follower: LogFollower;
+	readonly leases: LeaseKeeper;
+	readonly targets: TargetDirectory;
+	/** Requests that run or wait now, summed over all hosts, for each model. */
+	readonly demand: () => ReadonlyMap<ModelId, number>;
+	readonly newOrderId: () => OrderId;
+};
+
+// A target whose reports stopped for this long is planned around. Shorter gaps are late reports.
+const deadAfterMilliseconds = 10_000;
+
+/** Owners of groups and planners of pools for all leases of the document. Each acts only while its lease is held here. */
+export class FleetPlacement extends Disposable {
+	private readonly owners = new Map<LeaseName, GroupOwner>();
+	private readonly planners = new Map<LeaseName, PlacementTask>();
+	private artifacts: ReadonlyMap<ArtifactKey, Artifact> = new Map();
+	private bases: ReadonlyMap<ArtifactKey, ArtifactKey> = new Map();
+	private readonly startedAt: number;
+
+	constructor(private readonly options: FleetPlacementOptions) {
+		super();
+		this.startedAt = options.clock.monotonic();
+	}
+
+	/** Creates the duties that a document needs and drops the others. */
+	applyDocument(document: FleetDocument): void {
+		this.indexArtifacts(document);
+		const pools = document.pools.filter((pool) => pool.kind === 'engine');
+		const named = new Set<LeaseName>();
+		for (const pool of pools) {
+			const plan = planLeaseName(pool.name);
+			named.add(plan);
+			this.ensurePlanner(plan, pool.name);
+			for (const {failureDomain} of pool.targets) {
+				const group = groupLeaseName(pool.name, failureDomain);
+				named.add(group);
+				this.ensureOwner(group, pool.name, failureDomain);
+			}
+		}
+
+		for (const duties of [this.owners, this.planners]) {
+			for (const [lease, duty] of duties) {
+				if (!named.has(lease)) {
+					duties.delete(lease);
+					duty.dispose();
+				}
+			}
+		}
+	}
+
+	/** Bytes that a target is charged, when this host owns its group. */
+	chargedBytes(target: KnownTarget): number | undefined {
+		const lease = groupLeaseName(
+			target.pool.name,
+			target.definition.failureDomain,
+		);
+		return this.owners.get(lease)?.ownerOf(target.definition.id)?.ledger
+			.chargedBytes;
+	}
+
+	/** True when this host collects the reports of a target. */
+	owns(target: KnownTarget): boolean {
+		const lease = groupLeaseName(
+			target.pool.name,
+			target.definition.failureDomain,
+		);
+		return this.options.leases.held.has(lease);
+	}
+
+	dispose(): void {
+		for (const duty of [...this.owners.values(), ...this.planners.values()]) {
+			duty.dispose();
+		}
+
+		this.owners.clear();
+		this.planners.clear();
+	}
+
+	private indexArtifacts(document: FleetDocument): void {
+		const artifacts = new Map<ArtifactKey, Artifact>();
+		const bases = new Map<ArtifactKey, ArtifactKey>();
+		const modelKeys = new Map<ModelId, ArtifactKey>();
+		for (const model of document.models) {
+			const artifact = modelArtifact(model);
+			artifacts.set(artifact.key, artifact);
+			modelKeys.set(model.id, artifact.key);
+		}
+
+		for (const adapter of document.adapters) {
+			const artifact = adapterArtifact(adapter);
+			artifacts.set(artifact.key, artifact);
+			const base = modelKeys.get(adapter.model);
+			if (base) {
+				bases.set(artifact.key, base);
+			}
+		}
+
+		this.artifacts = artifacts;
+		this.bases = bases;
+	}
+
+	private ensureOwner(
+		name: LeaseName,
+		pool: PoolName,
+		failureDomain: FailureDomain,
+	): void {
+		if (this.owners.has(name)) {
+			return;
+		}
+
+		const {follower, leases, targets} = this.options;
+		const owner = new GroupOwner({
+			...this.options,
+			log: follower,
+			lease: new KeptGroupLease(name, leases),
+			view: new FoldedGroupView({
+				follower,
+				pool,
+				failureDomain,
+				artifact: (key) => this.artifacts.get(key),
+				baseOf: (key) => this.bases.get(key),
+			}),
+			engineOf: (definition) => engineOf(targets, definition),
+		});
+		owner.reportReceived.subscribe((report) => {
+			targets.observe(report, 0);
+		});
+		this.owners.set(name, owner);
+		owner.start();
+	}
+
+	private ensurePlanner(name: LeaseName, pool: PoolName): void {
+		if (this.planners.has(name)) {
+			return;
+		}
+
+		const {follower, leases, targets, demand, clock, events} = this.options;
+		const planner = new PlacementTask({
+			pool,
+			lease: new KeptPlanLease(name, leases),
+			view: new FoldedPoolView({
+				follower,
+				targets,
+				pool,
+				demand,
+				now: () => clock.monotonic(),
+				startedAt: this.startedAt,
+			}),
+			log: follower,
+			policy: new PlacementPlanner(),
+			clock,
+			events,
+		});
+		this.planners.set(name, planner);
+		planner.start();
+	}
+}
+
+class KeptGroupLease extends GroupLease {
+	constructor(
+		readonly name: LeaseName,
+		private readonly leases: LeaseKeeper,
+	) {
+		super();
+	}
+
+	token(): FencingToken | undefined {
+		return this.leases.held.get(this.name);
+	}
+
+	isConfirmed(): boolean {
+		return this.leases.isConfirmed(this.name);
+	}
+
+	claimAgain(reason: string): ResultAsync<FencingToken, LogError> {
+		return this.leases.claimAgain(this.name, reason);
+	}
+}
+
+class KeptPlanLease extends PlanLease {
+	constructor(
+		private readonly name: LeaseName,
+		private readonly leases: LeaseKeeper,
+	) {
+		super();
+	}
+
+	token(): FencingToken | undefined {
+		return this.leases.held.get(this.name);
+	}
+}
+
+type FoldedGroupViewOptions = {
+	readonly follower: LogFollower;
+	readonly pool: PoolName;
+	readonly failureDomain: FailureDomain;
+	readonly artifact: (key: ArtifactKey) => Artifact | undefined;
+	readonly baseOf: (adapter: ArtifactKey) => ArtifactKey | undefined;
+};
+
+/** A group as the folded control state describes it. */
+class FoldedGroupView extends GroupView {
+	constructor(private readonly options: FoldedGroupViewOptions) {
+		super();
+	}
+
+	group(): GroupDefinition | undefined {
+		const {follower, pool: name, failureDomain} = this.options;
+		const {document} = follower.control;
+		const pool = document && poolOf(document, name);
+		if (!document || !pool) {
+			return undefined;
+		}
+
+		const groups = groupNames(document);
+		return {
+			honoursFencing: pool.honoursFencing,
+			targets: pool.targets.filter(
+				(target) => target.failureDomain === failureDomain,
+			),
+			limits: document.weightStore,
+			share: {
+				index: groups.indexOf(groupLeaseName(name, failureDomain)),
+				count: groups.length,
+			},
+		};
+	}
+
+	planned(target: TargetId): ReadonlySet<ArtifactKey> | undefined {
+		const plan = this.options.follower.control.plans.get(this.options.pool);
+		return plan && new Set(plan.targets.get(target)?.keys());
+	}
+
+	openIntents(target: TargetId): readonly OrderIntent[] {
+		return this.options.follower.control.openIntents.get(target) ?? [];
+	}
+
+	artifact(key: ArtifactKey): Artifact | undefined {
+		return this.options.artifact(key);
+	}
+
+	baseOf(adapter: ArtifactKey): ArtifactKey | undefined {
+		return this.options.baseOf(adapter);
+	}
+}
+
+type FoldedPoolViewOptions = {
+	readonly follower: LogFollower;
+	readonly targets: TargetDirectory;
+	readonly pool: PoolName;
+	readonly demand: () => ReadonlyMap<ModelId, number>;
+	readonly now: () => number;
+	readonly startedAt: number;
+};
+
+/** A pool as the folded control state and the reports describe it. */
+class FoldedPoolView extends PoolView {
+	constructor(private readonly options: FoldedPoolViewOptions) {
+		super();
+	}
+
+	pool(): Omit<PlacementInput, 'demand'> | undefined {
+		const {follower, pool: name, targets, now, startedAt} = this.options;
+		const {document} = follower.control;
+		if (!document || !poolOf(document, name)) {
+			return undefined;
+		}
+
+		const known = targets.targetsOf(name);
+		const isReported = known.every((target) => target.report !== undefined);
+		// A target that never reports must not hold up the pool for ever.
+		if (!isReported && now() - startedAt < deadAfterMilliseconds) {
+			return undefined;
+		}
+
+		const models = document.models.filter((model) => model.pool === name);
+		const modelIds = new Set(models.map((model) => model.id));
+		return {
+			models,
+			adapters: document.adapters.filter((adapter) =>
+				modelIds.has(adapter.model),
+			),
+			targets: known.map((target) => this.placementTarget(target)),
+			limits: document.weightStore,
+		};
+	}
+
+	demand(): ReadonlyMap<ModelId, number> {
+		return this.options.demand();
+	}
+
+	private placementTarget(target: KnownTarget): PlacementTarget {
+		const {definition, report} = target;
+		const {control} = this.options.follower;
+		const planned = new Set(
+			control.plans.get(this.options.pool)?.targets.get(definition.id)?.keys(),
+		);
+		const held = new Map(
+			(report?.artifacts ?? []).map((artifact) => [artifact.key, artifact]),
+		);
+		let reservedBytes = 0;
+		for (const intent of control.openIntents.get(definition.id) ?? []) {
+			const isCounted =
+				held.has(intent.artifact) || planned.has(intent.artifact);
+			reservedBytes +=
+				intent.action === 'load' && !isCounted ? intent.bytes : 0;
+		}
+
+		return {
+			id: definition.id,
+			failureDomain: definition.failureDomain,
+			memoryBytes: definition.memoryBytes,
+			slots: definition.slots,
+			state: this.stateOf(target),
+			held,
+			reservedBytes,
+			planned,
+		};
+	}
+
+	private stateOf(target: KnownTarget): PlacementTarget['state'] {
+		if (target.unavailability === 'leaving') {
+			return 'leaving';
+		}
+
+		const age = this.options.now() - target.reportedAt;
+		return age > deadAfterMilliseconds ? 'dead' : 'live';
+	}
+}
+
+function poolOf(document: FleetDocument, name: PoolName): Pool | undefined {
+	return document.pools.find((pool) => pool.name === name);
+}
+
+function groupNames(document: FleetDocument): LeaseName[] {
+	const names = new Set<LeaseName>();
+	for (const pool of document.pools) {
+		if (pool.kind !== 'engine') {
+			continue;
+		}
+
+		for (const {failureDomain} of pool.targets) {
+			names.add(groupLeaseName(pool.name, failureDomain));
+		}
+	}
+
+	return [...names].sort();
+}
+
+function engineOf(targets: TargetDirectory, definition: TargetDefinition) {
+	const engine = targets.target(definition.id)?.engine;
+	if (!engine) {
+		throw new TypeError(`there is no engine ${definition.id}`);
+	}
+
+	return engine;
+}
--- a/src/services/group-owner.ts
+++ b/src/services/placement/group-owner.ts
@@ -1,18 +1,18 @@
-import {TypedEvent} from '../base/common/typed-event.js';
+import {TypedEvent} from '../../base/common/typed-event.js';
 import {
 	type TargetDefinition,
 	type WeightStoreLimits,
-} from '../contracts/fleet-document.js';
-import {type Engine, type TargetReport} from '../contracts/engine.js';
-import {placementEvents} from '../contracts/events/placement-events.js';
+} from '../../contracts/fleet-document.js';
+import {type Engine, type TargetReport} from '../../contracts/engine.js';
+import {placementEvents} from '../../contracts/events/placement-events.js';
 import {
 	type FencingToken,
 	type OrderId,
 	type TargetId,
-} from '../contracts/ids.js';
-import {FencedOrderLedger} from '../core/fenced-order-ledger.js';
-import {LoadPacer, type BudgetShare} from '../core/load-pacer.js';
-import {RecordedOrderLedger} from '../core/recorded-order-ledger.js';
+} from '../../contracts/ids.js';
+import {FencedOrderLedger} from '../../core/fenced-order-ledger.js';
+import {LoadPacer, type BudgetShare} from '../../core/load-pacer.js';
+import {RecordedOrderLedger} from '../../core/recorded-order-ledger.js';
 import {
 	TargetOwner,
 	TargetPlanView,
--- a/src/services/placement-task.ts
+++ b/src/services/placement/placement-task.ts
@@ -1,19 +1,19 @@
-import {type Clock} from '../base/common/clock.js';
-import {type EventLogger} from '../base/common/event-logger.js';
-import {type ControlLog} from '../contracts/control-log.js';
-import {type PlanChange} from '../contracts/control-record.js';
-import {placementEvents} from '../contracts/events/placement-events.js';
+import {type Clock} from '../../base/common/clock.js';
+import {type EventLogger} from '../../base/common/event-logger.js';
+import {type ControlLog} from '../../contracts/control-log.js';
+import {type PlanChange} from '../../contracts/control-record.js';
+import {placementEvents} from '../../contracts/events/placement-events.js';
 import {
 	type FencingToken,
 	type ModelId,
 	type PoolName,
-} from '../contracts/ids.js';
-import {DemandEstimator} from '../core/demand-estimator.js';
+} from '../../contracts/ids.js';
+import {DemandEstimator} from '../../core/demand-estimator.js';
 import {
 	type Placement,
 	type PlacementInput,
 	type PlacementPolicy,
-} from '../core/placement-policy.js';
+} from '../../core/placement-policy.js';
 
 /** The plan lease of a pool, as its holder sees it. */
 export abstract class PlanLease {
--- a/src/services/target-owner.ts
+++ b/src/services/placement/target-owner.ts
@@ -1,21 +1,21 @@
 import {type Result, type ResultAsync} from 'neverthrow';
-import {backoffMilliseconds} from '../base/common/backoff.js';
-import {type Clock} from '../base/common/clock.js';
+import {backoffMilliseconds} from '../../base/common/backoff.js';
+import {type Clock} from '../../base/common/clock.js';
 import {
 	type EventLogger,
 	type LogEventDefinition,
-} from '../base/common/event-logger.js';
-import {type RandomSource} from '../base/common/random-source.js';
-import {type Artifact} from '../contracts/artifact.js';
-import {type ControlLog} from '../contracts/control-log.js';
-import {type OrderIntent} from '../contracts/control-record.js';
+} from '../../base/common/event-logger.js';
+import {type RandomSource} from '../../base/common/random-source.js';
+import {type Artifact} from '../../contracts/artifact.js';
+import {type ControlLog} from '../../contracts/control-log.js';
+import {type OrderIntent} from '../../contracts/control-record.js';
 import {
 	type Engine,
 	type EngineOrder,
 	type OrderAcknowledgement,
 	type TargetReport,
-} from '../contracts/engine.js';
-import {placementEvents} from '../contracts/events/placement-events.js';
+} from '../../contracts/engine.js';
+import {placementEvents} from '../../contracts/events/placement-events.js';
 import {
 	type ArtifactKey,
 	type FencingToken,
@@ -23,19 +23,19 @@
 	type LeaseName,
 	type OrderId,
 	type TargetId,
-} from '../contracts/ids.js';
-import {type LogError} from '../contracts/log-service.js';
+} from '../../contracts/ids.js';
+import {type LogError} from '../../contracts/log-service.js';
 import {
 	TargetRefusedError,
 	type TargetError,
-} from '../contracts/target-error.js';
-import {FencedOrderLedger} from '../core/fenced-order-ledger.js';
-import {type LoadPacer} from '../core/load-pacer.js';
-import {RecordedOrderLedger} from '../core/recorded-order-ledger.js';
+} from '../../contracts/target-error.js';
+import {FencedOrderLedger} from '../../core/fenced-order-ledger.js';
+import {type LoadPacer} from '../../core/load-pacer.js';
+import {RecordedOrderLedger} from '../../core/recorded-order-ledger.js';
 import {
 	type OrderLedger,
 	type OrderLedgerError,
-} from '../core/target-memory.js';
+} from '../../core/target-memory.js';
 
 /** The lease of a group, as its holder sees it. */
 export abstract class GroupLease {
--- a/src/services/targets/target-directory.ts
+++ b/src/services/targets/target-directory.ts
@@ -7,6 +7,7 @@
 	type Pool,
 	type TargetDefinition,
 } from '../../contracts/fleet-document.js';
+import {type HostListEntry} from '../../contracts/host-list.js';
 import {type PoolName, type TargetId} from '../../contracts/ids.js';
 import {type PlainService} from '../../contracts/plain-service.js';
 import {type TargetConnector} from '../../contracts/target-connector.js';
@@ -25,6 +26,10 @@
 	reportedAt: number;
 	/** Set by the host list, a report or a refusal, whichever tells first. */
 	unavailability: Unavailability | undefined;
+	/** Monotonic time at which it was set. */
+	unavailableSince: number;
+	/** True while the host list shows the target as leaving. */
+	isListedLeaving: boolean;
 };
 
 /** A report that replaced an older one. */
@@ -37,6 +42,8 @@
 export class TargetDirectory extends Disposable {
 	readonly reportObserved = new TypedEvent<ObservedReport>();
 	readonly targetRemoved = new TypedEvent<TargetId>();
+	/** A target came, went, or may get work under other conditions than before. */
+	readonly changed = new TypedEvent<KnownTarget | undefined>();
 	private readonly targets = new Map<TargetId, KnownTarget>();
 
 	constructor(
@@ -65,6 +72,8 @@
 			disconnect(target);
 			this.targetRemoved.publish(id);
 		}
+
+		this.changed.publish(undefined);
 	}
 
 	/** Finds a target. */
@@ -105,17 +114,47 @@
 		target.report = report;
 		target.reportedAt = reportedAt;
 		if (report.leaving) {
-			target.unavailability = 'leaving';
-		} else target.unavailability &&= undefined;
+			this.setUnavailable(target, 'leaving');
+		} else if (this.clearsUnavailability(target, isSameRun)) {
+			target.unavailability = undefined;
+		}
 
 		this.reportObserved.publish({target, previous});
+		this.changed.publish(target);
 	}
 
 	/** Notes that a target must get no new work until a later report says otherwise. */
 	markUnavailable(id: TargetId, reason: Unavailability): void {
 		const target = this.targets.get(id);
-		if (target) {
-			target.unavailability = reason;
+		if (!target || target.unavailability === 'leaving') {
+			return;
+		}
+
+		this.setUnavailable(target, reason);
+		this.changed.publish(target);
+	}
+
+	/** Takes in the platform's list of leaving machines, which names targets by their id. */
+	applyHostList(entries: readonly HostListEntry[]): void {
+		const leaving = new Set<string>(
+			entries
+				.filter((entry) => entry.state === 'leaving')
+				.map((entry) => entry.name),
+		);
+		for (const target of this.targets.values()) {
+			const isListedLeaving = leaving.has(target.definition.id);
+			if (isListedLeaving === target.isListedLeaving) {
+				continue;
+			}
+
+			target.isListedLeaving = isListedLeaving;
+			if (isListedLeaving) {
+				this.setUnavailable(target, 'leaving');
+			} else if (!target.report?.leaving) {
+				target.unavailability = undefined;
+			}
+
+			this.changed.publish(target);
 		}
 	}
 
@@ -127,6 +166,27 @@
 		this.targets.clear();
 	}
 
+	private setUnavailable(target: KnownTarget, reason: Unavailability): void {
+		target.unavailability = reason;
+		target.unavailableSince = this.clock.monotonic();
+	}
+
+	/** A report from before the loss proves nothing, and a leaving run of a target does not come back. */
+	private clearsUnavailability(
+		target: KnownTarget,
+		isSameRun: boolean,
+	): boolean {
+		if (target.isListedLeaving) {
+			return false;
+		}
+
+		if (target.unavailability === 'leaving') {
+			return !isSameRun;
+		}
+
+		return target.reportedAt > target.unavailableSince;
+	}
+
 	private keepOrConnect(pool: Pool, definition: TargetDefinition): void {
 		const current = this.targets.get(definition.id);
 		if (
@@ -150,6 +210,8 @@
 			report: undefined,
 			reportedAt: Number.NEGATIVE_INFINITY,
 			unavailability: undefined,
+			unavailableSince: Number.NEGATIVE_INFINITY,
+			isListedLeaving: false,
 		});
 	}
 }
