--- a/test/agreement/agreement-stateful.test.ts
+++ b/test/agreement/agreement-stateful.test.ts
@@ -119,14 +119,17 @@
 	private edits = 0;
 
 	async run(steps: readonly Step[]): Promise<void> {
-		for (const item of steps) {
-			await this.perform(item);
-			await yieldToLoop();
-		}
+		try {
+			for (const item of steps) {
+				await this.perform(item);
+				await yieldToLoop();
+			}
 
-		await this.settle();
-		this.check();
-		await Promise.all(this.hosts.map(async (item) => item.dispose()));
+			await this.settle();
+			this.check();
+		} finally {
+			await Promise.all(this.hosts.map(async (item) => item.dispose()));
+		}
 	}
 
 	private startHost(index: number): TestHost {
--- a/test/agreement/harness.ts
+++ b/test/agreement/harness.ts
@@ -80,6 +80,10 @@
 		super();
 	}
 
+	get isPaused(): boolean {
+		return this.gate !== undefined;
+	}
+
 	pause(): void {
 		this.gate ??= new Promise((resolve) => {
 			this.open = resolve;
