--- a/test/agreement/lease-takeover.test.ts
+++ b/test/agreement/lease-takeover.test.ts
@@ -1,10 +1,16 @@
 import assert from 'node:assert/strict';
 import {after, test} from 'node:test';
+import {okAsync} from 'neverthrow';
 import {ManualClock} from '../../src/base/common/clock.js';
-import {type FencingToken, type HostId} from '../../src/contracts/ids.js';
+import {
+	type FencingToken,
+	type HostId,
+	type LogOffset,
+} from '../../src/contracts/ids.js';
+import {type PeerRecordSource} from '../../src/services/peer-record-source.js';
 import {LeaseKeeper} from '../../src/services/lease-keeper.js';
 import {MemoryLogService} from '../../src/stand-ins/memory-log-service.js';
-import {groupLease, TestHost, waitUntil} from './harness.js';
+import {groupLease, NoPeers, TestHost, waitUntil} from './harness.js';
 
 const disposals: Array<() => Promise<void>> = [];
 after(async () => {
@@ -13,32 +19,42 @@
 	}
 });
 
+/** Peers that have no newer records. */
+class LevelPeers extends NoPeers {
+	override records(from = 0 as LogOffset) {
+		return okAsync({records: [], next: from});
+	}
+}
+
 /** Two hosts with lease keepers that tick only when told to, over one log and one clock. */
 class Pair {
 	readonly log = new MemoryLogService();
 	readonly clock = new ManualClock(1000);
-	readonly hosts = ['host-a', 'host-b'].map(
-		(name) =>
-			new TestHost(this.log, name, {
-				clock: this.clock,
-				longPollMilliseconds: 500,
-			}),
-	);
-
-	readonly live = new Set<HostId>(this.hosts.map(({host}) => host));
-	readonly keepers = this.hosts.map(
-		(host) =>
-			new LeaseKeeper({
-				...host.common,
-				host: host.host,
-				incarnation: host.incarnation,
-				follower: host.follower,
-				liveHosts: () => [...this.live],
-				wanted: () => [groupLease],
-			}),
-	);
+	readonly hosts: readonly TestHost[];
+	readonly live: Set<HostId>;
+	readonly keepers: readonly LeaseKeeper[];
 
-	constructor() {
+	constructor(peers: PeerRecordSource = new NoPeers()) {
+		this.hosts = ['host-a', 'host-b'].map(
+			(name) =>
+				new TestHost(this.log, name, {
+					clock: this.clock,
+					longPollMilliseconds: 500,
+					peers,
+				}),
+		);
+		this.live = new Set(this.hosts.map(({host}) => host));
+		this.keepers = this.hosts.map(
+			(host) =>
+				new LeaseKeeper({
+					...host.common,
+					host: host.host,
+					incarnation: host.incarnation,
+					follower: host.follower,
+					liveHosts: () => [...this.live],
+					wanted: () => [groupLease],
+				}),
+		);
 		disposals.push(async () => {
 			await Promise.all(this.hosts.map(async (host) => host.dispose()));
 		});
@@ -164,11 +180,37 @@
 	assert.ok(!holder.keeper.isConfirmed(groupLease));
 	pair.log.setOutage(false);
 	await pair.ready();
+	// The holder is the slower one to notice the end of the outage.
+	await pair.pass(4000, [other.keeper]);
+	assert.equal(other.keeper.held.size, 0, 'the outage counted as expiry');
 	await pair.pass(4000, pair.keepers);
 	assert.equal(holder.keeper.held.get(groupLease), token);
 	assert.equal(other.keeper.held.size, 0);
 });
 
+// Guards against fenced targets without orders in a log outage, and against unconfirmed orders to unfenced ones.
+test('a holder whose peers confirm its state keeps an unconfirmed lease in a log outage', async () => {
+	const pair = new Pair(new LevelPeers());
+	const {holder} = await pair.acquire();
+	pair.log.setOutage(true);
+	for (let seconds = 0; seconds < 30; seconds++) {
+		pair.clock.advance(1000);
+		await waitUntil(
+			() => holder.host.follower.lastCaughtUpAt === pair.clock.monotonic(),
+			'a peer confirms the state',
+		);
+		void holder.keeper.tick();
+	}
+
+	assert.ok(holder.keeper.held.has(groupLease));
+	assert.ok(!holder.keeper.isConfirmed(groupLease));
+
+	// After a pause, the state must be confirmed again before the host acts.
+	pair.clock.advance(60_000);
+	assert.equal(holder.keeper.held.size, 0);
+	pair.log.setOutage(false);
+});
+
 // Guards against a planned stop that leaves its leases unused until they expire.
 test('a released lease is claimed at once', async () => {
 	const pair = new Pair();
