--- a/src/services/membership-task.ts
+++ b/src/services/membership-task.ts
@@ -58,6 +58,7 @@
 
 	private readonly membership: Membership;
 	private readonly statuses = new Map<HostId, string>();
+	private readonly states = new Map<HostId, HostState>();
 	private readonly calling = new Set<string>();
 	private timer: NodeJS.Timeout | undefined;
 	private announcing = false;
@@ -76,6 +77,11 @@
 		);
 	}
 
+	/** True after a planned stop began. */
+	get isLeaving(): boolean {
+		return this.leaving;
+	}
+
 	/** All other known hosts. */
 	get members(): Member[] {
 		return this.membership.members(this.options.clock.monotonic());
@@ -98,6 +104,11 @@
 		return this.membership.isIsolated(clock.monotonic());
 	}
 
+	/** Returns the newest state that a host sent. */
+	stateOf(host: HostId): HostState | undefined {
+		return this.states.get(host);
+	}
+
 	/** Starts to tick. */
 	start(): void {
 		this.timer ??= setInterval(() => {
@@ -155,6 +166,7 @@
 			return;
 		}
 
+		this.states.set(state.host as HostId, state);
 		directory.noteProgress(state.peerAddress, Number(state.controlOffset));
 		this.heartbeatReceived.publish(state);
 	}
