Handle received data before a time limit expires

After a pause of the process Node.js runs timers before it reads sockets, so data that had arrived in time came after the expiry. A booking would have ended with an unknown outcome in the same way.

ExpiryTimer calls back one turn of the event loop later, after sockets were read. A longer limit was ruled out, as it also delays the detection of real silence.

--- a/src/adapters/node/http-transport.ts
+++ b/src/adapters/node/http-transport.ts
@@ -3,6 +3,7 @@
 import {Client, Pool, type Dispatcher} from 'undici';
 import {Disposable} from '../../base/common/disposable.js';
 import {Mailbox} from '../../base/common/mailbox.js';
+import {ExpiryTimer} from '../../base/node/expiry-timer.js';
 
 // The end of a chunked answer follows its last line at once, unless the connection is silent.
 const releaseMilliseconds = 1000;
@@ -164,12 +165,13 @@
 				)
 			: undefined;
 		const stream = new ResponseStream();
-		const timer = setTimeout(() => {
+		const timer = new ExpiryTimer(() => {
 			stream.fail('timeout');
-		}, timeoutMilliseconds);
+		});
+		timer.start(timeoutMilliseconds);
 		stream.begin(client ?? this.pool, this.dispatchOptions(request), signal);
 		const result = await this.readAll(stream);
-		clearTimeout(timer);
+		timer.stop();
 		if (result.isErr() && result.error.loss === 'timeout') {
 			// Other connections of the pool may be as silent as this one.
 			this.dropConnections();
--- a/src/services/generation-session.ts
+++ b/src/services/generation-session.ts
@@ -3,6 +3,7 @@
 	SilentEventLogger,
 	type EventLogger,
 } from '../base/common/event-logger.js';
+import {ExpiryTimer} from '../base/node/expiry-timer.js';
 import {targetEvents} from '../contracts/events/target-events.js';
 import {type Execution} from '../contracts/execution.js';
 import {
@@ -170,12 +171,16 @@
 			abort();
 		}
 
-		const watch = new ProgressWatch(abort);
+		let hasExpired = false;
+		const watch = new ExpiryTimer(() => {
+			hasExpired = true;
+			abort();
+		});
 		try {
 			watch.start(this.progressLimit());
 			for await (const event of this.openStream(controller.signal)) {
 				if (event.isErr()) {
-					return watch.hasExpired
+					return hasExpired
 						? this.expired()
 						: this.toOutcome(event.error, signal);
 				}
@@ -374,22 +379,3 @@
 		this.logger.record(targetEvents[event], {requestId, ...fields});
 	}
 }
-
-/** Calls back when no progress was made for a time. */
-class ProgressWatch {
-	hasExpired = false;
-	private timer: NodeJS.Timeout | undefined;
-
-	constructor(private readonly callback: () => void) {}
-
-	start(milliseconds: number): void {
-		this.timer = setTimeout(() => {
-			this.hasExpired = true;
-			this.callback();
-		}, milliseconds);
-	}
-
-	stop(): void {
-		clearTimeout(this.timer);
-	}
-}
