--- a/test/targets/http-platform.test.ts
+++ b/test/targets/http-platform.test.ts
@@ -70,70 +70,48 @@
 	});
 });
 
-type LogCase = {
-	readonly name: string;
-	readonly faults?: Parameters<LogServer['setFaults']>[0];
-	readonly arrange?: (server: LogServer) => void | Promise<void>;
-	readonly expected: string;
-	/** Records with the appended id that the log holds afterwards. */
-	readonly stored: number;
+type LogFaults = Parameters<LogServer['setFaults']>[0];
+type LogArrangement = (server: LogServer) => void | Promise<void>;
+
+const fault =
+	(faults: LogFaults): LogArrangement =>
+	(server) => {
+		server.setFaults(faults);
+	};
+
+const answers = (kind: 'answer-lost' | 'answer-late' | 'request-lost') =>
+	fault({answers: [{kind, delayMilliseconds: 60_000}]});
+const silence: LogArrangement = (server) => {
+	server.silenceConnections();
 };
 
+const stop: LogArrangement = async (server) => server.dispose();
+
 // Guards against an append that counts as failed although it took effect.
-const appendCases: LogCase[] = [
-	{
-		name: 'answer lost',
-		faults: {answers: [{kind: 'answer-lost'}]},
-		expected: 'LogUnavailableError',
-		stored: 1,
-	},
-	{
-		name: 'answer late',
-		faults: {answers: [{kind: 'answer-late', delayMilliseconds: 60_000}]},
-		expected: 'LogUnavailableError',
-		stored: 1,
-	},
-	{
-		name: 'request lost',
-		faults: {answers: [{kind: 'request-lost'}]},
-		expected: 'LogUnavailableError',
-		stored: 0,
-	},
-	{
-		name: 'outage with answers',
-		faults: {outage: 'unavailable'},
-		expected: 'LogUnavailableError',
-		stored: 0,
-	},
-	{
-		name: 'outage without answers',
-		arrange: async (server) => server.dispose(),
-		expected: 'LogUnavailableError',
-		stored: 0,
-	},
-	{
-		name: 'silent connection',
-		arrange(server) {
-			server.silenceConnections();
-		},
-		expected: 'LogUnavailableError',
-		stored: 0,
-	},
+// The number is that of the stored records with the appended id.
+const appendCases: Array<
+	[name: string, arrange: LogArrangement, stored: number]
+> = [
+	['answer lost', answers('answer-lost'), 1],
+	['answer late', answers('answer-late'), 1],
+	['request lost', answers('request-lost'), 0],
+	['outage with answers', fault({outage: 'unavailable'}), 0],
+	['outage without answers', stop, 0],
+	['silent connection', silence, 0],
 ];
 
-for (const {name, faults, arrange, expected, stored} of appendCases) {
-	test(`log adapter: an append with ${name} is ${expected}`, async () => {
+for (const [name, arrange, stored] of appendCases) {
+	test(`log adapter: an append with ${name} is unavailable`, async () => {
 		await withLog(
 			async (log, server) => {
 				await log.append('control', [record('before')]);
 				await setImmediate();
-				server.setFaults(faults ?? {});
-				await arrange?.(server);
+				await arrange(server);
 				const result = await log.append('control', [record('a')]);
-				assert.equal(result._unsafeUnwrapErr().name, expected);
+				assert.equal(result._unsafeUnwrapErr().name, 'LogUnavailableError');
 				const id = 'a' as RecordId;
 				assert.equal(server.store.occurrences('control', id), stored);
-				if (server.faults.outage !== 'none' || name.startsWith('outage')) {
+				if (name.startsWith('outage')) {
 					return;
 				}
 
--- a/test/targets/http-targets.test.ts
+++ b/test/targets/http-targets.test.ts
@@ -105,13 +105,6 @@
 	}
 }
 
-type EngineCase = {
-	readonly name: string;
-	readonly faults?: Record<string, unknown>;
-	readonly act: (engine: HttpEngine) => Promise<TargetError | undefined>;
-	readonly expected: string;
-};
-
 const generate = async (engine: HttpEngine, request = generation()) => {
 	const {error} = await collect(
 		engine.generate(request, new AbortController().signal),
@@ -122,123 +115,66 @@
 const give = (changes: Record<string, unknown>) => async (engine: HttpEngine) =>
 	firstError(engine.order(order(changes)));
 
+const resumeUnknown = async (engine: HttpEngine) => {
+	const {signal} = new AbortController();
+	const {error} = await collect(engine.resume('x' as RequestId, 0, signal));
+	return error;
+};
+
+const giveStaleToken = async (engine: HttpEngine) => {
+	await engine.order(order({action: 'fence'}));
+	return firstError(engine.order(order({token: 4})));
+};
+
+const abortBeforeSending = async (engine: HttpEngine) => {
+	const stream = engine.generate(generation(), AbortSignal.abort());
+	const {error} = await collect(stream);
+	return error;
+};
+
+const generateWith =
+	(content: string, model?: string) => async (engine: HttpEngine) =>
+		generate(engine, generation(content, model));
+
+type EngineFaults = Parameters<EngineServer['setFaults']>[0];
+type EngineCase = [
+	name: string,
+	faults: EngineFaults,
+	act: (engine: HttpEngine) => Promise<TargetError | undefined>,
+	expected: string,
+];
+
+const answerLost = {kind: 'answer-lost', pathPrefix: '/orders'} as const;
+const late = {kind: 'answer-late', delayMilliseconds: 60_000} as const;
+const orderLost: EngineFaults = {orders: [{kind: 'lost'}]};
+
 // Guards against a wrong claim of "not run" and against a loss that hides a refusal.
 const engineCases: EngineCase[] = [
-	{name: 'no fault', act: generate, expected: 'none'},
-	{
-		name: 'leaving',
-		faults: {leaving: true},
-		act: generate,
-		expected: 'refused leaving',
-	},
-	{
-		name: 'busy',
-		faults: {busy: true},
-		act: generate,
-		expected: 'refused busy',
-	},
-	{
-		name: 'model not resident',
-		act: async (engine) => generate(engine, generation('x', 'other')),
-		expected: 'refused not-resident',
-	},
-	{
-		name: 'resume of an unknown request',
-		async act(engine) {
-			const {signal} = new AbortController();
-			const stream = engine.resume('none' as RequestId, 0, signal);
-			const {error} = await collect(stream);
-			return error;
-		},
-		expected: 'refused unknown-request',
-	},
-	{
-		name: 'stale token',
-		async act(engine) {
-			await engine.order(order({action: 'fence'}));
-			return firstError(engine.order(order({token: 4})));
-		},
-		expected: 'refused stale-token',
-	},
-	{
-		name: 'load beyond memory',
-		act: give({bytes: 101}),
-		expected: 'refused insufficient-memory',
-	},
-	{
-		name: 'order lost',
-		faults: {orders: [{kind: 'lost'}]},
-		act: give({}),
-		expected: 'lost closed',
-	},
-	{
-		name: 'answer to an order lost',
-		faults: {answers: [{kind: 'answer-lost', pathPrefix: '/orders'}]},
-		act: give({}),
-		expected: 'lost closed',
-	},
-	{
-		name: 'answer to an order late',
-		faults: {
-			answers: [{kind: 'answer-late', delayMilliseconds: 60_000}],
-		},
-		act: give({}),
-		expected: 'lost timeout',
-	},
-	{
-		name: 'answer without the refusal header',
-		faults: {outage: 'unavailable'},
-		act: generate,
-		expected: 'protocol',
-	},
-	{
-		name: 'connections closed on the request',
-		faults: {outage: 'closed'},
-		act: generate,
-		expected: 'lost closed',
-	},
-	{
-		name: 'stream truncated',
-		faults: {streams: [{kind: 'truncated'}]},
-		act: generate,
-		expected: 'lost closed',
-	},
-	{
-		name: 'stream broken',
-		faults: {streams: [{kind: 'broken'}]},
-		act: generate,
-		expected: 'lost closed',
-	},
-	{
-		name: 'stream garbled',
-		faults: {streams: [{kind: 'garbled'}]},
-		act: generate,
-		expected: 'protocol',
-	},
-	{
-		name: 'crash on a marked text',
-		faults: {crashOnText: 'poison'},
-		act: async (engine) => generate(engine, generation('poison')),
-		expected: 'lost closed',
-	},
-	{
-		name: 'abort before the request is sent',
-		async act(engine) {
-			const {error} = await collect(
-				engine.generate(generation(), AbortSignal.abort()),
-			);
-			return error;
-		},
-		// An aborted request that was never sent did not run.
-		expected: 'unreachable',
-	},
+	['no fault', {}, generate, 'none'],
+	['leaving', {leaving: true}, generate, 'refused leaving'],
+	['busy', {busy: true}, generate, 'refused busy'],
+	['other model', {}, generateWith('', 'other'), 'refused not-resident'],
+	['unknown request', {}, resumeUnknown, 'refused unknown-request'],
+	['stale token', {}, giveStaleToken, 'refused stale-token'],
+	['full memory', {}, give({bytes: 101}), 'refused insufficient-memory'],
+	['order lost', orderLost, give({}), 'lost closed'],
+	['answer to order lost', {answers: [answerLost]}, give({}), 'lost closed'],
+	['answer to order late', {answers: [late]}, give({}), 'lost timeout'],
+	['no refusal header', {outage: 'unavailable'}, generate, 'protocol'],
+	['closed on request', {outage: 'closed'}, generate, 'lost closed'],
+	['truncated', {streams: [{kind: 'truncated'}]}, generate, 'lost closed'],
+	['broken', {streams: [{kind: 'broken'}]}, generate, 'lost closed'],
+	['garbled', {streams: [{kind: 'garbled'}]}, generate, 'protocol'],
+	['crash', {crashOnText: 'poison'}, generateWith('poison'), 'lost closed'],
+	// An aborted request that was never sent did not run.
+	['abort before sending', {}, abortBeforeSending, 'unreachable'],
 ];
 
-for (const {name, faults, act, expected} of engineCases) {
+for (const [name, faults, act, expected] of engineCases) {
 	test(`engine adapter: ${name} is ${expected}`, async () => {
 		await withEngine(
 			async (server, engine) => {
-				server.setFaults(faults ?? {});
+				server.setFaults(faults);
 				const error = await act(engine);
 				assert.equal(describeError(error), expected);
 				const execution = /unreachable|refused/.test(expected)
@@ -339,88 +275,47 @@
 	timeoutMilliseconds: 10_000,
 };
 
+type ServiceFaults = Parameters<ServiceServer['setFaults']>[0];
 type ServiceCase = {
-	readonly name: string;
-	readonly faults?: Record<string, unknown>;
+	readonly faults?: ServiceFaults;
 	/** Runs after a first call that leaves an idle connection behind. */
 	readonly arrange?: (server: ServiceServer) => void | Promise<void>;
-	readonly request?: Partial<ServiceRequest>;
+	readonly newConnection?: boolean;
 	readonly address?: () => string;
-	readonly expected: string;
-	readonly executions: number;
 };
 
+const silence = (server: ServiceServer) => {
+	server.silenceConnections();
+};
+
+const stop = async (server: ServiceServer) => server.dispose();
+const address = () => fullListener.address;
+const serviceFault = (kind: 'answer-lost' | 'request-lost'): ServiceCase => ({
+	faults: {answers: [{kind, pathPrefix: '/bookings'}]},
+});
+
 // Guards against a second execution and against "not run" after an execution.
-const serviceCases: ServiceCase[] = [
-	{name: 'no fault', expected: 'none', executions: 1},
-	{
-		name: 'answer lost',
-		faults: {answers: [{kind: 'answer-lost', pathPrefix: '/bookings'}]},
-		expected: 'lost closed',
-		executions: 1,
-	},
-	{
-		name: 'request lost',
-		faults: {answers: [{kind: 'request-lost', pathPrefix: '/bookings'}]},
-		expected: 'lost closed',
-		executions: 0,
-	},
-	{
-		name: 'answer late',
-		faults: {answers: [{kind: 'answer-late', delayMilliseconds: 60_000}]},
-		expected: 'lost timeout',
-		executions: 1,
-	},
-	{
-		name: 'leaving',
-		faults: {leaving: true},
-		expected: 'refused leaving',
-		executions: 0,
-	},
-	{
-		name: 'outage',
-		arrange: async (server) => server.dispose(),
-		expected: 'unreachable',
-		executions: 0,
-	},
-	{
-		name: 'silent connection',
-		arrange(server) {
-			server.silenceConnections();
-		},
-		expected: 'lost timeout',
-		executions: 0,
-	},
-	{
-		name: 'silent connection and a new one',
-		arrange(server) {
-			server.silenceConnections();
-		},
-		request: {newConnection: true},
-		expected: 'none',
-		executions: 1,
-	},
-	{
-		name: 'connect timeout',
-		address: () => fullListener.address,
-		expected: 'unreachable',
-		executions: 0,
-	},
-	{
-		name: 'connect timeout of a new connection',
-		address: () => fullListener.address,
-		request: {newConnection: true},
-		expected: 'unreachable',
-		executions: 0,
-	},
+const serviceCases: Array<
+	[name: string, row: ServiceCase, expected: string, executions: number]
+> = [
+	['no fault', {}, 'none', 1],
+	['answer lost', serviceFault('answer-lost'), 'lost closed', 1],
+	['request lost', serviceFault('request-lost'), 'lost closed', 0],
+	['answer late', {faults: {answers: [late]}}, 'lost timeout', 1],
+	['leaving', {faults: {leaving: true}}, 'refused leaving', 0],
+	['outage', {arrange: stop}, 'unreachable', 0],
+	['silent', {arrange: silence}, 'lost timeout', 0],
+	['silent, then new', {arrange: silence, newConnection: true}, 'none', 1],
+	['connect timeout', {address}, 'unreachable', 0],
+	['new connect timeout', {address, newConnection: true}, 'unreachable', 0],
 ];
 
-for (const row of serviceCases) {
-	test(`service adapter: ${row.name} is ${row.expected}`, async (t) => {
+for (const [name, row, expected, executions] of serviceCases) {
+	test(`service adapter: ${name} is ${expected}`, async (t) => {
 		const server = new ServiceServer();
-		const {address} = await server.start();
+		const started = await server.start();
 		const service = new HttpPlainService({
-			address: row.address?.() ?? address,
+			address: row.address?.() ?? started.address,
 			connectTimeoutMilliseconds: row.address ? 200 : 5000,
 		});
 		t.after(async () => {
@@ -440,14 +335,18 @@
 
 		server.setFaults(row.faults ?? {});
 		await row.arrange?.(server);
-		const timeoutMilliseconds = row.expected === 'lost timeout' ? 400 : 10_000;
+		const timeoutMilliseconds = expected === 'lost timeout' ? 400 : 10_000;
 		const result = await service.call(
-			{...booking, ...row.request, timeoutMilliseconds},
+			{
+				...booking,
+				newConnection: row.newConnection,
+				timeoutMilliseconds,
+			},
 			signal,
 		);
 		const error = result.isErr() ? result.error : undefined;
-		assert.equal(describeError(error), row.expected);
-		assert.equal(server.executions.get('crate-7') ?? 0, row.executions);
+		assert.equal(describeError(error), expected);
+		assert.equal(server.executions.get('crate-7') ?? 0, executions);
 		if (result.isOk()) {
 			assert.equal(result.value.status, 201);
 		}
--- a/test/targets/stream-assembler.test.ts
+++ b/test/targets/stream-assembler.test.ts
@@ -12,23 +12,12 @@
 const own = 'own' as RequestId;
 const foreign = 'foreign' as RequestId;
 
-/** A disturbance of a stream, applied at a position that is taken modulo its length. */
-const disturbance = fc.record({
-	kind: fc.constantFrom(
-		'lose',
-		'duplicate',
-		'swap',
-		'foreign-token',
-		'foreign-end',
-		'truncate',
-		'wrong-count',
-		'cancel',
-		'corrupt',
-	),
-	position: fc.nat(200),
-});
-
 type Disturbance = {readonly kind: string; readonly position: number};
+type Disturb = (
+	events: GenerationEvent[],
+	at: number,
+	position: number,
+) => unknown;
 
 function token(sequence: number, text: string, requestId = own) {
 	return {kind: 'token', requestId, sequence, text} as const;
@@ -52,62 +41,32 @@
 	return [...tokens, end(answer.length)];
 }
 
-function disturb(
-	events: GenerationEvent[],
-	{kind, position}: Disturbance,
-): void {
-	const at = position % (events.length + 1);
-	const event = events[at];
-	switch (kind) {
-		case 'lose': {
-			events.splice(at, 1);
-			break;
-		}
-
-		case 'duplicate': {
-			events.splice(at, 0, ...events.slice(position % 3, at));
-			break;
-		}
-
-		case 'swap': {
-			events.splice(at, 2, ...events.slice(at, at + 2).reverse());
-			break;
-		}
-
-		case 'foreign-token': {
-			events.splice(at, 0, token(at, 'FOREIGN', foreign));
-			break;
-		}
-
-		case 'foreign-end': {
-			events.splice(at, 0, end(at, 'stop', foreign));
-			break;
+const disturb: Record<string, Disturb> = {
+	lose: (events, at) => events.splice(at, 1),
+	duplicate: (events, at, position) =>
+		events.splice(at, 0, ...events.slice(position % 3, at)),
+	swap: (events, at) =>
+		events.splice(at, 2, ...events.slice(at, at + 2).reverse()),
+	foreignToken: (events, at) =>
+		events.splice(at, 0, token(at, 'FOREIGN', foreign)),
+	foreignEnd: (events, at) => events.splice(at, 0, end(at, 'stop', foreign)),
+	truncate: (events, at) => events.splice(at),
+	wrongCount: (events, at, position) => events.splice(at, 0, end(position)),
+	cancel: (events, at) => events.splice(at, 0, end(at, 'cancelled')),
+	/** Sends a token that was sent before again with another text. */
+	corrupt(events, at) {
+		const earlier = events.slice(0, at).find(({kind}) => kind === 'token');
+		if (earlier?.kind === 'token' && earlier.requestId === own) {
+			events.splice(at, 0, token(earlier.sequence, 'CORRUPT'));
 		}
+	},
+};
 
-		case 'truncate': {
-			events.length = Math.min(events.length, at);
-			break;
-		}
-
-		case 'cancel': {
-			events.splice(at, 0, end(at, 'cancelled'));
-			break;
-		}
-
-		case 'wrong-count': {
-			events.splice(at, 0, end(position));
-			break;
-		}
-
-		default: {
-			// A token that was sent before comes again with another text.
-			const earlier = events.slice(0, at).find(({kind}) => kind === 'token');
-			if (event && earlier?.kind === 'token' && earlier.requestId === own) {
-				events.splice(at, 0, token(earlier.sequence, 'CORRUPT'));
-			}
-		}
-	}
-}
+/** A disturbance of a stream, applied at a position that is taken modulo its length. */
+const disturbance = fc.record({
+	kind: fc.constantFrom(...Object.keys(disturb)),
+	position: fc.nat(200),
+});
 
 /** Runs attempts as a session does, and returns the answer or undefined for an error. */
 function run(
@@ -120,13 +79,12 @@
 		const events = trueStream(answer, assembler.nextSequence);
 		// A corrupt repeat comes after the true token. Without the true token before it nothing in
 		// the protocol tells the two apart.
-		const isCorrupt = ({kind}: Disturbance) => kind === 'corrupt';
-		for (const item of disturbances.filter((other) => !isCorrupt(other))) {
-			disturb(events, item);
-		}
-
-		for (const item of disturbances.filter(isCorrupt)) {
-			disturb(events, item);
+		const ordered = [...disturbances].sort(
+			(left, right) =>
+				Number(left.kind === 'corrupt') - Number(right.kind === 'corrupt'),
+		);
+		for (const {kind, position} of ordered) {
+			disturb[kind]!(events, position % (events.length + 1), position);
 		}
 
 		for (const event of events) {
@@ -170,7 +128,7 @@
 				const plausible = attempts.map((items) =>
 					items.filter(
 						({kind, position}) =>
-							kind !== 'wrong-count' || position >= answer.length,
+							kind !== 'wrongCount' || position >= answer.length,
 					),
 				);
 				const result = run(
