--- a/src/stand-ins/engine-server.ts
+++ b/src/stand-ins/engine-server.ts
@@ -1,14 +1,11 @@
-import {type ServerResponse} from 'node:http';
 import {RESPONSE_ALREADY_SENT} from '@hono/node-server/utils/response';
 import {request as httpRequest} from 'undici';
 import {z} from 'zod';
 import {
 	engineOrderSchema,
 	generationRequestSchema,
-	targetReportSchema,
 	type EngineOrder,
 	type EngineRole,
-	type GenerationEvent,
 	type TargetReport,
 } from '../contracts/engine.js';
 import {
@@ -21,65 +18,12 @@
 } from '../contracts/ids.js';
 import {promptPrefixes} from '../contracts/prompt-prefix.js';
 import {type RefusalReason} from '../contracts/target-error.js';
+import {engineFaultsSchema, type EngineFaults} from './engine-faults.js';
 import {EngineMemory} from './engine-memory.js';
+import {EventWriter} from './event-writer.js';
 import {GenerationRun} from './generation-run.js';
 import {PrefixCache} from './prefix-cache.js';
-import {
-	StandInServer,
-	standInFaultsSchema,
-	type StandInContext,
-} from './stand-in-server.js';
-
-/** A fault of one event stream. */
-export const streamFaultSchema = z.object({
-	/**
-	 * `truncated` ends the answer without an end marker, `broken` resets the connection,
-	 * `stalled` sends nothing more, `crossed` inserts an event of another request,
-	 * `duplicate` and `missing` repeat and skip a token, `wrong-count` falsifies the end marker,
-	 * `garbled` inserts a line that is not an event.
-	 */
-	kind: z.enum([
-		'truncated',
-		'broken',
-		'stalled',
-		'crossed',
-		'duplicate',
-		'missing',
-		'wrong-count',
-		'garbled',
-	]),
-	/** Events of the stream that pass before the fault. */
-	afterEvents: z.number().int().nonnegative().default(2),
-	/** Number of streams that still meet the fault. */
-	remaining: z.number().int().nonnegative().default(1),
-});
-export type StreamFault = z.infer<typeof streamFaultSchema>;
-
-/** A fault of orders. */
-export const orderFaultSchema = z.object({
-	/** `lost` drops the order, `delayed` applies it after a time, both without an answer. */
-	kind: z.enum(['lost', 'delayed']),
-	/** Number of orders that still meet the fault. */
-	remaining: z.number().int().nonnegative().default(1),
-	delayMilliseconds: z.number().nonnegative().default(0),
-});
-export type OrderFault = z.infer<typeof orderFaultSchema>;
-
-/** Faults of an engine. */
-export const engineFaultsSchema = standInFaultsSchema.extend({
-	leaving: z.boolean().default(false),
-	/** Refuses new generations as busy. */
-	busy: z.boolean().default(false),
-	streams: z.array(streamFaultSchema).default([]),
-	orders: z.array(orderFaultSchema).default([]),
-	/** Answers the report as it was when the fault was switched on. */
-	reportFrozen: z.boolean().default(false),
-	/** Fields that replace those of the true report. */
-	reportOverrides: targetReportSchema.partial().default({}),
-	/** Loses each cache event whose sequence is a multiple of this number. Zero loses none. */
-	cacheEventGap: z.number().int().nonnegative().default(0),
-});
-export type EngineFaults = z.infer<typeof engineFaultsSchema>;
+import {StandInServer, type StandInContext} from './stand-in-server.js';
 
 /** Settings of the engine stand-in. */
 export type EngineServerOptions = {
@@ -691,103 +635,3 @@
 		});
 	}
 }
-
-/** Writes the events of one stream and shows the faults of the stream. */
-class EventWriter {
-	private written = 0;
-	private stopped = false;
-
-	constructor(
-		private readonly outgoing: ServerResponse,
-		private readonly fault: StreamFault | undefined,
-	) {}
-
-	write(event: GenerationEvent): void {
-		if (this.stopped) {
-			return;
-		}
-
-		const isFaulty = this.fault?.afterEvents === this.written;
-		this.written++;
-		if (isFaulty && this.fault) {
-			this.writeFaulty(event, this.fault.kind);
-			return;
-		}
-
-		if (this.fault?.kind === 'wrong-count' && event.kind === 'end') {
-			this.send({...event, tokens: event.tokens + 1});
-			return;
-		}
-
-		this.send(event);
-	}
-
-	private writeFaulty(event: GenerationEvent, kind: StreamFault['kind']): void {
-		switch (kind) {
-			case 'truncated': {
-				this.stopped = true;
-				this.outgoing.end();
-				return;
-			}
-
-			case 'broken': {
-				this.stopped = true;
-				this.outgoing.socket?.resetAndDestroy();
-				return;
-			}
-
-			case 'stalled': {
-				this.stopped = true;
-				return;
-			}
-
-			case 'crossed': {
-				this.send({
-					kind: 'token',
-					requestId: 'foreign-request' as RequestId,
-					sequence: event.kind === 'token' ? event.sequence : 0,
-					text: 'FOREIGN ',
-				});
-				this.send(event);
-				return;
-			}
-
-			case 'duplicate': {
-				if (event.kind === 'token') {
-					this.send(event);
-				}
-
-				this.send(event);
-				return;
-			}
-
-			case 'missing': {
-				if (event.kind === 'end') {
-					this.send(event);
-				}
-
-				return;
-			}
-
-			case 'garbled': {
-				this.outgoing.write('{"kind":"tok\n');
-				this.send(event);
-				return;
-			}
-
-			case 'wrong-count': {
-				this.send(
-					event.kind === 'end' ? {...event, tokens: event.tokens + 1} : event,
-				);
-			}
-		}
-	}
-
-	private send(event: GenerationEvent): void {
-		this.outgoing.write(`${JSON.stringify(event)}\n`);
-		if (event.kind === 'end') {
-			this.stopped = true;
-			this.outgoing.end();
-		}
-	}
-}
