--- a/src/services/generation-session.ts
+++ b/src/services/generation-session.ts
@@ -3,6 +3,7 @@
 	SilentEventLogger,
 	type EventLogger,
 } from '../base/common/event-logger.js';
+import {ExpiryTimer} from '../base/node/expiry-timer.js';
 import {targetEvents} from '../contracts/events/target-events.js';
 import {type Execution} from '../contracts/execution.js';
 import {
@@ -87,6 +88,9 @@
 	readonly logger?: EventLogger;
 };
 
+// Without a reason each abort creates an exception with a stack trace.
+const streamEnded = 'the stream is no longer read';
+
 type StreamOutcome =
 	| {readonly kind: 'completed'; readonly reason: 'stop' | 'length'}
 	| {
@@ -162,7 +166,7 @@
 	> {
 		const controller = new AbortController();
 		const abort = () => {
-			controller.abort();
+			controller.abort(streamEnded);
 		};
 
 		signal.addEventListener('abort', abort, {once: true});
@@ -170,12 +174,16 @@
 			abort();
 		}
 
-		const watch = new ProgressWatch(abort);
+		let hasExpired = false;
+		const watch = new ExpiryTimer(() => {
+			hasExpired = true;
+			abort();
+		});
 		try {
 			watch.start(this.progressLimit());
 			for await (const event of this.openStream(controller.signal)) {
 				if (event.isErr()) {
-					return watch.hasExpired
+					return hasExpired
 						? this.expired()
 						: this.toOutcome(event.error, signal);
 				}
@@ -200,7 +208,7 @@
 			watch.stop();
 			signal.removeEventListener('abort', abort);
 			// The stream is complete or no longer wanted; aborting a complete one has no effect.
-			controller.abort();
+			controller.abort(streamEnded);
 		}
 	}
 
@@ -374,22 +382,3 @@
 		this.logger.record(targetEvents[event], {requestId, ...fields});
 	}
 }
-
-/** Calls back when no progress was made for a time. */
-class ProgressWatch {
-	hasExpired = false;
-	private timer: NodeJS.Timeout | undefined;
-
-	constructor(private readonly callback: () => void) {}
-
-	start(milliseconds: number): void {
-		this.timer = setTimeout(() => {
-			this.hasExpired = true;
-			this.callback();
-		}, milliseconds);
-	}
-
-	stop(): void {
-		clearTimeout(this.timer);
-	}
-}
