--- a/src/program/main.ts
+++ b/src/program/main.ts
@@ -1,16 +1,11 @@
 import process from 'node:process';
-import {Command} from 'commander';
-import {programVersion} from './version.js';
+import {makeCommandLine, runCommandLine} from './command-line.js';
+import {type RunHost} from './host-commands.js';
 
-const command = new Command('daisylever').description(
-	'Serves many models on fewer accelerators.',
-);
+// Loaded on demand, so that the operators' commands start without the serving path.
+const runHost: RunHost = async (settings) => {
+	const module = await import('./run-host.js');
+	return module.runHost(settings);
+};
 
-command
-	.command('version')
-	.description('Print the version.')
-	.action(() => {
-		process.stdout.write(`${programVersion}\n`);
-	});
-
-void command.parseAsync(process.argv);
+void runCommandLine(makeCommandLine(runHost), process.argv);
