Skip the queue when no target has room

Cause: under overload every message asked for a target for every lane of the queue, although the pool was full.

Ruled out: remembering failed lanes between messages (reports and progress change the answer). One look at the targets per message is enough.

--- a/src/services/dispatcher.ts
+++ b/src/services/dispatcher.ts
@@ -504,17 +504,27 @@
 	}
 
 	private bindWaiting(): void {
-		let bound = this.queue.take((work, isAged) =>
-			this.findTarget(work, isAged),
-		);
+		let bound = this.takeNext();
 		while (bound) {
 			this.dispatch(bound);
-			bound = this.queue.take((work, isAged) => this.findTarget(work, isAged));
+			bound = this.takeNext();
 		}
 
 		this.refuseDropped(this.queue.drainHopeless());
 	}
 
+	private takeNext(): BoundWork<DispatchWork> | undefined {
+		// A full pool is the usual state under overload; without this check each message would ask for every lane of the queue.
+		if (
+			this.queue.size === 0 ||
+			!this.view.loads().some((load) => this.slots.hasRoom(load, false))
+		) {
+			return undefined;
+		}
+
+		return this.queue.take((work, isAged) => this.findTarget(work, isAged));
+	}
+
 	private dispatch(bound: BoundWork<DispatchWork>): void {
 		const {work, target, byAge, waitedMilliseconds} = bound;
 		const tracked = this.tracked.get(work.request);
