--- a/src/services/dispatch/dispatcher.ts
+++ b/src/services/dispatch/dispatcher.ts
@@ -375,12 +375,14 @@
 			case 'target-set': {
 				this.view.setTarget(message.target, message.slots);
 				this.outliers.addTarget(message.target);
+				this.slots.setTarget(message.target, message.slots);
 				break;
 			}
 
 			case 'target-removed': {
 				this.view.removeTarget(message.target);
 				this.outliers.removeTarget(message.target);
+				this.slots.removeTarget(message.target);
 				this.affinity.removeTarget(message.target);
 				break;
 			}
@@ -505,17 +507,27 @@
 	}
 
 	private bindWaiting(): void {
-		let bound = this.queue.take((work, isAged) =>
-			this.findTarget(work, isAged),
-		);
+		let bound = this.takeNext();
 		while (bound) {
 			this.dispatch(bound);
-			bound = this.queue.take((work, isAged) => this.findTarget(work, isAged));
+			bound = this.takeNext();
 		}
 
 		this.refuseDropped(this.queue.drainHopeless());
 	}
 
+	private takeNext(): BoundWork<DispatchWork> | undefined {
+		// A full pool is the usual state under overload; without this check each message would ask for every lane of the queue.
+		if (
+			this.queue.size === 0 ||
+			!this.view.loads().some((load) => this.slots.hasRoom(load, false))
+		) {
+			return undefined;
+		}
+
+		return this.queue.take((work, isAged) => this.findTarget(work, isAged));
+	}
+
 	private dispatch(bound: BoundWork<DispatchWork>): void {
 		const {work, target, byAge, waitedMilliseconds} = bound;
 		const tracked = this.tracked.get(work.request);
