--- a/src/core/placement-planner.ts
+++ b/src/core/placement-planner.ts
@@ -41,6 +41,7 @@
 	plan(input: PlacementInput): Placement {
 		const workspace = new PlacementWorkspace(input);
 		workspace.removeObsolete(false);
+		this.makeRefuges(workspace);
 		this.placeModels(workspace, () => 1, 'the model has no copy');
 		this.placeAdapters(workspace);
 		this.placeModels(
@@ -60,8 +61,9 @@
 		workspace: PlacementWorkspace,
 		state: ModelState,
 		reason: string,
+		isReserving = true,
 	): boolean {
-		const target = bestTarget(workspace, state);
+		const target = bestTarget(workspace, state, isReserving);
 		if (!target) {
 			return false;
 		}
@@ -73,6 +75,28 @@
 	/** Gives spare memory to demand. */
 	protected abstract serveDemand(workspace: PlacementWorkspace): void;
 
+	/** Frees room for the adapters that keep an old version of their model in memory. */
+	private makeRefuges(workspace: PlacementWorkspace): void {
+		for (const state of workspace.models) {
+			for (const target of state.obsolete.keys()) {
+				const bytes = workspace.strandedBytes(target, state);
+				if (bytes === 0 || workspace.canRemoveModel(target, state)) {
+					continue;
+				}
+
+				const room: Artifact = {...state.artifact, kind: 'adapter', bytes};
+				[...state.holders].some(
+					(other) =>
+						other !== target &&
+						state.replicas.has(other) &&
+						freeFor(workspace, other, room, {keep: state, floor: () => 1}),
+				);
+			}
+		}
+
+		workspace.removeObsolete(false);
+	}
+
 	private placeModels(
 		workspace: PlacementWorkspace,
 		minimum: Floor,
@@ -91,6 +115,15 @@
 				const target =
 					workspace.makeRoomForVersion(state) ??
 					makeRoom(workspace, state, minimum);
+				// A model without its adapters is better than no model.
+				if (
+					!target &&
+					state.holders.size === 0 &&
+					this.addReplica(workspace, state, reason, false)
+				) {
+					continue;
+				}
+
 				if (!target) {
 					workspace.giveUp(
 						state.artifact,
@@ -305,6 +338,31 @@
 	return demand / (replicas.size * Math.max(1, replicas.size - 1));
 }
 
+/** Adapters that have no copy beside the current version of the model, in bytes. */
+function unservedAdapterBytes(state: ModelState): number {
+	let bytes = 0;
+	for (const {artifact, replicas} of state.adapters) {
+		let isServed = false;
+		for (const replica of replicas) {
+			isServed ||= state.replicas.has(replica);
+		}
+
+		bytes += isServed ? 0 : artifact.bytes;
+	}
+
+	return bytes;
+}
+
+/** Free bytes without those that adapters of the models on the target will need. */
+function spareBytes(target: WorkspaceTarget): number {
+	let bytes = freeBytes(target);
+	for (const state of target.models) {
+		bytes -= unservedAdapterBytes(state);
+	}
+
+	return bytes;
+}
+
 function freeBytes(target: WorkspaceTarget): number {
 	return target.memoryBytes - target.usedBytes;
 }
@@ -318,12 +376,14 @@
 function bestTarget(
 	workspace: PlacementWorkspace,
 	state: ModelState,
+	isReserving = true,
 ): WorkspaceTarget | undefined {
 	const domains = new Set(
 		[...state.replicas].map(({failureDomain}) => failureDomain),
 	);
 	let best: WorkspaceTarget | undefined;
 	let bestScore = Number.POSITIVE_INFINITY;
+	const reserve = isReserving ? unservedAdapterBytes(state) : 0;
 	for (const target of workspace.targets) {
 		if (state.replicas.has(target) || !workspace.fits(target, state.artifact)) {
 			continue;
@@ -337,7 +397,13 @@
 			(state.obsolete.has(target) ? 0 : 0.001) +
 			target.load -
 			0.01 * (freeBytes(target) / Math.max(1, target.memoryBytes));
-		if (score < bestScore) {
+		const additional = target.content.has(state.artifact.key)
+			? 0
+			: state.artifact.bytes;
+		if (
+			score < bestScore &&
+			(!isReserving || spareBytes(target) >= additional + reserve)
+		) {
 			best = target;
 			bestScore = score;
 		}
@@ -370,35 +436,32 @@
 function freeFor(
 	workspace: PlacementWorkspace,
 	target: WorkspaceTarget,
-	artifact: Artifact,
+	{key, kind, bytes}: Artifact,
 	options: {readonly keep: ModelState; readonly floor: Floor},
 ): boolean {
+	const spare = kind === 'model' ? spareBytes : freeBytes;
 	const candidates = removable(workspace, target, options);
-	let available = freeBytes(target);
+	let available = spare(target);
 	for (const candidate of candidates) {
 		available += candidate.artifact.bytes;
 	}
 
-	if (available < artifact.bytes) {
+	if (available < bytes) {
 		return false;
 	}
 
 	for (const candidate of candidates) {
-		if (workspace.fits(target, artifact)) {
+		if (spare(target) >= bytes) {
 			break;
 		}
 
 		// An earlier removal can have taken the room that this one's adapters needed.
 		if (workspace.canRemoveModel(target, candidate)) {
-			workspace.removeModel(
-				target,
-				candidate,
-				`room for ${artifact.key} is needed`,
-			);
+			workspace.removeModel(target, candidate, `room for ${key} is needed`);
 		}
 	}
 
-	return workspace.fits(target, artifact);
+	return spare(target) >= bytes;
 }
 
 /** Frees room for a copy on the target where the removed copies are worth the least, up to a limit. */
@@ -409,16 +472,17 @@
 	limit = Number.POSITIVE_INFINITY,
 ): WorkspaceTarget | undefined {
 	const options = {keep: state, floor};
+	const bytes = state.artifact.bytes + unservedAdapterBytes(state);
 	const choices: Array<{target: WorkspaceTarget; loss: number}> = [];
 	for (const target of workspace.targets) {
 		if (state.replicas.has(target)) {
 			continue;
 		}
 
-		let available = freeBytes(target);
+		let available = spareBytes(target);
 		let loss = 0;
 		for (const candidate of removable(workspace, target, options)) {
-			if (available >= state.artifact.bytes) {
+			if (available >= bytes) {
 				break;
 			}
 
@@ -426,7 +490,7 @@
 			loss += lossOfCopy(candidate);
 		}
 
-		if (available >= state.artifact.bytes && loss <= limit) {
+		if (available >= bytes && loss <= limit) {
 			choices.push({target, loss});
 		}
 	}
@@ -436,7 +500,7 @@
 			left.loss - right.loss || left.target.load - right.target.load,
 	);
 	for (const {target} of choices.slice(0, 4)) {
-		if (freeFor(workspace, target, state.artifact, options)) {
+		if (freeFor(workspace, target, {...state.artifact, bytes}, options)) {
 			return target;
 		}
 	}
--- a/src/core/placement-workspace.ts
+++ b/src/core/placement-workspace.ts
@@ -185,6 +185,16 @@
 		);
 	}
 
+	/** Bytes of the adapters that no other target could serve without the model on this one. */
+	strandedBytes(target: WorkspaceTarget, state: ModelState): number {
+		let bytes = 0;
+		for (const {artifact} of this.strandedAdapters(target, state)) {
+			bytes += artifact.bytes;
+		}
+
+		return bytes;
+	}
+
 	/** Removes the current version of a model with its adapters. Returns the bytes freed. */
 	removeModel(
 		target: WorkspaceTarget,
@@ -225,7 +235,7 @@
 
 			if (
 				state.replicas.has(target) ||
-				available < state.artifact.bytes ||
+				available < state.artifact.bytes + this.strandedBytes(target, state) ||
 				!this.canRemoveModel(target, state)
 			) {
 				continue;
@@ -353,11 +363,7 @@
 		target: WorkspaceTarget,
 		state: ModelState,
 	): WorkspaceTarget | undefined {
-		let bytes = 0;
-		for (const adapter of this.strandedAdapters(target, state)) {
-			bytes += adapter.artifact.bytes;
-		}
-
+		const bytes = this.strandedBytes(target, state);
 		for (const other of state.holders) {
 			if (other !== target && other.usedBytes + bytes <= other.memoryBytes) {
 				return other;
@@ -477,9 +483,12 @@
 					target.usedBytes += bytes;
 				}
 
-				if (!state) {
+				// An old version that is not in memory can never be loaded again.
+				const isLostVersion =
+					heldBytes === undefined && key !== state?.artifact.key;
+				if (!state || isLostVersion) {
 					const kind = key.startsWith('model/') ? 'model' : 'adapter';
-					unknown.push({key, kind, bytes: heldBytes ?? 0});
+					unknown.push({key, kind, bytes: target.content.get(key) ?? 0});
 					continue;
 				}
 
