Keep a ledger as long as its token and let a replaced owner record nothing

Cause, found in review: a lease that was doubtful for a moment came back with the same token and got fresh ledgers, but a fence with that token does not void the lost orders before it. And an owner in the middle of a step could record intents under the token of its successor, computed from its own ledger.

Change: ledgers are discarded only when the token changes, and an owner acts only while its ledger's token is held. Ruled out: claiming again after each doubtful moment, which costs a record during log outages.

The first fault has a test; the second has none, because the stand-in log of the tests answers at once. 17 placement tests pass.

--- a/src/services/group-owner.ts
+++ b/src/services/group-owner.ts
@@ -46,7 +46,10 @@
 	readonly reclaimMilliseconds?: number;
 };
 
-/** Brings the targets of a pool in a failure domain to the plan while this host holds the group lease. */
+/**
+ * Brings the targets of a pool in a failure domain to the plan while this host holds the group lease.
+ * A process has one owner for each group: a second one would not know the orders under the same token.
+ */
 export class GroupOwner {
 	/** A report of a target of the group arrived. */
 	readonly reportReceived = new TypedEvent<TargetReport>();
@@ -77,21 +80,18 @@
 	/** One pass over all targets. A target that still works on an earlier pass is left alone. */
 	async step(): Promise<void> {
 		const token = this.options.lease.token();
-		if (token === undefined || token !== this.token) {
-			// Another host may have held the lease in between, so nothing known before counts.
+		if (token !== undefined && token !== this.token) {
+			// Another host may have held the lease in between, so nothing known before counts. Under an
+			// unchanged token the ledgers stay, because a fence with that token voids no lost order.
 			this.discardOwners();
 			this.token = token;
 		}
 
 		const group = this.options.view.group();
-		if (token !== undefined && group) {
-			this.updateOwners(group);
-		} else {
-			this.discardOwners();
-		}
-
+		const present =
+			token !== undefined && group ? this.updateOwners(group) : [];
 		await Promise.all([
-			...[...this.owners.values()].map(async (owner) => owner.step()),
+			...present.map(async (owner) => owner.step()),
 			this.settleClosed(group),
 		]);
 		await this.reclaim();
@@ -104,49 +104,61 @@
 		this.discardOwners();
 	}
 
-	private updateOwners(group: GroupDefinition): void {
-		const {clock, lease, view, engineOf} = this.options;
+	/** Returns the owners of the targets that the document names. The others keep their ledgers. */
+	private updateOwners(group: GroupDefinition): TargetOwner[] {
+		const {clock} = this.options;
 		this.pacer ??= new LoadPacer(group.limits, group.share, clock.monotonic());
 		this.pacer.configure(group.limits, group.share);
-		const present = new Set(group.targets.map(({id}) => id));
-		for (const [id, owner] of this.owners) {
-			if (!present.has(id)) {
-				owner.release();
-				this.owners.delete(id);
-			}
-		}
-
+		const present: TargetOwner[] = [];
 		for (const definition of group.targets) {
 			const {id: target, memoryBytes} = definition;
-			const known = this.owners.get(target);
+			let owner = this.owners.get(target);
 			const Ledger = group.honoursFencing
 				? FencedOrderLedger
 				: RecordedOrderLedger;
-			if (known?.ledger instanceof Ledger) {
-				known.ledger.resize(memoryBytes);
-				continue;
+			if (!(owner?.ledger instanceof Ledger)) {
+				owner?.release();
+				owner = this.createOwner(
+					definition,
+					new Ledger({target, memoryBytes}),
+					this.pacer,
+				);
+				this.owners.set(target, owner);
 			}
 
-			known?.release();
-			this.owners.set(
-				target,
-				new TargetOwner({
-					...this.options,
-					target,
-					engine: engineOf(definition),
-					ledger: new Ledger({target, memoryBytes}),
-					lease,
-					view,
-					pacer: this.pacer,
-					onReport: (report) => {
-						this.reportReceived.publish(report);
-					},
-					onClosed: (orderId, outcome) => {
-						this.closedOrders.set(orderId, outcome);
-					},
-				}),
-			);
+			owner.ledger.resize(memoryBytes);
+			present.push(owner);
 		}
+
+		return present;
+	}
+
+	private createOwner(
+		definition: TargetDefinition,
+		ledger: FencedOrderLedger | RecordedOrderLedger,
+		pacer: LoadPacer,
+	): TargetOwner {
+		const target = definition.id;
+		const owner: TargetOwner = new TargetOwner({
+			...this.options,
+			target,
+			// A replaced owner can still be in the middle of a step and must record nothing more.
+			token: () =>
+				this.options.lease.token() === this.token &&
+				this.owners.get(target) === owner
+					? this.token
+					: undefined,
+			engine: this.options.engineOf(definition),
+			ledger,
+			pacer,
+			onReport: (report) => {
+				this.reportReceived.publish(report);
+			},
+			onClosed: (orderId, outcome) => {
+				this.closedOrders.set(orderId, outcome);
+			},
+		});
+		return owner;
 	}
 
 	private discardOwners(): void {
--- a/src/services/target-owner.ts
+++ b/src/services/target-owner.ts
@@ -86,6 +86,8 @@
 	readonly engine: Engine;
 	readonly ledger: FencedOrderLedger | RecordedOrderLedger;
 	readonly lease: GroupLease;
+	/** The token that the ledger was made for, while it is held. An owner that was replaced gets none. */
+	readonly token: () => FencingToken | undefined;
 	readonly view: TargetPlanView;
 	readonly pacer: LoadPacer;
 	readonly onReport: (report: TargetReport) => void;
@@ -250,7 +252,7 @@
 			return true;
 		}
 
-		const held = lease.token();
+		const held = this.options.token();
 		if (held === undefined) {
 			return false;
 		}
@@ -421,7 +423,7 @@
 			return true;
 		}
 
-		const token = lease.token();
+		const token = this.options.token();
 		const intents = orders.flatMap(
 			({orderId}) => ledger.intentOf(orderId) ?? [],
 		);
@@ -462,7 +464,7 @@
 
 	private async send(order: EngineOrder): Promise<void> {
 		const {ledger, lease, engine} = this.options;
-		if (lease.token() === undefined) {
+		if (this.options.token() === undefined) {
 			this.close(order, 'not-sent');
 			return;
 		}
--- a/test/placement/group-owner.test.ts
+++ b/test/placement/group-owner.test.ts
@@ -194,6 +194,7 @@
 	readonly owner: GroupOwner;
 	readonly task: PlacementTask;
 	isLogDown = false;
+	isLeaseDoubtful = false;
 	readonly lease = groupLeaseName(poolName, domain);
 	private offset = 0;
 	private orderCount = 0;
@@ -341,7 +342,9 @@
 	}
 
 	token(): FencingToken | undefined {
-		return this.fleet.control.leases.get(this.name)?.token;
+		return this.fleet.isLeaseDoubtful
+			? undefined
+			: this.fleet.control.leases.get(this.name)?.token;
 	}
 
 	isConfirmed(): boolean {
@@ -540,3 +543,18 @@
 		assert.equal(fleet.missing().length === 0, honoursFencing);
 	}
 });
+
+// Guards against a fresh ledger that forgets a lost order which a fence with the same token does not void.
+test('a ledger outlives a doubtful lease and ends with its token', async () => {
+	const fleet = await startedFleet(true);
+	const target = 't1' as TargetId;
+	const before = fleet.owner.ownerOf(target)?.ledger;
+	fleet.isLeaseDoubtful = true;
+	await fleet.step();
+	fleet.isLeaseDoubtful = false;
+	await fleet.step();
+	assert.equal(fleet.owner.ownerOf(target)?.ledger, before);
+	fleet.claim();
+	await fleet.step();
+	assert.notEqual(fleet.owner.ownerOf(target)?.ledger, before);
+});
