--- a/src/contracts/events/operator-events.ts
+++ b/src/contracts/events/operator-events.ts
@@ -22,4 +22,51 @@
 		level: 'info',
 		description: 'The host stopped.',
 	},
+	operatorUnauthenticated: {
+		number: 5101,
+		name: 'operator-unauthenticated',
+		level: 'warn',
+		description:
+			'A call to /operator/ carried no token or an unknown one. Check the token digests in the settings; many of these can mean an attack.',
+	},
+	operatorRequestFailed: {
+		number: 5102,
+		name: 'operator-request-failed',
+		level: 'error',
+		description:
+			'A call to the operators’ listener failed in a way that is not foreseen. Report it with the field error.',
+	},
+	documentSubmitted: {
+		number: 5201,
+		name: 'document-submitted',
+		level: 'info',
+		description: 'An operator submitted a document and it is in force.',
+	},
+	documentConflict: {
+		number: 5202,
+		name: 'document-conflict',
+		level: 'warn',
+		description:
+			'A document was refused because another operator was first. Show the document in force, apply the change to it and submit again.',
+	},
+	documentInvalid: {
+		number: 5203,
+		name: 'document-invalid',
+		level: 'warn',
+		description: 'A document was refused by the checks.',
+	},
+	documentNotRecorded: {
+		number: 5204,
+		name: 'document-not-recorded',
+		level: 'error',
+		description:
+			'The log service did not confirm a document. It can still take effect: read the history before submitting again.',
+	},
+	ordersSettled: {
+		number: 5301,
+		name: 'orders-settled',
+		level: 'warn',
+		description:
+			'An operator declared open orders settled. Their memory is no longer charged.',
+	},
 } as const satisfies Record<string, LogEventDefinition>;
--- a/src/program/composition-root.ts
+++ b/src/program/composition-root.ts
@@ -2,20 +2,26 @@
 import {err, ok, type Result} from 'neverthrow';
 import {v7 as timeOrderedUuid, v4 as uuid} from 'uuid';
 import {DisposableStore} from '../base/common/disposable.js';
+import {type Clock} from '../base/common/clock.js';
 import {type EventLogger} from '../base/common/event-logger.js';
 import {SeededRandomSource} from '../base/common/random-source.js';
 import {SystemClock} from '../base/node/system-clock.js';
 import {HttpHostList} from '../adapters/node/http-host-list.js';
 import {HttpLogService} from '../adapters/node/http-log-service.js';
 import {HttpTargetConnector} from '../adapters/node/http-target-connector.js';
+import {targetDiedSchema} from '../contracts/control-record.js';
 import {operatorEvents} from '../contracts/events/operator-events.js';
 import {
+	type Fingerprint,
 	type IncarnationId,
 	type RequestId,
 	type Revision,
+	type TargetId,
+	type TargetIncarnation,
 } from '../contracts/ids.js';
 import {type StreamName} from '../contracts/log-service.js';
-import {SchemaOnlyDocumentValidator} from '../core/document-validator.js';
+import {BurnRateTracker} from '../core/burn-rate.js';
+import {SemanticDocumentValidator} from '../core/document-validator.js';
 import {snapshotLeaseName} from '../core/lease-names.js';
 import {
 	ClaimKeeper,
@@ -27,10 +33,18 @@
 import {HostGate} from '../services/entry/host-gate.js';
 import {LogClaimAppender} from '../services/entry/log-claim-appender.js';
 import {MemberIncarnations} from '../services/entry/member-incarnations.js';
+import {QuarantineKeeper} from '../services/entry/quarantine-keeper.js';
+import {
+	ObservedModelGateway,
+	ObservedServiceGateway,
+} from '../services/entry/request-observer.js';
 import {HistogramMetricRegistry} from '../services/histogram-metric-registry.js';
+import {DecisionJournal} from '../services/decision-journal.js';
+import {HostOperatorBackend} from '../services/host-operator-backend.js';
 import {LeaseKeeper} from '../services/lease-keeper.js';
 import {LogFollower} from '../services/log-follower.js';
 import {MembershipTask} from '../services/membership-task.js';
+import {OperatorServer} from '../services/operator-server.js';
 import {PeerDirectory} from '../services/peer-directory.js';
 import {PeerServer} from '../services/peer-server.js';
 import {RecordAppender} from '../services/record-appender.js';
@@ -57,6 +71,7 @@
 /** Ports that a running host listens on. */
 export type HostPorts = {
 	readonly callers: number;
+	readonly operators: number;
 	readonly peers: number;
 };
 
@@ -117,11 +132,18 @@
 		secrets: [settings.peerSecret],
 		fields: {host: settings.host, incarnation},
 	});
+	const metrics = new HistogramMetricRegistry();
 	const services: ServiceOptions = {
 		clock,
 		random: new SeededRandomSource(randomInt(seedRange)),
 		events,
-		metrics: new HistogramMetricRegistry(),
+		metrics,
+	};
+	const observer = {
+		clock,
+		metrics,
+		burnRates: new BurnRateTracker(clock),
+		journal: new DecisionJournal({clock, host: settings.host}),
 	};
 	const log = parts.add(
 		new HttpLogService({
@@ -143,7 +165,7 @@
 			...services,
 			log,
 			appender: createAppender('control'),
-			validator: new SchemaOnlyDocumentValidator(),
+			validator: new SemanticDocumentValidator(),
 			peers,
 		}),
 	);
@@ -207,7 +229,10 @@
 				new HttpHostList({address: settings.platform.hostList}),
 			),
 			seedAddresses: settings.seedPeers,
-			load: () => ({ready: gate.isOpen}),
+			load: () => ({
+				ready: gate.isOpen,
+				sightings: [...quarantine.ownSightings()],
+			}),
 		}),
 	);
 	peerServer.heartbeatReceived.subscribe((state) => {
@@ -236,19 +261,34 @@
 			holdsLease: () => leases.held.has(snapshotLeaseName),
 		}),
 	);
+	const quarantine = parts.add(
+		new QuarantineKeeper({...services, host: settings.host, control: follower}),
+	);
+	followTargetDeaths(follower, membership, quarantine, clock);
 	const entry = parts.add(
 		new EntryServer({
 			gate,
-			models: new EngineModelGateway(
-				new LeastOutstandingAssigner(targets, () => follower.control.document),
-				clock,
+			models: new ObservedModelGateway(
+				new EngineModelGateway({
+					...services,
+					assigner: new LeastOutstandingAssigner(
+						targets,
+						() => follower.control.document,
+					),
+					targets,
+					quarantine,
+				}),
+				observer,
+			),
+			services: new ObservedServiceGateway(
+				new ClaimingServiceGateway({
+					claims,
+					targets,
+					clock,
+					random: services.random,
+				}),
+				observer,
 			),
-			services: new ClaimingServiceGateway({
-				claims,
-				targets,
-				clock,
-				random: services.random,
-			}),
 			limits: {
 				bodyBytes: settings.limits.bodyBytes,
 				headerBytes: settings.limits.headerBytes,
@@ -262,25 +302,50 @@
 			mintRequestId: () => timeOrderedUuid() as RequestId,
 		}),
 	);
+	const operators = parts.add(
+		new OperatorServer({
+			backend: new HostOperatorBackend({
+				...observer,
+				host: settings.host,
+				incarnation,
+				failureDomain: settings.failureDomain,
+				follower,
+				membership,
+				targets,
+				gate,
+				openOrderBytes: ({definition}) =>
+					(follower.control.openIntents.get(definition.id) ?? []).reduce(
+						(sum, intent) => sum + intent.bytes,
+						0,
+					),
+			}),
+			credentials: settings.operators,
+			logger: events,
+			limits: {
+				documentBytes: settings.limits.documentBytes,
+				headerBytes: settings.limits.headerBytes,
+				connections: settings.limits.connections,
+				requestTimeoutMilliseconds:
+					settings.timeouts.requestReceiveMilliseconds,
+			},
+		}),
+	);
 	follower.start();
 	claims.start();
 	poller.start();
 	membership.start();
 	leases.start();
 	snapshots.start();
-	const {callers} = settings.listen;
-	const callersPort = await entry.listen(callers.port, callers.address);
-	if (callersPort.isErr()) {
+	const ports = await listenAll(settings, entry, operators);
+	if (ports.isErr()) {
 		await parts.dispose();
-		return err(
-			new StartError(callersPort.error.message, {cause: callersPort.error}),
-		);
+		return err(ports.error);
 	}
 
-	const ports = {callers: callersPort.value, peers: peerPort.value};
-	events.record(operatorEvents.hostStarted, ports);
+	const allPorts = {...ports.value, peers: peerPort.value};
+	events.record(operatorEvents.hostStarted, allPorts);
 	return ok(
-		new RunningHost(ports, {
+		new RunningHost(allPorts, {
 			owned: parts,
 			gate,
 			membership,
@@ -291,6 +356,26 @@
 	);
 }
 
+async function listenAll(
+	settings: Settings,
+	entry: EntryServer,
+	operators: OperatorServer,
+): Promise<Result<Omit<HostPorts, 'peers'>, StartError>> {
+	const {callers: callerAddress, operators: operatorAddress} = settings.listen;
+	const callers = await entry.listen(callerAddress.port, callerAddress.address);
+	if (callers.isErr()) {
+		return err(new StartError(callers.error.message, {cause: callers.error}));
+	}
+
+	const operatorPort = await operators.listen(
+		operatorAddress.port,
+		operatorAddress.address,
+	);
+	return operatorPort
+		.map((port) => ({callers: callers.value, operators: port}))
+		.mapErr((cause) => new StartError(cause.message, {cause}));
+}
+
 /** Puts each accepted document in force on this host. */
 function followDocument(
 	follower: LogFollower,
@@ -312,3 +397,30 @@
 	follower.recordApplied.subscribe(apply);
 	follower.stateRestored.subscribe(apply);
 }
+
+/** Tells the quarantine of the deaths that the log and the peers report. */
+function followTargetDeaths(
+	follower: LogFollower,
+	membership: MembershipTask,
+	quarantine: QuarantineKeeper,
+	clock: Clock,
+): void {
+	follower.recordApplied.subscribe(({record, outcome}) => {
+		const death = targetDiedSchema.safeParse(record.body);
+		if (outcome.accepted && death.success) {
+			quarantine.observe(death.data, clock.wall() - death.data.time);
+		}
+	});
+	membership.heartbeatReceived.subscribe(({sightings}) => {
+		for (const sighting of sightings) {
+			quarantine.observe(
+				{
+					target: sighting.target as TargetId,
+					targetIncarnation: sighting.targetIncarnation as TargetIncarnation,
+					fingerprints: [sighting.fingerprint as Fingerprint],
+				},
+				0,
+			);
+		}
+	});
+}
--- a/src/program/yaml-validation.ts
+++ b/src/program/yaml-validation.ts
@@ -1,16 +1,19 @@
 import {err, ok, type Result} from 'neverthrow';
 import {isMap, isNode, LineCounter, parseDocument, type Document} from 'yaml';
 import {type z} from 'zod';
-import {nearestName} from '../core/nearest-name.js';
-
-type Path = ReadonlyArray<string | number>;
+import {
+	formatPath,
+	schemaProblems,
+	type SchemaProblem,
+	type ValuePath,
+} from '../core/schema-problems.js';
 
 /** One error of a YAML file. */
 export type YamlProblem = {
 	readonly file: string;
 	readonly line: number;
 	readonly column: number;
-	/** Path of the setting, such as `listen.callers`. Empty for the whole file. */
+	/** ValuePath of the setting, such as `listen.callers`. Empty for the whole file. */
 	readonly path: string;
 	readonly message: string;
 };
@@ -19,8 +22,15 @@
 export class YamlValidationError extends Error {
 	override readonly name = 'YamlValidationError';
 
-	constructor(readonly problems: readonly YamlProblem[]) {
-		super(problems.map(formatProblem).join('\n'));
+	/** The problems in the order of the file. */
+	readonly problems: readonly YamlProblem[];
+
+	constructor(problems: readonly YamlProblem[]) {
+		const sorted = [...problems].sort(
+			(left, right) => left.line - right.line || left.column - right.column,
+		);
+		super(sorted.map(formatProblem).join('\n'));
+		this.problems = sorted;
 	}
 }
 
@@ -30,45 +40,6 @@
 	return `${problem.file}:${problem.line}:${problem.column}: ${path}${problem.message}`;
 }
 
-/** Writes a path as `operators[0].name`. */
-export function formatPath(path: Path): string {
-	let text = '';
-	for (const part of path) {
-		if (typeof part === 'number') {
-			text += `[${part}]`;
-		} else {
-			text += text === '' ? part : `.${part}`;
-		}
-	}
-
-	return text;
-}
-
-type SchemaDefinition = {
-	readonly shape?: Record<string, z.core.$ZodType>;
-	readonly innerType?: z.core.$ZodType;
-	readonly element?: z.core.$ZodType;
-	readonly in?: z.core.$ZodType;
-};
-
-/** Keys that the schema knows at a path. */
-function knownKeys(schema: z.core.$ZodType, path: Path): readonly string[] {
-	const definition = schema._zod.def as SchemaDefinition;
-	const inner = definition.innerType ?? definition.in;
-	if (inner) {
-		return knownKeys(inner, path);
-	}
-
-	const [first, ...rest] = path;
-	if (first === undefined) {
-		return Object.keys(definition.shape ?? {});
-	}
-
-	const next =
-		typeof first === 'number' ? definition.element : definition.shape?.[first];
-	return next ? knownKeys(next, rest) : [];
-}
-
 /** A parsed YAML file that knows where each of its values stands. */
 export class YamlSource {
 	private readonly lineCounter = new LineCounter();
@@ -81,45 +52,48 @@
 		this.document = parseDocument(text, {lineCounter: this.lineCounter});
 	}
 
-	/** Checks the content against a schema. Returns the value or all errors. */
-	validate<T extends z.ZodType>(
-		schema: T,
-		replace: (value: unknown) => {
-			readonly value: unknown;
-			readonly problems: readonly YamlProblem[];
-		} = (value) => ({value, problems: []}),
-	): Result<z.infer<T>, YamlValidationError> {
-		const syntaxProblems = this.document.errors.map((error) => ({
+	/** Returns the content as plain data, or the errors of the YAML syntax. */
+	content(): Result<unknown, YamlValidationError> {
+		const problems = this.document.errors.map((error) => ({
 			file: this.file,
 			line: error.linePos?.[0].line ?? 1,
 			column: error.linePos?.[0].col ?? 1,
 			path: '',
 			message: error.message.split('\n')[0]!.replace(/ at line .*$/, ''),
 		}));
-		if (syntaxProblems.length > 0) {
-			return err(new YamlValidationError(syntaxProblems));
-		}
+		return problems.length === 0
+			? ok(this.document.toJS() as unknown)
+			: err(new YamlValidationError(problems));
+	}
 
-		const {value, problems: replacementProblems} = replace(
-			this.document.toJS() as unknown,
-		);
+	/** Checks data against a schema. Returns the value or all errors, the given ones included. */
+	validate<T extends z.ZodType>(
+		schema: T,
+		value: unknown,
+		earlierProblems: readonly YamlProblem[] = [],
+	): Result<z.infer<T>, YamlValidationError> {
 		const parsed = schema.safeParse(value);
-		const replaced = new Set(replacementProblems.map(({path}) => path));
+		const reported = new Set(earlierProblems.map(({path}) => path));
 		const problems = [
-			...replacementProblems,
-			...(parsed.error?.issues ?? [])
-				.flatMap((issue) => this.problemsOf(schema, issue))
-				.filter(({path}) => !replaced.has(path)),
-		].sort(
-			(left, right) => left.line - right.line || left.column - right.column,
-		);
+			...earlierProblems,
+			...this.locate(
+				schemaProblems(schema, parsed.error?.issues ?? []),
+			).problems.filter(({path}) => !reported.has(path)),
+		];
 		return parsed.success && problems.length === 0
 			? ok(parsed.data)
 			: err(new YamlValidationError(problems));
 	}
 
+	/** Gives problems their places in the file. */
+	locate(problems: readonly SchemaProblem[]): YamlValidationError {
+		return new YamlValidationError(
+			problems.map(({path, message}) => this.problemAt(path, message)),
+		);
+	}
+
 	/** Makes a problem at the place of a path, or at the nearest enclosing value. */
-	problemAt(path: Path, message: string): YamlProblem {
+	problemAt(path: ValuePath, message: string): YamlProblem {
 		const offset = this.offsetOf(path);
 		const {line, col} = this.lineCounter.linePos(offset);
 		return {
@@ -131,32 +105,7 @@
 		};
 	}
 
-	private problemsOf(
-		schema: z.ZodType,
-		issue: z.core.$ZodIssue,
-	): YamlProblem[] {
-		const path = issue.path.map((part) =>
-			typeof part === 'number' ? part : String(part),
-		);
-		if (issue.code !== 'unrecognized_keys') {
-			const message =
-				issue.code === 'invalid_type' && issue.input === undefined
-					? issue.message.replace(/, received undefined$/, ', but is missing')
-					: issue.message;
-			return [this.problemAt(path, message)];
-		}
-
-		const known = knownKeys(schema, path);
-		return issue.keys.map((key) => {
-			const nearest = nearestName(key, known);
-			const hint = nearest
-				? `did you mean "${nearest}"?`
-				: `known keys: ${known.join(', ')}`;
-			return this.problemAt([...path, key], `unknown key "${key}"; ${hint}`);
-		});
-	}
-
-	private offsetOf(path: Path): number {
+	private offsetOf(path: ValuePath): number {
 		const last = path.at(-1);
 		const parentPath = path.slice(0, -1);
 		const parent: unknown =
--- a/src/services/group-owner.ts
+++ b/src/services/group-owner.ts
@@ -203,7 +203,7 @@
 			this.closedOrders.delete(orderId);
 		}
 
-		events.record(placementEvents.ordersSettled, {
+		events.record(placementEvents.intentsSettled, {
 			orders: orders.map(({orderId}) => orderId),
 			isConfirmed: true,
 		});
--- a/src/services/target-owner.ts
+++ b/src/services/target-owner.ts
@@ -238,7 +238,7 @@
 			orders,
 			by: incarnation,
 		});
-		this.record(placementEvents.ordersSettled, {
+		this.record(placementEvents.intentsSettled, {
 			orders: orders.map(({orderId}) => orderId),
 			isConfirmed: outcome.isOk(),
 		});
