--- a/src/contracts/events/placement-events.ts
+++ b/src/contracts/events/placement-events.ts
@@ -49,9 +49,9 @@
 		description:
 			'The control stream did not confirm the intent of an order, so the order was not sent.',
 	},
-	ordersSettled: {
+	intentsSettled: {
 		number: 4014,
-		name: 'orders-settled',
+		name: 'intents-settled',
 		level: 'info',
 		description: 'The outcome of recorded orders is known and recorded.',
 	},
