--- a/src/core/memory-packing.ts
+++ b/src/core/memory-packing.ts
@@ -21,12 +21,15 @@
 	readonly unplacedAdapters: readonly string[];
 	/** Targets by model, a witness that the models fit. */
 	readonly targetsByModel: ReadonlyMap<string, readonly string[]>;
+	/** Target by adapter, a witness that the adapters fit. */
+	readonly targetByAdapter: ReadonlyMap<string, string>;
 };
 
 type Bin = {
 	readonly id: string;
 	free: number;
 	readonly models: Set<string>;
+	readonly adapters: Set<string>;
 };
 
 type Step =
@@ -109,8 +112,16 @@
 	const isNewReplica = !bin.models.has(step.model.id);
 	bin.free -= bytes;
 	bin.models.add(step.model.id);
+	if (step.kind === 'adapter') {
+		bin.adapters.add(step.id);
+	}
+
 	return () => {
 		bin.free += bytes;
+		if (step.kind === 'adapter') {
+			bin.adapters.delete(step.id);
+		}
+
 		if (isNewReplica) {
 			bin.models.delete(step.model.id);
 		}
@@ -155,7 +166,12 @@
 }
 
 function newBins(targets: readonly PackingTarget[]): Bin[] {
-	return targets.map(({id, bytes}) => ({id, free: bytes, models: new Set()}));
+	return targets.map(({id, bytes}) => ({
+		id,
+		free: bytes,
+		models: new Set(),
+		adapters: new Set(),
+	}));
 }
 
 function hasRoomInTotal(
@@ -177,13 +193,18 @@
 	unplacedAdapters: readonly string[],
 ): PackingResult {
 	const targetsByModel = new Map<string, string[]>();
+	const targetByAdapter = new Map<string, string>();
 	for (const bin of bins) {
 		for (const model of bin.models) {
 			targetsByModel.set(model, [...(targetsByModel.get(model) ?? []), bin.id]);
 		}
+
+		for (const adapter of bin.adapters) {
+			targetByAdapter.set(adapter, bin.id);
+		}
 	}
 
-	return {unplacedModels, unplacedAdapters, targetsByModel};
+	return {unplacedModels, unplacedAdapters, targetsByModel, targetByAdapter};
 }
 
 /**
--- a/test/product/document.test.ts
+++ b/test/product/document.test.ts
@@ -194,8 +194,8 @@
 	assert.equal(error.problems.length, 3, error.message);
 });
 
-// Guards against acceptance of a document that overcommits memory or leaves a model out.
-test('a successful packing holds every replica within the memory', () => {
+// Guards against acceptance of a document that overcommits memory or leaves a model or adapter out.
+test('a packing holds every replica and adapter within the memory', () => {
 	fc.assert(
 		fc.property(
 			fc.array(fc.integer({min: 5, max: 40}), {minLength: 1, maxLength: 5}),
@@ -203,36 +203,98 @@
 				fc.record({
 					bytes: fc.integer({min: 1, max: 20}),
 					replicas: fc.integer({min: 1, max: 2}),
+					adapterBytes: fc.array(fc.integer({min: 1, max: 5}), {maxLength: 3}),
 				}),
 				{maxLength: 6},
 			),
 			(sizes, drafts) => {
-				const models = drafts.map((draft, index) => ({
+				const models = drafts.map(({adapterBytes, ...draft}, index) => ({
 					...draft,
 					id: `m${index}`,
-					adapters: [],
+					adapters: adapterBytes.map((bytes, position) => ({
+						id: `x${index}-${position}`,
+						bytes,
+					})),
 				}));
-				const targets = sizes.map((bytes, index) => ({id: `t${index}`, bytes}));
-				const result = packMemory(targets, models);
-				const used = new Map<string, number>();
+				const free = new Map(sizes.map((bytes, index) => [`t${index}`, bytes]));
+				const result = packMemory(
+					[...free].map(([id, bytes]) => ({id, bytes})),
+					models,
+				);
+				const take = (target: string, bytes: number): void => {
+					free.set(target, free.get(target)! - bytes);
+				};
+
 				for (const model of models) {
 					const holders = result.targetsByModel.get(model.id) ?? [];
-					if (result.unplacedModels.length === 0) {
+					for (const holder of holders) {
+						take(holder, model.bytes);
+					}
+
+					if (!result.unplacedModels.includes(model.id)) {
 						assert.ok(holders.length >= model.replicas);
 					}
 
-					for (const holder of holders) {
-						used.set(holder, (used.get(holder) ?? 0) + model.bytes);
+					for (const adapter of model.adapters) {
+						const place = result.targetByAdapter.get(adapter.id);
+						if (place !== undefined) {
+							assert.ok(holders.includes(place));
+							take(place, adapter.bytes);
+						} else if (result.unplacedModels.length === 0) {
+							assert.ok(result.unplacedAdapters.includes(adapter.id));
+						}
 					}
 				}
 
-				for (const {id, bytes} of targets) {
-					assert.ok((used.get(id) ?? 0) <= bytes);
+				for (const left of free.values()) {
+					assert.ok(left >= 0);
 				}
 			},
 		),
-		{seed: 20_261_204, numRuns: 300},
+		{seed: 20_261_204, numRuns: 500},
+	);
+});
+
+/** Whether some assignment of sizes to bins exists, by trying all. */
+function fitsAnyhow(
+	sizes: readonly number[],
+	bins: readonly number[],
+): boolean {
+	const [first, ...rest] = sizes;
+	return (
+		first === undefined ||
+		bins.some(
+			(free, index) =>
+				free >= first && fitsAnyhow(rest, bins.with(index, free - first)),
+		)
+	);
+}
+
+// Guards against refusal of a document that fits.
+test('the packing agrees with a trial of all assignments', () => {
+	let fitting = 0;
+	fc.assert(
+		fc.property(
+			fc.array(fc.integer({min: 5, max: 20}), {minLength: 2, maxLength: 4}),
+			fc.array(fc.integer({min: 1, max: 12}), {minLength: 3, maxLength: 7}),
+			(bins, sizes) => {
+				const {unplacedModels} = packMemory(
+					bins.map((bytes, index) => ({id: `t${index}`, bytes})),
+					sizes.map((bytes, index) => ({
+						id: `m${index}`,
+						bytes,
+						replicas: 1,
+						adapters: [],
+					})),
+				);
+				const isFitting = fitsAnyhow(sizes, bins);
+				fitting += isFitting ? 1 : 0;
+				assert.equal(unplacedModels.length === 0, isFitting);
+			},
+		),
+		{seed: 20_261_204, numRuns: 500},
 	);
+	assert.ok(fitting > 50 && fitting < 450, `${fitting} of 500 fit`);
 });
 
 // Guards against refusal of a document that fits only in a packing that a greedy pass misses.
