--- a/src/services/operator-server.ts
+++ b/src/services/operator-server.ts
@@ -1,13 +1,13 @@
 import {Buffer} from 'node:buffer';
 import {timingSafeEqual} from 'node:crypto';
 import {type Server} from 'node:http';
-import {type AddressInfo} from 'node:net';
 import {createAdaptorServer} from '@hono/node-server';
 import {Hono, type Context, type MiddlewareHandler} from 'hono';
 import {bodyLimit} from 'hono/body-limit';
 import {err, ok, ResultAsync, type Result} from 'neverthrow';
 import {z} from 'zod';
 import {sha256} from '../base/common/digest.js';
+import {listenOn, type ListenError} from '../base/node/listen.js';
 import {Disposable} from '../base/common/disposable.js';
 import {
 	type EventLogger,
@@ -165,7 +165,10 @@
 	}
 
 	/** Listens and returns the port. */
-	async listen(port: number, hostname: string): Promise<number> {
+	async listen(
+		port: number,
+		hostname: string,
+	): Promise<Result<number, ListenError>> {
 		const {limits} = this.options;
 		const server = createAdaptorServer({
 			fetch: this.app.fetch,
@@ -176,12 +179,7 @@
 		}) as Server;
 		server.maxConnections = limits.connections;
 		this.server = server;
-		return new Promise((resolve, reject) => {
-			server.once('error', reject);
-			server.listen(port, hostname, () => {
-				resolve((server.address() as AddressInfo).port);
-			});
-		});
+		return listenOn(server, port, hostname);
 	}
 
 	async dispose(): Promise<void> {
--- a/test/process/test-deployment.ts
+++ b/test/process/test-deployment.ts
@@ -1,7 +1,11 @@
 import {sha256} from '../../src/base/common/digest.js';
-import {HttpLogService} from '../../src/adapters/node/http-log-service.js';
-import {type RecordId} from '../../src/contracts/ids.js';
-import {type TestFleet, type TestStandIn} from './processes.js';
+import {
+	send,
+	until,
+	type TestFleet,
+	type TestHost,
+	type TestStandIn,
+} from './processes.js';
 
 const operatorToken = 'operator-token-of-the-test';
 
@@ -122,28 +126,24 @@
 	};
 }
 
-/** Appends a document to the log. */
+/** Submits a document through a host and waits until that host has it in force. */
 export async function submitDocument(
-	platform: TestPlatform,
+	host: TestHost,
 	document: unknown,
 	expectedRevision: number,
-): Promise<void> {
-	const log = new HttpLogService({address: platform.log.address});
-	const appended = await log.append('control', [
-		{
-			id: `document-${expectedRevision}` as RecordId,
-			body: {
-				kind: 'document-submitted',
-				expectedRevision,
-				operator: 'tester',
-				summary: 'test',
-				time: 0,
-				document,
-			},
-		},
-	]);
-	await log.dispose();
-	if (appended.isErr()) {
-		throw appended.error;
-	}
+) {
+	return until('the host can submit', async () => {
+		const answer = await send('PUT', `${host.operators}/operator/v1/document`, {
+			key: operatorToken,
+			body: {expectedRevision, summary: 'test', document},
+		});
+		return answer.status === 503 ? undefined : answer;
+	});
+}
+
+/** Asks a host as the operator. */
+export async function askOperator(host: TestHost, path: string) {
+	return send('GET', `${host.operators}/operator/v1/${path}`, {
+		key: operatorToken,
+	});
 }
--- a/test/product/fake-operator-backend.ts
+++ b/test/product/fake-operator-backend.ts
@@ -143,7 +143,8 @@
 			requestTimeoutMilliseconds: 5000,
 		},
 	});
-	const port = await server.listen(0, '127.0.0.1');
+	const listening = await server.listen(0, '127.0.0.1');
+	const port = listening._unsafeUnwrap();
 	return {server, url: `http://127.0.0.1:${port}`};
 }
 
