--- a/src/contracts/events/operator-events.ts
+++ b/src/contracts/events/operator-events.ts
@@ -62,9 +62,9 @@
 		description:
 			'The log service did not confirm a document. It can still take effect: read the history before submitting again.',
 	},
-	ordersSettled: {
+	ordersSettledByOperator: {
 		number: 5301,
-		name: 'orders-settled',
+		name: 'orders-settled-by-operator',
 		level: 'warn',
 		description:
 			'An operator declared open orders settled. Their memory is no longer charged.',
--- a/src/services/operator-server.ts
+++ b/src/services/operator-server.ts
@@ -392,7 +392,10 @@
 						backend
 							.settle(orders, operator)
 							.map(() => {
-								logger.record(operatorEvents.ordersSettled, {operator, orders});
+								logger.record(operatorEvents.ordersSettledByOperator, {
+									operator,
+									orders,
+								});
 								return {settled: orders};
 							})
 							.mapErr(problemOf),
