--- a/src/program/composition-root.ts
+++ b/src/program/composition-root.ts
@@ -427,7 +427,7 @@
 			...services,
 			follower,
 			appender: createAppender('snapshots'),
-			holdsLease: () => leases.held.has(snapshotLeaseName),
+			holdsLease: () => leases.isConfirmed(snapshotLeaseName),
 		}),
 	);
 	follower.start();
--- a/src/services/entry/claiming-service-gateway.ts
+++ b/src/services/entry/claiming-service-gateway.ts
@@ -161,6 +161,8 @@
 					contentType: call.contentType,
 					body: call.body,
 					timeoutMilliseconds: remaining,
+					// On a connection that went silent the outcome would be unknown; a failed new one proves that nothing ran.
+					newConnection: !call.route.idempotent,
 				},
 				signal,
 			);
--- a/src/services/entry/entry-server.ts
+++ b/src/services/entry/entry-server.ts
@@ -226,6 +226,7 @@
 		}
 
 		if (first.value.isErr()) {
+			await parts.return?.();
 			finished();
 			return err(first.value.error);
 		}
@@ -406,15 +407,19 @@
 async function* allParts(
 	answer: StartedAnswer,
 ): AsyncGenerator<Result<AnswerPart, RequestProblem>> {
-	yield ok(answer.first);
-	for (;;) {
-		const next = await answer.parts.next();
-		if (next.done) {
-			yield err(interrupted());
-			return;
-		}
+	try {
+		yield ok(answer.first);
+		for (;;) {
+			const next = await answer.parts.next();
+			if (next.done) {
+				yield err(interrupted());
+				return;
+			}
 
-		yield next.value;
+			yield next.value;
+		}
+	} finally {
+		await answer.parts.return?.();
 	}
 }
 
--- a/src/services/entry/request-observer.ts
+++ b/src/services/entry/request-observer.ts
@@ -39,26 +39,33 @@
 		signal: AbortSignal,
 	): AsyncGenerator<Result<AnswerPart, RequestProblem>> {
 		const timing = new StreamTiming(this.options.clock);
-		let problem: RequestProblem | undefined;
-		let isComplete = false;
+		let isJudged = false;
+		const judgeOnce = (outcome: RequestOutcome) => {
+			if (!isJudged) {
+				isJudged = true;
+				this.finish(request, timing, outcome);
+			}
+		};
+
 		try {
 			for await (const part of this.inner.run(request, signal)) {
 				if (part.isErr()) {
-					problem = part.error;
+					judgeOnce({
+						refusal: part.error.code,
+						completed: false,
+						cancelledByCaller: signal.aborted,
+					});
 				} else if (part.value.kind === 'text') {
 					timing.token();
 				} else {
-					isComplete = true;
+					// The reader takes nothing after the end, so what follows the loop may never run.
+					judgeOnce({completed: true});
 				}
 
 				yield part;
 			}
 		} finally {
-			this.finish(request, timing, {
-				refusal: problem?.code,
-				completed: isComplete,
-				cancelledByCaller: signal.aborted || (!isComplete && !problem),
-			});
+			judgeOnce({completed: false, cancelledByCaller: true});
 		}
 	}
 
--- a/test/dispatch/dispatcher.test.ts
+++ b/test/dispatch/dispatcher.test.ts
@@ -23,7 +23,7 @@
 	type Binding,
 	type WorkItem,
 	type WorkRefusal,
-} from '../../src/services/dispatcher.js';
+} from '../../src/services/dispatch/dispatcher.js';
 
 const slots = 3;
 const targets = ['a', 'b', 'c'] as TargetId[];
--- a/test/placement/group-owner.test.ts
+++ b/test/placement/group-owner.test.ts
@@ -57,13 +57,13 @@
 	GroupOwner,
 	GroupView,
 	type GroupDefinition,
-} from '../../src/services/group-owner.js';
+} from '../../src/services/placement/group-owner.js';
 import {
 	PlacementTask,
 	PlanLease,
 	PoolView,
-} from '../../src/services/placement-task.js';
-import {GroupLease} from '../../src/services/target-owner.js';
+} from '../../src/services/placement/placement-task.js';
+import {GroupLease} from '../../src/services/placement/target-owner.js';
 
 const poolName = 'p' as PoolName;
 const domain = 'd' as FailureDomain;
