--- a/src/program/demo-deployment.ts
+++ b/src/program/demo-deployment.ts
@@ -48,7 +48,6 @@
 				target,
 				memoryBytes: engineBytes,
 				honoursFencing: true,
-				artifacts: [{key: 'model/demo-model@1', bytes: modelBytes}],
 			});
 		return new DemoDeployment(standIns, {
 			log: await start(new LogServer()),
--- a/src/program/host-commands.ts
+++ b/src/program/host-commands.ts
@@ -3,11 +3,13 @@
 import {err, ok, type Result} from 'neverthrow';
 import {finish, toJson, type CommandResult} from './command-context.js';
 import {CommandFailure} from './command-failure.js';
+import {runDemonstration} from './demo-command.js';
+import {type HostPorts} from './running-host.js';
 import {loadSettings} from './settings-loader.js';
 import {type Settings} from './settings.js';
 
 /** Starts a host that stops on signals. Resolves once it listens. */
-export type RunHost = (settings: Settings) => Promise<Result<void, Error>>;
+export type RunHost = (settings: Settings) => Promise<Result<HostPorts, Error>>;
 
 type CheckOptions = {readonly settings: string; readonly json?: boolean};
 
@@ -67,55 +69,6 @@
 		);
 }
 
-async function demo(
-	{port}: {readonly port: string},
-	runHost: RunHost,
-): Promise<CommandResult> {
-	const firstPort = Number(port);
-	if (!Number.isInteger(firstPort) || firstPort < 0 || firstPort > 65_533) {
-		return err(
-			new CommandFailure(
-				'usage',
-				`--port is "${port}", but must be a number from 0 to 65533`,
-			),
-		);
-	}
-
-	// Loaded on demand, since only the demonstration needs the stand-ins.
-	const {DemoDeployment, demoCredentials} =
-		await import('./demo-deployment.js');
-	const deployment = await DemoDeployment.start();
-	const submitted = await deployment.submitDocument();
-	const started = submitted.isErr()
-		? err(submitted.error)
-		: await runHost(deployment.settings(firstPort));
-	if (started.isErr()) {
-		await deployment.dispose();
-		return err(
-			new CommandFailure(
-				'failure',
-				`the demonstration could not start: ${started.error.message}`,
-				'Choose other ports with --port.',
-				{cause: started.error},
-			),
-		);
-	}
-
-	const {callerKey, operatorToken} = demoCredentials;
-	const shownPort = firstPort === 0 ? '<port>' : String(firstPort);
-	return ok(
-		[
-			'A host runs with stand-ins for the platform, two engines and one service. Ctrl-C ends it.',
-			'',
-			`curl -H 'Authorization: Bearer ${callerKey}' http://127.0.0.1:${shownPort}/v1/models`,
-			`curl -H 'Authorization: Bearer ${callerKey}' -H 'Content-Type: application/json' \\`,
-			`  -d '{"model":"drafts","messages":[{"role":"user","content":"Hem two curtains."}]}' \\`,
-			`  http://127.0.0.1:${shownPort}/v1/chat/completions`,
-			`DAISYLEVER_TOKEN=${operatorToken} daisylever status --url http://127.0.0.1:${firstPort === 0 ? '<port>' : firstPort + 1}`,
-		].join('\n'),
-	);
-}
-
 /** Adds the commands that start a host and check its settings. */
 export function addHostCommands(program: Command, runHost: RunHost): void {
 	const defaultFile = process.env.DAISYLEVER_SETTINGS ?? 'settings.yaml';
@@ -140,7 +93,7 @@
 			'8080',
 		)
 		.action(async (options: {readonly port: string}) => {
-			finish(await demo(options, runHost));
+			finish(await runDemonstration(options, runHost));
 		});
 	program
 		.command('settings')
--- a/src/program/run-host.ts
+++ b/src/program/run-host.ts
@@ -1,13 +1,13 @@
 import process from 'node:process';
 import {err, ok, type Result} from 'neverthrow';
 import {startHost} from './composition-root.js';
-import {type StartError} from './running-host.js';
+import {type HostPorts, type StartError} from './running-host.js';
 import {type Settings} from './settings.js';
 
-/** Runs a host until it is told to stop. The first signal stops it gracefully, the second one at once. */
+/** Runs a host until it is told to stop, and returns its ports once it listens. The first signal stops it gracefully, the second one at once. */
 export async function runHost(
 	settings: Settings,
-): Promise<Result<void, StartError>> {
+): Promise<Result<HostPorts, StartError>> {
 	const started = await startHost(settings);
 	if (started.isErr()) {
 		return err(started.error);
@@ -28,5 +28,5 @@
 
 	process.on('SIGTERM', stop);
 	process.on('SIGINT', stop);
-	return ok(undefined);
+	return ok(host.ports);
 }
