Route calls to plain services through the dispatcher and their load reports

Cause: calls went to one of two random instances by own outstanding work, so a momentarily slow instance, a full queue or a deadline was not seen, although the services report their load. Each pool of services now has a dispatcher; reads are hedged and repeated within its budget, a call that may not be repeated is tried again only while no byte was sent. The contract has a load report. Ruled out: owners of groups for services, since they get no orders; each host asks each instance once a second, which docs/CAPACITY.md has to weigh. No latency figure yet.

--- a/src/adapters/node/http-plain-service.ts
+++ b/src/adapters/node/http-plain-service.ts
@@ -1,6 +1,9 @@
 import {err, ok, type ResultAsync} from 'neverthrow';
+import {type z} from 'zod';
 import {
 	PlainService,
+	serviceReportSchema,
+	type ServiceReport,
 	type ServiceRequest,
 	type ServiceResponse,
 } from '../../contracts/plain-service.js';
@@ -8,7 +11,11 @@
 	TargetProtocolError,
 	type TargetError,
 } from '../../contracts/target-error.js';
-import {HttpTransport, type HttpTransportOptions} from './http-transport.js';
+import {
+	HttpTransport,
+	type ExchangeOptions,
+	type HttpTransportOptions,
+} from './http-transport.js';
 import {parseJson} from './json-body.js';
 import {
 	pingSchema,
@@ -17,6 +24,8 @@
 	toTargetError,
 } from './target-answer.js';
 
+const reportTimeoutMilliseconds = 2000;
+
 /** A plain service instance over HTTP. */
 export class HttpPlainService extends PlainService {
 	private readonly transport: HttpTransport;
@@ -50,33 +59,47 @@
 			});
 	}
 
+	report(): ResultAsync<ServiceReport, TargetError> {
+		return this.read('/report', serviceReportSchema, {
+			timeoutMilliseconds: reportTimeoutMilliseconds,
+		});
+	}
+
 	ping(
 		timeoutMilliseconds: number,
 	): ResultAsync<{readonly incarnation: string}, TargetError> {
+		return this.read('/ping', pingSchema, {
+			timeoutMilliseconds,
+			newConnection: true,
+		});
+	}
+
+	dropConnections(): void {
+		this.transport.dropConnections();
+	}
+
+	/** Closes all connections. */
+	async dispose(): Promise<void> {
+		await this.transport.dispose();
+	}
+
+	private read<T>(
+		path: string,
+		schema: z.ZodType<T>,
+		options: ExchangeOptions,
+	): ResultAsync<T, TargetError> {
 		return this.transport
-			.exchange(
-				{method: 'GET', path: '/ping'},
-				{timeoutMilliseconds, newConnection: true},
-			)
+			.exchange({method: 'GET', path}, options)
 			.mapErr(toTargetError)
 			.andThen((response) =>
 				response.status === 200
-					? parseJson(response.body, pingSchema).mapErr(
+					? parseJson(response.body, schema).mapErr(
 							(cause) =>
-								new TargetProtocolError('the ping answer has another form', {
+								new TargetProtocolError(`${path} answers in another form`, {
 									cause,
 								}),
 						)
 					: err(toAnswerError(response)),
 			);
 	}
-
-	dropConnections(): void {
-		this.transport.dropConnections();
-	}
-
-	/** Closes all connections. */
-	async dispose(): Promise<void> {
-		await this.transport.dispose();
-	}
 }
--- a/src/contracts/plain-service.ts
+++ b/src/contracts/plain-service.ts
@@ -1,4 +1,5 @@
 import {type ResultAsync} from 'neverthrow';
+import {z} from 'zod';
 import {type RequestId} from './ids.js';
 import {type TargetError} from './target-error.js';
 
@@ -25,6 +26,18 @@
 	readonly body: Uint8Array;
 };
 
+/** What a plain service says of its load. It can be seconds old when it arrives. */
+export const serviceReportSchema = z.object({
+	incarnation: z.string().min(1),
+	/** Grows with each change of the service's state. */
+	sequence: z.number().int().nonnegative(),
+	leaving: z.boolean(),
+	running: z.number().int().nonnegative(),
+	queued: z.number().int().nonnegative(),
+	slots: z.number().int().positive(),
+});
+export type ServiceReport = z.infer<typeof serviceReportSchema>;
+
 /** One instance of a plain service. */
 export abstract class PlainService {
 	/** Makes one call and never repeats it. */
@@ -33,6 +46,9 @@
 		signal: AbortSignal,
 	): ResultAsync<ServiceResponse, TargetError>;
 
+	/** Returns the newest report that the service has published. */
+	abstract report(): ResultAsync<ServiceReport, TargetError>;
+
 	/** Checks over a new connection that the target answers, and returns its incarnation. */
 	abstract ping(
 		timeoutMilliseconds: number,
--- a/src/program/composition-root.ts
+++ b/src/program/composition-root.ts
@@ -64,6 +64,8 @@
 const reportIntervalMilliseconds = 250;
 // The owner of a group reports once a second; a report older than this is fetched directly.
 const staleReportMilliseconds = 3000;
+// Plain services get no orders, so no host owns them and each host asks for itself.
+const serviceReportMilliseconds = 1000;
 const claimTimeoutMilliseconds = 3000;
 const settlementWaitMilliseconds = 5000;
 const millisecondsPerHour = 3_600_000;
@@ -299,13 +301,12 @@
 		targets.applyHostList(entries);
 	});
 	const poller = owned.add(
-		new ReportPoller(
-			targets,
-			reportIntervalMilliseconds,
-			(target) =>
-				!placement.owns(target) &&
-				clock.monotonic() - target.reportedAt > staleReportMilliseconds,
-		),
+		new ReportPoller(targets, reportIntervalMilliseconds, (target) => {
+			const age = clock.monotonic() - target.reportedAt;
+			return target.engine
+				? !placement.owns(target) && age > staleReportMilliseconds
+				: age > serviceReportMilliseconds;
+		}),
 	);
 	poller.start();
 	followDocument(follower, [targets, dispatches, placement, gate]);
@@ -319,8 +320,7 @@
 	membership: MembershipTask,
 	fleet: Fleet,
 ): EntryServer {
-	const {settings, owned, services, clock, events, metrics, observer} =
-		foundation;
+	const {settings, owned, clock, events, metrics, observer} = foundation;
 	const {follower, log, createAppender} = agreement;
 	const claims = owned.add(
 		new ClaimKeeper({
@@ -354,9 +354,7 @@
 			services: new ObservedServiceGateway(
 				new ClaimingServiceGateway({
 					claims,
-					targets: fleet.targets,
-					clock,
-					random: services.random,
+					dispatches: fleet.dispatches,
 				}),
 				observer,
 			),
--- a/src/services/dispatch/dispatch-set.ts
+++ b/src/services/dispatch/dispatch-set.ts
@@ -9,11 +9,13 @@
 } from '../../contracts/ids.js';
 import {type FleetDocument} from '../../contracts/fleet-document.js';
 import {type HostState} from '../../generated/daisylever/peer/v1/peer_pb.js';
+import {type ServiceDispatchDirectory} from '../entry/claiming-service-gateway.js';
 import {DispatchDirectory} from '../entry/dispatching-model-gateway.js';
 import {
 	type KnownTarget,
 	type TargetDirectory,
 } from '../targets/target-directory.js';
+import {ServiceDispatch} from './service-dispatch.js';
 import {PoolDispatch, type PoolDispatchOptions} from './pool-dispatch.js';
 
 /** Collaborators of the set. */
@@ -30,9 +32,13 @@
 
 const cacheEventMilliseconds = 1000;
 
-/** One dispatch for each pool of engines, told of all changes around it. */
-export class DispatchSet extends DispatchDirectory {
-	private readonly pools = new Map<PoolName, PoolDispatch>();
+/** One dispatch for each pool, told of all changes around it. */
+export class DispatchSet
+	extends DispatchDirectory
+	implements ServiceDispatchDirectory
+{
+	private readonly engines = new Map<PoolName, PoolDispatch>();
+	private readonly services = new Map<PoolName, ServiceDispatch>();
 	private readonly owned = new DisposableStore();
 	private readonly timer: NodeJS.Timeout;
 	private hosts: readonly HostId[];
@@ -50,7 +56,7 @@
 		);
 		this.owned.add(
 			targets.targetRemoved.subscribe((target) => {
-				for (const dispatch of this.pools.values()) {
+				for (const [, dispatch] of this.all()) {
 					dispatch.post({kind: 'target-removed', target});
 				}
 			}),
@@ -61,7 +67,11 @@
 	}
 
 	dispatchOf(pool: PoolName): PoolDispatch | undefined {
-		return this.pools.get(pool);
+		return this.engines.get(pool);
+	}
+
+	serviceDispatchOf(pool: PoolName): ServiceDispatch | undefined {
+		return this.services.get(pool);
 	}
 
 	/** Creates the dispatches that a document needs and passes its limits on. */
@@ -75,12 +85,11 @@
 
 		const named = new Set<PoolName>();
 		for (const pool of document.pools) {
-			if (pool.kind !== 'engine') {
-				continue;
-			}
-
 			named.add(pool.name);
-			const dispatch = this.ensure(pool.name);
+			const dispatch =
+				pool.kind === 'engine'
+					? this.ensureEngines(pool.name)
+					: this.ensureServices(pool.name);
 			dispatch.post({
 				kind: 'admission-configured',
 				settings: document.admission,
@@ -91,10 +100,12 @@
 			}
 		}
 
-		for (const [name, dispatch] of this.pools) {
-			if (!named.has(name)) {
-				this.pools.delete(name);
-				dispatch.dispose();
+		for (const pools of [this.engines, this.services]) {
+			for (const [name, dispatch] of pools) {
+				if (!named.has(name)) {
+					pools.delete(name);
+					dispatch.dispose();
+				}
 			}
 		}
 	}
@@ -102,14 +113,14 @@
 	/** Takes over which hosts share the targets. */
 	setHosts(hosts: readonly HostId[]): void {
 		this.hosts = hosts;
-		for (const dispatch of this.pools.values()) {
+		for (const [, dispatch] of this.all()) {
 			dispatch.post({kind: 'hosts-changed', hosts});
 		}
 	}
 
 	/** Takes in what a peer tells of its callers and suspects. */
 	receive(state: HostState, reservedElsewhere: readonly TargetId[]): void {
-		for (const [pool, dispatch] of this.pools) {
+		for (const [pool, dispatch] of this.all()) {
 			const counts = new Map<CallerId, number>();
 			for (const load of state.callerLoads) {
 				if (load.pool === pool) {
@@ -128,7 +139,7 @@
 
 	/** Caller counts of this host, for the heartbeat. */
 	callerLoads(): PoolCallerLoad[] {
-		return [...this.pools].flatMap(([pool, {dispatcher}]) =>
+		return this.all().flatMap(([pool, {dispatcher}]) =>
 			[...dispatcher.callerCounts()].map(([caller, inFlight]) => ({
 				pool,
 				caller,
@@ -139,7 +150,7 @@
 
 	/** Targets on which this host runs suspects, for the heartbeat. */
 	reservedTargets(): TargetId[] {
-		return [...this.pools.values()].flatMap(({dispatcher}) => {
+		return [...this.engines.values()].flatMap(({dispatcher}) => {
 			const reserved = dispatcher.reservedTarget();
 			return reserved === undefined ? [] : [reserved];
 		});
@@ -148,28 +159,47 @@
 	dispose(): void {
 		clearInterval(this.timer);
 		void this.owned.dispose();
-		for (const dispatch of this.pools.values()) {
+		for (const [, dispatch] of this.all()) {
 			dispatch.dispose();
 		}
 
-		this.pools.clear();
+		this.engines.clear();
+		this.services.clear();
+	}
+
+	private all(): Array<[PoolName, PoolDispatch | ServiceDispatch]> {
+		return [...this.engines, ...this.services];
 	}
 
-	private ensure(pool: PoolName): PoolDispatch {
-		const known = this.pools.get(pool);
+	private ensureEngines(pool: PoolName): PoolDispatch {
+		const known = this.engines.get(pool);
 		if (known) {
 			return known;
 		}
 
 		const dispatch = new PoolDispatch({...this.options, pool});
-		this.pools.set(pool, dispatch);
+		this.engines.set(pool, dispatch);
+		dispatch.start();
+		dispatch.post({kind: 'hosts-changed', hosts: this.hosts});
+		return dispatch;
+	}
+
+	private ensureServices(pool: PoolName): ServiceDispatch {
+		const known = this.services.get(pool);
+		if (known) {
+			return known;
+		}
+
+		const dispatch = new ServiceDispatch({...this.options, pool});
+		this.services.set(pool, dispatch);
 		dispatch.start();
 		dispatch.post({kind: 'hosts-changed', hosts: this.hosts});
 		return dispatch;
 	}
 
 	private tellTarget(target: KnownTarget): void {
-		const dispatch = this.pools.get(target.pool.name);
+		const {name} = target.pool;
+		const dispatch = this.engines.get(name) ?? this.services.get(name);
 		if (!dispatch) {
 			return;
 		}
@@ -193,7 +223,7 @@
 	}
 
 	private async fetchCacheEvents(): Promise<void> {
-		const busy = [...this.pools].flatMap(([pool, dispatch]) =>
+		const busy = [...this.engines].flatMap(([pool, dispatch]) =>
 			dispatch.dispatcher.running === 0
 				? []
 				: this.options.targets
--- /dev/null
+++ b/src/services/dispatch/service-dispatch.ts
@@ -0,0 +1,312 @@
+import {err, ok, type Result} from 'neverthrow';
+import {type Clock} from '../../base/common/clock.js';
+import {Disposable} from '../../base/common/disposable.js';
+import {type EventLogger} from '../../base/common/event-logger.js';
+import {type RandomSource} from '../../base/common/random-source.js';
+import {type Execution} from '../../contracts/execution.js';
+import {
+	type CallerId,
+	type Fingerprint,
+	type HostId,
+	type OfferingName,
+	type PoolName,
+	type RequestId,
+	type TargetId,
+} from '../../contracts/ids.js';
+import {type ServiceResponse} from '../../contracts/plain-service.js';
+import {
+	TargetRefusedError,
+	type TargetError,
+} from '../../contracts/target-error.js';
+import {type Urgency} from '../../core/dispatch-queue.js';
+import {type TargetDirectory} from '../targets/target-directory.js';
+import {
+	Dispatcher,
+	DispatchPort,
+	TargetDirectory as CandidateDirectory,
+	type Attempt,
+	type Binding,
+	type DispatcherMessage,
+	type WorkItem,
+	type WorkRefusal,
+} from './dispatcher.js';
+
+/** A call as the dispatch needs it. */
+export type ServiceWork = {
+	readonly requestId: RequestId;
+	readonly caller: CallerId;
+	readonly urgency: Urgency;
+	/** Calls of one route are expected to take alike. */
+	readonly route: OfferingName;
+	/** False for a call that may run at most once. */
+	readonly isRepeatable: boolean;
+	readonly timeoutMilliseconds: number;
+	readonly method: string;
+	readonly path: string;
+	readonly contentType: string | undefined;
+	readonly body: Uint8Array;
+};
+
+/** Why a call has no answer. With `not-run` it had no effect and will have none. */
+export type ServiceFailure = {
+	readonly execution: Execution;
+	readonly code: WorkRefusal['code'];
+};
+
+/** Collaborators of the dispatch of one pool of plain services. */
+export type ServiceDispatchOptions = {
+	readonly pool: PoolName;
+	readonly host: HostId;
+	readonly targets: TargetDirectory;
+	readonly clock: Clock;
+	readonly random: RandomSource;
+	readonly events: EventLogger;
+};
+
+type PendingCall = {
+	readonly work: ServiceWork;
+	readonly deadline: number;
+	readonly attempts: Map<number, AbortController>;
+	readonly resolve: (result: Result<ServiceResponse, ServiceFailure>) => void;
+};
+
+const tickMilliseconds = 10;
+
+/** Routes the calls to one pool of plain services: the dispatcher decides, this class makes the calls. */
+export class ServiceDispatch extends Disposable {
+	readonly dispatcher: Dispatcher;
+	private readonly calls = new Map<RequestId, PendingCall>();
+	private timer: NodeJS.Timeout | undefined;
+
+	constructor(private readonly options: ServiceDispatchOptions) {
+		super();
+		this.dispatcher = new Dispatcher({
+			clock: options.clock,
+			random: options.random,
+			host: options.host,
+			port: new ServicePort(this),
+			directory: new ReachableCandidates(options.targets, options.pool),
+			logger: options.events,
+		});
+	}
+
+	/** Starts the task. */
+	start(): void {
+		void this.dispatcher.run();
+		this.timer = setInterval(() => {
+			this.post({kind: 'ticked'});
+		}, tickMilliseconds);
+	}
+
+	/** Tells the dispatcher of a change around it. */
+	post(message: DispatcherMessage): void {
+		this.dispatcher.post(message);
+	}
+
+	/** Makes a call. An aborted signal ends it; its outcome is then unknown unless no byte was sent. */
+	async call(
+		work: ServiceWork,
+		signal: AbortSignal,
+	): Promise<Result<ServiceResponse, ServiceFailure>> {
+		return new Promise((resolve) => {
+			const call: PendingCall = {
+				work,
+				deadline: this.options.clock.monotonic() + work.timeoutMilliseconds,
+				attempts: new Map(),
+				resolve,
+			};
+			this.calls.set(work.requestId, call);
+			this.post({kind: 'submitted', item: itemOf(work)});
+			signal.addEventListener(
+				'abort',
+				() => {
+					this.abandon(work.requestId);
+				},
+				{once: true},
+			);
+		});
+	}
+
+	/** Makes one attempt on the chosen target. */
+	startAttempt(binding: Binding): void {
+		const call = this.calls.get(binding.request);
+		if (call) {
+			void this.attempt(call, binding);
+		}
+	}
+
+	/** Ends one attempt whose answer is no longer needed. */
+	cancelAttempt(attempt: Attempt): void {
+		this.calls.get(attempt.request)?.attempts.get(attempt.attempt)?.abort();
+	}
+
+	/** Ends a call without an answer. */
+	fail(request: RequestId, failure: ServiceFailure): void {
+		this.finish(request, err(failure));
+	}
+
+	dispose(): void {
+		clearInterval(this.timer);
+		this.dispatcher.dispose();
+		for (const {work, attempts} of this.calls.values()) {
+			this.fail(work.requestId, {
+				execution: attempts.size > 0 ? 'unknown' : 'not-run',
+				code: 'no-target',
+			});
+		}
+	}
+
+	private async attempt(call: PendingCall, binding: Binding): Promise<void> {
+		const identity = identityOf(binding);
+		const service = this.options.targets.target(binding.target)?.service;
+		if (!service) {
+			this.post({kind: 'refused', ...identity, reason: 'leaving'});
+			return;
+		}
+
+		const controller = new AbortController();
+		call.attempts.set(binding.attempt, controller);
+		const {work} = call;
+		const answer = await service.call(
+			{
+				requestId: work.requestId,
+				method: work.method,
+				path: work.path,
+				contentType: work.contentType,
+				body: work.body,
+				timeoutMilliseconds: Math.max(
+					1,
+					call.deadline - this.options.clock.monotonic(),
+				),
+				// On a connection that went silent the outcome would be unknown; a failed new one proves that nothing ran.
+				newConnection: !work.isRepeatable,
+			},
+			controller.signal,
+		);
+		call.attempts.delete(binding.attempt);
+		if (answer.isOk()) {
+			this.post({kind: 'progressed', ...identity, tokens: 1});
+			this.post({kind: 'completed', ...identity, tokens: 1});
+			this.finish(binding.request, ok(answer.value));
+			return;
+		}
+
+		if (!controller.signal.aborted) {
+			this.learn(identity, answer.error);
+		}
+	}
+
+	private learn(identity: Attempt, error: TargetError): void {
+		const {targets} = this.options;
+		if (error instanceof TargetRefusedError) {
+			if (error.reason === 'leaving') {
+				targets.markUnavailable(identity.target, 'leaving');
+			}
+
+			this.post({kind: 'refused', ...identity, reason: error.reason});
+			return;
+		}
+
+		targets.markUnavailable(identity.target, 'unreachable');
+		this.post({kind: 'lost', ...identity, execution: error.execution});
+	}
+
+	private abandon(request: RequestId): void {
+		const call = this.calls.get(request);
+		if (!call) {
+			return;
+		}
+
+		const execution = call.attempts.size > 0 ? 'unknown' : 'not-run';
+		this.post({kind: 'abandoned', request});
+		this.fail(request, {execution, code: 'deadline'});
+	}
+
+	private finish(
+		request: RequestId,
+		result: Result<ServiceResponse, ServiceFailure>,
+	): void {
+		const call = this.calls.get(request);
+		this.calls.delete(request);
+		call?.resolve(result);
+	}
+}
+
+/** Passes the dispatcher's decisions on. */
+class ServicePort extends DispatchPort {
+	constructor(private readonly calls: ServiceDispatch) {
+		super();
+	}
+
+	dispatch(binding: Binding): void {
+		this.calls.startAttempt(binding);
+	}
+
+	refuse({item, code}: WorkRefusal): void {
+		this.calls.fail(item.request, {execution: 'not-run', code});
+	}
+
+	fail(item: WorkItem, execution: Execution): void {
+		this.calls.fail(item.request, {execution, code: 'no-target'});
+	}
+
+	demote(): void {
+		// Plain services know no priorities.
+	}
+
+	cancel(attempt: Attempt): void {
+		this.calls.cancelAttempt(attempt);
+	}
+}
+
+/** The targets of a pool that may get work, or those that may be back when there are none. */
+class ReachableCandidates extends CandidateDirectory {
+	private cached: readonly TargetId[] | undefined;
+
+	constructor(
+		private readonly targets: TargetDirectory,
+		private readonly pool: PoolName,
+	) {
+		super();
+		targets.changed.subscribe(() => {
+			this.cached = undefined;
+		});
+	}
+
+	targetsFor(): readonly TargetId[] {
+		this.cached ??= this.find();
+		return this.cached;
+	}
+
+	private find(): readonly TargetId[] {
+		const all = this.targets
+			.targetsOf(this.pool)
+			.filter((target) => target.unavailability !== 'leaving');
+		const reachable = all.filter(
+			(target) => target.unavailability === undefined,
+		);
+		return (reachable.length > 0 ? reachable : all).map(
+			(target) => target.definition.id,
+		);
+	}
+}
+
+function itemOf(work: ServiceWork): WorkItem {
+	return {
+		request: work.requestId,
+		caller: work.caller,
+		urgency: work.urgency,
+		offering: work.route,
+		promptCharacters: work.body.byteLength,
+		maximumTokens: 0,
+		prefixes: [],
+		remainingMilliseconds: work.timeoutMilliseconds,
+		idempotent: work.isRepeatable,
+		fingerprint: work.requestId as string as Fingerprint,
+		suspect: false,
+	};
+}
+
+function identityOf({request, attempt, target}: Attempt): Attempt {
+	return {request, attempt, target};
+}
--- a/src/services/entry/claiming-service-gateway.ts
+++ b/src/services/entry/claiming-service-gateway.ts
@@ -1,20 +1,18 @@
 import {Buffer} from 'node:buffer';
 import {err, ok, ResultAsync, type Result} from 'neverthrow';
 import {canonicalJson, sha256} from '../../base/common/digest.js';
-import {type Clock} from '../../base/common/clock.js';
-import {type RandomSource} from '../../base/common/random-source.js';
 import {type RecordedOutcome} from '../../contracts/claim-record.js';
-import {type IdempotencyKey, type TargetId} from '../../contracts/ids.js';
+import {
+	type IdempotencyKey,
+	type OfferingName,
+	type PoolName,
+} from '../../contracts/ids.js';
 import {type ServiceResponse} from '../../contracts/plain-service.js';
 import {RequestProblem} from '../../contracts/request-problem.js';
 import {
-	TargetRefusedError,
-	type TargetError,
-} from '../../contracts/target-error.js';
-import {
-	type KnownTarget,
-	type TargetDirectory,
-} from '../targets/target-directory.js';
+	type ServiceDispatch,
+	type ServiceFailure,
+} from '../dispatch/service-dispatch.js';
 import {
 	type ClaimDecision,
 	type ClaimKeeper,
@@ -22,23 +20,22 @@
 } from './claim-keeper.js';
 import {ServiceGateway, type ServiceCall} from './service-gateway.js';
 
+/** Finds the dispatch of a pool of plain services. */
+export abstract class ServiceDispatchDirectory {
+	abstract serviceDispatchOf(pool: PoolName): ServiceDispatch | undefined;
+}
+
 /** Collaborators of the gateway to plain services. */
 export type ClaimingServiceGatewayOptions = {
 	readonly claims: ClaimKeeper;
-	readonly targets: TargetDirectory;
-	readonly clock: Clock;
-	readonly random: RandomSource;
+	readonly dispatches: ServiceDispatchDirectory;
 };
 
-const maximumAttempts = 3;
-
 // Larger answers are not recorded; a later try is told that the call ran and that its answer is gone.
 const maximumRecordedBytes = 16_384;
 
 /** Routes calls to plain services. A call that may not be repeated is claimed in the log before it is dispatched. */
 export class ClaimingServiceGateway extends ServiceGateway {
-	private readonly outstanding = new Map<TargetId, number>();
-
 	constructor(private readonly options: ClaimingServiceGatewayOptions) {
 		super();
 	}
@@ -58,17 +55,16 @@
 		call: ServiceCall,
 		signal: AbortSignal,
 	): Promise<Result<ServiceResponse, RequestProblem>> {
-		const dispatched = await this.dispatch(call, signal, () => true);
+		const dispatched = await this.dispatch(call, signal);
 		return dispatched.mapErr((failure) =>
-			failure.wasSent
+			failure.execution === 'unknown'
 				? new RequestProblem(
 						'interrupted',
 						'The service did not answer. The call can be sent again.',
 						'unknown',
 						1,
-						{cause: failure.cause},
 					)
-				: noTarget(failure.cause),
+				: refused(failure),
 		);
 	}
 
@@ -108,130 +104,56 @@
 	): Promise<Result<ServiceResponse, RequestProblem>> {
 		// The caller may go while the call runs; its outcome must be recorded all the same.
 		const uninterrupted = new AbortController();
-		const dispatched = await this.dispatch(
-			call,
-			uninterrupted.signal,
-			(error) => error.execution === 'not-run',
-		);
+		const dispatched = await this.dispatch(call, uninterrupted.signal);
 		if (dispatched.isOk()) {
 			void this.options.claims.settle(request, recordOutcome(dispatched.value));
 			return ok(dispatched.value);
 		}
 
 		const failure = dispatched.error;
-		if (failure.wasSent) {
+		if (failure.execution === 'unknown') {
 			void this.options.claims.settle(request, null);
-			return err(outcomeUnknown(failure.cause));
+			return err(outcomeUnknown());
 		}
 
 		await this.options.claims.release(request);
-		return err(noTarget(failure.cause));
+		return err(refused(failure));
 	}
 
-	/** Tries targets until one answers, an error forbids another try, or none is left. */
 	private async dispatch(
 		call: ServiceCall,
 		signal: AbortSignal,
-		mayRepeat: (error: TargetError) => boolean,
-	): Promise<Result<ServiceResponse, DispatchFailure>> {
-		const timeoutMilliseconds =
-			1000 *
-			Math.min(
-				call.route.timeoutSeconds,
-				call.known.callerClass.deadlineSeconds,
-			);
-		const deadline = this.options.clock.monotonic() + timeoutMilliseconds;
-		const tried = new Set<TargetId>();
-		let failure: DispatchFailure = {wasSent: false, cause: undefined};
-		for (let attempt = 0; attempt < maximumAttempts; attempt += 1) {
-			const remaining = deadline - this.options.clock.monotonic();
-			const target = this.choose(call, tried);
-			if (!target?.service || remaining <= 0 || signal.aborted) {
-				break;
-			}
-
-			const {id} = target.definition;
-			tried.add(id);
-			this.addOutstanding(id, 1);
-			const answer = await target.service.call(
-				{
-					requestId: call.requestId,
-					method: call.route.method,
-					path: call.path,
-					contentType: call.contentType,
-					body: call.body,
-					timeoutMilliseconds: remaining,
-					// On a connection that went silent the outcome would be unknown; a failed new one proves that nothing ran.
-					newConnection: !call.route.idempotent,
-				},
-				signal,
-			);
-			this.addOutstanding(id, -1);
-			if (answer.isOk()) {
-				return ok(answer.value);
-			}
-
-			this.noteFailure(id, answer.error);
-			failure = {
-				wasSent: failure.wasSent || answer.error.execution === 'unknown',
-				cause: answer.error,
-			};
-			if (!mayRepeat(answer.error)) {
-				break;
-			}
-		}
-
-		return err(failure);
-	}
-
-	private choose(
-		call: ServiceCall,
-		tried: ReadonlySet<TargetId>,
-	): KnownTarget | undefined {
-		const untried = this.options.targets
-			.targetsOf(call.service.pool)
-			.filter((target) => !tried.has(target.definition.id));
-		const candidates = untried.filter((target) => !target.unavailability);
-		// A target marked as unreachable may be back; it is better than none. A leaving one gets no new work.
-		const usable =
-			candidates.length > 0
-				? candidates
-				: untried.filter((target) => target.unavailability !== 'leaving');
-		const first = usable[this.options.random.integer(usable.length)];
-		const second = usable[this.options.random.integer(usable.length)];
-		return first && second && this.load(second) < this.load(first)
-			? second
-			: first;
-	}
-
-	private load(target: KnownTarget): number {
-		const outstanding = this.outstanding.get(target.definition.id) ?? 0;
-		return outstanding / target.definition.slots;
-	}
-
-	private addOutstanding(id: TargetId, amount: number): void {
-		this.outstanding.set(id, (this.outstanding.get(id) ?? 0) + amount);
-	}
-
-	private noteFailure(id: TargetId, error: TargetError): void {
-		if (error instanceof TargetRefusedError) {
-			if (error.reason === 'leaving') {
-				this.options.targets.markUnavailable(id, 'leaving');
-			}
-
-			return;
+	): Promise<Result<ServiceResponse, ServiceFailure>> {
+		const dispatch = this.options.dispatches.serviceDispatchOf(
+			call.service.pool,
+		);
+		if (!dispatch) {
+			return err({execution: 'not-run', code: 'no-target'});
 		}
 
-		this.options.targets.markUnavailable(id, 'unreachable');
+		return dispatch.call(
+			{
+				requestId: call.requestId,
+				caller: call.known.caller.id,
+				urgency: call.known.callerClass.urgency,
+				route: `${call.service.name}${call.route.pathPrefix}` as OfferingName,
+				isRepeatable: call.route.idempotent,
+				timeoutMilliseconds:
+					1000 *
+					Math.min(
+						call.route.timeoutSeconds,
+						call.known.callerClass.deadlineSeconds,
+					),
+				method: call.route.method,
+				path: call.path,
+				contentType: call.contentType,
+				body: call.body,
+			},
+			signal,
+		);
 	}
 }
 
-type DispatchFailure = {
-	/** True when a byte of the call may have reached a target. */
-	readonly wasSent: boolean;
-	readonly cause: TargetError | undefined;
-};
-
 function callDigest(call: ServiceCall): string {
 	return sha256(
 		canonicalJson({
@@ -284,7 +206,7 @@
 		}
 
 		case 'unknown': {
-			return err(outcomeUnknown(undefined));
+			return err(outcomeUnknown());
 		}
 	}
 }
@@ -309,22 +231,27 @@
 	});
 }
 
-function outcomeUnknown(cause: TargetError | undefined): RequestProblem {
+function outcomeUnknown(): RequestProblem {
 	return new RequestProblem(
 		'outcome-unknown',
 		'The call was sent and may have run; its outcome is not known. Check before making a new call.',
 		'unknown',
-		undefined,
-		{cause},
 	);
 }
 
-function noTarget(cause: TargetError | undefined): RequestProblem {
+function refused(failure: ServiceFailure): RequestProblem {
 	return new RequestProblem(
-		'no-target',
-		'Nothing can take the call now. Send it again.',
+		failure.code,
+		refusalTexts[failure.code],
 		'not-run',
-		1,
-		{cause},
+		failure.code === 'deadline' ? undefined : 1,
 	);
 }
+
+const refusalTexts: Readonly<Record<ServiceFailure['code'], string>> = {
+	'caller-limit':
+		'This key has as many requests in progress as it may have. Send the call again later.',
+	overload: 'The service is overloaded. Send the call again later.',
+	deadline: 'The call cannot finish in time, so it was not made.',
+	'no-target': 'Nothing can take the call now. Send it again.',
+};
--- a/src/services/targets/report-poller.ts
+++ b/src/services/targets/report-poller.ts
@@ -1,7 +1,13 @@
 import {Disposable} from '../../base/common/disposable.js';
+import {type TargetReport} from '../../contracts/engine.js';
+import {
+	type FencingToken,
+	type TargetIncarnation,
+} from '../../contracts/ids.js';
+import {type ServiceReport} from '../../contracts/plain-service.js';
 import {type TargetDirectory, type KnownTarget} from './target-directory.js';
 
-/** Asks every engine for its report at a fixed interval, one request a target at a time. */
+/** Asks targets for their reports at a fixed interval, one request a target at a time. */
 export class ReportPoller extends Disposable {
 	private timer: NodeJS.Timeout | undefined;
 	private readonly asked = new Set<string>();
@@ -28,7 +34,7 @@
 
 	private pollAll(): void {
 		for (const target of this.targets.all()) {
-			if (target.engine && this.isResponsible(target)) {
+			if (this.isResponsible(target)) {
 				void this.poll(target);
 			}
 		}
@@ -36,14 +42,16 @@
 
 	private async poll(target: KnownTarget): Promise<void> {
 		const {id} = target.definition;
-		if (!target.engine || this.asked.has(id)) {
+		if (this.asked.has(id)) {
 			return;
 		}
 
 		this.asked.add(id);
-		const report = await target.engine.report();
+		const report = target.engine
+			? await target.engine.report()
+			: await target.service?.report().map((load) => asReport(target, load));
 		this.asked.delete(id);
-		if (report.isOk()) {
+		if (report?.isOk()) {
 			this.targets.observe(report.value, 0);
 			return;
 		}
@@ -51,3 +59,17 @@
 		this.targets.markUnavailable(id, 'unreachable');
 	}
 }
+
+/** A plain service reports its load only; the rest of a target's report is empty. */
+function asReport(target: KnownTarget, load: ServiceReport): TargetReport {
+	return {
+		...load,
+		target: target.definition.id,
+		incarnation: load.incarnation as TargetIncarnation,
+		role: 'service',
+		memoryBytes: 0,
+		artifacts: [],
+		highestToken: 0 as FencingToken,
+		appliedOrders: [],
+	};
+}
--- a/src/stand-ins/service-server.ts
+++ b/src/stand-ins/service-server.ts
@@ -14,6 +14,8 @@
 export type ServiceServerOptions = {
 	/** Time that one call takes. */
 	readonly callMilliseconds?: number;
+	/** Calls that the report names as worked on at a time. */
+	readonly slots?: number;
 	/** Answers a call. Echoes an acceptance by default. */
 	readonly respond?: (call: {
 		readonly method: string;
@@ -22,6 +24,8 @@
 	}) => {readonly status: number; readonly body: unknown};
 };
 
+const defaultSlots = 64;
+
 /** Stand-in for a plain service: bookings that must not be repeated, and status reads. */
 export class ServiceServer extends StandInServer<
 	ServiceFaults,
@@ -34,9 +38,20 @@
 	/** Executions of reads. */
 	statusReads = 0;
 	private inFlight = 0;
+	private sequence = 0;
 
 	constructor(private readonly options: ServiceServerOptions = {}) {
 		super(serviceFaultsSchema);
+		this.app.get('/report', (context) =>
+			context.json({
+				incarnation: this.incarnation,
+				sequence: this.sequence,
+				leaving: this.faults.leaving,
+				running: this.inFlight,
+				queued: 0,
+				slots: options.slots ?? defaultSlots,
+			}),
+		);
 		this.app.all('*', async (context) => {
 			const refusal = this.refusal();
 			if (refusal) {
@@ -53,10 +68,12 @@
 				new URL(context.req.url).origin.length,
 			);
 			this.inFlight++;
+			this.sequence++;
 			await this.delay(
 				(this.options.callMilliseconds ?? 0) * this.faults.slowFactor,
 			);
 			this.inFlight--;
+			this.sequence++;
 			this.countExecution(method, path, body);
 			const response = this.options.respond?.({method, path, body}) ?? {
 				status: method === 'GET' ? 200 : 201,
@@ -80,6 +97,10 @@
 		};
 	}
 
+	protected override faultsChanged(): void {
+		this.sequence++;
+	}
+
 	private refusal(): 'leaving' | 'busy' | undefined {
 		if (this.faults.leaving) {
 			return 'leaving';
