Let running answers end when a document removes their target or pool

Cause: a target that left the document had its connections destroyed, and a pool its dispatch, so each running answer broke off. Connections of removed targets now close when their exchange ends, and a retired dispatch goes with its last request. Ruled out: keeping the engine of a removed target until a timer ends, which cuts long answers all the same.

--- a/src/services/dispatch/dispatch-set.ts
+++ b/src/services/dispatch/dispatch-set.ts
@@ -104,7 +104,7 @@
 			for (const [name, dispatch] of pools) {
 				if (!named.has(name)) {
 					pools.delete(name);
-					dispatch.dispose();
+					dispatch.retire();
 				}
 			}
 		}
--- a/src/services/dispatch/pool-dispatch.ts
+++ b/src/services/dispatch/pool-dispatch.ts
@@ -84,6 +84,8 @@
 	readonly dispatcher: Dispatcher;
 	private readonly runs = new Map<RequestId, GenerationRun>();
 	private timer: NodeJS.Timeout | undefined;
+	private isRetired = false;
+	private isDisposed = false;
 
 	constructor(private readonly options: PoolDispatchOptions) {
 		super();
@@ -117,6 +119,11 @@
 			return;
 		}
 
+		if (this.isDisposed) {
+			run.fail(interrupted());
+			return;
+		}
+
 		const status = quarantine.status(run.fingerprint);
 		if (status === 'quarantined') {
 			run.fail(this.quarantined(run));
@@ -217,7 +224,14 @@
 		this.submit(run);
 	}
 
+	/** Lets running requests end and then disposes. For a pool that the document no longer names. */
+	retire(): void {
+		this.isRetired = true;
+		this.disposeIfIdle();
+	}
+
 	dispose(): void {
+		this.isDisposed = true;
 		clearInterval(this.timer);
 		this.dispatcher.dispose();
 		for (const run of this.runs.values()) {
@@ -378,6 +392,13 @@
 
 	private forget(run: GenerationRun): void {
 		this.runs.delete(run.submissionId);
+		this.disposeIfIdle();
+	}
+
+	private disposeIfIdle(): void {
+		if (this.isRetired && this.runs.size === 0) {
+			this.dispose();
+		}
 	}
 
 	private quarantined(run: GenerationRun): RequestProblem {
--- a/src/services/dispatch/service-dispatch.ts
+++ b/src/services/dispatch/service-dispatch.ts
@@ -77,6 +77,7 @@
 	readonly dispatcher: Dispatcher;
 	private readonly calls = new Map<RequestId, PendingCall>();
 	private timer: NodeJS.Timeout | undefined;
+	private isRetired = false;
 
 	constructor(private readonly options: ServiceDispatchOptions) {
 		super();
@@ -145,6 +146,12 @@
 		this.finish(request, err(failure));
 	}
 
+	/** Lets running calls end and then disposes. For a pool that the document no longer names. */
+	retire(): void {
+		this.isRetired = true;
+		this.disposeIfIdle();
+	}
+
 	dispose(): void {
 		clearInterval(this.timer);
 		this.dispatcher.dispose();
@@ -229,6 +236,14 @@
 		const call = this.calls.get(request);
 		this.calls.delete(request);
 		call?.resolve(result);
+		this.disposeIfIdle();
+	}
+
+	private disposeIfIdle(): void {
+		if (this.isRetired && this.calls.size === 0) {
+			clearInterval(this.timer);
+			this.dispatcher.dispose();
+		}
 	}
 }
 
--- a/src/services/targets/target-directory.ts
+++ b/src/services/targets/target-directory.ts
@@ -69,7 +69,7 @@
 			}
 
 			this.targets.delete(id);
-			disconnect(target);
+			retire(target);
 			this.targetRemoved.publish(id);
 		}
 
@@ -198,7 +198,7 @@
 		}
 
 		if (current) {
-			disconnect(current);
+			retire(current);
 		}
 
 		const isEngine = pool.kind === 'engine';
@@ -216,6 +216,12 @@
 	}
 }
 
+/** Closes idle connections now and busy ones when their exchange ends, so that a change of the document cuts no answer. */
+function retire(target: KnownTarget): void {
+	target.engine?.dropConnections();
+	target.service?.dropConnections();
+}
+
 function disconnect(target: KnownTarget): void {
 	void target.engine?.dispose();
 	void target.service?.dispose();
