Serve callers, operators and peers over TLS where the settings give certificates

Cause: keys, tokens and the peers' secret went over plain connections. Each listener takes a certificate and a key; peers also prove that the authority of the fleet signed them. Both HTTP listeners share one class now. Ruled out: comparing names in the peers' certificates, since hosts are reached by addresses that change; the secret is still needed beside the certificate. The cost of TLS on the path is not measured.

--- a/src/program/composition-root.ts
+++ b/src/program/composition-root.ts
@@ -135,7 +135,7 @@
 	const events = new WinstonEventLogger({
 		level: settings.log.level,
 		format: settings.log.format,
-		secrets: [settings.peerSecret],
+		secrets: [settings.peerSecret, ...privateKeysOf(settings)],
 		fields: {host: settings.host, incarnation},
 	});
 	const metrics = new HistogramMetricRegistry();
@@ -157,6 +157,12 @@
 	};
 }
 
+function privateKeysOf({tls}: Settings): string[] {
+	return [tls.callers, tls.operators, tls.peers].flatMap((identity) =>
+		identity ? [identity.key] : [],
+	);
+}
+
 function buildAgreement(foundation: Foundation) {
 	const {settings, owned, services, observer} = foundation;
 	const log = owned.add(
@@ -170,6 +176,7 @@
 	const directory = owned.add(
 		new PeerDirectory({
 			secret: settings.peerSecret,
+			tls: settings.tls.peers,
 			seedAddresses: settings.seedPeers,
 			timeoutMilliseconds: settings.timeouts.peerMilliseconds,
 		}),
@@ -190,6 +197,7 @@
 		new PeerServer({
 			...services,
 			secret: settings.peerSecret,
+			tls: settings.tls.peers,
 			bindAddress: settings.listen.peers.address,
 			port: settings.listen.peers.port,
 			follower,
@@ -219,7 +227,7 @@
 			failureDomain: settings.failureDomain,
 			peerAddress:
 				settings.advertisedPeerUrl ??
-				`http://${settings.listen.peers.address}:${peerPort}`,
+				`${settings.tls.peers ? 'https' : 'http'}://${settings.listen.peers.address}:${peerPort}`,
 			follower,
 			directory,
 			hostList: owned.add(
@@ -358,6 +366,7 @@
 				}),
 				observer,
 			),
+			tls: settings.tls.callers,
 			limits: {
 				bodyBytes: settings.limits.bodyBytes,
 				headerBytes: settings.limits.headerBytes,
@@ -401,6 +410,7 @@
 			}),
 			credentials: settings.operators,
 			logger: events,
+			tls: settings.tls.operators,
 			limits: {
 				documentBytes: settings.limits.documentBytes,
 				headerBytes: settings.limits.headerBytes,
--- a/src/program/settings-loader.ts
+++ b/src/program/settings-loader.ts
@@ -1,5 +1,6 @@
 import {readFileSync} from 'node:fs';
 import {err, ok, type Result} from 'neverthrow';
+import {z} from 'zod';
 import {settingsSchema, type Settings} from './settings.js';
 import {
 	YamlSource,
@@ -10,8 +11,23 @@
 /** Variables of the environment. */
 export type Environment = Readonly<Record<string, string | undefined>>;
 
-/** Settings whose value may be `{environment: NAME}` in place of a literal. */
-const secretPaths = [['peerSecret'], ['operators', '*', 'tokenDigest']];
+/** Settings whose value may be `{environment: NAME}` or `{file: PATH}` in place of a literal. */
+const secretPaths = [
+	['peerSecret'],
+	['operators', '*', 'tokenDigest'],
+	['tls', 'callers', 'certificate'],
+	['tls', 'callers', 'key'],
+	['tls', 'operators', 'certificate'],
+	['tls', 'operators', 'key'],
+	['tls', 'peers', 'certificate'],
+	['tls', 'peers', 'key'],
+	['tls', 'peers', 'authority'],
+];
+
+const secretReferenceSchema = z.union([
+	z.strictObject({environment: z.string()}),
+	z.strictObject({file: z.string()}),
+]);
 
 type ReplaceContext = {
 	readonly source: YamlSource;
@@ -22,31 +38,49 @@
 function resolveSecret(
 	value: unknown,
 	path: ReadonlyArray<string | number>,
-	{source, environment, problems}: ReplaceContext,
+	context: ReplaceContext,
 ): unknown {
-	if (
-		typeof value !== 'object' ||
-		value === null ||
-		Object.keys(value).length !== 1 ||
-		!('environment' in value) ||
-		typeof value.environment !== 'string'
-	) {
+	const reference = secretReferenceSchema.safeParse(value);
+	if (!reference.success) {
 		return value;
 	}
 
-	const secret = environment[value.environment];
+	return 'environment' in reference.data
+		? readVariable(reference.data.environment, path, context)
+		: readSecretFile(reference.data.file, path, context);
+}
+
+function readVariable(
+	name: string,
+	path: ReadonlyArray<string | number>,
+	{source, environment, problems}: ReplaceContext,
+): string | undefined {
+	const secret = environment[name];
 	if (secret === undefined || secret === '') {
 		problems.push(
-			source.problemAt(
-				path,
-				`the environment variable ${value.environment} is not set`,
-			),
+			source.problemAt(path, `the environment variable ${name} is not set`),
 		);
 	}
 
 	return secret;
 }
 
+function readSecretFile(
+	file: string,
+	path: ReadonlyArray<string | number>,
+	{source, problems}: ReplaceContext,
+): string | undefined {
+	try {
+		return readFileSync(file, 'utf8').trim();
+	} catch (error) {
+		const reason = error instanceof Error ? error.message : String(error);
+		problems.push(
+			source.problemAt(path, `the file ${file} cannot be read: ${reason}`),
+		);
+		return undefined;
+	}
+}
+
 function replaceAt(
 	value: unknown,
 	remaining: readonly string[],
@@ -77,7 +111,7 @@
 	};
 }
 
-/** Checks settings text. Secrets named by `{environment: NAME}` come from the environment. */
+/** Checks settings text. Secrets named by `{environment: NAME}` or `{file: PATH}` are read from there. */
 export function parseSettings(
 	text: string,
 	file: string,
--- a/src/program/settings.ts
+++ b/src/program/settings.ts
@@ -23,6 +23,21 @@
 	error: 'must be an http or https URL',
 });
 
+function pemSchema(kind: string) {
+	return z
+		.string()
+		.refine(
+			(text) => text.includes('-----BEGIN ') && text.includes(kind),
+			`must hold a ${kind} in PEM form`,
+		);
+}
+
+/** Certificate chain and private key in PEM form, literally or as `{file: PATH}` or `{environment: NAME}`. */
+const tlsIdentitySchema = z.strictObject({
+	certificate: pemSchema('CERTIFICATE'),
+	key: pemSchema('PRIVATE KEY'),
+});
+
 /** Logging of this process. */
 export const logSettingsSchema = z.strictObject({
 	level: z.enum(['debug', 'info', 'warn', 'error']).default('info'),
@@ -64,6 +79,17 @@
 			}),
 		)
 		.min(1),
+	/** Certificates of the listeners. A listener without them speaks plain HTTP. */
+	tls: z
+		.strictObject({
+			callers: tlsIdentitySchema.optional(),
+			operators: tlsIdentitySchema.optional(),
+			/** Hosts prove themselves to each other with certificates of this authority, in addition to the secret. */
+			peers: tlsIdentitySchema
+				.extend({authority: pemSchema('CERTIFICATE')})
+				.optional(),
+		})
+		.prefault({}),
 	limits: z
 		.strictObject({
 			bodyBytes: z.number().int().positive().default(1_048_576),
--- a/src/services/entry/entry-server.ts
+++ b/src/services/entry/entry-server.ts
@@ -1,10 +1,14 @@
 import {Buffer} from 'node:buffer';
-import {type Server} from 'node:http';
-import {createAdaptorServer, type HttpBindings} from '@hono/node-server';
+import {type HttpBindings} from '@hono/node-server';
 import {Hono, type Context} from 'hono';
 import {bodyLimit} from 'hono/body-limit';
 import {err, ok, type Result} from 'neverthrow';
-import {listenOn, type ListenError} from '../../base/node/listen.js';
+import {
+	HttpListener,
+	type ListenerLimits,
+	type TlsIdentity,
+} from '../../base/node/http-listener.js';
+import {type ListenError} from '../../base/node/listen.js';
 import {Disposable} from '../../base/common/disposable.js';
 import {
 	type EventLogger,
@@ -41,11 +45,8 @@
 import {type ServiceGateway} from './service-gateway.js';
 
 /** Limits of the callers' listener. */
-export type EntryLimits = {
+export type EntryLimits = ListenerLimits & {
 	readonly bodyBytes: number;
-	readonly headerBytes: number;
-	readonly connections: number;
-	readonly requestTimeoutMilliseconds: number;
 };
 
 /** Collaborators of the entry server. */
@@ -54,15 +55,13 @@
 	readonly models: ModelGateway;
 	readonly services: ServiceGateway;
 	readonly limits: EntryLimits;
+	readonly tls?: TlsIdentity | undefined;
 	readonly clock: Clock;
 	readonly events: EventLogger;
 	readonly metrics: MetricRegistry;
 	readonly mintRequestId: () => RequestId;
 };
 
-// Requests have ended when the server is disposed; clients get this time to read their answers.
-const closeGraceMilliseconds = 1000;
-
 type RequestScope = {
 	readonly requestId: RequestId;
 	readonly directory: CallerDirectory;
@@ -80,7 +79,7 @@
 /** Serves callers: chat completions and plain services. */
 export class EntryServer extends Disposable {
 	private readonly app = new Hono<{Bindings: HttpBindings}>();
-	private server: Server | undefined;
+	private readonly listener: HttpListener;
 
 	constructor(private readonly options: EntryServerOptions) {
 		super();
@@ -119,6 +118,11 @@
 			),
 		);
 		this.app.onError((error) => this.internalError(error));
+		this.listener = new HttpListener({
+			fetch: this.app.fetch,
+			limits: options.limits,
+			tls: options.tls,
+		});
 	}
 
 	/** Listens and returns the port. */
@@ -126,34 +130,11 @@
 		port: number,
 		hostname: string,
 	): Promise<Result<number, ListenError>> {
-		const {limits} = this.options;
-		const server = createAdaptorServer({
-			fetch: this.app.fetch,
-			serverOptions: {
-				maxHeaderSize: limits.headerBytes,
-				requestTimeout: limits.requestTimeoutMilliseconds,
-			},
-		}) as Server;
-		server.maxConnections = limits.connections;
-		this.server = server;
-		return listenOn(server, port, hostname);
+		return this.listener.listen(port, hostname);
 	}
 
 	async dispose(): Promise<void> {
-		const {server} = this;
-		if (!server?.listening) {
-			return;
-		}
-
-		await new Promise<void>((resolve) => {
-			server.close(() => {
-				resolve();
-			});
-			server.closeIdleConnections();
-			setTimeout(() => {
-				server.closeAllConnections();
-			}, closeGraceMilliseconds).unref();
-		});
+		await this.listener.dispose();
 	}
 
 	private async handle(
--- a/src/services/operator-server.ts
+++ b/src/services/operator-server.ts
@@ -1,13 +1,17 @@
 import {Buffer} from 'node:buffer';
 import {timingSafeEqual} from 'node:crypto';
-import {type Server} from 'node:http';
-import {createAdaptorServer} from '@hono/node-server';
+import {type HttpBindings} from '@hono/node-server';
 import {Hono, type Context, type MiddlewareHandler} from 'hono';
 import {bodyLimit} from 'hono/body-limit';
 import {err, ok, ResultAsync, type Result} from 'neverthrow';
 import {z} from 'zod';
 import {sha256} from '../base/common/digest.js';
-import {listenOn, type ListenError} from '../base/node/listen.js';
+import {
+	HttpListener,
+	type ListenerLimits,
+	type TlsIdentity,
+} from '../base/node/http-listener.js';
+import {type ListenError} from '../base/node/listen.js';
 import {Disposable} from '../base/common/disposable.js';
 import {
 	type EventLogger,
@@ -42,15 +46,11 @@
 	readonly backend: OperatorBackend;
 	readonly credentials: readonly OperatorCredential[];
 	readonly logger: EventLogger;
-	readonly limits: {
-		readonly documentBytes: number;
-		readonly headerBytes: number;
-		readonly connections: number;
-		readonly requestTimeoutMilliseconds: number;
-	};
+	readonly limits: ListenerLimits & {readonly documentBytes: number};
+	readonly tls?: TlsIdentity | undefined;
 };
 
-type Bindings = {Variables: {operator: string}};
+type Bindings = {Bindings: HttpBindings; Variables: {operator: string}};
 type OperatorContext = Context<Bindings>;
 
 const submissionSchema = z.strictObject({
@@ -124,7 +124,7 @@
 /** Serves operators: document, status, explain, burn, orders, metrics and health. */
 export class OperatorServer extends Disposable {
 	private readonly app = new Hono<Bindings>();
-	private server: Server | undefined;
+	private readonly listener: HttpListener;
 
 	constructor(private readonly options: OperatorServerOptions) {
 		super();
@@ -162,6 +162,11 @@
 				new OperatorProblem(500, 'internal-error', 'the request failed'),
 			);
 		});
+		this.listener = new HttpListener({
+			fetch: this.app.fetch,
+			limits: options.limits,
+			tls: options.tls,
+		});
 	}
 
 	/** Listens and returns the port. */
@@ -169,32 +174,11 @@
 		port: number,
 		hostname: string,
 	): Promise<Result<number, ListenError>> {
-		const {limits} = this.options;
-		const server = createAdaptorServer({
-			fetch: this.app.fetch,
-			serverOptions: {
-				maxHeaderSize: limits.headerBytes,
-				requestTimeout: limits.requestTimeoutMilliseconds,
-			},
-		}) as Server;
-		server.maxConnections = limits.connections;
-		this.server = server;
-		return listenOn(server, port, hostname);
+		return this.listener.listen(port, hostname);
 	}
 
 	async dispose(): Promise<void> {
-		const {server} = this;
-		if (!server) {
-			return;
-		}
-
-		this.server = undefined;
-		await new Promise<void>((resolve) => {
-			server.close(() => {
-				resolve();
-			});
-			server.closeIdleConnections();
-		});
+		await this.listener.dispose();
 	}
 
 	private addHealthRoutes(): void {
--- a/src/services/peer-client.ts
+++ b/src/services/peer-client.ts
@@ -1,9 +1,11 @@
 import {Agent} from 'node:http';
+import {Agent as TlsAgent} from 'node:https';
 import {type MessageInitShape} from '@bufbuild/protobuf';
 import {createClient, type Client, type Interceptor} from '@connectrpc/connect';
 import {createConnectTransport} from '@connectrpc/connect-node';
 import {ResultAsync} from 'neverthrow';
 import {Disposable} from '../base/common/disposable.js';
+import {type TlsIdentity} from '../base/node/http-listener.js';
 import {type LogOffset, type RecordId} from '../contracts/ids.js';
 import {type LogBatch} from '../contracts/log-service.js';
 import {
@@ -16,26 +18,47 @@
 /** The header that carries the shared secret of the fleet. */
 export const peerSecretHeader = 'x-daisylever-peer-secret';
 
+/** Certificate and key of this host, and the authority of the fleet, in PEM form. */
+export type PeerTls = TlsIdentity & {readonly authority: string};
+
 /** Options of a peer client. */
 export type PeerClientOptions = {
 	/** Base address of the peer server, such as `http://10.0.0.7:7400`. */
 	readonly address: string;
 	readonly secret: string;
+	readonly tls?: PeerTls | undefined;
 	readonly timeoutMilliseconds?: number;
 	/** Snapshots take longer than heartbeats. */
 	readonly snapshotTimeoutMilliseconds?: number;
 };
 
+const agentOptions = {keepAlive: true, maxSockets: 4};
+
+function createAgent(tls: PeerTls | undefined): Agent {
+	return tls
+		? new TlsAgent({
+				...agentOptions,
+				cert: tls.certificate,
+				key: tls.key,
+				ca: tls.authority,
+				minVersion: 'TLSv1.2',
+				// Hosts are reached by addresses that change; only membership in the fleet is proved.
+				checkServerIdentity: () => undefined,
+			})
+		: new Agent(agentOptions);
+}
+
 /**
  * Calls one other host. HTTP/1.1 is used on purpose: a call that times out closes its connection,
  * so a connection that went silent is not used again, which a shared HTTP/2 connection would be.
  */
 export class PeerClient extends Disposable {
-	private readonly agent = new Agent({keepAlive: true, maxSockets: 4});
+	private readonly agent: Agent;
 	private readonly client: Client<typeof PeerService>;
 
 	constructor(private readonly options: PeerClientOptions) {
 		super();
+		this.agent = createAgent(options.tls);
 		const authenticate: Interceptor = (next) => async (request) => {
 			request.header.set(peerSecretHeader, options.secret);
 			return next(request);
--- a/src/services/peer-directory.ts
+++ b/src/services/peer-directory.ts
@@ -2,12 +2,13 @@
 import {type LogOffset} from '../contracts/ids.js';
 import {type LogBatch} from '../contracts/log-service.js';
 import {type Disposable} from '../base/common/disposable.js';
-import {PeerClient} from './peer-client.js';
+import {PeerClient, type PeerTls} from './peer-client.js';
 import {PeerError, PeerRecordSource} from './peer-record-source.js';
 
 /** Options of the peer directory. */
 export type PeerDirectoryOptions = {
 	readonly secret: string;
+	readonly tls?: PeerTls | undefined;
 	/** Addresses from the settings, for a host that starts during a log outage and knows no other host. */
 	readonly seedAddresses: readonly string[];
 	readonly timeoutMilliseconds?: number;
@@ -35,6 +36,7 @@
 		const created = new PeerClient({
 			address,
 			secret: this.options.secret,
+			tls: this.options.tls,
 			...(this.options.timeoutMilliseconds !== undefined && {
 				timeoutMilliseconds: this.options.timeoutMilliseconds,
 			}),
--- a/src/services/peer-server.ts
+++ b/src/services/peer-server.ts
@@ -1,10 +1,11 @@
 import {createHash, timingSafeEqual} from 'node:crypto';
 import {
-	createServer,
+	createServer as createPlainServer,
 	type IncomingMessage,
 	type Server,
 	type ServerResponse,
 } from 'node:http';
+import {createServer as createTlsServer} from 'node:https';
 import {type AddressInfo} from 'node:net';
 import {type MessageInitShape} from '@bufbuild/protobuf';
 import {Code, ConnectError, type ConnectRouter} from '@connectrpc/connect';
@@ -20,13 +21,15 @@
 	type HostStateSchema,
 } from '../generated/daisylever/peer/v1/peer_pb.js';
 import {type LogFollower} from './log-follower.js';
-import {peerSecretHeader} from './peer-client.js';
+import {peerSecretHeader, type PeerTls} from './peer-client.js';
 import {PeerError} from './peer-record-source.js';
 import {type ServiceOptions} from './service-options.js';
 
 /** Options of the peer server. */
 export type PeerServerOptions = ServiceOptions & {
 	readonly secret: string;
+	/** Peers must then present a certificate of the same authority. */
+	readonly tls?: PeerTls | undefined;
 	readonly bindAddress: string;
 	/** Zero lets the kernel choose. */
 	readonly port: number;
@@ -58,14 +61,29 @@
 			},
 			readMaxBytes: maximumRequestBytes,
 		});
-		this.server = createServer((request, response) => {
+		const listener = (request: IncomingMessage, response: ServerResponse) => {
 			if (this.isAuthentic(request)) {
 				handler(request, response);
 				return;
 			}
 
 			this.refuse(request, response);
-		});
+		};
+
+		const {tls} = options;
+		this.server = tls
+			? createTlsServer(
+					{
+						cert: tls.certificate,
+						key: tls.key,
+						ca: tls.authority,
+						minVersion: 'TLSv1.2',
+						requestCert: true,
+						rejectUnauthorized: true,
+					},
+					listener,
+				)
+			: createPlainServer(listener);
 		this.server.maxConnections = options.maximumConnections ?? 1024;
 		this.server.headersTimeout = 10_000;
 		this.server.requestTimeout = 30_000;
--- a/test/process/processes.ts
+++ b/test/process/processes.ts
@@ -4,7 +4,7 @@
 import path from 'node:path';
 import process from 'node:process';
 import {createInterface} from 'node:readline';
-import {request} from 'undici';
+import {request, type Dispatcher} from 'undici';
 import {stringify} from 'yaml';
 
 /** Longest time for a condition in a process test. Generous, since CI machines can be busy. */
@@ -174,9 +174,11 @@
 		readonly key?: string;
 		readonly body?: unknown;
 		readonly headers?: Record<string, string>;
+		readonly dispatcher?: Dispatcher | undefined;
 	} = {},
 ): Promise<{status: number; text: string; json: any}> {
 	const answer = await request(url, {
+		...(options.dispatcher ? {dispatcher: options.dispatcher} : {}),
 		method,
 		headers: {
 			...(options.key ? {authorization: `Bearer ${options.key}`} : {}),
--- a/test/process/test-deployment.ts
+++ b/test/process/test-deployment.ts
@@ -1,3 +1,4 @@
+import {type Dispatcher} from 'undici';
 import {sha256} from '../../src/base/common/digest.js';
 import {
 	send,
@@ -7,7 +8,8 @@
 	type TestStandIn,
 } from './processes.js';
 
-const operatorToken = 'operator-token-of-the-test';
+/** Token of the operator in the settings. */
+export const operatorToken = 'operator-token-of-the-test';
 
 /** Key of the caller in the test document. */
 export const callerKey = 'key-of-workshop-7';
@@ -131,11 +133,13 @@
 	host: TestHost,
 	document: unknown,
 	expectedRevision: number,
+	dispatcher?: Dispatcher,
 ) {
 	return until('the host can submit', async () => {
 		const answer = await send('PUT', `${host.operators}/operator/v1/document`, {
 			key: operatorToken,
 			body: {expectedRevision, summary: 'test', document},
+			dispatcher,
 		});
 		return answer.status === 503 ? undefined : answer;
 	});
