Ask for isolation at each request instead of at each tick

Cause: a host that was frozen for longer than the isolation bound took requests under its old document until the next tick of the membership, up to a second. Ruled out: a shorter tick, which costs heartbeats and leaves a gap all the same.

--- a/src/program/composition-root.ts
+++ b/src/program/composition-root.ts
@@ -298,10 +298,7 @@
 			now: () => clock.monotonic(),
 		}),
 	);
-	const gate = new HostGate();
-	membership.isolationChanged.subscribe((isIsolated) => {
-		gate.setStale(isIsolated);
-	});
+	const gate = new HostGate(() => membership.isIsolated);
 	membership.memberChanged.subscribe(() => {
 		dispatches.setHosts(membership.leaseCandidates);
 	});
--- a/src/services/entry/host-gate.ts
+++ b/src/services/entry/host-gate.ts
@@ -9,11 +9,15 @@
 /** The gate of one host: open while a document is in force, it is known to be fresh, and no stop was asked for. */
 export class HostGate extends EntryGate {
 	private directory: CallerDirectory | undefined;
-	private isStale = false;
 	private isStopping = false;
 	private requests = 0;
 	private readonly idleWaiters: Array<() => void> = [];
 
+	/** `isIsolated` tells whether the host may hold an old document. */
+	constructor(private readonly isIsolated: () => boolean) {
+		super();
+	}
+
 	/** Requests that are running. */
 	get inFlight(): number {
 		return this.requests;
@@ -29,11 +33,6 @@
 		this.directory = new CallerDirectory(document);
 	}
 
-	/** Notes whether the host may hold an old document. */
-	setStale(isStale: boolean): void {
-		this.isStale = isStale;
-	}
-
 	/** Takes no new work from now on. */
 	stop(): void {
 		this.isStopping = true;
@@ -73,7 +72,8 @@
 			);
 		}
 
-		if (this.isStale) {
+		// Asked at each request: a host that was frozen must not serve an old document until its next tick.
+		if (this.isIsolated()) {
 			return err(
 				new RequestProblem(
 					'stale-configuration',
