Keep fencing tokens and order ids of the stand-in engine over a restart

Cause: the fenced ledger relies on a token that a restart does not lower, and the recorded ledger on order ids that are carried out at most once. The engine stand-in forgot its highest token when it restarted and carried out each copy of an order, so no test could show harm from a ledger that breaks these rules.

A refused order id counts as taken in as well, since the ledger frees its charge on the refusal. The new order fault 'repeated' delivers a second copy.

--- a/src/contracts/engine.ts
+++ b/src/contracts/engine.ts
@@ -156,7 +156,14 @@
 	/** Returns the newest report that the engine has published. */
 	abstract report(): ResultAsync<TargetReport, TargetError>;
 
-	/** Gives an order. After an error with execution `unknown` the order may still take effect, at any later time. */
+	/**
+	 * Gives an order. After an error with execution `unknown` the order may still take effect, at any later time.
+	 *
+	 * Memory accounting relies on one of two properties, both kept over restarts of the engine. An engine
+	 * that honours fencing refuses every order with a token below the highest one it has seen. An engine
+	 * that ignores fencing carries out each order id at most once; a second copy of a refused order has no
+	 * effect either.
+	 */
 	abstract order(
 		order: EngineOrder,
 	): ResultAsync<OrderAcknowledgement, TargetError>;
--- a/src/stand-ins/engine-faults.ts
+++ b/src/stand-ins/engine-faults.ts
@@ -29,8 +29,11 @@
 
 /** A fault of orders. */
 export const orderFaultSchema = z.object({
-	/** `lost` drops the order, `delayed` applies it after a time, both without an answer. */
-	kind: z.enum(['lost', 'delayed']),
+	/**
+	 * `lost` drops the order, `delayed` applies it after a time, both without an answer. `repeated`
+	 * answers, and a second copy arrives after a time.
+	 */
+	kind: z.enum(['lost', 'delayed', 'repeated']),
 	/** Number of orders that still meet the fault. */
 	remaining: z.number().int().nonnegative().default(1),
 	delayMilliseconds: z.number().nonnegative().default(0),
--- a/src/stand-ins/engine-server.ts
+++ b/src/stand-ins/engine-server.ts
@@ -115,6 +115,8 @@
 	private readonly running = new Set<GenerationRun>();
 	private readonly queue: GenerationRun[] = [];
 	private readonly appliedOrders: OrderId[] = [];
+	/** Answers to the order ids taken in, kept over restarts by an engine that ignores fencing. */
+	private readonly takenOrders = new Map<OrderId, RefusalReason | undefined>();
 	private role: EngineRole = 'mixed';
 	private highestToken = 0;
 	private sequence = 0;
@@ -189,7 +191,7 @@
 		this.running.clear();
 		this.queue.length = 0;
 		this.appliedOrders.length = 0;
-		this.highestToken = 0;
+		// The highest token and the order ids taken in outlive a restart, see the Engine contract.
 		this.sequence = 0;
 		this.role = 'mixed';
 	}
@@ -261,13 +263,15 @@
 			const fault = this.faults.orders.find(({remaining}) => remaining > 0);
 			if (fault) {
 				fault.remaining--;
-				if (fault.kind === 'delayed') {
+				if (fault.kind !== 'lost') {
 					this.after(fault.delayMilliseconds, () => {
 						this.applyOrder(order);
 					});
 				}
 
-				return this.breakAnswer(context);
+				if (fault.kind !== 'repeated') {
+					return this.breakAnswer(context);
+				}
 			}
 
 			const refusal = this.applyOrder(order);
@@ -494,8 +498,16 @@
 			return 'stale-token';
 		}
 
+		if (!this.options.honoursFencing && this.takenOrders.has(order.orderId)) {
+			return this.takenOrders.get(order.orderId);
+		}
+
 		this.highestToken = Math.max(this.highestToken, order.token);
 		const refusal = this.changeState(order);
+		if (!this.options.honoursFencing) {
+			this.takenOrders.set(order.orderId, refusal);
+		}
+
 		this.sequence++;
 		if (refusal) {
 			return refusal;
