--- a/src/services/entry/caller-directory.ts
+++ b/src/services/entry/caller-directory.ts
@@ -102,18 +102,6 @@
 		});
 	}
 
-	private lookUp(header: string): KnownCaller | undefined {
-		const key = header.startsWith('Bearer ')
-			? header.slice('Bearer '.length)
-			: '';
-		const known = key === '' ? undefined : this.callers.get(sha256(key));
-		if (known) {
-			this.authenticated.set(header, known);
-		}
-
-		return known;
-	}
-
 	/** Finds a plain service that the caller may use. */
 	service(
 		known: KnownCaller,
@@ -130,4 +118,16 @@
 					),
 				);
 	}
+
+	private lookUp(header: string): KnownCaller | undefined {
+		const key = header.startsWith('Bearer ')
+			? header.slice('Bearer '.length)
+			: '';
+		const known = key === '' ? undefined : this.callers.get(sha256(key));
+		if (known) {
+			this.authenticated.set(header, known);
+		}
+
+		return known;
+	}
 }
--- a/src/services/entry/entry-server.ts
+++ b/src/services/entry/entry-server.ts
@@ -102,8 +102,11 @@
 			const length = Number(headers['content-length']);
 			// The middleware builds a web request with a stream to look at the body. The parser of Node.js holds a body to
 			// its announced length, so for such a body the header is enough.
-			if (headers['transfer-encoding'] || !Number.isInteger(length)) {
-				return limitBody(context, next);
+			if (
+				headers['transfer-encoding'] !== undefined ||
+				!Number.isInteger(length)
+			) {
+				return limitBody(context as Context, next);
 			}
 
 			return length > options.limits.bodyBytes ? refuseBody() : next();
