--- a/src/services/entry/entry-server.ts
+++ b/src/services/entry/entry-server.ts
@@ -62,7 +62,7 @@
 
 // The incoming request closes before the response ends only when the caller has gone.
 type EntryBindings = {Bindings: HttpBindings};
-type EntryContext = Context<EntryBindings, string>;
+type EntryContext = Context<EntryBindings>;
 
 const servicePathPattern = /^\/services\/([^/]+)(\/.*)?$/;
 
@@ -89,7 +89,7 @@
 			maxSize: options.limits.bodyBytes,
 			onError: refuseBody,
 		}) as MiddlewareHandler<EntryBindings>;
-		this.app.use('*', async (context: EntryContext, next) => {
+		this.app.use('*', async (context: Context<EntryBindings, string>, next) => {
 			const {headers} = context.env.incoming;
 			const length = Number(headers['content-length']);
 			// The middleware builds a web request with a stream to look at the body. The parser of Node.js holds a body to
