--- a/src/program/composition-root.ts
+++ b/src/program/composition-root.ts
@@ -64,6 +64,8 @@
 const reportIntervalMilliseconds = 250;
 // The owner of a group reports once a second; a report older than this is fetched directly.
 const staleReportMilliseconds = 3000;
+// Plain services get no orders, so no host owns them and each host asks for itself.
+const serviceReportMilliseconds = 1000;
 const claimTimeoutMilliseconds = 3000;
 const settlementWaitMilliseconds = 5000;
 const millisecondsPerHour = 3_600_000;
@@ -133,7 +135,7 @@
 	const events = new WinstonEventLogger({
 		level: settings.log.level,
 		format: settings.log.format,
-		secrets: [settings.peerSecret],
+		secrets: [settings.peerSecret, ...privateKeysOf(settings)],
 		fields: {host: settings.host, incarnation},
 	});
 	const metrics = new HistogramMetricRegistry();
@@ -155,6 +157,12 @@
 	};
 }
 
+function privateKeysOf({tls}: Settings): string[] {
+	return [tls.callers, tls.operators, tls.peers].flatMap((identity) =>
+		identity ? [identity.key] : [],
+	);
+}
+
 function buildAgreement(foundation: Foundation) {
 	const {settings, owned, services, observer} = foundation;
 	const log = owned.add(
@@ -168,6 +176,7 @@
 	const directory = owned.add(
 		new PeerDirectory({
 			secret: settings.peerSecret,
+			tls: settings.tls.peers,
 			seedAddresses: settings.seedPeers,
 			timeoutMilliseconds: settings.timeouts.peerMilliseconds,
 		}),
@@ -188,6 +197,7 @@
 		new PeerServer({
 			...services,
 			secret: settings.peerSecret,
+			tls: settings.tls.peers,
 			bindAddress: settings.listen.peers.address,
 			port: settings.listen.peers.port,
 			follower,
@@ -217,7 +227,7 @@
 			failureDomain: settings.failureDomain,
 			peerAddress:
 				settings.advertisedPeerUrl ??
-				`http://${settings.listen.peers.address}:${peerPort}`,
+				`${settings.tls.peers ? 'https' : 'http'}://${settings.listen.peers.address}:${peerPort}`,
 			follower,
 			directory,
 			hostList: owned.add(
@@ -288,10 +298,7 @@
 			now: () => clock.monotonic(),
 		}),
 	);
-	const gate = new HostGate();
-	membership.isolationChanged.subscribe((isIsolated) => {
-		gate.setStale(isIsolated);
-	});
+	const gate = new HostGate(() => membership.isIsolated);
 	membership.memberChanged.subscribe(() => {
 		dispatches.setHosts(membership.leaseCandidates);
 	});
@@ -299,13 +306,12 @@
 		targets.applyHostList(entries);
 	});
 	const poller = owned.add(
-		new ReportPoller(
-			targets,
-			reportIntervalMilliseconds,
-			(target) =>
-				!placement.owns(target) &&
-				clock.monotonic() - target.reportedAt > staleReportMilliseconds,
-		),
+		new ReportPoller(targets, reportIntervalMilliseconds, (target) => {
+			const age = clock.monotonic() - target.reportedAt;
+			return target.engine
+				? !placement.owns(target) && age > staleReportMilliseconds
+				: age > serviceReportMilliseconds;
+		}),
 	);
 	poller.start();
 	followDocument(follower, [targets, dispatches, placement, gate]);
@@ -319,8 +325,7 @@
 	membership: MembershipTask,
 	fleet: Fleet,
 ): EntryServer {
-	const {settings, owned, services, clock, events, metrics, observer} =
-		foundation;
+	const {settings, owned, clock, events, metrics, observer} = foundation;
 	const {follower, log, createAppender} = agreement;
 	const claims = owned.add(
 		new ClaimKeeper({
@@ -354,12 +359,11 @@
 			services: new ObservedServiceGateway(
 				new ClaimingServiceGateway({
 					claims,
-					targets: fleet.targets,
-					clock,
-					random: services.random,
+					dispatches: fleet.dispatches,
 				}),
 				observer,
 			),
+			tls: settings.tls.callers,
 			limits: {
 				bodyBytes: settings.limits.bodyBytes,
 				headerBytes: settings.limits.headerBytes,
@@ -403,6 +407,7 @@
 			}),
 			credentials: settings.operators,
 			logger: events,
+			tls: settings.tls.operators,
 			limits: {
 				documentBytes: settings.limits.documentBytes,
 				headerBytes: settings.limits.headerBytes,
