Tell peers of target deaths at once and run suspects alone in the fleet

Faults found and fixed: - A repetition through another host ran ("unknown" instead of "not-run"), because the death reached that host with the log or the next heartbeat. reportDeath now sends the sightings at once, and the retry waits for the peers' answers (at most 500 ms). - Two hosts could place suspects on the same target; a harmless one shared the second death and was quarantined. A host announces the target it keeps before the suspect runs; of two hosts the first by name goes first. - Heartbeat calls and answers cross, so an older state could overwrite a newer one and its reservation. HostState carries a sequence number. - The incarnation of a lost attempt was read after the loss. A target that restarts within the report interval had then no death. It is read before the attempt, and a suspect's target is pinged for it. - A request that became suspect or quarantined while it was queued was sent as it was queued. It is now checked when it is bound. - Stand-in processes ignored restartMilliseconds, because the crash handler ended the process in any case.

Cause of the innocent quarantine ruled out: one death counted twice by one host (the name of a death is target and incarnation).

--- a/src/program/composition-root.ts
+++ b/src/program/composition-root.ts
@@ -253,6 +253,7 @@
 			...services,
 			host: settings.host,
 			control: follower,
+			tellPeers: async () => membership.sendNow(),
 		}),
 	);
 	const demand = new DemandCounter();
@@ -262,6 +263,7 @@
 		targets,
 		document: () => follower.control.document,
 		quarantine,
+		reserve: async (target) => exchange.reserve(target),
 	});
 	owned.addCallback(() => {
 		dispatches.dispose();
@@ -285,6 +287,7 @@
 			dispatches,
 			quarantine,
 			demand,
+			host: settings.host,
 			now: () => clock.monotonic(),
 		}),
 	);
--- a/src/services/dispatch/generation-run.ts
+++ b/src/services/dispatch/generation-run.ts
@@ -14,9 +14,12 @@
 export class GenerationRun {
 	/** Counts the submissions to the dispatcher. */
 	submission = 0;
+	/** Submissions that ended before an attempt began, to be queued in another way. */
+	diversions = 0;
 	private readonly parts = new Mailbox<Result<AnswerPart, RequestProblem>>();
 	private readonly attempts = new Map<string, AbortController>();
 	private readonly texts: string[] = [];
+	private begun = false;
 	private winner: string | undefined;
 	private ended = false;
 
@@ -31,6 +34,11 @@
 		return this.ended;
 	}
 
+	/** True once an attempt began, so that a target may have run it. */
+	get hasBegun(): boolean {
+		return this.begun;
+	}
+
 	/** Tokens that the caller received. */
 	get tokens(): readonly string[] {
 		return this.texts;
@@ -43,6 +51,7 @@
 
 	/** Registers an attempt and returns the signal that ends it. */
 	begin(name: AttemptName): AbortSignal {
+		this.begun = true;
 		const controller = new AbortController();
 		this.attempts.set(keyOf(name), controller);
 		return controller.signal;
--- a/src/services/dispatch/pool-dispatch.ts
+++ b/src/services/dispatch/pool-dispatch.ts
@@ -12,6 +12,7 @@
 	type PoolName,
 	type RequestId,
 	type TargetId,
+	type TargetIncarnation,
 } from '../../contracts/ids.js';
 import {promptPrefixes} from '../../contracts/prompt-prefix.js';
 import {
@@ -69,6 +70,8 @@
 	readonly random: RandomSource;
 	readonly events: EventLogger;
 	readonly metrics: MetricRegistry;
+	/** Tells the other hosts of the target that is kept for a suspect. False when another host keeps it as well and goes first. */
+	readonly reserve: (target: TargetId) => Promise<boolean>;
 	readonly limits?: ProgressLimits;
 };
 
@@ -124,7 +127,7 @@
 		}
 
 		run.submission += 1;
-		if (run.submission > maximumSubmissions) {
+		if (run.submission - run.diversions > maximumSubmissions) {
 			run.fail(interrupted());
 			return;
 		}
@@ -147,7 +150,7 @@
 	startAttempt(binding: Binding): void {
 		const run = this.runs.get(binding.request);
 		const target = this.options.targets.target(binding.target);
-		if (!run) {
+		if (!run || this.divert(run, binding)) {
 			return;
 		}
 
@@ -160,10 +163,9 @@
 			return;
 		}
 
-		void this.attempt(run, binding, target, {
-			submission: run.submission,
-			attempt: binding.attempt,
-		});
+		void (binding.item.suspect
+			? this.attemptAlone(run, binding, target)
+			: this.attempt(run, binding, target));
 	}
 
 	/** Ends one attempt whose answer is no longer needed. */
@@ -227,18 +229,62 @@
 		this.runs.clear();
 	}
 
+	/** Applies what became known of a request while it waited in the queue. */
+	private divert(run: GenerationRun, binding: Binding): boolean {
+		const status = this.options.quarantine.status(run.fingerprint);
+		if (status === 'clear' || (status === 'suspect' && binding.item.suspect)) {
+			return false;
+		}
+
+		this.queueAnew(run, binding);
+		return true;
+	}
+
+	private queueAnew(run: GenerationRun, binding: Binding): void {
+		this.forget(run);
+		this.post({kind: 'abandoned', request: binding.request});
+		run.diversions += 1;
+		this.submit(run);
+	}
+
+	/**
+	 * Starts a suspect once the other hosts know that its target is kept for it. Two suspects on one target would
+	 * share its death, and the harmless one would be quarantined.
+	 */
+	private async attemptAlone(
+		run: GenerationRun,
+		binding: Binding,
+		target: KnownTarget,
+	): Promise<void> {
+		const isReserved = await this.options.reserve(binding.target);
+		if (run.isEnded || this.runs.get(binding.request) !== run) {
+			return;
+		}
+
+		if (!isReserved) {
+			this.queueAnew(run, binding);
+			return;
+		}
+
+		if (!this.divert(run, binding)) {
+			await this.attempt(run, binding, target);
+		}
+	}
+
 	private async attempt(
 		run: GenerationRun,
 		binding: Binding,
 		target: KnownTarget,
-		name: AttemptName,
 	): Promise<void> {
 		const {engine} = target;
 		if (!engine) {
 			return;
 		}
 
+		const name = {submission: run.submission, attempt: binding.attempt};
+
 		const signal = run.begin(name);
+		const incarnation = await incarnationFor(binding.item, target);
 		const session = new GenerationSession({
 			engine,
 			request: this.requestOf(run, name),
@@ -248,7 +294,12 @@
 		let tokens = run.tokens.length;
 		for await (const progress of session.run(signal)) {
 			if (progress.isErr()) {
-				await this.endAttempt(run, binding, target, name, progress.error);
+				await this.endAttempt(run, binding, {
+					target,
+					incarnation,
+					name,
+					failure: progress.error,
+				});
 				return;
 			}
 
@@ -279,14 +330,11 @@
 	private async endAttempt(
 		run: GenerationRun,
 		binding: Binding,
-		target: KnownTarget,
-		name: AttemptName,
-		failure: GenerationFailedError,
+		{target, incarnation, name, failure}: FailedAttempt,
 	): Promise<void> {
 		this.options.metrics.count('daisylever_generation_failures_total', {
 			reason: failure.reason,
 		});
-		const incarnation = target.report?.incarnation;
 		run.leave(name);
 		if (failure.reason === 'aborted') {
 			return;
@@ -329,15 +377,14 @@
 		}
 
 		this.options.targets.markUnavailable(id, 'unreachable');
-		this.options.quarantine.reportDeath({
+		// Submitted anew, because a suspect must run alone and the queued item does not say so.
+		this.forget(run);
+		this.post({kind: 'abandoned', request: binding.request});
+		await this.options.quarantine.reportDeath({
 			fingerprint: run.fingerprint,
 			target: id,
 			targetIncarnation: ended,
 		});
-		// Submitted anew, because a suspect must run alone and the queued item does not say so.
-		this.forget(run);
-		this.post({kind: 'lost', ...identityOf(binding), execution: 'unknown'});
-		this.post({kind: 'abandoned', request: binding.request});
 		this.submit(run);
 	}
 
@@ -373,7 +420,7 @@
 	}
 
 	private mayHaveRun(run: GenerationRun): boolean {
-		return run.tokens.length > 0 || run.submission > 1;
+		return run.tokens.length > 0 || run.submission - run.diversions > 1;
 	}
 
 	private forget(run: GenerationRun): void {
@@ -384,7 +431,7 @@
 		return new RequestProblem(
 			'quarantined',
 			'This request made its server fail several times and is refused for a while.',
-			run.submission > 0 ? 'unknown' : 'not-run',
+			run.hasBegun ? 'unknown' : 'not-run',
 			this.options.quarantine.remainingSeconds(run.fingerprint),
 		);
 	}
@@ -437,6 +484,36 @@
 	}
 }
 
+type FailedAttempt = {
+	readonly target: KnownTarget;
+	/** The run of the target that the attempt went to. */
+	readonly incarnation: TargetIncarnation | undefined;
+	readonly name: AttemptName;
+	readonly failure: GenerationFailedError;
+};
+
+/**
+ * The run of the target that an attempt goes to, taken before the attempt: a target that restarts fast reports its
+ * new run before the loss is looked into. A report can be older than a restart, and a suspect's second death counts
+ * only under another run, so a suspect's target is asked.
+ */
+async function incarnationFor(
+	item: WorkItem,
+	target: KnownTarget,
+): Promise<TargetIncarnation | undefined> {
+	const reported = target.report?.incarnation;
+	if (!item.suspect) {
+		return reported;
+	}
+
+	const answer = await target.engine?.ping(
+		defaultProgressLimits.pingMilliseconds,
+	);
+	return answer?.isOk()
+		? (answer.value.incarnation as TargetIncarnation)
+		: reported;
+}
+
 /** Passes the dispatcher's decisions on. */
 class EnginePort extends DispatchPort {
 	constructor(private readonly pool: PoolDispatch) {
--- a/src/services/entry/quarantine-keeper.ts
+++ b/src/services/entry/quarantine-keeper.ts
@@ -23,6 +23,8 @@
 	readonly clock: Clock;
 	readonly events: EventLogger;
 	readonly metrics: MetricRegistry;
+	/** Sends the sightings of this host to its peers without waiting for the next heartbeat. */
+	readonly tellPeers: () => Promise<void>;
 };
 
 /** A fingerprint that was in flight at a death, as peers exchange it. */
@@ -41,10 +43,18 @@
 // Requests that were in flight together notice the death one after the other.
 const collectMilliseconds = 20;
 
+// A retry waits until the peers know of the death, since a repetition through another host would end one more target. A peer that does not answer must not hold the retry up for long.
+const tellPeersMilliseconds = 500;
+
+type CollectedDeath = {
+	readonly fingerprints: Set<Fingerprint>;
+	readonly told: Promise<void>;
+};
+
 /** Owns what this host knows of requests that end targets, and shares it with the fleet. */
 export class QuarantineKeeper implements Disposable {
 	private readonly policy = new QuarantinePolicy();
-	private readonly collecting = new Map<string, Set<Fingerprint>>();
+	private readonly collecting = new Map<string, CollectedDeath>();
 	private readonly timers = new Set<NodeJS.Timeout>();
 	private sightings: TimedSighting[] = [];
 
@@ -61,8 +71,11 @@
 		return this.policy.remaining(fingerprint, now) / 1000;
 	}
 
-	/** Notes that a request was in flight at a death that this host noticed, and tells the fleet. */
-	reportDeath(sighting: Sighting): void {
+	/**
+	 * Notes that a request was in flight at a death that this host noticed, and tells the fleet.
+	 * Resolves when the peers know, or after a bounded time.
+	 */
+	async reportDeath(sighting: Sighting): Promise<void> {
 		const {fingerprint, target, targetIncarnation} = sighting;
 		this.observe({target, targetIncarnation, fingerprints: [fingerprint]}, 0);
 		const at = this.options.clock.monotonic();
@@ -72,22 +85,25 @@
 		const name = `${target}\n${targetIncarnation}`;
 		const collected = this.collecting.get(name);
 		if (collected) {
-			collected.add(fingerprint);
-			return;
+			collected.fingerprints.add(fingerprint);
+			return collected.told;
 		}
 
 		const fingerprints = new Set([fingerprint]);
-		this.collecting.set(name, fingerprints);
-		const timer = setTimeout(() => {
-			this.timers.delete(timer);
+		const told = this.after(collectMilliseconds).then(async () => {
 			this.collecting.delete(name);
 			void this.record({
 				target,
 				targetIncarnation,
 				fingerprints: [...fingerprints],
 			});
-		}, collectMilliseconds);
-		this.timers.add(timer);
+			await Promise.race([
+				this.options.tellPeers(),
+				this.after(tellPeersMilliseconds),
+			]);
+		});
+		this.collecting.set(name, {fingerprints, told});
+		return told;
 	}
 
 	/** Takes in a death from the log or a peer, with its age in milliseconds. */
@@ -130,6 +146,16 @@
 		});
 	}
 
+	private async after(milliseconds: number): Promise<void> {
+		return new Promise((resolve) => {
+			const timer = setTimeout(() => {
+				this.timers.delete(timer);
+				resolve();
+			}, milliseconds);
+			this.timers.add(timer);
+		});
+	}
+
 	private recentSightings(now: number): TimedSighting[] {
 		return this.sightings.filter(
 			(sighting) => now - sighting.at < sightingMilliseconds,
--- a/src/services/membership-task.ts
+++ b/src/services/membership-task.ts
@@ -69,6 +69,7 @@
 	private leaving = false;
 	private isolated = false;
 	private listing = false;
+	private sequence = 0n;
 	private listedAt = Number.NEGATIVE_INFINITY;
 
 	constructor(private readonly options: MembershipTaskOptions) {
@@ -133,11 +134,20 @@
 		this.evaluate();
 	}
 
+	/** Sends the state of this host to its peers at once, for news that can't wait for the next round. */
+	async sendNow(): Promise<void> {
+		await Promise.all(
+			this.heartbeatAddresses().map(async (address) => this.call(address)),
+		);
+	}
+
 	/** Returns the state of this host for heartbeats. */
 	localState(): MessageInitShape<typeof HostStateSchema> {
 		const {follower} = this.options;
 		const {ready, ...load} = this.options.load();
+		this.sequence += 1n;
 		return {
+			sequence: this.sequence,
 			host: this.options.host,
 			incarnation: this.options.incarnation,
 			failureDomain: this.options.failureDomain,
@@ -164,7 +174,11 @@
 			},
 			clock.monotonic(),
 		);
-		if (!accepted) {
+		const known = this.states.get(state.host as HostId);
+		const isOlder =
+			known?.incarnation === state.incarnation &&
+			known.sequence > state.sequence;
+		if (!accepted || isOlder) {
 			return;
 		}
 
@@ -293,10 +307,14 @@
 		}
 
 		this.calling.add(address);
+		await this.call(address);
+		this.calling.delete(address);
+	}
+
+	private async call(address: string): Promise<void> {
 		const result = await this.options.directory
 			.client(address)
 			.heartbeat(this.localState());
-		this.calling.delete(address);
 		this.options.metrics.count('daisylever_heartbeats_total', {
 			result: result.isOk() ? 'answered' : 'failed',
 		});
--- a/src/services/peer-exchange.ts
+++ b/src/services/peer-exchange.ts
@@ -3,6 +3,7 @@
 import {targetReportSchema} from '../contracts/engine.js';
 import {
 	type Fingerprint,
+	type HostId,
 	type ModelId,
 	type TargetId,
 	type TargetIncarnation,
@@ -23,9 +24,13 @@
 	readonly dispatches: DispatchSet;
 	readonly quarantine: QuarantineKeeper;
 	readonly demand: DemandCounter;
+	readonly host: HostId;
 	readonly now: () => number;
 };
 
+// A peer that does not answer must not hold a suspect up for long.
+const reservationMilliseconds = 500;
+
 /** Fills the heartbeats of this host and hands out what the peers' heartbeats tell. */
 export class PeerExchange implements Disposable {
 	private readonly subscription: Disposable;
@@ -53,6 +58,23 @@
 		};
 	}
 
+	/**
+	 * Tells the peers which targets this host keeps for suspects. Returns whether it may use one of them: of two hosts
+	 * that keep the same target, the one whose name sorts first does.
+	 */
+	async reserve(target: TargetId): Promise<boolean> {
+		const {membership, host} = this.options;
+		let timer: NodeJS.Timeout | undefined;
+		const limit = new Promise<void>((resolve) => {
+			timer = setTimeout(resolve, reservationMilliseconds);
+		});
+		await Promise.race([membership.sendNow(), limit]);
+		clearTimeout(timer);
+		return !this.liveStates().some(
+			(state) => state.host < host && state.reservedTargets.includes(target),
+		);
+	}
+
 	/** Requests that run or wait, summed over all hosts, for each model. */
 	fleetDemand(): ReadonlyMap<ModelId, number> {
 		const total = new Map(this.options.demand.current);
--- a/src/stand-ins/engine-server.ts
+++ b/src/stand-ins/engine-server.ts
@@ -175,6 +175,7 @@
 			heldBytes: this.memory.heldBytes,
 			overcommits: this.memory.overcommits,
 			generations: this.generations,
+			crashes: this.crashes,
 			mostStarts: Math.max(0, ...this.starts.values()),
 			orders: this.orders.length,
 			staleOrders: this.staleOrders,
--- a/src/stand-ins/stand-in-server.ts
+++ b/src/stand-ins/stand-in-server.ts
@@ -53,7 +53,9 @@
 	faults: Faults;
 	/** Identity of the present run. Changes after a crash. */
 	incarnation = uuid();
-	/** Called instead of the simulated crash, for example to end the process. */
+	/** Crashes so far, those that a new incarnation followed. */
+	crashes = 0;
+	/** Called instead of the simulated crash when no restart is set, for example to end the process. */
 	crashHandler: (() => void) | undefined;
 	/** Connections accepted since the start. */
 	acceptedConnections = 0;
@@ -146,12 +148,13 @@
 
 	/** Ends the present run: connections break, memory is lost, the port is closed. */
 	crash(): void {
-		if (this.crashHandler) {
+		const {restartMilliseconds} = this.faults;
+		if (this.crashHandler && restartMilliseconds === null) {
 			this.crashHandler();
 			return;
 		}
 
-		const {restartMilliseconds} = this.faults;
+		this.crashes++;
 		this.server?.close();
 		this.breakConnections();
 		this.clearTimers();
--- /dev/null
+++ b/test/process/model-fleet.ts
@@ -0,0 +1,269 @@
+import {request} from 'undici';
+import {expectedAnswer} from '../../src/stand-ins/answer-generator.js';
+import {
+	send,
+	until,
+	type TestFleet,
+	type TestHost,
+	type TestStandIn,
+} from './processes.js';
+import {
+	callerKey,
+	hostSettings,
+	startPlatform,
+	submitDocument,
+	testDocument,
+	type TestPlatform,
+	type TestTargets,
+} from './test-deployment.js';
+
+const failureDomains = ['palermo', 'catania', 'messina'];
+
+/** An engine of the test and its id in the document. */
+export type TestEngine = TestStandIn & {readonly id: string};
+
+/** A small fleet that serves the offering `measure`. */
+export type ModelFleet = {
+	readonly platform: TestPlatform;
+	readonly engines: readonly TestEngine[];
+	readonly services: TestTargets['services'];
+	readonly hosts: readonly TestHost[];
+	readonly targets: TestTargets;
+};
+
+/** Starts engines, hosts and the platform, and waits until each host serves. */
+export async function startModelFleet(
+	fleet: TestFleet,
+	size: {
+		readonly engines: number;
+		readonly hosts: number;
+		readonly engineOptions?: Record<string, unknown>;
+		readonly documentChanges?: Record<string, unknown>;
+	},
+): Promise<ModelFleet> {
+	const platform = await startPlatform(fleet);
+	const engines = await Promise.all(
+		Array.from({length: size.engines}, async (_, index) => {
+			const id = `sarto-${index + 1}`;
+			const standIn = await fleet.standIn('engine', {
+				target: id,
+				memoryBytes: 1_000_000,
+				slots: 8,
+				artifacts: [{key: 'model/hem-base@1', bytes: 400_000}],
+				...size.engineOptions,
+			});
+			return {...standIn, id};
+		}),
+	);
+	const service = await fleet.standIn('service');
+	const hosts = await Promise.all(
+		Array.from({length: size.hosts}, async (_, index) => {
+			const name = `entry-${index + 1}`;
+			return fleet.host(name, hostSettings(platform, name, domainOf(index)));
+		}),
+	);
+	const targets: TestTargets = {
+		engines: engines.map(({id, address}, index) => ({
+			id,
+			address,
+			failureDomain: domainOf(index),
+		})),
+		services: [
+			{
+				id: 'ordini-1',
+				address: service.address,
+				failureDomain: domainOf(0),
+			},
+		],
+	};
+	const submitted = await submitDocument(
+		hosts[0]!,
+		testDocument(targets, size.documentChanges),
+		0,
+	);
+	if (submitted.status !== 200) {
+		throw new Error(`the document was refused: ${submitted.text}`);
+	}
+
+	const started = {
+		platform,
+		engines,
+		services: targets.services,
+		hosts,
+		targets,
+	};
+	await Promise.all(
+		hosts.map(async (host) =>
+			until(`${host.name} serves`, async () => {
+				const answer = await askModel(host, `warm-up of ${host.name}`);
+				return answer.kind === 'whole' ? answer : undefined;
+			}),
+		),
+	);
+	await until('all engines serve', async () => {
+		const reports = await Promise.all(
+			engines.map(async (engine) => statistics(engine)),
+		);
+		return reports.every(({report}) =>
+			report.artifacts.some(
+				(artifact: {key: string; state: string}) =>
+					artifact.key.startsWith('model/hem-base') &&
+					artifact.state === 'resident',
+			),
+		);
+	});
+	return started;
+}
+
+/** What a caller got: the whole answer, a refusal before the first token, or a part and a reported failure. */
+export type ModelAnswer = {
+	readonly kind: 'whole' | 'refused' | 'broken';
+	readonly text: string;
+	readonly code?: string;
+	readonly execution?: string;
+};
+
+/** Sends a streamed model request and reads the answer to its end. */
+export async function askModel(
+	host: Pick<TestHost, 'callers'>,
+	prompt: string,
+	options: {
+		readonly onToken?: (count: number) => void;
+		readonly dispatcher?: NonNullable<
+			Parameters<typeof request>[1]
+		>['dispatcher'];
+	} = {},
+): Promise<ModelAnswer> {
+	const answer = await request(`${host.callers}/v1/chat/completions`, {
+		method: 'POST',
+		headers: {
+			authorization: `Bearer ${callerKey}`,
+			'content-type': 'application/json',
+		},
+		body: JSON.stringify({
+			model: 'measure',
+			stream: true,
+			messages: [{role: 'user', content: prompt}],
+		}),
+		headersTimeout: 60_000,
+		bodyTimeout: 60_000,
+		...(options.dispatcher ? {dispatcher: options.dispatcher} : {}),
+	});
+	if (answer.statusCode !== 200) {
+		const problem = (await answer.body.json()) as Record<string, string>;
+		return {
+			kind: 'refused',
+			text: '',
+			code: String(problem.code),
+			execution: String(problem.execution),
+		};
+	}
+
+	const decoder = new TextDecoder();
+	let pending = '';
+	let text = '';
+	let count = 0;
+	let isWhole = false;
+	let problem: Record<string, string> | undefined;
+	for await (const chunk of answer.body) {
+		pending += decoder.decode(chunk as Uint8Array, {stream: true});
+		const events = pending.split('\n\n');
+		pending = events.pop() ?? '';
+		for (const event of events) {
+			const data = event.replace(/^data: /, '');
+			if (data === '[DONE]') {
+				isWhole = true;
+				continue;
+			}
+
+			const value = JSON.parse(data) as Record<string, any>;
+			if (!value.choices) {
+				problem = value.error ?? value;
+				continue;
+			}
+
+			const content = String(value.choices[0]?.delta?.content ?? '');
+			if (content) {
+				text += content;
+				count += 1;
+				options.onToken?.(count);
+			}
+		}
+	}
+
+	return isWhole
+		? {kind: 'whole', text}
+		: {
+				kind: 'broken',
+				text,
+				code: problem?.code,
+				execution: problem?.execution,
+			};
+}
+
+/** The answer that a caller has to get for a prompt. */
+export function expectedText(prompt: string): string {
+	return expectedAnswer({
+		model: 'hem-base' as Parameters<typeof expectedAnswer>[0]['model'],
+		adapter: undefined,
+		messages: [{role: 'user', content: prompt}],
+		maximumTokens: 1_000_000,
+	}).tokens.join('');
+}
+
+/** Reads the counters of a stand-in. */
+export async function statistics(
+	standIn: TestStandIn,
+): Promise<Record<string, any>> {
+	return controlStandIn(standIn, 'GET', 'statistics');
+}
+
+/** Changes the faults of a stand-in and keeps its other faults. */
+export async function setFaults(
+	standIn: TestStandIn,
+	faults: Record<string, unknown>,
+): Promise<void> {
+	await controlStandIn(standIn, 'PUT', 'faults', faults);
+}
+
+/** Calls the control endpoint of a stand-in over a new connection, since the test may have silenced the old ones. */
+export async function controlStandIn(
+	standIn: TestStandIn,
+	method: 'GET' | 'POST' | 'PUT',
+	path: string,
+	body?: unknown,
+): Promise<Record<string, any>> {
+	const answer = await request(`${standIn.address}/stand-in/${path}`, {
+		method,
+		reset: true,
+		...(body === undefined
+			? {}
+			: {
+					headers: {'content-type': 'application/json'},
+					body: JSON.stringify(body),
+				}),
+	});
+	const text = await answer.body.text();
+	if (answer.statusCode !== 200) {
+		throw new Error(`the stand-in refused ${path}: ${text}`);
+	}
+
+	return JSON.parse(text) as Record<string, any>;
+}
+
+/** Reads the accepted and ignored records of the control stream from the log stand-in. */
+export async function controlRecords(
+	platform: TestPlatform,
+): Promise<Array<Record<string, any>>> {
+	const answer = await send(
+		'GET',
+		`${platform.log.address}/streams/control/records?from=0&limit=100000`,
+	);
+	return (answer.json.records as Array<{body: Record<string, any>}>).map(
+		({body}) => body,
+	);
+}
+
+function domainOf(index: number): string {
+	return failureDomains[index % failureDomains.length]!;
+}
