--- a/src/program/composition-root.ts
+++ b/src/program/composition-root.ts
@@ -264,6 +264,7 @@
 			...services,
 			host: settings.host,
 			control: follower,
+			tellPeers: async () => membership.sendNow(),
 		}),
 	);
 	const demand = new DemandCounter();
@@ -273,6 +274,7 @@
 		targets,
 		document: () => follower.control.document,
 		quarantine,
+		reserve: async (target) => exchange.reserve(target),
 	});
 	owned.addCallback(() => {
 		dispatches.dispose();
@@ -296,6 +298,7 @@
 			dispatches,
 			quarantine,
 			demand,
+			host: settings.host,
 			now: () => clock.monotonic(),
 		}),
 	);
