Test bad input at the callers' listener and end every request in the gate

Cause: the table test over the listener with fakes for the gateways found that a gateway that throws, and a caller that leaves before its body is complete, left the request counted as running, so that a planned stop would wait for the whole drain time. Both now end their request in every path.

Ruled out: counting a service call only after its body has arrived; a stop during the body would then not wait for the request.

Conclusion: status, code and execution of each kind of bad input are fixed. An unknown path and a wrong method stay 400 `bad-request`.

--- a/src/services/entry/entry-server.ts
+++ b/src/services/entry/entry-server.ts
@@ -19,6 +19,7 @@
 	type IdempotencyKey,
 	type RequestId,
 } from '../../contracts/ids.js';
+import {type ServiceResponse} from '../../contracts/plain-service.js';
 import {RequestProblem} from '../../contracts/request-problem.js';
 import {type CallerDirectory, type KnownCaller} from './caller-directory.js';
 import {
@@ -38,7 +39,7 @@
 	type ModelRequest,
 } from './model-gateway.js';
 import {problemBody, problemResponse} from './problem-response.js';
-import {type ServiceGateway} from './service-gateway.js';
+import {type ServiceCall, type ServiceGateway} from './service-gateway.js';
 
 /** Limits of the callers' listener. */
 export type EntryLimits = {
@@ -206,16 +207,41 @@
 			messages: parsed.value.messages,
 			maximumTokens: Math.min(parsed.value.maximumTokens ?? limit, limit),
 		};
+		const finished = this.options.gate.enter();
+		try {
+			return await this.answerCompletion(context, request, {
+				requestId: scope.requestId,
+				stream: parsed.value.stream,
+				includeUsage: parsed.value.includeUsage,
+				finished,
+			});
+		} catch (error) {
+			finished();
+			throw error;
+		}
+	}
+
+	/** Calls `finished` when the answer is complete, which for a stream is after the return. */
+	private async answerCompletion(
+		context: EntryContext,
+		request: ModelRequest,
+		options: {
+			readonly requestId: RequestId;
+			readonly stream: boolean;
+			readonly includeUsage: boolean;
+			readonly finished: () => void;
+		},
+	): Promise<Result<Response, RequestProblem>> {
+		const {requestId, finished} = options;
 		const abort = new AbortController();
 		const parts = this.options.models
 			.run(request, abort.signal)
 			[Symbol.asyncIterator]();
-		const finished = this.options.gate.enter();
 		cancelWhenCallerLeaves(context, abort);
 		const identity: CompletionIdentity = {
-			id: `chatcmpl-${scope.requestId}`,
+			id: `chatcmpl-${requestId}`,
 			created: Math.floor(this.options.clock.wall() / 1000),
-			offering: offering.value.offering.name,
+			offering: request.offering.offering.name,
 		};
 		const promptTokens = countWords(request);
 		// The first part decides the status, so that a refusal is a plain error answer.
@@ -236,17 +262,17 @@
 			promptTokens,
 			first: first.value.value,
 			parts,
-			includeUsage: parsed.value.includeUsage,
-			requestId: scope.requestId,
+			includeUsage: options.includeUsage,
+			requestId,
 		};
-		if (parsed.value.stream) {
+		if (options.stream) {
 			return ok(this.streamAnswer(answer, abort, finished));
 		}
 
 		const whole = await collectAnswer(answer);
 		finished();
 		return whole.map((body) =>
-			Response.json(body, {headers: {'x-request-id': scope.requestId}}),
+			Response.json(body, {headers: {'x-request-id': requestId}}),
 		);
 	}
 
@@ -259,14 +285,19 @@
 		const events = this.answerEvents(answer);
 		const stream = new ReadableStream<Uint8Array>({
 			async pull(controller) {
-				const next = await events.next();
-				if (next.done) {
+				try {
+					const next = await events.next();
+					if (next.done) {
+						finished();
+						controller.close();
+						return;
+					}
+
+					controller.enqueue(encoder.encode(next.value));
+				} catch (error) {
 					finished();
-					controller.close();
-					return;
+					controller.error(error);
 				}
-
-				controller.enqueue(encoder.encode(next.value));
 			},
 			cancel() {
 				finished();
@@ -335,24 +366,16 @@
 			return err(key.error);
 		}
 
-		const abort = new AbortController();
 		const finished = this.options.gate.enter();
-		const body = new Uint8Array(await context.req.arrayBuffer());
-		cancelWhenCallerLeaves(context, abort);
-		const answer = await this.options.services.call(
-			{
-				requestId: scope.requestId,
-				known: scope.known,
-				service: service.value,
-				route,
-				path: `${path}${url.search}`,
-				contentType: context.req.header('content-type'),
-				body,
-				key: key.value,
-			},
-			abort.signal,
-		);
-		finished();
+		const answer = await this.forward(context, {
+			requestId: scope.requestId,
+			known: scope.known,
+			service: service.value,
+			route,
+			path: `${path}${url.search}`,
+			contentType: context.req.header('content-type'),
+			key: key.value,
+		}).finally(finished);
 		return answer.map((response) => {
 			const headers: Record<string, string> = {
 				'x-request-id': scope.requestId,
@@ -369,6 +392,17 @@
 		});
 	}
 
+	/** Reads the body and makes the call. Fails when the caller leaves before its body is complete. */
+	private async forward(
+		context: EntryContext,
+		call: Omit<ServiceCall, 'body'>,
+	): Promise<Result<ServiceResponse, RequestProblem>> {
+		const body = new Uint8Array(await context.req.arrayBuffer());
+		const abort = new AbortController();
+		cancelWhenCallerLeaves(context, abort);
+		return this.options.services.call({...call, body}, abort.signal);
+	}
+
 	private noteProblem(requestId: RequestId, problem: RequestProblem): void {
 		this.options.metrics.count('daisylever_refusals_total', {
 			code: problem.code,
--- /dev/null
+++ b/test/entry/entry-server.test.ts
@@ -0,0 +1,549 @@
+import assert from 'node:assert/strict';
+import {connect} from 'node:net';
+import {after, before, beforeEach, test} from 'node:test';
+import {err, errAsync, ok, okAsync, type Result} from 'neverthrow';
+import {request} from 'undici';
+import {ManualClock} from '../../src/base/common/clock.js';
+import {sha256} from '../../src/base/common/digest.js';
+import {SilentEventLogger} from '../../src/base/common/event-logger.js';
+import {NullMetricRegistry} from '../../src/base/common/metric-registry.js';
+import {fleetDocumentSchema} from '../../src/contracts/fleet-document.js';
+import {type RequestId} from '../../src/contracts/ids.js';
+import {RequestProblem} from '../../src/contracts/request-problem.js';
+import {EntryServer} from '../../src/services/entry/entry-server.js';
+import {HostGate} from '../../src/services/entry/host-gate.js';
+import {
+	ModelGateway,
+	type AnswerPart,
+	type ModelRequest,
+} from '../../src/services/entry/model-gateway.js';
+import {
+	ServiceGateway,
+	type ServiceCall,
+} from '../../src/services/entry/service-gateway.js';
+import {waitUntil} from '../agreement/harness.js';
+
+const key = 'key-of-workshop-7';
+/** Names inside the fleet that no caller may see. */
+const innerNames = [
+	'secret-base',
+	'secret-adapter',
+	'secret-pool',
+	'secret-target',
+	'secret-host',
+	'127.0.0.1',
+];
+const document = fleetDocumentSchema.parse({
+	schema: 1,
+	pools: [
+		{
+			name: 'secret-pool',
+			kind: 'engine',
+			targets: [
+				{
+					id: 'secret-target',
+					address: 'http://127.0.0.1:1',
+					failureDomain: 'north',
+					memoryBytes: 100,
+				},
+			],
+		},
+		{
+			name: 'plain',
+			kind: 'service',
+			targets: [
+				{
+					id: 'plain-1',
+					address: 'http://127.0.0.1:2',
+					failureDomain: 'north',
+				},
+			],
+		},
+	],
+	models: [{id: 'secret-base', pool: 'secret-pool', bytes: 10}],
+	adapters: [{id: 'secret-adapter', model: 'secret-base', bytes: 1}],
+	offerings: [
+		{name: 'measure', model: 'secret-base'},
+		{name: 'private', model: 'secret-base', adapter: 'secret-adapter'},
+	],
+	services: [
+		{
+			name: 'orders',
+			pool: 'plain',
+			routes: [
+				{method: 'GET', pathPrefix: '/status', idempotent: true},
+				{method: 'POST', pathPrefix: '/confirmations', idempotent: false},
+			],
+		},
+		{
+			name: 'fabric',
+			pool: 'plain',
+			routes: [{method: 'POST', pathPrefix: '/', idempotent: false}],
+		},
+	],
+	callerClasses: [{name: 'standard', urgency: 'standard'}],
+	callers: [
+		{
+			id: 'workshop-7',
+			class: 'standard',
+			keyDigests: [sha256(key)],
+			offerings: ['measure'],
+			services: ['orders'],
+		},
+	],
+	weightStore: {
+		loadsPerSecond: 1,
+		concurrentLoads: 1,
+		concurrentAdapterLoads: 1,
+	},
+});
+
+const innerCause = new Error('secret-host lost secret-target at 127.0.0.1');
+
+/** Answers as the test says, and counts what reached it. */
+class FakeModels extends ModelGateway {
+	parts: Array<Result<AnswerPart, RequestProblem>> = [];
+	/** Waits for the caller to leave in place of an end. */
+	isEndless = false;
+	failure: Error | undefined;
+	runs = 0;
+	aborted = 0;
+
+	async *run(
+		_request: ModelRequest,
+		signal: AbortSignal,
+	): AsyncGenerator<Result<AnswerPart, RequestProblem>> {
+		this.runs += 1;
+		if (this.failure) {
+			throw this.failure;
+		}
+
+		yield* this.parts;
+		if (this.isEndless) {
+			await new Promise<void>((resolve) => {
+				signal.addEventListener('abort', () => {
+					this.aborted += 1;
+					resolve();
+				});
+			});
+		}
+	}
+}
+
+/** Remembers the body of each key, as the claims do. */
+class FakeServices extends ServiceGateway {
+	readonly bodies = new Map<string, string>();
+	calls = 0;
+
+	call(call: ServiceCall) {
+		this.calls += 1;
+		const body = new TextDecoder().decode(call.body);
+		const earlier = call.key && this.bodies.get(call.key);
+		if (earlier !== undefined && earlier !== body) {
+			return errAsync(
+				new RequestProblem(
+					'key-conflict',
+					'The key was used for another call. Use a new key for a new call.',
+					'not-run',
+					undefined,
+					{cause: innerCause},
+				),
+			);
+		}
+
+		if (call.key) {
+			this.bodies.set(call.key, body);
+		}
+
+		return okAsync({
+			status: 201,
+			contentType: 'application/json',
+			body: new TextEncoder().encode('{"accepted":true}'),
+		});
+	}
+}
+
+const gate = new HostGate();
+let models = new FakeModels();
+let services = new FakeServices();
+let requests = 0;
+const server = new EntryServer({
+	gate,
+	models: new (class extends ModelGateway {
+		run(incoming: ModelRequest, signal: AbortSignal) {
+			return models.run(incoming, signal);
+		}
+	})(),
+	services: new (class extends ServiceGateway {
+		call(call: ServiceCall) {
+			return services.call(call);
+		}
+	})(),
+	limits: {
+		bodyBytes: 2000,
+		headerBytes: 16_384,
+		connections: 100,
+		requestTimeoutMilliseconds: 10_000,
+	},
+	clock: new ManualClock(1),
+	events: new SilentEventLogger(),
+	metrics: new NullMetricRegistry(),
+	mintRequestId() {
+		requests += 1;
+		return `request-${requests}` as RequestId;
+	},
+});
+let port = 0;
+
+before(async () => {
+	gate.applyDocument(document);
+	const listening = await server.listen(0, '127.0.0.1');
+	port = listening._unsafeUnwrap();
+});
+beforeEach(() => {
+	models = new FakeModels();
+	services = new FakeServices();
+});
+after(async () => server.dispose());
+
+const text = (content: string) =>
+	ok<AnswerPart, RequestProblem>({kind: 'text', text: content});
+const end = ok<AnswerPart, RequestProblem>({
+	kind: 'end',
+	tokens: 1,
+	reason: 'stop',
+});
+const chat = '/v1/chat/completions';
+const orders = '/services/orders/confirmations';
+const question = {
+	model: 'measure',
+	messages: [{role: 'user', content: 'How wide?'}],
+};
+
+type Sent = {
+	readonly method?: 'GET' | 'POST' | 'PUT' | 'DELETE';
+	readonly path: string;
+	readonly body?: unknown;
+	readonly headers?: Record<string, string>;
+	readonly authorization?: string;
+};
+
+async function send(sent: Sent) {
+	const answer = await request(`http://127.0.0.1:${port}${sent.path}`, {
+		method: sent.method ?? 'POST',
+		headers: {
+			authorization: sent.authorization ?? `Bearer ${key}`,
+			...(sent.body === undefined ? {} : {'content-type': 'application/json'}),
+			...sent.headers,
+		},
+		body:
+			sent.body === undefined || typeof sent.body === 'string'
+				? (sent.body ?? null)
+				: JSON.stringify(sent.body),
+	});
+	const body = await answer.body.text();
+	const visible = `${JSON.stringify(answer.headers)}\n${body}`;
+	for (const name of innerNames) {
+		assert.ok(!visible.includes(name), `the answer names ${name}: ${visible}`);
+	}
+
+	return {status: answer.statusCode, headers: answer.headers, body};
+}
+
+async function waitForIdle(): Promise<void> {
+	await waitUntil(() => gate.inFlight === 0, 'no request counts as running');
+}
+
+type BadInput = Sent & {
+	readonly failure: string;
+	readonly status: number;
+	readonly code: string;
+	readonly execution: 'not-run' | 'unknown';
+	readonly prepare?: () => void;
+	/** True when a gateway may see the request. */
+	readonly reachesGateway?: boolean;
+};
+
+const refused = {execution: 'not-run'} as const;
+const badRequest = {...refused, status: 400, code: 'bad-request'};
+const keyRequired = {...refused, status: 400, code: 'key-required'};
+const unknownOffering = {...refused, status: 404, code: 'unknown-offering'};
+const interrupted = {
+	status: 502,
+	code: 'interrupted',
+	execution: 'unknown',
+	reachesGateway: true,
+} as const;
+const inputs: readonly BadInput[] = [
+	{failure: 'malformed JSON', path: chat, body: '{"model":', ...badRequest},
+	{failure: 'an empty body', path: chat, ...badRequest},
+	{failure: 'JSON of another type', path: chat, body: '[]', ...badRequest},
+	{
+		failure: 'a model that is a number',
+		path: chat,
+		body: {...question, model: 5},
+		...badRequest,
+	},
+	{
+		failure: 'messages that are a text',
+		path: chat,
+		body: {...question, messages: 'How wide?'},
+		...badRequest,
+	},
+	{
+		failure: 'no messages',
+		path: chat,
+		body: {...question, messages: []},
+		...badRequest,
+	},
+	{
+		failure: 'content that is null',
+		path: chat,
+		body: {...question, messages: [{role: 'user', content: null}]},
+		...badRequest,
+	},
+	{
+		failure: 'a negative number of tokens',
+		path: chat,
+		body: {...question, max_tokens: -1},
+		...badRequest,
+	},
+	{
+		failure: 'several answers at once',
+		path: chat,
+		body: {...question, n: 2},
+		...badRequest,
+	},
+	{
+		failure: 'an oversized body',
+		path: chat,
+		body: {...question, padding: 'x'.repeat(3000)},
+		...refused,
+		status: 413,
+		code: 'body-too-large',
+	},
+	{
+		failure: 'an oversized body of a service call',
+		path: orders,
+		headers: {'idempotency-key': 'booking-0001'},
+		body: 'x'.repeat(3000),
+		...refused,
+		status: 413,
+		code: 'body-too-large',
+	},
+	{
+		failure: 'an unknown offering',
+		path: chat,
+		body: {...question, model: 'no-such'},
+		...unknownOffering,
+	},
+	{
+		failure: 'an offering of another caller',
+		path: chat,
+		body: {...question, model: 'private'},
+		...unknownOffering,
+	},
+	{
+		failure: 'no caller key',
+		path: chat,
+		body: question,
+		authorization: '',
+		...refused,
+		status: 401,
+		code: 'unauthenticated',
+	},
+	{
+		failure: 'an unknown caller key',
+		path: orders,
+		body: {},
+		authorization: 'Bearer no-such-key',
+		...refused,
+		status: 401,
+		code: 'unauthenticated',
+	},
+	{
+		failure: 'a missing Idempotency-Key',
+		path: orders,
+		body: {},
+		...keyRequired,
+	},
+	{
+		failure: 'a short Idempotency-Key',
+		path: orders,
+		body: {},
+		headers: {'idempotency-key': 'short'},
+		...keyRequired,
+	},
+	{
+		failure: 'a long Idempotency-Key',
+		path: orders,
+		body: {},
+		headers: {'idempotency-key': 'x'.repeat(256)},
+		...keyRequired,
+	},
+	{
+		failure: 'a repeated Idempotency-Key with another body',
+		path: orders,
+		body: {hem: 2},
+		headers: {'idempotency-key': 'booking-0001'},
+		prepare() {
+			services.bodies.set('booking-0001', '{"hem":1}');
+		},
+		...refused,
+		status: 422,
+		code: 'key-conflict',
+		reachesGateway: true,
+	},
+	{
+		failure: 'a service of another caller',
+		path: '/services/fabric/charges',
+		body: {},
+		...refused,
+		status: 404,
+		code: 'unknown-service',
+	},
+	{
+		failure: 'a path that only begins like a route',
+		path: '/services/orders/confirmationsets',
+		body: {},
+		headers: {'idempotency-key': 'booking-0001'},
+		...badRequest,
+	},
+	{failure: 'an unknown path', path: '/v2/chat', body: {}, ...badRequest},
+	{failure: 'a wrong method', method: 'GET', path: chat, ...badRequest},
+	{
+		failure: 'a wrong method of a route',
+		method: 'DELETE',
+		path: orders,
+		...badRequest,
+	},
+	{
+		failure: 'a gateway stream without any part',
+		path: chat,
+		body: question,
+		...interrupted,
+	},
+	{
+		failure: 'a gateway stream without an end',
+		path: chat,
+		body: question,
+		prepare() {
+			models.parts = [text('ninety')];
+		},
+		...interrupted,
+	},
+	{
+		failure: 'a problem at the start of the stream',
+		path: chat,
+		body: {...question, stream: true},
+		prepare() {
+			models.parts = [
+				err(
+					new RequestProblem('no-target', 'Send it again.', 'not-run', 1, {
+						cause: innerCause,
+					}),
+				),
+			];
+		},
+		...refused,
+		status: 503,
+		code: 'no-target',
+		reachesGateway: true,
+	},
+	{
+		failure: 'a gateway that throws',
+		path: chat,
+		body: question,
+		prepare() {
+			models.failure = innerCause;
+		},
+		...interrupted,
+	},
+];
+
+async function checkBadInput(input: BadInput): Promise<void> {
+	input.prepare?.();
+	const answer = await send(input);
+	assert.equal(answer.status, input.status, answer.body);
+	assert.equal(answer.headers['content-type'], 'application/problem+json');
+	const problem = JSON.parse(answer.body) as Record<string, unknown>;
+	assert.equal(problem.code, input.code);
+	assert.equal(problem.execution, input.execution);
+	assert.equal(problem.status, input.status);
+	assert.ok(answer.headers['x-request-id']);
+	if (!input.reachesGateway) {
+		assert.equal(models.runs + services.calls, 0);
+	}
+
+	await waitForIdle();
+}
+
+for (const input of inputs) {
+	// Guards against an answer with another status, code or execution, a request that goes on to a gateway, inner names, and a request that is counted as running for good.
+	test(`bad input: ${input.failure}`, async () => checkBadInput(input));
+}
+
+// Guards against a truncated stream that looks complete.
+test('a stream that breaks off ends with a problem and without the end marker', async () => {
+	models.parts = [text('ninety')];
+	const answer = await send({path: chat, body: {...question, stream: true}});
+	assert.equal(answer.status, 200);
+	assert.ok(!answer.body.includes('[DONE]'), answer.body);
+	const last = answer.body.trim().split('\n\n').at(-1);
+	const problem = JSON.parse(last!.slice('data: '.length)) as {
+		code: string;
+		execution: string;
+	};
+	assert.equal(problem.code, 'interrupted');
+	assert.equal(problem.execution, 'unknown');
+	await waitForIdle();
+});
+
+// Guards against inner names in the answers of a request that succeeds.
+test('complete answers name the offering only', async () => {
+	models.parts = [text('ninety'), end];
+	const whole = await send({path: chat, body: question});
+	assert.equal(whole.status, 200, whole.body);
+	const streamed = await send({path: chat, body: {...question, stream: true}});
+	assert.ok(streamed.body.endsWith('data: [DONE]\n\n'), streamed.body);
+	const list = await send({method: 'GET', path: '/v1/models'});
+	assert.match(list.body, /"measure"/);
+	assert.doesNotMatch(list.body, /private/);
+	const booked = await send({
+		path: orders,
+		body: {hem: 1},
+		headers: {'idempotency-key': 'booking-0002'},
+	});
+	assert.equal(booked.status, 201);
+	await waitForIdle();
+});
+
+// Guards against work that goes on for a caller that left.
+test('a caller that leaves ends its request', async () => {
+	models.parts = [text('ninety')];
+	models.isEndless = true;
+	const socket = connect(port, '127.0.0.1');
+	const body = JSON.stringify({...question, stream: true});
+	socket.write(
+		`POST ${chat} HTTP/1.1\r\nhost: entry\r\nauthorization: Bearer ${key}\r\ncontent-length: ${body.length}\r\n\r\n${body}`,
+	);
+	await new Promise((resolve) => {
+		socket.once('data', resolve);
+	});
+	assert.equal(gate.inFlight, 1);
+	socket.destroy();
+	await waitForIdle();
+	assert.equal(models.aborted, 1);
+});
+
+// Guards against a planned stop that waits for a caller that left while it sent its request.
+test('a caller that leaves before its body is complete is not counted as running', async () => {
+	const socket = connect(port, '127.0.0.1');
+	socket.write(
+		`POST ${orders} HTTP/1.1\r\nhost: entry\r\nauthorization: Bearer ${key}\r\nidempotency-key: booking-0003\r\ncontent-length: 500\r\n\r\n{`,
+	);
+	await waitUntil(() => gate.inFlight > 0, 'the request arrived');
+	socket.destroy();
+	await waitForIdle();
+	assert.equal(services.calls, 0);
+});
