--- a/src/stand-ins/log-server.ts
+++ b/src/stand-ins/log-server.ts
@@ -33,7 +33,11 @@
 	}
 
 	protected override statistics(): Readonly<Record<string, unknown>> {
-		return {appends: this.appends, reads: this.reads};
+		return {
+			appends: this.appends,
+			reads: this.reads,
+			claimRecords: this.store.bounds('claims').next,
+		};
 	}
 
 	private addRoutes(): void {
