--- a/src/program/composition-root.ts
+++ b/src/program/composition-root.ts
@@ -172,8 +172,10 @@
 			answerTimeoutMilliseconds: settings.timeouts.platformMilliseconds,
 		}),
 	);
-	const createAppender = (stream: StreamName) =>
-		owned.add(new RecordAppender({...services, log, stream}));
+	const createAppender = (stream: StreamName, deadlineMilliseconds?: number) =>
+		owned.add(
+			new RecordAppender({...services, log, stream, deadlineMilliseconds}),
+		);
 	const directory = owned.add(
 		new PeerDirectory({
 			secret: settings.peerSecret,
@@ -337,7 +339,9 @@
 			host: settings.host,
 			incarnation: foundation.incarnation,
 			log,
-			appender: new LogClaimAppender(createAppender('claims')),
+			appender: new LogClaimAppender(
+				createAppender('claims', claimTimeoutMilliseconds),
+			),
 			incarnations: new MemberIncarnations(
 				foundation.incarnation,
 				clock,
