--- a/src/services/entry/entry-server.ts
+++ b/src/services/entry/entry-server.ts
@@ -1,7 +1,7 @@
 import {Buffer} from 'node:buffer';
 import {type Server} from 'node:http';
 import {createAdaptorServer, type HttpBindings} from '@hono/node-server';
-import {Hono, type Context} from 'hono';
+import {Hono, type Context, type MiddlewareHandler} from 'hono';
 import {bodyLimit} from 'hono/body-limit';
 import {err, ok, type Result} from 'neverthrow';
 import {listenOn, type ListenError} from '../../base/node/listen.js';
@@ -71,6 +71,7 @@
 
 // The incoming request closes before the response ends only when the caller has gone.
 type EntryContext = Context<{Bindings: HttpBindings}>;
+type BodyContext = Context<{Bindings: HttpBindings}, string>;
 
 const servicePathPattern = /^\/services\/([^/]+)(\/.*)?$/;
 
@@ -93,11 +94,11 @@
 				),
 				options.mintRequestId(),
 			);
-		const limitBody = bodyLimit({
+		const limitBody: MiddlewareHandler<{Bindings: HttpBindings}> = bodyLimit({
 			maxSize: options.limits.bodyBytes,
 			onError: refuseBody,
 		});
-		this.app.use('*', async (context, next) => {
+		this.app.use('*', async (context: BodyContext, next) => {
 			const {headers} = context.env.incoming;
 			const length = Number(headers['content-length']);
 			// The middleware builds a web request with a stream to look at the body. The parser of Node.js holds a body to
@@ -106,7 +107,7 @@
 				headers['transfer-encoding'] !== undefined ||
 				!Number.isInteger(length)
 			) {
-				return limitBody(context as Context, next);
+				return limitBody(context, next);
 			}
 
 			return length > options.limits.bodyBytes ? refuseBody() : next();
