Bound the targets that one dispatch compares

The dispatcher computed the load of every target of the pool for each message, and the health of every candidate for each dispatch; the candidate list was made anew after each report of any target.

Large pools are now compared by a bounded random sample plus the targets that a sample would miss: holders of prefixes, ejected targets and the target freed last. The search for room is bounded too, and a report rebuilds a candidate list only when it changes it. Pools up to 16 targets are compared as before.

--- a/src/core/outlier-detector.ts
+++ b/src/core/outlier-detector.ts
@@ -67,6 +67,8 @@
 export class OutlierDetector {
 	private readonly options: Required<OutlierDetectorOptions>;
 	private readonly entries = new Map<TargetId, Entry>();
+	/** Targets with a weight below 1. */
+	private readonly reduced = new Set<TargetId>();
 	private readonly medians: Partial<
 		Record<
 			LatencyKind,
@@ -93,6 +95,11 @@
 		return [...this.entries.values()].filter(({weight}) => weight === 0).length;
 	}
 
+	/** Targets that are ejected or recover. */
+	reducedTargets(): readonly TargetId[] {
+		return [...this.reduced];
+	}
+
 	/** Starts to compare a target. */
 	addTarget(target: TargetId): void {
 		if (!this.entries.has(target)) {
@@ -110,6 +117,7 @@
 	/** Stops comparing a target. */
 	removeTarget(target: TargetId): void {
 		this.entries.delete(target);
+		this.reduced.delete(target);
 	}
 
 	/** Takes in a measured time. Returns `ejected` or `restored` when the state of the target changes. */
@@ -166,12 +174,12 @@
 		const limit = Math.floor(
 			this.entries.size * this.options.maximumEjectedShare,
 		);
-		const reduced = [...this.entries.values()].filter(({weight}) => weight < 1);
-		if (reduced.length >= limit) {
+		if (this.reduced.size >= limit) {
 			return undefined;
 		}
 
 		entry.weight = 0;
+		this.reduced.add(target);
 		this.recordProbe(target);
 		return 'ejected';
 	}
@@ -201,6 +209,7 @@
 			return undefined;
 		}
 
+		this.reduced.delete(target);
 		// The times from before the ejection would eject it again at once.
 		for (const each of kinds) {
 			entry.means[each] = new DecayedMean();
--- a/src/core/prefix-affinity.ts
+++ b/src/core/prefix-affinity.ts
@@ -28,6 +28,8 @@
 export class PrefixAffinity {
 	private readonly options: Required<PrefixAffinityOptions>;
 	private readonly entries = new Map<TargetId, Entry>();
+	/** Targets by prefix, so that a request finds the holders of its prefixes without a look at each target. */
+	private readonly holders = new Map<string, Set<TargetId>>();
 
 	constructor(options: PrefixAffinityOptions) {
 		this.options = {
@@ -45,7 +47,31 @@
 
 	/** Forgets a target, for example after its restart. */
 	removeTarget(target: TargetId): void {
-		this.entries.delete(target);
+		const entry = this.entries.get(target);
+		if (entry) {
+			this.clear(target, entry);
+			this.entries.delete(target);
+		}
+	}
+
+	/** Returns at most `count` targets that may hold the longest known one of the prefixes, which are given longest first. */
+	holdersOf(prefixes: readonly string[], count: number): TargetId[] {
+		const found: TargetId[] = [];
+		for (const prefix of prefixes) {
+			for (const target of this.holders.get(prefix) ?? []) {
+				if (found.length >= count) {
+					return found;
+				}
+
+				found.push(target);
+			}
+
+			if (found.length > 0) {
+				return found;
+			}
+		}
+
+		return found;
 	}
 
 	/** Takes the adapters that the target reports as resident. */
@@ -61,7 +87,7 @@
 	recordDispatch(target: TargetId, prefixes: readonly string[]): void {
 		const entry = this.entryOf(target);
 		for (const prefix of prefixes) {
-			this.store(entry, prefix);
+			this.store(target, entry, prefix);
 		}
 	}
 
@@ -82,11 +108,11 @@
 
 			entry.nextSequence = event.sequence + 1;
 			if (event.kind === 'stored') {
-				this.store(entry, event.prefix);
+				this.store(target, entry, event.prefix);
 			} else if (event.kind === 'evicted') {
-				entry.prefixes.delete(event.prefix);
+				this.drop(target, entry, event.prefix);
 			} else {
-				entry.prefixes.clear();
+				this.clear(target, entry);
 			}
 		}
 	}
@@ -125,7 +151,10 @@
 		return 0;
 	}
 
-	private store(entry: Entry, prefix: string): void {
+	private store(target: TargetId, entry: Entry, prefix: string): void {
+		const holders = this.holders.get(prefix) ?? new Set();
+		holders.add(target);
+		this.holders.set(prefix, holders);
 		entry.prefixes.delete(prefix);
 		entry.prefixes.set(prefix, {
 			epoch: entry.epoch,
@@ -133,7 +162,21 @@
 		});
 		if (entry.prefixes.size > this.options.maximumPrefixes) {
 			const [oldest] = entry.prefixes.keys();
-			entry.prefixes.delete(oldest!);
+			this.drop(target, entry, oldest!);
+		}
+	}
+
+	private drop(target: TargetId, entry: Entry, prefix: string): void {
+		entry.prefixes.delete(prefix);
+		const holders = this.holders.get(prefix);
+		if (holders?.delete(target) && holders.size === 0) {
+			this.holders.delete(prefix);
+		}
+	}
+
+	private clear(target: TargetId, entry: Entry): void {
+		for (const prefix of entry.prefixes.keys()) {
+			this.drop(target, entry, prefix);
 		}
 	}
 
--- a/src/core/target-view.ts
+++ b/src/core/target-view.ts
@@ -57,6 +57,8 @@
 	private readonly ceiling: number;
 	private readonly smoothing: number;
 	private readonly entries = new Map<TargetId, Entry>();
+	/** The targets in the order in which `loadsFrom` walks through them. */
+	private order: TargetId[] = [];
 
 	constructor(options: TargetViewOptions) {
 		this.clock = options.clock;
@@ -84,11 +86,14 @@
 			others: 0,
 			measuredAt: Number.NEGATIVE_INFINITY,
 		});
+		this.order.push(target);
 	}
 
 	/** Forgets a target. Work in flight there is no longer counted. */
 	removeTarget(target: TargetId): void {
-		this.entries.delete(target);
+		if (this.entries.delete(target)) {
+			this.order = this.order.filter((each) => each !== target);
+		}
 	}
 
 	/** Marks a target as leaving or not. */
@@ -195,6 +200,17 @@
 		});
 	}
 
+	/** Returns the load of at most `count` targets, starting at a position that wraps around. */
+	loadsFrom(position: number, count: number): TargetLoad[] {
+		const {length} = this.order;
+		return this.loads(
+			Array.from(
+				{length: Math.min(count, length)},
+				(_, index) => this.order[(position + index) % length]!,
+			),
+		);
+	}
+
 	private remember(entry: Entry): void {
 		const time = this.clock.monotonic();
 		entry.history.push({time, count: entry.own.size});
--- a/src/services/dispatch/dispatcher.ts
+++ b/src/services/dispatch/dispatcher.ts
@@ -210,6 +210,15 @@
 	mayHaveRun: boolean;
 };
 
+/** Pools up to this size are compared as a whole. */
+const maximumCompared = 16;
+/** Random targets that are compared in a larger pool. Routing samples six of them; the others serve when some are full. */
+const randomlyCompared = 12;
+/** Bound on the targets that are compared for each other reason. */
+const maximumNamed = 4;
+/** Targets that one search for room looks at. */
+const searchedForRoom = 64;
+
 /** Owns the queue of one pool in the entry host and binds work to targets as they get room. */
 export class Dispatcher extends Disposable {
 	private readonly mailbox = new Mailbox<DispatcherMessage>();
@@ -232,6 +241,15 @@
 	/** Requests whose first token is awaited, oldest first. */
 	private readonly awaitingFirstToken = new Map<RequestId, Tracked>();
 	private runningCount = 0;
+	/** Position from which the next search for room starts. */
+	private roomPosition = 0;
+	/** A target that had room in the last search, or on which an attempt has ended since. */
+	private roomyTarget: TargetId | undefined;
+	/** Targets by candidate list, to look for single ones in a long list. */
+	private readonly candidateSets = new WeakMap<
+		readonly TargetId[],
+		ReadonlySet<TargetId>
+	>();
 
 	constructor(private readonly options: DispatcherOptions) {
 		super();
@@ -518,16 +536,29 @@
 
 	private takeNext(): BoundWork<DispatchWork> | undefined {
 		// A full pool is the usual state under overload; without this check each message would ask for every lane of the queue.
-		if (
-			this.queue.size === 0 ||
-			!this.view.loads().some((load) => this.slots.hasRoom(load, false))
-		) {
+		if (this.queue.size === 0 || !this.findRoom()) {
 			return undefined;
 		}
 
 		return this.queue.take((work, isAged) => this.findTarget(work, isAged));
 	}
 
+	/** Looks for room on a bounded number of targets. In a large full pool, later searches go on where this one ended. */
+	private findRoom(): boolean {
+		if (this.roomyTarget !== undefined) {
+			const [load] = this.view.loads([this.roomyTarget]);
+			if (load && this.slots.hasRoom(load, false)) {
+				return true;
+			}
+		}
+
+		const loads = this.view.loadsFrom(this.roomPosition, searchedForRoom);
+		const index = loads.findIndex((load) => this.slots.hasRoom(load, false));
+		this.roomyTarget = loads[index]?.target;
+		this.roomPosition += index === -1 ? loads.length : index;
+		return index !== -1;
+	}
+
 	private dispatch(bound: BoundWork<DispatchWork>): void {
 		const {work, target, byAge, waitedMilliseconds} = bound;
 		const tracked = this.tracked.get(work.request);
@@ -603,11 +634,13 @@
 		isAged: boolean,
 	): TargetId | undefined {
 		const tracked = this.tracked.get(work.request);
-		const loads = this.view.loads(this.options.directory.targetsFor(work.item));
+		const targets = this.options.directory.targetsFor(work.item);
 		if (work.item.suspect) {
-			return this.isolation.place(work.request, loads);
+			return this.isolation.place(work.request, this.view.loads(targets));
 		}
 
+		const loads = this.view.loads(this.compared(work.item, targets));
+
 		const untried = loads.filter(
 			({target}) => !tracked?.triedTargets.has(target),
 		);
@@ -616,6 +649,45 @@
 		return this.choose(work, usable, isAged);
 	}
 
+	/**
+	 * Returns the targets that one dispatch compares: all of a small pool; of a large one random targets, and those
+	 * that a random choice would rarely meet although they matter: holders of the prompt's prefixes, ejected and
+	 * recovering targets, whose probes would not be sent, and the last target found with room.
+	 */
+	private compared(
+		item: WorkItem,
+		targets: readonly TargetId[],
+	): Iterable<TargetId> {
+		if (targets.length <= maximumCompared) {
+			return targets;
+		}
+
+		let all = this.candidateSets.get(targets);
+		if (!all) {
+			all = new Set(targets);
+			this.candidateSets.set(targets, all);
+		}
+
+		const chosen = new Set<TargetId>();
+		const named = [
+			...this.affinity.holdersOf(item.prefixes, maximumNamed),
+			...this.outliers.reducedTargets().slice(0, maximumNamed),
+			...(this.roomyTarget === undefined ? [] : [this.roomyTarget]),
+		];
+		for (const target of named) {
+			if (all.has(target)) {
+				chosen.add(target);
+			}
+		}
+
+		const {random} = this.options;
+		for (let drawn = 0; drawn < randomlyCompared; drawn += 1) {
+			chosen.add(targets[random.integer(targets.length)]!);
+		}
+
+		return chosen;
+	}
+
 	private choose(
 		work: DispatchWork,
 		loads: readonly TargetLoad[],
@@ -849,7 +921,7 @@
 		}
 
 		const loads = this.view
-			.loads(this.options.directory.targetsFor(item))
+			.loads(this.compared(item, this.options.directory.targetsFor(item)))
 			.filter(({target}) => !tracked.triedTargets.has(target));
 		const target = this.choose(tracked.work, loads, false);
 		if (
@@ -940,6 +1012,7 @@
 
 		this.runningCount--;
 		this.view.end(attempt.target, attempt.request);
+		this.roomyTarget = attempt.target;
 		if (tracked.attempts.size === 0) {
 			this.awaitingFirstToken.delete(attempt.request);
 		}
--- a/src/services/dispatch/pool-dispatch.ts
+++ b/src/services/dispatch/pool-dispatch.ts
@@ -464,42 +464,65 @@
 	}
 }
 
+type Candidates = {
+	readonly needed: readonly ArtifactKey[];
+	readonly targets: readonly TargetId[];
+	readonly known: ReadonlySet<TargetId>;
+};
+
 /** The targets whose newest report shows the needed artifacts resident. */
 class ResidentCandidates extends CandidateDirectory {
-	private readonly cache = new Map<string, readonly TargetId[]>();
+	private readonly cache = new Map<string, Candidates>();
 
 	constructor(private readonly options: PoolDispatchOptions) {
 		super();
-		options.targets.changed.subscribe(() => {
-			this.cache.clear();
+		options.targets.changed.subscribe((target) => {
+			this.forget(target);
 		});
 	}
 
 	targetsFor(item: WorkItem): readonly TargetId[] {
 		const name = `${item.model}|${item.adapter ?? ''}`;
-		const known = this.cache.get(name);
-		if (known) {
-			return known;
+		let found = this.cache.get(name);
+		if (!found) {
+			found = this.find(item);
+			this.cache.set(name, found);
 		}
 
-		const found = this.find(item);
-		this.cache.set(name, found);
-		return found;
+		return found.targets;
 	}
 
-	private find(item: WorkItem): readonly TargetId[] {
-		if (item.model === undefined) {
-			return [];
+	/** Forgets what a change made wrong. Most reports change no list; a large pool sends thousands of them a second. */
+	private forget(target: KnownTarget | undefined): void {
+		if (!target) {
+			this.cache.clear();
+			return;
 		}
 
-		const needed = artifactsOf(this.options.document(), {
-			model: item.model,
-			adapter: item.adapter,
-		});
-		return this.options.targets
+		if (target.pool.name !== this.options.pool) {
+			return;
+		}
+
+		for (const [name, {needed, known}] of this.cache) {
+			if (known.has(target.definition.id) !== isUsable(target, needed)) {
+				this.cache.delete(name);
+			}
+		}
+	}
+
+	private find(item: WorkItem): Candidates {
+		const needed =
+			item.model === undefined
+				? []
+				: artifactsOf(this.options.document(), {
+						model: item.model,
+						adapter: item.adapter,
+					});
+		const targets = this.options.targets
 			.targetsOf(this.options.pool)
 			.filter((target) => isUsable(target, needed))
 			.map((target) => target.definition.id);
+		return {needed, targets, known: new Set(targets)};
 	}
 }
 
