--- a/test/dispatch/dispatcher.test.ts
+++ b/test/dispatch/dispatcher.test.ts
@@ -267,3 +267,128 @@
 	await task;
 	assert.equal(port.answers.length, 0);
 });
+
+class ListingPort extends DispatchPort {
+	readonly bindings: Binding[] = [];
+
+	dispatch(binding: Binding): void {
+		this.bindings.push(binding);
+	}
+
+	refuse(refusal: WorkRefusal): void {
+		assert.fail(refusal.message);
+	}
+
+	fail(): void {
+		assert.fail('no attempt was lost');
+	}
+
+	demote(): void {
+		// Engines have no call for it.
+	}
+
+	cancel(): void {
+		// Nothing runs.
+	}
+}
+
+function largePool(seed: number, size: number) {
+	const pool = Array.from(
+		{length: size},
+		(_, index) => `target-${index}` as TargetId,
+	);
+	const port = new ListingPort();
+	const dispatcher = new Dispatcher({
+		clock: new ManualClock(),
+		random: new SeededRandomSource(seed),
+		host: 'h' as HostId,
+		port,
+		directory: new (class extends TargetDirectory {
+			targetsFor(): readonly TargetId[] {
+				return pool;
+			}
+		})(),
+		logger: new SilentEventLogger(),
+		hedging: false,
+	});
+	for (const target of pool) {
+		dispatcher.handle({kind: 'target-set', target, slots: 1});
+	}
+
+	const submit = (name: string, prefix = name) => {
+		dispatcher.handle({
+			kind: 'submitted',
+			item: {
+				request: name as RequestId,
+				caller: 'c' as CallerId,
+				urgency: 'standard',
+				offering: 'o' as OfferingName,
+				model: 'm' as ModelId,
+				promptCharacters: 10,
+				maximumTokens: 1,
+				prefixes: [prefix],
+				remainingMilliseconds: 60_000,
+				idempotent: true,
+				fingerprint: name as Fingerprint,
+				suspect: false,
+			},
+		});
+	};
+
+	return {pool, port, dispatcher, submit};
+}
+
+// Guards against a bounded comparison that leaves targets of a large pool unused or work waiting beside room.
+test('a large pool fills up to its last target and refills the one that got room', () => {
+	fc.assert(
+		fc.property(fc.nat(1000), fc.nat(399), (seed, freed) => {
+			const {port, dispatcher, submit} = largePool(seed, 200);
+			// Each target takes its slot and one request beyond it.
+			for (let index = 0; index < 400; index++) {
+				submit(`r${index}`);
+			}
+
+			for (let tick = 0; port.bindings.length < 400 && tick < 1000; tick++) {
+				dispatcher.handle({kind: 'ticked'});
+			}
+
+			assert.equal(port.bindings.length, 400);
+			submit('waiting');
+			assert.equal(port.bindings.length, 400);
+			const {request, attempt, target} = port.bindings[freed]!;
+			dispatcher.handle({
+				kind: 'completed',
+				request,
+				attempt,
+				target,
+				tokens: 1,
+			});
+			assert.equal(port.bindings.at(-1)?.target, target);
+			assert.equal(port.bindings.at(-1)?.request, 'waiting');
+		}),
+		{numRuns: 20},
+	);
+});
+
+// Guards against a sample that loses the affinity of a prompt to the target that holds its prefix.
+test('a request in a large pool finds the holder of its prefix', () => {
+	let free = 0;
+	for (let seed = 0; seed < 50; seed++) {
+		const {port, dispatcher, submit} = largePool(seed, 200);
+		submit('first', 'shared');
+		const {request, attempt, target} = port.bindings[0]!;
+		dispatcher.handle({kind: 'completed', request, attempt, target, tokens: 1});
+		for (let index = 0; index < 20; index++) {
+			submit(`other-${index}`);
+		}
+
+		const isFree = port.bindings
+			.slice(1)
+			.every((each) => each.target !== target);
+		submit('second', 'shared');
+		assert.ok(!isFree || port.bindings.at(-1)?.target === target);
+		free += isFree ? 1 : 0;
+	}
+
+	assert.ok(free >= 10, `the holder was free in ${free} of 50 runs`);
+});
