Count the requests of a caller once over all pools and services

Each pool's dispatcher counted for itself, so a caller had its limit once per pool, and calls to plain services counted nowhere.

One limiter per host now counts pools and plain services, and heartbeats carry one count per caller; counts per pool of older hosts are summed. The estimate of overload stays with each pool. A pool that is removed releases its counts.

The stateful test runs three hosts with two pools and a service: in mode enforced the sum exceeds the limit by no more than what was admitted since the last heartbeat, mode monitor never refuses, and all counts are released. The tests of the admission policy and the dispatcher now ask the limiter for the counts they asked the policy for; their checks are the same.

No load was measured.

--- a/src/core/admission-policy.ts
+++ b/src/core/admission-policy.ts
@@ -1,7 +1,7 @@
 import {err, ok, type Result} from 'neverthrow';
 import {type Clock} from '../base/common/clock.js';
-import {type AdmissionSettings} from '../contracts/fleet-document.js';
-import {type CallerId, type HostId} from '../contracts/ids.js';
+import {type CallerId} from '../contracts/ids.js';
+import {type CallerLimiter} from './caller-limiter.js';
 
 /** Why a request was refused. */
 export type AdmissionRefusal = 'caller-limit' | 'overload' | 'deadline';
@@ -47,94 +47,35 @@
 /** Settings of admission. */
 export type AdmissionPolicyOptions = {
 	readonly clock: Clock;
-	readonly settings: AdmissionSettings;
-	/** Age from which the counts of a silent peer no longer count. */
-	readonly peerLifetimeMilliseconds?: number;
+	/** Shared by all pools and plain services of the host. */
+	readonly limiter: CallerLimiter;
 	/** Part of the time to the deadline that work may spend in the queue. The rest covers services that take longer than expected. */
 	readonly maximumWaitShare?: number;
 	/** Age at which a dispatch counts half in the drain rate. */
 	readonly drainHalfLifeMilliseconds?: number;
 };
 
-type PeerCounts = {
-	readonly counts: ReadonlyMap<CallerId, number>;
-	readonly receivedAt: number;
-};
-
-/** Decides whether a request may enter the queue: limits per caller over the fleet, and refusal of work that would wait too long. */
+/** Decides whether a request may enter the queue: the limit of its caller, and refusal of work that would wait too long in this pool. */
 export class AdmissionPolicy {
-	private readonly options: Required<Omit<AdmissionPolicyOptions, 'settings'>>;
-	private settings: AdmissionSettings;
-	private overrides: ReadonlyMap<CallerId, number> = new Map();
-	private readonly own = new Map<CallerId, number>();
-	private readonly peers = new Map<HostId, PeerCounts>();
+	private readonly options: Required<Omit<AdmissionPolicyOptions, 'limiter'>>;
+	private readonly limiter: CallerLimiter;
 	private drained = 0;
 	private drainedAt: number;
 
 	constructor(options: AdmissionPolicyOptions) {
 		this.options = {
-			peerLifetimeMilliseconds: 5000,
 			maximumWaitShare: 0.5,
 			drainHalfLifeMilliseconds: 1000,
 			...options,
 		};
-		this.settings = options.settings;
+		this.limiter = options.limiter;
 		this.drainedAt = options.clock.monotonic();
 	}
 
-	/** Replaces the limits. `overrides` are limits of single callers. */
-	configure(
-		settings: AdmissionSettings,
-		overrides: ReadonlyMap<CallerId, number>,
-	): void {
-		this.settings = settings;
-		this.overrides = overrides;
-	}
-
-	/** Takes the counts that a peer sent in its heartbeat. */
-	applyPeerCounts(host: HostId, counts: ReadonlyMap<CallerId, number>): void {
-		this.peers.set(host, {
-			counts,
-			receivedAt: this.options.clock.monotonic(),
-		});
-	}
-
-	/** Forgets a peer that left. */
-	removePeer(host: HostId): void {
-		this.peers.delete(host);
-	}
-
-	/** Requests that this host has admitted and not released, by caller. For the heartbeat. */
-	ownCounts(): ReadonlyMap<CallerId, number> {
-		return this.own;
-	}
-
-	/** Requests of a caller in flight in the fleet, as far as this host knows. */
-	inFlight(caller: CallerId): number {
-		const now = this.options.clock.monotonic();
-		let sum = this.own.get(caller) ?? 0;
-		for (const [host, {counts, receivedAt}] of this.peers) {
-			if (now - receivedAt > this.options.peerLifetimeMilliseconds) {
-				this.peers.delete(host);
-				continue;
-			}
-
-			sum += counts.get(caller) ?? 0;
-		}
-
-		return sum;
-	}
-
 	/** Admits and counts a request, or refuses it. Each admitted request is released once. */
 	admit(question: AdmissionQuestion): Result<Admission, AdmissionRefusedError> {
-		const limit =
-			this.overrides.get(question.caller) ??
-			this.settings.maximumConcurrentPerCaller;
-		const isOverLimit =
-			this.settings.mode !== 'disabled' &&
-			limit > 0 &&
-			this.inFlight(question.caller) >= limit;
-		if (isOverLimit && this.settings.mode === 'enforced') {
+		const {limit, isOverLimit, isRefused} = this.limiter.check(question.caller);
+		if (isRefused) {
 			return err(
 				new AdmissionRefusedError(
 					'caller-limit',
@@ -174,18 +115,13 @@
 			);
 		}
 
-		this.own.set(question.caller, (this.own.get(question.caller) ?? 0) + 1);
+		this.limiter.enter(question.caller);
 		return ok({isOverLimit, estimatedWaitMilliseconds: wait});
 	}
 
 	/** Ends an admitted request. */
 	release(caller: CallerId): void {
-		const count = (this.own.get(caller) ?? 0) - 1;
-		if (count > 0) {
-			this.own.set(caller, count);
-		} else {
-			this.own.delete(caller);
-		}
+		this.limiter.release(caller);
 	}
 
 	/** Counts dispatched work, in the same expected milliseconds in which the queue is measured, so that a bias of the estimates cancels out. */
--- a/src/program/composition-root.ts
+++ b/src/program/composition-root.ts
@@ -17,6 +17,7 @@
 } from '../contracts/ids.js';
 import {type StreamName} from '../contracts/log-service.js';
 import {BurnRateTracker} from '../core/burn-rate.js';
+import {CallerLimiter} from '../core/caller-limiter.js';
 import {SemanticDocumentValidator} from '../core/document-validator.js';
 import {snapshotLeaseName} from '../core/lease-names.js';
 import {DecisionJournal} from '../services/decision-journal.js';
@@ -27,6 +28,7 @@
 import {DispatchingModelGateway} from '../services/entry/dispatching-model-gateway.js';
 import {EntryServer} from '../services/entry/entry-server.js';
 import {HostGate} from '../services/entry/host-gate.js';
+import {LimitedServiceGateway} from '../services/entry/limited-service-gateway.js';
 import {LogClaimAppender} from '../services/entry/log-claim-appender.js';
 import {MemberIncarnations} from '../services/entry/member-incarnations.js';
 import {QuarantineKeeper} from '../services/entry/quarantine-keeper.js';
@@ -256,12 +258,14 @@
 		}),
 	);
 	const demand = new DemandCounter();
+	const limiter = new CallerLimiter({clock});
 	const dispatches = new DispatchSet({
 		...services,
 		host: settings.host,
 		targets,
 		document: () => follower.control.document,
 		quarantine,
+		limiter,
 	});
 	owned.addCallback(() => {
 		dispatches.dispose();
@@ -310,7 +314,16 @@
 	poller.start();
 	followDocument(follower, [targets, dispatches, placement, gate]);
 	followTargetDeaths(foundation, follower, quarantine);
-	return {targets, quarantine, demand, dispatches, placement, exchange, gate};
+	return {
+		targets,
+		quarantine,
+		demand,
+		limiter,
+		dispatches,
+		placement,
+		exchange,
+		gate,
+	};
 }
 
 function buildEntry(
@@ -352,12 +365,16 @@
 				observer,
 			),
 			services: new ObservedServiceGateway(
-				new ClaimingServiceGateway({
-					claims,
-					targets: fleet.targets,
-					clock,
-					random: services.random,
-				}),
+				new LimitedServiceGateway(
+					new ClaimingServiceGateway({
+						claims,
+						targets: fleet.targets,
+						clock,
+						random: services.random,
+					}),
+					fleet.limiter,
+					events,
+				),
 				observer,
 			),
 			limits: {
--- a/src/services/dispatch/dispatch-set.ts
+++ b/src/services/dispatch/dispatch-set.ts
@@ -21,9 +21,8 @@
 	readonly targets: TargetDirectory;
 };
 
-/** The caller counts of one pool, as heartbeats carry them. */
-export type PoolCallerLoad = {
-	readonly pool: PoolName;
+/** The count of one caller over all pools and services, as heartbeats carry it. */
+export type CallerLoad = {
 	readonly caller: CallerId;
 	readonly inFlight: number;
 };
@@ -73,6 +72,7 @@
 			}
 		}
 
+		this.options.limiter.configure(document.admission, limits);
 		const named = new Set<PoolName>();
 		for (const pool of document.pools) {
 			if (pool.kind !== 'engine') {
@@ -81,11 +81,6 @@
 
 			named.add(pool.name);
 			const dispatch = this.ensure(pool.name);
-			dispatch.post({
-				kind: 'admission-configured',
-				settings: document.admission,
-				limits,
-			});
 			for (const {id, slots} of pool.targets) {
 				dispatch.post({kind: 'target-set', target: id, slots});
 			}
@@ -109,32 +104,25 @@
 
 	/** Takes in what a peer tells of its callers and suspects. */
 	receive(state: HostState, reservedElsewhere: readonly TargetId[]): void {
-		for (const [pool, dispatch] of this.pools) {
-			const counts = new Map<CallerId, number>();
-			for (const load of state.callerLoads) {
-				if (load.pool === pool) {
-					counts.set(load.caller as CallerId, load.inFlight);
-				}
-			}
+		const counts = new Map<CallerId, number>();
+		// A host of the version before sends one count for each pool.
+		for (const load of state.callerLoads) {
+			const caller = load.caller as CallerId;
+			counts.set(caller, (counts.get(caller) ?? 0) + load.inFlight);
+		}
 
-			dispatch.post({
-				kind: 'peer-counted',
-				host: state.host as HostId,
-				counts,
-			});
+		this.options.limiter.applyPeerCounts(state.host as HostId, counts);
+		for (const dispatch of this.pools.values()) {
 			dispatch.post({kind: 'suspects-reserved', targets: reservedElsewhere});
 		}
 	}
 
 	/** Caller counts of this host, for the heartbeat. */
-	callerLoads(): PoolCallerLoad[] {
-		return [...this.pools].flatMap(([pool, {dispatcher}]) =>
-			[...dispatcher.callerCounts()].map(([caller, inFlight]) => ({
-				pool,
-				caller,
-				inFlight,
-			})),
-		);
+	callerLoads(): CallerLoad[] {
+		return [...this.options.limiter.ownCounts()].map(([caller, inFlight]) => ({
+			caller,
+			inFlight,
+		}));
 	}
 
 	/** Targets on which this host runs suspects, for the heartbeat. */
--- a/src/services/dispatch/dispatcher.ts
+++ b/src/services/dispatch/dispatcher.ts
@@ -6,7 +6,6 @@
 import {type CacheEvent} from '../../contracts/engine.js';
 import {dispatchEvents} from '../../contracts/events/dispatch-events.js';
 import {type Execution} from '../../contracts/execution.js';
-import {type AdmissionSettings} from '../../contracts/fleet-document.js';
 import {
 	type AdapterId,
 	type CallerId,
@@ -19,6 +18,7 @@
 } from '../../contracts/ids.js';
 import {type RefusalReason} from '../../contracts/target-error.js';
 import {AdmissionPolicy} from '../../core/admission-policy.js';
+import {CallerLimiter} from '../../core/caller-limiter.js';
 import {
 	DispatchQueue,
 	type BoundWork,
@@ -150,20 +150,10 @@
 			readonly events: readonly CacheEvent[];
 	  }
 	| {readonly kind: 'hosts-changed'; readonly hosts: readonly HostId[]}
-	| {
-			readonly kind: 'peer-counted';
-			readonly host: HostId;
-			readonly counts: ReadonlyMap<CallerId, number>;
-	  }
 	| {
 			readonly kind: 'suspects-reserved';
 			readonly targets: readonly TargetId[];
 	  }
-	| {
-			readonly kind: 'admission-configured';
-			readonly settings: AdmissionSettings;
-			readonly limits: ReadonlyMap<CallerId, number>;
-	  }
 	/** Sent every few milliseconds, for hedges and deadlines. */
 	| {readonly kind: 'ticked'};
 
@@ -176,6 +166,8 @@
 	readonly directory: TargetDirectory;
 	readonly logger: EventLogger;
 	readonly admission?: AdmissionPolicy;
+	/** Counts of the callers over all pools of the host. One for this pool alone by default. */
+	readonly limiter?: CallerLimiter;
 	readonly queue?: DispatchQueue<DispatchWork>;
 	readonly routing?: RoutingPolicy;
 	readonly slots?: SlotPolicy;
@@ -241,6 +233,7 @@
 	/** Requests whose first token is awaited, oldest first. */
 	private readonly awaitingFirstToken = new Map<RequestId, Tracked>();
 	private runningCount = 0;
+	private isDisposed = false;
 	/** Position from which the next search for room starts. */
 	private roomPosition = 0;
 	/** A target that had room in the last search, or on which an attempt has ended since. */
@@ -261,7 +254,7 @@
 			options.admission ??
 			new AdmissionPolicy({
 				clock,
-				settings: {mode: 'disabled', maximumConcurrentPerCaller: 0},
+				limiter: options.limiter ?? new CallerLimiter({clock}),
 			});
 		this.queue = options.queue ?? new DispatchQueue({clock});
 		this.routing = options.routing ?? new LoadAwarePolicy({random});
@@ -284,11 +277,6 @@
 		return this.runningCount;
 	}
 
-	/** Admitted requests by caller, for the heartbeat. */
-	callerCounts(): ReadonlyMap<CallerId, number> {
-		return this.admission.ownCounts();
-	}
-
 	/** The target kept for a suspect, for the heartbeat. */
 	reservedTarget(): TargetId | undefined {
 		return this.isolation.reservedTarget;
@@ -314,11 +302,22 @@
 	}
 
 	dispose(): void {
+		this.isDisposed = true;
 		this.mailbox.close();
+		// The counts of callers are shared with other pools, which go on.
+		for (const {work} of this.tracked.values()) {
+			this.admission.release(work.caller);
+		}
+
+		this.tracked.clear();
 	}
 
 	/** Handles one message. The task calls it, and so do programs with a virtual clock. */
 	handle(message: DispatcherMessage): void {
+		if (this.isDisposed) {
+			return;
+		}
+
 		switch (message.kind) {
 			case 'submitted': {
 				this.submit(message.item);
@@ -357,10 +356,8 @@
 				break;
 			}
 
-			case 'admission-configured':
 			case 'cache-changed':
 			case 'hosts-changed':
-			case 'peer-counted':
 			case 'suspects-reserved':
 			case 'target-leaving':
 			case 'target-removed':
@@ -426,20 +423,10 @@
 				break;
 			}
 
-			case 'peer-counted': {
-				this.admission.applyPeerCounts(message.host, message.counts);
-				break;
-			}
-
 			case 'suspects-reserved': {
 				this.isolation.setReservedElsewhere(message.targets);
 				break;
 			}
-
-			case 'admission-configured': {
-				this.admission.configure(message.settings, message.limits);
-				break;
-			}
 		}
 	}
 
--- a/src/services/dispatch/pool-dispatch.ts
+++ b/src/services/dispatch/pool-dispatch.ts
@@ -22,6 +22,7 @@
 	TargetRefusedError,
 	TargetUnreachableError,
 } from '../../contracts/target-error.js';
+import {type CallerLimiter} from '../../core/caller-limiter.js';
 import {type QuarantineKeeper} from '../entry/quarantine-keeper.js';
 import {
 	GenerationSession,
@@ -65,6 +66,8 @@
 	readonly targets: TargetDirectory;
 	readonly document: () => FleetDocument | undefined;
 	readonly quarantine: QuarantineKeeper;
+	/** Shared by all pools and plain services of the host. */
+	readonly limiter: CallerLimiter;
 	readonly clock: Clock;
 	readonly random: RandomSource;
 	readonly events: EventLogger;
@@ -94,6 +97,7 @@
 			port: new EnginePort(this),
 			directory: new ResidentCandidates(options),
 			logger: options.events,
+			limiter: options.limiter,
 		});
 	}
 
--- /dev/null
+++ b/src/services/entry/limited-service-gateway.ts
@@ -0,0 +1,60 @@
+import {err, ResultAsync, type Result} from 'neverthrow';
+import {type EventLogger} from '../../base/common/event-logger.js';
+import {dispatchEvents} from '../../contracts/events/dispatch-events.js';
+import {type ServiceResponse} from '../../contracts/plain-service.js';
+import {RequestProblem} from '../../contracts/request-problem.js';
+import {type CallerLimiter} from '../../core/caller-limiter.js';
+import {ServiceGateway, type ServiceCall} from './service-gateway.js';
+
+const retryAfterSeconds = 1;
+
+/** Counts calls to plain services against the limit of their caller and refuses those above it. */
+export class LimitedServiceGateway extends ServiceGateway {
+	constructor(
+		private readonly inner: ServiceGateway,
+		private readonly limiter: CallerLimiter,
+		private readonly events: EventLogger,
+	) {
+		super();
+	}
+
+	call(
+		call: ServiceCall,
+		signal: AbortSignal,
+	): ResultAsync<ServiceResponse, RequestProblem> {
+		return new ResultAsync(this.callWithinLimit(call, signal));
+	}
+
+	private async callWithinLimit(
+		call: ServiceCall,
+		signal: AbortSignal,
+	): Promise<Result<ServiceResponse, RequestProblem>> {
+		const caller = call.known.caller.id;
+		const {isOverLimit, isRefused} = this.limiter.check(caller);
+		if (isRefused) {
+			this.events.record(dispatchEvents.callerLimitReached, {
+				caller,
+				request: call.requestId,
+			});
+			return err(
+				new RequestProblem(
+					'caller-limit',
+					'This key has as many requests in progress as it may have. Send the request again later.',
+					'not-run',
+					retryAfterSeconds,
+				),
+			);
+		}
+
+		if (isOverLimit) {
+			this.events.record(dispatchEvents.callerLimitExceeded, {caller});
+		}
+
+		this.limiter.enter(caller);
+		try {
+			return await this.inner.call(call, signal);
+		} finally {
+			this.limiter.release(caller);
+		}
+	}
+}
--- a/test/dispatch/admission-policy.test.ts
+++ b/test/dispatch/admission-policy.test.ts
@@ -4,6 +4,7 @@
 import {ManualClock} from '../../src/base/common/clock.js';
 import {type CallerId, type HostId} from '../../src/contracts/ids.js';
 import {AdmissionPolicy} from '../../src/core/admission-policy.js';
+import {CallerLimiter} from '../../src/core/caller-limiter.js';
 
 const step = fc.oneof(
 	fc.record({kind: fc.constant('admit' as const), caller: fc.nat(2)}),
@@ -32,10 +33,11 @@
 				fc.nat(6),
 				(steps, limit) => {
 					const clock = new ManualClock();
-					const policy = new AdmissionPolicy({
+					const limiter = new CallerLimiter({
 						clock,
 						settings: {mode, maximumConcurrentPerCaller: limit},
 					});
+					const policy = new AdmissionPolicy({clock, limiter});
 					const own = [0, 0, 0];
 					const peers = new Map<number, {counts: number[]; at: number}>();
 					const sum = (caller: number) =>
@@ -58,7 +60,7 @@
 									counts: each.counts,
 									at: clock.monotonic(),
 								});
-								policy.applyPeerCounts(
+								limiter.applyPeerCounts(
 									`h${each.host}` as HostId,
 									new Map(
 										each.counts.map((count, caller) => [
@@ -94,7 +96,7 @@
 									assert.equal(result.error.countsAsDemand, false);
 								}
 
-								assert.equal(policy.inFlight(caller), sum(each.caller));
+								assert.equal(limiter.inFlight(caller), sum(each.caller));
 							}
 						}
 					}
@@ -124,7 +126,7 @@
 		const clock = new ManualClock();
 		const policy = new AdmissionPolicy({
 			clock,
-			settings: {mode: 'disabled', maximumConcurrentPerCaller: 0},
+			limiter: new CallerLimiter({clock}),
 		});
 		// Ten slots are drained for five seconds.
 		for (let turn = 0; turn < 500; turn++) {
--- /dev/null
+++ b/test/dispatch/caller-limits.test.ts
@@ -0,0 +1,304 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import fc from 'fast-check';
+import {ok, ResultAsync, type Result} from 'neverthrow';
+import {ManualClock} from '../../src/base/common/clock.js';
+import {SilentEventLogger} from '../../src/base/common/event-logger.js';
+import {SeededRandomSource} from '../../src/base/common/random-source.js';
+import {
+	type CallerId,
+	type Fingerprint,
+	type HostId,
+	type ModelId,
+	type OfferingName,
+	type RequestId,
+	type TargetId,
+} from '../../src/contracts/ids.js';
+import {type ServiceResponse} from '../../src/contracts/plain-service.js';
+import {type RequestProblem} from '../../src/contracts/request-problem.js';
+import {CallerLimiter} from '../../src/core/caller-limiter.js';
+import {
+	Dispatcher,
+	DispatchPort,
+	TargetDirectory,
+	type Binding,
+	type WorkRefusal,
+} from '../../src/services/dispatch/dispatcher.js';
+import {LimitedServiceGateway} from '../../src/services/entry/limited-service-gateway.js';
+import {
+	ServiceGateway,
+	type ServiceCall,
+} from '../../src/services/entry/service-gateway.js';
+
+const hostCount = 3;
+const poolCount = 2;
+const caller = 'caller' as CallerId;
+const target = 'target' as TargetId;
+
+type Outcome = 'admitted' | 'refused';
+
+/** What ends an admitted request. */
+type Running = () => Promise<void>;
+
+class OnePool extends DispatchPort {
+	readonly dispatcher: Dispatcher;
+	private outcome: Outcome | undefined;
+	private binding: Binding | undefined;
+	private submitted = 0;
+
+	constructor(clock: ManualClock, limiter: CallerLimiter) {
+		super();
+		this.dispatcher = new Dispatcher({
+			clock,
+			limiter,
+			random: new SeededRandomSource(1),
+			host: 'host' as HostId,
+			port: this,
+			directory: new OneTarget(),
+			logger: new SilentEventLogger(),
+			hedging: false,
+		});
+		this.dispatcher.handle({kind: 'target-set', target, slots: 1000});
+	}
+
+	submit(): Running | undefined {
+		this.outcome = undefined;
+		this.submitted++;
+		this.dispatcher.handle({
+			kind: 'submitted',
+			item: {
+				request: `r${this.submitted}` as RequestId,
+				caller,
+				urgency: 'standard',
+				offering: 'offering' as OfferingName,
+				model: 'model' as ModelId,
+				promptCharacters: 10,
+				maximumTokens: 10,
+				prefixes: [],
+				remainingMilliseconds: 60_000,
+				idempotent: true,
+				fingerprint: `f${this.submitted}` as Fingerprint,
+				suspect: false,
+			},
+		});
+		assert.ok(this.outcome);
+		if (this.outcome === 'refused') {
+			return undefined;
+		}
+
+		const {request, attempt} = this.binding!;
+		return async () => {
+			this.dispatcher.handle({
+				kind: 'completed',
+				request,
+				attempt,
+				target,
+				tokens: 1,
+			});
+		};
+	}
+
+	dispatch(binding: Binding): void {
+		this.binding = binding;
+		this.outcome = 'admitted';
+	}
+
+	refuse({code}: WorkRefusal): void {
+		assert.equal(code, 'caller-limit');
+		this.outcome = 'refused';
+	}
+
+	fail(): void {
+		assert.fail('no attempt was lost');
+	}
+
+	demote(): void {
+		// Nothing is long.
+	}
+
+	cancel(): void {
+		// Nothing is cancelled.
+	}
+}
+
+class OneTarget extends TargetDirectory {
+	targetsFor(): readonly TargetId[] {
+		return [target];
+	}
+}
+
+/** A service whose calls end when the test says so. */
+class HeldService extends ServiceGateway {
+	readonly ends: Array<() => void> = [];
+
+	call(): ResultAsync<ServiceResponse, RequestProblem> {
+		return new ResultAsync(
+			new Promise<Result<ServiceResponse, RequestProblem>>((resolve) => {
+				this.ends.push(() => {
+					resolve(ok({status: 200, body: new Uint8Array()} as ServiceResponse));
+				});
+			}),
+		);
+	}
+}
+
+class TestEntry {
+	readonly limiter: CallerLimiter;
+	private readonly pools: OnePool[];
+	private readonly service = new HeldService();
+	private readonly services: LimitedServiceGateway;
+
+	constructor(clock: ManualClock, mode: 'monitor' | 'enforced', limit: number) {
+		this.limiter = new CallerLimiter({clock});
+		this.limiter.configure(
+			{mode, maximumConcurrentPerCaller: 1000},
+			new Map([[caller, limit]]),
+		);
+		this.pools = Array.from(
+			{length: poolCount},
+			() => new OnePool(clock, this.limiter),
+		);
+		this.services = new LimitedServiceGateway(
+			this.service,
+			this.limiter,
+			new SilentEventLogger(),
+		);
+	}
+
+	/** Sends a request to a pool, or to the service after the last pool. */
+	async send(place: number): Promise<Running | undefined> {
+		const pool = this.pools[place];
+		if (pool) {
+			return pool.submit();
+		}
+
+		const before = this.service.ends.length;
+		const answer = this.services.call(
+			{known: {caller: {id: caller}}} as unknown as ServiceCall,
+			new AbortController().signal,
+		);
+		const end = this.service.ends[before];
+		if (!end) {
+			const result = await answer;
+			assert.equal(result._unsafeUnwrapErr().code, 'caller-limit');
+			assert.equal(result._unsafeUnwrapErr().execution, 'not-run');
+			return undefined;
+		}
+
+		return async () => {
+			end();
+			await answer;
+		};
+	}
+
+	dispose(): void {
+		for (const {dispatcher} of this.pools) {
+			dispatcher.dispose();
+		}
+	}
+}
+
+function exchangeHeartbeats(hosts: readonly TestEntry[]): void {
+	for (const [name, {limiter}] of hosts.entries()) {
+		const counts = new Map(limiter.ownCounts());
+		for (const other of hosts) {
+			if (other.limiter !== limiter) {
+				other.limiter.applyPeerCounts(`h${name}` as HostId, counts);
+			}
+		}
+	}
+}
+
+const step = fc.oneof(
+	{
+		weight: 5,
+		arbitrary: fc.record({
+			kind: fc.constant('send' as const),
+			host: fc.nat(hostCount - 1),
+			place: fc.nat(poolCount),
+		}),
+	},
+	{
+		weight: 2,
+		arbitrary: fc.record({kind: fc.constant('end' as const), index: fc.nat()}),
+	},
+	{
+		weight: 1,
+		arbitrary: fc.record({kind: fc.constant('heartbeat' as const)}),
+	},
+);
+
+for (const mode of ['enforced', 'monitor'] as const) {
+	// Guards against a limit for each pool or host alone, calls to services that count nowhere, counts that are not released, and refusals in monitor mode.
+	test(`one limit holds over hosts, pools and services in mode ${mode}`, async () => {
+		await fc.assert(
+			fc.asyncProperty(
+				fc.array(step, {maxLength: 120}),
+				fc.integer({min: 1, max: 8}),
+				async (steps, limit) => {
+					const clock = new ManualClock();
+					const hosts = Array.from(
+						{length: hostCount},
+						() => new TestEntry(clock, mode, limit),
+					);
+					const running: Running[] = [];
+					let sinceHeartbeat = 0;
+					for (const each of steps) {
+						if (each.kind === 'heartbeat') {
+							clock.advance(1000);
+							sinceHeartbeat = 0;
+							exchangeHeartbeats(hosts);
+						} else if (each.kind === 'end') {
+							const [end] = running.splice(
+								each.index % (running.length || 1),
+								1,
+							);
+							await end?.();
+						} else {
+							const admitted = await hosts[each.host]!.send(each.place);
+							if (!admitted) {
+								assert.equal(mode, 'enforced');
+								const known = hosts[each.host]!.limiter.inFlight(caller);
+								assert.ok(known >= limit);
+								continue;
+							}
+
+							running.push(admitted);
+							if (mode === 'enforced') {
+								// The admitting host may not know what was admitted elsewhere since the heartbeat.
+								assert.ok(running.length <= limit + sinceHeartbeat);
+								const own = hosts[each.host]!.limiter.ownCounts();
+								assert.ok(own.get(caller)! <= limit);
+							}
+
+							sinceHeartbeat++;
+						}
+
+						const counted = hosts.map(
+							({limiter}) => limiter.ownCounts().get(caller) ?? 0,
+						);
+						assert.equal(
+							counted.reduce((sum, count) => sum + count, 0),
+							running.length,
+						);
+					}
+
+					// Half of the requests end, and the others are open when their pools go.
+					for (const end of running.splice(0, running.length / 2)) {
+						await end();
+					}
+
+					for (const host of hosts) {
+						host.dispose();
+					}
+
+					await Promise.all(running.map(async (end) => end()));
+					for (const {limiter} of hosts) {
+						assert.equal(limiter.ownCounts().size, 0);
+					}
+				},
+			),
+			{seed: 25, numRuns: 300},
+		);
+	});
+}
--- a/test/dispatch/dispatcher.test.ts
+++ b/test/dispatch/dispatcher.test.ts
@@ -13,6 +13,7 @@
 	type RequestId,
 	type TargetId,
 } from '../../src/contracts/ids.js';
+import {CallerLimiter} from '../../src/core/caller-limiter.js';
 import {SlotPolicy} from '../../src/core/slot-policy.js';
 import {RetryBudget} from '../../src/core/retry-budget.js';
 import {
@@ -85,12 +86,14 @@
 	const clock = new ManualClock();
 	const port = new RecordingPort();
 	const host = 'h' as HostId;
+	const limiter = new CallerLimiter({clock});
 	const dispatcher = new Dispatcher({
 		clock,
 		random: new SeededRandomSource(3),
 		host,
 		port,
 		directory: new AllTargets(),
+		limiter,
 		logger: new SilentEventLogger(),
 		slots: new SlotPolicy({host, extraShare: 0}),
 		budget: new RetryBudget({clock, capacity: 1000, minimumPerSecond: 1000}),
@@ -119,7 +122,7 @@
 		dispatcher.handle({kind: 'submitted', item});
 	};
 
-	return {clock, port, dispatcher, submit};
+	return {clock, port, dispatcher, limiter, submit};
 }
 
 const step = fc.oneof(
@@ -159,7 +162,7 @@
 test('the dispatcher answers each request once and keeps the rules of dispatch', () => {
 	fc.assert(
 		fc.property(fc.array(step, {maxLength: 150}), (steps) => {
-			const {clock, port, dispatcher, submit} = setUp();
+			const {clock, port, dispatcher, limiter, submit} = setUp();
 			for (const [number, each] of steps.entries()) {
 				if (each.kind === 'submit') {
 					submit(`r${number}`, each);
@@ -228,7 +231,7 @@
 			assert.equal(port.waiting.size, 0);
 			assert.equal(dispatcher.queueLength, 0);
 			assert.equal(dispatcher.running, 0);
-			assert.equal(dispatcher.callerCounts().size, 0);
+			assert.equal(limiter.ownCounts().size, 0);
 			assert.equal(dispatcher.reservedTarget(), undefined);
 		}),
 		{seed: 24, numRuns: 500},
