Send the load of targets in heartbeats instead of whole reports

Each heartbeat carried the whole report of every target of the sender's groups as JSON, and each of them was built, parsed and validated again. Heartbeats now carry the load as message fields; the report follows in full for 2.5 s after any other field changed, and to a peer that asks for it because its report has another digest. A digest for each peer was ruled out, because a holder of a lease has up to 369 of them. A holder builds its load every 200 ms instead of for each of several hundred heartbeats a second, asks for the held leases once a group, and group names are read once a document. Hosts that poll a target without a report are about 8, whatever the size of the fleet.

--- a/src/measure/capacity/simulated-engines.ts
+++ b/src/measure/capacity/simulated-engines.ts
@@ -2,7 +2,11 @@
 import {createServer, type IncomingMessage, type Server} from 'node:http';
 import {Disposable} from '../../base/common/disposable.js';
 import {listenOn} from '../../base/node/listen.js';
-import {engineOrderSchema, type EngineOrder} from '../../contracts/engine.js';
+import {
+	engineOrderSchema,
+	type EngineOrder,
+	type TargetReport,
+} from '../../contracts/engine.js';
 import {artifactsOf} from './fleet-document.js';
 import {names, type FleetShape} from './fleet-shape.js';
 
@@ -51,7 +55,7 @@
 	}
 
 	/** The report of an engine. Its load changes from report to report, as under traffic. */
-	report(target: string): unknown {
+	report(target: string): TargetReport {
 		const state = this.states.get(target)!;
 		state.sequence++;
 		return {
@@ -67,7 +71,7 @@
 			queued: 0,
 			slots: 8,
 			appliedOrders: [],
-		};
+		} as unknown as TargetReport;
 	}
 
 	dispose(): void {
--- a/src/measure/capacity/simulated-peers.ts
+++ b/src/measure/capacity/simulated-peers.ts
@@ -1,4 +1,3 @@
-import {Buffer} from 'node:buffer';
 import {createServer, type RequestListener, type Server} from 'node:http';
 import {type MessageInitShape} from '@bufbuild/protobuf';
 import {connectNodeAdapter} from '@connectrpc/connect-node';
@@ -10,6 +9,7 @@
 	PeerService,
 	type HostStateSchema,
 } from '../../generated/daisylever/peer/v1/peer_pb.js';
+import {ObservationEncoder} from '../../services/observation-codec.js';
 import {PeerClient} from '../../services/peer-client.js';
 import {placeOf} from './fleet-document.js';
 import {names, type FleetShape} from './fleet-shape.js';
@@ -38,6 +38,9 @@
 	private readonly handlers = new Map<string, RequestListener>();
 	private readonly timers: NodeJS.Timeout[] = [];
 	private readonly clients: PeerClient[] = [];
+	private readonly encoder = new ObservationEncoder();
+	/** What the measured node asked for last. */
+	private wantsReports = false;
 	private readonly ownedTargets: ReadonlyMap<HostId, readonly string[]>;
 
 	constructor(private readonly options: SimulatedPeersOptions) {
@@ -104,7 +107,10 @@
 			handler = connectNodeAdapter({
 				routes: (router) => {
 					router.service(PeerService, {
-						heartbeat: () => ({state: this.stateOf(host)}),
+						heartbeat: (request) => {
+							this.wantsReports = request.state?.wantsReports ?? false;
+							return {state: this.stateOf(host)};
+						},
 					});
 				},
 			});
@@ -140,11 +146,13 @@
 	private observationsOf(
 		host: HostId,
 	): MessageInitShape<typeof HostStateSchema>['observations'] {
-		return (this.ownedTargets.get(host) ?? []).map((target) => ({
-			target,
-			ageMilliseconds: 100,
-			report: Buffer.from(JSON.stringify(this.options.engines.report(target))),
-		}));
+		return (this.ownedTargets.get(host) ?? []).map((target) =>
+			this.encoder.encode(this.options.engines.report(target), {
+				ageMilliseconds: 100,
+				now: performance.now(),
+				isFullWanted: this.wantsReports,
+			}),
+		);
 	}
 }
 
--- a/src/program/composition-root.ts
+++ b/src/program/composition-root.ts
@@ -5,7 +5,10 @@
 import {HttpLogService} from '../adapters/node/http-log-service.js';
 import {HttpTargetConnector} from '../adapters/node/http-target-connector.js';
 import {DisposableStore} from '../base/common/disposable.js';
-import {SeededRandomSource} from '../base/common/random-source.js';
+import {
+	SeededRandomSource,
+	type RandomSource,
+} from '../base/common/random-source.js';
 import {SystemClock} from '../base/node/system-clock.js';
 import {targetDiedSchema} from '../contracts/control-record.js';
 import {operatorEvents} from '../contracts/events/operator-events.js';
@@ -66,6 +69,8 @@
 const staleReportMilliseconds = 3000;
 // Plain services get no orders, so no host owns them and each host asks for itself.
 const serviceReportMilliseconds = 1000;
+// Hosts that poll a target at each interval, on average, while its owner reports nothing.
+const directPollers = 8;
 const claimTimeoutMilliseconds = 3000;
 const settlementWaitMilliseconds = 5000;
 const millisecondsPerHour = 3_600_000;
@@ -103,8 +108,8 @@
 		}),
 	);
 	const fleet = buildFleet(foundation, agreement, membership, leases);
-	agreement.late.load = () => ({
-		...fleet.exchange.load(),
+	agreement.late.load = (peer) => ({
+		...fleet.exchange.load(peer),
 		ready: fleet.gate.isOpen,
 	});
 	const entry = buildEntry(foundation, agreement, membership, fleet);
@@ -201,7 +206,7 @@
 			bindAddress: settings.listen.peers.address,
 			port: settings.listen.peers.port,
 			follower,
-			localState: () => late.membership?.localState() ?? {},
+			localState: (peer) => late.membership?.localState(peer) ?? {},
 		}),
 	);
 	return {log, createAppender, directory, follower, peerServer, late};
@@ -209,7 +214,9 @@
 
 type LateParts = {
 	membership: MembershipTask | undefined;
-	load: () => ReturnType<PeerExchange['load']> & {readonly ready: boolean};
+	load: (
+		...peer: Parameters<PeerExchange['load']>
+	) => ReturnType<PeerExchange['load']> & {readonly ready: boolean};
 };
 
 function buildMembership(
@@ -234,7 +241,7 @@
 				new HttpHostList({address: settings.platform.hostList}),
 			),
 			seedAddresses: settings.seedPeers,
-			load: () => late.load(),
+			load: (peer) => late.load(peer),
 		}),
 	);
 	late.membership = membership;
@@ -309,7 +316,9 @@
 		new ReportPoller(targets, reportIntervalMilliseconds, (target) => {
 			const age = clock.monotonic() - target.reportedAt;
 			return target.engine
-				? !placement.owns(target) && age > staleReportMilliseconds
+				? age > staleReportMilliseconds &&
+						isDirectPollDue(services.random, membership.members.length) &&
+						!placement.owns(target)
 				: age > serviceReportMilliseconds;
 		}),
 	);
@@ -461,6 +470,11 @@
 		.mapErr((cause) => new StartError(cause.message, {cause}));
 }
 
+/** Polls of a target without an owner must not grow with the fleet: after a restart every host misses every report. */
+function isDirectPollDue(random: RandomSource, members: number): boolean {
+	return random.integer(Math.ceil((members + 1) / directPollers)) === 0;
+}
+
 /** Puts each accepted document in force on this host. The gate comes last, so that it opens on parts that know the document. */
 function followDocument(
 	follower: LogFollower,
--- a/src/services/membership-task.ts
+++ b/src/services/membership-task.ts
@@ -26,7 +26,12 @@
 /** The part of a heartbeat that other components of this host provide. */
 export type HostLoad = Pick<
 	MessageInitShape<typeof HostStateSchema>,
-	'callerLoads' | 'demands' | 'observations' | 'sightings' | 'reservedTargets'
+	| 'callerLoads'
+	| 'demands'
+	| 'observations'
+	| 'sightings'
+	| 'reservedTargets'
+	| 'wantsReports'
 > & {readonly ready: boolean};
 
 /** Options of the membership task. */
@@ -39,7 +44,8 @@
 	readonly directory: PeerDirectory;
 	readonly hostList: HostList;
 	readonly seedAddresses: readonly string[];
-	readonly load: () => HostLoad;
+	/** Given the last state of the host that gets the heartbeat, if it is known. */
+	readonly load: (peer?: HostState) => HostLoad;
 	readonly times?: MembershipTimes;
 	readonly heartbeatMilliseconds?: number;
 	/** Peers that get heartbeats in a large fleet, besides the lease holders. */
@@ -127,16 +133,21 @@
 		void this.announce();
 		void this.refreshHostList(now);
 		const addresses = this.heartbeatAddresses();
+		const states = new Map(
+			[...this.states.values()].map((state) => [state.peerAddress, state]),
+		);
 		await Promise.all(
-			addresses.map(async (address) => this.sendHeartbeat(address)),
+			addresses.map(async (address) =>
+				this.sendHeartbeat(address, states.get(address)),
+			),
 		);
 		this.evaluate();
 	}
 
-	/** Returns the state of this host for heartbeats. */
-	localState(): MessageInitShape<typeof HostStateSchema> {
+	/** Returns the state of this host for a heartbeat to a peer, whose last state is given if it is known. */
+	localState(peer?: HostState): MessageInitShape<typeof HostStateSchema> {
 		const {follower} = this.options;
-		const {ready, ...load} = this.options.load();
+		const {ready, ...load} = this.options.load(peer);
 		return {
 			host: this.options.host,
 			incarnation: this.options.incarnation,
@@ -287,7 +298,10 @@
 		return status !== 'gone' || this.options.random.integer(10) === 0;
 	}
 
-	private async sendHeartbeat(address: string): Promise<void> {
+	private async sendHeartbeat(
+		address: string,
+		peer: HostState | undefined,
+	): Promise<void> {
 		if (this.calling.has(address)) {
 			return;
 		}
@@ -295,7 +309,7 @@
 		this.calling.add(address);
 		const result = await this.options.directory
 			.client(address)
-			.heartbeat(this.localState());
+			.heartbeat(this.localState(peer));
 		this.calling.delete(address);
 		this.options.metrics.count('daisylever_heartbeats_total', {
 			result: result.isOk() ? 'answered' : 'failed',
--- a/src/services/peer-exchange.ts
+++ b/src/services/peer-exchange.ts
@@ -1,6 +1,4 @@
-import {Buffer} from 'node:buffer';
 import {type Disposable} from '../base/common/disposable.js';
-import {targetReportSchema} from '../contracts/engine.js';
 import {
 	type Fingerprint,
 	type ModelId,
@@ -12,6 +10,7 @@
 import {type DemandCounter} from './entry/demand-counter.js';
 import {type QuarantineKeeper} from './entry/quarantine-keeper.js';
 import {type HostLoad, type MembershipTask} from './membership-task.js';
+import {ObservationDecoder, ObservationEncoder} from './observation-codec.js';
 import {type FleetPlacement} from './placement/fleet-placement.js';
 import {type TargetDirectory} from './targets/target-directory.js';
 
@@ -26,9 +25,24 @@
 	readonly now: () => number;
 };
 
+type BuiltLoad = {
+	readonly load: Omit<HostLoad, 'ready'>;
+	readonly at: number;
+};
+
+// A holder of a lease sends and answers hundreds of heartbeats a second in a large fleet, each of them the same.
+// The ages of reports in them are too small by at most this time.
+const loadMilliseconds = 200;
+
 /** Fills the heartbeats of this host and hands out what the peers' heartbeats tell. */
 export class PeerExchange implements Disposable {
 	private readonly subscription: Disposable;
+	private readonly encoder = new ObservationEncoder();
+	private readonly decoder = new ObservationDecoder();
+	private reserved: readonly TargetId[] = [];
+	private reservedAt = Number.NEGATIVE_INFINITY;
+	/** The last load, by whether it has complete reports. */
+	private readonly built = new Map<boolean, BuiltLoad>();
 
 	constructor(private readonly options: PeerExchangeOptions) {
 		this.subscription = options.membership.heartbeatReceived.subscribe(
@@ -38,19 +52,18 @@
 		);
 	}
 
-	/** The load of this host for its next heartbeat. */
-	load(): Omit<HostLoad, 'ready'> {
-		const {quarantine, dispatches, demand} = this.options;
-		return {
-			sightings: [...quarantine.ownSightings()],
-			callerLoads: dispatches.callerLoads(),
-			reservedTargets: dispatches.reservedTargets(),
-			demands: [...demand.current].map(([model, requests]) => ({
-				model,
-				requests,
-			})),
-			observations: this.ownObservations(),
-		};
+	/** The load of this host for a heartbeat to a peer, whose last state is given if it is known. */
+	load(peer?: HostState): Omit<HostLoad, 'ready'> {
+		const isFullWanted = peer?.wantsReports ?? false;
+		const now = this.options.now();
+		const known = this.built.get(isFullWanted);
+		if (known && now - known.at < loadMilliseconds) {
+			return known.load;
+		}
+
+		const load = this.buildLoad(isFullWanted, now);
+		this.built.set(isFullWanted, {load, at: now});
+		return load;
 	}
 
 	/** Requests that run or wait, summed over all hosts, for each model. */
@@ -83,34 +96,68 @@
 			);
 		}
 
+		const now = this.options.now();
 		for (const observation of state.observations) {
-			const report = targetReportSchema.safeParse(
-				JSON.parse(Buffer.from(observation.report).toString('utf8')),
-			);
-			if (report.success) {
-				targets.observe(report.data, observation.ageMilliseconds);
+			const known = targets.target(observation.target as TargetId)?.report;
+			const report = this.decoder.decode(observation, known, now);
+			if (report) {
+				targets.observe(report, observation.ageMilliseconds);
 			}
 		}
 
-		const reserved = this.liveStates().flatMap((live) => live.reservedTargets);
-		dispatches.receive(state, reserved as TargetId[]);
+		if (
+			now - this.reservedAt >= loadMilliseconds ||
+			state.reservedTargets.length > 0
+		) {
+			this.reservedAt = now;
+			this.reserved = this.liveStates().flatMap(
+				(live) => live.reservedTargets as TargetId[],
+			);
+		}
+
+		dispatches.receive(state, this.reserved);
+	}
+
+	private buildLoad(
+		isFullWanted: boolean,
+		now: number,
+	): Omit<HostLoad, 'ready'> {
+		const {quarantine, dispatches, demand} = this.options;
+		return {
+			sightings: [...quarantine.ownSightings()],
+			callerLoads: dispatches.callerLoads(),
+			reservedTargets: dispatches.reservedTargets(),
+			demands: [...demand.current].map(([model, requests]) => ({
+				model,
+				requests,
+			})),
+			observations: this.ownObservations(isFullWanted, now),
+			wantsReports: this.decoder.wantsReports(now),
+		};
 	}
 
-	private ownObservations(): HostLoad['observations'] {
-		const {targets, placement, now} = this.options;
+	private ownObservations(
+		isFullWanted: boolean,
+		now: number,
+	): HostLoad['observations'] {
+		const {targets, placement} = this.options;
+		// All targets of a group have the same owner.
+		const owned = new Map<string, boolean>();
 		return targets.all().flatMap((target) => {
-			const {report, reportedAt} = target;
-			if (!report || !placement.owns(target)) {
+			const {report, reportedAt, pool, definition} = target;
+			const group = `${pool.name}\n${definition.failureDomain}`;
+			const isOwned = owned.get(group) ?? placement.owns(target);
+			owned.set(group, isOwned);
+			if (!report || !isOwned) {
 				return [];
 			}
 
 			return [
-				{
-					target: report.target,
-					ageMilliseconds: Math.max(0, Math.round(now() - reportedAt)),
-					// Only the owner of a group needs the orders that a report lists.
-					report: Buffer.from(JSON.stringify({...report, appliedOrders: []})),
-				},
+				this.encoder.encode(report, {
+					ageMilliseconds: Math.max(0, Math.round(now - reportedAt)),
+					now,
+					isFullWanted,
+				}),
 			];
 		});
 	}
--- a/src/services/peer-server.ts
+++ b/src/services/peer-server.ts
@@ -34,8 +34,10 @@
 	/** Zero lets the kernel choose. */
 	readonly port: number;
 	readonly follower: LogFollower;
-	/** Returns the state of this host for the answer to a heartbeat. */
-	readonly localState: () => MessageInitShape<typeof HostStateSchema>;
+	/** Returns the state of this host for the answer to a heartbeat with the given state. */
+	readonly localState: (
+		peer?: HostState,
+	) => MessageInitShape<typeof HostStateSchema>;
 	readonly maximumConnections?: number;
 };
 
@@ -131,7 +133,7 @@
 					this.heartbeatReceived.publish(request.state);
 				}
 
-				return {state: this.options.localState()};
+				return {state: this.options.localState(request.state)};
 			},
 			fetchRecords: (request) => {
 				this.options.metrics.count('daisylever_peer_calls_total', {
--- a/src/services/placement/fleet-placement.ts
+++ b/src/services/placement/fleet-placement.ts
@@ -377,7 +377,15 @@
 	return document.pools.find((pool) => pool.name === name);
 }
 
-function groupNames(document: FleetDocument): LeaseName[] {
+// Every owner asks four times a second, and a document has a thousand targets at the design scale.
+const knownGroupNames = new WeakMap<FleetDocument, readonly LeaseName[]>();
+
+function groupNames(document: FleetDocument): readonly LeaseName[] {
+	const known = knownGroupNames.get(document);
+	if (known) {
+		return known;
+	}
+
 	const names = new Set<LeaseName>();
 	for (const pool of document.pools) {
 		if (pool.kind !== 'engine') {
@@ -389,7 +397,9 @@
 		}
 	}
 
-	return [...names].sort();
+	const sorted = [...names].sort();
+	knownGroupNames.set(document, sorted);
+	return sorted;
 }
 
 function engineOf(targets: TargetDirectory, definition: TargetDefinition) {
