--- a/src/services/membership-task.ts
+++ b/src/services/membership-task.ts
@@ -26,7 +26,12 @@
 /** The part of a heartbeat that other components of this host provide. */
 export type HostLoad = Pick<
 	MessageInitShape<typeof HostStateSchema>,
-	'callerLoads' | 'demands' | 'observations' | 'sightings' | 'reservedTargets'
+	| 'callerLoads'
+	| 'demands'
+	| 'observations'
+	| 'sightings'
+	| 'reservedTargets'
+	| 'wantsReports'
 > & {readonly ready: boolean};
 
 /** Options of the membership task. */
@@ -39,7 +44,8 @@
 	readonly directory: PeerDirectory;
 	readonly hostList: HostList;
 	readonly seedAddresses: readonly string[];
-	readonly load: () => HostLoad;
+	/** Given the last state of the host that gets the heartbeat, if it is known. */
+	readonly load: (peer?: HostState) => HostLoad;
 	readonly times?: MembershipTimes;
 	readonly heartbeatMilliseconds?: number;
 	/** Peers that get heartbeats in a large fleet, besides the lease holders. */
@@ -127,24 +133,29 @@
 		this.membership.forgetGone(now);
 		void this.announce();
 		void this.refreshHostList(now);
-		const addresses = this.heartbeatAddresses();
+		const states = this.statesByAddress();
 		await Promise.all(
-			addresses.map(async (address) => this.sendHeartbeat(address)),
+			this.heartbeatAddresses().map(async (address) =>
+				this.sendHeartbeat(address, states.get(address)),
+			),
 		);
 		this.evaluate();
 	}
 
 	/** Sends the state of this host to its peers at once, for news that can't wait for the next round. */
 	async sendNow(): Promise<void> {
+		const states = this.statesByAddress();
 		await Promise.all(
-			this.heartbeatAddresses().map(async (address) => this.call(address)),
+			this.heartbeatAddresses().map(async (address) =>
+				this.call(address, states.get(address)),
+			),
 		);
 	}
 
-	/** Returns the state of this host for heartbeats. */
-	localState(): MessageInitShape<typeof HostStateSchema> {
+	/** Returns the state of this host for a heartbeat to a peer, whose last state is given if it is known. */
+	localState(peer?: HostState): MessageInitShape<typeof HostStateSchema> {
 		const {follower} = this.options;
-		const {ready, ...load} = this.options.load();
+		const {ready, ...load} = this.options.load(peer);
 		this.sequence += 1n;
 		return {
 			sequence: this.sequence,
@@ -301,20 +312,32 @@
 		return status !== 'gone' || this.options.random.integer(10) === 0;
 	}
 
-	private async sendHeartbeat(address: string): Promise<void> {
+	private async sendHeartbeat(
+		address: string,
+		peer: HostState | undefined,
+	): Promise<void> {
 		if (this.calling.has(address)) {
 			return;
 		}
 
 		this.calling.add(address);
-		await this.call(address);
+		await this.call(address, peer);
 		this.calling.delete(address);
 	}
 
-	private async call(address: string): Promise<void> {
+	private statesByAddress(): Map<string, HostState> {
+		return new Map(
+			[...this.states.values()].map((state) => [state.peerAddress, state]),
+		);
+	}
+
+	private async call(
+		address: string,
+		peer: HostState | undefined,
+	): Promise<void> {
 		const result = await this.options.directory
 			.client(address)
-			.heartbeat(this.localState());
+			.heartbeat(this.localState(peer));
 		this.options.metrics.count('daisylever_heartbeats_total', {
 			result: result.isOk() ? 'answered' : 'failed',
 		});
