Let a planned stop cut no request under constant load

Cause: the gate counted a request only after its body was read and no longer once its answer was computed; the close of Node's HTTP server also resets connections on which a request is about to arrive. A request now counts from the decision to take it until its answer has left. While a host stops, each refusal reads the body and closes the connection through the protocol, the stop lasts at least 2 s (one health check of the balancer), and the grace of 1 s after the listener closed still answers.

A refusal as not-resident no longer takes from the retry budget: nothing ran, and one move of a model refuses a whole burst. A trial on a busy machine had shown no-target to a caller; that refusals spent the budget is the likely cause, not proved.

Connections in the accept queue at the close are reset by the kernel; that case is left.

--- a/src/program/running-host.ts
+++ b/src/program/running-host.ts
@@ -1,3 +1,4 @@
+import {setTimeout as delay} from 'node:timers/promises';
 import {type DisposableStore} from '../base/common/disposable.js';
 import {type EventLogger} from '../base/common/event-logger.js';
 import {operatorEvents} from '../contracts/events/operator-events.js';
@@ -5,6 +6,9 @@
 import {type LeaseKeeper} from '../services/lease-keeper.js';
 import {type MembershipTask} from '../services/membership-task.js';
 
+// Balancers send on for about one health check after readiness went off. Until then a request on a connection that they keep open gets an answer that closes the connection, where closing it at once would cut the request.
+const minimumDrainMilliseconds = 2000;
+
 /** A host could not start. The message says which listener failed. */
 export class StartError extends Error {
 	override readonly name = 'StartError';
@@ -43,6 +47,7 @@
 			membership.leave(),
 			leases.releaseAll(),
 			withinLimit(gate.idle(), this.parts.drainMilliseconds),
+			delay(minimumDrainMilliseconds),
 		]);
 		await membership.recordStop();
 		const unfinished = gate.inFlight;
--- a/src/services/dispatch/dispatcher.ts
+++ b/src/services/dispatch/dispatcher.ts
@@ -742,8 +742,9 @@
 			return;
 		}
 
-		// A leaving target refuses a burst at once, and none of it ran; the budget is for work that was executed in vain.
-		if (this.mayRepeat(tracked, reason !== 'leaving')) {
+		// A target that leaves, or whose model placement took off, refuses a burst at once, and none of it ran; the budget is for work that was executed in vain.
+		const needsBudget = reason !== 'leaving' && reason !== 'not-resident';
+		if (this.mayRepeat(tracked, needsBudget)) {
 			this.enqueue(tracked);
 			return;
 		}
--- a/src/services/entry/entry-server.ts
+++ b/src/services/entry/entry-server.ts
@@ -1,5 +1,6 @@
 import {Buffer} from 'node:buffer';
 import {type Server} from 'node:http';
+import {Server as NetServer} from 'node:net';
 import {createAdaptorServer, type HttpBindings} from '@hono/node-server';
 import {Hono, type Context} from 'hono';
 import {bodyLimit} from 'hono/body-limit';
@@ -146,10 +147,10 @@
 		}
 
 		await new Promise<void>((resolve) => {
-			server.close(() => {
+			// The close of an HTTP server also resets connections on which a request is about to arrive. Until the grace ends, such a request is refused as not run instead.
+			NetServer.prototype.close.call(server, () => {
 				resolve();
 			});
-			server.closeIdleConnections();
 			setTimeout(() => {
 				server.closeAllConnections();
 			}, closeGraceMilliseconds).unref();
@@ -162,6 +163,7 @@
 	): Promise<Response> {
 		const requestId = this.options.mintRequestId();
 		const directory = this.options.gate.open();
+		await this.holdUntilSent(context, directory);
 		const known = directory.andThen((tables) =>
 			tables.authenticate(context.req.header('authorization')),
 		);
@@ -181,6 +183,21 @@
 		return problemResponse(answer.error, requestId);
 	}
 
+	/** Counts the request from the decision to take it until its answer has left, so that a stop waits for both. */
+	private async holdUntilSent(
+		context: EntryContext,
+		directory: Result<CallerDirectory, RequestProblem>,
+	): Promise<void> {
+		const {outgoing} = context.env;
+		outgoing.once('close', this.options.gate.enter());
+		if (directory.isErr() && directory.error.code === 'stopping') {
+			// The balancer must not send a further request on a connection that is about to be closed.
+			outgoing.shouldKeepAlive = false;
+			// A connection closed before its request is read is reset, and the caller would not see the refusal.
+			await context.req.arrayBuffer();
+		}
+	}
+
 	private async complete(
 		context: EntryContext,
 		scope: RequestScope,
