--- a/src/base/node/http-listener.ts
+++ b/src/base/node/http-listener.ts
@@ -1,5 +1,6 @@
 import {createServer as createPlainServer, type Server} from 'node:http';
 import {createServer as createTlsServer} from 'node:https';
+import {Server as NetServer} from 'node:net';
 import {createAdaptorServer, type HttpBindings} from '@hono/node-server';
 import {type Hono} from 'hono';
 import {type Result} from 'neverthrow';
@@ -60,17 +61,18 @@
 		return listenOn(this.server, port, hostname);
 	}
 
-	/** Takes no new connections and closes the open ones once they are idle. */
+	/** Takes no new connections and closes the open ones after a short grace. Requests must have ended before. */
 	async dispose(): Promise<void> {
 		if (!this.server.listening) {
 			return;
 		}
 
 		await new Promise<void>((resolve) => {
-			this.server.close(() => {
+			// The close of an HTTP server also resets connections on which a request is about to arrive. Until the
+			// grace ends, such a request still gets an answer.
+			NetServer.prototype.close.call(this.server, () => {
 				resolve();
 			});
-			this.server.closeIdleConnections();
 			setTimeout(() => {
 				this.server.closeAllConnections();
 			}, closeGraceMilliseconds).unref();
--- a/src/services/entry/entry-server.ts
+++ b/src/services/entry/entry-server.ts
@@ -147,9 +147,8 @@
 		work: (scope: RequestScope) => Promise<Result<Response, RequestProblem>>,
 	): Promise<Response> {
 		const requestId = this.options.mintRequestId();
-		// Counted until the answer has left, so that a planned stop also waits for requests whose body still arrives.
-		context.env.outgoing.once('close', this.options.gate.enter());
 		const directory = this.options.gate.open();
+		await this.holdUntilSent(context, directory);
 		const known = directory.andThen((tables) =>
 			tables.authenticate(context.req.header('authorization')),
 		);
@@ -169,6 +168,21 @@
 		return problemResponse(answer.error, requestId);
 	}
 
+	/** Counts the request from the decision to take it until its answer has left, so that a stop waits for both. */
+	private async holdUntilSent(
+		context: EntryContext,
+		directory: Result<CallerDirectory, RequestProblem>,
+	): Promise<void> {
+		const {outgoing} = context.env;
+		outgoing.once('close', this.options.gate.enter());
+		if (directory.isErr() && directory.error.code === 'stopping') {
+			// The balancer must not send a further request on a connection that is about to be closed.
+			outgoing.shouldKeepAlive = false;
+			// A connection closed before its request is read is reset, and the caller would not see the refusal.
+			await context.req.arrayBuffer();
+		}
+	}
+
 	private async complete(
 		context: EntryContext,
 		scope: RequestScope,
