Keep a model reachable while its version changes, and test memory under failure

The test of a constant load found three faults: - The dispatcher asked for the artifact key of the document in force, so no target was a candidate from the moment a version was replaced until the new one was resident: every request waited, up to the deadline. Targets with any version of the model and adapter are candidates now. Requests under the old version are as the planner intends, since it keeps the old copy. - The planner removed the old copy when the new one was resident in the newest report, which other hosts read up to seconds later. A copy replaces another one only after 3 s of residence now. - A copy that the late report showed as loading was removed at once although it served already. It stays until another one serves.

--- a/src/core/placement-policy.ts
+++ b/src/core/placement-policy.ts
@@ -15,6 +15,8 @@
 export type HeldArtifact = {
 	readonly bytes: number;
 	readonly state: 'resident' | 'loading' | 'unloading';
+	/** False while some hosts may not know yet that it is resident. Such a copy replaces no other one. */
+	readonly isAnnounced?: boolean;
 };
 
 /** A target of the pool at the time of a planning pass. */
--- a/src/core/placement-workspace.ts
+++ b/src/core/placement-workspace.ts
@@ -14,6 +14,7 @@
 	type TargetId,
 } from '../contracts/ids.js';
 import {
+	type HeldArtifact,
 	type Placement,
 	type PlacementInput,
 	type PlacementMove,
@@ -54,7 +55,7 @@
 	readonly current: Set<WorkspaceTarget>;
 	/** Targets among the present holders that serve the current version. */
 	readonly currentNow: Set<WorkspaceTarget>;
-	/** Targets that serve until an unload of this pass that depends on other moves is done. */
+	/** Targets that serve until an unload of this pass that depends on other moves is done, or that may serve already. */
 	readonly deferred: Set<WorkspaceTarget>;
 	/** Older versions that the plan still contains. */
 	readonly obsolete: Map<WorkspaceTarget, ArtifactKey[]>;
@@ -497,8 +498,7 @@
 					continue;
 				}
 
-				const isResident = source.held.get(key)?.state === 'resident';
-				noteCopy(target, state, key, isResident);
+				noteCopy(target, state, key, source.held.get(key));
 			}
 
 			target.usedNowBytes = target.usedBytes;
@@ -540,10 +540,14 @@
 	target: WorkspaceTarget,
 	state: ModelState | AdapterState,
 	key: ArtifactKey,
-	isResident: boolean,
+	held: HeldArtifact | undefined,
 ): void {
 	const isCurrent = key === state.artifact.key;
-	if (isResident) {
+	const isResident = held?.state === 'resident';
+	if (held?.state === 'loading' || held?.isAnnounced === false) {
+		// Reports are late, so the copy may serve already. It goes only after another one serves for certain.
+		state.deferred.add(target);
+	} else if (isResident) {
 		state.holders.add(target);
 		state.holdersNow.add(target);
 		if (isCurrent) {
--- a/src/services/dispatch/pool-dispatch.ts
+++ b/src/services/dispatch/pool-dispatch.ts
@@ -464,7 +464,7 @@
 	}
 }
 
-/** The targets whose newest report shows the needed artifacts resident. */
+/** The targets whose newest report shows the needed artifacts resident, in any version. */
 class ResidentCandidates extends CandidateDirectory {
 	private readonly cache = new Map<string, readonly TargetId[]>();
 
@@ -515,12 +515,18 @@
 		return false;
 	}
 
+	// An older version serves until the one in the document replaces it. Engines choose by name.
 	const resident = new Set(
 		target.report.artifacts
 			.filter((artifact) => artifact.state === 'resident')
-			.map((artifact) => artifact.key),
+			.map((artifact) => nameOf(artifact.key)),
 	);
-	return needed.every((key) => resident.has(key));
+	return needed.every((key) => resident.has(nameOf(key)));
+}
+
+/** The artifact key without its version. */
+function nameOf(key: ArtifactKey): string {
+	return key.slice(0, key.lastIndexOf('@'));
 }
 
 const refusalTexts: Readonly<
--- a/src/services/placement/fleet-placement.ts
+++ b/src/services/placement/fleet-placement.ts
@@ -29,6 +29,7 @@
 	type PlacementInput,
 	type PlacementTarget,
 } from '../../core/placement-policy.js';
+import {ResidencyTracker} from '../../core/residency-tracker.js';
 import {type LeaseKeeper} from '../lease-keeper.js';
 import {type LogFollower} from '../log-follower.js';
 import {type ServiceOptions} from '../service-options.js';
@@ -53,6 +54,9 @@
 
 // A target whose reports stopped for this long is planned around. Shorter gaps are late reports.
 const deadAfterMilliseconds = 10_000;
+// Hosts that do not own a group learn of a new copy by a report with its lag and by a heartbeat once a
+// second. Until then requests would find neither the old copy nor the new one.
+const announcementMilliseconds = 3000;
 
 /** Owners of groups and planners of pools for all leases of the document. Each acts only while its lease is held here. */
 export class FleetPlacement extends Disposable {
@@ -300,6 +304,8 @@
 
 /** A pool as the folded control state and the reports describe it. */
 class FoldedPoolView extends PoolView {
+	private readonly residency = new ResidencyTracker<TargetId>();
+
 	constructor(private readonly options: FoldedPoolViewOptions) {
 		super();
 	}
@@ -340,8 +346,23 @@
 		const planned = new Set(
 			control.plans.get(this.options.pool)?.targets.get(definition.id)?.keys(),
 		);
+		const now = this.options.now();
+		if (report) {
+			this.residency.observe(definition.id, report, now);
+		}
+
 		const held = new Map(
-			(report?.artifacts ?? []).map((artifact) => [artifact.key, artifact]),
+			(report?.artifacts ?? []).map(({key, bytes, state}) => [
+				key,
+				{
+					bytes,
+					state,
+					isAnnounced:
+						state !== 'resident' ||
+						this.residency.residentMilliseconds(definition.id, key, now) >=
+							announcementMilliseconds,
+				},
+			]),
 		);
 		let reservedBytes = 0;
 		for (const intent of control.openIntents.get(definition.id) ?? []) {
--- a/test/process/test-deployment.ts
+++ b/test/process/test-deployment.ts
@@ -147,3 +147,25 @@
 		key: operatorToken,
 	});
 }
+
+/** Declares open orders as settled, as the operator. */
+export async function settleOrders(host: TestHost, orders: readonly string[]) {
+	return send('POST', `${host.operators}/operator/v1/orders/settle`, {
+		key: operatorToken,
+		body: {orders},
+	});
+}
+
+/** Changes faults of a stand-in. */
+export async function setFaults(
+	standIn: TestStandIn,
+	faults: Record<string, unknown>,
+) {
+	return send('PUT', `${standIn.address}/stand-in/faults`, {body: faults});
+}
+
+/** Reads the statistics of a stand-in. */
+export async function statisticsOf(standIn: TestStandIn) {
+	const answer = await send('GET', `${standIn.address}/stand-in/statistics`);
+	return answer.json as Record<string, any>;
+}
