Divide the cost of a move among the copies of a model

Cause: a replacement had to gain 0.5 running requests in the sum over all copies. The cost is divided by the number of copies now: a moved copy has to take over 0.5 running requests. A pass looks at 64 replacements, not 32.

Trial on a scratch copy with an undivided cost and without the protection of loading and unannounced copies: both new planner tests failed.

--- a/src/core/placement-planner.ts
+++ b/src/core/placement-planner.ts
@@ -15,7 +15,7 @@
 export type PlannerOptions = {
 	/** A copy replaces another one only when it is worth this many times as much. */
 	readonly replacementFactor: number;
-	/** Value that a replacement has to gain besides, as a share of the running requests that move. */
+	/** Running requests that a moved copy has to take over besides. The other copies of its model share its cost. */
 	readonly moveCost: number;
 	/** Spare copies go to a model only while one has more running requests than this. */
 	readonly minimumRequestsPerReplica: number;
@@ -31,7 +31,8 @@
 	moveCost: 0.5,
 	minimumRequestsPerReplica: 0.5,
 	horizonSeconds: 10,
-	maximumReplacements: 32,
+	// Bounds the time of a pass at the design scale, where more replacements than this are worth it.
+	maximumReplacements: 64,
 };
 
 /** What may go to make room. */
@@ -289,7 +290,10 @@
 
 		const {replacementFactor, moveCost} = this.options;
 		const gain = gainOfCopy(state) * state.artifact.bytes;
-		const limit = (gain - moveCost) / replacementFactor;
+		// Further copies of a model gain less and less, although each takes over a whole share of its
+		// requests. A cost that did not shrink with them would stop all replacements in large pools.
+		const cost = moveCost / state.replicas.size;
+		const limit = (gain - cost) / replacementFactor;
 		const target = makeRoom(
 			workspace,
 			state,
--- a/test/placement/placement-planner.test.ts
+++ b/test/placement/placement-planner.test.ts
@@ -311,3 +311,85 @@
 	assert.ok(moved[0]! * 10 <= moved[1]!);
 	assert.ok(moved[0]! <= 60);
 });
+
+function simulatedTarget(
+	index: number,
+	held: Readonly<Record<string, HeldArtifact>>,
+): PlacementTarget {
+	return {
+		id: `t${index}` as TargetId,
+		failureDomain: `d${index % 3}` as FailureDomain,
+		memoryBytes: 10,
+		slots: 8,
+		state: 'live',
+		reservedBytes: 0,
+		held: new Map(Object.entries(held) as Array<[ArtifactKey, HeldArtifact]>),
+		planned: new Set(Object.keys(held) as ArtifactKey[]),
+	};
+}
+
+function simpleModel(id: string, version: string): Model {
+	return {
+		id: id as ModelId,
+		pool: 'p' as PoolName,
+		version,
+		bytes: 10,
+		minimumReplicas: 1,
+	};
+}
+
+// Guards against a cost of moves that stops all replacements once the models have many copies.
+test('a busy model with many copies replaces copies of an idle one', () => {
+	const copies = 16;
+	const targets = Array.from({length: 40}, (_, index) =>
+		simulatedTarget(index, {
+			[index < copies ? 'model/busy@1' : 'model/idle@1']: {
+				bytes: 10,
+				state: 'resident',
+			},
+		}),
+	);
+	const {desired} = new PlacementPlanner().plan({
+		models: [simpleModel('busy', '1'), simpleModel('idle', '1')],
+		adapters: [],
+		targets,
+		demand: new Map([
+			['busy' as ModelId, 100],
+			['idle' as ModelId, 1],
+		]),
+		limits,
+	});
+	const busy = [...desired.values()].filter((keys) =>
+		keys.has('model/busy@1' as ArtifactKey),
+	);
+	assert.ok(busy.length > copies, `${busy.length} copies`);
+});
+
+// Guards against a copy that goes before the hosts know of its replacement, or while a late report
+// still shows it as loading: requests would find no copy at all.
+test('an old version goes only after the new one is announced', () => {
+	const plan = (old: HeldArtifact, next: HeldArtifact) =>
+		new PlacementPlanner()
+			.plan({
+				models: [simpleModel('m', '2')],
+				adapters: [],
+				targets: [
+					simulatedTarget(0, {'model/m@1': old}),
+					simulatedTarget(1, {'model/m@2': next}),
+				],
+				demand: new Map(),
+				limits,
+			})
+			.moves.filter(
+				({action, isImmediate}) => action === 'unload' && isImmediate,
+			)
+			.map(({artifact}) => artifact.key);
+	const resident = {bytes: 10, state: 'resident'} as const;
+	const loading = {bytes: 10, state: 'loading'} as const;
+	const unannounced = {...resident, isAnnounced: false};
+	assert.deepEqual(plan(resident, resident), ['model/m@1']);
+	for (const old of [resident, unannounced, loading]) {
+		assert.deepEqual(plan(old, unannounced), []);
+		assert.deepEqual(plan(old, loading), []);
+	}
+});
