--- a/src/services/dispatch/pool-dispatch.ts
+++ b/src/services/dispatch/pool-dispatch.ts
@@ -1,5 +1,4 @@
 import {type Clock} from '../../base/common/clock.js';
-import {Disposable} from '../../base/common/disposable.js';
 import {type EventLogger} from '../../base/common/event-logger.js';
 import {type MetricRegistry} from '../../base/common/metric-registry.js';
 import {type RandomSource} from '../../base/common/random-source.js';
@@ -40,10 +39,10 @@
 	TargetDirectory as CandidateDirectory,
 	type Attempt,
 	type Binding,
-	type DispatcherMessage,
 	type WorkItem,
 	type WorkRefusal,
 } from './dispatcher.js';
+import {TargetDispatch} from './target-dispatch.js';
 import {type AttemptName, type GenerationRun} from './generation-run.js';
 
 /** Times after which a stream without progress is checked. */
@@ -78,20 +77,15 @@
 	readonly limits?: ProgressLimits;
 };
 
-const tickMilliseconds = 10;
-
 // A lost target costs the caller a whole first-token time, so more tries do not meet its deadline.
 const maximumSubmissions = 3;
 
 const priorityByUrgency = {urgent: 0, standard: 10, deferred: 20};
 
 /** Runs the model requests of one pool: the dispatcher decides, this class talks to the engines. */
-export class PoolDispatch extends Disposable {
+export class PoolDispatch extends TargetDispatch {
 	readonly dispatcher: Dispatcher;
 	private readonly runs = new Map<RequestId, GenerationRun>();
-	private timer: NodeJS.Timeout | undefined;
-	private isRetired = false;
-	private isDisposed = false;
 
 	constructor(private readonly options: PoolDispatchOptions) {
 		super();
@@ -106,19 +100,6 @@
 		});
 	}
 
-	/** Starts the task. */
-	start(): void {
-		void this.dispatcher.run();
-		this.timer = setInterval(() => {
-			this.post({kind: 'ticked'});
-		}, tickMilliseconds);
-	}
-
-	/** Tells the dispatcher of a change around it. */
-	post(message: DispatcherMessage): void {
-		this.dispatcher.post(message);
-	}
-
 	/** Queues a run. Its parts are read from the run. */
 	submit(run: GenerationRun): void {
 		const {quarantine} = this.options;
@@ -230,16 +211,8 @@
 		this.submit(run);
 	}
 
-	/** Lets running requests end and then disposes. For a pool that the document no longer names. */
-	retire(): void {
-		this.isRetired = true;
-		this.disposeIfIdle();
-	}
-
-	dispose(): void {
-		this.isDisposed = true;
-		clearInterval(this.timer);
-		this.dispatcher.dispose();
+	override dispose(): void {
+		super.dispose();
 		for (const run of this.runs.values()) {
 			run.fail(interrupted());
 		}
@@ -247,6 +220,10 @@
 		this.runs.clear();
 	}
 
+	protected isIdle(): boolean {
+		return this.runs.size === 0;
+	}
+
 	/** Applies what became known of a request while it waited in the queue. */
 	private divert(run: GenerationRun, binding: Binding): boolean {
 		const status = this.options.quarantine.status(run.fingerprint);
@@ -446,12 +423,6 @@
 		this.disposeIfIdle();
 	}
 
-	private disposeIfIdle(): void {
-		if (this.isRetired && this.runs.size === 0) {
-			this.dispose();
-		}
-	}
-
 	private quarantined(run: GenerationRun): RequestProblem {
 		return new RequestProblem(
 			'quarantined',
--- a/src/services/dispatch/service-dispatch.ts
+++ b/src/services/dispatch/service-dispatch.ts
@@ -1,6 +1,5 @@
 import {err, ok, type Result} from 'neverthrow';
 import {type Clock} from '../../base/common/clock.js';
-import {Disposable} from '../../base/common/disposable.js';
 import {type EventLogger} from '../../base/common/event-logger.js';
 import {type RandomSource} from '../../base/common/random-source.js';
 import {type Execution} from '../../contracts/execution.js';
@@ -26,10 +25,10 @@
 	TargetDirectory as CandidateDirectory,
 	type Attempt,
 	type Binding,
-	type DispatcherMessage,
 	type WorkItem,
 	type WorkRefusal,
 } from './dispatcher.js';
+import {TargetDispatch} from './target-dispatch.js';
 
 /** A call as the dispatch needs it. */
 export type ServiceWork = {
@@ -70,14 +69,10 @@
 	readonly resolve: (result: Result<ServiceResponse, ServiceFailure>) => void;
 };
 
-const tickMilliseconds = 10;
-
 /** Routes the calls to one pool of plain services: the dispatcher decides, this class makes the calls. */
-export class ServiceDispatch extends Disposable {
+export class ServiceDispatch extends TargetDispatch {
 	readonly dispatcher: Dispatcher;
 	private readonly calls = new Map<RequestId, PendingCall>();
-	private timer: NodeJS.Timeout | undefined;
-	private isRetired = false;
 
 	constructor(private readonly options: ServiceDispatchOptions) {
 		super();
@@ -91,19 +86,6 @@
 		});
 	}
 
-	/** Starts the task. */
-	start(): void {
-		void this.dispatcher.run();
-		this.timer = setInterval(() => {
-			this.post({kind: 'ticked'});
-		}, tickMilliseconds);
-	}
-
-	/** Tells the dispatcher of a change around it. */
-	post(message: DispatcherMessage): void {
-		this.dispatcher.post(message);
-	}
-
 	/** Makes a call. An aborted signal ends it; its outcome is then unknown unless no byte was sent. */
 	async call(
 		work: ServiceWork,
@@ -146,15 +128,8 @@
 		this.finish(request, err(failure));
 	}
 
-	/** Lets running calls end and then disposes. For a pool that the document no longer names. */
-	retire(): void {
-		this.isRetired = true;
-		this.disposeIfIdle();
-	}
-
-	dispose(): void {
-		clearInterval(this.timer);
-		this.dispatcher.dispose();
+	override dispose(): void {
+		super.dispose();
 		for (const {work, attempts} of this.calls.values()) {
 			this.fail(work.requestId, {
 				execution: attempts.size > 0 ? 'unknown' : 'not-run',
@@ -163,6 +138,10 @@
 		}
 	}
 
+	protected isIdle(): boolean {
+		return this.calls.size === 0;
+	}
+
 	private async attempt(call: PendingCall, binding: Binding): Promise<void> {
 		const identity = identityOf(binding);
 		const service = this.options.targets.target(binding.target)?.service;
@@ -238,13 +217,6 @@
 		call?.resolve(result);
 		this.disposeIfIdle();
 	}
-
-	private disposeIfIdle(): void {
-		if (this.isRetired && this.calls.size === 0) {
-			clearInterval(this.timer);
-			this.dispatcher.dispose();
-		}
-	}
 }
 
 /** Passes the dispatcher's decisions on. */
--- a/test/process/processes.ts
+++ b/test/process/processes.ts
@@ -105,6 +105,7 @@
 	readonly process: TestProcess;
 	readonly callers: string;
 	readonly operators: string;
+	readonly peers: string;
 };
 
 /** Starts processes and ends them all. */
@@ -142,6 +143,7 @@
 			process: child,
 			callers: `http://127.0.0.1:${ports.callers}`,
 			operators: `http://127.0.0.1:${ports.operators}`,
+			peers: `http://127.0.0.1:${ports.peers}`,
 		};
 	}
 
