--- a/src/contracts/ids.ts
+++ b/src/contracts/ids.ts
@@ -112,3 +112,7 @@
 /** A model or adapter in one version, as `model/<id>@<version>` or `adapter/<id>@<version>`. */
 export const artifactKeySchema = z.string().min(1).brand<'ArtifactKey'>();
 export type ArtifactKey = z.infer<typeof artifactKeySchema>;
+
+/** A route of the forwarding document. */
+export const routeNameSchema = z.string().min(1).max(256).brand<'RouteName'>();
+export type RouteName = z.infer<typeof routeNameSchema>;
--- /dev/null
+++ b/src/contracts/request-codec.ts
@@ -0,0 +1,87 @@
+import {type Result} from 'neverthrow';
+import {
+	type AdapterId,
+	type ModelId,
+	type RequestId,
+	type TargetId,
+} from './ids.js';
+
+/** What a caller declares of its request in the headers. */
+export type RequestFacts = {
+	readonly id: RequestId;
+	readonly model: ModelId | undefined;
+	readonly adapter: AdapterId | undefined;
+	readonly promptTokens: number;
+	readonly maximumTokens: number;
+	/** The caller's estimate of the tokens of the answer. Often far off. */
+	readonly expectedTokens: number | undefined;
+	/** Digests of the prompt's parts with all parts before each, longest first. */
+	readonly prefixes: readonly string[];
+	/** Time that the caller waits. */
+	readonly remainingMilliseconds: number | undefined;
+	/** Last event that the caller has of a stream that broke. */
+	readonly lastEventId: number | undefined;
+	/** Names and values of the headers that are passed on unchanged. */
+	readonly passedHeaders: readonly string[];
+};
+
+/** A request does not follow the protocol. */
+export class RequestFormatError extends Error {
+	override readonly name = 'RequestFormatError';
+}
+
+/** What this system adds to a request when it sends it to a target. */
+export type AttemptFacts = {
+	readonly target: TargetId;
+	readonly remainingMilliseconds: number;
+	/** Last event that was passed on. */
+	readonly lastEventId: number | undefined;
+	/** Rank among the requests at the target, 0 is first. */
+	readonly rank: number;
+};
+
+/** Load that a target states in its answers. */
+export type StatedLoad = {
+	readonly running: number;
+	readonly queued: number;
+	readonly slots: number;
+	/** Time that work takes on the machine at the moment, relative to the usual time. */
+	readonly slowness: number;
+};
+
+/** What the head of a target's answer says. */
+export type AnswerFacts = {
+	readonly status: number;
+	readonly request: RequestId | undefined;
+	/** True when the target signed its answer. */
+	readonly isSigned: boolean;
+	/** True when the target states that it did not run the request and never will. */
+	readonly isNotRun: boolean;
+	/** True when the target is not the one named, or does not hold the model or adapter. */
+	readonly isMisdirected: boolean;
+	/** The target that answered, where the answer says so. */
+	readonly answeredBy: TargetId | undefined;
+	readonly load: StatedLoad | undefined;
+	/** Names and values of the headers that the caller gets. */
+	readonly passedHeaders: readonly string[];
+};
+
+/** Translates between the headers on the wire and the facts of a request. */
+export abstract class RequestCodec {
+	abstract decodeRequest(
+		rawHeaders: readonly string[],
+	): Result<RequestFacts, RequestFormatError>;
+
+	abstract encodeAttempt(request: RequestFacts, attempt: AttemptFacts): string[];
+
+	abstract decodeAnswer(
+		status: number,
+		headers: Readonly<Record<string, string | string[] | undefined>>,
+	): AnswerFacts;
+
+	/** Headers of an answer that this system gives itself. */
+	abstract encodeOwnAnswer(
+		request: RequestId | undefined,
+		retryAfterMilliseconds: number | undefined,
+	): Record<string, string>;
+}
--- /dev/null
+++ b/src/core/owner-lease.ts
@@ -0,0 +1,248 @@
+import {type FencingToken, type HostId} from '../contracts/ids.js';
+import {
+	type ConditionalAppend,
+	type OwnerRecord,
+	type OwnerRecords,
+	type PositionedOwnerRecord,
+	type StorePosition,
+} from '../contracts/shared-store.js';
+
+/** Times of the lease. */
+export type OwnerLeaseTimes = {
+	/** The holder appends a renewal this often. */
+	readonly renewalMilliseconds: number;
+	/** The holder gives orders for this long after it sent a renewal that was appended. */
+	readonly validityMilliseconds: number;
+	/** Another host claims when the log shows no new record for this long. Above the validity, so that two holders never overlap. */
+	readonly silenceMilliseconds: number;
+	/** Least time between the last order of one holder and the first of the next. */
+	readonly handoverMilliseconds: number;
+};
+
+/** What the holder of the lease needs to write next. */
+export type LeaseAppend = {
+	readonly record: OwnerRecord;
+	readonly expectedEnd: StorePosition;
+};
+
+/** The next call to the log. */
+export type LeaseStep =
+	| {readonly kind: 'read'}
+	| {readonly kind: 'append'; readonly append: LeaseAppend}
+	| {readonly kind: 'wait'};
+
+/** The holder of the lease as this host knows it. */
+export type LeaseHolder = Pick<
+	OwnerRecord,
+	'host' | 'incarnation' | 'peerAddress'
+> & {readonly token: FencingToken};
+
+/** Who this host is. */
+export type LeaseCandidate = Pick<
+	OwnerRecord,
+	'host' | 'incarnation' | 'peerAddress'
+>;
+
+/**
+ * The lease of the owner of placement, as a state machine without input or output. Times are monotonic
+ * milliseconds of this host. The log decides who holds the lease: an append names the end of the log that
+ * it builds on, so of several hosts that claim, one succeeds.
+ */
+export class OwnerLease {
+	/** Position after the last record read, undefined before the first read. */
+	private end: StorePosition | undefined;
+	private last: PositionedOwnerRecord | undefined;
+	private claimPosition: StorePosition | undefined;
+	/** Time at which this host first saw the last record. */
+	private lastSeenAt = 0;
+	private heldUntil = Number.NEGATIVE_INFINITY;
+	private renewedAt = Number.NEGATIVE_INFINITY;
+	/** Earliest time at which a new holder may give orders. */
+	private ordersFrom = Number.POSITIVE_INFINITY;
+	/** True when the outcome of an append is unknown. */
+	private mustRead = true;
+	private isHeld = false;
+
+	constructor(
+		private readonly candidate: LeaseCandidate,
+		private readonly times: OwnerLeaseTimes,
+	) {}
+
+	/** True while this host holds the lease as far as the log has confirmed it. */
+	get isHolder(): boolean {
+		return this.isHeld;
+	}
+
+	/** The holder that the log names, this host included. */
+	get holder(): LeaseHolder | undefined {
+		if (!this.last || this.last.kind === 'released') {
+			return undefined;
+		}
+
+		const {host, incarnation, peerAddress} = this.last;
+		return {
+			host,
+			incarnation,
+			peerAddress,
+			token: (this.claimPosition ?? this.last.position) as FencingToken,
+		};
+	}
+
+	/** The token under which orders may be given now, undefined when none may be given. */
+	token(now: number): FencingToken | undefined {
+		return this.isHeld &&
+			this.claimPosition !== undefined &&
+			now < this.heldUntil &&
+			now >= this.ordersFrom
+			? (this.claimPosition as FencingToken)
+			: undefined;
+	}
+
+	/** Says what to ask of the log now. `isHolderHeard` is true when the holder has just answered this host. */
+	next(now: number, isHolderHeard: boolean): LeaseStep {
+		if (this.isHeld && !this.mustRead) {
+			return now >= this.renewedAt + this.times.renewalMilliseconds
+				? {kind: 'append', append: this.makeAppend('renewed')}
+				: {kind: 'wait'};
+		}
+
+		if (this.mustRead || this.end === undefined) {
+			return {kind: 'read'};
+		}
+
+		if (!this.last || this.last.kind === 'released') {
+			return {kind: 'append', append: this.makeAppend('claimed')};
+		}
+
+		if (isHolderHeard) {
+			return {kind: 'wait'};
+		}
+
+		return now - this.lastSeenAt >= this.times.silenceMilliseconds
+			? {kind: 'append', append: this.makeAppend('claimed')}
+			: {kind: 'read'};
+	}
+
+	/** Takes in records read. */
+	read({records, next}: OwnerRecords, now: number): void {
+		this.mustRead = false;
+		this.end = next;
+		for (const record of records) {
+			this.observe(record, now);
+		}
+	}
+
+	/** Position from which the log is read next. */
+	get readFrom(): StorePosition | undefined {
+		return this.end;
+	}
+
+	/** Takes in the outcome of an append sent at `sentAt`. */
+	appended(
+		{record}: LeaseAppend,
+		outcome: ConditionalAppend,
+		sentAt: number,
+		now: number,
+	): void {
+		if (outcome.kind === 'conflict') {
+			// Somebody else wrote; the records say who.
+			this.isHeld = false;
+			this.mustRead = true;
+			return;
+		}
+
+		const before = this.last;
+		const beforeSeenAt = this.lastSeenAt;
+		this.end = outcome.position + 1;
+		this.last = {...record, position: outcome.position};
+		this.lastSeenAt = now;
+		if (record.kind === 'released') {
+			this.isHeld = false;
+			return;
+		}
+
+		if (record.kind === 'claimed') {
+			this.claimPosition = outcome.position;
+			this.ordersFrom = this.firstOrderTime(before, beforeSeenAt);
+		}
+
+		this.isHeld = true;
+		this.renewedAt = sentAt;
+		this.heldUntil = sentAt + this.times.validityMilliseconds;
+	}
+
+	/** The outcome of an append is unknown: it may be in the log now or later. */
+	appendFailed(): void {
+		this.mustRead = true;
+	}
+
+	/** Record that hands the lease over at a planned stop, undefined when this host does not hold it. */
+	release(
+		sinceLastOrderMilliseconds: number | undefined,
+	): LeaseAppend | undefined {
+		if (!this.isHeld || this.end === undefined) {
+			return undefined;
+		}
+
+		const {record, expectedEnd} = this.makeAppend('released');
+		return {record: {...record, sinceLastOrderMilliseconds}, expectedEnd};
+	}
+
+	/** Gives the lease up after a target refused its token. */
+	supersede(): void {
+		this.isHeld = false;
+		this.mustRead = true;
+	}
+
+	private observe(record: PositionedOwnerRecord, now: number): void {
+		const isOwn =
+			record.host === this.candidate.host &&
+			record.incarnation === this.candidate.incarnation;
+		const before = this.last;
+		const beforeSeenAt = this.lastSeenAt;
+		this.last = record;
+		this.lastSeenAt = now;
+		if (record.kind === 'claimed') {
+			this.claimPosition = record.position;
+		}
+
+		if (!isOwn || record.kind === 'released') {
+			this.isHeld = false;
+			return;
+		}
+
+		// An own record whose answer was lost. When it was sent is not known any more, so the next renewal
+		// starts the time in which orders may be given.
+		this.isHeld = true;
+		this.renewedAt = Number.NEGATIVE_INFINITY;
+		this.heldUntil = Number.NEGATIVE_INFINITY;
+		if (record.kind === 'claimed') {
+			this.ordersFrom = this.firstOrderTime(before, beforeSeenAt);
+		}
+	}
+
+	/** The former holder may have given orders until its validity ended, counted from when its last record was seen at the latest. */
+	private firstOrderTime(
+		before: PositionedOwnerRecord | undefined,
+		seenAt: number,
+	): number {
+		if (!before) {
+			return Number.NEGATIVE_INFINITY;
+		}
+
+		const {handoverMilliseconds, validityMilliseconds} = this.times;
+		if (before.kind !== 'released') {
+			return seenAt + validityMilliseconds + handoverMilliseconds;
+		}
+
+		return before.sinceLastOrderMilliseconds === undefined
+			? seenAt
+			: seenAt +
+					handoverMilliseconds -
+					Math.min(handoverMilliseconds, before.sinceLastOrderMilliseconds);
+	}
+
+	private makeAppend(kind: OwnerRecord['kind']): LeaseAppend {
+		return {record: {kind, ...this.candidate}, expectedEnd: this.end ?? 0};
+	}
+}
--- /dev/null
+++ b/src/platform/document-state.ts
@@ -0,0 +1,176 @@
+import {type ResultAsync} from 'neverthrow';
+import {z} from 'zod';
+import {
+	type ForwardingDocument,
+	type RouteKind,
+} from '../contracts/forwarding-document.js';
+import {
+	type ModelId,
+	type PoolName,
+	type RouteName,
+} from '../contracts/ids.js';
+import {
+	DocumentState,
+	type DocumentChange,
+	type SharedStoreError,
+	type StoreChanges,
+	type StorePosition,
+} from '../contracts/shared-store.js';
+import {readKeyedRecord} from './keyed-record.js';
+import {type StoreClient} from './store-client.js';
+import {configurationKey, topics} from './wire.js';
+
+const bytesPerMegabyte = 1_000_000;
+
+const routeSchema = z.object({
+	name: z.string(),
+	host: z.string(),
+	prefix: z.string(),
+	kind: z.enum(['idempotent', 'non_idempotent', 'stream']),
+	timeout_ms: z.number(),
+	goal_ms: z.number().optional(),
+	priority: z.number().default(0),
+	attempts: z.number().default(1),
+	allow_resume: z.boolean().default(false),
+	service: z.string().optional(),
+	split: z
+		.array(z.object({service: z.string(), weight: z.number()}))
+		.optional(),
+});
+
+const engineSchema = z.object({
+	weights_mb: z.number(),
+	lora_slots: z.number().default(0),
+	loads_per_s: z.number().default(1),
+	models: z
+		.array(
+			z.object({
+				name: z.string(),
+				weights_mb: z.number(),
+				load_s: z.number().default(0),
+				adapters: z.number().default(0),
+				adapter_mb: z.number().default(0),
+			}),
+		)
+		.default([]),
+});
+
+const configurationSchema = z.object({
+	version: z.number(),
+	routes: z.array(routeSchema),
+	services: z.array(
+		z.object({
+			name: z.string(),
+			max_conns: z.number().default(100),
+			engine: engineSchema.optional(),
+		}),
+	),
+	limits: z.object({
+		header_bytes: z.number(),
+		max_body_bytes: z.number(),
+		header_ms: z.number(),
+		idle_ms: z.number(),
+	}),
+});
+
+const routeKinds: Readonly<Record<string, RouteKind>> = {
+	idempotent: 'idempotent',
+	non_idempotent: 'non-idempotent',
+	stream: 'stream',
+};
+
+/** The operator's configuration in the store. */
+export class PlatformDocumentState extends DocumentState {
+	constructor(private readonly store: StoreClient) {
+		super();
+	}
+
+	readNewest(): ResultAsync<StoreChanges<DocumentChange>, SharedStoreError> {
+		return this.store.readNewest(topics.operator).map(({records, next}) => ({
+			changes: records
+				.filter(({key}) => key === configurationKey)
+				.map(({value}) => decodeDocument(value)),
+			next,
+		}));
+	}
+
+	readSince(
+		position: StorePosition,
+		waitMilliseconds: number,
+	): ResultAsync<StoreChanges<DocumentChange>, SharedStoreError> {
+		return this.store
+			.read(topics.operator, position, waitMilliseconds)
+			.map(({records, next}) => ({
+				changes: records.flatMap(({body}) => {
+					const record = readKeyedRecord(body);
+					return record?.key === configurationKey && record.value
+						? [decodeDocument(record.value)]
+						: [];
+				}),
+				next,
+			}));
+	}
+}
+
+/** Decodes the operator's configuration into the product's document. */
+export function decodeDocument(value: Buffer): DocumentChange {
+	let content: unknown;
+	try {
+		content = JSON.parse(value.toString('utf8'));
+	} catch {
+		return {kind: 'unreadable', reason: 'the configuration is not JSON'};
+	}
+
+	const parsed = configurationSchema.safeParse(content);
+	return parsed.success
+		? {kind: 'document', document: toDocument(parsed.data)}
+		: {kind: 'unreadable', reason: z.prettifyError(parsed.error)};
+}
+
+function toDocument(
+	configuration: z.infer<typeof configurationSchema>,
+): ForwardingDocument {
+	const {limits} = configuration;
+	return {
+		version: configuration.version,
+		routes: configuration.routes.map((route) => ({
+			name: route.name as RouteName,
+			hostName: route.host,
+			pathPrefix: route.prefix,
+			kind: routeKinds[route.kind]!,
+			timeLimitMilliseconds: route.timeout_ms,
+			objectiveMilliseconds: route.goal_ms ?? route.timeout_ms,
+			rank: route.priority,
+			maximumRuns: Math.max(1, route.attempts),
+			isResumable: route.allow_resume,
+			pools: (route.split ?? []).length > 0
+				? route.split!.map(({service, weight}) => ({
+						pool: service as PoolName,
+						weight,
+					}))
+				: [{pool: (route.service ?? '') as PoolName, weight: 1}],
+		})),
+		pools: configuration.services.map((service) => ({
+			name: service.name as PoolName,
+			maximumConnections: service.max_conns,
+			engine: service.engine && {
+				memoryBytes: service.engine.weights_mb * bytesPerMegabyte,
+				adapterPlaces: service.engine.lora_slots,
+				loadsPerSecond: service.engine.loads_per_s,
+				models: service.engine.models.map((model) => ({
+					id: model.name as ModelId,
+					bytes: Math.ceil(model.weights_mb * bytesPerMegabyte),
+					loadMilliseconds: model.load_s * 1000,
+					adapterCount: model.adapters,
+					adapterBytes: Math.ceil(model.adapter_mb * bytesPerMegabyte),
+				})),
+			},
+		})),
+		limits: {
+			headerBytes: limits.header_bytes,
+			bodyBytes: limits.max_body_bytes,
+			headerMilliseconds: limits.header_ms,
+			idleMilliseconds: limits.idle_ms,
+		},
+	};
+}
--- /dev/null
+++ b/src/platform/owner-log.ts
@@ -0,0 +1,68 @@
+import {errAsync, type ResultAsync} from 'neverthrow';
+import {z} from 'zod';
+import {hostIdSchema} from '../contracts/ids.js';
+import {
+	HistoryLostError,
+	OwnerLog,
+	type ConditionalAppend,
+	type OwnerRecord,
+	type OwnerRecords,
+	type SharedStoreError,
+	type StorePosition,
+} from '../contracts/shared-store.js';
+import {type StoreClient} from './store-client.js';
+import {topics} from './wire.js';
+
+const recordSchema = z.object({
+	kind: z.enum(['claimed', 'renewed', 'released']),
+	host: hostIdSchema,
+	incarnation: z.string(),
+	peerAddress: z.string(),
+	sinceLastOrderMilliseconds: z.number().optional(),
+});
+
+/** The owner lease as a topic of the store. */
+export class PlatformOwnerLog extends OwnerLog {
+	constructor(private readonly store: StoreClient) {
+		super();
+	}
+
+	read(
+		from: StorePosition | undefined,
+	): ResultAsync<OwnerRecords, SharedStoreError> {
+		return this.store
+			.read(topics.owner, from ?? 0, 0)
+			.orElse((error) =>
+				error instanceof HistoryLostError
+					? this.store.read(topics.owner, error.first, 0)
+					: errAsync(error),
+			)
+			.map(({records, next}) => ({
+				records: records.flatMap(({position, body}) => {
+					const parsed = recordSchema.safeParse(toJson(body));
+					return parsed.success ? [{...parsed.data, position}] : [];
+				}),
+				next,
+			}));
+	}
+
+	append(
+		record: OwnerRecord,
+		expectedEnd: StorePosition,
+	): ResultAsync<ConditionalAppend, SharedStoreError> {
+		return this.store.append(
+			topics.owner,
+			Buffer.from(JSON.stringify(record)),
+			expectedEnd,
+		);
+	}
+}
+
+function toJson(body: Buffer): unknown {
+	try {
+		return JSON.parse(body.toString('utf8'));
+	} catch {
+		// A record that is not JSON fails the schema and is left out.
+		return undefined;
+	}
+}
--- /dev/null
+++ b/src/platform/target-list-state.ts
@@ -0,0 +1,142 @@
+import {type ResultAsync} from 'neverthrow';
+import {z} from 'zod';
+import {
+	type AdapterId,
+	type FailureDomain,
+	type ModelId,
+	type PoolName,
+	type TargetId,
+	type TargetIncarnation,
+} from '../contracts/ids.js';
+import {
+	type ListedTarget,
+	type TargetListChange,
+} from '../contracts/listed-target.js';
+import {
+	TargetListState,
+	type SharedStoreError,
+	type StoreChanges,
+	type StorePosition,
+} from '../contracts/shared-store.js';
+import {readKeyedRecord} from './keyed-record.js';
+import {type StoreClient} from './store-client.js';
+import {topics} from './wire.js';
+
+/** Models with their adapters, in entries and in reports of workers. */
+export const residentModelsSchema = z.array(
+	z.object({
+		name: z.string(),
+		version: z.number().optional(),
+		adapters: z.array(z.string()).default([]),
+	}),
+);
+
+const entrySchema = z.object({
+	service: z.string().min(1),
+	addr: z.string().regex(/^[\d.]+:\d{1,5}$/),
+	zone: z.string(),
+	slots: z.number().int().positive(),
+	state: z.enum(['ready', 'draining']),
+	seq: z.number().optional(),
+	born: z.number().optional(),
+	models: residentModelsSchema.optional(),
+	at_hand: z
+		.object({
+			in_memory: z.array(z.string()).default([]),
+			on_disk: z.array(z.string()).default([]),
+		})
+		.optional(),
+});
+
+/** The workers' entries in the store. */
+export class PlatformTargetListState extends TargetListState {
+	constructor(private readonly store: StoreClient) {
+		super();
+	}
+
+	readNewest(): ResultAsync<StoreChanges<TargetListChange>, SharedStoreError> {
+		return this.store.readNewest(topics.targets).map(({records, next}) => ({
+			changes: records.map(({key, value}) => decodeEntry(key, value)),
+			next,
+		}));
+	}
+
+	readSince(
+		position: StorePosition,
+		waitMilliseconds: number,
+	): ResultAsync<StoreChanges<TargetListChange>, SharedStoreError> {
+		return this.store
+			.read(topics.targets, position, waitMilliseconds)
+			.map(({records, next}) => ({
+				changes: records.flatMap(({body}) => {
+					const record = readKeyedRecord(body);
+					return record ? [decodeEntry(record.key, record.value)] : [];
+				}),
+				next,
+			}));
+	}
+}
+
+/** Decodes one entry. Without a value the worker is no longer listed. */
+export function decodeEntry(
+	key: string,
+	value: Buffer | undefined,
+): TargetListChange {
+	const target = key as TargetId;
+	if (!value) {
+		return {kind: 'unlisted', target};
+	}
+
+	let content: unknown;
+	try {
+		content = JSON.parse(value.toString('utf8'));
+	} catch {
+		return {kind: 'malformed', target, reason: 'the entry is not JSON'};
+	}
+
+	const parsed = entrySchema.safeParse(content);
+	return parsed.success
+		? {kind: 'listed', target: toTarget(target, parsed.data)}
+		: {kind: 'malformed', target, reason: z.prettifyError(parsed.error)};
+}
+
+/** Turns models of an entry or report into those of the product. */
+export function toResidentModels(
+	models: z.infer<typeof residentModelsSchema> | undefined,
+): ListedTarget['residency']['models'] {
+	return (models ?? []).map(({name, adapters}) => ({
+		model: name as ModelId,
+		adapters: adapters as AdapterId[],
+	}));
+}
+
+/** A worker that starts again under its id has another time of birth. */
+export function toIncarnation(
+	target: TargetId,
+	born: number | undefined,
+): TargetIncarnation {
+	return `${target}@${born ?? 0}` as TargetIncarnation;
+}
+
+function toTarget(
+	id: TargetId,
+	entry: z.infer<typeof entrySchema>,
+): ListedTarget {
+	return {
+		id,
+		pool: entry.service as PoolName,
+		address: entry.addr,
+		failureDomain: entry.zone as FailureDomain,
+		slots: entry.slots,
+		isLeaving: entry.state === 'draining',
+		residency: {
+			incarnation: toIncarnation(id, entry.born),
+			orderSequence: entry.seq ?? 0,
+			models: toResidentModels(entry.models),
+		},
+		atHand: {
+			inMemory: (entry.at_hand?.in_memory ?? []) as ModelId[],
+			onDisk: (entry.at_hand?.on_disk ?? []) as ModelId[],
+		},
+	};
+}
--- a/src/program/command-line.ts
+++ b/src/program/command-line.ts
@@ -4,18 +4,26 @@
 import {finish} from './command-context.js';
 import {CommandFailure, exitCodes, formatExitCodes} from './command-failure.js';
 import {addDocumentCommands} from './document-commands.js';
+import {
+	addForwardingCommands,
+	type RunForwardingHost,
+} from './forwarding-commands.js';
 import {addHostCommands, type RunHost} from './host-commands.js';
 import {addInspectionCommands} from './inspection-commands.js';
 import {programVersion} from './version.js';
 
 /** Makes the command line of the program. */
-export function makeCommandLine(runHost: RunHost): Command {
+export function makeCommandLine(
+	runHost: RunHost,
+	runForwardingHost: RunForwardingHost,
+): Command {
 	const program = new Command('daisylever')
 		.description('Serves many models on fewer accelerators.')
 		.showSuggestionAfterError()
 		.exitOverride()
 		.addHelpText('afterAll', `\nExit codes:\n${formatExitCodes()}`);
 	addHostCommands(program, runHost);
+	addForwardingCommands(program, runForwardingHost);
 	addDocumentCommands(program);
 	addInspectionCommands(program);
 	program
--- a/src/program/event-catalogue.ts
+++ b/src/program/event-catalogue.ts
@@ -14,6 +14,10 @@
 	'dispatch-events': {first: 3000, title: 'Queueing, routing and admission'},
 	'placement-events': {first: 4000, title: 'Placement, orders and memory'},
 	'operator-events': {first: 5000, title: 'Operators, settings and program'},
+	'forwarding-events': {
+		first: 7000,
+		title: 'Forwarding, the shared store and the owner of placement',
+	},
 	'entry-events': {
 		first: 6000,
 		title: 'Callers, idempotency keys and quarantine',
--- /dev/null
+++ b/src/program/forwarding-commands.ts
@@ -0,0 +1,72 @@
+import process from 'node:process';
+import {type Command} from 'commander';
+import {err, ok} from 'neverthrow';
+import {finish, type CommandResult} from './command-context.js';
+import {CommandFailure} from './command-failure.js';
+import {
+	loadForwardingSettings,
+	type ForwardingSettings,
+} from './forwarding-settings.js';
+
+/** Starts a forwarding host that stops on signals. Resolves once it listens. */
+export type RunForwardingHost = (
+	settings: ForwardingSettings,
+	file: string,
+) => Promise<CommandResult>;
+
+async function forward(
+	file: string,
+	runHost: RunForwardingHost,
+): Promise<CommandResult> {
+	const loaded = loadForwardingSettings(file);
+	if (loaded.isErr()) {
+		const {problems, message} = loaded.error;
+		return err(
+			new CommandFailure(
+				'invalid',
+				`the settings have ${problems.length} errors\n${message}`,
+				'Correct the settings of the forwarding host.',
+			),
+		);
+	}
+
+	return runHost(loaded.value, file);
+}
+
+/** Adds the commands of a host that forwards requests to listed targets. */
+export function addForwardingCommands(
+	program: Command,
+	runHost: RunForwardingHost,
+): void {
+	const defaultFile = process.env.DAISYLEVER_CONFIG ?? 'forwarding.yaml';
+	const command = program
+		.command('forward')
+		.description('Run a host that forwards requests by an operators’ document.')
+		.option(
+			'--settings <file>',
+			'settings file (environment: DAISYLEVER_CONFIG)',
+			defaultFile,
+		)
+		.option('--check', 'check the settings and end')
+		.action(
+			async (options: {
+				readonly settings: string;
+				readonly check?: boolean;
+			}) => {
+				if (options.check === true) {
+					finish(
+						await forward(options.settings, async ({host}) =>
+							ok(`${options.settings} is valid: host ${host}`),
+						),
+					);
+					return;
+				}
+
+				finish(await forward(options.settings, runHost));
+			},
+		);
+	command.addHelpText(
+		'after',
+		'\nSIGTERM stops the host gracefully, a second one at once. SIGHUP reads the settings again.',
+	);
+}
--- a/src/program/main.ts
+++ b/src/program/main.ts
@@ -1,5 +1,6 @@
 import process from 'node:process';
 import {makeCommandLine, runCommandLine} from './command-line.js';
+import {type RunForwardingHost} from './forwarding-commands.js';
 import {type RunHost} from './host-commands.js';
 
 // Loaded on demand, so that the operators' commands start without the serving path.
@@ -8,4 +9,9 @@
 	return module.runHost(settings);
 };
 
-void runCommandLine(makeCommandLine(runHost), process.argv);
+const runForwardingHost: RunForwardingHost = async (settings, file) => {
+	const module = await import('./run-forwarding-host.js');
+	return module.runForwardingHost(settings, file);
+};
+
+void runCommandLine(makeCommandLine(runHost, runForwardingHost), process.argv);
--- a/src/services/dispatch/dispatcher.ts
+++ b/src/services/dispatch/dispatcher.ts
@@ -68,6 +68,10 @@
 	readonly fingerprint: Fingerprint;
 	/** True if a target died while it ran a request with this fingerprint. */
 	readonly suspect: boolean;
+	/** Targets on which the request may run. Bounded by the attempts alone when left out. */
+	readonly maximumRuns?: number;
+	/** True for the rest of a broken stream. It is paid from the retry budget. */
+	readonly isContinuation?: boolean;
 };
 
 /** One try of a request on one target. */
@@ -127,6 +131,8 @@
 	| ({readonly kind: 'completed'; readonly tokens: number} & Attempt)
 	| ({readonly kind: 'refused'; readonly reason: RefusalReason} & Attempt)
 	| ({readonly kind: 'lost'; readonly execution: Execution} & Attempt)
+	/** No byte of the request reached the target. */
+	| ({readonly kind: 'unreached'} & Attempt)
 	| {
 			readonly kind: 'target-set';
 			readonly target: TargetId;
@@ -150,6 +156,8 @@
 			readonly events: readonly CacheEvent[];
 	  }
 	| {readonly kind: 'hosts-changed'; readonly hosts: readonly HostId[]}
+	/** Other targets than before can run waiting work. */
+	| {readonly kind: 'candidates-changed'}
 	| {
 			readonly kind: 'suspects-reserved';
 			readonly targets: readonly TargetId[];
@@ -179,6 +187,10 @@
 	readonly hedging?: boolean;
 	/** Attempts of a request, hedges included. */
 	readonly maximumAttempts?: number;
+	/** True where each request that a target refuses counts as an arrival there, whatever the reason. */
+	readonly countsEachRefusal?: boolean;
+	/** Time that a lost attempt counts as in the comparison of targets, so that targets that fail are ejected like slow ones. */
+	readonly lossMilliseconds?: number;
 };
 
 /** A work item as it waits in the queue. */
@@ -196,6 +208,8 @@
 	readonly attempts: Map<number, RunningAttempt>;
 	readonly triedTargets: Set<TargetId>;
 	attemptCount: number;
+	/** Attempts that may have run. */
+	runCount: number;
 	isLong: boolean;
 	isHedged: boolean;
 	/** True once an attempt ended without proof that it did not run. */
@@ -350,6 +364,11 @@
 				break;
 			}
 
+			case 'unreached': {
+				this.handleUnreached(message);
+				break;
+			}
+
 			case 'ticked': {
 				this.refuseHopeless();
 				this.hedgeOverdue();
@@ -357,6 +376,7 @@
 			}
 
 			case 'cache-changed':
+			case 'candidates-changed':
 			case 'hosts-changed':
 			case 'suspects-reserved':
 			case 'target-leaving':
@@ -382,6 +402,7 @@
 					| 'completed'
 					| 'refused'
 					| 'lost'
+					| 'unreached'
 					| 'ticked';
 			}
 		>,
@@ -427,6 +448,11 @@
 				this.isolation.setReservedElsewhere(message.targets);
 				break;
 			}
+
+			case 'candidates-changed': {
+				// The waiting work is bound after each message.
+				break;
+			}
 		}
 	}
 
@@ -435,6 +461,14 @@
 			return;
 		}
 
+		if (item.isContinuation === true && !this.budget.tryTake()) {
+			this.logger.record(dispatchEvents.retryBudgetSpent, {
+				request: item.request,
+			});
+			this.port.fail(item, 'unknown');
+			return;
+		}
+
 		const estimate = this.lengths.estimate(item);
 		const work: DispatchWork = {
 			item,
@@ -478,12 +512,16 @@
 			});
 		}
 
-		this.budget.recordFirstAttempt();
+		if (item.isContinuation !== true) {
+			this.budget.recordFirstAttempt();
+		}
+
 		const tracked: Tracked = {
 			work,
 			attempts: new Map(),
 			triedTargets: new Set(),
 			attemptCount: 0,
+			runCount: 0,
 			isLong: work.isLong,
 			isHedged: false,
 			mayHaveRun: false,
@@ -802,7 +840,9 @@
 		}
 
 		// A target that leaves, or whose model placement took off, refuses a burst at once, and none of it ran; the budget is for work that was executed in vain.
-		const needsBudget = reason !== 'leaving' && reason !== 'not-resident';
+		const needsBudget =
+			this.options.countsEachRefusal === true ||
+			(reason !== 'leaving' && reason !== 'not-resident');
 		if (this.mayRepeat(tracked, needsBudget)) {
 			this.enqueue(tracked);
 			return;
@@ -828,7 +868,12 @@
 			execution,
 		});
 		this.endAttempt(tracked, attempt);
-		tracked.mayHaveRun ||= execution === 'unknown';
+		if (execution === 'unknown') {
+			tracked.mayHaveRun = true;
+			tracked.runCount++;
+			this.observeLoss(attempt.target);
+		}
+
 		if (tracked.attempts.size > 0) {
 			return;
 		}
@@ -849,8 +894,44 @@
 		this.port.fail(item, tracked.mayHaveRun ? 'unknown' : execution);
 	}
 
+	/** A request that did not reach its target waits again; it cost the targets nothing. */
+	private handleUnreached(message: Attempt): void {
+		const tracked = this.tracked.get(message.request);
+		const attempt = tracked?.attempts.get(message.attempt);
+		if (!tracked || !attempt) {
+			return;
+		}
+
+		this.endAttempt(tracked, attempt);
+		if (tracked.attempts.size > 0) {
+			return;
+		}
+
+		if (this.mayRepeat(tracked, false)) {
+			this.enqueue(tracked);
+			return;
+		}
+
+		this.giveUp(tracked, {
+			code: 'no-target',
+			countsAsDemand: true,
+			retryAfterMilliseconds: 1000,
+			message: 'no target could be reached',
+		});
+	}
+
+	private observeLoss(target: TargetId): void {
+		const {lossMilliseconds} = this.options;
+		if (lossMilliseconds !== undefined) {
+			this.observe(target, 'first-token', lossMilliseconds);
+		}
+	}
+
 	private mayRepeat(tracked: Tracked, needsBudget: boolean): boolean {
-		if (tracked.attemptCount >= (this.options.maximumAttempts ?? 3)) {
+		if (
+			tracked.attemptCount >= (this.options.maximumAttempts ?? 3) ||
+			tracked.runCount >= (tracked.work.item.maximumRuns ?? Infinity)
+		) {
 			return false;
 		}
 
--- /dev/null
+++ b/src/services/forwarding/forward-dispatch.ts
@@ -0,0 +1,580 @@
+import {type Clock} from '../../base/common/clock.js';
+import {Disposable} from '../../base/common/disposable.js';
+import {type EventLogger} from '../../base/common/event-logger.js';
+import {type RandomSource} from '../../base/common/random-source.js';
+import {forwardingEvents} from '../../contracts/events/forwarding-events.js';
+import {type Execution} from '../../contracts/execution.js';
+import {
+	type CallerId,
+	type Fingerprint,
+	type HostId,
+	type OfferingName,
+	type PoolName,
+	type RequestId,
+	type TargetId,
+} from '../../contracts/ids.js';
+import {
+	type AnswerFacts,
+	type RequestCodec,
+	type StatedLoad,
+} from '../../contracts/request-codec.js';
+import {type RefusalReason} from '../../contracts/target-error.js';
+import {AdmissionPolicy} from '../../core/admission-policy.js';
+import {CallerLimiter} from '../../core/caller-limiter.js';
+import {type Urgency} from '../../core/dispatch-queue.js';
+import {LengthEstimator} from '../../core/length-estimator.js';
+import {OutlierDetector} from '../../core/outlier-detector.js';
+import {RetryBudget} from '../../core/retry-budget.js';
+import {SlotPolicy} from '../../core/slot-policy.js';
+import {
+	Dispatcher,
+	DispatchPort,
+	TargetDirectory,
+	type Attempt,
+	type Binding,
+	type WorkItem,
+	type WorkRefusal,
+} from '../dispatch/dispatcher.js';
+import {
+	AttemptListener,
+	ForwardAttempt,
+	type AttemptFailure,
+} from './forward-attempt.js';
+import {type ForwardedRequest} from './forwarded-request.js';
+import {type RegisteredTarget, type TargetRegistry} from './target-registry.js';
+
+/** Bounds on repeated sends that all hosts keep together. */
+export type RetryBounds = {
+	/** Repeated sends for each request. */
+	readonly ratio: number;
+	/** Repeated sends in a window beside those of the ratio, of all hosts together. */
+	readonly slack: number;
+	readonly windowMilliseconds: number;
+	/** Hosts that share the slack. */
+	readonly hosts: number;
+};
+
+/** Collaborators of the dispatch of one pool. */
+export type ForwardDispatchOptions = {
+	readonly pool: PoolName;
+	readonly host: HostId;
+	readonly clock: Clock;
+	readonly random: RandomSource;
+	readonly events: EventLogger;
+	readonly codec: RequestCodec;
+	readonly registry: TargetRegistry;
+	readonly retries: RetryBounds;
+	readonly maximumBodyBytes: number;
+};
+
+/** All consumers come through one balancer, which names none of them. */
+const anyCaller = 'any' as CallerId;
+/** Sends of one request, those included that no target received or ran. */
+const maximumSends = 5;
+/** Part of the ratio that is used, so that a window that cuts a burst in two stays below the bound. */
+const usedRatioShare = 0.7;
+/** A lost attempt counts as slow as this in the comparison of targets. */
+const lossMilliseconds = 3000;
+/** Models differ threefold in pace, so that a target is slow only beyond that. */
+const ejectionRatio = 4;
+/** Silence on a connection after which a repeatable request is sent elsewhere. Below the two seconds after which callers give up. */
+const silenceMilliseconds = 1300;
+/** Remaining time below which a continuation is not worth a send. */
+const leastContinuationMilliseconds = 100;
+/** Time that a target's answer at its time limit needs to arrive before this host's own. */
+const targetLimitMarginMilliseconds = 20;
+
+/** Forwards the requests to one pool: the dispatcher decides, this class sends. */
+export class ForwardDispatch extends Disposable {
+	readonly dispatcher: Dispatcher;
+	private readonly requests = new Map<RequestId, ForwardedRequest>();
+	private readonly attempts = new Map<RequestId, Map<number, ForwardAttempt>>();
+	private readonly known = new Set<TargetId>();
+	private loadSequence = 0;
+	private readonly subscriptions: Disposable[];
+
+	constructor(private readonly options: ForwardDispatchOptions) {
+		super();
+		const {clock, random, host, events, registry, retries} = options;
+		this.dispatcher = new Dispatcher({
+			clock,
+			random,
+			host,
+			port: new ForwardPort(this),
+			directory: new RegisteredCandidates(registry, options.pool),
+			logger: events,
+			admission: new AdmissionPolicy({
+				clock,
+				limiter: new CallerLimiter({clock}),
+				maximumWaitShare: 1,
+			}),
+			// Targets batch requests of all lengths, so none are reserved for short ones.
+			lengths: new LengthEstimator({longTokens: Number.MAX_SAFE_INTEGER}),
+			slots: new SlotPolicy({host, longShare: 1, extraShare: 0}),
+			outliers: new OutlierDetector({clock, ejectionRatio}),
+			budget: new RetryBudget({
+				clock,
+				ratio: retries.ratio * usedRatioShare,
+				minimumPerSecond: 0,
+				capacity: Math.max(2, Math.floor(retries.slack / retries.hosts)),
+			}),
+			hedging: false,
+			maximumAttempts: maximumSends,
+			countsEachRefusal: true,
+			lossMilliseconds,
+		});
+		this.subscriptions = [
+			registry.changed.subscribe((target) => {
+				this.targetChanged(target);
+			}),
+			registry.removed.subscribe((target) => {
+				this.targetRemoved(target);
+			}),
+		];
+		for (const target of registry.ofPool(options.pool)) {
+			this.targetChanged(target);
+		}
+
+		void this.dispatcher.run();
+	}
+
+	/** Name of the pool. */
+	get pool(): PoolName {
+		return this.options.pool;
+	}
+
+	/** Requests that wait or run. */
+	running(): Iterable<ForwardedRequest> {
+		return this.requests.values();
+	}
+
+	/** True while requests wait for a target. */
+	get hasWaiting(): boolean {
+		return this.dispatcher.queueLength > 0;
+	}
+
+	/** True when the request waits and was not sent yet. */
+	isWaiting(request: ForwardedRequest): boolean {
+		return (this.attempts.get(request.key)?.size ?? 0) === 0;
+	}
+
+	/** Queues a request. It ends through its own methods. */
+	submit(request: ForwardedRequest): void {
+		this.requests.set(request.key, request);
+		this.dispatcher.post({
+			kind: 'submitted',
+			item: this.itemOf(request, false),
+		});
+	}
+
+	/** Ends a request whose caller left or whose time is over. Its runs are stopped. */
+	abandon(request: ForwardedRequest): void {
+		this.dispatcher.post({kind: 'abandoned', request: request.key});
+		// A cancellation that waits for the mailbox of a busy dispatcher is late.
+		for (const attempt of this.attempts.get(request.key)?.values() ?? []) {
+			attempt.cancel();
+		}
+	}
+
+	/** Forgets a request that has its final answer. */
+	forget(request: ForwardedRequest): void {
+		this.requests.delete(request.key);
+		this.attempts.delete(request.key);
+	}
+
+	setHosts(hosts: readonly HostId[]): void {
+		this.dispatcher.post({kind: 'hosts-changed', hosts});
+	}
+
+	tick(): void {
+		if (this.hasWaiting) {
+			this.dispatcher.post({kind: 'ticked'});
+		}
+	}
+
+	/** Sends a request to the target that the dispatcher chose. */
+	startAttempt(binding: Binding): void {
+		const request = this.requests.get(binding.request);
+		const connections = this.options.registry.connectionsOf(binding.target);
+		if (!request || request.isOver || !connections) {
+			this.dispatcher.post({kind: 'unreached', ...identify(binding)});
+			return;
+		}
+
+		request.waitedMilliseconds ??= binding.waitedMilliseconds;
+		const attempt = this.makeAttempt(request, binding);
+		const attempts = this.attempts.get(request.key) ?? new Map();
+		attempts.set(binding.attempt, attempt);
+		this.attempts.set(request.key, attempts);
+		const {facts, route, options} = request;
+		this.options.events.record(forwardingEvents.attemptSent, {
+			request: facts.id,
+			attempt: binding.attempt,
+			kind: request.continuations > 0 ? 'continuation' : binding.kind,
+			target: binding.target,
+			model: facts.model,
+			adapter: facts.adapter,
+			waitedMilliseconds: Math.round(binding.waitedMilliseconds),
+			listAgeMilliseconds: Math.round(
+				this.options.clock.monotonic() -
+					(this.options.registry.get(binding.target)?.listedAt ?? 0),
+			),
+		});
+		connections.dispatch(
+			{
+				method: options.method as 'GET',
+				path: options.target,
+				headers: this.options.codec.encodeAttempt(facts, {
+					target: binding.target,
+					remainingMilliseconds:
+						request.remaining() - targetLimitMarginMilliseconds,
+					lastEventId: request.lastEventId,
+					rank: route.rank,
+				}),
+				body: options.body.length > 0 ? options.body : null,
+				idempotent: false,
+				blocking: false,
+			},
+			attempt,
+		);
+	}
+
+	cancelAttempt({request, attempt}: Attempt): void {
+		const attempts = this.attempts.get(request);
+		attempts?.get(attempt)?.cancel();
+		attempts?.delete(attempt);
+	}
+
+	/** The dispatcher refused the request: it waited too long, or no target took it. */
+	refused({item, message, retryAfterMilliseconds}: WorkRefusal): void {
+		this.requests.get(item.request)?.refuse(message, retryAfterMilliseconds);
+	}
+
+	/** The last attempt failed and is not repeated. */
+	attemptsFailed(item: WorkItem, execution: Execution): void {
+		const request = this.requests.get(item.request);
+		if (!request || request.isOver) {
+			return;
+		}
+
+		if (execution === 'not-run') {
+			request.refuse('no target took the request', 500);
+			return;
+		}
+
+		request.fail('the target did not give a whole answer');
+	}
+
+	dispose(): void {
+		for (const subscription of this.subscriptions) {
+			void subscription.dispose();
+		}
+
+		for (const request of this.requests.values()) {
+			this.abandon(request);
+		}
+
+		this.dispatcher.dispose();
+	}
+
+	private makeAttempt(
+		request: ForwardedRequest,
+		binding: Binding,
+	): ForwardAttempt {
+		return new ForwardAttempt({
+			request: request.facts.id,
+			target: binding.target,
+			codec: this.options.codec,
+			listener: new RequestAttempt(this, request, identify(binding)),
+			silenceMilliseconds: request.isRepeatable
+				? silenceMilliseconds
+				: undefined,
+			onHead: (answer) => {
+				this.noteLoad(binding.target, answer.load);
+			},
+			maximumBodyBytes: this.options.maximumBodyBytes,
+			isStream: request.route.kind === 'stream',
+		});
+	}
+
+	/** Tells the dispatcher of an event and ends the attempt. */
+	endAttempt(
+		attempt: Attempt,
+		outcome:
+			| {readonly kind: 'completed'; readonly tokens: number}
+			| {readonly kind: 'refused'; readonly reason: RefusalReason}
+			| {readonly kind: 'lost'; readonly execution: Execution}
+			| {readonly kind: 'unreached'},
+	): void {
+		this.attempts.get(attempt.request)?.delete(attempt.attempt);
+		this.dispatcher.post({...attempt, ...outcome});
+	}
+
+	noteFailure(
+		request: ForwardedRequest,
+		attempt: Attempt,
+		failure: AttemptFailure,
+	): void {
+		this.options.events.record(forwardingEvents.attemptEnded, {
+			request: request.facts.id,
+			attempt: attempt.attempt,
+			target: attempt.target,
+			outcome: failure.kind,
+			reason:
+				failure.kind === 'refused'
+					? `status ${failure.answer.status}`
+					: failure.reason,
+			events: request.eventCount,
+		});
+		if (failure.kind === 'unreached') {
+			this.options.registry.noteUnreachable(attempt.target);
+		} else if (failure.kind === 'refused' && failure.answer.isMisdirected) {
+			this.options.registry.noteMissing(
+				attempt.target,
+				request.facts.model,
+				request.facts.adapter,
+			);
+		}
+	}
+
+	/** Sends the rest of a broken stream elsewhere, or ends the request. */
+	continueStream(request: ForwardedRequest, attempt: Attempt): void {
+		// The dispatcher forgets the request and takes its rest as new work.
+		this.attempts.get(attempt.request)?.delete(attempt.attempt);
+		this.dispatcher.post({kind: 'abandoned', request: request.key});
+		if (
+			request.isOver ||
+			!request.isRepeatable ||
+			request.runs >= request.route.maximumRuns ||
+			request.remaining() < leastContinuationMilliseconds
+		) {
+			request.fail('the stream broke');
+			return;
+		}
+
+		request.continuations++;
+		this.dispatcher.post({
+			kind: 'submitted',
+			item: this.itemOf(request, true),
+		});
+	}
+
+	private itemOf(
+		request: ForwardedRequest,
+		isContinuation: boolean,
+	): WorkItem {
+		const {facts, route} = request;
+		return {
+			request: request.key,
+			caller: anyCaller,
+			urgency: urgencyOf(route.rank),
+			offering: route.name as string as OfferingName,
+			...(facts.model === undefined ? {} : {model: facts.model}),
+			...(facts.adapter === undefined ? {} : {adapter: facts.adapter}),
+			promptCharacters: facts.promptTokens,
+			maximumTokens: facts.maximumTokens,
+			prefixes: facts.prefixes,
+			remainingMilliseconds: request.remaining(),
+			idempotent: request.isRepeatable,
+			fingerprint: request.options.fingerprint as Fingerprint,
+			suspect: false,
+			maximumRuns: route.maximumRuns - request.runs,
+			isContinuation,
+		};
+	}
+
+	private targetChanged({listed}: RegisteredTarget): void {
+		if (listed.pool !== this.options.pool) {
+			return;
+		}
+
+		if (!this.known.has(listed.id)) {
+			this.known.add(listed.id);
+			this.dispatcher.post({
+				kind: 'target-set',
+				target: listed.id,
+				slots: listed.slots,
+			});
+		}
+
+		this.dispatcher.post({
+			kind: 'target-leaving',
+			target: listed.id,
+			leaving: listed.isLeaving,
+		});
+	}
+
+	private targetRemoved({listed}: RegisteredTarget): void {
+		if (this.known.delete(listed.id)) {
+			this.dispatcher.post({kind: 'target-removed', target: listed.id});
+		}
+	}
+
+	private noteLoad(target: TargetId, load: StatedLoad | undefined): void {
+		const known = this.options.registry.get(target);
+		if (!load || !known) {
+			return;
+		}
+
+		this.loadSequence++;
+		this.dispatcher.post({
+			kind: 'target-reported',
+			report: {
+				target,
+				incarnation: known.listed.residency.incarnation,
+				sequence: this.loadSequence,
+				leaving: known.listed.isLeaving,
+				running: load.running,
+				queued: load.queued,
+				slots: load.slots,
+			},
+			ageMilliseconds: 0,
+			adapters: [],
+		});
+	}
+}
+
+/** Passes the events of one attempt to its request and the dispatcher. */
+class RequestAttempt extends AttemptListener {
+	private events = 0;
+
+	constructor(
+		private readonly owner: ForwardDispatch,
+		private readonly request: ForwardedRequest,
+		private readonly attempt: Attempt,
+	) {
+		super();
+	}
+
+	streamStarted(answer: AnswerFacts): void {
+		this.request.streamStarted(answer);
+	}
+
+	streamData(chunk: Buffer): void {
+		const before = this.request.eventCount;
+		if (!this.request.streamData(chunk)) {
+			this.breakOff('an event does not follow the last one');
+			return;
+		}
+
+		this.events += this.request.eventCount - before;
+		if (this.events > 0) {
+			this.owner.dispatcher.post({
+				kind: 'progressed',
+				tokens: this.events,
+				...this.attempt,
+			});
+		}
+	}
+
+	streamEnded(): void {
+		if (!this.request.streamEnded()) {
+			this.breakOff('the stream ended within an event');
+			return;
+		}
+
+		this.owner.endAttempt(this.attempt, {
+			kind: 'completed',
+			tokens: this.events,
+		});
+	}
+
+	answered(answer: AnswerFacts, body: Buffer): void {
+		if (this.request.hasStarted) {
+			this.failed({
+				kind: 'lost',
+				reason: `status ${answer.status} for the rest of a stream`,
+			});
+			return;
+		}
+
+		const isFailure = answer.status >= 500;
+		if (isFailure) {
+			this.request.runs++;
+			this.request.keepFailure(answer, body);
+			this.owner.endAttempt(this.attempt, {kind: 'lost', execution: 'unknown'});
+			return;
+		}
+
+		this.request.deliver(answer, body);
+		this.owner.endAttempt(this.attempt, {kind: 'completed', tokens: 1});
+	}
+
+	failed(failure: AttemptFailure): void {
+		this.owner.noteFailure(this.request, this.attempt, failure);
+		if (failure.kind === 'unreached') {
+			this.owner.endAttempt(this.attempt, {kind: 'unreached'});
+			return;
+		}
+
+		if (failure.kind === 'refused') {
+			this.owner.endAttempt(this.attempt, {
+				kind: 'refused',
+				reason: failure.answer.isMisdirected ? 'not-resident' : 'busy',
+			});
+			return;
+		}
+
+		this.request.runs++;
+		if (this.request.hasStarted) {
+			this.owner.continueStream(this.request, this.attempt);
+			return;
+		}
+
+		this.owner.endAttempt(this.attempt, {kind: 'lost', execution: 'unknown'});
+	}
+
+	private breakOff(reason: string): void {
+		this.owner.cancelAttempt(this.attempt);
+		this.failed({kind: 'lost', reason});
+	}
+}
+
+/** Turns the decisions of the dispatcher into sends and answers. */
+class ForwardPort extends DispatchPort {
+	constructor(private readonly owner: ForwardDispatch) {
+		super();
+	}
+
+	dispatch(binding: Binding): void {
+		this.owner.startAttempt(binding);
+	}
+
+	refuse(refusal: WorkRefusal): void {
+		this.owner.refused(refusal);
+	}
+
+	fail(item: WorkItem, execution: Execution): void {
+		this.owner.attemptsFailed(item, execution);
+	}
+
+	demote(): void {
+		// Targets do not change the priority of running work.
+	}
+
+	cancel(attempt: Attempt): void {
+		this.owner.cancelAttempt(attempt);
+	}
+}
+
+/** Candidates from the registry. */
+class RegisteredCandidates extends TargetDirectory {
+	constructor(
+		private readonly registry: TargetRegistry,
+		private readonly pool: PoolName,
+	) {
+		super();
+	}
+
+	targetsFor(item: WorkItem): readonly TargetId[] {
+		return this.registry.candidates(this.pool, item.model, item.adapter);
+	}
+}
+
+function identify({request, attempt, target}: Attempt): Attempt {
+	return {request, attempt, target};
+}
+
+function urgencyOf(rank: number): Urgency {
+	return rank <= 0 ? 'urgent' : rank === 1 ? 'standard' : 'deferred';
+}
--- /dev/null
+++ b/src/services/forwarding/owner-messages.ts
@@ -0,0 +1,84 @@
+import {type MessageInitShape} from '@bufbuild/protobuf';
+import {
+	type AdapterId,
+	type HostId,
+	type ModelId,
+	type TargetId,
+	type TargetIncarnation,
+} from '../../contracts/ids.js';
+import {
+	type ReportRequest,
+	type ReportRequestSchema,
+	type TargetContent,
+	type TargetContentSchema,
+} from '../../generated/daisylever/owner/v1/owner_pb.js';
+import {type HostDemand} from './host-demand.js';
+import {type OwnedContent} from './target-registry.js';
+
+/** Writes the demand of a host as a message. */
+export function toReportRequest(
+	demand: HostDemand,
+	known: {readonly owner: string; readonly version: number},
+): MessageInitShape<typeof ReportRequestSchema> {
+	return {
+		host: demand.host,
+		leaving: demand.isLeaving,
+		models: demand.models.map(({model, requests}) => ({model, requests})),
+		adapters: demand.adapters.map(({model, adapter, requests, waiting}) => ({
+			model,
+			adapter,
+			requests,
+			waiting,
+		})),
+		knownVersion: BigInt(known.version),
+		knownOwner: known.owner,
+	};
+}
+
+/** Reads the demand of a host. */
+export function fromReportRequest(message: ReportRequest): HostDemand {
+	return {
+		host: message.host as HostId,
+		isLeaving: message.leaving,
+		models: message.models.map(({model, requests}) => ({
+			model: model as ModelId,
+			requests,
+		})),
+		adapters: message.adapters.map(({model, adapter, requests, waiting}) => ({
+			model: model as ModelId,
+			adapter: adapter as AdapterId,
+			requests,
+			waiting,
+		})),
+	};
+}
+
+/** Writes what a target holds as a message. */
+export function toTargetContent(
+	content: OwnedContent,
+): MessageInitShape<typeof TargetContentSchema> {
+	return {
+		target: content.target,
+		incarnation: content.incarnation,
+		orderSequence: BigInt(content.orderSequence),
+		models: content.models.map(({model, adapters, isRetiring}) => ({
+			model,
+			adapters: [...adapters],
+			retiring: isRetiring,
+		})),
+	};
+}
+
+/** Reads what a target holds. */
+export function fromTargetContent(message: TargetContent): OwnedContent {
+	return {
+		target: message.target as TargetId,
+		incarnation: message.incarnation as TargetIncarnation,
+		orderSequence: Number(message.orderSequence),
+		models: message.models.map(({model, adapters, retiring}) => ({
+			model: model as ModelId,
+			adapters: adapters as AdapterId[],
+			isRetiring: retiring,
+		})),
+	};
+}
--- /dev/null
+++ b/src/services/forwarding/pool-placement.ts
@@ -0,0 +1,363 @@
+import {type Clock} from '../../base/common/clock.js';
+import {type EventLogger} from '../../base/common/event-logger.js';
+import {modelArtifact} from '../../contracts/artifact.js';
+import {forwardingEvents} from '../../contracts/events/forwarding-events.js';
+import {type Model, type WeightStoreLimits} from '../../contracts/fleet-document.js';
+import {type EnginePool} from '../../contracts/forwarding-document.js';
+import {
+	type ArtifactKey,
+	type ModelId,
+	type PoolName,
+	type TargetId,
+} from '../../contracts/ids.js';
+import {
+	adapterKey,
+	AdapterPlaces,
+	type AdapterName,
+	type AdapterTarget,
+} from '../../core/adapter-places.js';
+import {DemandEstimator} from '../../core/demand-estimator.js';
+import {LoadPacer} from '../../core/load-pacer.js';
+import {PlacementPlanner} from '../../core/placement-planner.js';
+import {
+	type HeldArtifact,
+	type PlacementPolicy,
+	type PlacementTarget,
+} from '../../core/placement-policy.js';
+import {type TargetOrderTask} from './target-order-task.js';
+
+/** Demand of all hosts for the models and adapters of one pool. */
+export type PoolDemand = {
+	/** Requests that run or wait, by model. */
+	readonly models: ReadonlyMap<ModelId, number>;
+	/** Requests that run or wait, by adapter key. */
+	readonly adapters: ReadonlyMap<string, number>;
+	/** Adapters that requests wait for, the most wanted first. */
+	readonly wanted: readonly AdapterName[];
+};
+
+/** Options of the placement of one pool. */
+export type PoolPlacementOptions = {
+	readonly pool: PoolName;
+	readonly clock: Clock;
+	readonly events: EventLogger;
+	/** Tasks of the targets of the pool at the moment. */
+	readonly tasks: () => readonly TargetOrderTask[];
+};
+
+/** Pause between two passes of the planner. */
+const planMilliseconds = 400;
+/** A copy replaces another one once all hosts have learned of it. */
+const announcedMilliseconds = 700;
+/** Demand rises within a second, because a load takes one to four. */
+const riseMilliseconds = 600;
+/** Demand falls within seconds, so that copies follow the models that are busy now. */
+const halfLifeMilliseconds = 6000;
+/** An adapter that nobody asked for since this long may make room. */
+const adapterIdleMilliseconds = 500;
+/** Requests for one adapter from which a second copy is worth a place. */
+const adapterCopyRequests = 12;
+
+const loadShare = {index: 0, count: 1};
+/** The platform has one version of each model at a time, which a load fetches. */
+const onlyVersion = '1';
+
+/** Decides what the targets of one engine pool hold and gives the orders that the moment permits. */
+export class PoolPlacement {
+	private readonly planner: PlacementPolicy = new PlacementPlanner();
+	private readonly demand = new DemandEstimator<ModelId>({
+		riseMilliseconds,
+		halfLifeMilliseconds,
+		forgetBelow: 0.001,
+	});
+
+	private readonly places = new AdapterPlaces({
+		idleMilliseconds: adapterIdleMilliseconds,
+		copyRequests: adapterCopyRequests,
+	});
+
+	private readonly pacer: LoadPacer;
+	private readonly desired = new Map<TargetId, ReadonlySet<ArtifactKey>>();
+	private readonly pacedLoads = new Map<string, {task: TargetOrderTask; model: ModelId}>();
+	private plannedAt = Number.NEGATIVE_INFINITY;
+	private lastPlan = '';
+
+	constructor(
+		private engine: EnginePool,
+		private readonly options: PoolPlacementOptions,
+	) {
+		this.pacer = new LoadPacer(
+			limitsOf(engine),
+			loadShare,
+			options.clock.monotonic(),
+		);
+	}
+
+	/** Takes over a changed document. */
+	configure(engine: EnginePool): void {
+		this.engine = engine;
+		this.pacer.configure(limitsOf(engine), loadShare);
+	}
+
+	/** Looks at the demand of the moment and gives orders. */
+	step({models, adapters, wanted}: PoolDemand): void {
+		const {clock, tasks} = this.options;
+		const now = clock.monotonic();
+		const all = tasks().filter(({listed}) => !listed.isLeaving);
+		this.demand.observe(models, now);
+		this.places.observe(adapters, now);
+		this.finishPacedLoads();
+		if (now - this.plannedAt >= planMilliseconds) {
+			this.plannedAt = now;
+			this.plan();
+		}
+
+		for (const name of wanted) {
+			this.serveAdapter(name, all, now);
+		}
+
+		for (const task of all) {
+			this.orderModels(task);
+		}
+	}
+
+	/** True when the pool's document names the model and adapter. */
+	knows(model: ModelId): boolean {
+		return this.engine.models.some(({id}) => id === model);
+	}
+
+	private plan(): void {
+		const tasks = this.options.tasks();
+		const placement = this.planner.plan({
+			models: this.engine.models.map((model) => this.modelOf(model.id, model.bytes)),
+			adapters: [],
+			targets: tasks.map((task) => this.placementTarget(task)),
+			demand: this.demand.estimate(),
+			limits: limitsOf(this.engine),
+		});
+		for (const task of tasks) {
+			const desired = placement.desired.get(task.id) ?? new Set();
+			this.desired.set(task.id, desired);
+			if (!task.listed.isLeaving) {
+				task.plan(
+					new Set(
+						this.engine.models
+							.map(({id}) => id)
+							.filter((id) => desired.has(keyOf(id))),
+					),
+				);
+			}
+		}
+
+		const moves = placement.moves.map(
+			({action, target, artifact, reason}) =>
+				`${action} ${artifact.key} on ${target}: ${reason}`,
+		);
+		const text = moves.join('\n');
+		if (text !== this.lastPlan) {
+			this.lastPlan = text;
+			this.options.events.record(forwardingEvents.modelsPlanned, {
+				pool: this.options.pool,
+				moves,
+				demand: [...this.demand.estimate()].map(
+					([model, requests]) => `${model} ${requests.toFixed(1)}`,
+				),
+				unplaced: placement.unplaced.map(({artifact}) => artifact.key),
+			});
+		}
+	}
+
+	private placementTarget(task: TargetOrderTask): PlacementTarget {
+		const {ledger, listed} = task;
+		const held = new Map<ArtifactKey, HeldArtifact>();
+		const resident = ledger.residentModels();
+		for (const {id, bytes} of this.engine.models) {
+			if (ledger.unloading.has(id)) {
+				held.set(keyOf(id), {bytes, state: 'unloading'});
+			} else if (resident.has(id)) {
+				held.set(keyOf(id), {
+					bytes,
+					state: 'resident',
+					isAnnounced: task.residentMilliseconds(id) >= announcedMilliseconds,
+				});
+			} else if (ledger.loading.has(id)) {
+				held.set(keyOf(id), {bytes, state: 'loading'});
+			}
+		}
+
+		let reservedBytes = 0;
+		for (const model of ledger.chargedModels()) {
+			reservedBytes += held.has(keyOf(model)) ? 0 : this.bytesOf(model);
+		}
+
+		return {
+			id: task.id,
+			failureDomain: listed.failureDomain,
+			memoryBytes: this.modelBytes(),
+			slots: listed.slots,
+			state: listed.isLeaving ? 'leaving' : 'live',
+			held,
+			reservedBytes,
+			planned: this.desired.get(task.id) ?? new Set(),
+		};
+	}
+
+	/** Memory of a target without what its adapters may take. */
+	private modelBytes(): number {
+		const adapterBytes = Math.max(
+			0,
+			...this.engine.models.map((model) => model.adapterBytes),
+		);
+		return (
+			this.engine.memoryBytes - this.engine.adapterPlaces * adapterBytes
+		);
+	}
+
+	private serveAdapter(
+		name: AdapterName,
+		tasks: readonly TargetOrderTask[],
+		now: number,
+	): void {
+		if (!this.knows(name.model)) {
+			return;
+		}
+
+		const idle = tasks.filter(({isIdle}) => isIdle);
+		const holders = tasks.filter((task) =>
+			task.ledger
+				.chargedAdapters()
+				.some((held) => adapterKey(held) === adapterKey(name)),
+		);
+		// A busy target may hold the adapter, which counts, but takes no orders.
+		const targets = [...new Set([...idle, ...holders])].map((task) =>
+			this.adapterTarget(task),
+		);
+		const step = this.places.stepFor(name, targets, now);
+		const task = idle.find(({id}) => id === step?.target);
+		if (!step || !task) {
+			return;
+		}
+
+		void task.give(
+			{action: step.action, ...step.name},
+			step.action === 'load'
+				? 'requests wait for the adapter'
+				: `room for ${adapterKey(name)}`,
+		);
+	}
+
+	private adapterTarget(task: TargetOrderTask): AdapterTarget {
+		return {
+			id: task.id,
+			places: this.engine.adapterPlaces,
+			models: task.stayingModels(),
+			held: task.ledger.chargedAdapters(),
+			load: 0,
+		};
+	}
+
+	private orderModels(task: TargetOrderTask): void {
+		if (!task.isIdle || task.ledger.hasOpenOrder) {
+			return;
+		}
+
+		const desired = this.desired.get(task.id);
+		if (!desired) {
+			return;
+		}
+
+		const retired = task.retiredModel();
+		if (retired !== undefined) {
+			void task.give(
+				{action: 'unload', model: retired, adapter: undefined},
+				'the plan does not contain the model here',
+			);
+			return;
+		}
+
+		const charged = task.ledger.chargedModels();
+		let used = 0;
+		for (const model of charged) {
+			used += this.bytesOf(model);
+		}
+
+		for (const {id, bytes} of this.engine.models) {
+			if (!desired.has(keyOf(id)) || charged.has(id)) {
+				continue;
+			}
+
+			if (used + bytes > this.modelBytes() || !this.mayLoad(task, id)) {
+				continue;
+			}
+
+			void task.give(
+				{action: 'load', model: id, adapter: undefined},
+				'the plan contains the model here',
+			);
+			return;
+		}
+	}
+
+	/** Weights at hand do not use the weight store. */
+	private mayLoad(task: TargetOrderTask, model: ModelId): boolean {
+		const {inMemory, onDisk} = task.listed.atHand;
+		if (inMemory.includes(model) || onDisk.includes(model)) {
+			return true;
+		}
+
+		const {clock} = this.options;
+		const id = `${task.id}/${model}`;
+		const isStarted = this.pacer.tryStart(id, 'model', {
+			now: clock.monotonic(),
+			wall: clock.wall(),
+		});
+		if (isStarted) {
+			this.pacedLoads.set(id, {task, model});
+		}
+
+		return isStarted;
+	}
+
+	private finishPacedLoads(): void {
+		for (const [id, {task, model}] of this.pacedLoads) {
+			if (task.isIdle && !task.ledger.loading.has(model)) {
+				this.pacedLoads.delete(id);
+				this.pacer.finish(id);
+			}
+		}
+	}
+
+	private bytesOf(model: ModelId): number {
+		return this.engine.models.find(({id}) => id === model)?.bytes ?? 0;
+	}
+
+	private modelOf(id: ModelId, bytes: number): Model {
+		return {
+			id,
+			pool: this.options.pool,
+			version: onlyVersion,
+			bytes,
+			minimumReplicas: 1,
+		};
+	}
+}
+
+function keyOf(id: ModelId): ArtifactKey {
+	return modelArtifact({id, version: onlyVersion} as Model).key;
+}
+
+/** The store's concurrency is not stated; loads that run for their usual time at the permitted rate do not slow each other. */
+function limitsOf(engine: EnginePool): WeightStoreLimits {
+	const loadSeconds =
+		engine.models.reduce((sum, model) => sum + model.loadMilliseconds, 0) /
+		1000 /
+		Math.max(1, engine.models.length);
+	return {
+		loadsPerSecond: engine.loadsPerSecond,
+		concurrentLoads: Math.max(
+			2,
+			Math.ceil(engine.loadsPerSecond * loadSeconds),
+		),
+		concurrentAdapterLoads: 16,
+	};
+}
--- /dev/null
+++ b/src/services/forwarding/target-registry.ts
@@ -0,0 +1,318 @@
+import {Pool, type Dispatcher} from 'undici';
+import {type Clock} from '../../base/common/clock.js';
+import {Disposable} from '../../base/common/disposable.js';
+import {type EventLogger} from '../../base/common/event-logger.js';
+import {TypedEvent} from '../../base/common/typed-event.js';
+import {forwardingEvents} from '../../contracts/events/forwarding-events.js';
+import {type ForwardingDocument} from '../../contracts/forwarding-document.js';
+import {
+	type AdapterId,
+	type ModelId,
+	type PoolName,
+	type TargetId,
+	type TargetIncarnation,
+} from '../../contracts/ids.js';
+import {
+	type ListedTarget,
+	type TargetListChange,
+} from '../../contracts/listed-target.js';
+
+/** What the owner of placement says that a target holds. */
+export type OwnedContent = {
+	readonly target: TargetId;
+	readonly incarnation: TargetIncarnation;
+	readonly orderSequence: number;
+	readonly models: ReadonlyArray<{
+		readonly model: ModelId;
+		readonly adapters: readonly AdapterId[];
+		readonly isRetiring: boolean;
+	}>;
+};
+
+/** A target with what this host knows of it and its connections. */
+export type RegisteredTarget = {
+	listed: ListedTarget;
+	/** Monotonic time at which the entry was read. */
+	listedAt: number;
+	/** Adapters by model that get new work. */
+	content: Map<ModelId, Set<AdapterId>>;
+	contentSequence: number;
+	/** No new work goes there before this monotonic time, because it could not be reached. */
+	unreachableUntil: number;
+	connections: Pool | undefined;
+};
+
+/** Options of the registry. */
+export type TargetRegistryOptions = {
+	readonly clock: Clock;
+	readonly events: EventLogger;
+};
+
+/** Share of the connections that a target accepts that this system uses. The rest leaves room for hosts that start. */
+const connectionShare = 0.7;
+/** A worker on the same network accepts within milliseconds; a longer wait means that it is gone. */
+const connectMilliseconds = 400;
+/** Time without new work after a connection failed. A restarted target is back after seconds. */
+const unreachableMilliseconds = 300;
+
+/** Owns the connections to all listed targets and what is known of each. */
+export class TargetRegistry extends Disposable {
+	/** A target came, went or holds other models, so waiting work may have another choice. */
+	readonly changed = new TypedEvent<RegisteredTarget>();
+	readonly removed = new TypedEvent<RegisteredTarget>();
+	private readonly targets = new Map<TargetId, RegisteredTarget>();
+	private maximumConnections = new Map<PoolName, number>();
+	private hostCount = 8;
+
+	constructor(private readonly options: TargetRegistryOptions) {
+		super();
+	}
+
+	/** Takes over the pools of a document. */
+	applyDocument(document: ForwardingDocument): void {
+		this.maximumConnections = new Map(
+			document.pools.map(({name, maximumConnections}) => [
+				name,
+				maximumConnections,
+			]),
+		);
+	}
+
+	/** Sets the number of hosts that share the connections of each target. */
+	setHostCount(count: number): void {
+		this.hostCount = Math.max(1, count);
+	}
+
+	/** Takes in one change of the list. */
+	applyChange(change: TargetListChange): void {
+		if (change.kind === 'listed') {
+			this.list(change.target);
+			return;
+		}
+
+		if (change.kind === 'malformed') {
+			this.options.events.record(forwardingEvents.targetEntryMalformed, {
+				target: change.target,
+				reason: change.reason,
+			});
+		}
+
+		this.unlist(change.target);
+	}
+
+	/** Takes in what the owner says. Older contents than the list's are left out. */
+	applyContents(contents: readonly OwnedContent[]): void {
+		for (const content of contents) {
+			const target = this.targets.get(content.target);
+			if (
+				!target ||
+				target.listed.residency.incarnation !== content.incarnation ||
+				content.orderSequence < target.contentSequence
+			) {
+				continue;
+			}
+
+			target.contentSequence = content.orderSequence;
+			target.content = new Map(
+				content.models
+					.filter(({isRetiring}) => !isRetiring)
+					.map(({model, adapters}) => [model, new Set(adapters)]),
+			);
+			this.changed.publish(target);
+		}
+	}
+
+	get(target: TargetId): RegisteredTarget | undefined {
+		return this.targets.get(target);
+	}
+
+	/** Targets of a pool, the leaving ones included. */
+	ofPool(pool: PoolName): RegisteredTarget[] {
+		return [...this.targets.values()].filter(
+			({listed}) => listed.pool === pool,
+		);
+	}
+
+	all(): Iterable<RegisteredTarget> {
+		return this.targets.values();
+	}
+
+	/** Targets that may get a request now. */
+	candidates(
+		pool: PoolName,
+		model: ModelId | undefined,
+		adapter: AdapterId | undefined,
+	): TargetId[] {
+		const now = this.options.clock.monotonic();
+		const found: TargetId[] = [];
+		for (const {listed, content, unreachableUntil} of this.targets.values()) {
+			if (
+				listed.pool !== pool ||
+				listed.isLeaving ||
+				now < unreachableUntil ||
+				(model !== undefined && !content.has(model)) ||
+				(model !== undefined &&
+					adapter !== undefined &&
+					!content.get(model)!.has(adapter))
+			) {
+				continue;
+			}
+
+			found.push(listed.id);
+		}
+
+		return found;
+	}
+
+	/** Notes that no connection could be made. */
+	noteUnreachable(target: TargetId): void {
+		const known = this.targets.get(target);
+		if (known) {
+			known.unreachableUntil =
+				this.options.clock.monotonic() + unreachableMilliseconds;
+		}
+	}
+
+	/** Notes that a target refused a request because it does not hold the model or adapter. */
+	noteMissing(
+		target: TargetId,
+		model: ModelId | undefined,
+		adapter: AdapterId | undefined,
+	): void {
+		const known = this.targets.get(target);
+		if (!known || model === undefined) {
+			return;
+		}
+
+		if (adapter === undefined) {
+			known.content.delete(model);
+		} else {
+			known.content.get(model)?.delete(adapter);
+		}
+	}
+
+	/** Connections to a target, made on the first use. */
+	connectionsOf(target: TargetId): Dispatcher | undefined {
+		const known = this.targets.get(target);
+		if (!known) {
+			return undefined;
+		}
+
+		known.connections ??= this.connect(known.listed);
+		return known.connections;
+	}
+
+	async dispose(): Promise<void> {
+		await Promise.all(
+			[...this.targets.values()].map(async ({connections}) =>
+				connections?.destroy(),
+			),
+		);
+		this.targets.clear();
+	}
+
+	private list(listed: ListedTarget): void {
+		const now = this.options.clock.monotonic();
+		const known = this.targets.get(listed.id);
+		if (!known) {
+			const target: RegisteredTarget = {
+				listed,
+				listedAt: now,
+				content: contentOf(listed),
+				contentSequence: listed.residency.orderSequence,
+				unreachableUntil: 0,
+				connections: undefined,
+			};
+			this.targets.set(listed.id, target);
+			this.logListed(listed);
+			this.changed.publish(target);
+			return;
+		}
+
+		const before = known.listed;
+		const isRestarted =
+			before.residency.incarnation !== listed.residency.incarnation;
+		known.listed = listed;
+		known.listedAt = now;
+		if (isRestarted || before.address !== listed.address) {
+			this.disconnect(known);
+			known.unreachableUntil = 0;
+		}
+
+		if (
+			isRestarted ||
+			listed.residency.orderSequence > known.contentSequence ||
+			// The end of a load changes the models without a further order.
+			(listed.residency.orderSequence === known.contentSequence &&
+				isNewModelListed(before, listed))
+		) {
+			known.content = contentOf(listed);
+			known.contentSequence = listed.residency.orderSequence;
+		}
+
+		if (isRestarted || before.isLeaving !== listed.isLeaving) {
+			this.logListed(listed);
+		}
+
+		this.changed.publish(known);
+	}
+
+	private unlist(target: TargetId): void {
+		const known = this.targets.get(target);
+		if (!known) {
+			return;
+		}
+
+		this.targets.delete(target);
+		this.options.events.record(forwardingEvents.targetUnlisted, {target});
+		this.removed.publish(known);
+		this.disconnect(known);
+	}
+
+	/** Running requests keep their connections until they end. */
+	private disconnect(known: RegisteredTarget): void {
+		const {connections} = known;
+		known.connections = undefined;
+		void connections?.close();
+	}
+
+	private connect(listed: ListedTarget): Pool {
+		const limit = this.maximumConnections.get(listed.pool) ?? listed.slots;
+		return new Pool(`http://${listed.address}`, {
+			connections: Math.max(
+				2,
+				Math.floor((limit * connectionShare) / this.hostCount),
+			),
+			pipelining: 1,
+			connect: {timeout: connectMilliseconds},
+			// Silence is judged by the request that waits, which knows what may be repeated.
+			headersTimeout: 0,
+			bodyTimeout: 0,
+			keepAliveTimeout: 4000,
+		});
+	}
+
+	private logListed({id, pool, isLeaving, residency}: ListedTarget): void {
+		this.options.events.record(forwardingEvents.targetListed, {
+			target: id,
+			pool,
+			isLeaving,
+			incarnation: residency.incarnation,
+			models: residency.models.map(({model}) => model),
+		});
+	}
+}
+
+function contentOf({residency}: ListedTarget): Map<ModelId, Set<AdapterId>> {
+	return new Map(
+		residency.models.map(({model, adapters}) => [model, new Set(adapters)]),
+	);
+}
+
+function isNewModelListed(before: ListedTarget, after: ListedTarget): boolean {
+	const known = new Set(before.residency.models.map(({model}) => model));
+	return (
+		after.residency.models.length !== known.size ||
+		after.residency.models.some(({model}) => !known.has(model))
+	);
+}
