--- a/src/contracts/listed-target.ts
+++ b/src/contracts/listed-target.ts
@@ -13,11 +13,9 @@
 	readonly adapters: readonly AdapterId[];
 };
 
-/** What a target says of the models that it holds, as of one number of accepted orders. */
+/** What a target says of the models that it holds. */
 export type TargetResidency = {
 	readonly incarnation: TargetIncarnation;
-	/** Orders that the target had accepted. Starts anew with each incarnation. */
-	readonly orderSequence: number;
 	readonly models: readonly ResidentModel[];
 };
 
--- a/src/contracts/target-orders.ts
+++ b/src/contracts/target-orders.ts
@@ -32,6 +32,8 @@
 
 /** State of a target as of a moment ago. */
 export type TargetOrderState = TargetResidency & {
+	/** Orders that the target had accepted. Starts anew with each incarnation. */
+	readonly orderSequence: number;
 	/** True while a model is loaded or unloaded. */
 	readonly isBusy: boolean;
 	/** Adapters on their way, by model. */
--- a/src/core/owner-lease.ts
+++ b/src/core/owner-lease.ts
@@ -43,6 +43,11 @@
 	'host' | 'incarnation' | 'peerAddress'
 >;
 
+/** Targets take a token of zero for a missing one. */
+function tokenOf(claimPosition: StorePosition): FencingToken {
+	return (claimPosition + 1) as FencingToken;
+}
+
 /**
  * The lease of the owner of placement, as a state machine without input or output. Times are monotonic
  * milliseconds of this host. The log decides who holds the lease: an append names the end of the log that
@@ -84,7 +89,7 @@
 			host,
 			incarnation,
 			peerAddress,
-			token: (this.claimPosition ?? this.last.position) as FencingToken,
+			token: tokenOf(this.claimPosition ?? this.last.position),
 		};
 	}
 
@@ -94,7 +99,7 @@
 			this.claimPosition !== undefined &&
 			now < this.heldUntil &&
 			now >= this.ordersFrom
-			? (this.claimPosition as FencingToken)
+			? tokenOf(this.claimPosition)
 			: undefined;
 	}
 
--- a/src/core/sequenced-order-ledger.ts
+++ b/src/core/sequenced-order-ledger.ts
@@ -57,10 +57,6 @@
 		return this.incarnation;
 	}
 
-	get orderSequence(): number {
-		return this.sequence;
-	}
-
 	/** Models that serve. */
 	residentModels(): ReadonlyMap<ModelId, ReadonlySet<AdapterId>> {
 		return this.models;
--- a/src/platform/target-list-state.ts
+++ b/src/platform/target-list-state.ts
@@ -37,7 +37,6 @@
 	zone: z.string(),
 	slots: z.number().int().positive(),
 	state: z.enum(['ready', 'draining']),
-	seq: z.number().optional(),
 	born: z.number().optional(),
 	models: residentModelsSchema.optional(),
 	at_hand: z
@@ -131,7 +130,6 @@
 		isLeaving: entry.state === 'draining',
 		residency: {
 			incarnation: toIncarnation(id, entry.born),
-			orderSequence: entry.seq ?? 0,
 			models: toResidentModels(entry.models),
 		},
 		atHand: {
--- a/src/services/forwarding/owner-messages.ts
+++ b/src/services/forwarding/owner-messages.ts
@@ -60,7 +60,6 @@
 	return {
 		target: content.target,
 		incarnation: content.incarnation,
-		orderSequence: BigInt(content.orderSequence),
 		models: content.models.map(({model, adapters, isRetiring}) => ({
 			model,
 			adapters: [...adapters],
@@ -74,7 +73,6 @@
 	return {
 		target: message.target as TargetId,
 		incarnation: message.incarnation as TargetIncarnation,
-		orderSequence: Number(message.orderSequence),
 		models: message.models.map(({model, adapters, retiring}) => ({
 			model: model as ModelId,
 			adapters: adapters as AdapterId[],
--- a/src/services/forwarding/placement-owner.ts
+++ b/src/services/forwarding/placement-owner.ts
@@ -127,7 +127,7 @@
 	/** What the targets hold, while this host may give orders. */
 	contents(): OwnedContent[] {
 		return [...this.tasks.values()]
-			.filter(({ledger}) => ledger.currentIncarnation !== undefined)
+			.filter(({isKnown}) => isKnown)
 			.map((task) => task.content());
 	}
 
--- a/src/services/forwarding/pool-placement.ts
+++ b/src/services/forwarding/pool-placement.ts
@@ -47,6 +47,10 @@
 
 /** Pause between two passes of the planner. */
 const planMilliseconds = 400;
+/** Time without a new target after which a plan is made. */
+const settleMilliseconds = 1300;
+/** Time after which targets that do not tell their state are planned without. */
+const latestPlanMilliseconds = 4000;
 /** A copy replaces another one once all hosts have learned of it. */
 const announcedMilliseconds = 700;
 /** Demand rises within a second, because a load takes one to four. */
@@ -80,6 +84,8 @@
 	private readonly desired = new Map<TargetId, ReadonlySet<ArtifactKey>>();
 	private readonly pacedLoads = new Map<string, {task: TargetOrderTask; model: ModelId}>();
 	private plannedAt = Number.NEGATIVE_INFINITY;
+	private lastNames = '';
+	private namesSince = Number.NEGATIVE_INFINITY;
 	private lastPlan = '';
 
 	constructor(
@@ -107,7 +113,10 @@
 		this.demand.observe(models, now);
 		this.places.observe(adapters, now);
 		this.finishPacedLoads();
-		if (now - this.plannedAt >= planMilliseconds) {
+		if (
+			this.isSettled(now) &&
+			now - this.plannedAt >= planMilliseconds
+		) {
 			this.plannedAt = now;
 			this.plan();
 		}
@@ -126,6 +135,29 @@
 		return this.engine.models.some(({id}) => id === model);
 	}
 
+	/** True when the targets are all known. After a start they list themselves one after the other, and a plan for the first ones would load everything there. */
+	private isSettled(now: number): boolean {
+		const all = this.options.tasks();
+		const names = all
+			.map(({id}) => id)
+			.sort()
+			.join(' ');
+		if (names !== this.lastNames) {
+			const isLarger = names.length > this.lastNames.length;
+			this.lastNames = names;
+			if (isLarger) {
+				this.namesSince = now;
+			}
+		}
+
+		const since = now - this.namesSince;
+		return (
+			all.length > 0 &&
+			(since >= latestPlanMilliseconds ||
+				(since >= settleMilliseconds && all.every(({isKnown}) => isKnown)))
+		);
+	}
+
 	private plan(): void {
 		const tasks = this.options.tasks();
 		const placement = this.planner.plan({
--- a/src/services/forwarding/target-order-task.ts
+++ b/src/services/forwarding/target-order-task.ts
@@ -74,7 +74,7 @@
 
 	/** True when an order can be sent now. */
 	get isIdle(): boolean {
-		return !this.isCalling && this.ledger.isReady;
+		return !this.isCalling && this.isKnown && this.ledger.isReady;
 	}
 
 	/** Time for which a model has been resident. */
@@ -83,17 +83,19 @@
 		return since === undefined ? 0 : this.options.clock.monotonic() - since;
 	}
 
-	/** Takes in the entry of the target, and reads its state where the entry is not enough. */
+	/** True when the state of the listed incarnation is known. */
+	get isKnown(): boolean {
+		return (
+			this.ledger.currentIncarnation === this.listed.residency.incarnation
+		);
+	}
+
+	/** Reads the state of the target where orders depend on it. */
 	refresh(): void {
 		const {clock} = this.options;
 		const now = clock.monotonic();
-		const {residency} = this.listed;
-		if (this.ledger.currentIncarnation !== residency.incarnation) {
-			this.observe({...residency, isBusy: false, loadingAdapters: []}, now);
-		}
-
 		if (
-			this.ledger.needsState &&
+			(this.ledger.needsState || !this.isKnown) &&
 			!this.isCalling &&
 			now - this.stateReadAt >= statePauseMilliseconds
 		) {
@@ -160,7 +162,6 @@
 		return {
 			target: this.id,
 			incarnation: this.ledger.currentIncarnation!,
-			orderSequence: this.ledger.orderSequence,
 			models,
 		};
 	}
--- a/src/services/forwarding/target-registry.ts
+++ b/src/services/forwarding/target-registry.ts
@@ -21,7 +21,6 @@
 export type OwnedContent = {
 	readonly target: TargetId;
 	readonly incarnation: TargetIncarnation;
-	readonly orderSequence: number;
 	readonly models: ReadonlyArray<{
 		readonly model: ModelId;
 		readonly adapters: readonly AdapterId[];
@@ -36,7 +35,8 @@
 	listedAt: number;
 	/** Adapters by model that get new work. */
 	content: Map<ModelId, Set<AdapterId>>;
-	contentSequence: number;
+	/** True when the owner has told the content of this incarnation. */
+	isOwned: boolean;
 	/** No new work goes there before this monotonic time, because it could not be reached. */
 	unreachableUntil: number;
 	connections: Pool | undefined;
@@ -52,6 +52,8 @@
 const connectionShare = 0.7;
 /** A worker on the same network accepts within milliseconds; a longer wait means that it is gone. */
 const connectMilliseconds = 400;
+/** Time since the owner's last answer up to which it knows better than the list what targets hold. */
+const ownerFreshMilliseconds = 2000;
 /** Time without new work after a connection failed. A restarted target is back after seconds. */
 const unreachableMilliseconds = 300;
 
@@ -63,6 +65,7 @@
 	private readonly targets = new Map<TargetId, RegisteredTarget>();
 	private maximumConnections = new Map<PoolName, number>();
 	private hostCount = 8;
+	private ownerHeardAt = Number.NEGATIVE_INFINITY;
 
 	constructor(private readonly options: TargetRegistryOptions) {
 		super();
@@ -100,19 +103,16 @@
 		this.unlist(change.target);
 	}
 
-	/** Takes in what the owner says. Older contents than the list's are left out. */
+	/** Takes in what the owner says. Contents of another incarnation than the listed one are left out. */
 	applyContents(contents: readonly OwnedContent[]): void {
+		this.ownerHeardAt = this.options.clock.monotonic();
 		for (const content of contents) {
 			const target = this.targets.get(content.target);
-			if (
-				!target ||
-				target.listed.residency.incarnation !== content.incarnation ||
-				content.orderSequence < target.contentSequence
-			) {
+			if (target?.listed.residency.incarnation !== content.incarnation) {
 				continue;
 			}
 
-			target.contentSequence = content.orderSequence;
+			target.isOwned = true;
 			target.content = new Map(
 				content.models
 					.filter(({isRetiring}) => !isRetiring)
@@ -219,7 +219,7 @@
 				listed,
 				listedAt: now,
 				content: contentOf(listed),
-				contentSequence: listed.residency.orderSequence,
+				isOwned: false,
 				unreachableUntil: 0,
 				connections: undefined,
 			};
@@ -239,15 +239,11 @@
 			known.unreachableUntil = 0;
 		}
 
-		if (
-			isRestarted ||
-			listed.residency.orderSequence > known.contentSequence ||
-			// The end of a load changes the models without a further order.
-			(listed.residency.orderSequence === known.contentSequence &&
-				isNewModelListed(before, listed))
-		) {
+		// The owner learns of the end of a load before the list does.
+		const isOwnerFresh = now - this.ownerHeardAt < ownerFreshMilliseconds;
+		if (isRestarted || !known.isOwned || !isOwnerFresh) {
 			known.content = contentOf(listed);
-			known.contentSequence = listed.residency.orderSequence;
+			known.isOwned = false;
 		}
 
 		if (isRestarted || before.isLeaving !== listed.isLeaving) {
@@ -308,11 +304,3 @@
 		residency.models.map(({model, adapters}) => [model, new Set(adapters)]),
 	);
 }
-
-function isNewModelListed(before: ListedTarget, after: ListedTarget): boolean {
-	const known = new Set(before.residency.models.map(({model}) => model));
-	return (
-		after.residency.models.length !== known.size ||
-		after.residency.models.some(({model}) => !known.has(model))
-	);
-}
--- a/test/product/operations-page.test.ts
+++ b/test/product/operations-page.test.ts
@@ -46,8 +46,9 @@
 		assert.ok(page.includes(`| \`${setting}\``), setting);
 	}
 
-	const program = makeCommandLine(async () =>
-		ok({callers: 0, operators: 0, peers: 0}),
+	const program = makeCommandLine(
+		async () => ok({callers: 0, operators: 0, peers: 0}),
+		async () => ok(''),
 	);
 	for (const command of commandNames(program, '')) {
 		assert.ok(page.includes(`| \`${command}`), command);
