--- a/src/services/forwarding/forwarded-request.ts
+++ b/src/services/forwarding/forwarded-request.ts
@@ -49,6 +49,9 @@
 	runs = 0;
 	/** Events passed on. */
 	eventCount = 0;
+	/** Longest pause between two events. */
+	largestGapMilliseconds = 0;
+	private eventAt: number | undefined;
 	/** Parts of a stream after the first were taken from another target. */
 	continuations = 0;
 	/** Time from arrival until the first attempt was sent. */
@@ -130,6 +133,7 @@
 			this.options.answer.write(event.bytes);
 		}
 
+		this.noteGap();
 		return true;
 	}
 
@@ -204,6 +208,18 @@
 		this.finish('caller left');
 	}
 
+	private noteGap(): void {
+		const now = this.options.clock.monotonic();
+		if (this.eventAt !== undefined) {
+			this.largestGapMilliseconds = Math.max(
+				this.largestGapMilliseconds,
+				now - this.eventAt,
+			);
+		}
+
+		this.eventAt = now;
+	}
+
 	private answerOwn(
 		status: number,
 		reason: string,
@@ -239,6 +255,7 @@
 					: Math.round(this.waitedMilliseconds),
 			runs: this.runs,
 			events: this.eventCount,
+			largestGapMilliseconds: Math.round(this.largestGapMilliseconds),
 			continuations: this.continuations,
 			documentVersion,
 		});
--- a/src/services/forwarding/pool-placement.ts
+++ b/src/services/forwarding/pool-placement.ts
@@ -57,6 +57,8 @@
 const riseMilliseconds = 600;
 /** Demand falls within seconds, so that copies follow the models that are busy now. */
 const halfLifeMilliseconds = 6000;
+/** Running requests that a copy of a model with several copies stands for until requests arrive. */
+const expectedRequestsPerCopy = 4;
 /** An adapter that nobody asked for since this long may make room. */
 const adapterIdleMilliseconds = 500;
 /** Requests for one adapter from which a second copy is worth a place. */
@@ -84,6 +86,7 @@
 	private readonly desired = new Map<TargetId, ReadonlySet<ArtifactKey>>();
 	private readonly pacedLoads = new Map<string, {task: TargetOrderTask; model: ModelId}>();
 	private plannedAt = Number.NEGATIVE_INFINITY;
+	private hasExpected = false;
 	private lastNames = '';
 	private namesSince = Number.NEGATIVE_INFINITY;
 	private lastPlan = '';
@@ -117,6 +120,7 @@
 			this.isSettled(now) &&
 			now - this.plannedAt >= planMilliseconds
 		) {
+			this.expectDemand(now);
 			this.plannedAt = now;
 			this.plan();
 		}
@@ -158,6 +162,32 @@
 		);
 	}
 
+	/** Before the first request, the copies that targets hold say which models were busy. */
+	private expectDemand(now: number): void {
+		if (this.hasExpected) {
+			return;
+		}
+
+		this.hasExpected = true;
+		const expected = new Map<ModelId, number>();
+		for (const {ledger} of this.options.tasks()) {
+			for (const model of ledger.residentModels().keys()) {
+				expected.set(
+					model,
+					(expected.get(model) ?? 0) + expectedRequestsPerCopy,
+				);
+			}
+		}
+
+		for (const [model, requests] of expected) {
+			if (requests <= expectedRequestsPerCopy) {
+				expected.delete(model);
+			}
+		}
+
+		this.demand.observe(expected, now);
+	}
+
 	private plan(): void {
 		const tasks = this.options.tasks();
 		const placement = this.planner.plan({
