--- /dev/null
+++ b/test/forwarding/owner-lease.test.ts
@@ -0,0 +1,236 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import fc from 'fast-check';
+import {type HostId} from '../../src/contracts/ids.js';
+import {
+	type OwnerRecord,
+	type PositionedOwnerRecord,
+} from '../../src/contracts/shared-store.js';
+import {OwnerLease, type LeaseAppend} from '../../src/core/owner-lease.js';
+
+const times = {
+	renewalMilliseconds: 800,
+	validityMilliseconds: 1500,
+	silenceMilliseconds: 1800,
+	handoverMilliseconds: 3000,
+};
+
+/** The log: an append succeeds only at its end. */
+class Log {
+	readonly records: PositionedOwnerRecord[] = [];
+
+	append({record, expectedEnd}: LeaseAppend) {
+		if (this.records.length !== expectedEnd) {
+			return {kind: 'conflict' as const, next: this.records.length};
+		}
+
+		const position = this.records.length;
+		this.records.push({...record, position});
+		return {kind: 'appended' as const, position};
+	}
+
+	read(from: number | undefined) {
+		return {
+			records: this.records.slice(from ?? 0),
+			next: this.records.length,
+		};
+	}
+}
+
+function candidate(
+	host: string,
+): Pick<OwnerRecord, 'host' | 'incarnation' | 'peerAddress'> {
+	return {host: host as HostId, incarnation: `${host}-1`, peerAddress: host};
+}
+
+/** Does what the lease asks for, with an answer at once. */
+function step(lease: OwnerLease, log: Log, now: number): void {
+	const next = lease.next(now, false);
+	if (next.kind === 'read') {
+		lease.read(log.read(lease.readFrom), now);
+	} else if (next.kind === 'append') {
+		lease.appended(next.append, log.append(next.append), now, now);
+	}
+}
+
+// Guards against a first holder that waits for a predecessor that never was.
+test('the first claim of an empty log may order at once', () => {
+	const log = new Log();
+	const lease = new OwnerLease(candidate('a'), times);
+	step(lease, log, 0);
+	step(lease, log, 1);
+	assert.equal(lease.isHolder, true);
+	assert.equal(lease.token(2), 1);
+});
+
+// Guards against two hosts that hold at once after they started together.
+test('of two claims one wins', () => {
+	const log = new Log();
+	const [first, second] = ['a', 'b'].map(
+		(host) => new OwnerLease(candidate(host), times),
+	) as [OwnerLease, OwnerLease];
+	for (const now of [0, 1, 2, 3]) {
+		step(first, log, now);
+		step(second, log, now);
+	}
+
+	assert.equal(first.isHolder, true);
+	assert.equal(second.isHolder, false);
+	assert.equal(second.holder?.host, 'a');
+});
+
+// Guards against a holder that goes on after its renewals stopped, for example behind a cut.
+test('a holder without renewals loses its token before another may claim', () => {
+	const log = new Log();
+	const lease = new OwnerLease(candidate('a'), times);
+	step(lease, log, 0);
+	step(lease, log, 0);
+	assert.notEqual(lease.token(times.validityMilliseconds - 1), undefined);
+	assert.equal(lease.token(times.validityMilliseconds), undefined);
+	assert.ok(times.validityMilliseconds < times.silenceMilliseconds);
+});
+
+// Guards against a handover that waits although the former holder said when it ordered last.
+test('a released lease is claimed at once and orders wait for the rest of the handover', () => {
+	const log = new Log();
+	const former = new OwnerLease(candidate('a'), times);
+	step(former, log, 0);
+	step(former, log, 0);
+	const release = former.release(2500)!;
+	former.appended(release, log.append(release), 10, 10);
+	const next = new OwnerLease(candidate('b'), times);
+	step(next, log, 20);
+	step(next, log, 21);
+	assert.equal(next.isHolder, true);
+	assert.equal(next.token(500), undefined);
+	assert.notEqual(next.token(521), undefined);
+});
+
+// Guards against a restarted host that takes the lease of its former life for its own.
+test('a new incarnation of the holder claims like any other host', () => {
+	const log = new Log();
+	const former = new OwnerLease(candidate('a'), times);
+	step(former, log, 0);
+	step(former, log, 0);
+	const restarted = new OwnerLease(
+		{...candidate('a'), incarnation: 'a-2'},
+		times,
+	);
+	step(restarted, log, 100);
+	assert.equal(restarted.isHolder, false);
+});
+
+type Event =
+	| {readonly kind: 'run'; readonly host: number; readonly pause: number}
+	| {readonly kind: 'lose'; readonly host: number; readonly late: boolean}
+	| {readonly kind: 'freeze'; readonly host: number; readonly for: number};
+
+/** Orders that hosts could give, to compare them with the least distance between holders. */
+function play(events: readonly Event[]): void {
+	const log = new Log();
+	const leases = [0, 1, 2].map(
+		(host) => new OwnerLease(candidate(`h${host}`), times),
+	);
+	const frozenUntil = [0, 0, 0];
+	const late: LeaseAppend[] = [];
+	let now = 0;
+	let last: {host: number; at: number; token: number} | undefined;
+	for (const event of events) {
+		now += event.kind === 'run' ? event.pause : 1;
+		if (event.kind === 'freeze') {
+			frozenUntil[event.host] = now + event.for;
+			continue;
+		}
+
+		if (now < frozenUntil[event.host]!) {
+			continue;
+		}
+
+		const lease = leases[event.host]!;
+		if (event.kind === 'lose') {
+			loseAnswer(lease, log, late, event.late, now);
+		} else {
+			for (const append of late.splice(0)) {
+				log.append(append);
+			}
+
+			step(lease, log, now);
+		}
+
+		const token = lease.token(now);
+		if (token === undefined) {
+			continue;
+		}
+
+		if (last && last.host !== event.host) {
+			assert.ok(
+				now - last.at >= times.handoverMilliseconds,
+				`orders ${now - last.at} ms apart`,
+			);
+			assert.ok(token > last.token, 'the token does not grow');
+		}
+
+		last = {host: event.host, at: now, token};
+	}
+}
+
+function loseAnswer(
+	lease: OwnerLease,
+	log: Log,
+	late: LeaseAppend[],
+	isLate: boolean,
+	now: number,
+): void {
+	const next = lease.next(now, false);
+	if (next.kind !== 'append') {
+		return;
+	}
+
+	if (isLate) {
+		late.push(next.append);
+	} else {
+		log.append(next.append);
+	}
+
+	lease.appendFailed();
+}
+
+// Guards against orders of two holders too close to each other, through lost and late answers and frozen hosts.
+test('holders never order within the handover time of each other', () => {
+	const host = fc.integer({min: 0, max: 2});
+	fc.assert(
+		fc.property(
+			fc.array(
+				fc.oneof(
+					{
+						weight: 8,
+						arbitrary: fc.record({
+							kind: fc.constant('run' as const),
+							host,
+							pause: fc.integer({min: 0, max: 400}),
+						}),
+					},
+					{
+						weight: 2,
+						arbitrary: fc.record({
+							kind: fc.constant('lose' as const),
+							host,
+							late: fc.boolean(),
+						}),
+					},
+					{
+						weight: 1,
+						arbitrary: fc.record({
+							kind: fc.constant('freeze' as const),
+							host,
+							for: fc.integer({min: 100, max: 8000}),
+						}),
+					},
+				),
+				{minLength: 50, maxLength: 300},
+			),
+			play,
+		),
+		{seed: 7, numRuns: 400},
+	);
+});
--- /dev/null
+++ b/test/forwarding/route-table.test.ts
@@ -0,0 +1,65 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {SeededRandomSource} from '../../src/base/common/random-source.js';
+import {type RouteRule} from '../../src/contracts/forwarding-document.js';
+import {type PoolName, type RouteName} from '../../src/contracts/ids.js';
+import {drawPool, RouteTable} from '../../src/core/route-table.js';
+
+function route(name: string, hostName: string, pathPrefix: string): RouteRule {
+	return {
+		name: name as RouteName,
+		hostName,
+		pathPrefix,
+		kind: 'idempotent',
+		timeLimitMilliseconds: 1000,
+		objectiveMilliseconds: 100,
+		rank: 0,
+		maximumRuns: 2,
+		isResumable: false,
+		pools: [{pool: 'p' as PoolName, weight: 1}],
+	};
+}
+
+const table = new RouteTable({
+	routes: [
+		route('short', 'a.example', '/a/'),
+		route('long', 'a.example', '/a/b/'),
+		route('other host', 'b.example', '/a/'),
+	],
+});
+
+// Guards against a shorter prefix, another host name or the query deciding.
+test('the longest prefix of the host name decides', () => {
+	const cases: ReadonlyArray<readonly [string, string, string | undefined]> = [
+		['a.example', '/a/x', 'short'],
+		['a.example', '/a/b/x', 'long'],
+		['A.Example:8080', '/a/b/', 'long'],
+		['b.example', '/a/b/x?y=/a/b/', 'other host'],
+		['a.example', '/a', undefined],
+		['a.example', '/other?p=/a/', undefined],
+		['c.example', '/a/x', undefined],
+		['', '/a/x', undefined],
+	];
+	for (const [host, target, expected] of cases) {
+		assert.equal(table.find(host, target)?.name, expected, `${host} ${target}`);
+	}
+});
+
+// Guards against a pool that gets more or less than its weight, or one of weight zero that gets any.
+test('pools are drawn by their weights', () => {
+	const random = new SeededRandomSource(1);
+	const pools = [
+		{pool: 'a' as PoolName, weight: 90},
+		{pool: 'b' as PoolName, weight: 10},
+		{pool: 'c' as PoolName, weight: 0},
+	];
+	const counts = new Map<string, number>();
+	for (let draw = 0; draw < 5000; draw++) {
+		const pool = drawPool({pools}, random)!;
+		counts.set(pool, (counts.get(pool) ?? 0) + 1);
+	}
+
+	assert.ok(Math.abs(counts.get('b')! - 500) < 80, String(counts.get('b')));
+	assert.equal(counts.get('c'), undefined);
+	assert.equal(drawPool({pools: []}, random), undefined);
+});
--- /dev/null
+++ b/test/platform/stand-in-store.ts
@@ -0,0 +1,201 @@
+import {
+	createServer,
+	type IncomingMessage,
+	type Server,
+	type ServerResponse,
+} from 'node:http';
+import {type AddressInfo} from 'node:net';
+
+/** How the next call is treated. */
+export type StoreFault = 'busy' | 'lost-answer' | 'reset' | 'forgotten';
+
+type Topic = {records: Buffer[]; first: number; newest: Map<string, {value: Buffer; offset: number}>};
+
+/** A stand-in of the platform's store: topics with one partition each, conditional appends, and faults on demand. */
+export class StandInStore {
+	readonly calls: string[] = [];
+	/** Faults of the next calls, in order. */
+	readonly faults: StoreFault[] = [];
+	private readonly topics = new Map<string, Topic>();
+	private readonly server: Server;
+	private readonly waiters = new Set<() => void>();
+
+	constructor() {
+		this.server = createServer((request, response) => {
+			const parts: Buffer[] = [];
+			request.on('data', (chunk: Buffer) => parts.push(chunk));
+			request.on('end', () => {
+				this.answer(request, response, Buffer.concat(parts));
+			});
+		});
+	}
+
+	async start(): Promise<string> {
+		await new Promise<void>((resolve) => {
+			this.server.listen(0, '127.0.0.1', resolve);
+		});
+		return `127.0.0.1:${(this.server.address() as AddressInfo).port}`;
+	}
+
+	stop(): void {
+		this.server.closeAllConnections();
+		this.server.close();
+	}
+
+	/** Writes a record with a key, as the operator and workers do. Without a value the key is dropped. */
+	put(topic: string, key: string, value: unknown): void {
+		const bytes =
+			value === undefined
+				? Buffer.alloc(0)
+				: Buffer.isBuffer(value)
+					? value
+					: Buffer.from(JSON.stringify(value));
+		const name = Buffer.from(key);
+		this.append(
+			topic,
+			Buffer.concat([Buffer.from([name.length]), name, bytes]),
+		);
+		const {newest, records} = this.topic(topic);
+		if (value === undefined) {
+			newest.delete(key);
+		} else {
+			newest.set(key, {value: bytes, offset: records.length - 1});
+		}
+	}
+
+	/** Deletes the records of a topic, but not the newest of each key. */
+	forget(topic: string): void {
+		const known = this.topic(topic);
+		known.first = known.records.length;
+	}
+
+	end(topic: string): number {
+		return this.topic(topic).records.length;
+	}
+
+	private topic(name: string): Topic {
+		const topic = this.topics.get(name) ?? {
+			records: [],
+			first: 0,
+			newest: new Map(),
+		};
+		this.topics.set(name, topic);
+		return topic;
+	}
+
+	private append(topic: string, body: Buffer): void {
+		this.topic(topic).records.push(body);
+		for (const wake of this.waiters) {
+			wake();
+		}
+	}
+
+	private answer(
+		request: IncomingMessage,
+		response: ServerResponse,
+		body: Buffer,
+	): void {
+		const url = new URL(request.url ?? '/', 'http://store');
+		this.calls.push(`${request.method} ${url.pathname}`);
+		const fault = this.faults.shift();
+		if (fault === 'busy') {
+			response.writeHead(503).end();
+			return;
+		}
+
+		if (fault === 'reset') {
+			request.socket.destroy();
+			return;
+		}
+
+		const topic = url.searchParams.get('topic') ?? '';
+		if (url.pathname === '/log-append') {
+			this.answerAppend(response, topic, url, body, fault);
+			return;
+		}
+
+		if (url.pathname === '/log-newest') {
+			const {newest, records} = this.topic(topic);
+			json(response, 200, {
+				items: [...newest].map(([key, {value, offset}]) => ({
+					key,
+					value: value.toString('base64'),
+					offset,
+				})),
+				more: false,
+				end: records.length,
+			});
+			return;
+		}
+
+		this.answerRead(response, topic, url);
+	}
+
+	private answerAppend(
+		response: ServerResponse,
+		topic: string,
+		url: URL,
+		body: Buffer,
+		fault: StoreFault | undefined,
+	): void {
+		const end = this.end(topic);
+		const expected = url.searchParams.get('as_of');
+		if (expected !== null && Number(expected) !== end) {
+			json(response, 412, {end});
+			return;
+		}
+
+		this.append(topic, body.subarray(4));
+		if (fault !== 'lost-answer') {
+			json(response, 200, {offset: end, end: end + 1});
+		}
+	}
+
+	private answerRead(response: ServerResponse, topic: string, url: URL): void {
+		const from = Number(url.searchParams.get('from'));
+		const known = this.topic(topic);
+		if (from < known.first) {
+			json(response, 410, {first: known.first});
+			return;
+		}
+
+		const wait = Number(url.searchParams.get('wait_ms') ?? 0);
+		if (known.records.length > from || wait === 0) {
+			this.sendRecords(response, known, from);
+			return;
+		}
+
+		const wake = () => {
+			clearTimeout(timer);
+			this.waiters.delete(wake);
+			this.sendRecords(response, known, from);
+		};
+
+		const timer = setTimeout(wake, wait);
+		this.waiters.add(wake);
+	}
+
+	private sendRecords(
+		response: ServerResponse,
+		topic: Topic,
+		from: number,
+	): void {
+		const head = Buffer.alloc(16);
+		head.writeBigUInt64BE(BigInt(topic.records.length), 0);
+		head.writeBigUInt64BE(BigInt(topic.first), 8);
+		const parts: Buffer[] = [head];
+		for (const record of topic.records.slice(from)) {
+			const length = Buffer.alloc(4);
+			length.writeUInt32BE(record.length);
+			parts.push(length, record);
+		}
+
+		response.writeHead(200).end(Buffer.concat(parts));
+	}
+}
+
+function json(response: ServerResponse, status: number, body: unknown): void {
+	response
+		.writeHead(status, {'Content-Type': 'application/json'})
+		.end(JSON.stringify(body));
+}
--- /dev/null
+++ b/test/platform/stand-in-worker.ts
@@ -0,0 +1,181 @@
+import {createServer, type Server, type Socket} from 'node:net';
+import {type AddressInfo} from 'node:net';
+
+/** A request as a worker received it. */
+export type WorkerRequest = {
+	readonly method: string;
+	readonly path: string;
+	readonly headers: ReadonlyMap<string, string>;
+	readonly body: string;
+	readonly socket: Socket;
+};
+
+/** What a worker does with a request. */
+export type WorkerBehaviour = (request: WorkerRequest) => void;
+
+/** A stand-in of a worker on a plain socket, so that answers can be late, torn, doubled or no answers at all. */
+export class StandInWorker {
+	readonly requests: WorkerRequest[] = [];
+	/** Sockets that were closed by the other side. */
+	closedSockets = 0;
+	behaviour: WorkerBehaviour = answerWhole('ok');
+	private readonly server: Server;
+	private readonly sockets = new Set<Socket>();
+
+	constructor(readonly id: string) {
+		this.server = createServer((socket) => {
+			this.serve(socket);
+		});
+	}
+
+	async start(port = 0): Promise<string> {
+		await new Promise<void>((resolve) => {
+			this.server.listen(port, '127.0.0.1', resolve);
+		});
+		return `127.0.0.1:${(this.server.address() as AddressInfo).port}`;
+	}
+
+	stop(): void {
+		for (const socket of this.sockets) {
+			socket.destroy();
+		}
+
+		this.server.close();
+	}
+
+	private serve(socket: Socket): void {
+		this.sockets.add(socket);
+		socket.on('error', () => undefined);
+		socket.on('close', () => {
+			this.closedSockets++;
+			this.sockets.delete(socket);
+		});
+		let received = '';
+		socket.on('data', (chunk: Buffer) => {
+			received += chunk.toString('latin1');
+			received = this.takeRequests(socket, received);
+		});
+	}
+
+	private takeRequests(socket: Socket, text: string): string {
+		const headEnd = text.indexOf('\r\n\r\n');
+		if (headEnd === -1) {
+			return text;
+		}
+
+		const [first, ...lines] = text.slice(0, headEnd).split('\r\n');
+		const headers = new Map(
+			lines.map((line) => {
+				const colon = line.indexOf(':');
+				return [
+					line.slice(0, colon).toLowerCase(),
+					line.slice(colon + 1).trim(),
+				] as const;
+			}),
+		);
+		const length = Number(headers.get('content-length') ?? 0);
+		const bodyStart = headEnd + 4;
+		if (text.length < bodyStart + length) {
+			return text;
+		}
+
+		const [method, path] = first!.split(' ');
+		const request = {
+			method: method!,
+			path: path!,
+			headers,
+			body: text.slice(bodyStart, bodyStart + length),
+			socket,
+		};
+		this.requests.push(request);
+		this.behaviour(request);
+		return this.takeRequests(socket, text.slice(bodyStart + length));
+	}
+}
+
+/** The head of an answer as workers write it. */
+export function answerHead(
+	status: string,
+	headers: Readonly<Record<string, string>>,
+): string {
+	return [
+		`HTTP/1.1 ${status}`,
+		...Object.entries(headers).map(([name, value]) => `${name}: ${value}`),
+		'',
+		'',
+	].join('\r\n');
+}
+
+/** A whole answer to a request, signed as a worker's. */
+export function wholeAnswer(id: string, body: string, status = '200 OK'): string {
+	return (
+		answerHead(status, {
+			'Request-Id': id,
+			'Response-Sig': 'signed',
+			'Content-Length': String(body.length),
+		}) + body
+	);
+}
+
+/** Answers each request with a body. */
+export function answerWhole(body: string): WorkerBehaviour {
+	return ({headers, socket}) => {
+		socket.write(wholeAnswer(headers.get('request-id') ?? '', body));
+	};
+}
+
+/** Answers that the request was not run. */
+export function refuse(status = '503 Service Unavailable'): WorkerBehaviour {
+	return ({headers, socket}) => {
+		socket.write(
+			answerHead(status, {
+				'Request-Id': headers.get('request-id') ?? '',
+				'Not-Run': '1',
+				'Content-Length': '0',
+			}),
+		);
+	};
+}
+
+/** One event of a stream. */
+export function eventText(id: number): string {
+	return `id: ${id}\ndata: piece ${id}\n\n`;
+}
+
+/** Sends the events of a stream in chunks, then its end unless it breaks off. */
+export function streamEvents(
+	from: number,
+	to: number,
+	end: 'whole' | 'broken' | 'torn',
+): WorkerBehaviour {
+	return ({headers, socket}) => {
+		socket.write(
+			answerHead('200 OK', {
+				'Request-Id': headers.get('request-id') ?? '',
+				'Response-Sig': 'signed',
+				'Content-Type': 'text/event-stream',
+				'Transfer-Encoding': 'chunked',
+			}),
+		);
+		for (let id = from; id <= to; id++) {
+			socket.write(chunk(eventText(id)));
+		}
+
+		if (end === 'whole') {
+			socket.write('0\r\n\r\n');
+			return;
+		}
+
+		if (end === 'torn') {
+			socket.write(chunk(`id: ${to + 1}\nda`));
+		}
+
+		setTimeout(() => {
+			socket.destroy();
+		}, 20);
+	};
+}
+
+function chunk(text: string): string {
+	return `${text.length.toString(16)}\r\n${text}\r\n`;
+}
