Count attempts in flight as runs, and continue a broken stream at another target

Two faults that the new tests of forwarding found first. A request whose time limit passed while its target was silent got a 503, which promises that it never runs; attempts count as runs from the moment they are sent now. The rest of a broken stream could go to the target that broke it.

--- a/src/services/dispatch/dispatcher.ts
+++ b/src/services/dispatch/dispatcher.ts
@@ -72,6 +72,8 @@
 	readonly maximumRuns?: number;
 	/** True for the rest of a broken stream. It is paid from the retry budget. */
 	readonly isContinuation?: boolean;
+	/** Targets that are chosen only when there is no other, because the stream broke there. */
+	readonly avoidedTargets?: readonly TargetId[];
 };
 
 /** One try of a request on one target. */
@@ -519,7 +521,7 @@
 		const tracked: Tracked = {
 			work,
 			attempts: new Map(),
-			triedTargets: new Set(),
+			triedTargets: new Set(item.avoidedTargets),
 			attemptCount: 0,
 			runCount: 0,
 			isLong: work.isLong,
--- a/src/services/forwarding/forward-dispatch.ts
+++ b/src/services/forwarding/forward-dispatch.ts
@@ -202,6 +202,7 @@
 		}
 
 		request.waitedMilliseconds ??= binding.waitedMilliseconds;
+		request.runs++;
 		const attempt = this.makeAttempt(request, binding);
 		const attempts = this.attempts.get(request.key) ?? new Map();
 		attempts.set(binding.attempt, attempt);
@@ -353,6 +354,7 @@
 		}
 
 		request.continuations++;
+		request.brokenAt.push(attempt.target);
 		this.dispatcher.post({
 			kind: 'submitted',
 			item: this.itemOf(request, true),
@@ -380,6 +382,7 @@
 			suspect: false,
 			maximumRuns: route.maximumRuns - request.runs,
 			isContinuation,
+			avoidedTargets: request.brokenAt,
 		};
 	}
 
@@ -490,7 +493,6 @@
 
 		const isFailure = answer.status >= 500;
 		if (isFailure) {
-			this.request.runs++;
 			this.request.keepFailure(answer, body);
 			this.owner.endAttempt(this.attempt, {kind: 'lost', execution: 'unknown'});
 			return;
@@ -502,6 +504,10 @@
 
 	failed(failure: AttemptFailure): void {
 		this.owner.noteFailure(this.request, this.attempt, failure);
+		if (failure.kind !== 'lost') {
+			this.request.runs--;
+		}
+
 		if (failure.kind === 'unreached') {
 			this.owner.endAttempt(this.attempt, {kind: 'unreached'});
 			return;
@@ -515,7 +521,6 @@
 			return;
 		}
 
-		this.request.runs++;
 		if (this.request.hasStarted) {
 			this.owner.continueStream(this.request, this.attempt);
 			return;
--- a/src/services/forwarding/forwarded-request.ts
+++ b/src/services/forwarding/forwarded-request.ts
@@ -2,7 +2,11 @@
 import {type EventLogger} from '../../base/common/event-logger.js';
 import {forwardingEvents} from '../../contracts/events/forwarding-events.js';
 import {type RouteRule} from '../../contracts/forwarding-document.js';
-import {type Fingerprint, type RequestId} from '../../contracts/ids.js';
+import {
+	type Fingerprint,
+	type RequestId,
+	type TargetId,
+} from '../../contracts/ids.js';
 import {
 	type AnswerFacts,
 	type RequestCodec,
@@ -45,8 +49,10 @@
 	readonly route: RouteRule;
 	/** Last event passed on to the caller, or the one that it asked to continue after. */
 	lastEventId: number | undefined;
-	/** Attempts that may have run. */
+	/** Attempts that may have run, those in flight included. */
 	runs = 0;
+	/** Targets at which a stream broke. */
+	readonly brokenAt: TargetId[] = [];
 	/** Events passed on. */
 	eventCount = 0;
 	/** Longest pause between two events. */
--- /dev/null
+++ b/test/forwarding/forwarding-harness.ts
@@ -0,0 +1,192 @@
+import {request as httpRequest, type IncomingHttpHeaders} from 'node:http';
+import {SilentEventLogger} from '../../src/base/common/event-logger.js';
+import {NullMetricRegistry} from '../../src/base/common/metric-registry.js';
+import {SeededRandomSource} from '../../src/base/common/random-source.js';
+import {SystemClock} from '../../src/base/node/system-clock.js';
+import {
+	type ForwardingDocument,
+	type RouteRule,
+} from '../../src/contracts/forwarding-document.js';
+import {
+	type FailureDomain,
+	type HostId,
+	type ModelId,
+	type PoolName,
+	type RouteName,
+	type TargetId,
+	type TargetIncarnation,
+} from '../../src/contracts/ids.js';
+import {type ListedTarget} from '../../src/contracts/listed-target.js';
+import {PlatformRequestCodec} from '../../src/platform/request-codec.js';
+import {ForwardingServer} from '../../src/services/forwarding/forwarding-server.js';
+import {ForwardingService} from '../../src/services/forwarding/forwarding-service.js';
+import {TargetRegistry} from '../../src/services/forwarding/target-registry.js';
+
+export const poolName = 'pool' as PoolName;
+export const model = 'm0' as ModelId;
+
+const limits = {
+	headerBytes: 4096,
+	bodyBytes: 1000,
+	headerMilliseconds: 3000,
+	idleMilliseconds: 15_000,
+};
+
+function makeRoute(
+	path: string,
+	rule: Partial<RouteRule> & Pick<RouteRule, 'kind'>,
+): RouteRule {
+	return {
+		name: path as RouteName,
+		hostName: 'a.example',
+		pathPrefix: path,
+		timeLimitMilliseconds: 3000,
+		objectiveMilliseconds: 300,
+		rank: 0,
+		maximumRuns: 2,
+		isResumable: false,
+		pools: [{pool: poolName, weight: 1}],
+		...rule,
+	};
+}
+
+export const forwardingDocument: ForwardingDocument = {
+	version: 1,
+	routes: [
+		makeRoute('/idempotent/', {kind: 'idempotent'}),
+		makeRoute('/once/', {kind: 'non-idempotent', maximumRuns: 1}),
+		makeRoute('/stream/', {kind: 'stream', isResumable: true}),
+		makeRoute('/fixed/', {kind: 'stream', maximumRuns: 1}),
+		makeRoute('/short/', {kind: 'idempotent', timeLimitMilliseconds: 300}),
+	],
+	pools: [{name: poolName, maximumConnections: 100, engine: undefined}],
+	limits,
+};
+
+export type CallerResult = {
+	readonly status: number;
+	readonly headers: IncomingHttpHeaders;
+	readonly body: string;
+	/** True when the answer ended as framed. */
+	readonly isWhole: boolean;
+};
+
+export type CallOptions = {
+	readonly id?: string;
+	readonly headers?: Readonly<Record<string, string>>;
+	readonly body?: string;
+	/** Closes the connection after this time. */
+	readonly leaveMilliseconds?: number;
+};
+
+/** A forwarding server in this process, in front of targets that a test brings. */
+export class ForwardingHarness {
+	readonly clock = new SystemClock();
+	readonly registry: TargetRegistry;
+	readonly service: ForwardingService;
+	wanted = 0;
+	private readonly server: ForwardingServer;
+	private port = 0;
+	private calls = 0;
+
+	constructor() {
+		const events = new SilentEventLogger();
+		this.registry = new TargetRegistry({clock: this.clock, events});
+		this.service = new ForwardingService({
+			host: 'h1' as HostId,
+			clock: this.clock,
+			random: new SeededRandomSource(5),
+			events,
+			metrics: new NullMetricRegistry(),
+			codec: new PlatformRequestCodec(),
+			registry: this.registry,
+			retries: {ratio: 0.2, slack: 56, windowMilliseconds: 10_000, hosts: 8},
+			onAdapterWanted: () => {
+				this.wanted++;
+			},
+		});
+		this.server = new ForwardingServer(this.service);
+		this.registry.changed.subscribe(() => {
+			this.service.candidatesChanged();
+		});
+	}
+
+	async start(document: ForwardingDocument | undefined): Promise<void> {
+		if (document) {
+			this.registry.applyDocument(document);
+			this.service.applyDocument(document);
+			this.server.applyLimits(document.limits);
+		}
+
+		this.service.start();
+		this.port = (await this.server.listen(0, '127.0.0.1'))._unsafeUnwrap();
+	}
+
+	async stop(): Promise<void> {
+		this.service.dispose();
+		this.server.dispose();
+		await this.registry.dispose();
+	}
+
+	list(id: string, address: string, change: Partial<ListedTarget> = {}): void {
+		this.registry.applyChange({
+			kind: 'listed',
+			target: {
+				id: id as TargetId,
+				pool: poolName,
+				address,
+				failureDomain: 'z' as FailureDomain,
+				slots: 4,
+				isLeaving: false,
+				residency: {
+					incarnation: `${id}@1` as TargetIncarnation,
+					models: [],
+				},
+				atHand: {inMemory: [], onDisk: []},
+				...change,
+			},
+		});
+	}
+
+	async call(path: string, options: CallOptions = {}): Promise<CallerResult> {
+		this.calls++;
+		const id = options.id ?? `r${this.calls}`;
+		return new Promise((resolve, reject) => {
+			const request = httpRequest({
+				port: this.port,
+				host: '127.0.0.1',
+				path,
+				method: options.body === undefined ? 'GET' : 'POST',
+				headers: {
+					Host: 'a.example',
+					'Request-Id': id,
+					'Deadline-Ms': '2500',
+					...options.headers,
+				},
+			});
+			request.on('error', reject);
+			request.on('response', (response) => {
+				let body = '';
+				response.on('data', (chunk: Buffer) => {
+					body += chunk.toString();
+				});
+				response.on('error', () => undefined);
+				response.on('close', () => {
+					resolve({
+						status: response.statusCode ?? 0,
+						headers: response.headers,
+						body,
+						isWhole: response.complete,
+					});
+				});
+			});
+			if (options.leaveMilliseconds !== undefined) {
+				setTimeout(() => {
+					request.destroy();
+				}, options.leaveMilliseconds);
+			}
+
+			request.end(options.body);
+		});
+	}
+}
--- /dev/null
+++ b/test/forwarding/forwarding.test.ts
@@ -0,0 +1,336 @@
+import assert from 'node:assert/strict';
+import {afterEach, beforeEach, test} from 'node:test';
+import {setTimeout as delay} from 'node:timers/promises';
+import {type ListedTarget} from '../../src/contracts/listed-target.js';
+import {
+	answerHead,
+	answerWhole,
+	eventText,
+	refuse,
+	StandInWorker,
+	streamEvents,
+	wholeAnswer,
+	type WorkerBehaviour,
+} from '../platform/stand-in-worker.js';
+import {forwardingDocument, ForwardingHarness} from './forwarding-harness.js';
+
+let harness: ForwardingHarness;
+let workers: StandInWorker[];
+
+beforeEach(async () => {
+	harness = new ForwardingHarness();
+	workers = [new StandInWorker('i-1'), new StandInWorker('i-2')];
+	await harness.start(forwardingDocument);
+});
+
+afterEach(async () => {
+	await harness.stop();
+	for (const worker of workers) {
+		worker.stop();
+	}
+});
+
+async function listWorker(
+	index: number,
+	behaviour: WorkerBehaviour,
+	change: Partial<ListedTarget> = {},
+): Promise<StandInWorker> {
+	const worker = workers[index]!;
+	worker.behaviour = behaviour;
+	harness.list(worker.id, await worker.start(), change);
+	return worker;
+}
+
+function runs(): number {
+	return workers.reduce((sum, {requests}) => sum + requests.length, 0);
+}
+
+/** Breaks the connection without an answer. */
+const crash: WorkerBehaviour = ({socket}) => {
+	socket.destroy();
+};
+
+const allEvents = [1, 2, 3, 4, 5].map((id) => eventText(id)).join('');
+
+// Guards against a request or answer that changes on the way.
+test('method, path, query, body and answer go through unchanged', async () => {
+	const worker = await listWorker(0, answerWhole('done'));
+	const result = await harness.call('/once/a%20b?q=1&q=2', {
+		id: 'r-7',
+		body: 'body of the request',
+		headers: {'X-Other': 'kept', 'Pin-Ms': '4000'},
+	});
+	assert.equal(result.status, 200);
+	assert.equal(result.body, 'done');
+	assert.equal(result.headers['response-sig'], 'signed');
+	assert.equal(result.headers['request-id'], 'r-7');
+	const [received] = worker.requests;
+	assert.equal(received!.method, 'POST');
+	assert.equal(received!.path, '/once/a%20b?q=1&q=2');
+	assert.equal(received!.body, 'body of the request');
+	assert.equal(received!.headers.get('x-other'), 'kept');
+	assert.equal(received!.headers.get('expect-instance'), 'i-1');
+	assert.equal(received!.headers.get('pin-ms'), undefined);
+	const remaining = Number(received!.headers.get('deadline-ms'));
+	assert.ok(remaining > 1500 && remaining <= 2500, String(remaining));
+});
+
+// Guards against a promise of "not run" for a request that ran, and against a second run.
+test('a request that must not be repeated runs once and its loss is no refusal', async () => {
+	await listWorker(0, crash);
+	await listWorker(1, crash);
+	const result = await harness.call('/once/x', {body: 'b'});
+	assert.equal(result.status, 502);
+	assert.equal(runs(), 1);
+});
+
+// Guards against a refused request that is not tried where there is room.
+test('a refused request goes to another target', async () => {
+	await listWorker(0, refuse());
+	await listWorker(1, answerWhole('ok'));
+	for (let call = 0; call < 3; call++) {
+		const result = await harness.call('/once/x', {body: 'b'});
+		assert.equal(result.status, 200);
+	}
+});
+
+// Guards against a 503 of a target, without its word that it did not run, being passed on as a promise.
+test('a status that promises too much is not passed on', async () => {
+	await listWorker(0, ({headers, socket}) => {
+		socket.write(
+			wholeAnswer(headers.get('request-id')!, '', '503 Service Unavailable'),
+		);
+	});
+	const result = await harness.call('/once/x', {body: 'b'});
+	assert.equal(result.status, 502);
+	assert.equal(result.headers['response-sig'], undefined);
+});
+
+// Guards against an idempotent request that fails although another target works, and against endless repeats.
+test('a lost idempotent request is repeated within its runs', async () => {
+	await listWorker(0, crash);
+	await listWorker(1, crash);
+	const failed = await harness.call('/idempotent/x');
+	assert.equal(failed.status, 502);
+	assert.equal(runs(), 2);
+	workers[0]!.behaviour = answerWhole('ok');
+	workers[1]!.behaviour = answerWhole('ok');
+	assert.equal((await harness.call('/idempotent/x')).status, 200);
+});
+
+// Guards against the failure of a target being replaced by one of our own.
+test('the failure of a target is passed on as it is', async () => {
+	await listWorker(0, ({headers, socket}) => {
+		socket.write(
+			wholeAnswer(
+				headers.get('request-id')!,
+				'why',
+				'500 Internal Server Error',
+			),
+		);
+	});
+	const result = await harness.call('/once/x', {body: 'b'});
+	assert.equal(result.status, 500);
+	assert.equal(result.body, 'why');
+	assert.equal(result.headers['response-sig'], 'signed');
+});
+
+// Guards against wrong bytes that reach a caller as its answer.
+test('foreign, unsigned, torn and malformed answers are never passed on', async () => {
+	const faults: ReadonlyArray<readonly [string, WorkerBehaviour]> = [
+		[
+			'foreign',
+			({socket}) => {
+				socket.write(wholeAnswer('another', 'wrong'));
+			},
+		],
+		[
+			'unsigned',
+			({headers, socket}) => {
+				socket.write(
+					answerHead('200 OK', {
+						'Request-Id': headers.get('request-id')!,
+						'Content-Length': '5',
+					}) + 'wrong',
+				);
+			},
+		],
+		[
+			'torn',
+			({headers, socket}) => {
+				socket.end(
+					answerHead('200 OK', {
+						'Request-Id': headers.get('request-id')!,
+						'Response-Sig': 'signed',
+						'Content-Length': '50',
+					}) + 'wrong',
+				);
+			},
+		],
+		[
+			'not an answer',
+			({socket}) => {
+				socket.write('wrong bytes\r\n\r\n');
+			},
+		],
+	];
+	const worker = await listWorker(0, crash);
+	for (const [name, behaviour] of faults) {
+		worker.behaviour = behaviour;
+		const result = await harness.call('/once/x', {body: 'b'});
+		assert.equal(result.status, 502, name);
+		assert.ok(!result.body.includes('wrong'), name);
+	}
+});
+
+// Guards against a late second answer on a kept connection that the next request gets.
+test('a doubled answer belongs to no later request', async () => {
+	await listWorker(0, ({headers, socket}) => {
+		const id = headers.get('request-id')!;
+		socket.write(wholeAnswer(id, `first of ${id}`));
+		setTimeout(() => {
+			socket.write(wholeAnswer(id, `second of ${id}`));
+		}, 10);
+	});
+	for (let call = 0; call < 10; call++) {
+		const result = await harness.call('/idempotent/x', {id: `d${call}`});
+		if (result.status === 200) {
+			assert.equal(result.body, `first of d${call}`);
+		}
+
+		await delay(call * 2);
+	}
+});
+
+// Guards against streams that lose, repeat or tear events when they go on elsewhere.
+test('a broken stream goes on after its last whole event', async () => {
+	await listWorker(0, streamEvents(1, 3, 'torn'));
+	const second = await listWorker(1, ({headers, ...rest}) => {
+		const last = Number(headers.get('last-event-id') ?? 0);
+		streamEvents(last + 1, 5, 'whole')({headers, ...rest});
+	});
+	for (let call = 0; call < 4; call++) {
+		const result = await harness.call('/stream/x', {body: 'b'});
+		assert.equal(result.status, 200);
+		assert.equal(result.body, allEvents);
+		assert.equal(result.isWhole, true);
+	}
+
+	assert.ok(
+		second.requests.some(({headers}) => headers.get('last-event-id') === '3'),
+	);
+});
+
+// Guards against a stream that may not be resumed and whose end is made up.
+test('a broken stream that may not resume never looks complete', async () => {
+	await listWorker(0, streamEvents(1, 3, 'broken'));
+	await listWorker(1, streamEvents(1, 3, 'broken'));
+	const result = await harness.call('/fixed/x', {body: 'b'});
+	assert.equal(result.isWhole, false);
+	assert.equal(runs(), 1);
+});
+
+// Guards against events that come twice when the second target starts from the beginning.
+test('a continuation that repeats events is not joined', async () => {
+	await listWorker(0, streamEvents(1, 3, 'broken'));
+	await listWorker(1, streamEvents(1, 3, 'broken'));
+	const result = await harness.call('/stream/x', {body: 'b'});
+	assert.equal(result.isWhole, false);
+	assert.equal(result.body, [1, 2, 3].map((id) => eventText(id)).join(''));
+});
+
+// Guards against callers that wait beyond the time limit of their route.
+test('the answer comes at the time limit even when the target is silent', async () => {
+	await listWorker(0, () => undefined);
+	const startedAt = harness.clock.monotonic();
+	const result = await harness.call('/short/x');
+	const elapsed = harness.clock.monotonic() - startedAt;
+	assert.equal(result.status, 504);
+	assert.ok(elapsed >= 290 && elapsed < 800, String(elapsed));
+});
+
+// Guards against a wait without a purpose, and a refusal that is no promise.
+test('a request without a target is refused as not run', async () => {
+	const result = await harness.call('/short/x');
+	assert.equal(result.status, 503);
+	assert.notEqual(result.headers['retry-after'], undefined);
+});
+
+// Guards against targets that work for callers that have left.
+test('the run is stopped when its caller leaves', async () => {
+	const worker = await listWorker(0, () => undefined);
+	await assert.rejects(
+		harness.call('/stream/x', {body: 'b', leaveMilliseconds: 100}),
+	);
+	const deadline = harness.clock.monotonic() + 2000;
+	while (
+		worker.closedSockets === 0 &&
+		harness.clock.monotonic() < deadline
+	) {
+		await delay(10);
+	}
+
+	assert.equal(worker.closedSockets, 1);
+	assert.equal(harness.service.openRequests, 0);
+});
+
+// Guards against new work at a target that leaves.
+test('a leaving or unlisted target gets no new work', async () => {
+	const worker = await listWorker(0, answerWhole('first'));
+	await listWorker(1, answerWhole('second'));
+	harness.list('i-1', '127.0.0.1:1', {isLeaving: true});
+	for (let call = 0; call < 5; call++) {
+		assert.equal((await harness.call('/idempotent/x')).body, 'second');
+	}
+
+	assert.equal(worker.requests.length, 0);
+});
+
+// Guards against answers of a host that does not know the routes yet.
+test('without a document every request is refused as not run', async () => {
+	const empty = new ForwardingHarness();
+	await empty.start(undefined);
+	const result = await empty.call('/idempotent/x');
+	assert.equal(result.status, 503);
+	await empty.stop();
+});
+
+// Guards against a version that comes back after a newer one.
+test('an older document is never applied', () => {
+	assert.equal(
+		harness.service.applyDocument({...forwardingDocument, version: 3}),
+		true,
+	);
+	assert.equal(
+		harness.service.applyDocument({...forwardingDocument, version: 2}),
+		false,
+	);
+	assert.equal(harness.service.documentVersion, 3);
+});
+
+// Guards against requests beyond the limits, and against a limit that stops proper ones.
+test('the limits of the document hold', async () => {
+	await listWorker(0, answerWhole('ok'));
+	const large = await harness.call('/once/x', {body: 'x'.repeat(1001)});
+	assert.equal(large.status, 413);
+	const fitting = await harness.call('/once/x', {body: 'x'.repeat(1000)});
+	assert.equal(fitting.status, 200);
+	const headers = await harness.call('/once/x', {
+		body: 'b',
+		headers: {'X-Long': 'x'.repeat(5000)},
+	});
+	assert.equal(headers.status, 431);
+	const noRoute = await harness.call('/none/x');
+	assert.equal(noRoute.status, 404);
+});
+
+// Guards against repeats that multiply an overload.
+test('repeats stay within the budget', async () => {
+	await listWorker(0, crash);
+	await listWorker(1, crash);
+	await Promise.all(
+		Array.from({length: 60}, async () => harness.call('/idempotent/x')),
+	);
+	// 60 first sends, seven saved ones and 0.14 for each request.
+	assert.ok(runs() <= 60 + 7 + 9, String(runs()));
+});
--- /dev/null
+++ b/test/platform/store-client.test.ts
@@ -0,0 +1,113 @@
+import assert from 'node:assert/strict';
+import {after, before, test} from 'node:test';
+import {type HostId} from '../../src/contracts/ids.js';
+import {HistoryLostError} from '../../src/contracts/shared-store.js';
+import {PlatformDocumentState} from '../../src/platform/document-state.js';
+import {PlatformOwnerLog} from '../../src/platform/owner-log.js';
+import {StoreClient} from '../../src/platform/store-client.js';
+import {PlatformTargetListState} from '../../src/platform/target-list-state.js';
+import {StandInStore} from './stand-in-store.js';
+
+const store = new StandInStore();
+let client: StoreClient;
+
+before(async () => {
+	client = new StoreClient({
+		address: await store.start(),
+		timeoutMilliseconds: 400,
+	});
+});
+
+after(async () => {
+	await client.dispose();
+	store.stop();
+});
+
+const entry = {
+	service: 's',
+	addr: '127.0.0.1:1',
+	zone: 'z',
+	slots: 4,
+	state: 'ready',
+};
+
+// Guards against changes that are lost between the newest state and the records after it.
+test('the list of targets is read and then followed', async () => {
+	const state = new PlatformTargetListState(client);
+	store.put('keyed.servers', 'i-1', entry);
+	store.put('keyed.servers', 'i-1', {...entry, state: 'draining'});
+	const newest = (await state.readNewest())._unsafeUnwrap();
+	assert.equal(newest.changes.length, 1);
+	store.put('keyed.servers', 'i-1', undefined);
+	store.put('keyed.servers', 'i-2', Buffer.from('torn'));
+	const later = (await state.readSince(newest.next, 0))._unsafeUnwrap();
+	assert.deepEqual(
+		later.changes.map(({kind}) => kind),
+		['unlisted', 'malformed'],
+	);
+	const none = (await state.readSince(later.next, 0))._unsafeUnwrap();
+	assert.deepEqual(none, {changes: [], next: later.next});
+});
+
+// Guards against a reader that waits for ever at a position that no longer exists.
+test('deleted records are told apart from an outage', async () => {
+	const state = new PlatformTargetListState(client);
+	store.put('keyed.servers', 'i-3', entry);
+	store.forget('keyed.servers');
+	const error = (await state.readSince(0, 0))._unsafeUnwrapErr();
+	assert.ok(error instanceof HistoryLostError);
+	assert.equal(error.first, store.end('keyed.servers'));
+	store.faults.push('busy');
+	const busy = (await state.readSince(0, 0))._unsafeUnwrapErr();
+	assert.ok(!(busy instanceof HistoryLostError));
+	assert.equal(busy.outcome, 'not-done');
+	store.faults.push('reset');
+	const reset = (await state.readSince(0, 0))._unsafeUnwrapErr();
+	assert.equal(reset.outcome, 'unknown');
+});
+
+// Guards against a configuration that is seen only at the end of a poll.
+test('a waiting read answers as soon as a record is written', async () => {
+	const state = new PlatformDocumentState(client);
+	const newest = (await state.readNewest())._unsafeUnwrap();
+	const reading = state.readSince(newest.next, 20_000);
+	store.put('keyed.op', 'config', {});
+	const {changes} = (await reading)._unsafeUnwrap();
+	assert.deepEqual(
+		changes.map(({kind}) => kind),
+		['unreadable'],
+	);
+});
+
+// Guards against a lost answer that is taken for a failure, or an append that ignores what others wrote.
+test('an append names the end that it expects', async () => {
+	const log = new PlatformOwnerLog(client);
+	const record = {
+		kind: 'claimed' as const,
+		host: 'h1' as HostId,
+		incarnation: 'h1-1',
+		peerAddress: '127.0.0.1:2',
+	};
+	assert.deepEqual((await log.append(record, 0))._unsafeUnwrap(), {
+		kind: 'appended',
+		position: 0,
+	});
+	assert.deepEqual((await log.append(record, 0))._unsafeUnwrap(), {
+		kind: 'conflict',
+		next: 1,
+	});
+	store.faults.push('lost-answer');
+	const lost = await log.append({...record, kind: 'renewed'}, 1);
+	assert.equal(lost._unsafeUnwrapErr().outcome, 'unknown');
+	const read = (await log.read(undefined))._unsafeUnwrap();
+	assert.deepEqual(
+		read.records.map(({kind, position}) => [kind, position]),
+		[
+			['claimed', 0],
+			['renewed', 1],
+		],
+	);
+	store.forget('daisylever.owner');
+	const rest = (await log.read(0))._unsafeUnwrap();
+	assert.deepEqual(rest, {records: [], next: 2});
+});
