--- a/src/program/forwarding-root.ts
+++ b/src/program/forwarding-root.ts
@@ -57,10 +57,13 @@
 };
 /** Clock differences and delays on the way of an order, on top of the handover. */
 const handoverMarginMilliseconds = 200;
-/** Time in which the balancer notices that a stopping host is not ready. */
-const unreadyMilliseconds = 3500;
+/** Time in which the balancer notices that a stopping host is not ready. Then no new connections are taken. */
+const unreadyMilliseconds = 3300;
+/** Time from which a stopping host closes idle connections, so that callers do not send on them shortly before its end. */
+const idleCloseMilliseconds = 1500;
 /** Time before the end in which open requests are cut, so that the process ends in time. */
 const stopMarginMilliseconds = 400;
+const stopStepMilliseconds = 50;
 const periodMilliseconds = 250;
 /** Hosts of a fleet of this kind, until the owner tells their number. */
 const expectedHosts = 8;
@@ -263,20 +266,26 @@
 		this.events.record(forwardingEvents.hostStopping, {
 			openRequests: this.service.openRequests,
 		});
-		await this.keeper.release();
+		void this.keeper.release();
 		while (
 			elapsed() < unreadyMilliseconds ||
 			(this.service.openRequests > 0 && elapsed() < endMilliseconds)
 		) {
-			await wait(periodMilliseconds / 5);
+			await wait(stopStepMilliseconds);
+			if (elapsed() >= unreadyMilliseconds) {
+				this.server.stopListening();
+			}
+
+			if (elapsed() >= idleCloseMilliseconds) {
+				this.server.closeIdle();
+			}
 		}
 
-		this.server.closeIdle();
 		this.events.record(forwardingEvents.hostStopped, {
 			openRequests: this.service.openRequests,
 			milliseconds: Math.round(elapsed()),
 		});
-		await wait(periodMilliseconds / 5);
+		await wait(stopStepMilliseconds);
 	}
 
 	/** Notes that the settings file was read again. */
--- a/src/services/forwarding/forwarding-server.ts
+++ b/src/services/forwarding/forwarding-server.ts
@@ -92,8 +92,15 @@
 		this.server.closeIdleConnections();
 	}
 
+	/** Takes no new connections. The close of an HTTP server would also reset connections on which a request is about to arrive. */
+	stopListening(): void {
+		if (this.server.listening) {
+			NetServer.prototype.close.call(this.server);
+		}
+	}
+
 	dispose(): void {
-		NetServer.prototype.close.call(this.server);
+		this.stopListening();
 		this.server.closeAllConnections();
 	}
 
