Let busy models take the place of dormant ones

Replacements leave one copy on this platform, and a model without a request for four seconds may lose its last one. Weights at hand are preferred.

--- a/src/core/placement-planner.ts
+++ b/src/core/placement-planner.ts
@@ -23,6 +23,8 @@
 	readonly horizonSeconds: number;
 	/** Replacements looked at in one pass. */
 	readonly maximumReplacements: number;
+	/** Copies that a model keeps when another one needs its memory. */
+	readonly keptCopies: number;
 };
 
 /** Settings of the planner in the product. */
@@ -33,8 +35,13 @@
 	horizonSeconds: 10,
 	// Bounds the time of a pass at the design scale, where more replacements than this are worth it.
 	maximumReplacements: 64,
+	// A second copy lets a model outlive the loss of a target.
+	keptCopies: 2,
 };
 
+/** Load of a target that a load from the weight store outweighs. */
+const weightStoreScore = 0.3;
+
 /** What may go to make room. */
 type RoomOptions = {
 	readonly keep: ModelState;
@@ -52,7 +59,11 @@
 		const workspace = new PlacementWorkspace(input);
 		workspace.removeObsolete(false);
 		this.makeRefuges(workspace);
-		this.placeModels(workspace, () => 1, 'the model has no copy');
+		this.placeModels(
+			workspace,
+			({model}) => Math.min(1, model.minimumReplicas),
+			'the model has no copy',
+		);
 		this.placeAdapters(workspace);
 		this.placeModels(
 			workspace,
@@ -288,7 +299,7 @@
 			return false;
 		}
 
-		const {replacementFactor, moveCost} = this.options;
+		const {replacementFactor, moveCost, keptCopies} = this.options;
 		const gain = gainOfCopy(state) * state.artifact.bytes;
 		// Further copies of a model gain less and less, although each takes over a whole share of its
 		// requests. A cost that did not shrink with them would stop all replacements in large pools.
@@ -297,7 +308,11 @@
 		const target = makeRoom(
 			workspace,
 			state,
-			({model}) => Math.max(model.minimumReplicas, 2),
+			// A dormant model may lose its last copy.
+			({model}) =>
+				model.minimumReplicas === 0
+					? 0
+					: Math.max(model.minimumReplicas, keptCopies),
 			limit,
 		);
 		if (!target) {
@@ -317,6 +332,7 @@
 		minimumRequestsPerReplica: 0,
 		horizonSeconds: 10,
 		maximumReplacements: 64,
+		keptCopies: 2,
 	});
 
 	plan(input: PlacementInput): Placement {
@@ -395,6 +411,7 @@
 			(target.content.has(state.artifact.key) ? 0 : 1_000_000) +
 			(domains.size < 2 && domains.has(target.failureDomain) ? 10_000 : 0) +
 			(state.obsolete.has(target) ? 0 : 0.001) +
+			(target.atHand.has(state.artifact.key) ? 0 : weightStoreScore) +
 			target.load -
 			0.01 * (freeBytes(target) / Math.max(1, target.memoryBytes));
 		const additional = target.content.has(state.artifact.key)
@@ -498,7 +515,10 @@
 
 	choices.sort(
 		(left, right) =>
-			left.loss - right.loss || left.target.load - right.target.load,
+			left.loss - right.loss ||
+			Number(right.target.atHand.has(state.artifact.key)) -
+				Number(left.target.atHand.has(state.artifact.key)) ||
+			left.target.load - right.target.load,
 	);
 	for (const {target} of choices.slice(0, 4)) {
 		if (freeFor(workspace, target, {...state.artifact, bytes}, options)) {
--- a/src/core/placement-policy.ts
+++ b/src/core/placement-policy.ts
@@ -32,6 +32,8 @@
 	readonly reservedBytes: number;
 	/** What the current plan wants on the target. */
 	readonly planned: ReadonlySet<ArtifactKey>;
+	/** Models that the target loads from its own memory or disk, without the weight store. */
+	readonly atHand?: ReadonlySet<ArtifactKey>;
 };
 
 /** Everything that a planning pass depends on. */
--- a/src/core/placement-workspace.ts
+++ b/src/core/placement-workspace.ts
@@ -40,6 +40,8 @@
 	readonly models: Set<ModelState>;
 	/** Expected running requests for each slot. */
 	load: number;
+	/** Models that need not come from the weight store. */
+	readonly atHand: ReadonlySet<ArtifactKey>;
 };
 
 /** Copies of one artifact: where the plan wants it and where it can serve. */
@@ -178,9 +180,10 @@
 		});
 	}
 
-	/** True when the model can be removed from a target and everything stays reachable. */
+	/** True when the model can be removed from a target and everything stays reachable. A dormant model is loaded again on request. */
 	canRemoveModel(target: WorkspaceTarget, state: ModelState): boolean {
-		if (!hasOther(state.holders, target)) {
+		const isDormant = state.model.minimumReplicas === 0;
+		if (!isDormant && !hasOther(state.holders, target)) {
 			return false;
 		}
 
@@ -472,6 +475,7 @@
 				loads: new Set(),
 				models: new Set(),
 				load: 0,
+				atHand: source.atHand ?? new Set(),
 			};
 			this.targets.push(target);
 			for (const [key, {bytes}] of source.held) {
--- a/src/platform/order-port.ts
+++ b/src/platform/order-port.ts
@@ -25,8 +25,8 @@
 	coming: z.array(z.string()).default([]),
 });
 
-/** Workers answer orders at once; an order without an answer in this time may be carried out late. */
-const answerMilliseconds = 700;
+/** Workers answer orders within milliseconds; one without an answer in this time is given again, and the sequence number lets one of the two take effect. */
+const answerMilliseconds = 250;
 
 const outcomes: Readonly<Record<number, OrderOutcome>> = {
 	200: 'already-done',
--- a/src/services/forwarding/pool-placement.ts
+++ b/src/services/forwarding/pool-placement.ts
@@ -18,7 +18,11 @@
 } from '../../core/adapter-places.js';
 import {DemandEstimator} from '../../core/demand-estimator.js';
 import {LoadPacer} from '../../core/load-pacer.js';
-import {PlacementPlanner} from '../../core/placement-planner.js';
+import {DormancyPolicy} from '../../core/dormancy-policy.js';
+import {
+	defaultPlannerOptions,
+	PlacementPlanner,
+} from '../../core/placement-planner.js';
 import {
 	type HeldArtifact,
 	type PlacementPolicy,
@@ -47,6 +51,10 @@
 
 /** Pause between two passes of the planner. */
 const planMilliseconds = 400;
+/** The same while requests wait for a model without a copy. */
+const urgentPlanMilliseconds = 100;
+/** Time without a request after which a model may lose its last copy to a busy one. */
+const idleMilliseconds = 4000;
 /** Time without a new target after which a plan is made. */
 const settleMilliseconds = 1300;
 /** Time after which targets that do not tell their state are planned without. */
@@ -70,7 +78,14 @@
 
 /** Decides what the targets of one engine pool hold and gives the orders that the moment permits. */
 export class PoolPlacement {
-	private readonly planner: PlacementPolicy = new PlacementPlanner();
+	private readonly planner: PlacementPolicy = new PlacementPlanner({
+		...defaultPlannerOptions,
+		// Loads take a second here, and the places are few: a copy of a model that is no longer busy is worth less
+		// than one of a model that is.
+		keptCopies: 1,
+	});
+
+	private readonly dormancy = new DormancyPolicy({idleMilliseconds});
 	private readonly demand = new DemandEstimator<ModelId>({
 		riseMilliseconds,
 		halfLifeMilliseconds,
@@ -115,10 +130,12 @@
 		const all = tasks().filter(({listed}) => !listed.isLeaving);
 		this.demand.observe(models, now);
 		this.places.observe(adapters, now);
+		this.dormancy.observe(models, now);
 		this.finishPacedLoads();
 		if (
 			this.isSettled(now) &&
-			now - this.plannedAt >= planMilliseconds
+			now - this.plannedAt >=
+				(this.lacksCopy(models) ? urgentPlanMilliseconds : planMilliseconds)
 		) {
 			this.expectDemand(now);
 			this.plannedAt = now;
@@ -139,6 +156,18 @@
 		return this.engine.models.some(({id}) => id === model);
 	}
 
+	/** True when requests wait for a model that no target holds or loads. */
+	private lacksCopy(demand: ReadonlyMap<ModelId, number>): boolean {
+		const planned = new Set<ArtifactKey>();
+		for (const {id} of this.options.tasks()) {
+			for (const key of this.desired.get(id) ?? []) {
+				planned.add(key);
+			}
+		}
+
+		return [...demand.keys()].some((model) => !planned.has(keyOf(model)));
+	}
+
 	/** True when the targets are all known. After a start they list themselves one after the other, and a plan for the first ones would load everything there. */
 	private isSettled(now: number): boolean {
 		const all = this.options.tasks();
@@ -260,7 +289,13 @@
 			state: listed.isLeaving ? 'leaving' : 'live',
 			held,
 			reservedBytes,
-			planned: this.desired.get(task.id) ?? new Set(),
+			// What a target holds when it is first seen is kept as long as nothing else needs its place.
+			planned: this.desired.get(task.id) ?? new Set(held.keys()),
+			atHand: new Set(
+				[...listed.atHand.inMemory, ...listed.atHand.onDisk].map((id) =>
+					keyOf(id),
+				),
+			),
 		};
 	}
 
@@ -399,7 +434,12 @@
 			pool: this.options.pool,
 			version: onlyVersion,
 			bytes,
-			minimumReplicas: 1,
+			minimumReplicas: this.dormancy.isDormant(
+				id,
+				this.options.clock.monotonic(),
+			)
+				? 0
+				: 1,
 		};
 	}
 }
--- a/src/services/forwarding/target-order-task.ts
+++ b/src/services/forwarding/target-order-task.ts
@@ -42,11 +42,11 @@
 /** A report of a target is as of at most this long ago. */
 const stateLagMilliseconds = 150;
 /** Pause between two reads of the state of a target that carries out an order. */
-const statePauseMilliseconds = 150;
+const statePauseMilliseconds = 80;
 /** Time from an accepted load of an adapter until it serves. */
 const adapterLoadMilliseconds = 12;
 /** Time in which all hosts learn that a model gets no new work before it is unloaded. */
-const retirementMilliseconds = 400;
+const retirementMilliseconds = 120;
 
 /** Gives the orders to one target, one at a time, and knows what it holds. */
 export class TargetOrderTask {
