--- a/src/core/dispatch-queue.ts
+++ b/src/core/dispatch-queue.ts
@@ -21,6 +21,10 @@
 	readonly expectedMilliseconds: number;
 	/** Time of the monotonic clock after which the answer is useless. */
 	readonly deadline: number;
+	/** Time of the monotonic clock up to which a start keeps the objective. Without it work is never late. */
+	readonly promptUntil?: number;
+	/** Time of the monotonic clock after which the caller no longer waits for a start. */
+	readonly startBy?: number;
 };
 
 /** Work bound to a target. */
@@ -80,7 +84,12 @@
 	private readonly finishes = new Map<CallerId, number>();
 	private virtualTime = 0;
 
-	constructor(readonly rank: number) {}
+	constructor(
+		readonly key: string,
+		readonly rank: number,
+		/** True for work that can no longer keep its objective. */
+		readonly isLate: boolean,
+	) {}
 
 	oldest(): Item<T> | undefined {
 		return this.all.values().next().value;
@@ -181,15 +190,8 @@
 		}
 
 		const rank = rankOf(work);
-		const key = `${rank}|${work.routingKey}`;
-		let lane = this.lanes.get(key);
-		if (!lane) {
-			lane = new Lane(rank);
-			this.lanes.set(key, lane);
-		}
-
-		lane.add({work, enqueuedAt: this.options.clock.monotonic()});
-		this.laneOf.set(work.request, lane);
+		const now = this.options.clock.monotonic();
+		this.addToLane({work, enqueuedAt: now}, isLateAt(work, now));
 		const waiting = this.waiting[rank]!;
 		waiting.set(
 			work.caller,
@@ -198,6 +200,28 @@
 		return ok(undefined);
 	}
 
+	/**
+	 * Moves work that can no longer keep its objective behind the work that still can. In the order of arrival, a
+	 * queue that is longer than the objective would make all of its work late.
+	 */
+	postponeLate(): void {
+		const now = this.options.clock.monotonic();
+		for (const lane of [...this.lanes.values()]) {
+			if (lane.isLate) {
+				continue;
+			}
+
+			for (const item of [...lane.all.values()]) {
+				if (isLateAt(item.work, now)) {
+					lane.remove(item.work, false);
+					this.addToLane(item, true);
+				}
+			}
+
+			this.dropEmpty(lane);
+		}
+	}
+
 	/** Removes waiting work. Returns it, or undefined if it does not wait here. */
 	cancel(request: RequestId): T | undefined {
 		const lane = this.laneOf.get(request);
@@ -288,6 +312,7 @@
 	private takeInOrder(findTarget: FindTarget<T>): BoundWork<T> | undefined {
 		const lanes = [...this.lanes.values()].sort(
 			(left, right) =>
+				Number(left.isLate) - Number(right.isLate) ||
 				left.rank - right.rank ||
 				(left.oldest()?.enqueuedAt ?? 0) - (right.oldest()?.enqueuedAt ?? 0),
 		);
@@ -316,8 +341,11 @@
 	}
 
 	private dropIfHopeless(lane: Lane<T>, work: T): boolean {
-		const finish = this.options.clock.monotonic() + work.expectedMilliseconds;
-		if (finish <= work.deadline) {
+		const now = this.options.clock.monotonic();
+		if (
+			now + work.expectedMilliseconds <= work.deadline &&
+			now <= (work.startBy ?? Infinity)
+		) {
 			return false;
 		}
 
@@ -354,13 +382,35 @@
 			waiting.delete(work.caller);
 		}
 
+		this.dropEmpty(lane);
+	}
+
+	private addToLane(item: Item<T>, isLate: boolean): void {
+		const {work} = item;
+		const rank = rankOf(work);
+		const key = `${isLate ? 'late' : 'prompt'}|${rank}|${work.routingKey}`;
+		let lane = this.lanes.get(key);
+		if (!lane) {
+			lane = new Lane(key, rank, isLate);
+			this.lanes.set(key, lane);
+		}
+
+		lane.add(item);
+		this.laneOf.set(work.request, lane);
+	}
+
+	private dropEmpty(lane: Lane<T>): void {
 		if (lane.all.size === 0) {
 			// Without waiting work there is no share to keep, and empty lanes slow down each dispatch.
-			this.lanes.delete(`${lane.rank}|${work.routingKey}`);
+			this.lanes.delete(lane.key);
 		}
 	}
 }
 
+function isLateAt({promptUntil}: QueuedWork, now: number): boolean {
+	return now > (promptUntil ?? Infinity);
+}
+
 /** Order of lanes: urgency first, then short before long. */
 function rankOf(work: Pick<QueuedWork, 'urgency' | 'isLong'>): number {
 	return urgencies.indexOf(work.urgency) * 2 + (work.isLong ? 1 : 0);
--- a/src/services/dispatch/dispatcher.ts
+++ b/src/services/dispatch/dispatcher.ts
@@ -26,6 +26,7 @@
 	type Urgency,
 } from '../../core/dispatch-queue.js';
 import {HedgingPolicy} from '../../core/hedging-policy.js';
+import {MomentaryPace} from '../../core/momentary-pace.js';
 import {IsolationPolicy} from '../../core/isolation-policy.js';
 import {LengthEstimator} from '../../core/length-estimator.js';
 import {
@@ -64,6 +65,10 @@
 	readonly prefixes: readonly string[];
 	/** Time from now after which the answer is useless. */
 	readonly remainingMilliseconds: number;
+	/** Time from now in which the work has to start to keep its objective. Later work gives way to work that still can. */
+	readonly promptMilliseconds?: number;
+	/** Time from now after which the caller no longer waits for a start. */
+	readonly patienceMilliseconds?: number;
 	readonly idempotent: boolean;
 	readonly fingerprint: Fingerprint;
 	/** True if a target died while it ran a request with this fingerprint. */
@@ -244,6 +249,7 @@
 	private readonly hedging: HedgingPolicy;
 	private readonly serviceTimes = new ServiceTimeEstimator();
 	private readonly isolation = new IsolationPolicy();
+	private readonly pace: MomentaryPace;
 	private readonly affinity: PrefixAffinity;
 	private readonly tracked = new Map<RequestId, Tracked>();
 	/** Requests whose first token is awaited, oldest first. */
@@ -281,6 +287,7 @@
 		this.budget = options.budget ?? new RetryBudget({clock});
 		this.hedging = new HedgingPolicy({clock, budget: this.budget});
 		this.affinity = new PrefixAffinity({clock});
+		this.pace = new MomentaryPace({clock});
 	}
 
 	/** Number of waiting requests. */
@@ -372,6 +379,7 @@
 			}
 
 			case 'ticked': {
+				this.queue.postponeLate();
 				this.refuseHopeless();
 				this.hedgeOverdue();
 				break;
@@ -422,6 +430,7 @@
 				this.outliers.removeTarget(message.target);
 				this.slots.removeTarget(message.target);
 				this.affinity.removeTarget(message.target);
+				this.pace.removeTarget(message.target);
 				break;
 			}
 
@@ -482,6 +491,10 @@
 			routingKey: `${item.model ?? item.offering}|${item.adapter ?? ''}|${item.suspect ? 'suspect' : item.idempotent}`,
 			expectedMilliseconds: this.serviceTimes.estimate(estimate.tokens),
 			deadline: this.clock.monotonic() + item.remainingMilliseconds,
+			promptUntil:
+				this.clock.monotonic() + (item.promptMilliseconds ?? Infinity),
+			startBy:
+				this.clock.monotonic() + (item.patienceMilliseconds ?? Infinity),
 		};
 		const admission = this.admission.admit({
 			caller: item.caller,
@@ -752,6 +765,7 @@
 			candidates.push({
 				...load,
 				...health,
+				speed: health.speed / this.pace.slowness(load.target),
 				affinity: this.affinity.affinity(
 					load.target,
 					work.item.prefixes,
@@ -789,6 +803,11 @@
 		} else if (tokens > attempt.tokens) {
 			const between = (now - attempt.lastTokenAt) / (tokens - attempt.tokens);
 			this.observe(attempt.target, 'between-tokens', between);
+			const {model} = tracked.work.item;
+			if (model !== undefined) {
+				this.pace.observe(attempt.target, model, between);
+			}
+
 			this.serviceTimes.observeBetweenTokens(between);
 		}
 
--- a/src/services/forwarding/forward-dispatch.ts
+++ b/src/services/forwarding/forward-dispatch.ts
@@ -377,6 +377,8 @@
 			maximumTokens: facts.maximumTokens,
 			prefixes: facts.prefixes,
 			remainingMilliseconds: request.remaining(),
+			promptMilliseconds: request.promptMilliseconds(),
+			patienceMilliseconds: request.patienceMilliseconds(),
 			idempotent: request.isRepeatable,
 			fingerprint: request.options.fingerprint as Fingerprint,
 			suspect: false,
--- a/src/services/forwarding/forwarded-request.ts
+++ b/src/services/forwarding/forwarded-request.ts
@@ -40,6 +40,11 @@
 /** Statuses that promise that a request did not run. A target's answer with one of them and without that statement is not passed on. */
 const notRunStatuses = new Set([408, 421, 429, 503]);
 
+/** Time from a send until the first event or the answer of a target that is not overloaded. */
+const usualStartMilliseconds = 60;
+/** Callers leave a stream without an event after two seconds or four times the objective. Work that has not started well before is refused, so that they can come back in time. */
+const leastPatienceMilliseconds = 1300;
+const patienceObjectives = 2.6;
 /** What a caller waits for at most beyond the time limit, so that a target's own answer at the limit arrives first. */
 export const limitGraceMilliseconds = 40;
 
@@ -108,6 +113,30 @@
 		return this.limitAt - this.options.clock.monotonic();
 	}
 
+	/** Time left in which a start at a target keeps the objective. */
+	promptMilliseconds(): number {
+		const {arrivedAt, clock} = this.options;
+		const due = arrivedAt + this.route.objectiveMilliseconds;
+		return due - usualStartMilliseconds - clock.monotonic();
+	}
+
+	/** Time left in which the caller waits for a start. A stream that goes on has started. */
+	patienceMilliseconds(): number {
+		const {arrivedAt, clock, answer} = this.options;
+		if (answer.hasStarted) {
+			return this.remaining();
+		}
+
+		const patience = Math.max(
+			leastPatienceMilliseconds,
+			patienceObjectives * this.route.objectiveMilliseconds,
+		);
+		return Math.min(
+			this.remaining(),
+			arrivedAt + patience - clock.monotonic(),
+		);
+	}
+
 	/** Starts the time limit. */
 	start(onExpired: () => void): void {
 		this.timer = setTimeout(
--- /dev/null
+++ b/test/forwarding/late-work.test.ts
@@ -0,0 +1,79 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {ManualClock} from '../../src/base/common/clock.js';
+import {
+	type CallerId,
+	type RequestId,
+	type TargetId,
+} from '../../src/contracts/ids.js';
+import {
+	DispatchQueue,
+	type QueuedWork,
+} from '../../src/core/dispatch-queue.js';
+
+const clock = new ManualClock();
+const target = 't' as TargetId;
+
+function work(id: string, change: Partial<QueuedWork>): QueuedWork {
+	return {
+		request: id as RequestId,
+		caller: 'c' as CallerId,
+		urgency: 'standard',
+		isLong: false,
+		routingKey: 'm',
+		expectedMilliseconds: 10,
+		deadline: Infinity,
+		...change,
+	};
+}
+
+function takeAll(queue: DispatchQueue): string[] {
+	const taken: string[] = [];
+	let bound = queue.take(() => target);
+	while (bound) {
+		taken.push(bound.work.request);
+		bound = queue.take(() => target);
+	}
+
+	return taken;
+}
+
+// Guards against an overload in which every answer is late because the oldest work goes first.
+test('work that can keep its objective goes before work that cannot', () => {
+	const queue = new DispatchQueue({clock});
+	queue.enqueue(work('old', {promptUntil: clock.monotonic() + 100}));
+	clock.advance(150);
+	queue.enqueue(work('new', {promptUntil: clock.monotonic() + 100}));
+	queue.enqueue(
+		work('deferred', {
+			urgency: 'deferred',
+			promptUntil: clock.monotonic() + 1000,
+		}),
+	);
+	queue.postponeLate();
+	assert.deepEqual(takeAll(queue), ['new', 'deferred', 'old']);
+	assert.equal(queue.size, 0);
+});
+
+// Guards against late work that is lost or counted twice when it changes its place.
+test('late work can still be cancelled and dropped', () => {
+	const queue = new DispatchQueue({clock});
+	for (const id of ['a', 'b', 'c']) {
+		queue.enqueue(
+			work(id, {
+				promptUntil: clock.monotonic() - 1,
+				startBy: clock.monotonic() + (id === 'c' ? 50 : 500),
+			}),
+		);
+	}
+
+	queue.postponeLate();
+	assert.equal(queue.cancel('a' as RequestId)?.request, 'a');
+	clock.advance(100);
+	assert.deepEqual(
+		queue.takeHopeless().map(({request}) => request),
+		['c'],
+	);
+	assert.deepEqual(takeAll(queue), ['b']);
+	assert.equal(queue.size, 0);
+});
