Describe only the own records of the lease

Cause: a host that no longer held the lease gave the position of the new holder's record with the age of its own, so a listener shortened its wait.

--- a/src/core/owner-lease.ts
+++ b/src/core/owner-lease.ts
@@ -87,6 +87,8 @@
 	private mustRead = true;
 	private isHeld = false;
 	private heard: Heard | undefined;
+	/** Position of the last record of this host that the log confirmed. */
+	private ownPosition: StorePosition | undefined;
 
 	constructor(
 		private readonly candidate: LeaseCandidate,
@@ -123,9 +125,9 @@
 		now: number,
 		sinceLastOrderMilliseconds: number | undefined,
 	): HeardLease | undefined {
-		return this.last && Number.isFinite(this.renewedAt)
+		return this.ownPosition !== undefined && Number.isFinite(this.renewedAt)
 			? {
-					position: this.last.position,
+					position: this.ownPosition,
 					ageMilliseconds: now - this.renewedAt,
 					isExpired: !this.isValid(now),
 					sinceLastOrderMilliseconds,
@@ -227,6 +229,7 @@
 		}
 
 		this.isHeld = true;
+		this.ownPosition = outcome.position;
 		this.renewedAt = sentAt;
 		this.heldUntil = sentAt + this.times.validityMilliseconds;
 	}
