Refuse requests that crash each target that runs them

A request in flight at three deaths of targets, on any hosts, is refused as not run. A death needs evidence: a refused connection, another incarnation, or an entry that went. The owner adds up the deaths and tells all hosts through its answers.

--- a/src/program/forwarding-root.ts
+++ b/src/program/forwarding-root.ts
@@ -18,6 +18,7 @@
 import {forwardingEvents} from '../contracts/events/forwarding-events.js';
 import {type TargetListChange} from '../contracts/listed-target.js';
 import {type DocumentChange} from '../contracts/shared-store.js';
+import {CrashCorrelation} from '../core/crash-correlation.js';
 import {OwnerLease} from '../core/owner-lease.js';
 import {PlatformDocumentState} from '../platform/document-state.js';
 import {PlatformOrderPort} from '../platform/order-port.js';
@@ -137,6 +138,13 @@
 				lease: () => this.keeper.describe(),
 			}),
 		);
+		const crashes = new CrashCorrelation({clock});
+		registry.restarted.subscribe(({listed}) => {
+			crashes.noteDeath(listed.id);
+		});
+		registry.removed.subscribe(({listed}) => {
+			crashes.noteDeath(listed.id);
+		});
 		this.service = new ForwardingService({
 			host,
 			clock,
@@ -151,6 +159,7 @@
 				windowMilliseconds: retries.windowSeconds * 1000,
 				hosts: expectedHosts,
 			},
+			crashes,
 			onAdapterWanted: () => {
 				this.ownerClient.reportSoon();
 			},
@@ -217,7 +226,7 @@
 				pauseMilliseconds: targetPauseMilliseconds,
 			}),
 		);
-		this.connectParts();
+		this.connectParts(crashes);
 	}
 
 	/** Listens and starts to follow the store. */
@@ -316,7 +325,7 @@
 		);
 	}
 
-	private connectParts(): void {
+	private connectParts(crashes: CrashCorrelation): void {
 		const {registry, service, owner, events} = this;
 		this.documents.changed.subscribe(({changes}) => {
 			for (const change of changes) {
@@ -331,12 +340,15 @@
 		registry.changed.subscribe(() => {
 			service.candidatesChanged();
 		});
-		this.ownerClient.newsReceived.subscribe(({contents, hosts}) => {
-			registry.applyContents(contents);
-			if (hosts.length > 0) {
-				service.setHosts(hosts);
-			}
-		});
+		this.ownerClient.newsReceived.subscribe(
+			({contents, hosts, quarantined}) => {
+				crashes.block(quarantined);
+				registry.applyContents(contents);
+				if (hosts.length > 0) {
+					service.setHosts(hosts);
+				}
+			},
+		);
 		owner.contentsChanged.subscribe(() => {
 			if (this.keeper.isHolder) {
 				registry.applyContents(owner.contents());
--- a/src/services/forwarding/forward-dispatch.ts
+++ b/src/services/forwarding/forward-dispatch.ts
@@ -22,6 +22,7 @@
 import {AdmissionPolicy} from '../../core/admission-policy.js';
 import {CallerLimiter} from '../../core/caller-limiter.js';
 import {type Urgency} from '../../core/dispatch-queue.js';
+import {type CrashCorrelation} from '../../core/crash-correlation.js';
 import {LengthEstimator} from '../../core/length-estimator.js';
 import {OutlierDetector} from '../../core/outlier-detector.js';
 import {RetryBudget} from '../../core/retry-budget.js';
@@ -65,6 +66,7 @@
 	readonly codec: RequestCodec;
 	readonly registry: TargetRegistry;
 	readonly retries: RetryBounds;
+	readonly crashes: CrashCorrelation;
 	readonly maximumBodyBytes: number;
 };
 
@@ -309,10 +311,22 @@
 					: failure.reason,
 			events: request.eventCount,
 		});
+		const {registry, crashes} = this.options;
+		const incarnation = registry.get(attempt.target)?.listed.residency
+			.incarnation;
+		if (failure.kind === 'lost' && incarnation !== undefined) {
+			crashes.noteLoss(
+				attempt.target,
+				incarnation,
+				request.options.fingerprint,
+			);
+		}
+
 		if (failure.kind === 'unreached') {
-			this.options.registry.noteUnreachable(attempt.target);
+			registry.noteUnreachable(attempt.target);
+			crashes.noteDeath(attempt.target);
 		} else if (failure.kind === 'refused' && failure.answer.isMisdirected) {
-			this.options.registry.noteMissing(
+			registry.noteMissing(
 				attempt.target,
 				request.facts.model,
 				request.facts.adapter,
@@ -329,6 +343,7 @@
 			request.isOver ||
 			!request.isRepeatable ||
 			request.runs >= request.route.maximumRuns ||
+			this.options.crashes.isQuarantined(request.options.fingerprint) ||
 			request.remaining() < leastContinuationMilliseconds
 		) {
 			request.fail('the stream broke');
--- a/src/services/forwarding/forwarding-service.ts
+++ b/src/services/forwarding/forwarding-service.ts
@@ -20,6 +20,7 @@
 	type RequestCodec,
 	type RequestFacts,
 } from '../../contracts/request-codec.js';
+import {type CrashCorrelation} from '../../core/crash-correlation.js';
 import {drawPool, RouteTable} from '../../core/route-table.js';
 import {CallerAnswer} from './caller-answer.js';
 import {ForwardDispatch, type RetryBounds} from './forward-dispatch.js';
@@ -41,6 +42,7 @@
 	readonly codec: RequestCodec;
 	readonly registry: TargetRegistry;
 	readonly retries: RetryBounds;
+	readonly crashes: CrashCorrelation;
 	/** Called when a request waits for an adapter that no target holds. */
 	readonly onAdapterWanted: () => void;
 };
@@ -178,6 +180,7 @@
 			isLeaving: this.isStopping,
 			models: [...models].map(([model, requests]) => ({model, requests})),
 			adapters: [...adapters.values()],
+			deaths: this.options.crashes.takeUnreported(),
 		};
 	}
 
@@ -279,6 +282,11 @@
 			return;
 		}
 
+		if (this.options.crashes.isQuarantined(request.options.fingerprint)) {
+			request.refuse('the request crashes targets', 0);
+			return;
+		}
+
 		response.once('close', () => {
 			if (!request.isOver) {
 				pool.dispatch.abandon(request);
@@ -332,7 +340,7 @@
 	}
 
 	private makeDispatch(pool: PoolName): ForwardDispatch {
-		const {host, clock, random, events, codec, registry, retries} =
+		const {host, clock, random, events, codec, registry, retries, crashes} =
 			this.options;
 		return new ForwardDispatch({
 			pool,
@@ -343,6 +351,7 @@
 			codec,
 			registry,
 			retries,
+			crashes,
 			maximumBodyBytes: 4_194_304,
 		});
 	}
--- a/src/services/forwarding/host-demand.ts
+++ b/src/services/forwarding/host-demand.ts
@@ -3,6 +3,7 @@
 	type HostId,
 	type ModelId,
 } from '../../contracts/ids.js';
+import {type TargetDeath} from '../../core/quarantine-policy.js';
 
 /** Requests for a model that run or wait on one host. */
 export type ModelDemand = {
@@ -23,4 +24,6 @@
 	readonly isLeaving: boolean;
 	readonly models: readonly ModelDemand[];
 	readonly adapters: readonly AdapterDemand[];
+	/** Deaths of targets that the owner has not been told of, with the requests in flight. */
+	readonly deaths: readonly TargetDeath[];
 };
--- a/src/services/forwarding/owner-client.ts
+++ b/src/services/forwarding/owner-client.ts
@@ -8,7 +8,7 @@
 import {TypedEvent} from '../../base/common/typed-event.js';
 import {wait} from '../../base/node/wait.js';
 import {forwardingEvents} from '../../contracts/events/forwarding-events.js';
-import {type HostId} from '../../contracts/ids.js';
+import {type Fingerprint, type HostId} from '../../contracts/ids.js';
 import {type HeardLease, type LeaseHolder} from '../../core/owner-lease.js';
 import {
 	OwnerService,
@@ -42,6 +42,8 @@
 export type OwnerNews = {
 	readonly contents: readonly OwnedContent[];
 	readonly hosts: readonly HostId[];
+	/** Requests that no target may run. */
+	readonly quarantined: readonly Fingerprint[];
 };
 
 /** The call to the owner failed. */
@@ -134,6 +136,7 @@
 			this.newsReceived.publish({
 				contents: local.contents(),
 				hosts: local.hosts(),
+				quarantined: local.quarantined(),
 			});
 		}
 	}
@@ -188,6 +191,7 @@
 		this.newsReceived.publish({
 			contents: isNew ? response.targets.map(fromTargetContent) : [],
 			hosts: response.hosts as HostId[],
+			quarantined: response.quarantined as Fingerprint[],
 		});
 	}
 
--- a/src/services/forwarding/owner-messages.ts
+++ b/src/services/forwarding/owner-messages.ts
@@ -1,6 +1,7 @@
 import {type MessageInitShape} from '@bufbuild/protobuf';
 import {
 	type AdapterId,
+	type Fingerprint,
 	type HostId,
 	type ModelId,
 	type TargetId,
@@ -33,6 +34,11 @@
 			requests,
 			waiting,
 		})),
+		deaths: demand.deaths.map(({target, targetIncarnation, fingerprints}) => ({
+			target,
+			incarnation: targetIncarnation,
+			fingerprints: [...fingerprints],
+		})),
 		knownVersion: BigInt(known.version),
 		knownOwner: known.owner,
 	};
@@ -53,6 +59,11 @@
 			requests,
 			waiting,
 		})),
+		deaths: message.deaths.map(({target, incarnation, fingerprints}) => ({
+			target: target as TargetId,
+			targetIncarnation: incarnation as TargetIncarnation,
+			fingerprints: fingerprints as Fingerprint[],
+		})),
 	};
 }
 
--- a/src/services/forwarding/owner-server.ts
+++ b/src/services/forwarding/owner-server.ts
@@ -93,6 +93,7 @@
 			owner: name,
 			version: BigInt(owner.version),
 			hosts: owner.hosts(),
+			quarantined: [...owner.quarantined()],
 			targets: isKnown() ? [] : owner.contents().map(toTargetContent),
 			...leaseMessage(lease()),
 		};
--- a/src/services/forwarding/placement-owner.ts
+++ b/src/services/forwarding/placement-owner.ts
@@ -5,6 +5,7 @@
 import {type ForwardingDocument} from '../../contracts/forwarding-document.js';
 import {
 	type FencingToken,
+	type Fingerprint,
 	type HostId,
 	type ModelId,
 	type PoolName,
@@ -12,6 +13,7 @@
 } from '../../contracts/ids.js';
 import {type TargetOrderPort} from '../../contracts/target-orders.js';
 import {adapterKey, type AdapterName} from '../../core/adapter-places.js';
+import {CrashCorrelation} from '../../core/crash-correlation.js';
 import {type HostDemand} from './host-demand.js';
 import {PoolPlacement, type PoolDemand} from './pool-placement.js';
 import {TargetOrderTask} from './target-order-task.js';
@@ -41,6 +43,8 @@
 	private readonly demands = new Map<HostId, TimedDemand>();
 	private readonly pools = new Map<PoolName, PoolPlacement>();
 	private readonly tasks = new Map<TargetId, TargetOrderTask>();
+	private readonly crashes: CrashCorrelation;
+	private readonly suspects = new Set<Fingerprint>();
 	private currentVersion = 0;
 	private lastOrderAt: number | undefined;
 	private timer: NodeJS.Timeout | undefined;
@@ -49,6 +53,7 @@
 
 	constructor(private readonly options: PlacementOwnerOptions) {
 		super();
+		this.crashes = new CrashCorrelation({clock: options.clock});
 	}
 
 	/** Grows with each change of the contents. */
@@ -114,8 +119,20 @@
 		}
 	}
 
+	/** Requests that crash targets, by the deaths that all hosts reported. */
+	quarantined(): readonly Fingerprint[] {
+		return this.crashes.quarantined(this.suspects);
+	}
+
 	/** Takes in what a host reports. Waiting requests are looked at within milliseconds. */
 	takeDemand(demand: HostDemand): void {
+		for (const death of demand.deaths) {
+			this.crashes.observe(death);
+			for (const fingerprint of death.fingerprints) {
+				this.suspects.add(fingerprint);
+			}
+		}
+
 		this.demands.set(demand.host, {
 			demand,
 			receivedAt: this.options.clock.monotonic(),
--- a/src/services/forwarding/target-registry.ts
+++ b/src/services/forwarding/target-registry.ts
@@ -60,6 +60,8 @@
 	/** A target came, went or holds other models, so waiting work may have another choice. */
 	readonly changed = new TypedEvent<RegisteredTarget>();
 	readonly removed = new TypedEvent<RegisteredTarget>();
+	/** A target was listed as another incarnation. */
+	readonly restarted = new TypedEvent<RegisteredTarget>();
 	private readonly targets = new Map<TargetId, RegisteredTarget>();
 	private maximumConnections = new Map<PoolName, number>();
 	private hostCount = 8;
@@ -237,6 +239,10 @@
 		const before = known.listed;
 		const isRestarted =
 			before.residency.incarnation !== listed.residency.incarnation;
+		if (isRestarted) {
+			this.restarted.publish(known);
+		}
+
 		known.listed = listed;
 		known.listedAt = now;
 		if (isRestarted || before.address !== listed.address) {
--- a/test/forwarding/forwarding-harness.ts
+++ b/test/forwarding/forwarding-harness.ts
@@ -17,6 +17,7 @@
 	type TargetIncarnation,
 } from '../../src/contracts/ids.js';
 import {type ListedTarget} from '../../src/contracts/listed-target.js';
+import {CrashCorrelation} from '../../src/core/crash-correlation.js';
 import {PlatformRequestCodec} from '../../src/platform/request-codec.js';
 import {ForwardingServer} from '../../src/services/forwarding/forwarding-server.js';
 import {ForwardingService} from '../../src/services/forwarding/forwarding-service.js';
@@ -100,6 +101,7 @@
 			metrics: new NullMetricRegistry(),
 			codec: new PlatformRequestCodec(),
 			registry: this.registry,
+			crashes: new CrashCorrelation({clock: this.clock}),
 			retries: {ratio: 0.2, slack: 56, windowMilliseconds: 10_000, hosts: 8},
 			onAdapterWanted: () => {
 				this.wanted++;
