Refuse at once what would wait longer than its caller, and build the binary with a code cache

A request whose estimated wait is above the time that its caller waits for a start is refused on arrival.

--- a/scripts/build-binary.sh
+++ b/scripts/build-binary.sh
@@ -1,19 +1,24 @@
 #!/usr/bin/env bash
-# Bundles the program and injects it into a copy of the Node.js executable as build/daisylever.
+# Bundles the program and injects it, with its compiled code, into a copy of the Node.js executable.
+# The executable is build/daisylever, or the path given.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-mkdir -p build
+output=${1:-build/daisylever}
+directory=$(dirname "$output")
+mkdir -p "$directory"
 npx esbuild src/program/main.ts --bundle --platform=node --target=node20 --format=cjs \
-	--outfile=build/daisylever.cjs --log-level=warning
-cat > build/single-executable.json <<'JSON'
+	--minify-whitespace --minify-syntax --outfile="$output.cjs" --log-level=warning
+# Compiling the bundle takes most of the time from start to ready; the code cache saves it.
+cat > "$output.json" <<JSON
 {
-	"main": "build/daisylever.cjs",
-	"output": "build/daisylever.blob",
-	"disableExperimentalSEAWarning": true
+	"main": "$output.cjs",
+	"output": "$output.blob",
+	"disableExperimentalSEAWarning": true,
+	"useCodeCache": true
 }
 JSON
-node --experimental-sea-config build/single-executable.json
-rm -f build/daisylever
-cp "$(node --print process.execPath)" build/daisylever
-npx postject build/daisylever NODE_SEA_BLOB build/daisylever.blob \
+node --experimental-sea-config "$output.json"
+rm -f "$output"
+cp "$(node --print process.execPath)" "$output"
+npx postject "$output" NODE_SEA_BLOB "$output.blob" \
 	--sentinel-fuse NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2
--- a/src/platform/store-client.ts
+++ b/src/platform/store-client.ts
@@ -51,7 +51,8 @@
 
 /** Two long polls, the periodic read, and a write or a read beside them. */
 const connectionCount = 4;
-const defaultTimeoutMilliseconds = 1500;
+/** The store answers within milliseconds, and within 300 when it is slow. */
+const defaultTimeoutMilliseconds = 800;
 const lengthBytes = 4;
 const positionBytes = 8;
 
--- a/src/program/forwarding-root.ts
+++ b/src/program/forwarding-root.ts
@@ -49,7 +49,7 @@
 /** Wait of a read of the document. Short, because a connection that went silent shows only by a missing answer. */
 const documentPollMilliseconds = 2000;
 /** Pause between reads of the list of targets. With a repeated read it stays below the two seconds in which a leaving target must get no new work. */
-const targetPauseMilliseconds = 700;
+const targetPauseMilliseconds = 950;
 /** Times of the owner lease besides the handover. The silence is above the validity, so that two holders never overlap. */
 const leaseTimes = {
 	renewalMilliseconds: 800,
--- a/src/services/dispatch/dispatcher.ts
+++ b/src/services/dispatch/dispatcher.ts
@@ -497,7 +497,11 @@
 		};
 		const admission = this.admission.admit({
 			caller: item.caller,
-			remainingMilliseconds: item.remainingMilliseconds,
+			// Work that would wait longer than its caller is refused at once, so that the caller can come back in time.
+			remainingMilliseconds: Math.min(
+				item.remainingMilliseconds,
+				(item.patienceMilliseconds ?? Infinity) + work.expectedMilliseconds,
+			),
 			expectedMilliseconds: work.expectedMilliseconds,
 			workAheadMilliseconds: this.queue.workAhead(work),
 			runningRequests: this.runningCount,
