--- a/src/program/command-failure.ts
+++ b/src/program/command-failure.ts
@@ -1,4 +1,4 @@
-/** Exit codes of the program, with the text for the help and docs/operations.md. */
+/** Exit codes of the program, with the text for the help and docs/OPERATIONS.md. */
 export const exitCodes = {
 	success: {code: 0, meaning: 'success'},
 	failure: {code: 1, meaning: 'a failure that is not foreseen'},
--- a/src/services/forwarding/forwarded-request.ts
+++ b/src/services/forwarding/forwarded-request.ts
@@ -279,6 +279,8 @@
 		events.record(forwardingEvents.requestAnswered, {
 			request: facts.id,
 			route: route.name,
+			model: facts.model,
+			adapter: facts.adapter,
 			outcome,
 			milliseconds: Math.round(clock.monotonic() - arrivedAt),
 			waitedMilliseconds:
--- a/src/services/operator-server.ts
+++ b/src/services/operator-server.ts
@@ -152,7 +152,7 @@
 				new OperatorProblem(
 					404,
 					'unknown-path',
-					`there is no ${context.req.method} ${context.req.path}; see docs/operations.md`,
+					`there is no ${context.req.method} ${context.req.path}; see docs/OPERATIONS.md`,
 				),
 			),
 		);
--- /dev/null
+++ b/test/process/forwarding.test.ts
@@ -0,0 +1,200 @@
+import assert from 'node:assert/strict';
+import {spawn} from 'node:child_process';
+import {mkdtemp, writeFile} from 'node:fs/promises';
+import {createServer, type AddressInfo} from 'node:net';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import process from 'node:process';
+import {after, before, test} from 'node:test';
+import {request} from 'undici';
+import {stringify} from 'yaml';
+import {StandInStore} from '../platform/stand-in-store.js';
+import {answerWhole, StandInWorker} from '../platform/stand-in-worker.js';
+import {TestProcess, until} from './processes.js';
+
+const store = new StandInStore();
+const worker = new StandInWorker('i-1');
+const hosts: Array<{process: TestProcess; ports: Record<string, number>}> = [];
+let storeAddress = '';
+
+async function freePort(): Promise<number> {
+	const server = createServer();
+	await new Promise<void>((resolve) => {
+		server.listen(0, '127.0.0.1', resolve);
+	});
+	const {port} = server.address() as AddressInfo;
+	await new Promise((resolve) => {
+		server.close(resolve);
+	});
+	return port;
+}
+
+async function startHost(name: string): Promise<(typeof hosts)[number]> {
+	const directory = await mkdtemp(path.join(tmpdir(), 'forwarding-'));
+	const file = path.join(directory, 'settings.yaml');
+	const ports: Record<string, number> = {};
+	const listen: Record<string, string> = {};
+	for (const kind of ['callers', 'readiness', 'peers', 'metrics']) {
+		ports[kind] = await freePort();
+		listen[kind] = `127.0.0.1:${ports[kind]}`;
+	}
+
+	await writeFile(
+		file,
+		stringify({
+			host: name,
+			failureDomain: 'z',
+			listen,
+			store: storeAddress,
+			retries: {ratio: 0.2, slack: 56, windowSeconds: 10},
+			lease: {handoverMilliseconds: 3000},
+			stopSeconds: 8,
+		}),
+	);
+	const child = spawn(
+		process.execPath,
+		['build/src/program/main.js', 'forward', '--settings', file],
+		{stdio: ['ignore', 'pipe', 'pipe']},
+	);
+	const host = {process: new TestProcess(child), ports};
+	hosts.push(host);
+	return host;
+}
+
+async function get(
+	port: number,
+	target: string,
+	headers: Record<string, string> = {},
+): Promise<{status: number; text: string}> {
+	const response = await request(`http://127.0.0.1:${port}${target}`, {
+		headers,
+	});
+	return {status: response.statusCode, text: await response.body.text()};
+}
+
+function putConfiguration(version: number, timeLimit: number): void {
+	store.put('keyed.op', 'config', {
+		version,
+		routes: [
+			{
+				name: 'r',
+				host: 'a.example',
+				prefix: '/x/',
+				kind: 'idempotent',
+				timeout_ms: timeLimit,
+				goal_ms: 300,
+				service: 's',
+				attempts: 2,
+			},
+		],
+		services: [{name: 's', max_conns: 100}],
+		limits: {
+			header_bytes: 16_384,
+			max_body_bytes: 1000,
+			header_ms: 3000,
+			idle_ms: 15_000,
+		},
+	});
+}
+
+before(async () => {
+	storeAddress = await store.start();
+	const address = await worker.start();
+	worker.behaviour = answerWhole('served');
+	store.put('keyed.servers', 'i-1', {
+		service: 's',
+		addr: address,
+		zone: 'z',
+		slots: 4,
+		state: 'ready',
+		born: 1,
+	});
+});
+
+after(() => {
+	for (const {process: host} of hosts) {
+		host.child.kill('SIGKILL');
+	}
+
+	store.stop();
+	worker.stop();
+});
+
+// Guards against a host that takes requests before it knows the document, one that never gets ready, one that misses a newer version, and a stop that cuts a request.
+test('a forwarding host starts, serves, follows its document and stops', async () => {
+	const {process: host, ports} = await startHost('h1');
+	await host.json('start', ({message}) => message === 'forwarding-started');
+	assert.equal((await get(ports.readiness!, '/ready')).status, 503);
+	putConfiguration(3, 2000);
+	await until('readiness', async () =>
+		(await get(ports.readiness!, '/ready')).status === 200 ? true : undefined,
+	);
+	const call = async () =>
+		get(ports.callers!, '/x/y', {host: 'a.example', 'request-id': 'r1'});
+	assert.deepEqual(await call(), {status: 200, text: 'served'});
+	await host.json(
+		'the decision in the log',
+		({message, fields}) =>
+			message === 'attempt-sent' &&
+			fields.request === 'r1' &&
+			fields.target === 'i-1',
+	);
+	await host.json(
+		'the answer in the log',
+		({message, fields}) =>
+			message === 'request-answered' && fields.outcome === 'status 200',
+	);
+	assert.match(
+		(await get(ports.metrics!, '/metrics')).text,
+		/daisylever_answers_total/,
+	);
+	putConfiguration(9, 200);
+	await host.json(
+		'the newer document',
+		({message, fields}) =>
+			message === 'document-applied' && fields.version === 9,
+	);
+
+	let answer = () => undefined as void;
+	worker.behaviour = (received) => {
+		answer = () => {
+			answerWhole('late but whole')(received);
+		};
+	};
+
+	putConfiguration(11, 20_000);
+	await host.json(
+		'the last document',
+		({message, fields}) =>
+			message === 'document-applied' && fields.version === 11,
+	);
+	const open = call();
+	await until('the request at the target', () =>
+		worker.requests.length === 2 ? true : undefined,
+	);
+	host.child.kill('SIGTERM');
+	await host.json('stop', ({message}) => message === 'forwarding-stopping');
+	assert.equal((await get(ports.readiness!, '/ready')).status, 503);
+	answer();
+	assert.deepEqual(await open, {status: 200, text: 'late but whole'});
+	await until('the end of the process', () => host.exitCode);
+	assert.equal(host.exitCode, 0);
+});
+
+// Guards against two owners, and against a fleet without one after a kill.
+test('one host owns placement, and another one follows when it is killed', async () => {
+	const names = ['h2', 'h3'];
+	const started = await Promise.all(names.map(async (name) => startHost(name)));
+	const owners = () =>
+		started.filter(({process: host}) =>
+			host.lines.some((line) => line.includes('"ownership-gained"')),
+		);
+	const [first] = await until('an owner', () =>
+		owners().length > 0 ? owners() : undefined,
+	);
+	assert.equal(owners().length, 1);
+	first!.process.child.kill('SIGKILL');
+	await until('another owner', () =>
+		owners().length === 2 ? true : undefined,
+	);
+});
--- a/test/product/operations-page.test.ts
+++ b/test/product/operations-page.test.ts
@@ -6,9 +6,10 @@
 import {type z} from 'zod';
 import {exitCodes} from '../../src/program/command-failure.js';
 import {makeCommandLine} from '../../src/program/command-line.js';
+import {forwardingSettingsSchema} from '../../src/program/forwarding-settings.js';
 import {settingsSchema} from '../../src/program/settings.js';
 
-const page = readFileSync('docs/operations.md', 'utf8');
+const page = readFileSync('docs/OPERATIONS.md', 'utf8');
 
 function settingNames(schema: z.core.$ZodType, prefix: string): string[] {
 	const definition = schema._zod.def as {
@@ -41,9 +42,11 @@
 }
 
 // Guards against settings, commands and exit codes that the page does not mention.
-test('docs/operations.md lists every setting, command and exit code', () => {
-	for (const setting of settingNames(settingsSchema, '')) {
-		assert.ok(page.includes(`| \`${setting}\``), setting);
+test('docs/OPERATIONS.md lists every setting, command and exit code', () => {
+	for (const schema of [settingsSchema, forwardingSettingsSchema]) {
+		for (const setting of settingNames(schema, '')) {
+			assert.ok(page.includes(`| \`${setting}\``), setting);
+		}
 	}
 
 	const program = makeCommandLine(
