Pass on an answer without a frame without one, and prefer near targets

Ruled out: a reset (the socket ended without an error). Targets in other failure domains count as a fifth slower.

--- a/src/contracts/request-codec.ts
+++ b/src/contracts/request-codec.ts
@@ -55,6 +55,8 @@
 	readonly request: RequestId | undefined;
 	/** True when the target signed its answer. */
 	readonly isSigned: boolean;
+	/** False when nothing but the end of the connection ends the answer, so that a short one cannot be told from a whole one. */
+	readonly isFramed: boolean;
 	/** True when the target states that it did not run the request and never will. */
 	readonly isNotRun: boolean;
 	/** True when the target is not the one named, or does not hold the model or adapter. */
--- a/src/platform/request-codec.ts
+++ b/src/platform/request-codec.ts
@@ -142,6 +142,9 @@
 			request: valueOf(headerNames.requestId) as RequestId | undefined,
 			isSigned,
 			isNotRun: isMisdirected || valueOf(headerNames.notRun) !== undefined,
+			isFramed:
+				valueOf('Content-Length') !== undefined ||
+				valueOf('Transfer-Encoding') !== undefined,
 			isMisdirected,
 			answeredBy: valueOf(headerNames.instance) as TargetId | undefined,
 			load: readLoad(valueOf(headerNames.load)),
--- a/src/program/forwarding-root.ts
+++ b/src/program/forwarding-root.ts
@@ -147,6 +147,7 @@
 		});
 		this.service = new ForwardingService({
 			host,
+			failureDomain: settings.failureDomain,
 			clock,
 			random,
 			events,
--- a/src/services/dispatch/dispatcher.ts
+++ b/src/services/dispatch/dispatcher.ts
@@ -194,6 +194,8 @@
 	readonly hedging?: boolean;
 	/** Attempts of a request, hedges included. */
 	readonly maximumAttempts?: number;
+	/** Share of its speed that a target counts with, in (0, 1], because reaching it costs more. 1 by default. */
+	readonly preference?: (target: TargetId) => number;
 	/** True where each request that a target refuses counts as an arrival there, whatever the reason. */
 	readonly countsEachRefusal?: boolean;
 	/** Time that a lost attempt counts as in the comparison of targets, so that targets that fail are ejected like slow ones. */
@@ -768,7 +770,9 @@
 			candidates.push({
 				...load,
 				...health,
-				speed: health.speed / this.pace.slowness(load.target),
+				speed:
+					(health.speed * (this.options.preference?.(load.target) ?? 1)) /
+					this.pace.slowness(load.target),
 				affinity: this.affinity.affinity(
 					load.target,
 					work.item.prefixes,
--- a/src/services/forwarding/caller-answer.ts
+++ b/src/services/forwarding/caller-answer.ts
@@ -40,14 +40,38 @@
 		this.response.end(body);
 	}
 
+	/** Sends an answer that only the end of the connection ends. It must not look more complete to the caller than to this host. */
+	sendUnframed(
+		status: number,
+		headers: readonly string[],
+		body: Uint8Array,
+	): void {
+		if (this.hasStarted) {
+			return;
+		}
+
+		this.isFinished = true;
+		this.writeUnframedHead(status, headers);
+		this.response.end(body);
+	}
+
 	/** Sends the head of a stream. */
-	startStream(status: number, headers: readonly string[]): void {
+	startStream(
+		status: number,
+		headers: readonly string[],
+		isFramed: boolean,
+	): void {
 		if (this.hasStarted) {
 			return;
 		}
 
 		this.isStreaming = true;
-		this.response.writeHead(status, [...headers, ...this.closing()]);
+		if (isFramed) {
+			this.response.writeHead(status, [...headers, ...this.closing()]);
+		} else {
+			this.writeUnframedHead(status, headers);
+		}
+
 		this.response.flushHeaders();
 	}
 
@@ -74,6 +98,11 @@
 		}
 	}
 
+	private writeUnframedHead(status: number, headers: readonly string[]): void {
+		this.response.useChunkedEncodingByDefault = false;
+		this.response.writeHead(status, [...headers, 'Connection', 'close']);
+	}
+
 	private closing(): string[] {
 		return this.mustClose() ? ['Connection', 'close'] : [];
 	}
--- a/src/services/forwarding/forward-dispatch.ts
+++ b/src/services/forwarding/forward-dispatch.ts
@@ -6,6 +6,7 @@
 import {type Execution} from '../../contracts/execution.js';
 import {
 	type CallerId,
+	type FailureDomain,
 	type Fingerprint,
 	type HostId,
 	type OfferingName,
@@ -60,6 +61,7 @@
 export type ForwardDispatchOptions = {
 	readonly pool: PoolName;
 	readonly host: HostId;
+	readonly failureDomain: FailureDomain;
 	readonly clock: Clock;
 	readonly random: RandomSource;
 	readonly events: EventLogger;
@@ -76,6 +78,8 @@
 const maximumSends = 5;
 /** Part of the ratio that is used, so that a window that cuts a burst in two stays below the bound. */
 const usedRatioShare = 0.7;
+/** Targets in other failure domains count as this much slower, since bytes between domains are paid for. */
+const remotePreference = 0.8;
 /** A lost attempt counts as slow as this in the comparison of targets. */
 const lossMilliseconds = 3000;
 /** Models differ threefold in pace, so that a target is slow only beyond that. */
@@ -122,6 +126,10 @@
 				capacity: Math.max(2, Math.floor(retries.slack / retries.hosts)),
 			}),
 			hedging: false,
+			preference: (target) =>
+				registry.get(target)?.listed.failureDomain === options.failureDomain
+					? 1
+					: remotePreference,
 			maximumAttempts: maximumSends,
 			countsEachRefusal: true,
 			lossMilliseconds,
--- a/src/services/forwarding/forwarded-request.ts
+++ b/src/services/forwarding/forwarded-request.ts
@@ -146,7 +146,11 @@
 	streamStarted(answer: AnswerFacts): void {
 		this.splitter = new EventStreamSplitter();
 		if (!this.options.answer.hasStarted) {
-			this.options.answer.startStream(answer.status, answer.passedHeaders);
+			this.options.answer.startStream(
+				answer.status,
+				answer.passedHeaders,
+				answer.isFramed,
+			);
 		}
 	}
 
@@ -192,7 +196,12 @@
 			return;
 		}
 
-		this.options.answer.send(facts.status, facts.passedHeaders, body);
+		if (facts.isFramed) {
+			this.options.answer.send(facts.status, facts.passedHeaders, body);
+		} else {
+			this.options.answer.sendUnframed(facts.status, facts.passedHeaders, body);
+		}
+
 		this.finish(`status ${facts.status}`);
 	}
 
--- a/src/services/forwarding/forwarding-service.ts
+++ b/src/services/forwarding/forwarding-service.ts
@@ -10,6 +10,7 @@
 	type RouteRule,
 } from '../../contracts/forwarding-document.js';
 import {
+	type FailureDomain,
 	type Fingerprint,
 	type HostId,
 	type ModelId,
@@ -35,6 +36,7 @@
 /** Options of the service. */
 export type ForwardingServiceOptions = {
 	readonly host: HostId;
+	readonly failureDomain: FailureDomain;
 	readonly clock: Clock;
 	readonly random: RandomSource;
 	readonly events: EventLogger;
@@ -345,6 +347,7 @@
 		return new ForwardDispatch({
 			pool,
 			host,
+			failureDomain: this.options.failureDomain,
 			clock,
 			random,
 			events,
--- a/test/forwarding/early-refusal.test.ts
+++ b/test/forwarding/early-refusal.test.ts
@@ -103,3 +103,48 @@
 	dispatcher.handle({kind: 'ticked'});
 	assert.equal(dispatcher.queueLength, 0);
 });
+
+// Guards against bytes between failure domains that no load asks for.
+test('a near target is preferred until it is busier', () => {
+	const near = 'near' as TargetId;
+	const far = 'far' as TargetId;
+	const sent: TargetId[] = [];
+	class Recorder extends Port {
+		override dispatch(binding: {
+			readonly request: RequestId;
+			readonly target: TargetId;
+		}): void {
+			sent.push(binding.target);
+		}
+	}
+
+	class Both extends TargetDirectory {
+		targetsFor(): readonly TargetId[] {
+			return [far, near];
+		}
+	}
+
+	const dispatcher = new Dispatcher({
+		clock: new ManualClock(),
+		random: new SeededRandomSource(1),
+		host: 'h' as HostId,
+		port: new Recorder(),
+		directory: new Both(),
+		logger: new SilentEventLogger(),
+		hedging: false,
+		preference: (each) => (each === near ? 1 : 0.5),
+	});
+	for (const each of [near, far]) {
+		dispatcher.handle({kind: 'target-set', target: each, slots: 20});
+	}
+
+	for (let id = 0; id < 12; id++) {
+		dispatcher.handle({kind: 'submitted', item: item(id)});
+	}
+
+	const count = (target: TargetId) =>
+		sent.filter((each) => each === target).length;
+	assert.equal(sent[0], near);
+	assert.equal(count(near), 8);
+	assert.equal(count(far), 4);
+});
--- a/test/forwarding/forwarding-harness.ts
+++ b/test/forwarding/forwarding-harness.ts
@@ -95,6 +95,7 @@
 		this.registry = new TargetRegistry({clock: this.clock, events});
 		this.service = new ForwardingService({
 			host: 'h1' as HostId,
+			failureDomain: 'z' as FailureDomain,
 			clock: this.clock,
 			random: new SeededRandomSource(5),
 			events,
--- a/test/forwarding/forwarding.test.ts
+++ b/test/forwarding/forwarding.test.ts
@@ -214,6 +214,39 @@
 	}
 });
 
+// Guards against an answer that may be cut short and that gets a frame that says it is whole.
+test('an answer without a frame is passed on without one', async () => {
+	const worker = await listWorker(0, ({headers, socket}) => {
+		socket.end(
+			answerHead('200 OK', {
+				'Request-Id': headers.get('request-id')!,
+				'Response-Sig': 'signed',
+				Connection: 'close',
+			}) + 'may be short',
+		);
+	});
+	const result = await harness.call('/once/x', {body: 'b'});
+	assert.equal(result.body, 'may be short');
+	worker.behaviour = ({headers, socket}) => {
+		socket.end(
+			answerHead('200 OK', {
+				'Request-Id': headers.get('request-id')!,
+				'Response-Sig': 'signed',
+				'Content-Type': 'text/event-stream',
+				Connection: 'close',
+			}) + eventText(1),
+		);
+	};
+
+	const stream = await harness.call('/fixed/x', {body: 'b'});
+	assert.equal(stream.body, eventText(1));
+	for (const {headers} of [result, stream]) {
+		assert.equal(headers['content-length'], undefined);
+		assert.equal(headers['transfer-encoding'], undefined);
+		assert.equal(headers.connection, 'close');
+	}
+});
+
 // Guards against a late second answer on a kept connection that the next request gets.
 test('a doubled answer belongs to no later request', async () => {
 	await listWorker(0, ({headers, socket}) => {
