Share the stop signals and the repeat of unrun work; spread the retry slack over its window

Reading the change as a newcomer: two copies of the signal handling and of the branch that queues unrun work again, a setting that nothing used, a long method. The slack of a host is a burst of 70% and a refill of the rest in its window, which together stay at its share.

--- a/src/contracts/forwarding-document.ts
+++ b/src/contracts/forwarding-document.ts
@@ -1,9 +1,4 @@
-import {
-	type FailureDomain,
-	type ModelId,
-	type PoolName,
-	type RouteName,
-} from './ids.js';
+import {type ModelId, type PoolName, type RouteName} from './ids.js';
 
 /** What may be repeated on a route. A stream may be repeated only where the route lets it resume. */
 export type RouteKind = 'idempotent' | 'non-idempotent' | 'stream';
@@ -73,6 +68,3 @@
 	readonly pools: readonly ForwardingPool[];
 	readonly limits: EntryLimits;
 };
-
-/** Where a host runs. */
-export type HostPlace = {readonly failureDomain: FailureDomain};
--- a/src/core/placement-planner.ts
+++ b/src/core/placement-planner.ts
@@ -64,6 +64,11 @@
 
 /** The steps that all policies share: versions, reachability, minimum replicas and failure domains. */
 abstract class StagedPlacementPolicy extends PlacementPolicy {
+	/** @param isDemandFirst True when demand comes before copies in a second failure domain. */
+	constructor(private readonly isDemandFirst = false) {
+		super();
+	}
+
 	plan(input: PlacementInput): Placement {
 		const workspace = new PlacementWorkspace(input);
 		workspace.removeObsolete(false);
@@ -108,11 +113,6 @@
 		return true;
 	}
 
-	/** True when demand comes before copies in a second failure domain. */
-	protected get isDemandFirst(): boolean {
-		return false;
-	}
-
 	/** Gives spare memory to demand. */
 	protected abstract serveDemand(workspace: PlacementWorkspace): void;
 
@@ -251,11 +251,7 @@
 	constructor(
 		private readonly options: PlannerOptions = defaultPlannerOptions,
 	) {
-		super();
-	}
-
-	protected override get isDemandFirst(): boolean {
-		return this.options.isDemandFirst;
+		super(options.isDemandFirst);
 	}
 
 	protected serveDemand(workspace: PlacementWorkspace): void {
--- a/src/program/run-forwarding-host.ts
+++ b/src/program/run-forwarding-host.ts
@@ -7,6 +7,7 @@
 	loadForwardingSettings,
 	type ForwardingSettings,
 } from './forwarding-settings.js';
+import {stopOnSignals} from './stop-signals.js';
 
 /** Runs a forwarding host until it is told to stop. The first SIGTERM stops it gracefully, the second one at once. */
 export async function runForwardingHost(
@@ -14,20 +15,7 @@
 	file: string,
 ): Promise<CommandResult> {
 	const host = new ForwardingHost(settings);
-	let isStopping = false;
-	const stop = () => {
-		if (isStopping) {
-			process.exit(1);
-		}
-
-		isStopping = true;
-		void host.stop().then(() => {
-			process.exit(0);
-		});
-	};
-
-	process.on('SIGTERM', stop);
-	process.on('SIGINT', stop);
+	stopOnSignals(async () => host.stop());
 	process.on('SIGHUP', () => {
 		host.reload(loadForwardingSettings(file));
 	});
--- a/src/program/run-host.ts
+++ b/src/program/run-host.ts
@@ -1,8 +1,8 @@
-import process from 'node:process';
 import {err, ok, type Result} from 'neverthrow';
 import {startHost} from './composition-root.js';
 import {type HostPorts, type StartError} from './running-host.js';
 import {type Settings} from './settings.js';
+import {stopOnSignals} from './stop-signals.js';
 
 /** Runs a host until it is told to stop, and returns its ports once it listens. The first signal stops it gracefully, the second one at once. */
 export async function runHost(
@@ -14,19 +14,6 @@
 	}
 
 	const host = started.value;
-	let isStopping = false;
-	const stop = () => {
-		if (isStopping) {
-			process.exit(1);
-		}
-
-		isStopping = true;
-		void host.stop().then(() => {
-			process.exit(0);
-		});
-	};
-
-	process.on('SIGTERM', stop);
-	process.on('SIGINT', stop);
+	stopOnSignals(async () => host.stop());
 	return ok(host.ports);
 }
--- a/src/services/dispatch/dispatcher.ts
+++ b/src/services/dispatch/dispatcher.ts
@@ -32,6 +32,7 @@
 import {
 	OutlierDetector,
 	type LatencyKind,
+	type TargetHealth,
 } from '../../core/outlier-detector.js';
 import {PrefixAffinity} from '../../core/prefix-affinity.js';
 import {RetryBudget} from '../../core/retry-budget.js';
@@ -767,18 +768,7 @@
 				continue;
 			}
 
-			candidates.push({
-				...load,
-				...health,
-				speed:
-					(health.speed * (this.options.preference?.(load.target) ?? 1)) /
-					this.pace.slowness(load.target),
-				affinity: this.affinity.affinity(
-					load.target,
-					work.item.prefixes,
-					work.item.adapter,
-				),
-			});
+			candidates.push(this.candidateOf(load, health, work.item));
 		}
 
 		const chosen = this.routing.choose(candidates, work.item);
@@ -791,6 +781,21 @@
 			: chosen?.target;
 	}
 
+	private candidateOf(
+		load: TargetLoad,
+		health: TargetHealth,
+		{prefixes, adapter}: WorkItem,
+	): RoutingCandidate {
+		const {target} = load;
+		const preference = this.options.preference?.(target) ?? 1;
+		return {
+			...load,
+			...health,
+			speed: (health.speed * preference) / this.pace.slowness(target),
+			affinity: this.affinity.affinity(target, prefixes, adapter),
+		};
+	}
+
 	private progress(message: Attempt, tokens: number): void {
 		const tracked = this.tracked.get(message.request);
 		const attempt = tracked?.attempts.get(message.attempt);
@@ -862,24 +867,12 @@
 			...identify(attempt),
 			reason,
 		});
-		this.endAttempt(tracked, attempt);
-		if (tracked.attempts.size > 0) {
-			return;
-		}
-
 		// A target that leaves, or whose model placement took off, refuses a burst at once, and none of it ran; the budget is for work that was executed in vain.
 		const needsBudget =
 			this.options.countsEachRefusal === true ||
 			(reason !== 'leaving' && reason !== 'not-resident');
-		if (this.mayRepeat(tracked, needsBudget)) {
-			this.enqueue(tracked);
-			return;
-		}
-
-		this.giveUp(tracked, {
-			code: 'no-target',
-			countsAsDemand: true,
-			retryAfterMilliseconds: 1000,
+		this.repeatUnrun(tracked, attempt, {
+			needsBudget,
 			message: `the targets refused the request, the last one because of ${reason}`,
 		});
 	}
@@ -930,12 +923,27 @@
 			return;
 		}
 
+		this.repeatUnrun(tracked, attempt, {
+			needsBudget: false,
+			message: 'no target could be reached',
+		});
+	}
+
+	/** Queues a request again whose attempt did not run, or refuses it. */
+	private repeatUnrun(
+		tracked: Tracked,
+		attempt: RunningAttempt,
+		{
+			needsBudget,
+			message,
+		}: {readonly needsBudget: boolean; readonly message: string},
+	): void {
 		this.endAttempt(tracked, attempt);
 		if (tracked.attempts.size > 0) {
 			return;
 		}
 
-		if (this.mayRepeat(tracked, false)) {
+		if (this.mayRepeat(tracked, needsBudget)) {
 			this.enqueue(tracked);
 			return;
 		}
@@ -944,7 +952,7 @@
 			code: 'no-target',
 			countsAsDemand: true,
 			retryAfterMilliseconds: 1000,
-			message: 'no target could be reached',
+			message,
 		});
 	}
 
--- a/src/services/forwarding/forward-attempt.ts
+++ b/src/services/forwarding/forward-attempt.ts
@@ -1,11 +1,11 @@
 import {type Dispatcher} from 'undici';
 import {ExpiryTimer} from '../../base/node/expiry-timer.js';
 import {type RequestId, type TargetId} from '../../contracts/ids.js';
-import {type TargetConnections} from './target-connections.js';
 import {
 	type AnswerFacts,
 	type RequestCodec,
 } from '../../contracts/request-codec.js';
+import {type TargetConnections} from './target-connections.js';
 
 /** How an attempt ended without a usable answer. */
 export type AttemptFailure =
--- a/src/services/forwarding/forward-dispatch.ts
+++ b/src/services/forwarding/forward-dispatch.ts
@@ -72,6 +72,8 @@
 	readonly maximumBodyBytes: number;
 };
 
+/** Part of the slack that may be spent at once, when a target dies with many requests. */
+const burstShare = 0.7;
 /** All consumers come through one balancer, which names none of them. */
 const anyCaller = 'any' as CallerId;
 /** Sends of one request, those included that no target received or ran. */
@@ -119,12 +121,7 @@
 			lengths: new LengthEstimator({longTokens: Number.MAX_SAFE_INTEGER}),
 			slots: new SlotPolicy({host, longShare: 1, extraShare: 0}),
 			outliers: new OutlierDetector({clock, ejectionRatio}),
-			budget: new RetryBudget({
-				clock,
-				ratio: retries.ratio * usedRatioShare,
-				minimumPerSecond: 0,
-				capacity: Math.max(2, Math.floor(retries.slack / retries.hosts)),
-			}),
+			budget: makeBudget(clock, retries),
 			hedging: false,
 			preference: (target) =>
 				registry.get(target)?.listed.failureDomain === options.failureDomain
@@ -602,6 +599,18 @@
 	}
 }
 
+/** A window that meets a full bucket sees its capacity and its refill, which together are this host's share of the slack. */
+function makeBudget(clock: Clock, retries: RetryBounds): RetryBudget {
+	const slack = retries.slack / retries.hosts;
+	return new RetryBudget({
+		clock,
+		ratio: retries.ratio * usedRatioShare,
+		minimumPerSecond:
+			(slack * (1 - burstShare)) / (retries.windowMilliseconds / 1000),
+		capacity: Math.max(2, Math.floor(slack * burstShare)),
+	});
+}
+
 function identify({request, attempt, target}: Attempt): Attempt {
 	return {request, attempt, target};
 }
--- a/src/services/forwarding/owner-server.ts
+++ b/src/services/forwarding/owner-server.ts
@@ -7,12 +7,12 @@
 	OwnerService,
 	type ReportRequest,
 } from '../../generated/daisylever/owner/v1/owner_pb.js';
+import {type HeardLease} from '../../core/owner-lease.js';
 import {
 	fromReportRequest,
 	leaseMessage,
 	toTargetContent,
 } from './owner-messages.js';
-import {type HeardLease} from '../../core/owner-lease.js';
 import {type PlacementOwner} from './placement-owner.js';
 
 /** Options of the server. */
