--- a/src/services/forwarding/pool-placement.ts
+++ b/src/services/forwarding/pool-placement.ts
@@ -76,8 +76,8 @@
 const halfLifeMilliseconds = 3000;
 /** Running requests that a copy of a model with several copies stands for until requests arrive. */
 const expectedRequestsPerCopy = 4;
-/** An adapter that nobody asked for since this long may make room. */
-const adapterIdleMilliseconds = 500;
+/** An adapter without a request for this long may make room. Its next load takes milliseconds, while a longer time leaves adapters of a busy model without a place for as long as the others are asked for now and then. */
+const adapterIdleMilliseconds = 100;
 /** Requests for one adapter from which a second copy is worth a place. */
 const adapterCopyRequests = 12;
 
