Give isolated targets to the suspect that asks, and count only submissions that ran

A suspect that its target refused was queued behind other suspects while it still held the isolated target. The one ahead could not be placed and held up the lane until the deadline, 29 s later. The target is released with the refusal, and a suspect that only waits gives way to the one that asks. 2. A suspect was sent three times within 60 ms to a target that had answered that it lacks the model, since the last report still named it. An answer 'not-resident' now counts until a later report of the target. 3. A submission that found its target dead and did not run counted towards the limit of three. Only those that may have run count. 4. The test killed two engines in an outage of the log although two held the model; without a log nobody may order a load, so no answer was possible. The test now keeps three copies and waits for three before each case. Ruled out: bystanders quarantined by shared deaths (none in the logs), retry budget (not spent). Faults 1 and 2 have tests that fail first; 3 is seen by the process test only.

--- a/src/core/isolation-policy.ts
+++ b/src/core/isolation-policy.ts
@@ -5,6 +5,7 @@
 export class IsolationPolicy {
 	private reserved: TargetId | undefined;
 	private holder: RequestId | undefined;
+	private isRunning = false;
 	private elsewhere: ReadonlySet<TargetId> = new Set();
 
 	/** The target that this host keeps for a suspect, for the heartbeat. */
@@ -27,7 +28,7 @@
 		request: RequestId,
 		loads: readonly TargetLoad[],
 	): TargetId | undefined {
-		if (this.holder !== undefined && this.holder !== request) {
+		if (this.isRunning && this.holder !== request) {
 			return undefined;
 		}
 
@@ -40,11 +41,13 @@
 				(left, right) => occupancy(left) - occupancy(right),
 			)[0];
 			this.reserved = chosen?.target;
-			this.holder = chosen && request;
 		}
 
+		// A suspect that only waits gives way: the one that asks may be ahead of it in the queue and hold it up there.
+		this.holder = chosen && request;
 		// Reports of others are estimates, so less than half a request counts as none.
-		return chosen && occupancy(chosen) < 0.5 ? chosen.target : undefined;
+		this.isRunning = chosen !== undefined && occupancy(chosen) < 0.5;
+		return this.isRunning ? chosen?.target : undefined;
 	}
 
 	/** Opens the target again when its suspect has left it or the queue. */
@@ -52,6 +55,7 @@
 		if (this.holder === request) {
 			this.holder = undefined;
 			this.reserved = undefined;
+			this.isRunning = false;
 		}
 	}
 }
--- a/src/services/dispatch/dispatcher.ts
+++ b/src/services/dispatch/dispatcher.ts
@@ -943,6 +943,8 @@
 			return;
 		}
 
+		// Queued again, it stands behind other suspects, which need the target that it held.
+		this.isolation.release(tracked.work.request);
 		if (this.mayRepeat(tracked, needsBudget)) {
 			this.enqueue(tracked);
 			return;
--- a/src/services/dispatch/generation-run.ts
+++ b/src/services/dispatch/generation-run.ts
@@ -17,7 +17,7 @@
 export class GenerationRun {
 	/** Counts the submissions to the dispatcher. */
 	submission = 0;
-	/** Submissions that ended before an attempt began, to be queued in another way. */
+	/** Submissions that ended before an attempt ran. */
 	diversions = 0;
 	private readonly parts = new Mailbox<Result<AnswerPart, RequestProblem>>();
 	private readonly attempts = new Map<string, AbortController>();
--- a/src/services/dispatch/pool-dispatch.ts
+++ b/src/services/dispatch/pool-dispatch.ts
@@ -208,6 +208,11 @@
 			return;
 		}
 
+		if (execution === 'not-run') {
+			// Only submissions that may have run count towards the limit; a dead target costs nothing.
+			run.diversions += 1;
+		}
+
 		this.submit(run);
 	}
 
@@ -392,6 +397,16 @@
 			this.options.targets.markUnavailable(binding.target, 'leaving');
 		}
 
+		if (refusal.reason === 'not-resident') {
+			// Without this the next attempts would go to the same target until its next report.
+			const absent = neededArtifacts(this.options.document(), binding.item).at(
+				-1,
+			);
+			if (absent !== undefined) {
+				this.options.targets.markAbsent(binding.target, absent);
+			}
+		}
+
 		if (refusal.reason !== 'invalid') {
 			this.post({
 				kind: 'refused',
@@ -584,13 +599,7 @@
 	}
 
 	private find(item: WorkItem): Candidates {
-		const needed =
-			item.model === undefined
-				? []
-				: artifactsOf(this.options.document(), {
-						model: item.model,
-						adapter: item.adapter,
-					});
+		const needed = neededArtifacts(this.options.document(), item);
 		const targets = this.options.targets
 			.targetsOf(this.options.pool)
 			.filter((target) => isUsable(target, needed))
@@ -599,6 +608,13 @@
 	}
 }
 
+function neededArtifacts(
+	document: FleetDocument | undefined,
+	{model, adapter}: WorkItem,
+): ArtifactKey[] {
+	return model === undefined ? [] : artifactsOf(document, {model, adapter});
+}
+
 function isUsable(
 	target: KnownTarget,
 	needed: readonly ArtifactKey[],
@@ -606,7 +622,8 @@
 	if (
 		target.unavailability !== undefined ||
 		!target.report ||
-		needed.length === 0
+		needed.length === 0 ||
+		needed.some((key) => target.absentArtifacts.has(key))
 	) {
 		return false;
 	}
--- a/src/services/targets/target-directory.ts
+++ b/src/services/targets/target-directory.ts
@@ -8,7 +8,11 @@
 	type TargetDefinition,
 } from '../../contracts/fleet-document.js';
 import {type HostListEntry} from '../../contracts/host-list.js';
-import {type PoolName, type TargetId} from '../../contracts/ids.js';
+import {
+	type ArtifactKey,
+	type PoolName,
+	type TargetId,
+} from '../../contracts/ids.js';
 import {type PlainService} from '../../contracts/plain-service.js';
 import {type TargetConnector} from '../../contracts/target-connector.js';
 
@@ -30,6 +34,8 @@
 	unavailableSince: number;
 	/** True while the host list shows the target as leaving. */
 	isListedLeaving: boolean;
+	/** What the target said it does not hold, with the monotonic time of that answer, until a later report. */
+	readonly absentArtifacts: Map<ArtifactKey, number>;
 };
 
 /** A report that replaced an older one. */
@@ -113,6 +119,12 @@
 
 		target.report = report;
 		target.reportedAt = reportedAt;
+		for (const [artifact, since] of target.absentArtifacts) {
+			if (!isSameRun || reportedAt > since) {
+				target.absentArtifacts.delete(artifact);
+			}
+		}
+
 		if (report.leaving) {
 			this.setUnavailable(target, 'leaving');
 		} else if (this.clearsUnavailability(target, isSameRun)) {
@@ -134,6 +146,17 @@
 		this.changed.publish(target);
 	}
 
+	/** Notes that a target refused work for lack of an artifact, whatever its last report says. */
+	markAbsent(id: TargetId, artifact: ArtifactKey): void {
+		const target = this.targets.get(id);
+		if (!target) {
+			return;
+		}
+
+		target.absentArtifacts.set(artifact, this.clock.monotonic());
+		this.changed.publish(target);
+	}
+
 	/** Takes in the platform's list of leaving machines, which names targets by their id. */
 	applyHostList(entries: readonly HostListEntry[]): void {
 		const leaving = new Set<string>(
@@ -212,6 +235,7 @@
 			unavailability: undefined,
 			unavailableSince: Number.NEGATIVE_INFINITY,
 			isListedLeaving: false,
+			absentArtifacts: new Map(),
 		});
 	}
 }
--- a/test/dispatch/dispatcher.test.ts
+++ b/test/dispatch/dispatcher.test.ts
@@ -318,7 +318,7 @@
 		dispatcher.handle({kind: 'target-set', target, slots: 1});
 	}
 
-	const submit = (name: string, prefix = name) => {
+	const submit = (name: string, prefix = name, suspect = false) => {
 		dispatcher.handle({
 			kind: 'submitted',
 			item: {
@@ -333,7 +333,7 @@
 				remainingMilliseconds: 60_000,
 				idempotent: true,
 				fingerprint: name as Fingerprint,
-				suspect: false,
+				suspect,
 			},
 		});
 	};
@@ -395,3 +395,33 @@
 
 	assert.ok(free >= 10, `the holder was free in ${free} of 50 runs`);
 });
+
+// Guards against suspects that wait for ever: the one that holds the isolated target must not queue behind the others.
+test('a suspect that was refused leaves the isolated target to the next one', () => {
+	const {port, dispatcher, submit} = largePool(1, 3);
+	submit('first', 'first', true);
+	submit('second', 'second', true);
+	assert.equal(port.bindings.length, 1);
+	const {request, attempt, target} = port.bindings[0]!;
+	dispatcher.handle({
+		kind: 'refused',
+		request,
+		attempt,
+		target,
+		reason: 'not-resident',
+	});
+	assert.equal(port.bindings.length, 2);
+	const {target: isolated, ...rest} = port.bindings[1]!;
+	dispatcher.handle({
+		kind: 'completed',
+		request: rest.request,
+		attempt: rest.attempt,
+		target: isolated,
+		tokens: 1,
+	});
+	assert.deepEqual(port.bindings.map((binding) => binding.request).sort(), [
+		'first',
+		'first',
+		'second',
+	]);
+});
--- a/test/process/poison.test.ts
+++ b/test/process/poison.test.ts
@@ -22,6 +22,17 @@
 		engines: 3,
 		hosts: 2,
 		engineOptions: {firstTokenMilliseconds: 20, betweenTokensMilliseconds: 20},
+		// Two engines die, and without a log nobody may order a load: the bystanders need the copy on the third.
+		documentChanges: {
+			models: [
+				{
+					id: 'hem-base',
+					pool: 'sarto-lm',
+					bytes: 400_000,
+					minimumReplicas: 3,
+				},
+			],
+		},
 	});
 	await Promise.all(
 		started.engines.map(async (engine) =>
@@ -50,7 +61,7 @@
 	return crashes;
 }
 
-/** Waits until each engine answers and two hold the model. Placement may leave a third without it while demand is low. */
+/** Waits until each engine answers and holds the model. */
 async function fleetServes(): Promise<void> {
 	await until('the engines hold the model again', async () => {
 		try {
@@ -62,7 +73,7 @@
 					({state}: {state: string}) => state === 'resident',
 				),
 			);
-			return holding.length >= 2;
+			return holding.length === started.engines.length;
 		} catch {
 			return false;
 		}
--- /dev/null
+++ b/test/targets/target-directory.test.ts
@@ -0,0 +1,76 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {ManualClock} from '../../src/base/common/clock.js';
+import {type Disposable} from '../../src/base/common/disposable.js';
+import {type Engine, type TargetReport} from '../../src/contracts/engine.js';
+import {type FleetDocument} from '../../src/contracts/fleet-document.js';
+import {type ArtifactKey, type TargetId} from '../../src/contracts/ids.js';
+import {type PlainService} from '../../src/contracts/plain-service.js';
+import {TargetConnector} from '../../src/contracts/target-connector.js';
+import {TargetDirectory} from '../../src/services/targets/target-directory.js';
+
+const target = 'sarto-1' as TargetId;
+const artifact = 'model/hem-base@1' as ArtifactKey;
+
+class UnusedConnector extends TargetConnector {
+	connectEngine(): Engine & Disposable {
+		return undefined as unknown as Engine & Disposable;
+	}
+
+	connectService(): PlainService & Disposable {
+		throw new Error('the test has no plain service');
+	}
+}
+
+function report(incarnation: string, sequence: number): TargetReport {
+	return {
+		target,
+		incarnation,
+		sequence,
+		leaving: false,
+		artifacts: [{key: artifact, bytes: 1, state: 'resident'}],
+	} as unknown as TargetReport;
+}
+
+function directoryWithReport() {
+	const clock = new ManualClock();
+	const directory = new TargetDirectory(new UnusedConnector(), clock);
+	directory.applyDocument({
+		pools: [
+			{
+				name: 'sarto-lm',
+				kind: 'engine',
+				targets: [{id: target, address: 'http://localhost:1'}],
+			},
+		],
+	} as unknown as FleetDocument);
+	directory.observe(report('first', 1), 0);
+	return {clock, directory};
+}
+
+function isAbsent(directory: TargetDirectory): boolean {
+	return directory.target(target)!.absentArtifacts.has(artifact);
+}
+
+// Guards against a request that spends all its attempts on a target that already said it lacks the model.
+test('an artifact that a target refused for is absent until a later report', () => {
+	const {clock, directory} = directoryWithReport();
+	clock.advance(100);
+	directory.markAbsent(target, artifact);
+	assert.ok(isAbsent(directory));
+	clock.advance(50);
+	// A peer passes on what the target said before it refused.
+	directory.observe(report('first', 2), 60);
+	assert.ok(isAbsent(directory));
+	directory.observe(report('first', 3), 10);
+	assert.ok(!isAbsent(directory));
+});
+
+// Guards against a restarted target that stays without work because its last run lacked the model.
+test('a new run of a target starts without absent artifacts', () => {
+	const {clock, directory} = directoryWithReport();
+	clock.advance(100);
+	directory.markAbsent(target, artifact);
+	directory.observe(report('second', 1), 0);
+	assert.ok(!isAbsent(directory));
+});
