Keep copies of busy models from rare ones, and tell a new owner which models are idle

The planner gave each rarely asked model a first copy by taking the second copy of the busiest one (40 to 100 running requests against 1 to 5), and a new owner held every model for busy until it had watched it for 8 s itself, so that idle models kept their places. Change: hosts tell when they were last asked for a model; a model without a copy takes a busy one's only at four times its own requests, a bound that grows while it waits; models are dormant after 2.5 s, demand halves in 1.5 s. Ruled out: a lack of places (models without any request held 5 of 12).

--- a/src/core/dormancy-policy.ts
+++ b/src/core/dormancy-policy.ts
@@ -18,13 +18,25 @@
 
 	constructor(private readonly options: DormancyPolicyOptions) {}
 
-	/** Takes in the requests that run or wait now. */
-	observe(requests: ReadonlyMap<ModelId, number>, now: number): void {
-		for (const [model, count] of requests) {
-			if (count > 0) {
-				this.startedAt ??= now;
-				this.requestedAt.set(model, now);
-			}
+	/**
+	 * Takes in how long ago models were asked for and since when requests come. Both are told by the hosts, so that
+	 * a new owner of placement knows them at once.
+	 */
+	observe(
+		idle: ReadonlyMap<ModelId, number>,
+		observedMilliseconds: number,
+		now: number,
+	): void {
+		if (observedMilliseconds > 0) {
+			this.startedAt = Math.min(
+				this.startedAt ?? Infinity,
+				now - observedMilliseconds,
+			);
+		}
+
+		for (const [model, milliseconds] of idle) {
+			const known = this.requestedAt.get(model) ?? -Infinity;
+			this.requestedAt.set(model, Math.max(known, now - milliseconds));
 		}
 	}
 
--- a/src/core/placement-planner.ts
+++ b/src/core/placement-planner.ts
@@ -31,6 +31,8 @@
 	readonly isDemandFirst: boolean;
 	/** Running requests for each copy of a busy model from which the last copy of a dormant one gives way. */
 	readonly dormantRequestsPerReplica: number;
+	/** A model without a copy takes a copy of a busy one only when that is worth at most this many times its own requests. Grows while its requests wait. */
+	readonly firstCopyFactor: number;
 };
 
 /** Settings of the planner in the product. */
@@ -46,6 +48,7 @@
 	dormantRequestsPerReplica: 16,
 	replacementRequestsPerReplica: 0.5,
 	isDemandFirst: false,
+	firstCopyFactor: Number.POSITIVE_INFINITY,
 };
 
 /** Load of a target that a load from the weight store outweighs. */
@@ -64,8 +67,11 @@
 
 /** The steps that all policies share: versions, reachability, minimum replicas and failure domains. */
 abstract class StagedPlacementPolicy extends PlacementPolicy {
-	/** @param isDemandFirst True when demand comes before copies in a second failure domain. */
-	constructor(private readonly isDemandFirst = false) {
+	constructor(
+		/** True when demand comes before copies in a second failure domain. */
+		private readonly isDemandFirst = false,
+		private readonly firstCopyFactor = Number.POSITIVE_INFINITY,
+	) {
 		super();
 	}
 
@@ -77,12 +83,17 @@
 			workspace,
 			({model}) => Math.min(1, model.minimumReplicas),
 			'the model has no copy',
+			(state) => this.worthOfFirstCopy(state, input),
 		);
 		this.placeAdapters(workspace);
 		this.placeModels(
 			workspace,
 			({model}) => model.minimumReplicas,
 			'fewer copies than the minimum',
+			(state) =>
+				state.replicas.size === 0
+					? this.worthOfFirstCopy(state, input)
+					: Number.POSITIVE_INFINITY,
 		);
 		if (this.isDemandFirst) {
 			this.serveDemand(workspace);
@@ -97,6 +108,15 @@
 		return workspace.result();
 	}
 
+	/** Running requests of another model for which its copy still gives way to the first one of this model. */
+	private worthOfFirstCopy(
+		{model, demand}: ModelState,
+		{lackingMilliseconds}: PlacementInput,
+	): number {
+		const seconds = (lackingMilliseconds?.get(model.id) ?? 0) / 1000;
+		return this.firstCopyFactor * Math.max(1, demand) * (1 + 2 * seconds ** 2);
+	}
+
 	/** Loads another copy where the load is lowest, in a new failure domain if possible. */
 	protected addReplica(
 		workspace: PlacementWorkspace,
@@ -142,11 +162,16 @@
 		workspace: PlacementWorkspace,
 		minimum: Floor,
 		reason: string,
+		worth: (state: ModelState) => number = () => Number.POSITIVE_INFINITY,
 	): void {
 		// Large models first, because they find room in fewer places.
 		const lacking = workspace.models
 			.filter((state) => state.replicas.size < minimum(state))
-			.sort((left, right) => right.artifact.bytes - left.artifact.bytes);
+			.sort(
+				(left, right) =>
+					right.artifact.bytes - left.artifact.bytes ||
+					right.demand - left.demand,
+			);
 		for (const state of lacking) {
 			while (state.replicas.size < minimum(state)) {
 				if (this.addReplica(workspace, state, reason)) {
@@ -155,7 +180,11 @@
 
 				const target =
 					workspace.makeRoomForVersion(state) ??
-					makeRoom(workspace, state, minimum);
+					makeRoom(workspace, state, {
+						floor: minimum,
+						limit: worth(state),
+						isForDemand: false,
+					});
 				// A model without its adapters is better than no model.
 				if (
 					!target &&
@@ -251,7 +280,7 @@
 	constructor(
 		private readonly options: PlannerOptions = defaultPlannerOptions,
 	) {
-		super(options.isDemandFirst);
+		super(options.isDemandFirst, options.firstCopyFactor);
 	}
 
 	protected serveDemand(workspace: PlacementWorkspace): void {
@@ -330,15 +359,14 @@
 		const cost = moveCost / state.replicas.size;
 		const limit = (gain - cost) / replacementFactor;
 		const mayTakeLast = load >= this.options.dormantRequestsPerReplica;
-		const target = makeRoom(
-			workspace,
-			state,
-			({model}) =>
+		const target = makeRoom(workspace, state, {
+			floor: ({model}) =>
 				model.minimumReplicas === 0 && mayTakeLast
 					? 0
 					: Math.max(1, model.minimumReplicas, keptCopies),
 			limit,
-		);
+			isForDemand: true,
+		});
 		if (!target) {
 			return false;
 		}
@@ -360,6 +388,7 @@
 		dormantRequestsPerReplica: 16,
 		replacementRequestsPerReplica: 0,
 		isDemandFirst: false,
+		firstCopyFactor: Number.POSITIVE_INFINITY,
 	});
 
 	plan(input: PlacementInput): Placement {
@@ -513,10 +542,16 @@
 function makeRoom(
 	workspace: PlacementWorkspace,
 	state: ModelState,
-	floor: Floor,
-	limit = Number.POSITIVE_INFINITY,
+	{
+		isForDemand,
+		...bounds
+	}: Pick<RoomOptions, 'floor' | 'limit'> & {
+		/** True when the copy serves demand beside others: it gains nothing on a target that is busy with other models. */
+		readonly isForDemand: boolean;
+	},
 ): WorkspaceTarget | undefined {
-	const options = {keep: state, floor, limit};
+	const options = {keep: state, ...bounds};
+	const {limit = Number.POSITIVE_INFINITY} = bounds;
 	const bytes = state.artifact.bytes + unservedAdapterBytes(state);
 	const choices: Array<{target: WorkspaceTarget; loss: number}> = [];
 	for (const target of workspace.targets) {
@@ -540,8 +575,6 @@
 		}
 	}
 
-	// A copy that serves demand gains nothing on a target that is busy with other models.
-	const isForDemand = Number.isFinite(limit);
 	const costOf = ({target, loss}: (typeof choices)[number]) =>
 		isForDemand ? target.load + loss / target.slots : loss;
 	choices.sort(
--- a/src/core/placement-policy.ts
+++ b/src/core/placement-policy.ts
@@ -43,6 +43,8 @@
 	readonly targets: readonly PlacementTarget[];
 	/** Estimated number of requests that run at a time, for each model. */
 	readonly demand: ReadonlyMap<ModelId, number>;
+	/** Time for which requests have waited for models without a copy. */
+	readonly lackingMilliseconds?: ReadonlyMap<ModelId, number>;
 	readonly limits: WeightStoreLimits;
 };
 
--- a/src/services/forwarding/forwarding-service.ts
+++ b/src/services/forwarding/forwarding-service.ts
@@ -58,6 +58,8 @@
 const tickMilliseconds = 25;
 /** Delay of a tick that is worth a log line. Half of the pause that callers notice is far above it. */
 const stallMilliseconds = 30;
+/** Time for which a host tells the owner when a model was last asked for. Longer than any model counts as busy. */
+const askedLifetimeMilliseconds = 20_000;
 /** A host without a document has one within this time, or stays without for longer than callers wait. */
 const startRetryMilliseconds = 500;
 
@@ -67,6 +69,9 @@
 	private routes: RouteTable | undefined;
 	private readonly pools = new Map<PoolName, Pool>();
 	private readonly requests = new Set<ForwardedRequest>();
+	/** Time of the last request for each model, also of those that were refused. */
+	private readonly askedAt = new Map<ModelId, number>();
+	private firstAskedAt: number | undefined;
 	private nextKey = 0;
 	private isStopping = false;
 	private timer: NodeJS.Timeout | undefined;
@@ -177,10 +182,27 @@
 			}
 		}
 
+		const now = this.options.clock.monotonic();
+		for (const [model, at] of this.askedAt) {
+			if (now - at >= askedLifetimeMilliseconds) {
+				this.askedAt.delete(model);
+			}
+		}
+
 		return {
 			host: this.options.host,
 			isLeaving: this.isStopping,
-			models: [...models].map(([model, requests]) => ({model, requests})),
+			observedMilliseconds:
+				this.firstAskedAt === undefined ? 0 : now - this.firstAskedAt,
+			models: [...new Set([...models.keys(), ...this.askedAt.keys()])].map(
+				(model) => ({
+					model,
+					requests: models.get(model) ?? 0,
+					idleMilliseconds: models.has(model)
+						? 0
+						: now - (this.askedAt.get(model) ?? now),
+				}),
+			),
 			adapters: [...adapters.values()],
 			deaths: this.options.crashes.takeUnreported(),
 		};
@@ -229,6 +251,14 @@
 		response.end();
 	}
 
+	private noteAsked(model: ModelId | undefined): void {
+		const now = this.options.clock.monotonic();
+		this.firstAskedAt ??= now;
+		if (model !== undefined) {
+			this.askedAt.set(model, now);
+		}
+	}
+
 	private noteStall(milliseconds: number): void {
 		this.options.metrics.observe(
 			'daisylever_event_loop_delay_milliseconds',
@@ -276,6 +306,7 @@
 			},
 		});
 		this.requests.add(request);
+		this.noteAsked(facts.model);
 		if (
 			!pool ||
 			(facts.model !== undefined && !pool.models?.has(facts.model))
--- a/src/services/forwarding/owner-messages.ts
+++ b/src/services/forwarding/owner-messages.ts
@@ -27,7 +27,12 @@
 	return {
 		host: demand.host,
 		leaving: demand.isLeaving,
-		models: demand.models.map(({model, requests}) => ({model, requests})),
+		observedMilliseconds: Math.floor(demand.observedMilliseconds),
+		models: demand.models.map(({model, requests, idleMilliseconds}) => ({
+			model,
+			requests,
+			idleMilliseconds: Math.floor(idleMilliseconds),
+		})),
 		adapters: demand.adapters.map(({model, adapter, requests, waiting}) => ({
 			model,
 			adapter,
@@ -49,9 +54,11 @@
 	return {
 		host: message.host as HostId,
 		isLeaving: message.leaving,
-		models: message.models.map(({model, requests}) => ({
+		observedMilliseconds: message.observedMilliseconds,
+		models: message.models.map(({model, requests, idleMilliseconds}) => ({
 			model: model as ModelId,
 			requests,
+			idleMilliseconds,
 		})),
 		adapters: message.adapters.map(({model, adapter, requests, waiting}) => ({
 			model: model as ModelId,
--- a/src/services/forwarding/placement-owner.ts
+++ b/src/services/forwarding/placement-owner.ts
@@ -231,16 +231,31 @@
 		const now = this.options.clock.monotonic();
 		const models = new Map<ModelId, number>();
 		const adapters = new Map<string, number>();
+		const idle = new Map<ModelId, number>();
+		let observed = 0;
 		const waiting = new Map<string, {name: AdapterName; count: number}>();
 		for (const {demand, receivedAt} of this.demands.values()) {
 			if (now - receivedAt >= demandLifetimeMilliseconds) {
 				continue;
 			}
 
-			for (const {model, requests} of demand.models) {
-				if (pool.knows(model)) {
-					models.set(model, (models.get(model) ?? 0) + requests);
+			const age = now - receivedAt;
+			observed = Math.max(
+				observed,
+				demand.observedMilliseconds === 0
+					? 0
+					: demand.observedMilliseconds + age,
+			);
+			for (const {model, requests, idleMilliseconds} of demand.models) {
+				if (!pool.knows(model)) {
+					continue;
 				}
+
+				models.set(model, (models.get(model) ?? 0) + requests);
+				idle.set(
+					model,
+					Math.min(idle.get(model) ?? Infinity, idleMilliseconds + age),
+				);
 			}
 
 			for (const each of demand.adapters) {
@@ -258,6 +273,8 @@
 
 		return {
 			models,
+			idle,
+			observedMilliseconds: observed,
 			adapters,
 			wanted: [...waiting.values()]
 				.sort((left, right) => right.count - left.count)
--- a/src/services/forwarding/pool-placement.ts
+++ b/src/services/forwarding/pool-placement.ts
@@ -37,6 +37,10 @@
 export type PoolDemand = {
 	/** Requests that run or wait, by model. */
 	readonly models: ReadonlyMap<ModelId, number>;
+	/** Time since the last request for each model that was asked for lately. */
+	readonly idle: ReadonlyMap<ModelId, number>;
+	/** Time since requests come, 0 before the first one. */
+	readonly observedMilliseconds: number;
 	/** Requests that run or wait, by adapter key. */
 	readonly adapters: ReadonlyMap<string, number>;
 	/** Adapters that requests wait for, the most wanted first. */
@@ -59,11 +63,13 @@
 /** The same while requests wait for a model without a copy. */
 const urgentPlanMilliseconds = 100;
 /** Time without a request after which a model may lose its last copy to a busy one. */
-const idleMilliseconds = 8000;
+const idleMilliseconds = 2500;
 /** Running requests for each copy from which spare memory goes to a further copy. The rest keeps second copies of models that may be asked for next. */
 const minimumRequestsPerReplica = 6;
 /** Running requests for each copy from which a copy of another model is replaced. An eighth of the slots of a target: below, a change costs more than it brings. */
 const replacementRequestsPerReplica = 8;
+/** How much more requests a busy copy must serve to stay when a model has none: a change takes a target about a second, and rarely asked models can share places in turn. */
+const firstCopyFactor = 4;
 /** Time without a new target after which the first plan is made. Two heartbeats of targets. */
 const settleMilliseconds = 2500;
 /** Time after which targets that do not tell their state are planned without. */
@@ -73,7 +79,7 @@
 /** Demand rises within a second, because a load takes one to four. */
 const riseMilliseconds = 600;
 /** Demand falls within seconds, so that copies follow the models that are busy now. */
-const halfLifeMilliseconds = 3000;
+const halfLifeMilliseconds = 1500;
 /** Running requests that a copy of a model with several copies stands for until requests arrive. */
 const expectedRequestsPerCopy = 4;
 /** An adapter without a request for this long may make room. Its next load takes milliseconds, while a longer time leaves adapters of a busy model without a place for as long as the others are asked for now and then. */
@@ -95,6 +101,7 @@
 		minimumRequestsPerReplica,
 		replacementRequestsPerReplica,
 		isDemandFirst: true,
+		firstCopyFactor,
 	});
 
 	private readonly dormancy = new DormancyPolicy({idleMilliseconds});
@@ -116,6 +123,8 @@
 		{task: TargetOrderTask; model: ModelId}
 	>();
 
+	/** Since when requests wait for a model without a copy. */
+	private readonly lackingSince = new Map<ModelId, number>();
 	private plannedAt = Number.NEGATIVE_INFINITY;
 	private hasExpected = false;
 	private lastPlan = '';
@@ -138,13 +147,20 @@
 	}
 
 	/** Looks at the demand of the moment and gives orders. */
-	step({models, adapters, wanted}: PoolDemand): void {
+	step({
+		models,
+		idle,
+		observedMilliseconds,
+		adapters,
+		wanted,
+	}: PoolDemand): void {
 		const {clock, tasks} = this.options;
 		const now = clock.monotonic();
 		const all = tasks().filter(({listed}) => !listed.isLeaving);
 		this.demand.observe(models, now);
 		this.places.observe(adapters, now);
-		this.dormancy.observe(models, now);
+		this.dormancy.observe(idle, observedMilliseconds, now);
+		this.noteLacking(models, now);
 		this.finishPacedLoads();
 		if (
 			this.isSettled() &&
@@ -170,6 +186,25 @@
 		return this.engine.models.some(({id}) => id === model);
 	}
 
+	private noteLacking(demand: ReadonlyMap<ModelId, number>, now: number): void {
+		const held = new Set(
+			this.options.tasks().flatMap((task) => [...task.stayingModels()]),
+		);
+		for (const [model, requests] of demand) {
+			if (requests === 0 || held.has(model)) {
+				this.lackingSince.delete(model);
+			} else if (!this.lackingSince.has(model)) {
+				this.lackingSince.set(model, now);
+			}
+		}
+
+		for (const model of this.lackingSince.keys()) {
+			if (!demand.has(model)) {
+				this.lackingSince.delete(model);
+			}
+		}
+	}
+
 	/** True when requests wait for a model that no target holds or loads. */
 	private lacksCopy(demand: ReadonlyMap<ModelId, number>): boolean {
 		const planned = new Set<ArtifactKey>();
@@ -179,7 +214,9 @@
 			}
 		}
 
-		return [...demand.keys()].some((model) => !planned.has(keyOf(model)));
+		return [...demand].some(
+			([model, requests]) => requests > 0 && !planned.has(keyOf(model)),
+		);
 	}
 
 	/** True when a plan can be made. After a start targets list themselves one after the other, and a first plan for some of them would load everything there. */
@@ -233,6 +270,12 @@
 			adapters: [],
 			targets: tasks.map((task) => this.placementTarget(task)),
 			demand: this.demand.estimate(),
+			lackingMilliseconds: new Map(
+				[...this.lackingSince].map(([model, since]) => [
+					model,
+					this.options.clock.monotonic() - since,
+				]),
+			),
 			limits: limitsOf(this.engine),
 		});
 		for (const task of tasks) {
--- a/test/placement/placement-planner.test.ts
+++ b/test/placement/placement-planner.test.ts
@@ -13,6 +13,7 @@
 	type TargetId,
 } from '../../src/contracts/ids.js';
 import {
+	defaultPlannerOptions,
 	GreedyPlacementPolicy,
 	PlacementPlanner,
 	StaticPlacementPolicy,
@@ -393,3 +394,34 @@
 		assert.deepEqual(plan(old, loading), []);
 	}
 });
+
+// Guards against a rare model that takes one copy after the other from the models that most requests are for.
+test('a model without a copy takes one of a busy model only after its requests have waited', () => {
+	const busy = {bytes: 10, state: 'resident'} as const;
+	const holdersOf = (waitedMilliseconds: number) => {
+		const {desired} = new PlacementPlanner({
+			...defaultPlannerOptions,
+			firstCopyFactor: 4,
+			keptCopies: 1,
+		}).plan({
+			models: [simpleModel('busy', '1'), simpleModel('rare', '1')],
+			adapters: [],
+			targets: [0, 1].map((index) =>
+				simulatedTarget(index, {'model/busy@1': busy}),
+			),
+			demand: new Map([
+				['busy' as ModelId, 100],
+				['rare' as ModelId, 1],
+			]),
+			lackingMilliseconds: new Map([['rare' as ModelId, waitedMilliseconds]]),
+			limits,
+		});
+		return [...desired.values()].filter((keys) =>
+			keys.has('model/rare@1' as ArtifactKey),
+		).length;
+	};
+
+	assert.equal(holdersOf(0), 0);
+	assert.equal(holdersOf(1000), 0);
+	assert.equal(holdersOf(4000), 1);
+});
