--- a/src/program/forwarding-root.ts
+++ b/src/program/forwarding-root.ts
@@ -62,6 +62,8 @@
 const unreadyMilliseconds = 2700;
 /** Time from which a stopping host closes idle connections, so that callers do not send on them shortly before its end. */
 const idleCloseMilliseconds = 1000;
+/** Time from which a stopping host refuses requests on connections that callers still hold. Callers have had several seconds to see the close, and a stream takes up to four. */
+const refuseMilliseconds = 3500;
 /** Time before the end in which open requests are cut, so that the process ends in time. */
 const stopMarginMilliseconds = 250;
 const stopStepMilliseconds = 50;
@@ -295,6 +297,10 @@
 			if (elapsed() >= idleCloseMilliseconds) {
 				this.server.closeIdle();
 			}
+
+			if (elapsed() >= refuseMilliseconds) {
+				this.service.refuseNew();
+			}
 		}
 
 		this.events.record(forwardingEvents.hostStopped, {
--- a/src/services/forwarding/forwarding-service.ts
+++ b/src/services/forwarding/forwarding-service.ts
@@ -74,6 +74,7 @@
 	private firstAskedAt: number | undefined;
 	private nextKey = 0;
 	private isStopping = false;
+	private isTakingRequests = true;
 	private timer: NodeJS.Timeout | undefined;
 
 	constructor(private readonly options: ForwardingServiceOptions) {
@@ -114,6 +115,11 @@
 		this.isStopping = true;
 	}
 
+	/** From now on requests are refused as not run: a run that began now would be cut at the end of the stop. */
+	refuseNew(): void {
+		this.isTakingRequests = false;
+	}
+
 	/** Takes over a newer document. Older ones are left out, so that a host never goes back. */
 	applyDocument(document: ForwardingDocument): boolean {
 		if (this.document && document.version <= this.document.version) {
@@ -218,7 +224,7 @@
 			return;
 		}
 
-		if (!this.document || !this.routes) {
+		if (!this.document || !this.routes || !this.isTakingRequests) {
 			this.answerOwn(response, 503, facts.value.id, startRetryMilliseconds);
 			return;
 		}
--- a/src/services/forwarding/target-registry.ts
+++ b/src/services/forwarding/target-registry.ts
@@ -39,6 +39,8 @@
 	isOwned: boolean;
 	/** No new work goes there before this monotonic time, because it could not be reached. */
 	unreachableUntil: number;
+	/** Models and adapters for which the target refused work, with the monotonic time until which that counts. */
+	missingUntil: Map<string, number>;
 	connections: TargetConnections | undefined;
 };
 
@@ -55,6 +57,9 @@
 /** Time without new work after a connection failed. A restarted target is back after seconds. */
 const unreachableMilliseconds = 300;
 
+/** Time for which a refusal says more than the owner and the list. A crashed target comes back empty about two seconds before either knows. */
+const missingMilliseconds = 700;
+
 /** Owns the connections to all listed targets and what is known of each. */
 export class TargetRegistry extends Disposable {
 	/** A target came, went or holds other models, so waiting work may have another choice. */
@@ -151,7 +156,8 @@
 	): TargetId[] {
 		const now = this.options.clock.monotonic();
 		const found: TargetId[] = [];
-		for (const {listed, content, unreachableUntil} of this.targets.values()) {
+		for (const target of this.targets.values()) {
+			const {listed, content, unreachableUntil} = target;
 			if (
 				listed.pool !== pool ||
 				listed.isLeaving ||
@@ -159,7 +165,8 @@
 				(model !== undefined && !content.has(model)) ||
 				(model !== undefined &&
 					adapter !== undefined &&
-					!content.get(model)!.has(adapter))
+					!content.get(model)!.has(adapter)) ||
+				isMissing(target, {model, adapter}, now)
 			) {
 				continue;
 			}
@@ -190,11 +197,20 @@
 			return;
 		}
 
-		if (adapter === undefined) {
-			known.content.delete(model);
-		} else {
-			known.content.get(model)?.delete(adapter);
-		}
+		const now = this.options.clock.monotonic();
+		// A target without two adapters of a model has come back without the model.
+		const isModelMissing =
+			adapter !== undefined &&
+			[...known.missingUntil].some(
+				([key, until]) =>
+					now < until &&
+					key.startsWith(missingKey(model, undefined)) &&
+					key !== missingKey(model, adapter),
+			);
+		known.missingUntil.set(
+			missingKey(model, isModelMissing ? undefined : adapter),
+			now + missingMilliseconds,
+		);
 	}
 
 	/** Connections to a target, made on the first use. */
@@ -227,6 +243,7 @@
 				content: contentOf(listed),
 				isOwned: false,
 				unreachableUntil: 0,
+				missingUntil: new Map(),
 				connections: undefined,
 			};
 			this.targets.set(listed.id, target);
@@ -240,6 +257,7 @@
 		const isRestarted =
 			before.residency.incarnation !== listed.residency.incarnation;
 		if (isRestarted) {
+			known.missingUntil.clear();
 			this.restarted.publish(known);
 		}
 
@@ -310,3 +328,27 @@
 		residency.models.map(({model, adapters}) => [model, new Set(adapters)]),
 	);
 }
+
+function missingKey(model: ModelId, adapter: AdapterId | undefined): string {
+	return `${model}/${adapter ?? ''}`;
+}
+
+function isMissing(
+	{missingUntil}: RegisteredTarget,
+	{
+		model,
+		adapter,
+	}: {
+		readonly model: ModelId | undefined;
+		readonly adapter: AdapterId | undefined;
+	},
+	now: number,
+): boolean {
+	if (model === undefined || missingUntil.size === 0) {
+		return false;
+	}
+
+	return [undefined, adapter].some(
+		(name) => now < (missingUntil.get(missingKey(model, name)) ?? -Infinity),
+	);
+}
--- a/test/forwarding/forwarding.test.ts
+++ b/test/forwarding/forwarding.test.ts
@@ -1,4 +1,6 @@
 import assert from 'node:assert/strict';
+import {once} from 'node:events';
+import {connect} from 'node:net';
 import {afterEach, beforeEach, test} from 'node:test';
 import {setTimeout as delay} from 'node:timers/promises';
 import {type ListedTarget} from '../../src/contracts/listed-target.js';
@@ -356,6 +358,33 @@
 	await empty.stop();
 });
 
+// Guards against runs that begin shortly before a stopping host ends and are cut by it.
+test('a host that takes no more requests refuses them as not run', async () => {
+	const worker = await listWorker(0, answerWhole('ok'));
+	harness.service.beginStop();
+	const taken = await harness.call('/idempotent/x');
+	assert.equal(taken.status, 200);
+	harness.service.refuseNew();
+	const refused = await harness.call('/idempotent/x');
+	assert.equal(refused.status, 503);
+	assert.equal(refused.headers.connection, 'close');
+	assert.equal(worker.requests.length, 1);
+});
+
+// Guards against requests that come to a stopping host on a connection that was opened before and not used yet.
+test('a connection that was never used counts as idle', async () => {
+	const socket = connect(harness.port, '127.0.0.1');
+	await once(socket, 'connect');
+	await delay(50);
+	harness.server.closeIdle();
+	const [isEnded] = await Promise.race([
+		once(socket, 'end').then(() => [true]),
+		delay(500).then(() => [false]),
+	]);
+	socket.destroy();
+	assert.ok(isEnded);
+});
+
 // Guards against a version that comes back after a newer one.
 test('an older document is never applied', () => {
 	assert.equal(
--- /dev/null
+++ b/test/forwarding/target-registry.test.ts
@@ -0,0 +1,88 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {ManualClock} from '../../src/base/common/clock.js';
+import {SilentEventLogger} from '../../src/base/common/event-logger.js';
+import {
+	type AdapterId,
+	type FailureDomain,
+	type ModelId,
+	type PoolName,
+	type TargetId,
+	type TargetIncarnation,
+} from '../../src/contracts/ids.js';
+import {TargetRegistry} from '../../src/services/forwarding/target-registry.js';
+
+const pool = 'p' as PoolName;
+const target = 'a' as TargetId;
+const model = 'm' as ModelId;
+const adapters = ['x', 'y', 'z'] as AdapterId[];
+
+function make() {
+	const clock = new ManualClock();
+	const registry = new TargetRegistry({
+		clock,
+		events: new SilentEventLogger(),
+	});
+	const list = (incarnation: string) => {
+		registry.applyChange({
+			kind: 'listed',
+			target: {
+				id: target,
+				pool,
+				address: '127.0.0.1:1',
+				failureDomain: 'z' as FailureDomain,
+				slots: 1,
+				isLeaving: false,
+				residency: {
+					incarnation: incarnation as TargetIncarnation,
+					models: [{model, adapters}],
+				},
+				atHand: {inMemory: [], onDisk: []},
+			},
+		});
+	};
+
+	const ownerTells = () => {
+		registry.applyContents([
+			{
+				target,
+				incarnation: 'a@1' as TargetIncarnation,
+				models: [{model, adapters, isRetiring: false}],
+			},
+		]);
+	};
+
+	list('a@1');
+	ownerTells();
+	return {clock, registry, list, ownerTells};
+}
+
+// Guards against requests that spend all sends on a target that came back empty, as the owner goes on telling what it held.
+test('a refused model counts as missing whatever the owner says', () => {
+	const {clock, registry, ownerTells} = make();
+	assert.deepEqual(registry.candidates(pool, model, undefined), [target]);
+	registry.noteMissing(target, model, undefined);
+	ownerTells();
+	assert.deepEqual(registry.candidates(pool, model, undefined), []);
+	assert.deepEqual(registry.candidates(pool, model, adapters[0]), []);
+	clock.advance(1000);
+	assert.deepEqual(registry.candidates(pool, model, undefined), [target]);
+});
+
+// Guards against one refusal for each adapter on each host after a crash.
+test('a target that lacks two adapters of a model lacks the model', () => {
+	const {registry} = make();
+	registry.noteMissing(target, model, adapters[0]);
+	assert.deepEqual(registry.candidates(pool, model, adapters[0]), []);
+	assert.deepEqual(registry.candidates(pool, model, adapters[1]), [target]);
+	registry.noteMissing(target, model, adapters[1]);
+	assert.deepEqual(registry.candidates(pool, model, adapters[2]), []);
+});
+
+// Guards against a restarted target that waits for an old refusal to expire.
+test('a new incarnation of a target lacks nothing', () => {
+	const {registry, list} = make();
+	registry.noteMissing(target, model, undefined);
+	list('a@2');
+	assert.deepEqual(registry.candidates(pool, model, undefined), [target]);
+});
