--- a/src/core/placement-planner.ts
+++ b/src/core/placement-planner.ts
@@ -108,15 +108,6 @@
 		return workspace.result();
 	}
 
-	/** Running requests of another model for which its copy still gives way to the first one of this model. */
-	private worthOfFirstCopy(
-		{model, demand}: ModelState,
-		{lackingMilliseconds}: PlacementInput,
-	): number {
-		const seconds = (lackingMilliseconds?.get(model.id) ?? 0) / 1000;
-		return this.firstCopyFactor * Math.max(1, demand) * (1 + 2 * seconds ** 2);
-	}
-
 	/** Loads another copy where the load is lowest, in a new failure domain if possible. */
 	protected addReplica(
 		workspace: PlacementWorkspace,
@@ -136,6 +127,15 @@
 	/** Gives spare memory to demand. */
 	protected abstract serveDemand(workspace: PlacementWorkspace): void;
 
+	/** Running requests of another model for which its copy still gives way to the first one of this model. */
+	private worthOfFirstCopy(
+		{model, demand}: ModelState,
+		{lackingMilliseconds}: PlacementInput,
+	): number {
+		const seconds = (lackingMilliseconds?.get(model.id) ?? 0) / 1000;
+		return this.firstCopyFactor * Math.max(1, demand) * (1 + 2 * seconds ** 2);
+	}
+
 	/** Frees room for the adapters that keep an old version of their model in memory. */
 	private makeRefuges(workspace: PlacementWorkspace): void {
 		for (const state of workspace.models) {
