Count a crashed target as empty until it is listed anew; refuse what waits late in a stop

A refused connection now says that the process has ended: no model is expected there until a new incarnation is listed, or for 4 s. A refused adapter counts as missing for 0.1 s only and alone: the owner brings adapters back within milliseconds. 2. What was never sent is refused 3.5 s after SIGTERM. 3. Copies found at the start stand for eight running requests instead of four, so that rare models do not take them before traffic comes. Tried and taken back: callers that come back after 0.3 of their time instead of at once.

--- a/src/services/forwarding/forward-dispatch.ts
+++ b/src/services/forwarding/forward-dispatch.ts
@@ -328,7 +328,7 @@
 		}
 
 		if (failure.kind === 'unreached') {
-			registry.noteUnreachable(attempt.target);
+			registry.noteUnreachable(attempt.target, failure.isGone);
 			crashes.noteDeath(attempt.target);
 		} else if (failure.kind === 'refused' && failure.answer.isMisdirected) {
 			registry.noteMissing(
--- a/src/services/forwarding/forwarding-server.ts
+++ b/src/services/forwarding/forwarding-server.ts
@@ -4,7 +4,7 @@
 	type Server,
 	type ServerResponse,
 } from 'node:http';
-import {Server as NetServer, type Socket} from 'node:net';
+import {Server as NetServer} from 'node:net';
 import {getRequestListener, type HttpBindings} from '@hono/node-server';
 import {Hono} from 'hono';
 import {type Result} from 'neverthrow';
@@ -43,8 +43,6 @@
 /** Receives the requests of callers: headers, bodies and connections, with the limits of the document. */
 export class ForwardingServer extends Disposable {
 	private readonly server: Server;
-	/** Connections on which nothing was sent yet. The HTTP server does not count them as idle. */
-	private readonly unused = new Set<Socket>();
 	private limits: EntryLimits = {
 		headerBytes: 16_384,
 		bodyBytes: 4_194_304,
@@ -73,12 +71,6 @@
 				void listener(message, response);
 			},
 		);
-		this.server.on('connection', (socket) => {
-			this.unused.add(socket);
-			socket.once('close', () => {
-				this.unused.delete(socket);
-			});
-		});
 		this.server.maxConnections = maximumConnections;
 		this.server.requestTimeout = 0;
 		this.applyLimits(this.limits);
@@ -98,14 +90,9 @@
 		return listenOn(this.server, port, hostname);
 	}
 
-	/** Closes connections on which no request is open, those included on which none was ever sent. */
+	/** Closes connections on which no request is open. */
 	closeIdle(): void {
 		this.server.closeIdleConnections();
-		for (const socket of this.unused) {
-			if (socket.bytesRead === 0) {
-				socket.end();
-			}
-		}
 	}
 
 	/** Takes no new connections. The close of an HTTP server would also reset connections on which a request is about to arrive. */
@@ -121,7 +108,6 @@
 	}
 
 	private receive(message: IncomingMessage, response: ServerResponse): void {
-		this.unused.delete(message.socket);
 		const {headerBytes, bodyBytes} = this.limits;
 		if (sizeOf(message.rawHeaders) > headerBytes) {
 			this.handler.reject(message, response, 431);
--- a/src/services/forwarding/forwarding-service.ts
+++ b/src/services/forwarding/forwarding-service.ts
@@ -115,9 +115,21 @@
 		this.isStopping = true;
 	}
 
-	/** From now on requests are refused as not run: a run that began now would be cut at the end of the stop. */
+	/** From now on requests that were not sent are refused as not run: a run that began now would be cut at the end of the stop. */
 	refuseNew(): void {
+		if (!this.isTakingRequests) {
+			return;
+		}
+
 		this.isTakingRequests = false;
+		for (const {dispatch} of this.pools.values()) {
+			for (const request of dispatch.running()) {
+				if (request.runs === 0 && !request.isOver) {
+					dispatch.abandon(request);
+					request.refuse('the host stops', startRetryMilliseconds);
+				}
+			}
+		}
 	}
 
 	/** Takes over a newer document. Older ones are left out, so that a host never goes back. */
--- a/src/services/forwarding/pool-placement.ts
+++ b/src/services/forwarding/pool-placement.ts
@@ -81,7 +81,7 @@
 /** Demand falls within seconds, so that copies follow the models that are busy now. */
 const halfLifeMilliseconds = 1500;
 /** Running requests that a copy of a model with several copies stands for until requests arrive. */
-const expectedRequestsPerCopy = 4;
+const expectedRequestsPerCopy = 8;
 /** An adapter without a request for this long may make room. Its next load takes milliseconds, while a longer time leaves adapters of a busy model without a place for as long as the others are asked for now and then. */
 const adapterIdleMilliseconds = 100;
 /** Requests for one adapter from which a second copy is worth a place. */
--- a/src/services/forwarding/target-registry.ts
+++ b/src/services/forwarding/target-registry.ts
@@ -39,6 +39,8 @@
 	isOwned: boolean;
 	/** No new work goes there before this monotonic time, because it could not be reached. */
 	unreachableUntil: number;
+	/** The process ended, so the target holds no model until it is listed anew or this monotonic time. */
+	emptyUntil: number;
 	/** Models and adapters for which the target refused work, with the monotonic time until which that counts. */
 	missingUntil: Map<string, number>;
 	connections: TargetConnections | undefined;
@@ -57,8 +59,12 @@
 /** Time without new work after a connection failed. A restarted target is back after seconds. */
 const unreachableMilliseconds = 300;
 
-/** Time for which a refusal says more than the owner and the list. A crashed target comes back empty about two seconds before either knows. */
+/** Time for which a target whose process has ended counts as empty when no new incarnation is listed. Restarts take two seconds, the entry of the new one up to three more. */
+const emptyMilliseconds = 4000;
+/** Time for which the refusal of a model says more than the owner and the list. A crashed target comes back empty about two seconds before either knows. */
 const missingMilliseconds = 700;
+/** The same for an adapter, which the owner can bring back within milliseconds. */
+const missingAdapterMilliseconds = 100;
 
 /** Owns the connections to all listed targets and what is known of each. */
 export class TargetRegistry extends Disposable {
@@ -177,12 +183,17 @@
 		return found;
 	}
 
-	/** Notes that no connection could be made. */
-	noteUnreachable(target: TargetId): void {
+	/** Notes that no connection could be made. A target whose process has ended comes back without models. */
+	noteUnreachable(target: TargetId, isGone: boolean): void {
 		const known = this.targets.get(target);
-		if (known) {
-			known.unreachableUntil =
-				this.options.clock.monotonic() + unreachableMilliseconds;
+		if (!known) {
+			return;
+		}
+
+		const now = this.options.clock.monotonic();
+		known.unreachableUntil = now + unreachableMilliseconds;
+		if (isGone) {
+			known.emptyUntil = now + emptyMilliseconds;
 		}
 	}
 
@@ -197,19 +208,12 @@
 			return;
 		}
 
-		const now = this.options.clock.monotonic();
-		// A target without two adapters of a model has come back without the model.
-		const isModelMissing =
-			adapter !== undefined &&
-			[...known.missingUntil].some(
-				([key, until]) =>
-					now < until &&
-					key.startsWith(missingKey(model, undefined)) &&
-					key !== missingKey(model, adapter),
-			);
 		known.missingUntil.set(
-			missingKey(model, isModelMissing ? undefined : adapter),
-			now + missingMilliseconds,
+			missingKey(model, adapter),
+			this.options.clock.monotonic() +
+				(adapter === undefined
+					? missingMilliseconds
+					: missingAdapterMilliseconds),
 		);
 	}
 
@@ -243,6 +247,7 @@
 				content: contentOf(listed),
 				isOwned: false,
 				unreachableUntil: 0,
+				emptyUntil: 0,
 				missingUntil: new Map(),
 				connections: undefined,
 			};
@@ -258,6 +263,7 @@
 			before.residency.incarnation !== listed.residency.incarnation;
 		if (isRestarted) {
 			known.missingUntil.clear();
+			known.emptyUntil = 0;
 			this.restarted.publish(known);
 		}
 
@@ -334,7 +340,7 @@
 }
 
 function isMissing(
-	{missingUntil}: RegisteredTarget,
+	{missingUntil, emptyUntil}: RegisteredTarget,
 	{
 		model,
 		adapter,
@@ -344,10 +350,14 @@
 	},
 	now: number,
 ): boolean {
-	if (model === undefined || missingUntil.size === 0) {
+	if (model === undefined) {
 		return false;
 	}
 
+	if (now < emptyUntil) {
+		return true;
+	}
+
 	return [undefined, adapter].some(
 		(name) => now < (missingUntil.get(missingKey(model, name)) ?? -Infinity),
 	);
