Let rare models share places in turn while a busy one outweighs them

Change: the assumed demand holds until the first request; the only copy of a rare model may go after 3 s when a further copy of a busy one takes over at least eight times its requests.

--- a/src/core/dormancy-policy.ts
+++ b/src/core/dormancy-policy.ts
@@ -50,3 +50,25 @@
 		return now - last >= this.options.idleMilliseconds;
 	}
 }
+
+/** Requests that a further copy of a busy model must take over, for each one of a rare model, before the rare model's only copy may go. */
+const outweighingFactor = 8;
+/** Time for which a rare model keeps the copy that it got, so that its requests are served before it goes. */
+const sliceMilliseconds = 3000;
+
+/**
+ * Says whether the only copy of a rare model may go although it is asked for now and then. Answers the pattern of many
+ * rare models that fill the places while one model has most requests: the rare ones share places in turn.
+ */
+export function isOutweighed(
+	{
+		requests,
+		residentMilliseconds,
+	}: {readonly requests: number; readonly residentMilliseconds: number},
+	largestGain: number,
+): boolean {
+	return (
+		residentMilliseconds >= sliceMilliseconds &&
+		outweighingFactor * Math.max(1, requests) <= largestGain
+	);
+}
--- a/src/services/forwarding/pool-placement.ts
+++ b/src/services/forwarding/pool-placement.ts
@@ -21,7 +21,7 @@
 } from '../../core/adapter-places.js';
 import {DemandEstimator} from '../../core/demand-estimator.js';
 import {LoadPacer} from '../../core/load-pacer.js';
-import {DormancyPolicy} from '../../core/dormancy-policy.js';
+import {DormancyPolicy, isOutweighed} from '../../core/dormancy-policy.js';
 import {
 	defaultPlannerOptions,
 	PlacementPlanner,
@@ -127,6 +127,8 @@
 	private readonly lackingSince = new Map<ModelId, number>();
 	private plannedAt = Number.NEGATIVE_INFINITY;
 	private hasExpected = false;
+	/** Demand that the copies stand for until the first request. */
+	private expected: ReadonlyMap<ModelId, number> = new Map();
 	private lastPlan = '';
 
 	constructor(
@@ -157,7 +159,10 @@
 		const {clock, tasks} = this.options;
 		const now = clock.monotonic();
 		const all = tasks().filter(({listed}) => !listed.isLeaving);
-		this.demand.observe(models, now);
+		this.demand.observe(
+			observedMilliseconds === 0 ? this.expected : models,
+			now,
+		);
 		this.places.observe(adapters, now);
 		this.dormancy.observe(idle, observedMilliseconds, now);
 		this.noteLacking(models, now);
@@ -257,19 +262,28 @@
 			}
 		}
 
+		this.expected = expected;
 		this.demand.observe(expected, now);
 	}
 
 	private plan(): void {
 		// Of a target that has just come it is not known yet what it holds.
 		const tasks = this.options.tasks().filter(({isKnown}) => isKnown);
+		const demand = this.demand.estimate();
+		const largestGain = this.largestGain(demand);
 		const placement = this.planner.plan({
-			models: this.engine.models.map((model) =>
-				this.modelOf(model.id, model.bytes),
-			),
+			models: this.engine.models.map(({id, bytes}) => ({
+				id,
+				pool: this.options.pool,
+				version: onlyVersion,
+				bytes,
+				minimumReplicas: this.mayGo(id, demand.get(id) ?? 0, largestGain)
+					? 0
+					: 1,
+			})),
 			adapters: [],
 			targets: tasks.map((task) => this.placementTarget(task)),
-			demand: this.demand.estimate(),
+			demand,
 			lackingMilliseconds: new Map(
 				[...this.lackingSince].map(([model, since]) => [
 					model,
@@ -478,19 +492,34 @@
 		return this.engine.models.find(({id}) => id === model)?.bytes ?? 0;
 	}
 
-	private modelOf(id: ModelId, bytes: number): Model {
-		return {
-			id,
-			pool: this.options.pool,
-			version: onlyVersion,
-			bytes,
-			minimumReplicas: this.dormancy.isDormant(
-				id,
-				this.options.clock.monotonic(),
-			)
-				? 0
-				: 1,
-		};
+	/** Running requests that one more copy of the busiest model would take over. */
+	private largestGain(demand: ReadonlyMap<ModelId, number>): number {
+		let largest = 0;
+		for (const [model, requests] of demand) {
+			let copies = 0;
+			for (const keys of this.desired.values()) {
+				copies += keys.has(keyOf(model)) ? 1 : 0;
+			}
+
+			largest = Math.max(
+				largest,
+				requests / ((copies + 1) * Math.max(1, copies)),
+			);
+		}
+
+		return largest;
+	}
+
+	/** True when the model may be without a copy. */
+	private mayGo(id: ModelId, requests: number, largestGain: number): boolean {
+		const residentMilliseconds = Math.max(
+			0,
+			...this.options.tasks().map((task) => task.residentMilliseconds(id)),
+		);
+		return (
+			this.dormancy.isDormant(id, this.options.clock.monotonic()) ||
+			isOutweighed({requests, residentMilliseconds}, largestGain)
+		);
 	}
 }
 
--- a/test/placement/dormancy-policy.test.ts
+++ b/test/placement/dormancy-policy.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {type ModelId} from '../../src/contracts/ids.js';
-import {DormancyPolicy} from '../../src/core/dormancy-policy.js';
+import {DormancyPolicy, isOutweighed} from '../../src/core/dormancy-policy.js';
 
 const asked = 'asked' as ModelId;
 const unasked = 'unasked' as ModelId;
@@ -25,3 +25,12 @@
 	policy.observe(new Map([[asked, 0]]), 1, 1_000_000);
 	assert.ok(!policy.isDormant(unasked, 1_002_000));
 });
+
+// Guards against rare models that fill all places while the busiest model waits for a second copy.
+test('a rare model gives its only copy to one that outweighs it, after its time', () => {
+	const rare = {requests: 1.5, residentMilliseconds: 3000};
+	assert.ok(isOutweighed(rare, 20));
+	assert.ok(!isOutweighed(rare, 10));
+	assert.ok(!isOutweighed({...rare, residentMilliseconds: 1000}, 20));
+	assert.ok(!isOutweighed({...rare, requests: 0}, 7));
+});
