Report service-level burn of forwarding hosts from their logs

Its counts would end with it, as no host has a disk, so the report is made from the logs that the platform collects: daisylever forward-burn LOG... sums the final answers of all hosts by route and step, judged by a bound for answers in one piece and one for pauses. Serving is not touched.

--- /dev/null
+++ b/src/core/answer-burn.ts
@@ -0,0 +1,136 @@
+import {type RouteName} from '../contracts/ids.js';
+import {burnRate, type Judgement, type JudgementCounts} from './burn-rate.js';
+import {formatTable} from './text-table.js';
+
+/** What the log says of one answered request. */
+export type LoggedAnswer = {
+	readonly route: RouteName;
+	/** Wall-clock milliseconds at which the answer ended. */
+	readonly time: number;
+	readonly outcome: string;
+	readonly milliseconds: number;
+	/** Longest pause between two events of a stream. */
+	readonly largestGapMilliseconds: number;
+};
+
+/** What answers are judged by. */
+export type AnswerObjectives = {
+	/** Share of the requests that must be good, below 1. */
+	readonly attainment: number;
+	/** Longest good time of an answer that is no stream. */
+	readonly lateMilliseconds: number;
+	/** Longest good pause of a stream. */
+	readonly pauseMilliseconds: number;
+};
+
+/** Burn of one route. */
+export type RouteBurn = {
+	readonly route: RouteName;
+	readonly counts: JudgementCounts;
+	readonly burnRate: number;
+	/** Burn rate of each step, the oldest first. Steps without judged requests burn nothing. */
+	readonly series: ReadonlyArray<{
+		readonly time: number;
+		readonly burnRate: number;
+	}>;
+};
+
+/** Judges an answer. What callers broke off or asked for wrongly says nothing of the service. */
+export function judgeAnswer(
+	{outcome, milliseconds, largestGapMilliseconds}: LoggedAnswer,
+	{lateMilliseconds, pauseMilliseconds}: AnswerObjectives,
+): Judgement {
+	if (outcome === 'caller left') {
+		return 'excluded';
+	}
+
+	if (outcome === 'complete') {
+		return largestGapMilliseconds <= pauseMilliseconds ? 'good' : 'bad';
+	}
+
+	const status = Number(/^status (\d{3})$/.exec(outcome)?.[1]);
+	if (status >= 400 && status < 500) {
+		return 'excluded';
+	}
+
+	return status < 400 && milliseconds <= lateMilliseconds ? 'good' : 'bad';
+}
+
+type Counter = Record<Judgement, number>;
+
+/** Sums the answers in the logs of all hosts by route and by step of time. */
+export class AnswerBurn {
+	private readonly routes = new Map<RouteName, Map<number, Counter>>();
+	private first = Number.POSITIVE_INFINITY;
+	private last = Number.NEGATIVE_INFINITY;
+
+	constructor(
+		private readonly objectives: AnswerObjectives,
+		private readonly stepMilliseconds: number,
+	) {}
+
+	/** Takes in one answer. Logs of several hosts may come in any order. */
+	add(answer: LoggedAnswer): void {
+		const step = Math.floor(answer.time / this.stepMilliseconds);
+		this.first = Math.min(this.first, step);
+		this.last = Math.max(this.last, step);
+		const steps = this.routes.get(answer.route) ?? new Map<number, Counter>();
+		this.routes.set(answer.route, steps);
+		const counter = steps.get(step) ?? {good: 0, bad: 0, excluded: 0};
+		steps.set(step, counter);
+		counter[judgeAnswer(answer, this.objectives)]++;
+	}
+
+	/** The routes, the one that burns most first. */
+	report(): RouteBurn[] {
+		const {attainment} = this.objectives;
+		return [...this.routes]
+			.map(([route, steps]) => {
+				const counts: Counter = {good: 0, bad: 0, excluded: 0};
+				for (const counter of steps.values()) {
+					counts.good += counter.good;
+					counts.bad += counter.bad;
+					counts.excluded += counter.excluded;
+				}
+
+				const series = [];
+				for (let step = this.first; step <= this.last; step++) {
+					const counter = steps.get(step);
+					series.push({
+						time: step * this.stepMilliseconds,
+						burnRate: counter ? burnRate(counter, attainment) : 0,
+					});
+				}
+
+				return {route, counts, burnRate: burnRate(counts, attainment), series};
+			})
+			.sort((left, right) => right.burnRate - left.burnRate);
+	}
+}
+
+const bars = ' ▁▂▃▄▅▆▇█';
+
+/** The report as a text table with a bar for each step, full at the highest burn rate of all routes. */
+export function formatAnswerBurn(report: readonly RouteBurn[]): string {
+	const highest = Math.max(
+		1,
+		...report.flatMap(({series}) => series.map((step) => step.burnRate)),
+	);
+	return formatTable([
+		['route', 'good', 'bad', 'excluded', 'burn', 'highest', 'over time'],
+		...report.map(({route, counts, burnRate: rate, series}) => [
+			route,
+			String(counts.good),
+			String(counts.bad),
+			String(counts.excluded),
+			rate.toFixed(2),
+			Math.max(0, ...series.map((step) => step.burnRate)).toFixed(2),
+			`|${series
+				.map(
+					(step) =>
+						bars[Math.ceil((step.burnRate / highest) * (bars.length - 1))],
+				)
+				.join('')}|`,
+		]),
+	]);
+}
--- a/src/program/command-line.ts
+++ b/src/program/command-line.ts
@@ -10,6 +10,7 @@
 } from './forwarding-commands.js';
 import {addHostCommands, type RunHost} from './host-commands.js';
 import {addInspectionCommands} from './inspection-commands.js';
+import {addLogBurnCommand} from './log-burn-command.js';
 import {programVersion} from './version.js';
 
 /** Makes the command line of the program. */
@@ -26,6 +27,7 @@
 	addForwardingCommands(program, runForwardingHost);
 	addDocumentCommands(program);
 	addInspectionCommands(program);
+	addLogBurnCommand(program);
 	program
 		.command('version')
 		.description('Print the version.')
--- /dev/null
+++ b/test/product/answer-burn.test.ts
@@ -0,0 +1,70 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {type RouteName} from '../../src/contracts/ids.js';
+import {
+	AnswerBurn,
+	formatAnswerBurn,
+	judgeAnswer,
+	type LoggedAnswer,
+} from '../../src/core/answer-burn.js';
+
+const objectives = {
+	attainment: 0.9,
+	lateMilliseconds: 400,
+	pauseMilliseconds: 150,
+};
+
+function answer(change: Partial<LoggedAnswer>): LoggedAnswer {
+	return {
+		route: 'r' as RouteName,
+		time: 0,
+		outcome: 'complete',
+		milliseconds: 100,
+		largestGapMilliseconds: 0,
+		...change,
+	};
+}
+
+// Guards against a report that counts callers' own doing, or leaves out answers that came too late.
+test('answers are judged by what the caller got', () => {
+	const cases: Array<[Partial<LoggedAnswer>, string]> = [
+		[{}, 'good'],
+		[{milliseconds: 9000}, 'good'],
+		[{largestGapMilliseconds: 151}, 'bad'],
+		[{outcome: 'status 200'}, 'good'],
+		[{outcome: 'status 200', milliseconds: 401}, 'bad'],
+		[{outcome: 'status 404'}, 'excluded'],
+		[{outcome: 'status 500'}, 'bad'],
+		[{outcome: 'caller left'}, 'excluded'],
+		[{outcome: 'own 503: overload'}, 'bad'],
+		[{outcome: 'broken: the stream broke'}, 'bad'],
+	];
+	for (const [change, expected] of cases) {
+		assert.equal(
+			judgeAnswer(answer(change), objectives),
+			expected,
+			JSON.stringify(change),
+		);
+	}
+});
+
+// Guards against a burn rate that depends on the order of the logs or hides a short spike.
+test('the report sums all logs and shows the spike', () => {
+	const burn = new AnswerBurn(objectives, 1000);
+	for (let index = 0; index < 10; index++) {
+		burn.add(answer({time: 2500}));
+		burn.add(answer({time: 500, outcome: index < 5 ? 'own 503' : 'complete'}));
+	}
+
+	burn.add(answer({route: 'quiet' as RouteName, time: 1500}));
+	const [worst, quiet] = burn.report();
+	assert.equal(worst?.route, 'r');
+	assert.deepEqual(worst.counts, {good: 15, bad: 5, excluded: 0});
+	assert.ok(Math.abs(worst.burnRate - 2.5) < 1e-9);
+	assert.deepEqual(
+		worst.series.map((step) => Math.round(step.burnRate)),
+		[5, 0, 0],
+	);
+	assert.equal(quiet?.burnRate, 0);
+	assert.match(formatAnswerBurn(burn.report()), /\|█ {2}\|/);
+});
--- a/test/product/command-line.test.ts
+++ b/test/product/command-line.test.ts
@@ -164,3 +164,27 @@
 	assert.equal(outcome.code, 0, outcome.stderr);
 	assert.match(readFileSync(plot, 'utf8'), /^<svg/);
 });
+
+// Guards against a report that stops at a line that is no event, or takes a wrong option for a value.
+test('forward-burn reads logs with foreign lines in them', async () => {
+	const line = JSON.stringify({
+		event: 7052,
+		timestamp: '2026-12-04T08:00:00.000Z',
+		fields: {
+			route: 'r-1',
+			outcome: 'own 503: overload',
+			milliseconds: 1300,
+			largestGapMilliseconds: 0,
+		},
+	});
+	const log = file('host.log', `started\n 1.2 front-1 ${line}\n{"event":1}\n`);
+	const shown = await daisylever(['forward-burn', log, '--json']);
+	assert.equal(shown.code, 0, shown.stderr);
+	const {routes} = JSON.parse(shown.stdout) as {
+		routes: Array<{route: string; burnRate: number}>;
+	};
+	assert.equal(routes[0]?.route, 'r-1');
+	assert.ok(Math.abs(routes[0].burnRate - 10) < 1e-9);
+	const wrong = await daisylever(['forward-burn', log, '--step', '0']);
+	assert.equal(wrong.code, 2);
+});
