Count copies on present targets only when models are compared

Cause, from reading the code: the plan of a target that has left stays in the map of plans, so the copies of a busy model were overcounted after a scale-in and rare models were outweighed later than meant.

--- a/src/services/forwarding/pool-placement.ts
+++ b/src/services/forwarding/pool-placement.ts
@@ -497,8 +497,9 @@
 		let largest = 0;
 		for (const [model, requests] of demand) {
 			let copies = 0;
-			for (const keys of this.desired.values()) {
-				copies += keys.has(keyOf(model)) ? 1 : 0;
+			for (const {id, listed} of this.options.tasks()) {
+				copies +=
+					!listed.isLeaving && this.desired.get(id)?.has(keyOf(model)) ? 1 : 0;
 			}
 
 			largest = Math.max(
