--- a/src/core/dormancy-policy.ts
+++ b/src/core/dormancy-policy.ts
@@ -51,7 +51,10 @@
 	}
 }
 
-/** Requests that a further copy of a busy model must take over, for each one of a rare model, before the rare model's only copy may go. */
+/**
+ * Requests that a further copy of a busy model must take over, for each one of a rare model, before the rare model's
+ * only copy may go. A change costs the requests of about a second at the target and those that wait for the rare model.
+ */
 const outweighingFactor = 8;
 /** Time for which a rare model keeps the copy that it got, so that its requests are served before it goes. */
 const sliceMilliseconds = 3000;
