Log which requests and prompt parts were in flight when a target ended

Change: target-died (7015) names the target, how the host found out, the lost requests and their prompt parts; request-answered names the prompt parts; daisylever_target_deaths_total counts deaths by evidence. No decision changes.

--- a/src/contracts/events/forwarding-events.ts
+++ b/src/contracts/events/forwarding-events.ts
@@ -76,6 +76,13 @@
 		description:
 			'An entry of the list of targets cannot be read. Its target receives no requests.',
 	},
+	targetDied: {
+		number: 7015,
+		name: 'target-died',
+		level: 'warn',
+		description:
+			'A target ended while requests of this host were in flight there. The field evidence says how this host found out, requests the ids of the requests, and promptParts the parts of their prompts with the number of requests that had each.',
+	},
 	storeLost: {
 		number: 7020,
 		name: 'store-lost',
--- a/src/contracts/ids.ts
+++ b/src/contracts/ids.ts
@@ -73,6 +73,10 @@
 export const fingerprintSchema = nameSchema.brand<'Fingerprint'>();
 export type Fingerprint = z.infer<typeof fingerprintSchema>;
 
+/** Id of one part of a prompt. Requests that share a part share its id. */
+export const promptPartIdSchema = nameSchema.brand<'PromptPartId'>();
+export type PromptPartId = z.infer<typeof promptPartIdSchema>;
+
 /** Id of an order to a target, unique in the fleet. */
 export const orderIdSchema = nameSchema.brand<'OrderId'>();
 export type OrderId = z.infer<typeof orderIdSchema>;
--- a/src/contracts/request-codec.ts
+++ b/src/contracts/request-codec.ts
@@ -2,6 +2,7 @@
 import {
 	type AdapterId,
 	type ModelId,
+	type PromptPartId,
 	type RequestId,
 	type TargetId,
 } from './ids.js';
@@ -17,6 +18,8 @@
 	readonly expectedTokens: number | undefined;
 	/** Identifiers of the prompt's prefixes, the longest first. Each names a part of the prompt with all parts before it. */
 	readonly prefixKeys: readonly string[];
+	/** Ids of the parts of the prompt, in their order. The last part belongs to the request or its session alone. */
+	readonly promptParts: readonly PromptPartId[];
 	/** Time until the caller's deadline. */
 	readonly remainingMilliseconds: number | undefined;
 	/** Id of the last event that the caller received of an interrupted stream. */
--- a/src/core/crash-correlation.ts
+++ b/src/core/crash-correlation.ts
@@ -1,6 +1,8 @@
 import {type Clock} from '../base/common/clock.js';
 import {
 	type Fingerprint,
+	type PromptPartId,
+	type RequestId,
 	type TargetId,
 	type TargetIncarnation,
 } from '../contracts/ids.js';
@@ -11,8 +13,15 @@
 	readonly clock: Clock;
 };
 
-type LostRequest = {
+/** A request whose connection to a target broke. */
+export type LostRequest = {
+	readonly id: RequestId;
 	readonly fingerprint: Fingerprint;
+	readonly promptParts: readonly PromptPartId[];
+};
+
+type TimedLoss = {
+	readonly request: LostRequest;
 	readonly incarnation: TargetIncarnation;
 	readonly lostAt: number;
 };
@@ -30,7 +39,7 @@
  * incarnation.
  */
 export class CrashCorrelation {
-	private readonly lostRequests = new Map<TargetId, LostRequest[]>();
+	private readonly lostRequests = new Map<TargetId, TimedLoss[]>();
 	private readonly policy = new QuarantinePolicy({
 		deathsToQuarantine,
 		durationMilliseconds,
@@ -47,18 +56,18 @@
 	recordLostRequest(
 		target: TargetId,
 		incarnation: TargetIncarnation,
-		fingerprint: Fingerprint,
+		request: LostRequest,
 	): void {
 		const now = this.options.clock.monotonic();
 		const lostRequests = (this.lostRequests.get(target) ?? []).filter(
 			({lostAt}) => now - lostAt < correlationWindowMilliseconds,
 		);
-		lostRequests.push({fingerprint, incarnation, lostAt: now});
+		lostRequests.push({request, incarnation, lostAt: now});
 		this.lostRequests.set(target, lostRequests);
 	}
 
-	/** Records the death of a target, and correlates it with the requests lost there within the correlation window. */
-	recordTargetDeath(target: TargetId): void {
+	/** Records the death of a target, correlates it with the requests lost there within the correlation window, and returns these. */
+	recordTargetDeath(target: TargetId): readonly LostRequest[] {
 		const now = this.options.clock.monotonic();
 		const lostRequests = this.lostRequests.get(target) ?? [];
 		this.lostRequests.delete(target);
@@ -66,16 +75,17 @@
 			({lostAt}) => now - lostAt < correlationWindowMilliseconds,
 		);
 		if (recent.length === 0) {
-			return;
+			return [];
 		}
 
 		const death = {
 			target,
 			targetIncarnation: recent[0]!.incarnation,
-			fingerprints: recent.map(({fingerprint}) => fingerprint),
+			fingerprints: recent.map(({request}) => request.fingerprint),
 		};
 		this.unreportedDeaths.push(death);
 		this.applyDeath(death);
+		return recent.map(({request}) => request);
 	}
 
 	/** Applies a target death observed by this host or another one. */
--- a/src/platform/request-codec.ts
+++ b/src/platform/request-codec.ts
@@ -2,6 +2,7 @@
 import {
 	type AdapterId,
 	type ModelId,
+	type PromptPartId,
 	type RequestId,
 	type TargetId,
 } from '../contracts/ids.js';
@@ -99,6 +100,7 @@
 		const [promptTokens, maximumTokens] = (valueOf(headerNames.tokens) ?? '')
 			.split(',')
 			.map((part) => parseCount(part) ?? 0);
+		const promptParts = parsePromptParts(valueOf(headerNames.promptPrefix));
 		return ok({
 			id: id as RequestId,
 			model: model ? (model as ModelId) : undefined,
@@ -106,11 +108,8 @@
 			promptTokens: promptTokens ?? 0,
 			maximumTokens: maximumTokens ?? 0,
 			expectedTokens: parseCount(valueOf(headerNames.lengthHint)),
-			prefixKeys: parsePrefixes(
-				valueOf(headerNames.promptPrefix),
-				model,
-				adapter,
-			),
+			prefixKeys: prefixKeysOf(promptParts, model, adapter),
+			promptParts,
 			remainingMilliseconds: parseCount(valueOf(headerNames.deadline)),
 			lastEventId: parseCount(valueOf(headerNames.lastEventId)),
 			forwardedHeaders,
@@ -200,25 +199,29 @@
 	return Number(text);
 }
 
+/** Parses `ID:TOKENS` pairs, separated by commas, and returns the ids. */
+function parsePromptParts(text: string | undefined): PromptPartId[] {
+	return text === undefined
+		? []
+		: text
+				.split(',')
+				.map((part) => (part.trim().split(':')[0] ?? '') as PromptPartId);
+}
+
 /**
- * Parses `ID:TOKENS` pairs, separated by commas, and returns the keys of all prefixes, the longest first. A target caches
- * a part for one model and adapter and only together with all parts before it, so the key of a prefix consists of the
- * model, the adapter and the ids of all its parts.
+ * Returns the keys of all prefixes of a prompt, the longest first. A target caches a part for one model and adapter and
+ * only together with all parts before it, so the key of a prefix consists of the model, the adapter and the ids of all
+ * its parts.
  */
-function parsePrefixes(
-	text: string | undefined,
+function prefixKeysOf(
+	parts: readonly PromptPartId[],
 	model: string | undefined,
 	adapter: string | undefined,
 ): string[] {
-	if (text === undefined) {
-		return [];
-	}
-
 	const prefixes: string[] = [];
 	let path = `${model ?? ''}/${adapter ?? ''}`;
-	for (const part of text.split(',')) {
-		const [id] = part.trim().split(':');
-		path += `|${id ?? ''}`;
+	for (const part of parts) {
+		path += `|${part}`;
 		prefixes.unshift(path);
 	}
 
--- a/src/program/forwarding-root.ts
+++ b/src/program/forwarding-root.ts
@@ -172,12 +172,6 @@
 			}),
 		);
 		const crashes = new CrashCorrelation({clock});
-		registry.restarted.subscribe(({listed}) => {
-			crashes.recordTargetDeath(listed.id);
-		});
-		registry.removed.subscribe(({listed}) => {
-			crashes.recordTargetDeath(listed.id);
-		});
 		this.service = new ForwardingService({
 			host,
 			failureDomain: settings.failureDomain,
--- a/src/services/forwarding/forward-dispatch.ts
+++ b/src/services/forwarding/forward-dispatch.ts
@@ -25,7 +25,6 @@
 import {AgingShare} from '../../core/aging-share.js';
 import {CallerLimiter} from '../../core/caller-limiter.js';
 import {type Urgency} from '../../core/dispatch-queue.js';
-import {type CrashCorrelation} from '../../core/crash-correlation.js';
 import {LengthEstimator} from '../../core/length-estimator.js';
 import {OutlierDetector} from '../../core/outlier-detector.js';
 import {RetryBudget, type RetryBudgetLimits} from '../../core/retry-budget.js';
@@ -47,6 +46,7 @@
 	ForwardAttempt,
 	type AttemptFailure,
 } from './forward-attempt.js';
+import {type CrashObserver} from './crash-observer.js';
 import {type ForwardedRequest} from './forwarded-request.js';
 import {type TargetConnections} from './target-connections.js';
 import {type RegisteredTarget, type TargetRegistry} from './target-registry.js';
@@ -74,7 +74,7 @@
 	readonly codec: RequestCodec;
 	readonly registry: TargetRegistry;
 	readonly retries: RetryLimits;
-	readonly crashes: CrashCorrelation;
+	readonly crashes: CrashObserver;
 	readonly maximumBodyBytes: number;
 };
 
@@ -365,16 +365,19 @@
 		const incarnation = registry.get(attempt.target)?.listed.residency
 			.incarnation;
 		if (failure.kind === 'lost' && incarnation !== undefined) {
-			crashes.recordLostRequest(
-				attempt.target,
-				incarnation,
-				request.options.fingerprint,
-			);
+			crashes.recordLostRequest(attempt.target, incarnation, {
+				id: request.metadata.id,
+				fingerprint: request.options.fingerprint,
+				promptParts: request.metadata.promptParts,
+			});
 		}
 
 		if (failure.kind === 'unreached') {
 			registry.recordUnreachable(attempt.target, failure.isConnectionRefused);
-			crashes.recordTargetDeath(attempt.target);
+			crashes.recordTargetDeath(
+				attempt.target,
+				failure.isConnectionRefused ? 'connection-refused' : 'unreachable',
+			);
 		} else if (failure.kind === 'refused' && failure.response.isMisdirected) {
 			registry.recordMissing(
 				attempt.target,
--- a/src/services/forwarding/forwarded-request.ts
+++ b/src/services/forwarding/forwarded-request.ts
@@ -52,6 +52,8 @@
 const minimumStartTimeoutMilliseconds = 1300;
 /** The start timeout as a multiple of the latency objective. */
 const startTimeoutObjectiveFactor = 2.6;
+/** Parts of a prompt in a log line. Longer prompts are cut, because the parts that requests share come first. */
+const maximumLoggedParts = 8;
 /** Share of the objective after which a request that has not started is aged. */
 const agedObjectiveShare = 0.5;
 /** Time that a caller waits at most beyond the deadline, so that the response that a target sends at its own deadline arrives first. */
@@ -345,6 +347,7 @@
 			route: route.name,
 			model: metadata.model,
 			adapter: metadata.adapter,
+			promptParts: metadata.promptParts.slice(0, maximumLoggedParts),
 			outcome,
 			milliseconds: Math.round(clock.monotonic() - arrivedAt),
 			waitedMilliseconds:
--- a/src/services/forwarding/forwarding-service.ts
+++ b/src/services/forwarding/forwarding-service.ts
@@ -25,6 +25,7 @@
 import {pickPoolByWeight, RouteTable} from '../../core/route-table.js';
 import {type AdapterDemand, type HostDemand} from '../../core/host-demand.js';
 import {CallerResponse} from './caller-response.js';
+import {CrashObserver} from './crash-observer.js';
 import {ForwardDispatch, type RetryLimits} from './forward-dispatch.js';
 import {ForwardedRequest} from './forwarded-request.js';
 import {
@@ -74,6 +75,7 @@
 	private routes: RouteTable | undefined;
 	private readonly pools = new Map<PoolName, Pool>();
 	private readonly requests = new Set<ForwardedRequest>();
+	private readonly crashObserver: CrashObserver;
 	/** Monotonic time of the last request for each model, including refused requests. */
 	private readonly lastRequestAt = new Map<ModelId, number>();
 	private firstRequestAt: number | undefined;
@@ -89,6 +91,14 @@
 
 	constructor(private readonly options: ForwardingServiceOptions) {
 		super();
+		const {crashes, events, metrics, registry} = options;
+		this.crashObserver = new CrashObserver({crashes, events, metrics});
+		registry.restarted.subscribe(({listed}) => {
+			this.crashObserver.recordTargetDeath(listed.id, 'restarted');
+		});
+		registry.removed.subscribe(({listed}) => {
+			this.crashObserver.recordTargetDeath(listed.id, 'unlisted');
+		});
 		this.currentHostCount = options.retries.hosts;
 		this.lastIntervalAt = options.clock.monotonic();
 	}
@@ -488,7 +498,7 @@
 	}
 
 	private createDispatch(pool: PoolName): ForwardDispatch {
-		const {host, clock, random, events, codec, registry, retries, crashes} =
+		const {host, clock, random, events, codec, registry, retries} =
 			this.options;
 		return new ForwardDispatch({
 			pool,
@@ -500,7 +510,7 @@
 			codec,
 			registry,
 			retries: {...retries, hosts: this.currentHostCount},
-			crashes,
+			crashes: this.crashObserver,
 			maximumBodyBytes: 4_194_304,
 		});
 	}
--- a/test/forwarding/crash-correlation.test.ts
+++ b/test/forwarding/crash-correlation.test.ts
@@ -3,14 +3,22 @@
 import {ManualClock} from '../../src/base/common/clock.js';
 import {
 	type Fingerprint,
+	type RequestId,
 	type TargetId,
 	type TargetIncarnation,
 } from '../../src/contracts/ids.js';
-import {CrashCorrelation} from '../../src/core/crash-correlation.js';
+import {
+	CrashCorrelation,
+	type LostRequest,
+} from '../../src/core/crash-correlation.js';
 
 const poison = 'poison' as Fingerprint;
 const bystander = 'bystander' as Fingerprint;
 
+function lostRequest(fingerprint: Fingerprint): LostRequest {
+	return {id: 'r' as RequestId, fingerprint, promptParts: []};
+}
+
 function crash(
 	correlation: CrashCorrelation,
 	name: string,
@@ -20,7 +28,7 @@
 		correlation.recordLostRequest(
 			name as TargetId,
 			`${name}@1` as TargetIncarnation,
-			fingerprint,
+			lostRequest(fingerprint),
 		);
 	}
 
@@ -46,7 +54,7 @@
 		correlation.recordLostRequest(
 			name as TargetId,
 			`${name}@1` as TargetIncarnation,
-			poison,
+			lostRequest(poison),
 		);
 	}
 
