--- a/src/contracts/events/forwarding-events.ts
+++ b/src/contracts/events/forwarding-events.ts
@@ -83,6 +83,27 @@
 		description:
 			'A target ended while requests of this host were in flight there. The field evidence says how this host found out, requests the ids of the requests, and promptParts the parts of their prompts with the number of requests that had each.',
 	},
+	fingerprintQuarantined: {
+		number: 7016,
+		name: 'fingerprint-quarantined-fleet',
+		level: 'warn',
+		description:
+			'Targets died under a request or under a part of prompts (field fingerprint). All hosts refuse requests with it. The field deaths names the targets, source says whether this host or another one found the last death.',
+	},
+	suspicionCleared: {
+		number: 7017,
+		name: 'suspicion-cleared',
+		level: 'info',
+		description:
+			'A target answered a request (field request) with a suspect or quarantined part of its prompt completely, so requests with the part are sent again.',
+	},
+	quarantineTried: {
+		number: 7018,
+		name: 'quarantine-tried',
+		level: 'info',
+		description:
+			'One request with a quarantined fingerprint is sent, to find out whether it still crashes targets. Only the owner does this, less often each time.',
+	},
 	storeLost: {
 		number: 7020,
 		name: 'store-lost',
@@ -204,6 +225,13 @@
 		description:
 			'A request was rejected without being queued, for example because no route matches.',
 	},
+	requestQuarantined: {
+		number: 7054,
+		name: 'request-quarantined',
+		level: 'info',
+		description:
+			'A request was refused because of a quarantined fingerprint: its own or that of a part of its prompt. Look for the fingerprint in the events 7016.',
+	},
 	eventLoopStalled: {
 		number: 7061,
 		name: 'event-loop-stalled',
--- a/src/contracts/shared-store.ts
+++ b/src/contracts/shared-store.ts
@@ -1,6 +1,7 @@
 import {type ResultAsync} from 'neverthrow';
 import {type ForwardingDocument} from './forwarding-document.js';
 import {type HostId} from './ids.js';
+import {type SuspicionReport} from './suspicion-report.js';
 import {type TargetListChange} from './listed-target.js';
 
 /** A call to the shared store failed. */
@@ -74,6 +75,8 @@
 	readonly peerAddress: string;
 	/** Time between the holder's last order and this record. Set on a release. */
 	readonly sinceLastOrderMilliseconds?: number | undefined;
+	/** Quarantined fingerprints, so that they outlive all hosts. */
+	readonly suspicions?: readonly SuspicionReport[] | undefined;
 };
 
 /** A record with its position. The position of a claim is the fencing token of the lease. */
--- a/src/core/demand-collector.ts
+++ b/src/core/demand-collector.ts
@@ -47,7 +47,6 @@
 		const others = this.current().filter(({host}) => host !== own.host);
 		return {
 			host: own.host,
-			deaths: own.deaths,
 			...sumDemand([{demand: own, ageMilliseconds: 0}, ...others]),
 		};
 	}
--- a/src/core/host-demand.ts
+++ b/src/core/host-demand.ts
@@ -1,5 +1,4 @@
 import {type AdapterId, type HostId, type ModelId} from '../contracts/ids.js';
-import {type TargetDeath} from './quarantine-policy.js';
 
 /** Recent demand of one host, or of several together, for a model. */
 export type ModelDemand = {
@@ -27,12 +26,10 @@
 	readonly observedMilliseconds: number;
 	readonly models: readonly ModelDemand[];
 	readonly adapters: readonly AdapterDemand[];
-	/** Deaths of targets that were not reported yet, with the fingerprints of the requests in flight. */
-	readonly deaths: readonly TargetDeath[];
 };
 
 /** Demand of one or more hosts. */
-export type DemandSum = Omit<HostDemand, 'host' | 'deaths'>;
+export type DemandSum = Omit<HostDemand, 'host'>;
 
 /** Adds up demand. The age of a part is the time since it was reported. */
 export function sumDemand(
--- a/src/core/relay-assignment.ts
+++ b/src/core/relay-assignment.ts
@@ -83,6 +83,14 @@
 		return this.current().length;
 	}
 
+	/** Addresses of hosts that report to the owner, at most as many as in a fleet without relays. */
+	peerAddresses(): string[] {
+		return this.current()
+			.map(({peerAddress}) => peerAddress)
+			.sort()
+			.slice(0, maximumDirectHosts);
+	}
+
 	/** Returns the relay to which a host should report from now on, or undefined for the owner. The host could not reach the relay at the address `failedAddress`. */
 	relayOf(host: HostId, failedAddress: string): RelayCandidate | undefined {
 		const current = this.current();
--- a/src/platform/owner-log.ts
+++ b/src/platform/owner-log.ts
@@ -1,6 +1,6 @@
 import {errAsync, type ResultAsync} from 'neverthrow';
 import {z} from 'zod';
-import {hostIdSchema} from '../contracts/ids.js';
+import {fingerprintSchema, hostIdSchema} from '../contracts/ids.js';
 import {
 	HistoryTruncatedError,
 	OwnerLog,
@@ -13,12 +13,21 @@
 import {type StoreClient} from './store-client.js';
 import {topics} from './wire.js';
 
+const suspicionSchema = z.object({
+	fingerprint: fingerprintSchema,
+	deaths: z.array(z.object({key: z.string(), ageMilliseconds: z.number()})),
+	answeredMillisecondsAgo: z.number().optional(),
+	trials: z.number(),
+	triedMillisecondsAgo: z.number().optional(),
+});
+
 const recordSchema = z.object({
 	kind: z.enum(['claimed', 'renewed', 'released']),
 	host: hostIdSchema,
 	incarnation: z.string(),
 	peerAddress: z.string(),
 	sinceLastOrderMilliseconds: z.number().optional(),
+	suspicions: z.array(suspicionSchema).optional(),
 });
 
 /** Stores the records of the owner lease in a topic of the platform's store. */
--- a/src/program/forwarding-root.ts
+++ b/src/program/forwarding-root.ts
@@ -27,6 +27,7 @@
 import {StoreClient} from '../platform/store-client.js';
 import {PlatformTargetListState} from '../platform/target-list-state.js';
 import {BoundedOutput} from '../services/bounded-output.js';
+import {CrashObserver} from '../services/forwarding/crash-observer.js';
 import {ForwardingServer} from '../services/forwarding/forwarding-server.js';
 import {ForwardingService} from '../services/forwarding/forwarding-service.js';
 import {FleetView} from '../services/forwarding/fleet-view.js';
@@ -152,6 +153,12 @@
 		);
 		const {owner} = this;
 		this.view = components.add(new FleetView({name: incarnation, registry}));
+		const crashes = new CrashObserver({
+			crashes: new CrashCorrelation({clock}),
+			events,
+			metrics,
+			mayTry: () => this.leaseManager.isHolder,
+		});
 		this.reportServer = components.add(
 			new ReportServer({
 				host,
@@ -159,6 +166,7 @@
 				clock,
 				owner,
 				view: this.view,
+				crashes,
 				isOwner: () => this.leaseManager.isHolder,
 				relayedState: () => this.reportClient.relayedState(),
 				lease: () => this.leaseManager.status(),
@@ -171,7 +179,6 @@
 				},
 			}),
 		);
-		const crashes = new CrashCorrelation({clock});
 		this.service = new ForwardingService({
 			host,
 			failureDomain: settings.failureDomain,
@@ -210,13 +217,15 @@
 				holder: () => this.leaseManager.holder,
 				localOwner: owner,
 				isLocalOwner: () => this.leaseManager.isHolder,
+				crashes,
 				demand: () => this.reportServer.mergeDemand(service.demand()),
+				peerAddresses: () => this.reportServer.peerAddresses(),
 				stuckDocumentPosition: () =>
 					this.documents.isStuck ? this.documents.currentPosition : undefined,
 				onLeaseStatusReceived: (status) => {
 					this.leaseManager.applyHolderStatus(status);
 				},
-				applyUpdate: (update) => this.applyUpdate(update, crashes),
+				applyUpdate: (update) => this.applyUpdate(update),
 			}),
 		);
 		const {reportClient} = this;
@@ -238,6 +247,10 @@
 				random,
 				events,
 				isHolderResponsive: () => reportClient.isOwnerResponsive(),
+				quarantined: () => crashes.quarantined(),
+				onSuspicionsRead(reports) {
+					crashes.merge(reports);
+				},
 				sinceLastOrder: () => owner.sinceLastOrder(),
 			}),
 		);
@@ -406,10 +419,9 @@
 	}
 
 	/** Applies the shared state that the owner or a relay sent. Returns false when this host has read the target list further itself. */
-	private applyUpdate(update: FleetUpdate, crashes: CrashCorrelation): boolean {
-		const {contents, hostCount, quarantined, targetList} = update;
+	private applyUpdate(update: FleetUpdate): boolean {
+		const {contents, hostCount, targetList} = update;
 		const {registry, service} = this;
-		crashes.block(quarantined);
 		if (hostCount > 0) {
 			registry.setHostCount(hostCount);
 			service.setHostCount(hostCount);
--- a/src/services/dispatch/dispatcher.ts
+++ b/src/services/dispatch/dispatcher.ts
@@ -150,7 +150,12 @@
 	/** The target refused the request without executing it. */
 	| ({readonly kind: 'refused'; readonly reason: RefusalReason} & Attempt)
 	/** The attempt ended without a complete response. */
-	| ({readonly kind: 'lost'; readonly execution: Execution} & Attempt)
+	| ({
+			readonly kind: 'lost';
+			readonly execution: Execution;
+			/** False when the request must not be sent again. */
+			readonly mayRepeat?: boolean;
+	  } & Attempt)
 	/** No byte of the request reached the target. */
 	| ({readonly kind: 'unreached'} & Attempt)
 	| {
@@ -451,7 +456,7 @@
 			}
 
 			case 'lost': {
-				this.handleLoss(message, message.execution);
+				this.handleLoss(message);
 				break;
 			}
 
@@ -1154,7 +1159,10 @@
 		});
 	}
 
-	private handleLoss(message: Attempt, execution: Execution): void {
+	private handleLoss(
+		message: Extract<DispatcherMessage, {kind: 'lost'}>,
+	): void {
+		const {execution} = message;
 		const tracked = this.trackedRequests.get(message.request);
 		const attempt = tracked?.attempts.get(message.attempt);
 		if (!tracked || !attempt) {
@@ -1182,6 +1190,7 @@
 			(item.idempotent || !tracked.mayHaveRun) &&
 			attempt.firstTokenAt === undefined &&
 			!item.suspect &&
+			message.mayRepeat !== false &&
 			this.mayRetry(tracked, true)
 		) {
 			this.enqueue(tracked);
--- a/src/services/forwarding/crash-observer.ts
+++ b/src/services/forwarding/crash-observer.ts
@@ -1,5 +1,6 @@
 import {type EventLogger} from '../../base/common/event-logger.js';
 import {type MetricRegistry} from '../../base/common/metric-registry.js';
+import {TypedEvent} from '../../base/common/typed-event.js';
 import {forwardingEvents} from '../../contracts/events/forwarding-events.js';
 import {
 	type Fingerprint,
@@ -7,39 +8,91 @@
 	type TargetId,
 	type TargetIncarnation,
 } from '../../contracts/ids.js';
+import {type SuspicionReport} from '../../contracts/suspicion-report.js';
 import {
 	type CrashCorrelation,
-	type LostRequest,
+	type ObservedRequest,
 } from '../../core/crash-correlation.js';
 
 /** Why a target counts as dead. */
 export type DeathEvidence =
 	'connection-refused' | 'unreachable' | 'unlisted' | 'restarted';
 
+/** Whether a request may be sent: as usual, once as a trial of a quarantined fingerprint, or not at all. */
+export type CrashAdmission = 'allowed' | 'trial' | 'quarantined';
+
 /** Options of the crash observer. */
 export type CrashObserverOptions = {
 	readonly crashes: CrashCorrelation;
 	readonly events: EventLogger;
 	readonly metrics: MetricRegistry;
+	/** True on the one host that may try quarantined fingerprints again. */
+	readonly mayTry: () => boolean;
 };
 
 const maximumLoggedRequests = 20;
 const maximumLoggedParts = 10;
 
-/** Reports lost requests and ended targets to the crash correlation, and logs what was in flight at each end. */
+/** Tells the crash correlation what this host and others observe, logs what follows from it, and announces changes. */
 export class CrashObserver {
+	/** This host has observed something that other hosts should know. */
+	readonly observed = new TypedEvent<void>();
+	/** What this host knows has changed, by its own observation or by that of another host. */
+	readonly changed = new TypedEvent<void>();
+	/** Fingerprints were quarantined. */
+	readonly quarantineGrown = new TypedEvent<void>();
+
 	constructor(private readonly options: CrashObserverOptions) {}
 
-	/** True when requests with this fingerprint must not be sent to a target. */
-	isQuarantined(fingerprint: Fingerprint): boolean {
-		return this.options.crashes.isQuarantined(fingerprint);
+	/** Increases with each change. */
+	get revision(): number {
+		return this.options.crashes.revision;
+	}
+
+	/** Decides whether a request that has arrived may be sent, and logs it when not. */
+	admit(request: ObservedRequest): CrashAdmission {
+		const {crashes, events, metrics, mayTry} = this.options;
+		const finding = crashes.findQuarantined(request);
+		if (!finding) {
+			return 'allowed';
+		}
+
+		const isTrial = mayTry() && crashes.tryTrial(request);
+		events.record(
+			isTrial
+				? forwardingEvents.quarantineTried
+				: forwardingEvents.requestQuarantined,
+			{request: request.id, ...finding},
+		);
+		if (isTrial) {
+			this.announceObservation();
+			return 'trial';
+		}
+
+		metrics.count('daisylever_quarantined_requests_total');
+		return 'quarantined';
+	}
+
+	/** True when requests like this one must not be sent to a target. */
+	isQuarantined(request: ObservedRequest): boolean {
+		return this.options.crashes.findQuarantined(request) !== undefined;
+	}
+
+	/** True when all prompt parts of the request are known to be harmless. */
+	isSound(request: ObservedRequest): boolean {
+		return this.options.crashes.isSound(request);
+	}
+
+	/** True when a target has died under a prompt part of the request that nothing vouches for. */
+	hasSuspectPart(request: ObservedRequest): boolean {
+		return this.options.crashes.hasSuspectPart(request);
 	}
 
 	/** Records that a request was running on a target when its connection broke. */
 	recordLostRequest(
 		target: TargetId,
 		incarnation: TargetIncarnation,
-		request: LostRequest,
+		request: ObservedRequest,
 	): void {
 		this.options.crashes.recordLostRequest(target, incarnation, request);
 	}
@@ -47,8 +100,8 @@
 	/** Records that a target has ended. */
 	recordTargetDeath(target: TargetId, evidence: DeathEvidence): void {
 		const {crashes, events, metrics} = this.options;
-		const lost = crashes.recordTargetDeath(target);
-		if (lost.length === 0) {
+		const {requests, quarantined} = crashes.recordTargetDeath(target);
+		if (requests.length === 0) {
 			return;
 		}
 
@@ -56,18 +109,89 @@
 		events.record(forwardingEvents.targetDied, {
 			target,
 			evidence,
-			requestCount: lost.length,
-			requests: lost.slice(0, maximumLoggedRequests).map(({id}) => id),
+			requestCount: requests.length,
+			requests: requests.slice(0, maximumLoggedRequests).map(({id}) => id),
 			promptParts: Object.fromEntries(
-				countParts(lost).slice(0, maximumLoggedParts),
+				countParts(requests).slice(0, maximumLoggedParts),
 			),
 		});
+		this.announceObservation();
+		this.announceQuarantine(quarantined, 'observed');
+	}
+
+	/** Records that a target has answered a request completely. */
+	recordAnswer(request: ObservedRequest): void {
+		const {crashes, events} = this.options;
+		const {revision} = crashes;
+		for (const fingerprint of crashes.recordAnswer(request)) {
+			events.record(forwardingEvents.suspicionCleared, {
+				fingerprint,
+				request: request.id,
+			});
+		}
+
+		if (crashes.revision !== revision) {
+			this.announceObservation();
+		}
+	}
+
+	/** Applies what another host knows. Returns true when that was new to this host. */
+	merge(reports: readonly SuspicionReport[]): boolean {
+		const {crashes} = this.options;
+		const {revision} = crashes;
+		const quarantined = crashes.merge(reports);
+		if (crashes.revision === revision) {
+			return false;
+		}
+
+		this.changed.publish();
+		this.announceQuarantine(quarantined, 'received');
+		return true;
+	}
+
+	/** Returns what has changed since a revision, for a host that collects the deaths of others. */
+	changesSince(revision: number) {
+		return this.options.crashes.changesSince(revision);
+	}
+
+	/** Returns what has changed since a revision and concerns all hosts. */
+	sharedChangesSince(revision: number) {
+		return this.options.crashes.sharedChangesSince(revision);
+	}
+
+	/** Reports on all quarantined fingerprints. */
+	quarantined(): readonly SuspicionReport[] {
+		return this.options.crashes.quarantined();
+	}
+
+	private announceObservation(): void {
+		this.observed.publish();
+		this.changed.publish();
+	}
+
+	private announceQuarantine(
+		fingerprints: readonly Fingerprint[],
+		source: 'observed' | 'received',
+	): void {
+		if (fingerprints.length === 0) {
+			return;
+		}
+
+		for (const fingerprint of fingerprints) {
+			this.options.events.record(forwardingEvents.fingerprintQuarantined, {
+				fingerprint,
+				source,
+				deaths: this.options.crashes.deathsOf(fingerprint),
+			});
+		}
+
+		this.quarantineGrown.publish();
 	}
 }
 
 /** Returns the parts of the prompts with the number of requests that have each, the most frequent first. */
 function countParts(
-	requests: readonly LostRequest[],
+	requests: readonly ObservedRequest[],
 ): Array<[PromptPartId, number]> {
 	const counts = new Map<PromptPartId, number>();
 	for (const {promptParts} of requests) {
--- a/src/services/forwarding/forward-dispatch.ts
+++ b/src/services/forwarding/forward-dispatch.ts
@@ -2,12 +2,12 @@
 import {Disposable} from '../../base/common/disposable.js';
 import {type EventLogger} from '../../base/common/event-logger.js';
 import {type RandomSource} from '../../base/common/random-source.js';
+import {isConnectionRefused} from '../../base/node/connection-probe.js';
 import {forwardingEvents} from '../../contracts/events/forwarding-events.js';
 import {type Execution} from '../../contracts/execution.js';
 import {
 	type CallerId,
 	type FailureDomain,
-	type Fingerprint,
 	type HostId,
 	type ModelId,
 	type OfferingName,
@@ -104,6 +104,8 @@
 const startTimeoutFactor = 6;
 /** Remaining time below which the rest of a stream is not requested from another target. */
 const minimumContinuationMilliseconds = 100;
+/** Time within which a target that runs accepts or refuses a connection. */
+const probeTimeoutMilliseconds = 400;
 /** Margin by which the deadline of a target precedes that of this host, so that the response of the target arrives first. */
 const targetDeadlineMarginMilliseconds = 20;
 
@@ -117,6 +119,8 @@
 	private readonly requests = new Map<RequestId, ForwardedRequest>();
 	private readonly attempts = new Map<RequestId, Map<number, ForwardAttempt>>();
 	private readonly announcedTargets = new Set<TargetId>();
+	/** Probes that have not ended, by target. */
+	private readonly probes = new Map<TargetId, Promise<void>>();
 	private lastLoadSequence = 0;
 	private readonly subscriptions: Disposable[];
 
@@ -243,6 +247,11 @@
 			return;
 		}
 
+		if (this.isQuarantined(request)) {
+			this.refuseRequest(request);
+			return;
+		}
+
 		request.waitedMilliseconds ??= binding.waitedMilliseconds;
 		request.executions++;
 		const attempt = this.createAttempt(request, binding, connections);
@@ -283,6 +292,15 @@
 		);
 	}
 
+	/** Refuses the requests with a quarantined fingerprint that are queued, and cancels those that have not started at their target. */
+	refuseQuarantined(): void {
+		for (const request of this.requests.values()) {
+			if (!request.hasStarted && this.isQuarantined(request)) {
+				this.refuseRequest(request);
+			}
+		}
+	}
+
 	/** Cancels an attempt without reporting an outcome. */
 	cancelAttempt({request, attempt}: Attempt): void {
 		const attempts = this.attempts.get(request);
@@ -337,7 +355,11 @@
 		outcome:
 			| {readonly kind: 'completed'; readonly tokens: number}
 			| {readonly kind: 'refused'; readonly reason: RefusalReason}
-			| {readonly kind: 'lost'; readonly execution: Execution}
+			| {
+					readonly kind: 'lost';
+					readonly execution: Execution;
+					readonly mayRepeat?: boolean;
+			  }
 			| {readonly kind: 'unreached'},
 	): void {
 		this.attempts.get(attempt.request)?.delete(attempt.attempt);
@@ -362,14 +384,8 @@
 			events: request.eventCount,
 		});
 		const {registry, crashes} = this.options;
-		const incarnation = registry.get(attempt.target)?.listed.residency
-			.incarnation;
-		if (failure.kind === 'lost' && incarnation !== undefined) {
-			crashes.recordLostRequest(attempt.target, incarnation, {
-				id: request.metadata.id,
-				fingerprint: request.options.fingerprint,
-				promptParts: request.metadata.promptParts,
-			});
+		if (failure.kind === 'lost') {
+			this.recordLostRequest(request, attempt.target);
 		}
 
 		if (failure.kind === 'unreached') {
@@ -387,6 +403,37 @@
 		}
 	}
 
+	/** Records that a target has answered a request completely. */
+	recordAnswer(request: ForwardedRequest): void {
+		this.options.crashes.recordAnswer(request.observed);
+	}
+
+	/** Records that a request was running on a target when its connection ended. */
+	recordLostRequest(request: ForwardedRequest, target: TargetId): void {
+		const {registry, crashes} = this.options;
+		const incarnation = registry.get(target)?.listed.residency.incarnation;
+		if (incarnation !== undefined) {
+			crashes.recordLostRequest(target, incarnation, request.observed);
+		}
+	}
+
+	/** True when a prompt part of the request may have ended the target on which it was lost. */
+	mayHaveCrashedTarget(request: ForwardedRequest): boolean {
+		return !this.options.crashes.isSound(request.observed);
+	}
+
+	/** True when a request that was lost may be sent again. */
+	mayRepeat(request: ForwardedRequest): boolean {
+		return !this.options.crashes.hasSuspectPart(request.observed);
+	}
+
+	/** Finds out whether the process of a target has ended. */
+	async probe(target: TargetId): Promise<void> {
+		const running = this.probes.get(target) ?? this.startProbe(target);
+		this.probes.set(target, running);
+		await running;
+	}
+
 	/** Requests the rest of an interrupted stream from another target, or fails the request. */
 	continueStream(request: ForwardedRequest, attempt: Attempt): void {
 		// The dispatcher drops the request and receives the rest of the stream as new work.
@@ -396,7 +443,8 @@
 			request.isFinished ||
 			!request.isRepeatable ||
 			request.executions >= request.route.maximumExecutions ||
-			this.options.crashes.isQuarantined(request.options.fingerprint) ||
+			!this.mayRepeat(request) ||
+			this.isQuarantined(request) ||
 			request.remainingMilliseconds() < minimumContinuationMilliseconds
 		) {
 			request.fail('the stream was interrupted');
@@ -411,6 +459,32 @@
 		});
 	}
 
+	private async startProbe(target: TargetId): Promise<void> {
+		const {registry, crashes} = this.options;
+		const address = registry.get(target)?.listed.address;
+		if (
+			address !== undefined &&
+			(await isConnectionRefused(address, probeTimeoutMilliseconds))
+		) {
+			registry.recordUnreachable(target, true);
+			crashes.recordTargetDeath(target, 'connection-refused');
+		}
+
+		this.probes.delete(target);
+	}
+
+	private isQuarantined(request: ForwardedRequest): boolean {
+		return (
+			!request.isQuarantineTrial &&
+			this.options.crashes.isQuarantined(request.observed)
+		);
+	}
+
+	private refuseRequest(request: ForwardedRequest): void {
+		this.abandon(request);
+		request.refuseQuarantined();
+	}
+
 	private createAttempt(
 		request: ForwardedRequest,
 		binding: Binding,
@@ -563,6 +637,7 @@
 /** Forwards the events of one attempt to its request and the dispatcher. */
 class RequestAttempt extends AttemptListener {
 	private events = 0;
+	private isFramed = true;
 
 	constructor(
 		private readonly poolDispatch: ForwardDispatch,
@@ -573,6 +648,7 @@
 	}
 
 	onStreamStart(response: ResponseMetadata): void {
+		this.isFramed = response.isFramed;
 		this.request.startStream(response);
 	}
 
@@ -606,6 +682,8 @@
 			return;
 		}
 
+		this.recordEnd(this.isFramed && this.events > 0);
+
 		this.poolDispatch.endAttempt(this.attempt, {
 			kind: 'completed',
 			tokens: this.events,
@@ -631,6 +709,7 @@
 			return;
 		}
 
+		this.recordEnd(response.isFramed && response.status < 300);
 		this.request.forwardResponse(response, body);
 		this.poolDispatch.endAttempt(this.attempt, {kind: 'completed', tokens: 1});
 	}
@@ -654,6 +733,18 @@
 			return;
 		}
 
+		if (!this.poolDispatch.mayHaveCrashedTarget(this.request)) {
+			this.repeat();
+			return;
+		}
+
+		void this.poolDispatch.probe(this.attempt.target).then(() => {
+			this.repeat();
+		});
+	}
+
+	/** Sends the request, or the rest of its stream, to another target if it may be sent again. */
+	private repeat(): void {
 		if (this.request.hasStarted) {
 			this.poolDispatch.continueStream(this.request, this.attempt);
 			return;
@@ -662,9 +753,23 @@
 		this.poolDispatch.endAttempt(this.attempt, {
 			kind: 'lost',
 			execution: 'unknown',
+			mayRepeat: this.poolDispatch.mayRepeat(this.request),
 		});
 	}
 
+	/** Records a complete answer. One that only the end of its connection ends may have been cut short by the end of its target. */
+	private recordEnd(isComplete: boolean): void {
+		if (isComplete) {
+			this.poolDispatch.recordAnswer(this.request);
+			return;
+		}
+
+		if (this.poolDispatch.mayHaveCrashedTarget(this.request)) {
+			this.poolDispatch.recordLostRequest(this.request, this.attempt.target);
+			void this.poolDispatch.probe(this.attempt.target);
+		}
+	}
+
 	private abortStream(reason: string): void {
 		this.poolDispatch.cancelAttempt(this.attempt);
 		this.onFailure({kind: 'lost', reason});
--- a/src/services/forwarding/forwarded-request.ts
+++ b/src/services/forwarding/forwarded-request.ts
@@ -13,6 +13,7 @@
 	type RequestCodec,
 	type RequestMetadata,
 } from '../../contracts/request-codec.js';
+import {type ObservedRequest} from '../../core/crash-correlation.js';
 import {EventStreamSplitter} from '../../core/event-stream-splitter.js';
 import {type CallerResponse} from './caller-response.js';
 
@@ -54,6 +55,8 @@
 const startTimeoutObjectiveFactor = 2.6;
 /** Parts of a prompt in a log line. Longer prompts are cut, because the parts that requests share come first. */
 const maximumLoggedParts = 8;
+/** Delay after which a quarantined request may come back: by then a trial may have cleared a harmless part of its prompt. */
+const quarantineRetryMilliseconds = 10_000;
 /** Share of the objective after which a request that has not started is aged. */
 const agedObjectiveShare = 0.5;
 /** Time that a caller waits at most beyond the deadline, so that the response that a target sends at its own deadline arrives first. */
@@ -73,6 +76,8 @@
 	eventCount = 0;
 	/** Longest gap between two chunks of the stream. */
 	largestGapMilliseconds = 0;
+	/** True when the request finds out whether its quarantined fingerprints still crash targets. */
+	isQuarantineTrial = false;
 	/** Number of times that the rest of a stream was requested from another target. */
 	continuations = 0;
 	/** Time from arrival until the first attempt was sent, undefined before that. */
@@ -91,6 +96,16 @@
 		this.lastEventId = options.metadata.lastEventId;
 	}
 
+	/** What the crash correlation needs to know of the request. */
+	get observed(): ObservedRequest {
+		const {metadata, options} = this;
+		return {
+			id: metadata.id,
+			fingerprint: options.fingerprint,
+			promptParts: metadata.promptParts,
+		};
+	}
+
 	/** Key that is unique on this host. */
 	get key(): RequestId {
 		return this.options.key;
@@ -269,6 +284,14 @@
 		this.sendLocalResponse(503, reason, retryAfterMilliseconds);
 	}
 
+	/** Responds that requests like this one crash targets. */
+	refuseQuarantined(): void {
+		this.refuse(
+			'the request is quarantined because it crashes targets',
+			quarantineRetryMilliseconds,
+		);
+	}
+
 	/** Responds that the outcome is unknown, or forwards the recorded failure response of a target. A started stream is aborted. */
 	fail(reason: string, status: 502 | 504 = 502): void {
 		const {response} = this.options;
--- a/src/services/forwarding/forwarding-service.ts
+++ b/src/services/forwarding/forwarding-service.ts
@@ -21,11 +21,10 @@
 	type RequestCodec,
 	type RequestMetadata,
 } from '../../contracts/request-codec.js';
-import {type CrashCorrelation} from '../../core/crash-correlation.js';
 import {pickPoolByWeight, RouteTable} from '../../core/route-table.js';
 import {type AdapterDemand, type HostDemand} from '../../core/host-demand.js';
 import {CallerResponse} from './caller-response.js';
-import {CrashObserver} from './crash-observer.js';
+import {type CrashObserver} from './crash-observer.js';
 import {ForwardDispatch, type RetryLimits} from './forward-dispatch.js';
 import {ForwardedRequest} from './forwarded-request.js';
 import {
@@ -45,7 +44,7 @@
 	readonly codec: RequestCodec;
 	readonly registry: TargetRegistry;
 	readonly retries: RetryLimits;
-	readonly crashes: CrashCorrelation;
+	readonly crashes: CrashObserver;
 	/** Called when a request arrives for an adapter that no target holds. */
 	readonly onAdapterMissing: () => void;
 };
@@ -75,7 +74,6 @@
 	private routes: RouteTable | undefined;
 	private readonly pools = new Map<PoolName, Pool>();
 	private readonly requests = new Set<ForwardedRequest>();
-	private readonly crashObserver: CrashObserver;
 	/** Monotonic time of the last request for each model, including refused requests. */
 	private readonly lastRequestAt = new Map<ModelId, number>();
 	private firstRequestAt: number | undefined;
@@ -91,13 +89,17 @@
 
 	constructor(private readonly options: ForwardingServiceOptions) {
 		super();
-		const {crashes, events, metrics, registry} = options;
-		this.crashObserver = new CrashObserver({crashes, events, metrics});
+		const {crashes, registry} = options;
 		registry.restarted.subscribe(({listed}) => {
-			this.crashObserver.recordTargetDeath(listed.id, 'restarted');
+			crashes.recordTargetDeath(listed.id, 'restarted');
 		});
 		registry.removed.subscribe(({listed}) => {
-			this.crashObserver.recordTargetDeath(listed.id, 'unlisted');
+			crashes.recordTargetDeath(listed.id, 'unlisted');
+		});
+		crashes.quarantineGrown.subscribe(() => {
+			for (const {dispatch} of this.pools.values()) {
+				dispatch.refuseQuarantined();
+			}
 		});
 		this.currentHostCount = options.retries.hosts;
 		this.lastIntervalAt = options.clock.monotonic();
@@ -213,7 +215,7 @@
 		}
 	}
 
-	/** Requests that are queued, in flight or were refused lately on this host, by model and adapter. Each death of a target is returned once. */
+	/** Requests that are queued, in flight or were refused lately on this host, by model and adapter. */
 	demand(): HostDemand {
 		const models = new Map<ModelId, number>();
 		const adapters = new Map<string, AdapterDemand>();
@@ -269,7 +271,6 @@
 					: now - (this.lastRequestAt.get(model) ?? now),
 			})),
 			adapters: [...adapters.values()],
-			deaths: this.options.crashes.takeUnreportedDeaths(),
 		};
 	}
 
@@ -387,14 +388,14 @@
 			return;
 		}
 
-		if (this.options.crashes.isQuarantined(request.options.fingerprint)) {
-			request.refuse(
-				'the request is quarantined because it crashes targets',
-				0,
-			);
+		const admission = this.options.crashes.admit(request.observed);
+		if (admission === 'quarantined') {
+			request.refuseQuarantined();
 			return;
 		}
 
+		request.isQuarantineTrial = admission === 'trial';
+
 		response.once('close', () => {
 			if (!request.isFinished) {
 				pool.dispatch.abandon(request);
@@ -498,7 +499,7 @@
 	}
 
 	private createDispatch(pool: PoolName): ForwardDispatch {
-		const {host, clock, random, events, codec, registry, retries} =
+		const {host, clock, random, events, codec, registry, retries, crashes} =
 			this.options;
 		return new ForwardDispatch({
 			pool,
@@ -510,7 +511,7 @@
 			codec,
 			registry,
 			retries: {...retries, hosts: this.currentHostCount},
-			crashes: this.crashObserver,
+			crashes,
 			maximumBodyBytes: 4_194_304,
 		});
 	}
--- a/src/services/forwarding/owner-lease-manager.ts
+++ b/src/services/forwarding/owner-lease-manager.ts
@@ -6,6 +6,7 @@
 import {forwardingEvents} from '../../contracts/events/forwarding-events.js';
 import {type FencingToken} from '../../contracts/ids.js';
 import {type OwnerLog} from '../../contracts/shared-store.js';
+import {type SuspicionReport} from '../../contracts/suspicion-report.js';
 import {
 	type LeaseStatus,
 	type LeaseAppend,
@@ -22,6 +23,10 @@
 	readonly events: EventLogger;
 	/** True when the holder has responded to this host recently. */
 	readonly isHolderResponsive: () => boolean;
+	/** Quarantined fingerprints, which the records of the lease keep. */
+	readonly quarantined: () => readonly SuspicionReport[];
+	/** Called with the fingerprints that the last record of a holder names. */
+	readonly onSuspicionsRead: (reports: readonly SuspicionReport[]) => void;
 	/** Time since the last order of this host, undefined when it has sent none. */
 	readonly sinceLastOrder: () => number | undefined;
 };
@@ -32,6 +37,8 @@
 const observerIntervalMilliseconds = 250;
 /** Interval between reads of the log while the holder is unresponsive or the log cannot be read. */
 const readIntervalMilliseconds = 350;
+/** Quarantined fingerprints in a record, which is written again with each renewal. */
+const maximumRecordedSuspicions = 32;
 /** Upper limit of a random delay at the start. Hosts that start together then claim at different times, so that the first claim usually decides. */
 const startJitterMilliseconds = 250;
 
@@ -133,6 +140,7 @@
 
 		this.hasReadLog = true;
 		lease.applyRecords(read.value, clock.monotonic());
+		this.options.onSuspicionsRead(read.value.records.at(-1)?.suspicions ?? []);
 		// A lease that is new or was released is claimed as soon as this host may.
 		const isClaimable =
 			lease.isHolder ||
@@ -143,7 +151,13 @@
 	private async append(append: LeaseAppend): Promise<void> {
 		const {lease, log, clock} = this.options;
 		const sentAt = clock.monotonic();
-		const outcome = await log.append(append.record, append.expectedEnd);
+		const suspicions = this.options
+			.quarantined()
+			.slice(-maximumRecordedSuspicions);
+		const outcome = await log.append(
+			suspicions.length === 0 ? append.record : {...append.record, suspicions},
+			append.expectedEnd,
+		);
 		if (outcome.isErr()) {
 			lease.handleAppendFailure();
 			return;
--- a/src/services/forwarding/placement-owner.ts
+++ b/src/services/forwarding/placement-owner.ts
@@ -5,14 +5,12 @@
 import {type ForwardingDocument} from '../../contracts/forwarding-document.js';
 import {
 	type FencingToken,
-	type Fingerprint,
 	type HostId,
 	type PoolName,
 	type TargetId,
 } from '../../contracts/ids.js';
 import {type TargetOrderPort} from '../../contracts/target-orders.js';
 import {adapterKey} from '../../core/adapter-slot-policy.js';
-import {CrashCorrelation} from '../../core/crash-correlation.js';
 import {DemandCollector} from '../../core/demand-collector.js';
 import {maximumDirectHosts} from '../../core/relay-assignment.js';
 import {type DemandSum, type HostDemand} from '../../core/host-demand.js';
@@ -50,8 +48,6 @@
 	private readonly demands: DemandCollector;
 	private readonly pools = new Map<PoolName, PoolPlacement>();
 	private readonly tasks = new Map<TargetId, TargetOrderTask>();
-	private readonly crashes: CrashCorrelation;
-	private readonly reportedFingerprints = new Set<Fingerprint>();
 	private lastOrderAt: number | undefined;
 	private timer: NodeJS.Timeout | undefined;
 	private isStepScheduled = false;
@@ -63,7 +59,6 @@
 
 	constructor(private readonly options: PlacementOwnerOptions) {
 		super();
-		this.crashes = new CrashCorrelation({clock: options.clock});
 		this.demands = new DemandCollector({clock: options.clock});
 	}
 
@@ -125,20 +120,8 @@
 		}
 	}
 
-	/** Fingerprints of requests that crash targets, according to the deaths that all hosts reported. */
-	quarantined(): readonly Fingerprint[] {
-		return this.crashes.filterQuarantined(this.reportedFingerprints);
-	}
-
 	/** Applies the report of a host. Requests that wait for an adapter trigger a placement step immediately. */
 	applyDemand(demand: HostDemand): void {
-		for (const death of demand.deaths) {
-			this.crashes.applyDeath(death);
-			for (const fingerprint of death.fingerprints) {
-				this.reportedFingerprints.add(fingerprint);
-			}
-		}
-
 		this.demands.apply(demand);
 		if (demand.adapters.some(({waiting}) => waiting > 0)) {
 			this.scheduleStep();
--- a/src/services/forwarding/report-client.ts
+++ b/src/services/forwarding/report-client.ts
@@ -1,18 +1,14 @@
 import {Agent} from 'node:http';
 import {createClient, type Client} from '@connectrpc/connect';
 import {createConnectTransport} from '@connectrpc/connect-node';
-import {ResultAsync} from 'neverthrow';
+import {ResultAsync, type Result} from 'neverthrow';
 import {type Clock} from '../../base/common/clock.js';
 import {Disposable} from '../../base/common/disposable.js';
 import {type EventLogger} from '../../base/common/event-logger.js';
 import {wait} from '../../base/node/wait.js';
 import {forwardingEvents} from '../../contracts/events/forwarding-events.js';
 import {type ForwardingDocument} from '../../contracts/forwarding-document.js';
-import {
-	type FailureDomain,
-	type Fingerprint,
-	type HostId,
-} from '../../contracts/ids.js';
+import {type FailureDomain, type HostId} from '../../contracts/ids.js';
 import {type TargetListChange} from '../../contracts/listed-target.js';
 import {type HostDemand} from '../../core/host-demand.js';
 import {type LeaseStatus, type LeaseHolder} from '../../core/owner-lease.js';
@@ -21,6 +17,7 @@
 	OwnerService,
 	type ReportResponse,
 } from '../../generated/daisylever/owner/v1/owner_pb.js';
+import {type CrashObserver} from './crash-observer.js';
 import {type PlacementOwner} from './placement-owner.js';
 import {
 	fromLeaseState,
@@ -29,6 +26,7 @@
 	toReportRequest,
 } from './report-messages.js';
 import {type RelayedState} from './report-server.js';
+import {SuspicionExchange} from './suspicion-exchange.js';
 import {type PlacedContent} from './target-registry.js';
 
 /** Options of the report client. */
@@ -47,10 +45,13 @@
 	readonly localOwner: PlacementOwner;
 	/** True while this host holds the owner lease. */
 	readonly isLocalOwner: () => boolean;
+	readonly crashes: CrashObserver;
 	/** Returns the demand to report. */
 	readonly demand: () => HostDemand;
 	/** Position of the document of this host, if it cannot read a newer one from the store. */
 	readonly stuckDocumentPosition: () => number | undefined;
+	/** Addresses of the hosts that report to this one. */
+	readonly peerAddresses: () => readonly string[];
 	/** Called with the lease status that a response of the owner contains. */
 	readonly onLeaseStatusReceived: (lease: LeaseStatus) => void;
 	/** Applies the shared state in a response. Returns false for a state that is older than the one of this host. */
@@ -97,13 +98,15 @@
 	private readonly agent = new Agent({keepAlive: true, maxSockets: 4});
 	private readonly clients = new Map<string, Client<typeof OwnerService>>();
 	private readonly route: ReportRoute;
+	private readonly suspicions: SuspicionExchange;
+	private peerPosition = 0;
 	private knownSource = '';
 	private knownRevision = 0;
 	private ownerHeardAt = Number.NEGATIVE_INFINITY;
 	private state: RelayedState = {
 		hostCount: 0,
 		ownerSilenceMilliseconds: 0,
-		quarantined: [],
+		peerAddresses: [],
 	};
 
 	private reportIntervalMilliseconds = initialReportIntervalMilliseconds;
@@ -113,6 +116,10 @@
 	constructor(private readonly options: ReportClientOptions) {
 		super();
 		this.route = new ReportRoute({clock: options.clock});
+		this.suspicions = new SuspicionExchange(options.crashes);
+		options.crashes.observed.subscribe(() => {
+			this.scheduleReport();
+		});
 	}
 
 	/** True when a word of the owner has reached this host recently, directly or through a relay. */
@@ -152,11 +159,15 @@
 			const startedAt = this.options.clock.monotonic();
 			const hasResponded = await this.report();
 			this.recordReachability(hasResponded);
+			if (!hasResponded && !this.isOwnerResponsive()) {
+				await this.exchangeWithPeer();
+			}
+
 			await wait(this.reportDelay(hasResponded, startedAt), signal);
 		}
 	}
 
-	/** Schedules a report outside the regular sequence, because a request waits for an adapter that no target holds. */
+	/** Schedules a report outside the regular sequence: a request waits for an adapter that no target holds, or the other hosts should learn of a suspicion. */
 	scheduleReport(): void {
 		if (this.isReportScheduled) {
 			return;
@@ -198,7 +209,7 @@
 		this.applyUpdate({
 			hostCount: localOwner.hostCount,
 			ownerSilenceMilliseconds: 0,
-			quarantined: localOwner.quarantined(),
+			peerAddresses: this.options.peerAddresses(),
 			contents: [],
 			targetList: undefined,
 			documentPosition: 0,
@@ -207,8 +218,7 @@
 	}
 
 	private async report(): Promise<boolean> {
-		const {holder, demand, host, failureDomain, peerAddress, capacity} =
-			this.options;
+		const {holder, host} = this.options;
 		const owner = holder();
 		const destination = this.route.destination(
 			owner && owner.host !== host ? owner.peerAddress : undefined,
@@ -217,21 +227,7 @@
 			return false;
 		}
 
-		const response = await ResultAsync.fromPromise(
-			this.getClient(destination.address).report(
-				toReportRequest(demand(), {
-					failureDomain,
-					peerAddress,
-					capacity,
-					failedRelay: this.route.failedRelay,
-					knownSource: this.knownSource,
-					knownRevision: this.knownRevision,
-					stuckDocumentPosition: this.options.stuckDocumentPosition(),
-				}),
-				{timeoutMs: callTimeoutMilliseconds + this.reportIntervalMilliseconds},
-			),
-			(cause) => new ReportCallError('the host did not respond', {cause}),
-		);
+		const response = await this.call(destination.address);
 		if (response.isErr()) {
 			this.handleFailure(destination, response.error.message);
 			return false;
@@ -251,6 +247,47 @@
 		return true;
 	}
 
+	/** Calls a host, and exchanges suspicions with it. */
+	private async call(
+		address: string,
+	): Promise<Result<ReportResponse, ReportCallError>> {
+		const {demand, failureDomain, peerAddress, capacity} = this.options;
+		const {fields, applyResponse} = this.suspicions.prepare(address);
+		const response = await ResultAsync.fromPromise(
+			this.getClient(address).report(
+				toReportRequest(demand(), {
+					failureDomain,
+					peerAddress,
+					capacity,
+					failedRelay: this.route.failedRelay,
+					knownSource: this.knownSource,
+					knownRevision: this.knownRevision,
+					stuckDocumentPosition: this.options.stuckDocumentPosition(),
+					...fields,
+				}),
+				{timeoutMs: callTimeoutMilliseconds + this.reportIntervalMilliseconds},
+			),
+			(cause) => new ReportCallError('the host did not respond', {cause}),
+		);
+		return response.map((value) => {
+			applyResponse(value);
+			return value;
+		});
+	}
+
+	/** Exchanges suspicions with one of the other hosts in turn, because nobody collects them while no owner responds. */
+	private async exchangeWithPeer(): Promise<void> {
+		const peers = this.state.peerAddresses.filter(
+			(address) => address !== this.options.peerAddress,
+		);
+		if (peers.length === 0) {
+			return;
+		}
+
+		this.peerPosition = (this.peerPosition + 1) % peers.length;
+		await this.call(peers[this.peerPosition]!);
+	}
+
 	private handleFailure(destination: ReportDestination, reason: string): void {
 		if (destination.isRelay) {
 			this.options.events.record(forwardingEvents.relayLost, {
@@ -276,7 +313,7 @@
 		const isApplied = this.applyUpdate({
 			hostCount: response.hostCount,
 			ownerSilenceMilliseconds: response.ownerSilenceMilliseconds,
-			quarantined: response.quarantined as Fingerprint[],
+			peerAddresses: response.peerAddresses,
 			contents: isNew ? response.contents.map(fromTargetContent) : [],
 			targetList: targetList && {
 				changes: isNew ? fromTargetListUpdate(targetList) : [],
@@ -306,8 +343,8 @@
 
 	/** Returns false for a state that is older than the one of this host. The revision then stays unknown, so that the changes are sent again. */
 	private applyUpdate(update: FleetUpdate): boolean {
-		const {hostCount, ownerSilenceMilliseconds, quarantined} = update;
-		this.state = {hostCount, ownerSilenceMilliseconds, quarantined};
+		const {hostCount, ownerSilenceMilliseconds, peerAddresses} = update;
+		this.state = {hostCount, ownerSilenceMilliseconds, peerAddresses};
 		this.ownerHeardAt = Math.max(
 			this.ownerHeardAt,
 			this.options.clock.monotonic() - ownerSilenceMilliseconds,
--- a/src/services/forwarding/report-messages.ts
+++ b/src/services/forwarding/report-messages.ts
@@ -13,6 +13,7 @@
 	type ListedTarget,
 	type TargetListChange,
 } from '../../contracts/listed-target.js';
+import {type SuspicionReport} from '../../contracts/suspicion-report.js';
 import {type HostDemand} from '../../core/host-demand.js';
 import {type LeaseStatus} from '../../core/owner-lease.js';
 import {type RelayCandidate} from '../../core/relay-assignment.js';
@@ -23,6 +24,8 @@
 	type ReportRequest,
 	type ReportRequestSchema,
 	type ReportResponseSchema,
+	type Suspicion,
+	type SuspicionSchema,
 	type TargetContent,
 	type TargetContentSchema,
 	type TargetListUpdate,
@@ -42,6 +45,11 @@
 	readonly knownRevision: number;
 	/** Position of the document that the host has, if it cannot read a newer one from the store. */
 	readonly stuckDocumentPosition: number | undefined;
+	/** What the receiver does not know yet of fingerprints that may crash targets. */
+	readonly suspicions: readonly SuspicionReport[];
+	/** Process and revision of the suspicions that the host has received from the receiver. */
+	readonly knownSuspicionSource: string;
+	readonly knownSuspicionRevision: number;
 };
 
 /** Converts the demand and state of a host to a message. */
@@ -64,17 +72,15 @@
 			requests,
 			waiting,
 		})),
-		deaths: demand.deaths.map(({target, targetIncarnation, fingerprints}) => ({
-			target,
-			incarnation: targetIncarnation,
-			fingerprints: [...fingerprints],
-		})),
 		failureDomain: state.failureDomain,
 		peerAddress: state.peerAddress,
 		capacity: state.capacity,
 		failedRelay: state.failedRelay,
 		knownSource: state.knownSource,
 		knownRevision: BigInt(state.knownRevision),
+		suspicions: state.suspicions.map(toSuspicion),
+		knownSuspicionSource: state.knownSuspicionSource,
+		knownSuspicionRevision: BigInt(state.knownSuspicionRevision),
 		...(state.stuckDocumentPosition === undefined
 			? {}
 			: {stuckDocumentPosition: BigInt(state.stuckDocumentPosition)}),
@@ -98,11 +104,6 @@
 			requests,
 			waiting,
 		})),
-		deaths: message.deaths.map(({target, incarnation, fingerprints}) => ({
-			target: target as TargetId,
-			targetIncarnation: incarnation as TargetIncarnation,
-			fingerprints: fingerprints as Fingerprint[],
-		})),
 	};
 }
 
@@ -235,3 +236,42 @@
 		sinceLastOrderMilliseconds: message.sinceLastOrderMilliseconds,
 	};
 }
+
+/** Converts what this host knows of a fingerprint to a message. */
+export function toSuspicion(
+	report: SuspicionReport,
+): MessageInitShape<typeof SuspicionSchema> {
+	const {answeredMillisecondsAgo, triedMillisecondsAgo} = report;
+	return {
+		fingerprint: report.fingerprint,
+		deaths: report.deaths.map(({key, ageMilliseconds}) => ({
+			key,
+			ageMilliseconds: toAge(ageMilliseconds),
+		})),
+		trials: report.trials,
+		...(answeredMillisecondsAgo === undefined
+			? {}
+			: {answeredMillisecondsAgo: toAge(answeredMillisecondsAgo)}),
+		...(triedMillisecondsAgo === undefined
+			? {}
+			: {triedMillisecondsAgo: toAge(triedMillisecondsAgo)}),
+	};
+}
+
+/** Converts a message to what another host knows of a fingerprint. */
+export function fromSuspicion(message: Suspicion): SuspicionReport {
+	return {
+		fingerprint: message.fingerprint as Fingerprint,
+		deaths: message.deaths.map(({key, ageMilliseconds}) => ({
+			key,
+			ageMilliseconds,
+		})),
+		answeredMillisecondsAgo: message.answeredMillisecondsAgo,
+		trials: message.trials,
+		triedMillisecondsAgo: message.triedMillisecondsAgo,
+	};
+}
+
+function toAge(milliseconds: number): number {
+	return Math.max(0, Math.floor(milliseconds));
+}
--- a/src/services/forwarding/report-server.ts
+++ b/src/services/forwarding/report-server.ts
@@ -4,11 +4,10 @@
 import {type Clock} from '../../base/common/clock.js';
 import {Disposable} from '../../base/common/disposable.js';
 import {listenOn, type ListenError} from '../../base/node/listen.js';
-import {type Fingerprint, type HostId} from '../../contracts/ids.js';
+import {type HostId} from '../../contracts/ids.js';
 import {DemandCollector} from '../../core/demand-collector.js';
 import {type HostDemand} from '../../core/host-demand.js';
 import {type LeaseStatus} from '../../core/owner-lease.js';
-import {type TargetDeath} from '../../core/quarantine-policy.js';
 import {
 	maximumHostsOfRelay,
 	RelayAssignment,
@@ -18,12 +17,15 @@
 	OwnerService,
 	type ReportRequest,
 } from '../../generated/daisylever/owner/v1/owner_pb.js';
+import {type CrashObserver} from './crash-observer.js';
 import {type FleetView} from './fleet-view.js';
 import {
 	fromReportRequest,
+	fromSuspicion,
 	toLeaseField,
 	toListedTarget,
 	toRelayCandidate,
+	toSuspicion,
 	toTargetContent,
 } from './report-messages.js';
 import {type PlacementOwner} from './placement-owner.js';
@@ -33,7 +35,8 @@
 	readonly hostCount: number;
 	/** Time since the last word of the owner. */
 	readonly ownerSilenceMilliseconds: number;
-	readonly quarantined: readonly Fingerprint[];
+	/** Addresses of hosts with which others exchange suspicions while no owner responds. */
+	readonly peerAddresses: readonly string[];
 };
 
 /** Options of the report server. */
@@ -45,6 +48,7 @@
 	/** The placement owner of this process. */
 	readonly owner: PlacementOwner;
 	readonly view: FleetView;
+	readonly crashes: CrashObserver;
 	/** True while this host holds the owner lease. */
 	readonly isOwner: () => boolean;
 	/** State of the owner while this host reports to it directly and hears from it, undefined otherwise. */
@@ -79,7 +83,6 @@
 	private readonly server: Server;
 	private readonly waiters = new Set<Waiter>();
 	private readonly relayedDemand: DemandCollector;
-	private relayedDeaths: TargetDeath[] = [];
 	private readonly relays: RelayAssignment;
 	private promptTimer: NodeJS.Timeout | undefined;
 	private combinedTimer: NodeJS.Timeout | undefined;
@@ -87,7 +90,7 @@
 
 	constructor(private readonly options: ReportServerOptions) {
 		super();
-		const {clock, host, view} = options;
+		const {clock, host, view, crashes} = options;
 		this.relayedDemand = new DemandCollector({clock});
 		this.relays = new RelayAssignment({clock, owner: host});
 		this.server = createServer(
@@ -104,6 +107,9 @@
 				urgency === 'prompt' || this.waiters.size <= maximumPromptWaiters,
 			);
 		});
+		crashes.changed.subscribe(() => {
+			this.scheduleWake(true);
+		});
 	}
 
 	/** Starts listening and returns the port. */
@@ -114,11 +120,14 @@
 		return listenOn(this.server, port, hostname);
 	}
 
-	/** Adds the demand of the hosts that report to this one to its own demand. Their deaths of targets are returned once. */
+	/** Addresses of the hosts that report to this one as the owner. */
+	peerAddresses(): readonly string[] {
+		return this.relays.peerAddresses();
+	}
+
+	/** Adds the demand of the hosts that report to this one to its own demand. */
 	mergeDemand(own: HostDemand): HostDemand {
-		const deaths = [...own.deaths, ...this.relayedDeaths];
-		this.relayedDeaths = [];
-		return this.relayedDemand.mergeWith({...own, deaths});
+		return this.relayedDemand.mergeWith(own);
 	}
 
 	dispose(): void {
@@ -130,15 +139,16 @@
 	}
 
 	private async report(request: ReportRequest) {
-		const {view, lease} = this.options;
+		const {view} = this.options;
 		const isUrgent = request.adapters.some(({waiting}) => waiting > 0);
 		if (!this.accept(request, isUrgent)) {
-			return {isOwner: false, source: view.name, ...toLeaseField(lease())};
+			return this.refuse(request);
 		}
 
 		if (
 			request.knownSource === view.name &&
-			Number(request.knownRevision) === view.revision
+			Number(request.knownRevision) === view.revision &&
+			this.suspicionFields(request).suspicions.length === 0
 		) {
 			await this.waitForChange(isUrgent);
 		}
@@ -150,6 +160,9 @@
 	private accept(request: ReportRequest, isUrgent: boolean): boolean {
 		const {owner, isOwner, relayedState, onUrgentReport} = this.options;
 		const demand = fromReportRequest(request);
+		const hasNewSuspicions = this.options.crashes.merge(
+			request.suspicions.map(fromSuspicion),
+		);
 		if (isOwner()) {
 			this.relays.apply(toRelayCandidate(request));
 			owner.applyDemand(demand);
@@ -164,15 +177,38 @@
 			return false;
 		}
 
-		this.relayedDeaths.push(...demand.deaths);
-		this.relayedDemand.apply({...demand, deaths: []});
-		if (isUrgent) {
+		this.relayedDemand.apply(demand);
+		if (isUrgent || hasNewSuspicions) {
 			onUrgentReport();
 		}
 
 		return true;
 	}
 
+	/** The response of a host that serves no reports. It exchanges suspicions all the same, which need no owner. */
+	private refuse(request: ReportRequest) {
+		const {view, lease} = this.options;
+		return {
+			isOwner: false,
+			source: view.name,
+			...this.suspicionFields(request),
+			...toLeaseField(lease()),
+		};
+	}
+
+	private suspicionFields(request: ReportRequest) {
+		const {view, crashes} = this.options;
+		const {reports, revision} = crashes.sharedChangesSince(
+			request.knownSuspicionSource === view.name
+				? Number(request.knownSuspicionRevision)
+				: 0,
+		);
+		return {
+			suspicions: reports.map(toSuspicion),
+			suspicionRevision: BigInt(revision),
+		};
+	}
+
 	private respond(request: ReportRequest) {
 		const {owner, view, isOwner, lease, targetList} = this.options;
 		const holdsLease = isOwner();
@@ -180,11 +216,11 @@
 			? {
 					hostCount: owner.hostCount,
 					ownerSilenceMilliseconds: 0,
-					quarantined: owner.quarantined(),
+					peerAddresses: this.relays.peerAddresses(),
 				}
 			: this.options.relayedState();
 		if (!relayed) {
-			return {isOwner: false, source: view.name, ...toLeaseField(lease())};
+			return this.refuse(request);
 		}
 
 		const relay = holdsLease
@@ -200,7 +236,8 @@
 			revision: BigInt(revision),
 			hostCount: relayed.hostCount,
 			ownerSilenceMilliseconds: Math.ceil(relayed.ownerSilenceMilliseconds),
-			quarantined: [...relayed.quarantined],
+			peerAddresses: [...relayed.peerAddresses],
+			...this.suspicionFields(request),
 			relayAddress: relay?.peerAddress ?? '',
 			contents: contents.map(toTargetContent),
 			targetList: {
--- a/test/forwarding/forwarding-harness.ts
+++ b/test/forwarding/forwarding-harness.ts
@@ -19,6 +19,7 @@
 import {type ListedTarget} from '../../src/contracts/listed-target.js';
 import {CrashCorrelation} from '../../src/core/crash-correlation.js';
 import {PlatformRequestCodec} from '../../src/platform/request-codec.js';
+import {CrashObserver} from '../../src/services/forwarding/crash-observer.js';
 import {ForwardingServer} from '../../src/services/forwarding/forwarding-server.js';
 import {ForwardingService} from '../../src/services/forwarding/forwarding-service.js';
 import {TargetRegistry} from '../../src/services/forwarding/target-registry.js';
@@ -109,7 +110,12 @@
 			metrics: new NullMetricRegistry(),
 			codec: new PlatformRequestCodec(),
 			registry: this.registry,
-			crashes: new CrashCorrelation({clock: this.clock}),
+			crashes: new CrashObserver({
+				crashes: new CrashCorrelation({clock: this.clock}),
+				events,
+				metrics: new NullMetricRegistry(),
+				mayTry: () => false,
+			}),
 			retries: {ratio: 0.2, slack: 56, windowMilliseconds: 10_000, hosts: 8},
 			onAdapterMissing: () => {
 				this.missingAdapterCount++;
--- a/test/forwarding/relay-tree.test.ts
+++ b/test/forwarding/relay-tree.test.ts
@@ -41,7 +41,6 @@
 			observedMilliseconds: 0,
 			models: [],
 			adapters: [],
-			deaths: [],
 		});
 	}
 }
