Quarantine messages that crash engines in different requests of the product

Change: a run has a fingerprint of itself and one of each message but the last. Suspects run alone as before.

--- a/src/core/quarantine-policy.ts
+++ b/src/core/quarantine-policy.ts
@@ -221,6 +221,25 @@
 		return cleared;
 	}
 
+	/** Suspect and quarantined fingerprints included, those of which this process has seen a complete answer not long ago. */
+	soundSuspicions(now: number): Fingerprint[] {
+		return [...this.suspicions.keys()].filter(
+			(fingerprint) =>
+				now - (this.answeredAt.get(fingerprint) ?? Number.NEGATIVE_INFINITY) <
+				soundMilliseconds,
+		);
+	}
+
+	/** Applies that another host has seen complete answers. */
+	applySoundness(fingerprints: Iterable<Fingerprint>, now: number): void {
+		for (const fingerprint of fingerprints) {
+			const suspicion = this.suspicions.get(fingerprint);
+			if (suspicion && applyAnswer(suspicion, now)) {
+				this.markChanged(fingerprint, suspicion);
+			}
+		}
+	}
+
 	/** True when a request with the fingerprint was answered completely not long ago. */
 	isSound(fingerprint: Fingerprint, now: number): boolean {
 		const answeredAt = Math.max(
--- a/src/services/dispatch/engine-pool-dispatch.ts
+++ b/src/services/dispatch/engine-pool-dispatch.ts
@@ -115,7 +115,7 @@
 			return;
 		}
 
-		const status = quarantine.status(run.fingerprint);
+		const status = quarantine.status(run.fingerprints);
 		if (status === 'quarantined') {
 			run.fail(this.quarantinedProblem(run));
 			return;
@@ -240,7 +240,7 @@
 		run: GenerationRun,
 		binding: Binding,
 	): boolean {
-		const status = this.options.quarantine.status(run.fingerprint);
+		const status = this.options.quarantine.status(run.fingerprints);
 		if (status === 'clear' || (status === 'suspect' && binding.item.suspect)) {
 			return false;
 		}
@@ -324,7 +324,7 @@
 
 			const count = progress.value.tokens.length;
 			if (run.complete(key, count, progress.value.reason)) {
-				this.options.quarantine.clearSuspicion(run.fingerprint);
+				this.options.quarantine.recordAnswer(run.fingerprints);
 				this.removeRun(run);
 			}
 
@@ -394,7 +394,7 @@
 		this.removeRun(run);
 		this.post({kind: 'abandoned', request: binding.request});
 		await this.options.quarantine.reportDeath({
-			fingerprint: run.fingerprint,
+			fingerprints: run.fingerprints,
 			target: id,
 			targetIncarnation: endedIncarnation,
 		});
@@ -461,9 +461,9 @@
 	private quarantinedProblem(run: GenerationRun): RequestProblem {
 		return new RequestProblem(
 			'quarantined',
-			'This request made its server fail several times and is refused for a while.',
+			'This request, or a part of it, made its server fail several times and is refused for a while.',
 			run.hasStartedAttempt ? 'unknown' : 'not-run',
-			this.options.quarantine.remainingSeconds(run.fingerprint),
+			this.options.quarantine.remainingSeconds(run.fingerprints),
 		);
 	}
 
@@ -495,7 +495,7 @@
 			remainingMilliseconds: run.deadline - this.options.clock.monotonic(),
 			// A generation has no side effects, so it may run more than once.
 			idempotent: true,
-			fingerprint: run.fingerprint,
+			fingerprint: run.fingerprints.request,
 			suspect: isSuspect,
 		};
 	}
--- a/src/services/dispatch/generation-run.ts
+++ b/src/services/dispatch/generation-run.ts
@@ -1,6 +1,7 @@
 import {err, ok, type Result} from 'neverthrow';
 import {Mailbox} from '../../base/common/mailbox.js';
-import {type Fingerprint, type RequestId} from '../../contracts/ids.js';
+import {type RequestId} from '../../contracts/ids.js';
+import {type RequestFingerprints} from '../../contracts/request-fingerprints.js';
 import {type RequestProblem} from '../../contracts/request-problem.js';
 import {type ResponsePart, type ModelRequest} from '../entry/model-gateway.js';
 
@@ -33,7 +34,7 @@
 
 	constructor(
 		readonly request: ModelRequest,
-		readonly fingerprint: Fingerprint,
+		readonly fingerprints: RequestFingerprints,
 		readonly arrivedAt: number,
 		readonly deadline: number,
 	) {}
--- a/src/services/entry/dispatching-model-gateway.ts
+++ b/src/services/entry/dispatching-model-gateway.ts
@@ -1,6 +1,7 @@
 import {type Result} from 'neverthrow';
 import {type Clock} from '../../base/common/clock.js';
 import {canonicalJson, sha256} from '../../base/common/digest.js';
+import {type RequestFingerprints} from '../../contracts/request-fingerprints.js';
 import {type Fingerprint, type PoolName} from '../../contracts/ids.js';
 import {RequestProblem} from '../../contracts/request-problem.js';
 import {GenerationRun} from '../dispatch/generation-run.js';
@@ -18,6 +19,8 @@
 	abstract engineDispatchOf(pool: PoolName): EnginePoolDispatch | undefined;
 }
 
+const fingerprintLength = 32;
+
 /** Runs each model request through the dispatch of the pool that serves its model. */
 export class DispatchingModelGateway extends ModelGateway {
 	constructor(
@@ -36,7 +39,7 @@
 		const arrivedAt = this.clock.monotonic();
 		const run = new GenerationRun(
 			request,
-			fingerprintOf(request),
+			fingerprintsOf(request),
 			arrivedAt,
 			arrivedAt + request.authenticated.callerClass.deadlineSeconds * 1000,
 		);
@@ -78,12 +81,19 @@
 	);
 }
 
-/** Returns a digest that is equal for repetitions of a request, whatever their request IDs. */
-export function fingerprintOf(request: ModelRequest): Fingerprint {
-	return sha256(
-		canonicalJson({
-			offering: request.offering.offering.name,
-			messages: request.messages,
-		}),
-	).slice(0, 32) as Fingerprint;
+/** Returns digests that are equal for repetitions of a request, and for other requests with the same messages. */
+export function fingerprintsOf(request: ModelRequest): RequestFingerprints {
+	const {messages, offering} = request;
+	return {
+		request: digest({offering: offering.offering.name, messages}),
+		// The last message is the question of this request.
+		parts: messages.slice(0, -1).map((message) => digest(message)),
+	};
+}
+
+function digest(value: unknown): Fingerprint {
+	return sha256(canonicalJson(value)).slice(
+		0,
+		fingerprintLength,
+	) as Fingerprint;
 }
--- a/src/services/entry/quarantine-manager.ts
+++ b/src/services/entry/quarantine-manager.ts
@@ -10,6 +10,7 @@
 	type TargetId,
 	type TargetIncarnation,
 } from '../../contracts/ids.js';
+import {type RequestFingerprints} from '../../contracts/request-fingerprints.js';
 import {
 	QuarantinePolicy,
 	type QuarantineStatus,
@@ -34,6 +35,11 @@
 	readonly targetIncarnation: TargetIncarnation;
 };
 
+/** A generation that was in flight on a target when the target died. */
+export type LostGeneration = Omit<DeathSighting, 'fingerprint'> & {
+	readonly fingerprints: RequestFingerprints;
+};
+
 type TimedSighting = DeathSighting & {readonly observedAt: number};
 
 // Heartbeats repeat a sighting for this time, so that peers receive it during a log outage too.
@@ -62,40 +68,58 @@
 
 	constructor(private readonly options: QuarantineManagerOptions) {}
 
-	/** Returns how a request with this fingerprint may run now. */
-	status(fingerprint: Fingerprint): QuarantineStatus {
-		return this.policy.status(fingerprint, this.options.clock.monotonic());
+	/** Returns how a request with these fingerprints may run now. */
+	status(fingerprints: RequestFingerprints): QuarantineStatus {
+		const statuses = new Set(
+			allOf(fingerprints).map((fingerprint) => this.statusOf(fingerprint)),
+		);
+		return (
+			(['quarantined', 'suspect'] as const).find((each) =>
+				statuses.has(each),
+			) ?? 'clear'
+		);
 	}
 
 	/** Returns the time in seconds until a quarantined request may run again. */
-	remainingSeconds(fingerprint: Fingerprint): number {
+	remainingSeconds(fingerprints: RequestFingerprints): number {
 		const now = this.options.clock.monotonic();
-		return this.policy.remainingMilliseconds(fingerprint, now) / 1000;
+		return Math.max(
+			0,
+			...allOf(fingerprints)
+				.filter((each) => this.statusOf(each) === 'quarantined')
+				.map((each) => this.policy.remainingMilliseconds(each, now) / 1000),
+		);
 	}
 
 	/**
 	 * Records that a request was in flight on a target whose death this host detected, and notifies the fleet.
 	 * Resolves once the peers are notified, or after a timeout.
 	 */
-	async reportDeath(sighting: DeathSighting): Promise<void> {
-		const {fingerprint, target, targetIncarnation} = sighting;
-		this.applyDeath(
-			{target, targetIncarnation, fingerprints: [fingerprint]},
-			0,
-		);
+	async reportDeath(lost: LostGeneration): Promise<void> {
+		const {target, targetIncarnation} = lost;
+		const blamed = this.blamedFingerprints(lost.fingerprints);
+		this.applyDeath({target, targetIncarnation, fingerprints: blamed}, 0);
 		const observedAt = this.options.clock.monotonic();
 		this.sightings = [
 			...this.recentSightings(observedAt),
-			{...sighting, observedAt},
+			...blamed.map((fingerprint) => ({
+				fingerprint,
+				target,
+				targetIncarnation,
+				observedAt,
+			})),
 		].slice(-maximumSightings);
 		const deathKey = `${target}\n${targetIncarnation}`;
 		const pending = this.pendingReports.get(deathKey);
 		if (pending) {
-			pending.fingerprints.add(fingerprint);
+			for (const fingerprint of blamed) {
+				pending.fingerprints.add(fingerprint);
+			}
+
 			return pending.peersNotified;
 		}
 
-		const fingerprints = new Set([fingerprint]);
+		const fingerprints = new Set(blamed);
 		const peersNotified = this.delay(collectionDelayMilliseconds).then(
 			async () => {
 				this.pendingReports.delete(deathKey);
@@ -126,9 +150,23 @@
 		}
 	}
 
-	/** Clears the suspicion on this host of a request that ran to its end. */
-	clearSuspicion(fingerprint: Fingerprint): void {
-		this.policy.clear(fingerprint, this.options.clock.monotonic());
+	/** Records that a request ran to its end, which clears it and vouches for its parts. */
+	recordAnswer({request, parts}: RequestFingerprints): void {
+		const now = this.options.clock.monotonic();
+		this.policy.clear(request, now);
+		this.policy.recordAnswer(parts, now);
+	}
+
+	/** Returns the fingerprints under suspicion for which this host vouches, for its next heartbeat. */
+	soundFingerprints(): Fingerprint[] {
+		return this.policy
+			.soundSuspicions(this.options.clock.monotonic())
+			.slice(-maximumSightings);
+	}
+
+	/** Applies the fingerprints for which a peer vouches. */
+	applySoundness(fingerprints: readonly Fingerprint[]): void {
+		this.policy.applySoundness(fingerprints, this.options.clock.monotonic());
 	}
 
 	/** Returns the recent sightings of this host, for its next heartbeat. */
@@ -142,6 +180,22 @@
 		}
 	}
 
+	private statusOf(fingerprint: Fingerprint): QuarantineStatus {
+		return this.policy.status(fingerprint, this.options.clock.monotonic());
+	}
+
+	/** The request itself and the parts of it that were not answered completely in another request. */
+	private blamedFingerprints({
+		request,
+		parts,
+	}: RequestFingerprints): Fingerprint[] {
+		const now = this.options.clock.monotonic();
+		return [
+			request,
+			...parts.filter((part) => !this.policy.isSound(part, now)),
+		];
+	}
+
 	private async appendDeath(death: TargetDeath): Promise<void> {
 		// A failed append is ignored, because heartbeats carry the sightings as well.
 		await this.options.control.submit({
@@ -170,3 +224,7 @@
 		);
 	}
 }
+
+function allOf({request, parts}: RequestFingerprints): Fingerprint[] {
+	return [request, ...parts];
+}
--- a/src/services/membership-task.ts
+++ b/src/services/membership-task.ts
@@ -30,6 +30,7 @@
 	| 'demands'
 	| 'observations'
 	| 'sightings'
+	| 'soundFingerprints'
 	| 'reservedTargets'
 	| 'wantsReports'
 > & {readonly ready: boolean};
--- a/src/services/peer-exchange.ts
+++ b/src/services/peer-exchange.ts
@@ -32,7 +32,10 @@
 const reservationTimeoutMilliseconds = 500;
 
 /** The part of the load that is computed once for several heartbeats. */
-type SharedLoad = Omit<HostLoad, 'ready' | 'sightings' | 'reservedTargets'>;
+type SharedLoad = Omit<
+	HostLoad,
+	'ready' | 'sightings' | 'soundFingerprints' | 'reservedTargets'
+>;
 
 type CachedLoad = {
 	readonly load: SharedLoad;
@@ -68,6 +71,7 @@
 			...this.cachedLoad(peer?.wantsReports ?? false),
 			// Changes of these fields are sent immediately, so they must not come from the cache.
 			sightings: [...quarantine.localSightings()],
+			soundFingerprints: quarantine.soundFingerprints(),
 			reservedTargets: dispatches.reservedTargets(),
 		};
 	}
@@ -119,6 +123,7 @@
 			);
 		}
 
+		quarantine.applySoundness(state.soundFingerprints as Fingerprint[]);
 		const now = this.options.now();
 		for (const observation of state.observations) {
 			const known = targets.target(observation.target as TargetId)?.report;
--- a/test/process/model-fleet.ts
+++ b/test/process/model-fleet.ts
@@ -137,6 +137,8 @@
 	prompt: string,
 	options: {
 		readonly onToken?: (count: number) => void;
+		/** Content of a message before the prompt. */
+		readonly system?: string;
 		readonly dispatcher?: NonNullable<
 			Parameters<typeof request>[1]
 		>['dispatcher'];
@@ -151,7 +153,12 @@
 		body: JSON.stringify({
 			model: 'measure',
 			stream: true,
-			messages: [{role: 'user', content: prompt}],
+			messages: [
+				...(options.system === undefined
+					? []
+					: [{role: 'system', content: options.system}]),
+				{role: 'user', content: prompt},
+			],
 		}),
 		headersTimeout: 60_000,
 		bodyTimeout: 60_000,
--- a/test/process/poison.test.ts
+++ b/test/process/poison.test.ts
@@ -174,3 +174,32 @@
 		`${crashes} engines crashed, at most 2 for each request were expected`,
 	);
 });
+
+// Guards against a quarantine that knows whole requests only: a message that many requests contain crashes the engines
+// under each of them, and no two requests are alike.
+test('a message that crashes engines in different requests is quarantined, and other messages are not', async () => {
+	await waitUntilFleetServes();
+	const crashesBefore = await countCrashes();
+	const system = `${poison} shared message`;
+	for (let index = 0; index < 6; index++) {
+		const refused = await requestModel(
+			started.hosts[index % 2]!,
+			`different question ${index}`,
+			{system},
+		);
+		assert.equal(refused.code, 'quarantined', JSON.stringify(refused));
+	}
+
+	const crashes = (await countCrashes()) - crashesBefore;
+	assert.ok(
+		crashes >= 1 && crashes <= 2,
+		`${crashes} engines crashed, 1 or 2 were expected`,
+	);
+	await waitUntilFleetServes();
+	for (const host of started.hosts) {
+		const answered = await requestModel(host, 'sound question tokens=5', {
+			system: 'harmless shared message',
+		});
+		assert.equal(answered.kind, 'whole', JSON.stringify(answered));
+	}
+});
