Do not take a target that does not respond for a crashed one

Cause: a connection that timed out counted as proof that a target had ended, so the requests in flight at frozen or cut-off targets were blamed, which could quarantine sound requests. Change: only a refused connection proves it, besides the target list.

--- a/src/services/forwarding/crash-observer.ts
+++ b/src/services/forwarding/crash-observer.ts
@@ -14,9 +14,8 @@
 	type ObservedRequest,
 } from '../../core/crash-correlation.js';
 
-/** Why a target counts as dead. */
-export type DeathEvidence =
-	'connection-refused' | 'unreachable' | 'unlisted' | 'restarted';
+/** What proves that the process of a target has ended. A target that does not respond may be frozen or cut off. */
+export type DeathEvidence = 'connection-refused' | 'unlisted' | 'restarted';
 
 /** Whether a request may be sent: as usual, once as a trial of a quarantined fingerprint, or not at all. */
 export type CrashAdmission = 'allowed' | 'trial' | 'quarantined';
--- a/src/services/forwarding/forward-dispatch.ts
+++ b/src/services/forwarding/forward-dispatch.ts
@@ -390,10 +390,9 @@
 
 		if (failure.kind === 'unreached') {
 			registry.recordUnreachable(attempt.target, failure.isConnectionRefused);
-			crashes.recordTargetDeath(
-				attempt.target,
-				failure.isConnectionRefused ? 'connection-refused' : 'unreachable',
-			);
+			if (failure.isConnectionRefused) {
+				crashes.recordTargetDeath(attempt.target, 'connection-refused');
+			}
 		} else if (failure.kind === 'refused' && failure.response.isMisdirected) {
 			registry.recordMissing(
 				attempt.target,
