--- a/test/process/crashing-prompt-part.test.ts
+++ b/test/process/crashing-prompt-part.test.ts
@@ -9,7 +9,8 @@
 } from './forwarding-host.js';
 import {waitUntil} from './processes.js';
 
-const crashingPart = 'bad0bad0';
+/** Prompt parts whose ids begin so crash the workers that begin to answer on them. */
+const crashingPrefix = 'bad';
 const sharedPart = '50a1ed50';
 const workerCount = 5;
 const hostCount = 3;
@@ -27,6 +28,7 @@
 const crashingArrivals: number[] = [];
 let requestCount = 0;
 let isEnded = false;
+let storeAddress = '';
 
 function putWorker(name: string, born: number): void {
 	store.put('keyed.servers', name, {
@@ -45,7 +47,7 @@
 	workers.set(name, worker);
 	worker.behaviour = (received) => {
 		const parts = (received.headers.get('prompt-prefix') ?? '').split(',');
-		if (!parts.some((part) => part.startsWith(`${crashingPart}:`))) {
+		if (!parts.some((part) => part.startsWith(crashingPrefix))) {
 			streamEvents(1, 5, 'whole')(received);
 			return;
 		}
@@ -81,7 +83,7 @@
 async function send(parts: readonly string[]): Promise<boolean> {
 	requestCount++;
 	const id = `r${requestCount}`;
-	const host = hosts[requestCount % hostCount]!;
+	const host = hosts[requestCount % hosts.length]!;
 	try {
 		const response = await request(
 			`http://127.0.0.1:${host.ports.callers}/stream/x`,
@@ -105,16 +107,16 @@
 	}
 }
 
-/** Sends sound requests, and crashing ones if they are included, at a steady pace. Returns the share of sound requests with a complete answer. */
+/** Sends sound requests, and some with the crashing part if there is one, at a steady pace. Returns the share of sound requests with a complete answer. */
 async function sendFor(
 	milliseconds: number,
-	isCrashing: boolean,
+	crashingPart?: string,
 ): Promise<number> {
 	const endsAt = performance.now() + milliseconds;
 	const sound: Array<Promise<boolean>> = [];
 	while (performance.now() < endsAt) {
 		sound.push(send([sharedPart]));
-		if (isCrashing) {
+		if (crashingPart !== undefined) {
 			void send([sharedPart, crashingPart]);
 		}
 
@@ -127,8 +129,26 @@
 	return outcomes.filter(Boolean).length / outcomes.length;
 }
 
+async function startHosts(): Promise<void> {
+	const started = await Promise.all(
+		Array.from({length: hostCount}, async (_, index) =>
+			startForwardingHost(`h${index}`, {store: storeAddress}),
+		),
+	);
+	hosts.splice(0, hosts.length, ...started);
+	await waitUntil('readiness', () =>
+		hosts.every(({process: {lines}}) =>
+			lines.some((line) => line.includes('"forwarding-ready"')),
+		),
+	);
+}
+
+function arrivalsSince(time: number): number {
+	return crashingArrivals.filter((at) => at > time).length;
+}
+
 before(async () => {
-	const storeAddress = await store.start();
+	storeAddress = await store.start();
 	store.put('keyed.op', 'config', {
 		version: 1,
 		routes: [
@@ -156,18 +176,7 @@
 		await startWorker(`i-${index}`);
 	}
 
-	hosts.push(
-		...(await Promise.all(
-			Array.from({length: hostCount}, async (_, index) =>
-				startForwardingHost(`h${index}`, {store: storeAddress}),
-			),
-		)),
-	);
-	await waitUntil('readiness', () =>
-		hosts.every(({process: {lines}}) =>
-			lines.some((line) => line.includes('"forwarding-ready"')),
-		),
-	);
+	await startHosts();
 });
 
 after(() => {
@@ -186,20 +195,56 @@
 // Guards against a part of prompts that crashes each target which begins to answer on it: no two requests with the part
 // are alike, so nothing that identifies whole requests finds it. Requests that share the other parts must be served.
 test('requests with a prompt part that crashes targets stop reaching targets, and the others are served', async () => {
-	const servedBefore = await sendFor(2000, false);
-	await sendFor(2 * stableMilliseconds, true);
+	const servedBefore = await sendFor(2000);
+	await sendFor(2 * stableMilliseconds, 'bad1');
 	const fifthCrashAt = crashTimes[4] ?? Number.POSITIVE_INFINITY;
-	const servedAfter = await sendFor(stableMilliseconds, true);
-	const later = crashingArrivals.filter(
-		(at) => at > fifthCrashAt + stableMilliseconds,
-	);
+	const servedAfter = await sendFor(stableMilliseconds, 'bad1');
+	const later = arrivalsSince(fifthCrashAt + stableMilliseconds);
 	assert.ok(crashTimes.length > 0, 'no target crashed');
 	assert.ok(
-		later.length <= 3,
-		`${later.length} requests reached targets, ${crashTimes.length} crashes`,
+		later <= 3,
+		`${later} requests reached targets, ${crashTimes.length} crashes`,
 	);
 	assert.ok(
 		servedAfter >= servedBefore / 2,
 		`${servedAfter} of the sound requests served, ${servedBefore} before`,
 	);
 });
+
+// Guards against a quarantine that is lost when no host is left that knows it.
+test('a quarantined prompt part stays quarantined after the loss of all hosts', async () => {
+	await Promise.all(hosts.map(async ({process: host}) => host.kill()));
+	const killedAt = performance.now();
+	await startHosts();
+	const served = await sendFor(stableMilliseconds, 'bad1');
+	const arrivals = arrivalsSince(killedAt);
+	assert.ok(arrivals <= 3, `${arrivals} requests reached targets`);
+	assert.ok(served >= 0.5, `${served} of the sound requests served`);
+});
+
+// Guards against evidence that nobody collects: no host can hold the lease while the store is away, and the last owner
+// is gone.
+test('a crashing prompt part is found without the store and without an owner', async () => {
+	await waitUntil('an owner', () =>
+		hosts.some(({process: {lines}}) =>
+			lines.some((line) => line.includes('"ownership-gained"')),
+		),
+	);
+	await sendFor(500);
+	store.stop();
+	const owner = hosts.findIndex(({process: {lines}}) =>
+		lines.some((line) => line.includes('"ownership-gained"')),
+	);
+	const [killed] = hosts.splice(owner, 1);
+	await killed!.process.kill();
+	crashTimes.length = 0;
+	await sendFor(2 * stableMilliseconds, 'bad2');
+	const fifthCrashAt = crashTimes[4] ?? performance.now() - stableMilliseconds;
+	await sendFor(stableMilliseconds, 'bad2');
+	const later = arrivalsSince(fifthCrashAt + stableMilliseconds);
+	assert.ok(crashTimes.length > 0, 'no target crashed');
+	assert.ok(
+		later <= 3,
+		`${later} requests reached targets, ${crashTimes.length} crashes`,
+	);
+});
