Log the rate of requests that a target names

Cause: the name of the header stood nowhere in the code, so neither logs nor metrics could tell whether a host knows the limit of a target. Change: the codec decodes the rate, the lowest of several, and does not pass it on to callers; target-rate-limited (7019) logs each change. No decision changes. Result: the decoder test passes.

--- a/src/contracts/events/forwarding-events.ts
+++ b/src/contracts/events/forwarding-events.ts
@@ -104,6 +104,13 @@
 		description:
 			'One request with a quarantined fingerprint is sent, to find out whether it still crashes targets. Only the owner does this, less often each time.',
 	},
+	targetRateLimited: {
+		number: 7019,
+		name: 'target-rate-limited',
+		level: 'info',
+		description:
+			'A target named another number of requests a second that it takes from all hosts together (field requestsPerSecond), or names none any more.',
+	},
 	storeLost: {
 		number: 7020,
 		name: 'store-lost',
--- a/src/contracts/request-codec.ts
+++ b/src/contracts/request-codec.ts
@@ -68,6 +68,8 @@
 	/** The target that sent the response, if the response names it. */
 	readonly respondingTarget: TargetId | undefined;
 	readonly load: ReportedLoad | undefined;
+	/** Requests a second that the target takes from all hosts together at the moment, undefined if it names no limit. */
+	readonly requestsPerSecond: number | undefined;
 	/** Alternating names and values of the headers that are forwarded to the caller. */
 	readonly forwardedHeaders: readonly string[];
 };
--- a/src/platform/request-codec.ts
+++ b/src/platform/request-codec.ts
@@ -52,6 +52,7 @@
 const hiddenResponseNames = lowerCase([
 	'Content-Length',
 	headerNames.load,
+	headerNames.rateLimit,
 	headerNames.instance,
 	headerNames.notRun,
 	headerNames.retryAfter,
@@ -153,6 +154,9 @@
 			isMisdirected,
 			respondingTarget: valueOf(headerNames.instance) as TargetId | undefined,
 			load: parseLoad(valueOf(headerNames.load)),
+			requestsPerSecond: parseRate(
+				headers[headerNames.rateLimit.toLowerCase()],
+			),
 			forwardedHeaders: forwardedResponseHeaders(headers),
 		};
 	}
@@ -240,6 +244,17 @@
 	return {running, queued, slots, slowdown: (slowdownPercent ?? 100) / 100};
 }
 
+/** Parses a decimal number. Of several values the lowest counts; a value of another form is ignored. */
+function parseRate(value: string | string[] | undefined): number | undefined {
+	const rates = [value ?? []]
+		.flat()
+		.flatMap((text) => text.split(','))
+		.map((text) => text.trim())
+		.filter((text) => /^\d{1,9}(?:\.\d{1,9})?$/.test(text))
+		.map(Number);
+	return rates.length === 0 ? undefined : Math.min(...rates);
+}
+
 /** Returns the headers that are forwarded to the caller, as alternating names and values. */
 function forwardedResponseHeaders(
 	headers: Readonly<Record<string, string | string[] | undefined>>,
--- a/src/platform/wire.ts
+++ b/src/platform/wire.ts
@@ -7,6 +7,8 @@
 	signature: 'Response-Sig',
 	expectInstance: 'Expect-Instance',
 	load: 'Server-Load',
+	/** Requests a second that the worker takes from all hosts together. */
+	rateLimit: 'Server-Limit',
 	notRun: 'Not-Run',
 	retryAfter: 'Retry-After',
 	instance: 'Instance-Id',
--- a/src/program/forwarding-root.ts
+++ b/src/program/forwarding-root.ts
@@ -19,6 +19,7 @@
 import {type TargetListChange} from '../contracts/listed-target.js';
 import {type DocumentChange} from '../contracts/shared-store.js';
 import {CrashCorrelation} from '../core/crash-correlation.js';
+import {NamedRateLimits} from '../core/named-rate-limits.js';
 import {OwnerLease} from '../core/owner-lease.js';
 import {PlatformDocumentState} from '../platform/document-state.js';
 import {PlatformOrderPort} from '../platform/order-port.js';
@@ -153,6 +154,7 @@
 		);
 		const {owner} = this;
 		this.view = components.add(new FleetView({name: incarnation, registry}));
+		const rateLimits = new NamedRateLimits({clock});
 		const crashes = new CrashObserver({
 			crashes: new CrashCorrelation({clock}),
 			events,
@@ -195,6 +197,7 @@
 				hosts: defaultHostCount,
 			},
 			crashes,
+			rateLimits,
 			onAdapterMissing: () => {
 				this.reportClient.scheduleReport();
 			},
--- a/src/services/forwarding/forward-dispatch.ts
+++ b/src/services/forwarding/forward-dispatch.ts
@@ -26,6 +26,7 @@
 import {CallerLimiter} from '../../core/caller-limiter.js';
 import {type Urgency} from '../../core/dispatch-queue.js';
 import {LengthEstimator} from '../../core/length-estimator.js';
+import {type NamedRateLimits} from '../../core/named-rate-limits.js';
 import {OutlierDetector} from '../../core/outlier-detector.js';
 import {RetryBudget, type RetryBudgetLimits} from '../../core/retry-budget.js';
 import {RefusedDemand} from '../../core/refused-demand.js';
@@ -75,6 +76,7 @@
 	readonly registry: TargetRegistry;
 	readonly retries: RetryLimits;
 	readonly crashes: CrashObserver;
+	readonly rateLimits: NamedRateLimits;
 	readonly maximumBodyBytes: number;
 };
 
@@ -505,6 +507,7 @@
 				: {}),
 			onResponseMetadata: (response) => {
 				this.recordLoad(binding.target, response.load);
+				this.recordRateLimit(binding.target, response.requestsPerSecond);
 			},
 			isNeeded: () =>
 				!request.isFinished && request.remainingMilliseconds() > 0,
@@ -609,6 +612,19 @@
 		}
 	}
 
+	private recordRateLimit(
+		target: TargetId,
+		requestsPerSecond: number | undefined,
+	): void {
+		const {rateLimits, events} = this.options;
+		if (rateLimits.apply(target, requestsPerSecond)) {
+			events.record(forwardingEvents.targetRateLimited, {
+				target,
+				requestsPerSecond,
+			});
+		}
+	}
+
 	private recordLoad(target: TargetId, load: ReportedLoad | undefined): void {
 		const registered = this.options.registry.get(target);
 		if (!load || !registered) {
--- a/src/services/forwarding/forwarding-service.ts
+++ b/src/services/forwarding/forwarding-service.ts
@@ -21,6 +21,7 @@
 	type RequestCodec,
 	type RequestMetadata,
 } from '../../contracts/request-codec.js';
+import {type NamedRateLimits} from '../../core/named-rate-limits.js';
 import {pickPoolByWeight, RouteTable} from '../../core/route-table.js';
 import {type AdapterDemand, type HostDemand} from '../../core/host-demand.js';
 import {CallerResponse} from './caller-response.js';
@@ -45,6 +46,7 @@
 	readonly registry: TargetRegistry;
 	readonly retries: RetryLimits;
 	readonly crashes: CrashObserver;
+	readonly rateLimits: NamedRateLimits;
 	/** Called when a request arrives for an adapter that no target holds. */
 	readonly onAdapterMissing: () => void;
 };
@@ -89,12 +91,14 @@
 
 	constructor(private readonly options: ForwardingServiceOptions) {
 		super();
-		const {crashes, registry} = options;
+		const {crashes, registry, rateLimits} = options;
 		registry.restarted.subscribe(({listed}) => {
 			crashes.recordTargetDeath(listed.id, 'restarted');
+			rateLimits.forget(listed.id);
 		});
 		registry.removed.subscribe(({listed}) => {
 			crashes.recordTargetDeath(listed.id, 'unlisted');
+			rateLimits.forget(listed.id);
 		});
 		crashes.quarantineGrown.subscribe(() => {
 			for (const {dispatch} of this.pools.values()) {
@@ -499,7 +503,7 @@
 	}
 
 	private createDispatch(pool: PoolName): ForwardDispatch {
-		const {host, clock, random, events, codec, registry, retries, crashes} =
+		const {host, clock, random, events, codec, registry, retries} =
 			this.options;
 		return new ForwardDispatch({
 			pool,
@@ -511,7 +515,8 @@
 			codec,
 			registry,
 			retries: {...retries, hosts: this.currentHostCount},
-			crashes,
+			crashes: this.options.crashes,
+			rateLimits: this.options.rateLimits,
 			maximumBodyBytes: 4_194_304,
 		});
 	}
--- a/test/forwarding/forwarding-harness.ts
+++ b/test/forwarding/forwarding-harness.ts
@@ -18,6 +18,7 @@
 } from '../../src/contracts/ids.js';
 import {type ListedTarget} from '../../src/contracts/listed-target.js';
 import {CrashCorrelation} from '../../src/core/crash-correlation.js';
+import {NamedRateLimits} from '../../src/core/named-rate-limits.js';
 import {PlatformRequestCodec} from '../../src/platform/request-codec.js';
 import {CrashObserver} from '../../src/services/forwarding/crash-observer.js';
 import {ForwardingServer} from '../../src/services/forwarding/forwarding-server.js';
@@ -116,6 +117,7 @@
 				metrics: new NullMetricRegistry(),
 				mayTry: () => false,
 			}),
+			rateLimits: new NamedRateLimits({clock: this.clock}),
 			retries: {ratio: 0.2, slack: 56, windowMilliseconds: 10_000, hosts: 8},
 			onAdapterMissing: () => {
 				this.missingAdapterCount++;
--- a/test/forwarding/unreachable-target.test.ts
+++ b/test/forwarding/unreachable-target.test.ts
@@ -20,6 +20,7 @@
 	CrashCorrelation,
 	type ObservedRequest,
 } from '../../src/core/crash-correlation.js';
+import {NamedRateLimits} from '../../src/core/named-rate-limits.js';
 import {PlatformRequestCodec} from '../../src/platform/request-codec.js';
 import {CrashObserver} from '../../src/services/forwarding/crash-observer.js';
 import {ForwardDispatch} from '../../src/services/forwarding/forward-dispatch.js';
@@ -47,6 +48,7 @@
 		registry: new TargetRegistry({clock, events}),
 		retries: {ratio: 0.2, slack: 56, windowMilliseconds: 10_000, hosts: 8},
 		crashes,
+		rateLimits: new NamedRateLimits({clock}),
 		maximumBodyBytes: 1000,
 	});
 }
--- a/test/platform/decoders.test.ts
+++ b/test/platform/decoders.test.ts
@@ -286,3 +286,19 @@
 	assert.equal(codec.decodeResponse(421, {}).isNotRun, true);
 	assert.equal(codec.decodeResponse(200, {'server-load': 'x'}).load, undefined);
 });
+
+// Guards against a rate that is misread, which either floods a target or starves it.
+test('the rate that a response names is a decimal number, the lowest of several, and does not reach the caller', () => {
+	const rate = (value: string | string[]) =>
+		codec.decodeResponse(200, {'server-limit': value}).requestsPerSecond;
+	assert.equal(rate('11.6'), 11.6);
+	assert.equal(rate('0'), 0);
+	assert.equal(rate(['9', '3.5']), 3.5);
+	assert.equal(rate('9, 3.5'), 3.5);
+	for (const malformed of ['', '-3', '1e3', 'many', '9999999999999']) {
+		assert.equal(rate(malformed), undefined, malformed);
+	}
+
+	const {forwardedHeaders} = codec.decodeResponse(200, {'server-limit': '3'});
+	assert.deepEqual(forwardedHeaders, []);
+});
