Keep the rate of requests that a target names over all hosts

Cause: a target in need names in its answers the requests a second that it takes from all machines; the hosts did not read it and sent what their queues and its places allowed (LIMIT). Class: a limit of the whole fleet that nobody shares out. Change: hosts send to a target with a named rate by permit only. The owner, or the relay of a group, issues them from a bucket with the group's share of the rate to the hosts that ask, so unequal traffic and shares below one request need no plan; first sends, retries and continuations use permits, orders and polls of the owner are charged. Without an issuer each host keeps an even share. Reports carry the rates to hosts that were not told; the newest answer decides, a restarted target is forgotten. What finds no permit goes to other targets or waits in the order of the queue, and is refused when it cannot start in time.

--- a/src/core/relay-assignment.ts
+++ b/src/core/relay-assignment.ts
@@ -83,6 +83,11 @@
 		return this.current().length;
 	}
 
+	/** Number of hosts that report to the owner and relay for no other one. */
+	get singleHostCount(): number {
+		return this.current().filter(({memberCount}) => memberCount === 1).length;
+	}
+
 	/** Addresses of hosts that report to the owner, at most as many as in a fleet without relays. */
 	peerAddresses(): string[] {
 		return this.current()
--- a/src/program/forwarding-root.ts
+++ b/src/program/forwarding-root.ts
@@ -21,6 +21,8 @@
 import {CrashCorrelation} from '../core/crash-correlation.js';
 import {NamedRateLimits} from '../core/named-rate-limits.js';
 import {OwnerLease} from '../core/owner-lease.js';
+import {PermitBook} from '../core/permit-book.js';
+import {PermitIssuer} from '../core/permit-issuer.js';
 import {PlatformDocumentState} from '../platform/document-state.js';
 import {PlatformOrderPort} from '../platform/order-port.js';
 import {PlatformOwnerLog} from '../platform/owner-log.js';
@@ -28,11 +30,13 @@
 import {StoreClient} from '../platform/store-client.js';
 import {PlatformTargetListState} from '../platform/target-list-state.js';
 import {BoundedOutput} from '../services/bounded-output.js';
+import {ChargedOrderPort} from '../services/forwarding/charged-order-port.js';
 import {CrashObserver} from '../services/forwarding/crash-observer.js';
 import {ForwardingServer} from '../services/forwarding/forwarding-server.js';
 import {ForwardingService} from '../services/forwarding/forwarding-service.js';
 import {FleetView} from '../services/forwarding/fleet-view.js';
 import {OwnerLeaseManager} from '../services/forwarding/owner-lease-manager.js';
+import {PermitClient} from '../services/forwarding/permit-client.js';
 import {PlacementOwner} from '../services/forwarding/placement-owner.js';
 import {
 	ReportClient,
@@ -136,14 +140,25 @@
 		this.registry = registry;
 		registry.setHostCount(defaultHostCount);
 		this.targetListManager = new TargetListManager(clock, registry);
+		const rateLimits = new NamedRateLimits({clock});
+		const permits = new PermitBook({clock, limits: rateLimits});
+		const permitIssuer = new PermitIssuer({clock, limits: rateLimits});
+		const fallbackIssuer = new PermitIssuer({clock, limits: rateLimits});
+		registry.removed.subscribe(({listed}) => {
+			permitIssuer.forget(listed.id);
+			fallbackIssuer.forget(listed.id);
+		});
 		this.owner = components.add(
 			new PlacementOwner({
 				host,
 				clock,
 				events,
 				registry,
-				port: new PlatformOrderPort(
-					({id}) => registry.getConnections(id)?.dispatcher,
+				port: new ChargedOrderPort(
+					new PlatformOrderPort(
+						({id}) => registry.getConnections(id)?.dispatcher,
+					),
+					permitIssuer,
 				),
 				isHolder: () => this.leaseManager.isHolder,
 				token: () => this.leaseManager.token(),
@@ -154,7 +169,6 @@
 		);
 		const {owner} = this;
 		this.view = components.add(new FleetView({name: incarnation, registry}));
-		const rateLimits = new NamedRateLimits({clock});
 		const crashes = new CrashObserver({
 			crashes: new CrashCorrelation({clock}),
 			events,
@@ -169,6 +183,8 @@
 				owner,
 				view: this.view,
 				crashes,
+				limits: rateLimits,
+				permits: permitIssuer,
 				isOwner: () => this.leaseManager.isHolder,
 				relayedState: () => this.reportClient.relayedState(),
 				lease: () => this.leaseManager.status(),
@@ -198,6 +214,7 @@
 			},
 			crashes,
 			rateLimits,
+			permits,
 			onAdapterMissing: () => {
 				this.reportClient.scheduleReport();
 			},
@@ -221,6 +238,7 @@
 				localOwner: owner,
 				isLocalOwner: () => this.leaseManager.isHolder,
 				crashes,
+				limits: rateLimits,
 				demand: () => this.reportServer.mergeDemand(service.demand()),
 				peerAddresses: () => this.reportServer.peerAddresses(),
 				stuckDocumentPosition: () =>
@@ -232,6 +250,20 @@
 			}),
 		);
 		const {reportClient} = this;
+		const permitClient = components.add(
+			new PermitClient({
+				book: permits,
+				metrics,
+				issuer: permitIssuer,
+				groupShare: () => this.reportServer.permitShare(),
+				ask: async (demands) => reportClient.acquirePermits(demands),
+				fallbackIssuer,
+				hostCount: () => service.hostCount,
+			}),
+		);
+		permitClient.granted.subscribe(() => {
+			service.notifyCandidatesChanged();
+		});
 		this.leaseManager = components.add(
 			new OwnerLeaseManager({
 				lease: new OwnerLease(
--- a/src/services/dispatch/dispatcher.ts
+++ b/src/services/dispatch/dispatcher.ts
@@ -35,6 +35,7 @@
 	type LatencyKind,
 	type TargetHealth,
 } from '../../core/outlier-detector.js';
+import {type PermitBook} from '../../core/permit-book.js';
 import {PrefixAffinity} from '../../core/prefix-affinity.js';
 import {RetryBudget} from '../../core/retry-budget.js';
 import {
@@ -231,6 +232,8 @@
 	readonly retryBudget?: RetryBudget;
 	/** Limits the model requests that wait at a target for their first token. No limit if absent. */
 	readonly startLimiter?: StartLimiter;
+	/** Permits for requests to targets that name the rate that they take. No such limit if absent. */
+	readonly permits?: PermitBook;
 	/** False to disable hedging. */
 	readonly hedging?: boolean;
 	/** Maximum number of attempts per request, including hedges. 3 by default. */
@@ -872,6 +875,7 @@
 		tracked.triedTargets.add(target);
 		this.runningCount++;
 		this.loadTracker.startRequest(target, item.request, tracked.isLong);
+		this.options.permits?.recordSent(target);
 		if (isStartLimited(item)) {
 			this.startLimiter?.recordSent(target, {
 				request: item.request,
@@ -1045,7 +1049,9 @@
 			this.slotPolicy.hasCapacity(load, countsAsLong) &&
 			(!this.startLimiter ||
 				!isStartLimited(item) ||
-				this.startLimiter.hasCapacity(load.target, startLevel(item)))
+				this.startLimiter.hasCapacity(load.target, startLevel(item))) &&
+			// Last, because it asks for a permit.
+			(this.options.permits?.hasPermit(load.target) ?? true)
 		);
 	}
 
--- a/src/services/forwarding/forward-dispatch.ts
+++ b/src/services/forwarding/forward-dispatch.ts
@@ -27,6 +27,7 @@
 import {type Urgency} from '../../core/dispatch-queue.js';
 import {LengthEstimator} from '../../core/length-estimator.js';
 import {type NamedRateLimits} from '../../core/named-rate-limits.js';
+import {type PermitBook} from '../../core/permit-book.js';
 import {OutlierDetector} from '../../core/outlier-detector.js';
 import {RetryBudget, type RetryBudgetLimits} from '../../core/retry-budget.js';
 import {RefusedDemand} from '../../core/refused-demand.js';
@@ -77,6 +78,7 @@
 	readonly retries: RetryLimits;
 	readonly crashes: CrashObserver;
 	readonly rateLimits: NamedRateLimits;
+	readonly permits: PermitBook;
 	readonly maximumBodyBytes: number;
 };
 
@@ -152,6 +154,7 @@
 			outlierDetector: new OutlierDetector({clock, ejectionRatio}),
 			retryBudget: this.retryBudget,
 			startLimiter: this.startLimiter,
+			permits: options.permits,
 			hedging: false,
 			speedFactor: (target) =>
 				registry.get(target)?.listed.failureDomain === options.failureDomain
--- a/src/services/forwarding/forwarding-service.ts
+++ b/src/services/forwarding/forwarding-service.ts
@@ -22,6 +22,7 @@
 	type RequestMetadata,
 } from '../../contracts/request-codec.js';
 import {type NamedRateLimits} from '../../core/named-rate-limits.js';
+import {type PermitBook} from '../../core/permit-book.js';
 import {pickPoolByWeight, RouteTable} from '../../core/route-table.js';
 import {type AdapterDemand, type HostDemand} from '../../core/host-demand.js';
 import {CallerResponse} from './caller-response.js';
@@ -47,6 +48,7 @@
 	readonly retries: RetryLimits;
 	readonly crashes: CrashObserver;
 	readonly rateLimits: NamedRateLimits;
+	readonly permits: PermitBook;
 	/** Called when a request arrives for an adapter that no target holds. */
 	readonly onAdapterMissing: () => void;
 };
@@ -91,14 +93,16 @@
 
 	constructor(private readonly options: ForwardingServiceOptions) {
 		super();
-		const {crashes, registry, rateLimits} = options;
+		const {crashes, registry, rateLimits, permits} = options;
 		registry.restarted.subscribe(({listed}) => {
 			crashes.recordTargetDeath(listed.id, 'restarted');
 			rateLimits.forget(listed.id);
+			permits.forget(listed.id);
 		});
 		registry.removed.subscribe(({listed}) => {
 			crashes.recordTargetDeath(listed.id, 'unlisted');
 			rateLimits.forget(listed.id);
+			permits.forget(listed.id);
 		});
 		crashes.quarantineGrown.subscribe(() => {
 			for (const {dispatch} of this.pools.values()) {
@@ -517,6 +521,7 @@
 			retries: {...retries, hosts: this.currentHostCount},
 			crashes: this.options.crashes,
 			rateLimits: this.options.rateLimits,
+			permits: this.options.permits,
 			maximumBodyBytes: 4_194_304,
 		});
 	}
--- a/src/services/forwarding/report-client.ts
+++ b/src/services/forwarding/report-client.ts
@@ -8,10 +8,17 @@
 import {wait} from '../../base/node/wait.js';
 import {forwardingEvents} from '../../contracts/events/forwarding-events.js';
 import {type ForwardingDocument} from '../../contracts/forwarding-document.js';
-import {type FailureDomain, type HostId} from '../../contracts/ids.js';
+import {
+	type FailureDomain,
+	type HostId,
+	type TargetId,
+} from '../../contracts/ids.js';
 import {type TargetListChange} from '../../contracts/listed-target.js';
 import {type HostDemand} from '../../core/host-demand.js';
 import {type LeaseStatus, type LeaseHolder} from '../../core/owner-lease.js';
+import {type NamedRateLimits} from '../../core/named-rate-limits.js';
+import {type PermitDemand} from '../../core/permit-book.js';
+import {type PermitGrant} from '../../core/permit-issuer.js';
 import {ReportRoute, type ReportDestination} from '../../core/report-route.js';
 import {
 	OwnerService,
@@ -21,12 +28,14 @@
 import {type PlacementOwner} from './placement-owner.js';
 import {
 	fromLeaseState,
+	fromRateChange,
 	fromTargetContent,
 	fromTargetListUpdate,
 	toReportRequest,
+	toTargetRate,
 } from './report-messages.js';
 import {type RelayedState} from './report-server.js';
-import {SuspicionExchange} from './suspicion-exchange.js';
+import {ObservationExchange} from './observation-exchange.js';
 import {type PlacedContent} from './target-registry.js';
 
 /** Options of the report client. */
@@ -46,6 +55,7 @@
 	/** True while this host holds the owner lease. */
 	readonly isLocalOwner: () => boolean;
 	readonly crashes: CrashObserver;
+	readonly limits: NamedRateLimits;
 	/** Returns the demand to report. */
 	readonly demand: () => HostDemand;
 	/** Position of the document of this host, if it cannot read a newer one from the store. */
@@ -85,6 +95,8 @@
 /** Timeout of a call, longer than the time for which a response is held. In a fleet with relays, whose machines may be weak, the interval of the reports is added. */
 const callTimeoutMilliseconds = 600;
 const retryDelayMilliseconds = 100;
+/** Time within which a host that issues permits responds, in which the requests that wait for them can still meet their objective. */
+const permitTimeoutMilliseconds = 150;
 /** Time since the last word of the owner up to which it counts as responsive, in addition to two intervals of the reports. */
 const responsiveMilliseconds = 900;
 /** Interval of the reports until the owner states another one. All hosts of a fleet may start together. */
@@ -98,7 +110,7 @@
 	private readonly agent = new Agent({keepAlive: true, maxSockets: 4});
 	private readonly clients = new Map<string, Client<typeof OwnerService>>();
 	private readonly route: ReportRoute;
-	private readonly suspicions: SuspicionExchange;
+	private readonly observations: ObservationExchange;
 	private peerPosition = 0;
 	private knownSource = '';
 	private knownRevision = 0;
@@ -116,10 +128,15 @@
 	constructor(private readonly options: ReportClientOptions) {
 		super();
 		this.route = new ReportRoute({clock: options.clock});
-		this.suspicions = new SuspicionExchange(options.crashes);
-		options.crashes.observed.subscribe(() => {
-			this.scheduleReport();
-		});
+		this.observations = new ObservationExchange(
+			options.crashes,
+			options.limits,
+		);
+		for (const {observed} of [options.crashes, options.limits]) {
+			observed.subscribe(() => {
+				this.scheduleReport();
+			});
+		}
 	}
 
 	/** True when a word of the owner has reached this host recently, directly or through a relay. */
@@ -145,6 +162,43 @@
 			: undefined;
 	}
 
+	/** Asks the host to which this one reports for permits. Returns undefined when it does not issue any. */
+	async acquirePermits(
+		demands: readonly PermitDemand[],
+	): Promise<readonly PermitGrant[] | undefined> {
+		const {limits} = this.options;
+		const destination = this.destination();
+		if (!destination) {
+			return undefined;
+		}
+
+		const response = await ResultAsync.fromPromise(
+			this.getClient(destination.address).acquirePermits(
+				{
+					demands: [...demands],
+					rates: demands
+						.flatMap(({target}) => limits.describe(target) ?? [])
+						.map(toTargetRate),
+				},
+				{timeoutMs: permitTimeoutMilliseconds},
+			),
+			(cause) => new ReportCallError('the host did not respond', {cause}),
+		);
+		if (response.isErr() || !response.value.isIssuer) {
+			return undefined;
+		}
+
+		for (const rate of response.value.rates) {
+			limits.merge(fromRateChange(rate));
+		}
+
+		return response.value.grants.map(({target, count, retryMilliseconds}) => ({
+			target: target as TargetId,
+			count,
+			retryMilliseconds,
+		}));
+	}
+
 	/** Reports continuously until disposed. */
 	async run(): Promise<void> {
 		const {signal} = this.abort;
@@ -167,7 +221,7 @@
 		}
 	}
 
-	/** Schedules a report outside the regular sequence: a request waits for an adapter that no target holds, or the other hosts should learn of a suspicion. */
+	/** Schedules a report outside the regular sequence: a request waits for an adapter that no target holds, or the other hosts should learn of a suspicion or of the rate of a target. */
 	scheduleReport(): void {
 		if (this.isReportScheduled) {
 			return;
@@ -193,6 +247,14 @@
 		return this.options.clock.monotonic() - this.ownerHeardAt;
 	}
 
+	private destination(): ReportDestination | undefined {
+		const {holder, host} = this.options;
+		const owner = holder();
+		return this.route.destination(
+			owner && owner.host !== host ? owner.peerAddress : undefined,
+		);
+	}
+
 	private reportDelay(hasResponded: boolean, startedAt: number): number {
 		if (!hasResponded) {
 			return retryDelayMilliseconds;
@@ -218,11 +280,7 @@
 	}
 
 	private async report(): Promise<boolean> {
-		const {holder, host} = this.options;
-		const owner = holder();
-		const destination = this.route.destination(
-			owner && owner.host !== host ? owner.peerAddress : undefined,
-		);
+		const destination = this.destination();
 		if (!destination) {
 			return false;
 		}
@@ -252,7 +310,7 @@
 		address: string,
 	): Promise<Result<ReportResponse, ReportCallError>> {
 		const {demand, failureDomain, peerAddress, capacity} = this.options;
-		const {fields, applyResponse} = this.suspicions.prepare(address);
+		const {fields, applyResponse} = this.observations.prepare(address);
 		const response = await ResultAsync.fromPromise(
 			this.getClient(address).report(
 				toReportRequest(demand(), {
--- a/src/services/forwarding/report-messages.ts
+++ b/src/services/forwarding/report-messages.ts
@@ -15,6 +15,7 @@
 } from '../../contracts/listed-target.js';
 import {type SuspicionReport} from '../../contracts/suspicion-report.js';
 import {type HostDemand} from '../../core/host-demand.js';
+import {type RateChange} from '../../core/named-rate-limits.js';
 import {type LeaseStatus} from '../../core/owner-lease.js';
 import {type RelayCandidate} from '../../core/relay-assignment.js';
 import {
@@ -29,6 +30,8 @@
 	type TargetContent,
 	type TargetContentSchema,
 	type TargetListUpdate,
+	type TargetRate,
+	type TargetRateSchema,
 } from '../../generated/daisylever/owner/v1/owner_pb.js';
 import {type PlacedContent} from './target-registry.js';
 
@@ -47,9 +50,12 @@
 	readonly stuckDocumentPosition: number | undefined;
 	/** What the receiver does not know yet of fingerprints that may crash targets. */
 	readonly suspicions: readonly SuspicionReport[];
-	/** Process and revision of the suspicions that the host has received from the receiver. */
-	readonly knownSuspicionSource: string;
+	/** Rates that targets named and the receiver does not know yet. */
+	readonly rates: readonly RateChange[];
+	/** Process of the receiver from which the host has received suspicions and rates, and their revisions. */
+	readonly knownObservationSource: string;
 	readonly knownSuspicionRevision: number;
+	readonly knownRateRevision: number;
 };
 
 /** Converts the demand and state of a host to a message. */
@@ -79,7 +85,9 @@
 		knownSource: state.knownSource,
 		knownRevision: BigInt(state.knownRevision),
 		suspicions: state.suspicions.map(toSuspicion),
-		knownSuspicionSource: state.knownSuspicionSource,
+		rates: state.rates.map(toTargetRate),
+		knownObservationSource: state.knownObservationSource,
+		knownRateRevision: BigInt(state.knownRateRevision),
 		knownSuspicionRevision: BigInt(state.knownSuspicionRevision),
 		...(state.stuckDocumentPosition === undefined
 			? {}
@@ -275,3 +283,21 @@
 function toAge(milliseconds: number): number {
 	return Math.max(0, Math.floor(milliseconds));
 }
+
+/** Converts the rate that a target named to a message. */
+export function toTargetRate(
+	change: RateChange,
+): MessageInitShape<typeof TargetRateSchema> {
+	const {target, requestsPerSecond, ageMilliseconds} = change;
+	return {
+		target,
+		...(requestsPerSecond === undefined ? {} : {requestsPerSecond}),
+		ageMilliseconds: toAge(ageMilliseconds),
+	};
+}
+
+/** Converts a message to the rate that a target named. */
+export function fromRateChange(message: TargetRate): RateChange {
+	const {target, requestsPerSecond, ageMilliseconds} = message;
+	return {target: target as TargetId, requestsPerSecond, ageMilliseconds};
+}
--- a/src/services/forwarding/report-server.ts
+++ b/src/services/forwarding/report-server.ts
@@ -4,10 +4,12 @@
 import {type Clock} from '../../base/common/clock.js';
 import {Disposable} from '../../base/common/disposable.js';
 import {listenOn, type ListenError} from '../../base/node/listen.js';
-import {type HostId} from '../../contracts/ids.js';
+import {type HostId, type TargetId} from '../../contracts/ids.js';
 import {DemandCollector} from '../../core/demand-collector.js';
 import {type HostDemand} from '../../core/host-demand.js';
 import {type LeaseStatus} from '../../core/owner-lease.js';
+import {type NamedRateLimits} from '../../core/named-rate-limits.js';
+import {type PermitIssuer} from '../../core/permit-issuer.js';
 import {
 	maximumHostsOfRelay,
 	RelayAssignment,
@@ -15,17 +17,20 @@
 } from '../../core/relay-assignment.js';
 import {
 	OwnerService,
+	type AcquirePermitsRequest,
 	type ReportRequest,
 } from '../../generated/daisylever/owner/v1/owner_pb.js';
 import {type CrashObserver} from './crash-observer.js';
 import {type FleetView} from './fleet-view.js';
 import {
+	fromRateChange,
 	fromReportRequest,
 	fromSuspicion,
 	toLeaseField,
 	toListedTarget,
 	toRelayCandidate,
 	toSuspicion,
+	toTargetRate,
 	toTargetContent,
 } from './report-messages.js';
 import {type PlacementOwner} from './placement-owner.js';
@@ -49,6 +54,8 @@
 	readonly owner: PlacementOwner;
 	readonly view: FleetView;
 	readonly crashes: CrashObserver;
+	readonly limits: NamedRateLimits;
+	readonly permits: PermitIssuer;
 	/** True while this host holds the owner lease. */
 	readonly isOwner: () => boolean;
 	/** State of the owner while this host reports to it directly and hears from it, undefined otherwise. */
@@ -98,6 +105,7 @@
 				routes: (router) => {
 					router.service(OwnerService, {
 						report: async (request) => this.report(request),
+						acquirePermits: (request) => this.issuePermits(request),
 					});
 				},
 			}),
@@ -125,6 +133,24 @@
 		return this.relays.peerAddresses();
 	}
 
+	/** Share of the fleet for which this host issues permits: itself and the hosts that report to it without relaying for others. Undefined when it issues none. */
+	permitShare(): number | undefined {
+		const {isOwner, owner, relayedState} = this.options;
+		if (isOwner()) {
+			const hosts = 1 + this.relays.singleHostCount;
+			return hosts / Math.max(hosts, owner.hostCount);
+		}
+
+		const relayed = relayedState();
+		const {members} = this.relayedDemand.sum();
+		if (!relayed || members.length === 0) {
+			return undefined;
+		}
+
+		const hosts = 1 + members.length;
+		return hosts / Math.max(hosts, relayed.hostCount);
+	}
+
 	/** Adds the demand of the hosts that report to this one to its own demand. */
 	mergeDemand(own: HostDemand): HostDemand {
 		return this.relayedDemand.mergeWith(own);
@@ -148,7 +174,7 @@
 		if (
 			request.knownSource === view.name &&
 			Number(request.knownRevision) === view.revision &&
-			this.suspicionFields(request).suspicions.length === 0
+			this.observationFields(request).suspicions.length === 0
 		) {
 			await this.waitForChange(isUrgent);
 		}
@@ -156,6 +182,28 @@
 		return this.respond(request);
 	}
 
+	private issuePermits({demands, rates}: AcquirePermitsRequest) {
+		const {limits, permits} = this.options;
+		const share = this.permitShare();
+		if (share === undefined) {
+			return {isIssuer: false};
+		}
+
+		for (const rate of rates) {
+			limits.merge(fromRateChange(rate));
+		}
+
+		return {
+			isIssuer: true,
+			grants: demands.map(({target, count}) =>
+				permits.issue(target as TargetId, count, share),
+			),
+			rates: demands
+				.flatMap(({target}) => limits.describe(target as TargetId) ?? [])
+				.map(toTargetRate),
+		};
+	}
+
 	/** Takes the demand in a report. Returns false when this host serves no reports, or none of another host. */
 	private accept(request: ReportRequest, isUrgent: boolean): boolean {
 		const {owner, isOwner, relayedState, onUrgentReport} = this.options;
@@ -163,6 +211,10 @@
 		const hasNewSuspicions = this.options.crashes.merge(
 			request.suspicions.map(fromSuspicion),
 		);
+		for (const rate of request.rates) {
+			this.options.limits.merge(fromRateChange(rate));
+		}
+
 		if (isOwner()) {
 			this.relays.apply(toRelayCandidate(request));
 			owner.applyDemand(demand);
@@ -191,21 +243,25 @@
 		return {
 			isOwner: false,
 			source: view.name,
-			...this.suspicionFields(request),
+			...this.observationFields(request),
 			...toLeaseField(lease()),
 		};
 	}
 
-	private suspicionFields(request: ReportRequest) {
-		const {view, crashes} = this.options;
-		const {reports, revision} = crashes.sharedChangesSince(
-			request.knownSuspicionSource === view.name
-				? Number(request.knownSuspicionRevision)
-				: 0,
+	private observationFields(request: ReportRequest) {
+		const {view, crashes, limits} = this.options;
+		const isKnownSource = request.knownObservationSource === view.name;
+		const suspicions = crashes.sharedChangesSince(
+			isKnownSource ? Number(request.knownSuspicionRevision) : 0,
+		);
+		const rates = limits.changesSince(
+			isKnownSource ? Number(request.knownRateRevision) : 0,
 		);
 		return {
-			suspicions: reports.map(toSuspicion),
-			suspicionRevision: BigInt(revision),
+			suspicions: suspicions.reports.map(toSuspicion),
+			suspicionRevision: BigInt(suspicions.revision),
+			rates: rates.changes.map(toTargetRate),
+			rateRevision: BigInt(rates.revision),
 		};
 	}
 
@@ -237,7 +293,7 @@
 			hostCount: relayed.hostCount,
 			ownerSilenceMilliseconds: Math.ceil(relayed.ownerSilenceMilliseconds),
 			peerAddresses: [...relayed.peerAddresses],
-			...this.suspicionFields(request),
+			...this.observationFields(request),
 			relayAddress: relay?.peerAddress ?? '',
 			contents: contents.map(toTargetContent),
 			targetList: {
--- a/test/forwarding/forwarding-harness.ts
+++ b/test/forwarding/forwarding-harness.ts
@@ -19,6 +19,7 @@
 import {type ListedTarget} from '../../src/contracts/listed-target.js';
 import {CrashCorrelation} from '../../src/core/crash-correlation.js';
 import {NamedRateLimits} from '../../src/core/named-rate-limits.js';
+import {PermitBook} from '../../src/core/permit-book.js';
 import {PlatformRequestCodec} from '../../src/platform/request-codec.js';
 import {CrashObserver} from '../../src/services/forwarding/crash-observer.js';
 import {ForwardingServer} from '../../src/services/forwarding/forwarding-server.js';
@@ -101,6 +102,7 @@
 
 	constructor() {
 		const events = new NullEventLogger();
+		const rateLimits = new NamedRateLimits({clock: this.clock});
 		this.registry = new TargetRegistry({clock: this.clock, events});
 		this.service = new ForwardingService({
 			host: 'h1' as HostId,
@@ -117,7 +119,8 @@
 				metrics: new NullMetricRegistry(),
 				mayTry: () => false,
 			}),
-			rateLimits: new NamedRateLimits({clock: this.clock}),
+			rateLimits,
+			permits: new PermitBook({clock: this.clock, limits: rateLimits}),
 			retries: {ratio: 0.2, slack: 56, windowMilliseconds: 10_000, hosts: 8},
 			onAdapterMissing: () => {
 				this.missingAdapterCount++;
--- a/test/forwarding/unreachable-target.test.ts
+++ b/test/forwarding/unreachable-target.test.ts
@@ -21,6 +21,7 @@
 	type ObservedRequest,
 } from '../../src/core/crash-correlation.js';
 import {NamedRateLimits} from '../../src/core/named-rate-limits.js';
+import {PermitBook} from '../../src/core/permit-book.js';
 import {PlatformRequestCodec} from '../../src/platform/request-codec.js';
 import {CrashObserver} from '../../src/services/forwarding/crash-observer.js';
 import {ForwardDispatch} from '../../src/services/forwarding/forward-dispatch.js';
@@ -37,6 +38,7 @@
 
 function createDispatch(clock: ManualClock, crashes: CrashObserver) {
 	const events: EventLogger = new NullEventLogger();
+	const rateLimits = new NamedRateLimits({clock});
 	return new ForwardDispatch({
 		pool,
 		host: 'h' as HostId,
@@ -48,7 +50,8 @@
 		registry: new TargetRegistry({clock, events}),
 		retries: {ratio: 0.2, slack: 56, windowMilliseconds: 10_000, hosts: 8},
 		crashes,
-		rateLimits: new NamedRateLimits({clock}),
+		rateLimits,
+		permits: new PermitBook({clock, limits: rateLimits}),
 		maximumBodyBytes: 1000,
 	});
 }
