Count the owner's reads of a target's state among the rate that it names

Cause: while a load runs, the owner reads the state of a target every 80 ms. Change: at such a target the reads take a quarter of the rate at most.

--- a/src/program/forwarding-root.ts
+++ b/src/program/forwarding-root.ts
@@ -154,6 +154,7 @@
 				clock,
 				events,
 				registry,
+				limits: rateLimits,
 				port: new ChargedOrderPort(
 					new PlatformOrderPort(
 						({id}) => registry.getConnections(id)?.dispatcher,
--- a/src/services/forwarding/placement-owner.ts
+++ b/src/services/forwarding/placement-owner.ts
@@ -12,6 +12,7 @@
 import {type TargetOrderPort} from '../../contracts/target-orders.js';
 import {adapterKey} from '../../core/adapter-slot-policy.js';
 import {DemandCollector} from '../../core/demand-collector.js';
+import {type NamedRateLimits} from '../../core/named-rate-limits.js';
 import {maximumDirectHosts} from '../../core/relay-assignment.js';
 import {type DemandSum, type HostDemand} from '../../core/host-demand.js';
 import {PoolPlacement, type PoolDemand} from './pool-placement.js';
@@ -26,6 +27,8 @@
 	readonly registry: TargetRegistry;
 	/** Sends the orders to the targets. */
 	readonly port: TargetOrderPort;
+	/** Rates that targets name. */
+	readonly limits: NamedRateLimits;
 	/** True while this host holds the owner lease. It may send orders only some time after it gained the lease. */
 	readonly isHolder: () => boolean;
 	/** The token with which orders may be sent now, undefined when this host may not send any. */
@@ -210,6 +213,7 @@
 						this.hostCount > maximumDirectHosts
 							? relayedRetirementMilliseconds
 							: directRetirementMilliseconds,
+					requestsPerSecond: () => this.options.limits.get(target.listed.id),
 					onOrderSent: () => {
 						this.lastOrderAt = this.options.clock.monotonic();
 					},
--- a/src/services/forwarding/target-order-task.ts
+++ b/src/services/forwarding/target-order-task.ts
@@ -39,6 +39,8 @@
 	readonly onChanged: () => void;
 	/** Time for all hosts to receive the update that a model gets no new work, before the model is unloaded. */
 	readonly retirementMilliseconds: () => number;
+	/** Rate of requests that the target takes, undefined without a limit. Reads of its state count among them. */
+	readonly requestsPerSecond: () => number | undefined;
 	/** Called before an order is sent. */
 	readonly onOrderSent: () => void;
 };
@@ -47,6 +49,10 @@
 const stateLagMilliseconds = 150;
 /** Minimum interval between two reads of the state of a target. */
 const stateReadIntervalMilliseconds = 80;
+/** Largest share of the rate that a target names for reads of its state. The rest is for requests. */
+const maximumReadShare = 0.25;
+/** Longest interval between two reads, so that an order to a target with a very low rate still ends. */
+const maximumStateReadIntervalMilliseconds = 4000;
 /** Time from an accepted load of an adapter until the adapter is ready. The largest adapters take 13 ms while few are loading. */
 const adapterLoadMilliseconds = 16;
 
@@ -99,7 +105,7 @@
 		if (
 			(this.ledger.needsStateRead || !this.hasCurrentState) &&
 			!this.hasOpenCall &&
-			now - this.stateReadAt >= stateReadIntervalMilliseconds
+			now - this.stateReadAt >= this.stateReadInterval()
 		) {
 			void this.readState();
 		}
@@ -256,6 +262,19 @@
 		return (this.adapterReadyAt.get(adapterKey(name)) ?? 0) <= now;
 	}
 
+	private stateReadInterval(): number {
+		const requestsPerSecond = this.options.requestsPerSecond();
+		return requestsPerSecond === undefined
+			? stateReadIntervalMilliseconds
+			: Math.min(
+					maximumStateReadIntervalMilliseconds,
+					Math.max(
+						stateReadIntervalMilliseconds,
+						1000 / (requestsPerSecond * maximumReadShare),
+					),
+				);
+	}
+
 	private async readState(): Promise<void> {
 		const {port, clock} = this.options;
 		this.hasOpenCall = true;
