Start without saved permits when the issuer is lost

Change: the bucket for outages is emptied with each answer of an issuer; a permit lives 400 ms instead of 1 s.

--- a/src/core/permit-book.ts
+++ b/src/core/permit-book.ts
@@ -26,8 +26,8 @@
 	askFrom: number;
 };
 
-/** Time within which a permit must be used. The issuer counts it as used in any case. */
-const permitLifetimeMilliseconds = 1000;
+/** Time within which a permit must be used. Short, because the permits of a former issuer come on top of those of the next one. */
+const permitLifetimeMilliseconds = 400;
 const sentWindowMilliseconds = 1000;
 /** Permits asked for at once, as a share of the requests of the last second, so that a busy host does not ask for each. */
 const batchShare = 0.25;
--- a/src/core/permit-issuer.ts
+++ b/src/core/permit-issuer.ts
@@ -67,6 +67,11 @@
 		}
 	}
 
+	/** Drops the permits that have accrued. */
+	reset(): void {
+		this.buckets.clear();
+	}
+
 	/** Forgets a target that has ended. */
 	forget(target: TargetId): void {
 		this.buckets.delete(target);
--- a/src/services/forwarding/permit-client.ts
+++ b/src/services/forwarding/permit-client.ts
@@ -83,16 +83,21 @@
 		const {issuer, groupShare, ask, fallbackIssuer, hostCount} = this.options;
 		const share = groupShare();
 		if (share !== undefined) {
+			fallbackIssuer.reset();
 			return demands.map(({target, count}) =>
 				issuer.issue(target, count, share),
 			);
 		}
 
-		return (
-			(await ask(demands)) ??
-			demands.map(({target}) =>
-				fallbackIssuer.issue(target, 1, 1 / Math.max(1, hostCount())),
-			)
+		const grants = await ask(demands);
+		if (grants) {
+			// What accrues until the next outage was issued by the other host.
+			fallbackIssuer.reset();
+			return grants;
+		}
+
+		return demands.map(({target}) =>
+			fallbackIssuer.issue(target, 1, 1 / Math.max(1, hostCount())),
 		);
 	}
 }
--- a/test/forwarding/permits.test.ts
+++ b/test/forwarding/permits.test.ts
@@ -1,11 +1,14 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {ManualClock} from '../../src/base/common/clock.js';
+import {NullMetricRegistry} from '../../src/base/common/metric-registry.js';
 import {SeededRandomSource} from '../../src/base/common/random-source.js';
 import {type TargetId} from '../../src/contracts/ids.js';
 import {NamedRateLimits} from '../../src/core/named-rate-limits.js';
 import {PermitBook} from '../../src/core/permit-book.js';
 import {PermitIssuer} from '../../src/core/permit-issuer.js';
+import {PermitClient} from '../../src/services/forwarding/permit-client.js';
+import {waitUntil} from '../process/processes.js';
 
 const target = 't' as TargetId;
 const stepMilliseconds = 10;
@@ -260,3 +263,50 @@
 	limits.forget(target);
 	assert.equal(limits.get(target), undefined);
 });
+
+class CountingMetrics extends NullMetricRegistry {
+	calls = 0;
+
+	override count(): void {
+		this.calls++;
+	}
+}
+
+// Guards against permits that accrue on every host while another one issues them, and are used all at once when it ends.
+test('a host that loses the issuer begins without permits of its own', async () => {
+	const clock = new ManualClock();
+	const limits = new NamedRateLimits({clock});
+	const book = new PermitBook({clock, limits});
+	const metrics = new CountingMetrics();
+	const issuerState = {isPresent: false};
+	const client = new PermitClient({
+		book,
+		metrics,
+		issuer: new PermitIssuer({clock, limits}),
+		groupShare: () => undefined,
+		ask: async (demands) =>
+			issuerState.isPresent
+				? demands.map((demand) => ({...demand, retryMilliseconds: 0}))
+				: undefined,
+		fallbackIssuer: new PermitIssuer({clock, limits}),
+		hostCount: () => 7,
+	});
+	limits.apply(target, 7);
+	/** Asks for a permit and returns whether there is one afterwards. */
+	const askOnce = async () => {
+		clock.advance(1000);
+		book.hasPermit(target);
+		const before = metrics.calls;
+		await waitUntil('a grant', () => metrics.calls > before);
+		return book.hasPermit(target);
+	};
+
+	assert.equal(await askOnce(), false);
+	issuerState.isPresent = true;
+	assert.equal(await askOnce(), true);
+	clock.advance(60_000);
+	issuerState.isPresent = false;
+	assert.equal(await askOnce(), false);
+	assert.equal(await askOnce(), true);
+	client.dispose();
+});
