--- a/src/core/relay-assignment.ts
+++ b/src/core/relay-assignment.ts
@@ -83,9 +83,13 @@
 		return this.current().length;
 	}
 
-	/** Number of hosts that report to the owner and relay for no other one. */
-	get singleHostCount(): number {
-		return this.current().filter(({memberCount}) => memberCount === 1).length;
+	/** Number of hosts that reported to the owner within the given time and relay for no other one. */
+	countSingleHosts(maximumAgeMilliseconds: number): number {
+		const now = this.options.clock.monotonic();
+		return this.current().filter(
+			({memberCount, reportedAt}) =>
+				memberCount === 1 && now - reportedAt < maximumAgeMilliseconds,
+		).length;
 	}
 
 	/** Addresses of hosts that report to the owner, at most as many as in a fleet without relays. */
@@ -132,7 +136,7 @@
 		return usable.find((relay) => relay.host === chosen);
 	}
 
-	private current(): RelayCandidate[] {
+	private current(): Array<RelayCandidate & {readonly reportedAt: number}> {
 		const now = this.options.clock.monotonic();
 		for (const [host, {reportedAt}] of this.candidates) {
 			if (now - reportedAt >= candidateLifetimeMilliseconds) {
--- a/src/services/forwarding/report-server.ts
+++ b/src/services/forwarding/report-server.ts
@@ -75,6 +75,8 @@
 
 /** Time after which a response without changes is sent, so that the reporting host sees that this one is alive. */
 const responseHoldMilliseconds = 250;
+/** Time since its last report, in addition to two intervals, from which a host may have lost this one and keeps its share of a rate for itself. */
+const presenceMilliseconds = 700;
 /** Changes within this time are combined in one response, when the host is waiting for one of them. */
 const promptDelayMilliseconds = 4;
 /** Changes within this time are combined in one response to a host of a large fleet that does not wait for any of them. */
@@ -137,7 +139,11 @@
 	permitShare(): number | undefined {
 		const {isOwner, owner, relayedState} = this.options;
 		if (isOwner()) {
-			const hosts = 1 + this.relays.singleHostCount;
+			const hosts =
+				1 +
+				this.relays.countSingleHosts(
+					presenceMilliseconds + 2 * this.reportInterval(owner.hostCount),
+				);
 			return hosts / Math.max(hosts, owner.hostCount);
 		}
 
@@ -310,18 +316,23 @@
 				? {document: JSON.stringify(view.document)}
 				: {}),
 			reportIntervalMilliseconds: Math.ceil(
-				reportInterval(
-					relayed.hostCount,
-					holdsLease
-						? this.relays.reporterCount
-						: this.relayedDemand.reporterCount,
-					this.options.capacity,
-				),
+				this.reportInterval(relayed.hostCount),
 			),
 			...(holdsLease ? toLeaseField(lease()) : {}),
 		};
 	}
 
+	/** Minimum time between the reports of a host that reports to this one. */
+	private reportInterval(hostCount: number): number {
+		return reportInterval(
+			hostCount,
+			this.options.isOwner()
+				? this.relays.reporterCount
+				: this.relayedDemand.reporterCount,
+			this.options.capacity,
+		);
+	}
+
 	private async waitForChange(isUrgent: boolean): Promise<void> {
 		await new Promise<void>((resolve) => {
 			const waiter: Waiter = {
--- a/test/forwarding/relay-tree.test.ts
+++ b/test/forwarding/relay-tree.test.ts
@@ -223,3 +223,28 @@
 		{seed: 17, numRuns: 150},
 	);
 });
+
+// Guards against an owner that is cut off and goes on issuing permits for the hosts that cannot reach it, which keep
+// their shares for themselves.
+test('hosts that have not reported lately do not count for the permits that the owner issues', () => {
+	const clock = new ManualClock();
+	const relays = new RelayAssignment({clock, owner: 'h0' as HostId});
+	const report = (name: string, memberCount: number) => {
+		relays.apply({
+			host: name as HostId,
+			failureDomain: 'z' as FailureDomain,
+			peerAddress: name,
+			capacity: 1,
+			memberCount,
+		});
+	};
+
+	report('h1', 1);
+	report('h2', 1);
+	report('relay', 16);
+	assert.equal(relays.countSingleHosts(700), 2);
+	clock.advance(500);
+	report('h2', 1);
+	clock.advance(500);
+	assert.equal(relays.countSingleHosts(700), 1);
+});
