Exchange observations with other hosts without becoming their relay

Cause: while no owner responded, each host reported to the others in turn, and a host that heard of an owner again took them for hosts that it relays for. Change: such a report says that it only exchanges observations; the receiver takes no demand from it. The next report to the owner does not wait for it.

--- a/src/services/forwarding/report-client.ts
+++ b/src/services/forwarding/report-client.ts
@@ -112,6 +112,7 @@
 	private readonly route: ReportRoute;
 	private readonly observations: ObservationExchange;
 	private peerPosition = 0;
+	private isExchangingWithPeer = false;
 	private knownSource = '';
 	private knownRevision = 0;
 	private ownerHeardAt = Number.NEGATIVE_INFINITY;
@@ -214,7 +215,8 @@
 			const hasResponded = await this.report();
 			this.recordReachability(hasResponded);
 			if (!hasResponded && !this.isOwnerResponsive()) {
-				await this.exchangeWithPeer();
+				// The next report to the owner does not wait for it.
+				void this.exchangeWithPeer();
 			}
 
 			await wait(this.reportDelay(hasResponded, startedAt), signal);
@@ -285,7 +287,7 @@
 			return false;
 		}
 
-		const response = await this.call(destination.address);
+		const response = await this.call(destination.address, false);
 		if (response.isErr()) {
 			this.handleFailure(destination, response.error.message);
 			return false;
@@ -308,6 +310,7 @@
 	/** Calls a host, and exchanges suspicions with it. */
 	private async call(
 		address: string,
+		observationsOnly: boolean,
 	): Promise<Result<ReportResponse, ReportCallError>> {
 		const {demand, failureDomain, peerAddress, capacity} = this.options;
 		const {fields, applyResponse} = this.observations.prepare(address);
@@ -321,6 +324,7 @@
 					knownSource: this.knownSource,
 					knownRevision: this.knownRevision,
 					stuckDocumentPosition: this.options.stuckDocumentPosition(),
+					observationsOnly,
 					...fields,
 				}),
 				{timeoutMs: callTimeoutMilliseconds + this.reportIntervalMilliseconds},
@@ -338,12 +342,14 @@
 		const peers = this.state.peerAddresses.filter(
 			(address) => address !== this.options.peerAddress,
 		);
-		if (peers.length === 0) {
+		if (peers.length === 0 || this.isExchangingWithPeer) {
 			return;
 		}
 
 		this.peerPosition = (this.peerPosition + 1) % peers.length;
-		await this.call(peers[this.peerPosition]!);
+		this.isExchangingWithPeer = true;
+		await this.call(peers[this.peerPosition]!, true);
+		this.isExchangingWithPeer = false;
 	}
 
 	private handleFailure(destination: ReportDestination, reason: string): void {
--- a/src/services/forwarding/report-messages.ts
+++ b/src/services/forwarding/report-messages.ts
@@ -50,6 +50,8 @@
 	readonly stuckDocumentPosition: number | undefined;
 	/** What the receiver does not know yet of fingerprints that may crash targets. */
 	readonly suspicions: readonly SuspicionReport[];
+	/** True when the host only exchanges suspicions and rates with the receiver. */
+	readonly observationsOnly: boolean;
 	/** Rates that targets named and the receiver does not know yet. */
 	readonly rates: readonly RateChange[];
 	/** Process of the receiver from which the host has received suspicions and rates, and their revisions. */
@@ -85,6 +87,7 @@
 		knownSource: state.knownSource,
 		knownRevision: BigInt(state.knownRevision),
 		suspicions: state.suspicions.map(toSuspicion),
+		observationsOnly: state.observationsOnly,
 		rates: state.rates.map(toTargetRate),
 		knownObservationSource: state.knownObservationSource,
 		knownRateRevision: BigInt(state.knownRateRevision),
--- a/src/services/forwarding/report-server.ts
+++ b/src/services/forwarding/report-server.ts
@@ -173,7 +173,11 @@
 	private async report(request: ReportRequest) {
 		const {view} = this.options;
 		const isUrgent = request.adapters.some(({waiting}) => waiting > 0);
-		if (!this.accept(request, isUrgent)) {
+		const hasNewSuspicions = this.mergeObservations(request);
+		if (
+			request.observationsOnly ||
+			!this.accept(request, isUrgent || hasNewSuspicions)
+		) {
 			return this.refuse(request);
 		}
 
@@ -210,17 +214,20 @@
 		};
 	}
 
+	/** Applies the suspicions and rates in a report. Returns true when a suspicion is new to this host. */
+	private mergeObservations({suspicions, rates}: ReportRequest): boolean {
+		const {crashes, limits} = this.options;
+		for (const rate of rates) {
+			limits.merge(fromRateChange(rate));
+		}
+
+		return crashes.merge(suspicions.map(fromSuspicion));
+	}
+
 	/** Takes the demand in a report. Returns false when this host serves no reports, or none of another host. */
 	private accept(request: ReportRequest, isUrgent: boolean): boolean {
 		const {owner, isOwner, relayedState, onUrgentReport} = this.options;
 		const demand = fromReportRequest(request);
-		const hasNewSuspicions = this.options.crashes.merge(
-			request.suspicions.map(fromSuspicion),
-		);
-		for (const rate of request.rates) {
-			this.options.limits.merge(fromRateChange(rate));
-		}
-
 		if (isOwner()) {
 			this.relays.apply(toRelayCandidate(request));
 			owner.applyDemand(demand);
@@ -236,7 +243,7 @@
 		}
 
 		this.relayedDemand.apply(demand);
-		if (isUrgent || hasNewSuspicions) {
+		if (isUrgent) {
 			onUrgentReport();
 		}
 
