Take an answer with a failure status for neither an end nor a proof

Cause: reading the change again: an answer of 300 or above counted like one that may have been cut short, so its request was blamed if the target ended within six seconds for another reason. Change: only answers of success vouch for their prompt parts or ask for the target's state.

--- a/src/core/quarantine-policy.ts
+++ b/src/core/quarantine-policy.ts
@@ -221,7 +221,7 @@
 		return cleared;
 	}
 
-	/** Suspect and quarantined fingerprints included, those of which this process has seen a complete answer not long ago. */
+	/** Fingerprints under suspicion of which this process itself has seen a complete answer not long ago. */
 	soundSuspicions(now: number): Fingerprint[] {
 		return [...this.suspicions.keys()].filter(
 			(fingerprint) =>
--- a/src/services/forwarding/crash-observer.ts
+++ b/src/services/forwarding/crash-observer.ts
@@ -43,11 +43,6 @@
 
 	constructor(private readonly options: CrashObserverOptions) {}
 
-	/** Increases with each change. */
-	get revision(): number {
-		return this.options.crashes.revision;
-	}
-
 	/** Decides whether a request that has arrived may be sent, and logs it when not. */
 	admit(request: ObservedRequest): CrashAdmission {
 		const {crashes, events, metrics, mayTry} = this.options;
--- a/src/services/forwarding/forward-dispatch.ts
+++ b/src/services/forwarding/forward-dispatch.ts
@@ -727,7 +727,10 @@
 			return;
 		}
 
-		this.recordEnd(response.isFramed && response.status < 300);
+		if (response.status < 300) {
+			this.recordEnd(response.isFramed);
+		}
+
 		this.request.forwardResponse(response, body);
 		this.poolDispatch.endAttempt(this.attempt, {kind: 'completed', tokens: 1});
 	}
@@ -775,7 +778,7 @@
 		});
 	}
 
-	/** Records a complete answer. One that only the end of its connection ends may have been cut short by the end of its target. */
+	/** Records the end of an answer. One that only the end of its connection marks may have been cut short by the end of its target. */
 	private recordEnd(isComplete: boolean): void {
 		if (isComplete) {
 			this.poolDispatch.recordAnswer(this.request);
--- a/test/forwarding/forwarding-harness.ts
+++ b/test/forwarding/forwarding-harness.ts
@@ -92,6 +92,13 @@
 /** A forwarding server in this process. The test provides the targets. */
 export class ForwardingHarness {
 	readonly clock = new SystemClock();
+	readonly crashes = new CrashObserver({
+		crashes: new CrashCorrelation({clock: this.clock}),
+		events: new NullEventLogger(),
+		metrics: new NullMetricRegistry(),
+		mayTry: () => false,
+	});
+
 	readonly registry: TargetRegistry;
 	readonly service: ForwardingService;
 	/** Number of calls of `onAdapterMissing`. */
@@ -113,12 +120,7 @@
 			metrics: new NullMetricRegistry(),
 			codec: new PlatformRequestCodec(),
 			registry: this.registry,
-			crashes: new CrashObserver({
-				crashes: new CrashCorrelation({clock: this.clock}),
-				events,
-				metrics: new NullMetricRegistry(),
-				mayTry: () => false,
-			}),
+			crashes: this.crashes,
 			rateLimits,
 			permits: new PermitBook({clock: this.clock, limits: rateLimits}),
 			retries: {ratio: 0.2, slack: 56, windowMilliseconds: 10_000, hosts: 8},
