--- a/src/core/permit-book.ts
+++ b/src/core/permit-book.ts
@@ -78,7 +78,7 @@
 	}
 
 	/** Returns the permits to ask for. Until their grant is applied, the book does not ask for them again. */
-	takeDemands(): PermitDemand[] {
+	pendingDemands(): PermitDemand[] {
 		const now = this.options.clock.monotonic();
 		return [...this.accounts]
 			.filter(([, {isWanted}]) => isWanted)
--- a/src/core/quarantine-policy.ts
+++ b/src/core/quarantine-policy.ts
@@ -86,7 +86,7 @@
 	applyDeath(death: TargetDeath, now: number): Fingerprint[] {
 		const key = `${death.target}\n${death.targetIncarnation}`;
 		return death.fingerprints.filter((fingerprint) =>
-			this.isQuarantinedBy(fingerprint, now, () => {
+			this.isQuarantinedAfter(fingerprint, now, () => {
 				const suspicion = this.suspicionOf(fingerprint, now);
 				if (addDeath(suspicion, key, now)) {
 					this.markChanged(fingerprint, suspicion);
@@ -99,7 +99,7 @@
 	merge(reports: readonly SuspicionReport[], now: number): Fingerprint[] {
 		return reports
 			.filter((report) =>
-				this.isQuarantinedBy(report.fingerprint, now, () => {
+				this.isQuarantinedAfter(report.fingerprint, now, () => {
 					this.mergeReport(report, now);
 				}),
 			)
@@ -269,7 +269,7 @@
 	}
 
 	/** Applies a change and returns true when it quarantines the fingerprint. */
-	private isQuarantinedBy(
+	private isQuarantinedAfter(
 		fingerprint: Fingerprint,
 		now: number,
 		change: () => void,
--- a/src/services/forwarding/permit-client.ts
+++ b/src/services/forwarding/permit-client.ts
@@ -55,7 +55,7 @@
 
 	private async acquire(): Promise<void> {
 		const {book, metrics} = this.options;
-		const demands = book.takeDemands();
+		const demands = book.pendingDemands();
 		this.isAsking = true;
 		const grants = await this.grantsFor(demands);
 		this.isAsking = false;
@@ -72,7 +72,7 @@
 		}
 
 		// Targets that were wanted during the call are not in it.
-		if (book.takeDemands().length > 0) {
+		if (book.pendingDemands().length > 0) {
 			this.schedule();
 		}
 	}
--- a/test/forwarding/permits.test.ts
+++ b/test/forwarding/permits.test.ts
@@ -116,7 +116,7 @@
 	}
 
 	private askForPermits(host: SimulatedHost): void {
-		for (const {count} of host.book.takeDemands()) {
+		for (const {count} of host.book.pendingDemands()) {
 			const issuerLimits = this.issuerLimitsOf(host);
 			pass(host.limits, issuerLimits);
 			host.book.applyGrant(host.issuer.issue(target, count, host.groupShare));
