--- a/src/contracts/events/forwarding-events.ts
+++ b/src/contracts/events/forwarding-events.ts
@@ -145,6 +145,13 @@
 		description:
 			'This host reads a state from the shared store itself, because no other host sends it or what they send is too old (field ageMilliseconds).',
 	},
+	storeGenerationChanged: {
+		number: 7025,
+		name: 'store-generation-changed',
+		level: 'warn',
+		description:
+			'The shared store names a generation for the first time or a higher one (field generation). A higher one means that it was restored from a copy: records that it had confirmed may be lost, and their positions are used again.',
+	},
 	ownershipGained: {
 		number: 7030,
 		name: 'ownership-gained',
--- a/src/platform/store-client.ts
+++ b/src/platform/store-client.ts
@@ -2,12 +2,13 @@
 import {errAsync, okAsync, ResultAsync} from 'neverthrow';
 import {z} from 'zod';
 import {Disposable} from '../base/common/disposable.js';
+import {TypedEvent} from '../base/common/typed-event.js';
 import {
 	HistoryTruncatedError,
 	SharedStoreError,
 	type StorePosition,
 } from '../contracts/shared-store.js';
-import {paths} from './wire.js';
+import {headerNames, paths} from './wire.js';
 
 /** One record of a topic. */
 export type StoreRecord = {
@@ -72,7 +73,10 @@
 
 /** The client of the platform's store, which all adapters share. */
 export class StoreClient extends Disposable {
+	/** A response named a higher generation of the store than any before. Published with that generation. */
+	readonly generationChanged = new TypedEvent<number>();
 	private readonly pool: Pool;
+	private generation: number | undefined;
 	private readonly timeoutMilliseconds: number;
 
 	constructor(options: StoreClientOptions) {
@@ -211,6 +215,14 @@
 		});
 	}
 
+	private observeGeneration(header: string | string[] | undefined): void {
+		const generation = parseGeneration(header);
+		if (this.generation === undefined || generation > this.generation) {
+			this.generation = generation;
+			this.generationChanged.publish(generation);
+		}
+	}
+
 	private call(
 		method: 'GET' | 'POST',
 		path: string,
@@ -230,10 +242,11 @@
 					body: body ?? null,
 					signal: controller.signal,
 				});
-				return {
-					status: response.statusCode,
-					body: Buffer.from(await response.body.arrayBuffer()),
-				};
+				const responseBody = Buffer.from(await response.body.arrayBuffer());
+				this.observeGeneration(
+					response.headers[headerNames.storeGeneration.toLowerCase()],
+				);
+				return {status: response.statusCode, body: responseBody};
 			} finally {
 				clearTimeout(timer);
 			}
@@ -279,6 +292,13 @@
 	}
 }
 
+/** A store that was never restored may name no generation. */
+function parseGeneration(header: string | string[] | undefined): number {
+	return typeof header === 'string' && /^\d{1,15}$/.test(header)
+		? Number(header)
+		: 0;
+}
+
 function parseJson(body: Buffer): unknown {
 	return JSON.parse(body.toString('utf8'));
 }
--- a/src/platform/wire.ts
+++ b/src/platform/wire.ts
@@ -23,6 +23,8 @@
 	backup: 'Kv-Backup',
 	resumeFrom: 'Kv-From',
 	fetchFrom: 'Kv-Fetch',
+	/** Generation of the store, in all its responses. Rises each time the store was restored from a copy. */
+	storeGeneration: 'Store-Era',
 } as const;
 
 /** HTTP paths of the store and of workers. */
--- a/src/program/forwarding-root.ts
+++ b/src/program/forwarding-root.ts
@@ -135,6 +135,9 @@
 			Number.parseInt(incarnation.slice(0, 8), 16),
 		);
 		const client = components.add(new StoreClient({address: store}));
+		client.generationChanged.subscribe((generation) => {
+			events.record(forwardingEvents.storeGenerationChanged, {generation});
+		});
 		const codec = new PlatformRequestCodec();
 		const registry = components.add(new TargetRegistry({clock, events}));
 		this.registry = registry;
@@ -517,6 +520,7 @@
 		this.events.record(forwardingEvents.documentApplied, {
 			version: document.version,
 			routes: document.routes.length,
+			position: this.documents.currentPosition,
 		});
 	}
 
@@ -552,13 +556,14 @@
 			'daisylever_is_owner',
 			this.leaseManager.isHolder ? 1 : 0,
 		);
-		for (const [state, {ageMilliseconds}] of Object.entries({
+		for (const [state, {ageMilliseconds, currentPosition}] of Object.entries({
 			targets: this.targets,
 			document: this.documents,
 		})) {
 			this.metrics.gauge('daisylever_store_age_milliseconds', ageMilliseconds, {
 				state,
 			});
+			this.metrics.gauge('daisylever_store_position', currentPosition, {state});
 		}
 
 		this.metrics.gauge(
--- a/src/services/forwarding/state-follower.ts
+++ b/src/services/forwarding/state-follower.ts
@@ -191,7 +191,11 @@
 			isReceiving
 				? forwardingEvents.stateReceived
 				: forwardingEvents.stateReadDirectly,
-			{state: name, ageMilliseconds: Math.round(this.ageMilliseconds)},
+			{
+				state: name,
+				ageMilliseconds: Math.round(this.ageMilliseconds),
+				position: this.position,
+			},
 		);
 	}
 
@@ -253,8 +257,12 @@
 	private handleReadError(error: SharedStoreError): void {
 		const {name, events} = this.options;
 		if (error instanceof HistoryTruncatedError) {
+			events.record(forwardingEvents.historyLost, {
+				state: name,
+				position: this.position,
+				earliest: error.earliest,
+			});
 			this.position = undefined;
-			events.record(forwardingEvents.historyLost, {state: name});
 			return;
 		}
 
