--- a/test/platform/stand-in-store.ts
+++ b/test/platform/stand-in-store.ts
@@ -16,13 +16,20 @@
 	newest: Map<string, {value: Buffer; offset: number}>;
 };
 
+/** A copy of the content of a store. */
+export type StoreCopy = ReadonlyMap<string, Topic>;
+
 /** A stand-in for the platform's store, with topics of one partition each, conditional appends and injected faults. */
 export class StandInStore {
 	/** Method and path of each call received. */
 	readonly calls: string[] = [];
 	/** Faults of the next calls, in order. */
 	readonly faults: StoreFault[] = [];
-	private readonly topics = new Map<string, Topic>();
+	/** Number in the responses that rises each time the store is restored from a copy. Undefined to leave it out. */
+	generation: number | undefined = 1;
+	/** True while the store closes all connections without a response. */
+	isAway = false;
+	private topics = new Map<string, Topic>();
 	private readonly server: Server;
 	private readonly pendingReads = new Set<() => void>();
 
@@ -78,6 +85,18 @@
 		content.first = content.records.length;
 	}
 
+	/** Returns a copy of all topics. */
+	copy(): StoreCopy {
+		return cloneTopics(this.topics);
+	}
+
+	/** Replaces all topics by a copy, as a restored store does. Records written since are lost, and their positions are given out again. */
+	restore(copy: StoreCopy): void {
+		this.topics = cloneTopics(copy);
+		this.generation = (this.generation ?? 0) + 1;
+		this.server.closeAllConnections();
+	}
+
 	/** Returns the position after the last record of a topic. */
 	end(topic: string): number {
 		return this.topic(topic).records.length;
@@ -107,6 +126,15 @@
 	): void {
 		const url = new URL(request.url ?? '/', 'http://store');
 		this.calls.push(`${request.method} ${url.pathname}`);
+		if (this.isAway) {
+			request.socket.destroy();
+			return;
+		}
+
+		if (this.generation !== undefined) {
+			response.setHeader('Store-Era', String(this.generation));
+		}
+
 		const fault = this.faults.shift();
 		if (fault === 'busy') {
 			response.writeHead(503).end();
@@ -168,7 +196,7 @@
 	): void {
 		const from = Number(url.searchParams.get('from'));
 		const content = this.topic(topic);
-		if (from < content.first) {
+		if (from < content.first || from > content.records.length) {
 			sendJson(response, 410, {first: content.first});
 			return;
 		}
@@ -214,6 +242,15 @@
 	}
 }
 
+function cloneTopics(topics: StoreCopy): Map<string, Topic> {
+	return new Map(
+		[...topics].map(([name, {records, first, newest}]) => [
+			name,
+			{records: [...records], first, newest: new Map(newest)},
+		]),
+	);
+}
+
 function sendJson(
 	response: ServerResponse,
 	status: number,
