Order positions of the store over its generations

Cause: positions read before and after the store was restored were compared with each other. The owner announced position 4 of the operator's topic from before; the version written after the restore got position 4 again, so the other hosts took it for read. The class: a number that is unique within one history of a log, used as if it were unique over all. Fencing tokens, the end that a conditional append expects, the position of the target list and which of two hosts knows the newer state are such numbers too.

Fix: a position holds the generation of the store in its high part, so that all comparisons hold, and tokens rise over a restore. A read from a position of an earlier generation fails with StoreRestoredError whatever the new log holds there, an append that was meant for the lost log does not succeed, and a late response of the store from before the restore is dropped.

--- a/src/contracts/shared-store.ts
+++ b/src/contracts/shared-store.ts
@@ -24,7 +24,7 @@
 
 	constructor(
 		/** Position of the first retained record. */
-		readonly earliest: number,
+		readonly earliest: StorePosition,
 	) {
 		super(
 			'not-done',
@@ -33,7 +33,22 @@
 	}
 }
 
-/** Position in one of the logs of the store. */
+/** The store was restored from a copy after the position was read. Records that it had confirmed may be lost, so a reader must start again from the newest state. */
+export class StoreRestoredError extends SharedStoreError {
+	override readonly name = 'StoreRestoredError';
+
+	constructor(
+		/** First position of the restored log. */
+		readonly earliest: StorePosition,
+	) {
+		super(
+			'not-done',
+			`the store was restored from a copy, its positions start at ${earliest} again`,
+		);
+	}
+}
+
+/** Position in one of the logs of the store. Positions that are given out after the store was restored from a copy are greater than all before. */
 export type StorePosition = number;
 
 /** Changes of a shared state and the position after them. */
--- a/src/platform/owner-log.ts
+++ b/src/platform/owner-log.ts
@@ -4,6 +4,7 @@
 import {
 	HistoryTruncatedError,
 	OwnerLog,
+	StoreRestoredError,
 	type ConditionalAppendOutcome,
 	type OwnerRecord,
 	type OwnerRecords,
@@ -40,7 +41,12 @@
 		from: StorePosition | undefined,
 	): ResultAsync<OwnerRecords, SharedStoreError> {
 		return this.store
-			.read(topics.owner, from ?? 0, 0)
+			.read(topics.owner, from, 0)
+			.orElse((error) =>
+				error instanceof StoreRestoredError
+					? this.store.read(topics.owner, error.earliest, 0)
+					: errAsync(error),
+			)
 			.orElse((error) =>
 				error instanceof HistoryTruncatedError
 					? this.store.read(topics.owner, error.earliest, 0)
--- a/src/platform/store-client.ts
+++ b/src/platform/store-client.ts
@@ -6,8 +6,15 @@
 import {
 	HistoryTruncatedError,
 	SharedStoreError,
+	StoreRestoredError,
 	type StorePosition,
 } from '../contracts/shared-store.js';
+import {
+	generationOf,
+	maximumGeneration,
+	offsetOf,
+	toPosition,
+} from './store-position.js';
 import {headerNames, paths} from './wire.js';
 
 /** One record of a topic. */
@@ -38,7 +45,7 @@
 /** Outcome of an append on the condition that the topic ends at an expected position. */
 export type AppendOutcome =
 	| {readonly kind: 'appended'; readonly position: StorePosition}
-	/** The topic ends at another position, which is returned. */
+	/** The topic ends at another position, which is returned, or the store was restored since the expected one was read. */
 	| {readonly kind: 'conflict'; readonly next: StorePosition};
 
 /** Options of the store client. */
@@ -49,7 +56,12 @@
 	readonly timeoutMilliseconds?: number;
 };
 
-type StoreResponse = {readonly status: number; readonly body: Buffer};
+type StoreResponse = {
+	readonly status: number;
+	readonly body: Buffer;
+	/** Generation of the store that sent the response. */
+	readonly generation: number;
+};
 
 /** Connections for two long polls, the periodic read and one further call at the same time. */
 const connectionCount = 4;
@@ -91,15 +103,20 @@
 	}
 
 	/**
-	 * Reads the records of a topic from a position on. Waits up to `waitMilliseconds` when there are none yet. Fails with
-	 * `HistoryTruncatedError` when the records at the position were deleted.
+	 * Reads the records of a topic from a position on, or from the start of its log when it is undefined. Waits up to
+	 * `waitMilliseconds` when there are none yet. Fails with `HistoryTruncatedError` when the records at the position were
+	 * deleted, and with `StoreRestoredError` when the store was restored since the position was read.
 	 */
 	read(
 		topic: string,
-		from: StorePosition,
+		from: StorePosition | undefined,
 		waitMilliseconds: number,
 	): ResultAsync<StoreRecords, SharedStoreError> {
-		const query = new URLSearchParams({topic, part: '0', from: String(from)});
+		const query = new URLSearchParams({
+			topic,
+			part: '0',
+			from: String(offsetOf(from ?? 0)),
+		});
 		if (waitMilliseconds > 0) {
 			query.set('wait_ms', String(waitMilliseconds));
 		}
@@ -109,21 +126,32 @@
 			`${paths.logRead}?${query.toString()}`,
 			undefined,
 			waitMilliseconds,
-		).andThen(({status, body}) => {
+		).andThen(({status, body, generation}) => {
+			if (status !== 200 && status !== 404 && status !== 410) {
+				return errAsync(unexpectedStatus('read', status));
+			}
+
+			const start = from ?? toPosition(generation, 0);
+			if (generation !== generationOf(start)) {
+				return errAsync(new StoreRestoredError(toPosition(generation, 0)));
+			}
+
 			if (status === 410) {
 				return parse('read', () =>
 					truncatedResponseSchema.parse(parseJson(body)),
-				).andThen(({first}) => errAsync(new HistoryTruncatedError(first)));
+				).andThen(({first}) =>
+					errAsync(new HistoryTruncatedError(toPosition(generation, first))),
+				);
 			}
 
 			// A topic does not exist until its first record is appended.
-			if (status === 404) {
-				return okAsync({records: [], next: from});
-			}
-
-			return status === 200
-				? parse('read', () => parseRecords(body, from))
-				: errAsync(unexpectedStatus('read', status));
+			return status === 404
+				? okAsync({records: [], next: start})
+				: parse('read', () => parseRecords(body, start)).andThen((records) =>
+						records instanceof HistoryTruncatedError
+							? errAsync(records)
+							: okAsync(records),
+					);
 		});
 	}
 
@@ -141,7 +169,7 @@
 		const query = new URLSearchParams({
 			topic,
 			part: '0',
-			as_of: String(expectedEnd),
+			as_of: String(offsetOf(expectedEnd)),
 		});
 		const framed = Buffer.alloc(lengthBytes + body.length);
 		framed.writeUInt32BE(body.length);
@@ -151,20 +179,27 @@
 			`${paths.logAppend}?${query.toString()}`,
 			framed,
 			0,
-		).andThen((response) => {
-			if (response.status === 200) {
-				return parse('append', () => ({
-					kind: 'appended' as const,
-					position: appendResponseSchema.parse(parseJson(response.body)).offset,
-				}));
+		).andThen(({status, body: responseBody, generation}) => {
+			if (status === 200) {
+				return parse('append', () => {
+					const {offset} = appendResponseSchema.parse(parseJson(responseBody));
+					const position = toPosition(generation, offset);
+					// A restored log can end at the expected offset by chance, after other records than the expected ones.
+					return generation === generationOf(expectedEnd)
+						? {kind: 'appended' as const, position}
+						: {kind: 'conflict' as const, next: position};
+				});
 			}
 
-			return response.status === 412
+			return status === 412
 				? parse('append', () => ({
 						kind: 'conflict' as const,
-						next: conflictResponseSchema.parse(parseJson(response.body)).end,
+						next: toPosition(
+							generation,
+							conflictResponseSchema.parse(parseJson(responseBody)).end,
+						),
 					}))
-				: errAsync(unexpectedStatus('append', response.status));
+				: errAsync(unexpectedStatus('append', status));
 		});
 	}
 
@@ -190,11 +225,15 @@
 			`${paths.logNewest}?${query.toString()}`,
 			undefined,
 			0,
-		).andThen(({status, body}) => {
+		).andThen(({status, body, generation}) => {
 			if (status !== 200) {
 				return errAsync(unexpectedStatus('read of the newest records', status));
 			}
 
+			if (firstEnd !== undefined && generation !== generationOf(firstEnd)) {
+				return errAsync(new StoreRestoredError(toPosition(generation, 0)));
+			}
+
 			return parse('read of the newest records', () =>
 				newestResponseSchema.parse(parseJson(body)),
 			).andThen(({items, more, end}) => {
@@ -203,11 +242,11 @@
 					...items.map(({key, value, offset}) => ({
 						key,
 						value: Buffer.from(value, 'base64'),
-						position: offset,
+						position: toPosition(generation, offset),
 					})),
 				];
 				// Pages are not a consistent snapshot, so later reads start at the end position of the first page and cover every change since.
-				const next = firstEnd ?? end;
+				const next = firstEnd ?? toPosition(generation, end);
 				return more && items.length > 0
 					? this.readPages(topic, items.at(-1)!.key, records, next)
 					: okAsync({records, next});
@@ -215,12 +254,15 @@
 		});
 	}
 
-	private observeGeneration(header: string | string[] | undefined): void {
-		const generation = parseGeneration(header);
+	/** Returns the generation that a response names, and records the highest one. A response that names none is of the generation that is known. */
+	private observeGeneration(header: string | string[] | undefined): number {
+		const generation = parseGeneration(header) ?? this.generation ?? 0;
 		if (this.generation === undefined || generation > this.generation) {
 			this.generation = generation;
 			this.generationChanged.publish(generation);
 		}
+
+		return generation;
 	}
 
 	private call(
@@ -242,11 +284,15 @@
 					body: body ?? null,
 					signal: controller.signal,
 				});
-				const responseBody = Buffer.from(await response.body.arrayBuffer());
-				this.observeGeneration(
+				const generation = this.observeGeneration(
 					response.headers[headerNames.storeGeneration.toLowerCase()],
 				);
-				return {status: response.statusCode, body: responseBody};
+				const responseBody = Buffer.from(await response.body.arrayBuffer());
+				if (generation !== this.generation) {
+					throw new Error('the store was restored after it sent the response');
+				}
+
+				return {status: response.statusCode, body: responseBody, generation};
 			} finally {
 				clearTimeout(timer);
 			}
@@ -292,19 +338,30 @@
 	}
 }
 
-/** A store that was never restored may name no generation. */
-function parseGeneration(header: string | string[] | undefined): number {
-	return typeof header === 'string' && /^\d{1,15}$/.test(header)
+function parseGeneration(
+	header: string | string[] | undefined,
+): number | undefined {
+	return typeof header === 'string' &&
+		/^\d{1,15}$/.test(header) &&
+		Number(header) <= maximumGeneration
 		? Number(header)
-		: 0;
+		: undefined;
 }
 
 function parseJson(body: Buffer): unknown {
 	return JSON.parse(body.toString('utf8'));
 }
 
-/** Parses the response to a read: the end of the topic, the first retained position, then each record after its length. All numbers are big-endian. */
-function parseRecords(body: Buffer, from: StorePosition): StoreRecords {
+/** Parses the response to a read: the end of the topic, the first retained offset, then each record after its length. All numbers are big-endian. A topic that ends before the position has lost records. */
+function parseRecords(
+	body: Buffer,
+	from: StorePosition,
+): StoreRecords | HistoryTruncatedError {
+	if (Number(body.readBigUInt64BE(0)) < offsetOf(from)) {
+		const first = Number(body.readBigUInt64BE(positionBytes));
+		return new HistoryTruncatedError(toPosition(generationOf(from), first));
+	}
+
 	const records: StoreRecord[] = [];
 	let index = positionBytes * 2;
 	let position = from;
--- a/src/services/forwarding/state-follower.ts
+++ b/src/services/forwarding/state-follower.ts
@@ -5,6 +5,7 @@
 import {forwardingEvents} from '../../contracts/events/forwarding-events.js';
 import {
 	HistoryTruncatedError,
+	StoreRestoredError,
 	type SharedState,
 	type SharedStoreError,
 	type StorePosition,
@@ -256,7 +257,10 @@
 
 	private handleReadError(error: SharedStoreError): void {
 		const {name, events} = this.options;
-		if (error instanceof HistoryTruncatedError) {
+		if (
+			error instanceof HistoryTruncatedError ||
+			error instanceof StoreRestoredError
+		) {
 			events.record(forwardingEvents.historyLost, {
 				state: name,
 				position: this.position,
--- a/test/platform/stand-in-store.ts
+++ b/test/platform/stand-in-store.ts
@@ -26,12 +26,12 @@
 	/** Faults of the next calls, in order. */
 	readonly faults: StoreFault[] = [];
 	/** Number in the responses that rises each time the store is restored from a copy. Undefined to leave it out. */
-	generation: number | undefined = 1;
+	generation: number | undefined;
 	/** True while the store closes all connections without a response. */
 	isAway = false;
 	private topics = new Map<string, Topic>();
 	private readonly server: Server;
-	private readonly pendingReads = new Set<() => void>();
+	private readonly pendingReads = new Map<() => void, ServerResponse>();
 
 	constructor() {
 		this.server = createServer((request, response) => {
@@ -94,7 +94,10 @@
 	restore(copy: StoreCopy): void {
 		this.topics = cloneTopics(copy);
 		this.generation = (this.generation ?? 0) + 1;
-		this.server.closeAllConnections();
+		for (const [resume, response] of this.pendingReads) {
+			this.pendingReads.delete(resume);
+			response.destroy();
+		}
 	}
 
 	/** Returns the position after the last record of a topic. */
@@ -114,7 +117,7 @@
 
 	private append(topic: string, body: Buffer): void {
 		this.topic(topic).records.push(body);
-		for (const resume of this.pendingReads) {
+		for (const resume of this.pendingReads.keys()) {
 			resume();
 		}
 	}
@@ -220,7 +223,7 @@
 		};
 
 		const timer = setTimeout(end, wait);
-		this.pendingReads.add(resume);
+		this.pendingReads.set(resume, response);
 	}
 
 	private sendRecords(
--- a/test/process/restored-store.test.ts
+++ b/test/process/restored-store.test.ts
@@ -53,6 +53,7 @@
 
 before(async () => {
 	const address = await store.start();
+	store.generation = 1;
 	putConfiguration(1);
 	hosts.push(
 		...(await Promise.all(
