Claim the owner lease anew after the store was restored

Cause: the fold of the lease log trusts that each record was written behind all those before it. A restored log breaks that. Records now state the position for which they were meant; one that stands elsewhere is from the copy and makes nobody the holder. After a restore the lease is claimed anew: at once by the last holder, which goes on with its orders if its lease from before is still valid, because nobody can have held a later one; otherwise orders wait until a lost holder can give none, counted from the first read of the restored log. A host that starts later knows from the generation that records may be lost.

--- a/src/contracts/shared-store.ts
+++ b/src/contracts/shared-store.ts
@@ -97,19 +97,27 @@
 /** A record with its position. The position of a claim is the fencing token of the lease. */
 export type PositionedOwnerRecord = OwnerRecord & {
 	readonly position: StorePosition;
+	/** True when the store was restored after the record was sent, so that the records that followed it may be lost. */
+	readonly isFromCopy: boolean;
 };
 
 /** The records of the lease that one read returned, and the position after them. */
 export type OwnerRecords = {
 	readonly records: readonly PositionedOwnerRecord[];
 	readonly next: StorePosition;
+	/** True when the store was restored since the position was read, or ever before a read of all records. These are then all records of the restored log. */
+	readonly isRestored: boolean;
 };
 
 /** Outcome of a conditional append. */
 export type ConditionalAppendOutcome =
 	| {readonly kind: 'appended'; readonly position: StorePosition}
-	/** Another record was written since the expected position. */
-	| {readonly kind: 'conflict'; readonly next: StorePosition};
+	/** Another record was written since the expected position, or the store was restored since it was read. */
+	| {
+			readonly kind: 'conflict';
+			readonly next: StorePosition;
+			readonly isRestored: boolean;
+	  };
 
 /** The log of the owner lease. */
 export abstract class OwnerLog {
--- a/src/core/owner-lease.ts
+++ b/src/core/owner-lease.ts
@@ -59,6 +59,13 @@
 	readonly lastOrderAt: number | undefined;
 };
 
+/** When this host first read the restored log, and whether it was the holder before. */
+type ObservedRestore = {
+	readonly at: number;
+	/** True if this host was the last holder that it knew. */
+	readonly wasHolder: boolean;
+};
+
 /** Identity of this host as a candidate for the lease. */
 export type LeaseCandidate = Pick<
 	OwnerRecord,
@@ -92,6 +99,8 @@
 	private holderReport: HolderReport | undefined;
 	/** Position of the last record of this host that the log confirmed. */
 	private ownRecordPosition: StorePosition | undefined;
+	/** The restore of the store after which nobody has claimed the lease yet. */
+	private restore: ObservedRestore | undefined;
 
 	constructor(
 		private readonly candidate: LeaseCandidate,
@@ -105,7 +114,11 @@
 
 	/** The holder according to the log, which can be this host. Undefined if the lease is released or was never claimed. */
 	get holder(): LeaseHolder | undefined {
-		if (!this.lastRecord || this.lastRecord.kind === 'released') {
+		if (
+			!this.lastRecord ||
+			this.lastRecord.kind === 'released' ||
+			this.lastRecord.isFromCopy
+		) {
 			return undefined;
 		}
 
@@ -175,6 +188,10 @@
 		}
 
 		const claimDelay = this.timing.claimDelayMilliseconds ?? 0;
+		if (this.restore?.wasHolder) {
+			return {kind: 'append', append: this.createAppend('claimed')};
+		}
+
 		if (!this.lastRecord || this.lastRecord.kind === 'released') {
 			return now - this.lastSeenAt >= claimDelay
 				? {kind: 'append', append: this.createAppend('claimed')}
@@ -192,7 +209,11 @@
 	}
 
 	/** Applies records read from the log. */
-	applyRecords({records, next}: OwnerRecords, now: number): void {
+	applyRecords({records, next, isRestored}: OwnerRecords, now: number): void {
+		if (isRestored) {
+			this.handleRestore(now);
+		}
+
 		this.mustRead = false;
 		if (this.nextPosition === undefined) {
 			this.lastSeenAt = now;
@@ -219,6 +240,10 @@
 		now: number,
 	): void {
 		if (outcome.kind === 'conflict') {
+			if (outcome.isRestored) {
+				this.handleRestore(now);
+			}
+
 			// Another host appended first. Reading its records determines the holder.
 			this.isHeld = false;
 			this.mustRead = true;
@@ -228,7 +253,11 @@
 		const previous = this.lastRecord;
 		const previousSeenAt = this.lastSeenAt;
 		this.nextPosition = outcome.position + 1;
-		this.lastRecord = {...record, position: outcome.position};
+		this.lastRecord = {
+			...record,
+			position: outcome.position,
+			isFromCopy: false,
+		};
 		this.lastSeenAt = now;
 		if (record.kind === 'released') {
 			this.isHeld = false;
@@ -237,7 +266,12 @@
 
 		if (record.kind === 'claimed') {
 			this.claimPosition = outcome.position;
-			this.ordersAllowedFrom = this.earliestOrderTime(previous, previousSeenAt);
+			this.ordersAllowedFrom = this.earliestOrderTime(
+				previous,
+				previousSeenAt,
+				now,
+			);
+			this.restore = undefined;
 		}
 
 		this.isHeld = true;
@@ -287,12 +321,18 @@
 		const previousSeenAt = this.lastSeenAt;
 		this.lastRecord = record;
 		this.lastSeenAt = now;
+		if (record.isFromCopy) {
+			this.isHeld = false;
+			return;
+		}
+
 		if (record.kind === 'claimed') {
 			this.claimPosition = record.position;
 		}
 
 		if (!isOwn || record.kind === 'released') {
 			this.isHeld = false;
+			this.restore = undefined;
 			return;
 		}
 
@@ -302,21 +342,46 @@
 		this.renewedAt = Number.NEGATIVE_INFINITY;
 		this.validUntil = Number.NEGATIVE_INFINITY;
 		if (record.kind === 'claimed') {
-			this.ordersAllowedFrom = this.earliestOrderTime(previous, previousSeenAt);
+			this.ordersAllowedFrom = this.earliestOrderTime(
+				previous,
+				previousSeenAt,
+				now,
+			);
+			this.restore = undefined;
 		}
 	}
 
+	/** Forgets what the lost log said of the lease. Its last holder is unknown, unless it is this host. */
+	private handleRestore(now: number): void {
+		this.restore = {
+			at: now,
+			wasHolder: this.isHeld || (this.restore?.wasHolder ?? false),
+		};
+		this.isHeld = false;
+		this.nextPosition = undefined;
+		this.lastRecord = undefined;
+		this.claimPosition = undefined;
+	}
+
 	/** Returns the earliest time for orders of a new holder. The previous holder may have sent orders until its validity ended, counted at the latest from when its last record was seen. */
 	private earliestOrderTime(
 		previous: PositionedOwnerRecord | undefined,
 		seenAt: number,
+		now: number,
 	): number {
+		const {handoverMilliseconds, validityMilliseconds} = this.timing;
+		if (this.restore) {
+			// While the lease of this host from before the restore is valid, no other host can have held a later one.
+			return this.restore.wasHolder && now < this.validUntil
+				? this.ordersAllowedFrom
+				: this.restore.at + validityMilliseconds + handoverMilliseconds;
+		}
+
 		if (!previous) {
 			return Number.NEGATIVE_INFINITY;
 		}
 
-		const {handoverMilliseconds, validityMilliseconds} = this.timing;
-		if (previous.kind !== 'released') {
+		if (previous.kind !== 'released' || previous.isFromCopy) {
 			const lastOrderAt =
 				this.holderReport?.position === previous.position
 					? this.holderReport.lastOrderAt
--- a/src/platform/owner-log.ts
+++ b/src/platform/owner-log.ts
@@ -11,7 +11,8 @@
 	type SharedStoreError,
 	type StorePosition,
 } from '../contracts/shared-store.js';
-import {type StoreClient} from './store-client.js';
+import {type StoreClient, type StoreRecords} from './store-client.js';
+import {generationOf} from './store-position.js';
 import {topics} from './wire.js';
 
 const suspicionSchema = z.object({
@@ -29,8 +30,13 @@
 	peerAddress: z.string(),
 	sinceLastOrderMilliseconds: z.number().optional(),
 	suspicions: z.array(suspicionSchema).optional(),
+	/** Position at which the writer meant to append the record. Another one shows that the store was restored since. */
+	intendedPosition: z.number().optional(),
 });
 
+/** Generation of a store that was never restored. */
+const firstGeneration = 1;
+
 /** Stores the records of the owner lease in a topic of the platform's store. */
 export class PlatformOwnerLog extends OwnerLog {
 	constructor(private readonly store: StoreClient) {
@@ -40,24 +46,32 @@
 	read(
 		from: StorePosition | undefined,
 	): ResultAsync<OwnerRecords, SharedStoreError> {
-		return this.store
-			.read(topics.owner, from, 0)
+		return this.readRetained(from)
+			.map((result) => ({
+				...result,
+				isRestored:
+					from === undefined && generationOf(result.next) > firstGeneration,
+			}))
 			.orElse((error) =>
 				error instanceof StoreRestoredError
-					? this.store.read(topics.owner, error.earliest, 0)
-					: errAsync(error),
-			)
-			.orElse((error) =>
-				error instanceof HistoryTruncatedError
-					? this.store.read(topics.owner, error.earliest, 0)
+					? this.readRetained(error.earliest).map((result) => ({
+							...result,
+							isRestored: true,
+						}))
 					: errAsync(error),
 			)
-			.map(({records, next}) => ({
+			.map(({records, ...rest}) => ({
+				...rest,
 				records: records.flatMap(({position, body}) => {
 					const parsed = recordSchema.safeParse(parseJson(body));
-					return parsed.success ? [{...parsed.data, position}] : [];
+					if (!parsed.success) {
+						return [];
+					}
+
+					const {intendedPosition = position, ...record} = parsed.data;
+					const isFromCopy = intendedPosition !== position;
+					return [{...record, position, isFromCopy}];
 				}),
-				next,
 			}));
 	}
 
@@ -67,10 +81,23 @@
 	): ResultAsync<ConditionalAppendOutcome, SharedStoreError> {
 		return this.store.append(
 			topics.owner,
-			Buffer.from(JSON.stringify(record)),
+			Buffer.from(JSON.stringify({...record, intendedPosition: expectedEnd})),
 			expectedEnd,
 		);
 	}
+
+	/** Reads from a position on, or from the first retained one if the store has deleted the records at it. */
+	private readRetained(
+		from: StorePosition | undefined,
+	): ResultAsync<StoreRecords, SharedStoreError> {
+		return this.store
+			.read(topics.owner, from, 0)
+			.orElse((error) =>
+				error instanceof HistoryTruncatedError
+					? this.store.read(topics.owner, error.earliest, 0)
+					: errAsync(error),
+			);
+	}
 }
 
 function parseJson(body: Buffer): unknown {
--- a/src/platform/store-client.ts
+++ b/src/platform/store-client.ts
@@ -46,7 +46,11 @@
 export type AppendOutcome =
 	| {readonly kind: 'appended'; readonly position: StorePosition}
 	/** The topic ends at another position, which is returned, or the store was restored since the expected one was read. */
-	| {readonly kind: 'conflict'; readonly next: StorePosition};
+	| {
+			readonly kind: 'conflict';
+			readonly next: StorePosition;
+			readonly isRestored: boolean;
+	  };
 
 /** Options of the store client. */
 export type StoreClientOptions = {
@@ -180,14 +184,15 @@
 			framed,
 			0,
 		).andThen(({status, body: responseBody, generation}) => {
+			const isRestored = generation !== generationOf(expectedEnd);
 			if (status === 200) {
 				return parse('append', () => {
 					const {offset} = appendResponseSchema.parse(parseJson(responseBody));
 					const position = toPosition(generation, offset);
 					// A restored log can end at the expected offset by chance, after other records than the expected ones.
-					return generation === generationOf(expectedEnd)
-						? {kind: 'appended' as const, position}
-						: {kind: 'conflict' as const, next: position};
+					return isRestored
+						? {kind: 'conflict' as const, next: position, isRestored}
+						: {kind: 'appended' as const, position};
 				});
 			}
 
@@ -198,6 +203,7 @@
 							generation,
 							conflictResponseSchema.parse(parseJson(responseBody)).end,
 						),
+						isRestored,
 					}))
 				: errAsync(unexpectedStatus('append', status));
 		});
--- a/test/forwarding/owner-lease.test.ts
+++ b/test/forwarding/owner-lease.test.ts
@@ -21,11 +21,15 @@
 
 	append({record, expectedEnd}: LeaseAppend) {
 		if (this.records.length !== expectedEnd) {
-			return {kind: 'conflict' as const, next: this.records.length};
+			return {
+				kind: 'conflict' as const,
+				next: this.records.length,
+				isRestored: false,
+			};
 		}
 
 		const position = this.records.length;
-		this.records.push({...record, position});
+		this.records.push({...record, position, isFromCopy: false});
 		return {kind: 'appended' as const, position};
 	}
 
@@ -33,6 +37,7 @@
 		return {
 			records: this.records.slice(from ?? 0),
 			next: this.records.length,
+			isRestored: false,
 		};
 	}
 }
--- a/test/platform/store-client.test.ts
+++ b/test/platform/store-client.test.ts
@@ -121,6 +121,7 @@
 	assert.deepEqual((await log.append(record, 0))._unsafeUnwrap(), {
 		kind: 'conflict',
 		next: 1,
+		isRestored: false,
 	});
 	store.faults.push('lost-answer');
 	const lost = await log.append({...record, kind: 'renewed'}, 1);
@@ -135,5 +136,5 @@
 	);
 	store.truncate('daisylever.owner');
 	const remaining = (await log.read(0))._unsafeUnwrap();
-	assert.deepEqual(remaining, {records: [], next: 2});
+	assert.deepEqual(remaining, {records: [], next: 2, isRestored: false});
 });
