Pass on the rest of the wait when the owner lease is released unused

Found while the lease was claimed anew after restores, where such waits are longer. The release now states the time since the last order that any holder can have sent. The new test fails without the change.

--- a/src/contracts/shared-store.ts
+++ b/src/contracts/shared-store.ts
@@ -88,7 +88,7 @@
 	readonly incarnation: string;
 	/** Address at which the holder accepts calls of other hosts. */
 	readonly peerAddress: string;
-	/** Time between the holder's last order and this record. Set on a release. */
+	/** Time between the last order of any holder and this record. Set on a release, and negative while an earlier holder could still send orders. */
 	readonly sinceLastOrderMilliseconds?: number | undefined;
 	/** Quarantined fingerprints, so that they outlive all hosts. */
 	readonly suspicions?: readonly SuspicionReport[] | undefined;
--- a/src/core/owner-lease.ts
+++ b/src/core/owner-lease.ts
@@ -288,13 +288,29 @@
 	/** Creates the record that releases the lease at a planned stop. Undefined if this host does not hold the lease. */
 	createRelease(
 		sinceLastOrderMilliseconds: number | undefined,
+		now: number,
 	): LeaseAppend | undefined {
 		if (!this.isHeld || this.nextPosition === undefined) {
 			return undefined;
 		}
 
 		const {record, expectedEnd} = this.createAppend('released');
-		return {record: {...record, sinceLastOrderMilliseconds}, expectedEnd};
+		// While this host may not send orders yet, an earlier holder is the last one that can have sent any.
+		const sinceAnyOrder = Math.min(
+			sinceLastOrderMilliseconds ?? Number.POSITIVE_INFINITY,
+			now < this.ordersAllowedFrom
+				? this.timing.handoverMilliseconds - (this.ordersAllowedFrom - now)
+				: Number.POSITIVE_INFINITY,
+		);
+		return {
+			record: {
+				...record,
+				sinceLastOrderMilliseconds: Number.isFinite(sinceAnyOrder)
+					? sinceAnyOrder
+					: undefined,
+			},
+			expectedEnd,
+		};
 	}
 
 	/** Stops holding the lease after a target refused its token. The log must then be read again. */
--- a/src/services/forwarding/owner-lease-manager.ts
+++ b/src/services/forwarding/owner-lease-manager.ts
@@ -101,6 +101,7 @@
 		this.abort.abort();
 		const append = this.options.lease.createRelease(
 			this.options.sinceLastOrder(),
+			this.options.clock.monotonic(),
 		);
 		if (append) {
 			await this.append(append);
--- a/test/forwarding/owner-lease.test.ts
+++ b/test/forwarding/owner-lease.test.ts
@@ -99,7 +99,7 @@
 	const former = new OwnerLease(candidate('a'), times);
 	step(former, log, 0);
 	step(former, log, 0);
-	const release = former.createRelease(2500)!;
+	const release = former.createRelease(2500, 10)!;
 	former.applyAppendOutcome(release, log.append(release), 10, 10);
 	const next = new OwnerLease(candidate('b'), times);
 	step(next, log, 20);
@@ -287,3 +287,39 @@
 		{seed: 7, numRuns: 800},
 	);
 });
+
+// Guards against a host that orders at once after one that held the lease for a moment: what the holder before both may
+// still order is not over when the lease is released without an order.
+test('a holder that releases the lease before it may send orders passes on the rest of its wait', () => {
+	const log = new Log();
+	const [first, second, third] = ['a', 'b', 'c'].map(
+		(host) => new OwnerLease(candidate(host), times),
+	) as [OwnerLease, OwnerLease, OwnerLease];
+	for (let now = 0; now <= 1000; now += 100) {
+		step(first, log, now);
+	}
+
+	assert.notEqual(first.orderToken(1000), undefined);
+	let now = 1000;
+	while (!second.isHolder) {
+		now += 100;
+		step(second, log, now);
+	}
+
+	assert.equal(second.orderToken(now), undefined);
+	const release = second.createRelease(undefined, now)!;
+	second.applyAppendOutcome(release, log.append(release), now, now);
+	while (!third.isHolder) {
+		now += 100;
+		step(third, log, now);
+	}
+
+	assert.equal(third.orderToken(now), undefined);
+	const lastOrderAt = 1000 + times.validityMilliseconds;
+	for (; third.orderToken(now) === undefined; now += 100) {
+		step(third, log, now);
+	}
+
+	assert.ok(now - lastOrderAt >= times.handoverMilliseconds);
+	assert.ok(now < 10_000);
+});
