Ignore entries of targets that are older than one seen before

Cause: the registry took the last entry that it read for the newest one. Entries carry the start of their incarnation and a count of writes, so their order is known. After a restore the first write of each worker is decoded in full, since its entry in the copy may have been ignored.

--- a/src/contracts/events/forwarding-events.ts
+++ b/src/contracts/events/forwarding-events.ts
@@ -152,6 +152,13 @@
 		description:
 			'The shared store names a generation for the first time or a higher one (field generation). A higher one means that it was restored from a copy: records that it had confirmed may be lost, and their positions are used again.',
 	},
+	targetEntryOutdated: {
+		number: 7026,
+		name: 'target-entry-outdated',
+		level: 'info',
+		description:
+			'An entry of the list of targets is older than one that this host has seen before (fields writes and knownWrites), as in a store that was restored from a copy. It is ignored until the target writes its entry again.',
+	},
 	ownershipGained: {
 		number: 7030,
 		name: 'ownership-gained',
--- a/src/contracts/listed-target.ts
+++ b/src/contracts/listed-target.ts
@@ -25,9 +25,19 @@
 	readonly onDisk: readonly ModelId[];
 };
 
+/** Tells which of two entries of a target is the newer one. */
+export type EntryRevision = {
+	/** Wall-clock time in milliseconds at which the target started. A later incarnation has a later one. */
+	readonly startedAt: number;
+	/** Number of times that this incarnation has written its entry. */
+	readonly writes: number;
+};
+
 /** An entry of the list of targets. Targets maintain their own entries. */
 export type ListedTarget = {
 	readonly id: TargetId;
+	/** Undefined for an entry that does not count its writes. */
+	readonly revision?: EntryRevision | undefined;
 	readonly pool: PoolName;
 	/** `host:port` without a scheme. */
 	readonly address: string;
@@ -41,7 +51,18 @@
 /** A change in the list of targets. */
 export type TargetListChange =
 	| {readonly kind: 'listed'; readonly target: ListedTarget}
-	| {readonly kind: 'unlisted'; readonly target: TargetId}
+	| {
+			readonly kind: 'unlisted';
+			readonly target: TargetId;
+			/** The newest revision that the host which read the removal has seen. */
+			readonly revision?: EntryRevision | undefined;
+	  }
+	/** The target has written its entry again without a change of its content. */
+	| {
+			readonly kind: 'renewed';
+			readonly target: TargetId;
+			readonly revision: EntryRevision;
+	  }
 	/** The entry cannot be read, and its target must not be used. */
 	| {
 			readonly kind: 'malformed';
--- a/src/platform/target-list-state.ts
+++ b/src/platform/target-list-state.ts
@@ -9,6 +9,7 @@
 	type TargetIncarnation,
 } from '../contracts/ids.js';
 import {
+	type EntryRevision,
 	type ListedTarget,
 	type TargetListChange,
 } from '../contracts/listed-target.js';
@@ -20,6 +21,7 @@
 } from '../contracts/shared-store.js';
 import {decodeKeyedRecord} from './keyed-record.js';
 import {type StoreClient} from './store-client.js';
+import {generationOf} from './store-position.js';
 import {topics} from './wire.js';
 
 /** Resident models with their adapters, as entries and reports of workers list them. */
@@ -38,6 +40,7 @@
 	slots: z.number().int().positive(),
 	state: z.enum(['ready', 'draining']),
 	born: z.number().optional(),
+	seq: z.number().optional(),
 	models: residentModelsSchema.optional(),
 	at_hand: z
 		.object({
@@ -48,12 +51,18 @@
 });
 
 /** The count of writes in an entry, which a worker increments about every second. */
-const writeCountPattern = /"seq"\s*:\s*\d+/;
+const writeCountPattern = /"seq"\s*:\s*(\d+)/;
+
+/** The last entry of a worker. */
+type LastEntry = {
+	/** Its text without the count of writes. */
+	readonly text: string;
+	readonly startedAt: number | undefined;
+};
 
 /** Reads the list of targets from the workers' entries in the platform's store. */
 export class PlatformTargetListState extends TargetListState {
-	/** Last entry of each worker without its count of writes. */
-	private readonly lastEntries = new Map<string, string>();
+	private readonly lastEntries = new Map<string, LastEntry>();
 	private lastNext: StorePosition | undefined;
 
 	constructor(private readonly store: StoreClient) {
@@ -62,14 +71,20 @@
 
 	readNewest(): ResultAsync<StoreChanges<TargetListChange>, SharedStoreError> {
 		return this.store.readNewest(topics.targets).map(({records, next}) => {
+			const isRestored =
+				this.lastNext !== undefined &&
+				generationOf(next) > generationOf(this.lastNext);
 			this.lastEntries.clear();
 			this.lastNext = next;
-			return {
-				changes: records.flatMap(({key, value}) =>
-					this.decodeChange(key, value),
-				),
-				next,
-			};
+			const changes = records.flatMap(({key, value}) =>
+				this.decodeChange(key, value),
+			);
+			// The caller ignores entries of a copy that are outdated, so the next write of each worker has to be complete.
+			if (isRestored) {
+				this.lastEntries.clear();
+			}
+
+			return {changes, next};
 		});
 	}
 
@@ -96,7 +111,7 @@
 			});
 	}
 
-	/** Decodes an entry, or nothing if only its count of writes has changed. Parsing every entry of a large fleet would take most of the processor time of a host without requests. */
+	/** Decodes an entry, or only its count of writes if nothing else has changed. Parsing every entry of a large fleet would take most of the processor time of a host without requests. */
 	private decodeChange(
 		key: string,
 		value: Buffer | undefined,
@@ -106,13 +121,27 @@
 			return [decodeEntry(key, value)];
 		}
 
-		const entry = value.toString('utf8').replace(writeCountPattern, '');
-		if (this.lastEntries.get(key) === entry) {
-			return [];
+		const entry = value.toString('utf8');
+		const writes = writeCountPattern.exec(entry)?.[1];
+		const text = entry.replace(writeCountPattern, '');
+		const last = this.lastEntries.get(key);
+		if (last?.text === text) {
+			return last.startedAt === undefined || writes === undefined
+				? []
+				: [
+						{
+							kind: 'renewed',
+							target: key as TargetId,
+							revision: {startedAt: last.startedAt, writes: Number(writes)},
+						},
+					];
 		}
 
-		this.lastEntries.set(key, entry);
-		return [decodeEntry(key, value)];
+		const change = decodeEntry(key, value);
+		const startedAt =
+			change.kind === 'listed' ? change.target.revision?.startedAt : undefined;
+		this.lastEntries.set(key, {text, startedAt});
+		return [change];
 	}
 }
 
@@ -163,6 +192,7 @@
 ): ListedTarget {
 	return {
 		id,
+		revision: toRevision(entry),
 		pool: entry.service as PoolName,
 		address: entry.addr,
 		failureDomain: entry.zone as FailureDomain,
@@ -178,3 +208,16 @@
 		},
 	};
 }
+
+function toRevision({
+	born,
+	seq,
+}: z.infer<typeof entrySchema>): EntryRevision | undefined {
+	return isCount(born) && isCount(seq)
+		? {startedAt: born, writes: seq}
+		: undefined;
+}
+
+function isCount(value: number | undefined): value is number {
+	return Number.isSafeInteger(value) && value! >= 0;
+}
--- a/src/services/forwarding/fleet-view.ts
+++ b/src/services/forwarding/fleet-view.ts
@@ -2,7 +2,10 @@
 import {TypedEvent} from '../../base/common/typed-event.js';
 import {type ForwardingDocument} from '../../contracts/forwarding-document.js';
 import {type TargetId} from '../../contracts/ids.js';
-import {type ListedTarget} from '../../contracts/listed-target.js';
+import {
+	type EntryRevision,
+	type ListedTarget,
+} from '../../contracts/listed-target.js';
 import {RevisionedMap} from '../../core/revisioned-map.js';
 import {
 	type PlacedContent,
@@ -23,10 +26,17 @@
 	/** True when all entries are included, so that a target without one is not listed. */
 	readonly isComplete: boolean;
 	readonly listed: readonly ListedTarget[];
-	readonly unlisted: readonly TargetId[];
+	readonly unlisted: readonly UnlistedTarget[];
 	readonly contents: readonly PlacedContent[];
 };
 
+/** A removed entry of the target list. */
+export type UnlistedTarget = {
+	readonly target: TargetId;
+	/** The newest revision of the entry that this host has seen. */
+	readonly revision: EntryRevision | undefined;
+};
+
 /** How soon other hosts should receive a change: a leaving target promptly, the load of an adapter together with others. */
 export type ChangeUrgency = 'prompt' | 'combined';
 
@@ -102,7 +112,12 @@
 			listed: changes.flatMap(({value}) => value ?? []),
 			unlisted: isComplete
 				? []
-				: changes.filter(({value}) => value === undefined).map(({key}) => key),
+				: changes
+						.filter(({value}) => value === undefined)
+						.map(({key}) => ({
+							target: key,
+							revision: this.options.registry.revisionOf(key),
+						})),
 			contents: this.contents
 				.changesSince(isComplete ? 0 : known)
 				.flatMap(({key}) => this.contentOf(key) ?? []),
--- a/src/services/forwarding/report-messages.ts
+++ b/src/services/forwarding/report-messages.ts
@@ -10,6 +10,7 @@
 	type TargetIncarnation,
 } from '../../contracts/ids.js';
 import {
+	type EntryRevision,
 	type ListedTarget,
 	type TargetListChange,
 } from '../../contracts/listed-target.js';
@@ -19,6 +20,8 @@
 import {type LeaseStatus} from '../../core/owner-lease.js';
 import {type RelayCandidate} from '../../core/relay-assignment.js';
 import {
+	type EntryRevision as EntryRevisionMessage,
+	type EntryRevisionSchema,
 	type LeaseState,
 	type ListedTarget as ListedTargetMessage,
 	type ListedTargetSchema,
@@ -30,9 +33,11 @@
 	type TargetContent,
 	type TargetContentSchema,
 	type TargetListUpdate,
+	type TargetListUpdateSchema,
 	type TargetRate,
 	type TargetRateSchema,
 } from '../../generated/daisylever/owner/v1/owner_pb.js';
+import {type UnlistedTarget} from './fleet-view.js';
 import {type PlacedContent} from './target-registry.js';
 
 /** What a report says of the reporting host besides its demand. */
@@ -133,9 +138,10 @@
 export function toListedTarget(
 	target: ListedTarget,
 ): MessageInitShape<typeof ListedTargetSchema> {
-	const {id, residency, localWeights, isLeaving, ...rest} = target;
+	const {id, residency, localWeights, isLeaving, revision, ...rest} = target;
 	return {
 		...rest,
+		...(revision ? {revision: toRevisionMessage(revision)} : {}),
 		target: id,
 		leaving: isLeaving,
 		incarnation: residency.incarnation,
@@ -157,9 +163,10 @@
 			kind: 'listed' as const,
 			target: fromListedTarget(message),
 		})),
-		...update.unlisted.map((target) => ({
+		...update.unlisted.map((target, index) => ({
 			kind: 'unlisted' as const,
 			target: target as TargetId,
+			revision: fromRevisionMessage(update.unlistedRevisions[index]),
 		})),
 	];
 }
@@ -167,6 +174,7 @@
 function fromListedTarget(message: ListedTargetMessage): ListedTarget {
 	return {
 		id: message.target as TargetId,
+		revision: fromRevisionMessage(message.revision),
 		pool: message.pool as PoolName,
 		address: message.address,
 		failureDomain: message.failureDomain as FailureDomain,
@@ -186,6 +194,36 @@
 	};
 }
 
+/** Converts removed entries of the target list to the fields of a message. */
+export function toUnlistedFields(
+	unlisted: readonly UnlistedTarget[],
+): Pick<
+	MessageInitShape<typeof TargetListUpdateSchema>,
+	'unlisted' | 'unlistedRevisions'
+> {
+	return {
+		unlisted: unlisted.map(({target}) => target),
+		unlistedRevisions: unlisted.map(({revision}) =>
+			toRevisionMessage(revision ?? {startedAt: 0, writes: 0}),
+		),
+	};
+}
+
+function toRevisionMessage({
+	startedAt,
+	writes,
+}: EntryRevision): MessageInitShape<typeof EntryRevisionSchema> {
+	return {startedAt: BigInt(startedAt), writes: BigInt(writes)};
+}
+
+function fromRevisionMessage(
+	message: EntryRevisionMessage | undefined,
+): EntryRevision | undefined {
+	return message && message.startedAt > 0n
+		? {startedAt: Number(message.startedAt), writes: Number(message.writes)}
+		: undefined;
+}
+
 /** Converts the content of a target to a message. */
 export function toTargetContent(
 	content: PlacedContent,
--- a/src/services/forwarding/report-server.ts
+++ b/src/services/forwarding/report-server.ts
@@ -32,6 +32,7 @@
 	toSuspicion,
 	toTargetRate,
 	toTargetContent,
+	toUnlistedFields,
 } from './report-messages.js';
 import {type PlacementOwner} from './placement-owner.js';
 
@@ -314,7 +315,7 @@
 				ageMilliseconds: Math.ceil(ageMilliseconds),
 				isComplete,
 				listed: listed.map(toListedTarget),
-				unlisted: [...unlisted],
+				...toUnlistedFields(unlisted),
 			},
 			documentPosition: BigInt(view.documentPosition),
 			...(request.stuckDocumentPosition !== undefined &&
--- a/src/services/forwarding/target-registry.ts
+++ b/src/services/forwarding/target-registry.ts
@@ -12,9 +12,11 @@
 	type TargetIncarnation,
 } from '../../contracts/ids.js';
 import {
+	type EntryRevision,
 	type ListedTarget,
 	type TargetListChange,
 } from '../../contracts/listed-target.js';
+import {EntryRevisions} from '../../core/entry-revisions.js';
 import {TargetConnections} from './target-connections.js';
 
 /** Content of a target as sent by the placement owner. */
@@ -76,6 +78,7 @@
 	/** A target was listed with another incarnation. Published before the new entry is applied. */
 	readonly restarted = new TypedEvent<RegisteredTarget>();
 	private readonly targets = new Map<TargetId, RegisteredTarget>();
+	private readonly revisions: EntryRevisions;
 	private maximumConnections = new Map<PoolName, number>();
 	private hostCount = 8;
 	private lastNewTargetAt = Number.NEGATIVE_INFINITY;
@@ -83,6 +86,7 @@
 
 	constructor(private readonly options: TargetRegistryOptions) {
 		super();
+		this.revisions = new EntryRevisions(options.clock);
 	}
 
 	/** Applies the connection limits of a document. */
@@ -100,13 +104,29 @@
 		this.hostCount = Math.max(1, count);
 	}
 
-	/** Applies one change of the target list. A target with a malformed entry is removed. */
+	/** Applies one change of the target list. An entry that is older than one seen before is ignored. A target with a malformed entry is removed. */
 	applyChange(change: TargetListChange): void {
+		if (change.kind === 'renewed') {
+			this.revisions.renew(change.target, change.revision);
+			return;
+		}
+
 		if (change.kind === 'listed') {
-			this.list(change.target);
+			const {id, revision} = change.target;
+			if (this.revisions.accept(id, revision)) {
+				this.list(change.target);
+			} else {
+				this.logOutdated(id, revision);
+			}
+
 			return;
 		}
 
+		this.revisions.remove(
+			change.target,
+			change.kind === 'unlisted' ? change.revision : undefined,
+		);
+
 		if (change.kind === 'malformed') {
 			this.options.events.record(forwardingEvents.targetEntryMalformed, {
 				target: change.target,
@@ -179,6 +199,11 @@
 		);
 	}
 
+	/** Returns the newest revision of the entry of a target that this host has seen, also after its removal. */
+	revisionOf(target: TargetId): EntryRevision | undefined {
+		return this.revisions.get(target);
+	}
+
 	/** All listed targets. */
 	all(): Iterable<RegisteredTarget> {
 		return this.targets.values();
@@ -358,6 +383,18 @@
 		});
 	}
 
+	private logOutdated(
+		target: TargetId,
+		revision: EntryRevision | undefined,
+	): void {
+		this.options.events.record(forwardingEvents.targetEntryOutdated, {
+			target,
+			writes: revision?.writes,
+			knownWrites: this.revisions.get(target)?.writes,
+			isListed: this.targets.has(target),
+		});
+	}
+
 	private logListed({id, pool, isLeaving, residency}: ListedTarget): void {
 		this.options.events.record(forwardingEvents.targetListed, {
 			target: id,
--- a/test/forwarding/fleet-view.test.ts
+++ b/test/forwarding/fleet-view.test.ts
@@ -81,7 +81,9 @@
 		'a content that was sent before is no change',
 	);
 	registry.applyChange({kind: 'unlisted', target: 'a' as TargetId});
-	assert.deepEqual(view.changesSince('p1', second.revision).unlisted, ['a']);
+	assert.deepEqual(view.changesSince('p1', second.revision).unlisted, [
+		{target: 'a', revision: undefined},
+	]);
 	assert.equal(view.changesSince('p0', second.revision).isComplete, true);
 });
 
--- a/test/platform/decoders.test.ts
+++ b/test/platform/decoders.test.ts
@@ -28,6 +28,7 @@
 		kind: 'listed',
 		target: {
 			id: 'i-1',
+			revision: {startedAt: 1_770_000_000_000, writes: 4},
 			pool: 'huvo11a',
 			address: '10.128.0.9:8080',
 			failureDomain: 'palermo',
