Give targets that are missing after a restore the time to list themselves again

A restored store lacks the targets that joined after the copy, and lets entries lapse whose targets wrote last before the outage.

Only the gap between two reads counted as an outage, and only for the first read after it. Now a restore counts too, and all removals wait until the two seconds that the targets have are over.

--- a/src/services/forwarding/state-follower.ts
+++ b/src/services/forwarding/state-follower.ts
@@ -43,6 +43,8 @@
 	readonly changes: readonly Change[];
 	/** True when the changes represent the complete state rather than an increment. */
 	readonly isSnapshot: boolean;
+	/** True when the store was restored from a copy since the previous read, so that newer changes may be missing. */
+	readonly isRestored: boolean;
 	/** Time between the previous successful read and this one. */
 	readonly gapMilliseconds: number;
 };
@@ -68,6 +70,8 @@
 	private receivedAt = Number.NEGATIVE_INFINITY;
 	private isOutdated = false;
 	private isUnavailable = false;
+	/** True from the read that shows that the store lost records until the next successful read. */
+	private hasLostRecords = false;
 	private wasReceiving = false;
 	private wake: (() => void) | undefined;
 
@@ -128,7 +132,12 @@
 		this.isOutdated = false;
 		this.lastReadAt = Math.max(this.lastReadAt, now - ageMilliseconds);
 		if (isSnapshot || changes.length > 0) {
-			this.changed.publish({changes, isSnapshot, gapMilliseconds});
+			this.changed.publish({
+				changes,
+				isSnapshot,
+				isRestored: false,
+				gapMilliseconds,
+			});
 		}
 
 		return true;
@@ -244,10 +253,13 @@
 
 		this.position = result.value.next;
 		this.lastReadAt = this.ownReadAt;
+		const isRestored = this.hasLostRecords;
+		this.hasLostRecords = false;
 		if (isSnapshot || result.value.changes.length > 0) {
 			this.changed.publish({
 				changes: result.value.changes,
 				isSnapshot,
+				isRestored,
 				gapMilliseconds,
 			});
 		}
@@ -266,6 +278,10 @@
 				position: this.position,
 				earliest: error.earliest,
 			});
+			// A store that names no generation shows by its shorter log that it was restored.
+			this.hasLostRecords ||=
+				error instanceof StoreRestoredError ||
+				error.earliest <= (this.position ?? 0);
 			this.position = undefined;
 			return;
 		}
--- a/src/services/forwarding/target-list-manager.ts
+++ b/src/services/forwarding/target-list-manager.ts
@@ -9,10 +9,12 @@
 /** Time within which targets list themselves again after an outage of the store. */
 const relistMilliseconds = 2300;
 
-/** Applies changes of the target list to the registry, and delays removals that an outage of the store may have caused. */
+/** Applies changes of the target list to the registry, and delays removals that an outage or a restore of the store may have caused. */
 export class TargetListManager {
 	private readonly delayedRemovals = new Map<TargetId, number>();
 	private hasReadList = false;
+	/** Monotonic time until which a missing target may still list itself again. */
+	private relistUntil = Number.NEGATIVE_INFINITY;
 
 	constructor(
 		private readonly clock: Clock,
@@ -28,10 +30,18 @@
 	apply({
 		changes,
 		isSnapshot,
+		isRestored,
 		gapMilliseconds,
 	}: StateChanges<TargetListChange>): void {
-		const isAfterOutage =
-			gapMilliseconds > outageMilliseconds && this.hasReadList;
+		const now = this.clock.monotonic();
+		if (
+			this.hasReadList &&
+			(isRestored || gapMilliseconds > outageMilliseconds)
+		) {
+			this.relistUntil = now + relistMilliseconds;
+		}
+
+		const isAfterOutage = now < this.relistUntil;
 		this.hasReadList = true;
 		const mentioned = new Set<TargetId>();
 		for (const change of changes) {
@@ -78,9 +88,6 @@
 	}
 
 	private delayRemoval(target: TargetId): void {
-		this.delayedRemovals.set(
-			target,
-			this.clock.monotonic() + relistMilliseconds,
-		);
+		this.delayedRemovals.set(target, this.relistUntil);
 	}
 }
--- a/test/forwarding/restored-targets.test.ts
+++ b/test/forwarding/restored-targets.test.ts
@@ -13,6 +13,7 @@
 
 const pool = 's' as PoolName;
 const topic = 'keyed.servers';
+const relistMilliseconds = 2300;
 let store: StandInStore;
 let client: StoreClient;
 let clock: ManualClock;
@@ -115,3 +116,35 @@
 	await synchronize();
 	assert.equal(registry.get('i-1' as TargetId)?.listed.address, '127.0.0.1:3');
 });
+
+// Guards against sound targets that are taken out at once: those that joined after the copy are missing in the restored
+// store until they write their entries again.
+test('targets that are missing in the restored store are kept until they had time to list themselves again', async () => {
+	const copy = store.copy();
+	write('i-4', 1);
+	write('i-5', 1);
+	await synchronize();
+	store.restore(copy);
+	await synchronize();
+	assert.deepEqual(candidates(), ['i-1', 'i-2', 'i-3', 'i-4', 'i-5']);
+	write('i-4', 2);
+	await synchronize();
+	clock.advance(relistMilliseconds + 100);
+	manager.removeExpired();
+	assert.deepEqual(candidates(), ['i-1', 'i-2', 'i-3', 'i-4']);
+});
+
+// Guards against entries that lapse in the restored store right after the read that noticed the restore.
+test('a removal shortly after the restore waits as long as a missing entry', async () => {
+	store.restore(store.copy());
+	await synchronize();
+	store.put(topic, 'i-1', undefined);
+	await synchronize();
+	assert.deepEqual(candidates(), ['i-1', 'i-2', 'i-3']);
+	clock.advance(relistMilliseconds + 100);
+	manager.removeExpired();
+	assert.deepEqual(candidates(), ['i-2', 'i-3']);
+	store.put(topic, 'i-2', undefined);
+	await synchronize();
+	assert.deepEqual(candidates(), ['i-3']);
+});
--- a/test/forwarding/target-list-manager.test.ts
+++ b/test/forwarding/target-list-manager.test.ts
@@ -49,6 +49,7 @@
 		manager.apply({
 			changes,
 			isSnapshot: options.isSnapshot ?? false,
+			isRestored: false,
 			gapMilliseconds: options.gap ?? 100,
 		});
 	};
