Take the newer document of another host when the store holds an older one

What callers would see: a route that the operator had added gets 404 from hosts that start on a restored store, until the operator writes the version again (CONFIG). Nobody told such a host: hosts compared the positions up to which they had read, and the store itself is at the newest position with an older version.

Reports and responses now carry the version in force. A host that is behind reads the store at once, and asks for the document itself when it is still behind 0.2 s later; an owner or relay that is behind asks the reporting host. This replaces the document that a host got when the store turned it away, with the same call. When all hosts start on the restored store, the older version is in force until the operator writes the newer one: nobody knows it. Two bodies with one version are taken for the same.

--- a/src/program/forwarding-root.ts
+++ b/src/program/forwarding-root.ts
@@ -16,6 +16,7 @@
 import {SystemClock} from '../base/node/system-clock.js';
 import {wait} from '../base/node/wait.js';
 import {forwardingEvents} from '../contracts/events/forwarding-events.js';
+import {type ForwardingDocument} from '../contracts/forwarding-document.js';
 import {type TargetListChange} from '../contracts/listed-target.js';
 import {type DocumentChange} from '../contracts/shared-store.js';
 import {CrashCorrelation} from '../core/crash-correlation.js';
@@ -89,6 +90,8 @@
 const updateIntervalMilliseconds = 250;
 /** Assumed number of hosts of the fleet until the owner reports it. */
 const defaultHostCount = 8;
+/** Time within which a host can read a newer document from the store. After it, the host asks for the one of the host to which it reports: the store is unavailable to this host, or was restored and holds an older version. */
+const documentReadMilliseconds = 200;
 /** Processor share from which a machine claims a free owner lease without delay. */
 const strongProcessorShare = 0.5;
 /** Longest delay of the claim of a weak machine, so that a stronger one claims first. */
@@ -114,6 +117,8 @@
 	private readonly targets: StateFollower<TargetListChange>;
 	private isStopping = false;
 	private wasReady = false;
+	/** Time since which another host is known to have a newer document than this one, infinite when none has. */
+	private behindSince = Number.POSITIVE_INFINITY;
 
 	constructor(private readonly settings: ForwardingSettings) {
 		super();
@@ -199,6 +204,9 @@
 				onUrgentReport: () => {
 					this.reportClient.scheduleReport();
 				},
+				onDocumentReceived: (document) => {
+					this.takeDocument(document);
+				},
 			}),
 		);
 		this.service = new ForwardingService({
@@ -245,8 +253,9 @@
 				limits: rateLimits,
 				demand: () => this.reportServer.mergeDemand(service.demand()),
 				peerAddresses: () => this.reportServer.peerAddresses(),
-				stuckDocumentPosition: () =>
-					this.documents.isStuck ? this.documents.currentPosition : undefined,
+				document: () => service.currentDocument,
+				needsDocument: () =>
+					clock.monotonic() - this.behindSince >= documentReadMilliseconds,
 				onLeaseStatusReceived: (status) => {
 					this.leaseManager.applyHolderStatus(status);
 				},
@@ -484,20 +493,36 @@
 	}
 
 	private receiveDocument(
-		{document, documentPosition: position}: FleetUpdate,
+		{document, documentVersion, documentPosition}: FleetUpdate,
 		ageMilliseconds: number,
 	): void {
-		if (!document) {
-			this.documents.receivePosition(position, ageMilliseconds);
-			return;
+		if (document) {
+			this.takeDocument(document);
+			this.documents.receive({
+				changes: [],
+				isSnapshot: false,
+				position: documentPosition,
+				ageMilliseconds,
+			});
+		} else {
+			this.documents.receivePosition(documentPosition, ageMilliseconds);
 		}
 
-		this.documents.receive({
-			changes: [{kind: 'document', document}],
-			isSnapshot: true,
-			position,
-			ageMilliseconds,
-		});
+		if (documentVersion <= (this.service.documentVersion ?? 0)) {
+			this.behindSince = Number.POSITIVE_INFINITY;
+		} else if (this.behindSince === Number.POSITIVE_INFINITY) {
+			this.behindSince = this.clock.monotonic();
+			this.documents.readSoon();
+		}
+	}
+
+	/** Puts a document of another host in force if it is newer than the current one. */
+	private takeDocument(document: ForwardingDocument): void {
+		this.applyDocument({kind: 'document', document});
+		this.view.setDocument(
+			this.documents.currentPosition,
+			this.service.currentDocument,
+		);
 	}
 
 	private applyDocument(change: DocumentChange): void {
--- a/src/services/forwarding/fleet-view.ts
+++ b/src/services/forwarding/fleet-view.ts
@@ -93,8 +93,14 @@
 		position: number,
 		document: ForwardingDocument | undefined,
 	): void {
-		if (position > this.currentDocumentPosition) {
-			this.currentDocumentPosition = position;
+		if (
+			position > this.currentDocumentPosition ||
+			document !== this.currentDocument
+		) {
+			this.currentDocumentPosition = Math.max(
+				position,
+				this.currentDocumentPosition,
+			);
 			this.currentDocument = document;
 			this.currentRevision++;
 			this.changed.publish('prompt');
--- a/src/services/forwarding/report-client.ts
+++ b/src/services/forwarding/report-client.ts
@@ -27,6 +27,7 @@
 import {type CrashObserver} from './crash-observer.js';
 import {type PlacementOwner} from './placement-owner.js';
 import {
+	fromDocumentField,
 	fromLeaseState,
 	fromRateChange,
 	fromTargetContent,
@@ -58,8 +59,10 @@
 	readonly limits: NamedRateLimits;
 	/** Returns the demand to report. */
 	readonly demand: () => HostDemand;
-	/** Position of the document of this host, if it cannot read a newer one from the store. */
-	readonly stuckDocumentPosition: () => number | undefined;
+	/** The document in force, undefined before the first one. */
+	readonly document: () => ForwardingDocument | undefined;
+	/** True when this host cannot read the newer document of the host to which it reports from the store. */
+	readonly needsDocument: () => boolean;
 	/** Addresses of the hosts that report to this one. */
 	readonly peerAddresses: () => readonly string[];
 	/** Called with the lease status that a response of the owner contains. */
@@ -83,7 +86,9 @@
 		| undefined;
 	/** Position up to which the log of the document was read. */
 	readonly documentPosition: number;
-	/** The document, sent to a host that cannot read it from the store. */
+	/** Version of the document in force on the sender, 0 for none. */
+	readonly documentVersion: number;
+	/** The document in force, sent to a host that cannot read it from the store. */
 	readonly document: ForwardingDocument | undefined;
 };
 
@@ -122,6 +127,8 @@
 		peerAddresses: [],
 	};
 
+	/** Address of the host that asked for the document of this one. */
+	private documentWantedBy: string | undefined;
 	private reportIntervalMilliseconds = initialReportIntervalMilliseconds;
 	private isReportScheduled = false;
 	private wasReachable = true;
@@ -277,6 +284,7 @@
 			contents: [],
 			targetList: undefined,
 			documentPosition: 0,
+			documentVersion: 0,
 			document: undefined,
 		});
 	}
@@ -314,6 +322,7 @@
 	): Promise<Result<ReportResponse, ReportCallError>> {
 		const {demand, failureDomain, peerAddress, capacity} = this.options;
 		const {fields, applyResponse} = this.observations.prepare(address);
+		const document = this.options.document();
 		const response = await ResultAsync.fromPromise(
 			this.getClient(address).report(
 				toReportRequest(demand(), {
@@ -323,7 +332,9 @@
 					failedRelay: this.route.failedRelay,
 					knownSource: this.knownSource,
 					knownRevision: this.knownRevision,
-					stuckDocumentPosition: this.options.stuckDocumentPosition(),
+					documentVersion: document?.version ?? 0,
+					needsDocument: this.options.needsDocument(),
+					document: this.documentWantedBy === address ? document : undefined,
 					observationsOnly,
 					...fields,
 				}),
@@ -333,6 +344,7 @@
 		);
 		return response.map((value) => {
 			applyResponse(value);
+			this.documentWantedBy = value.wantsDocument ? address : undefined;
 			return value;
 		});
 	}
@@ -386,10 +398,8 @@
 				ageMilliseconds: targetList.ageMilliseconds,
 			},
 			documentPosition: Number(response.documentPosition),
-			document:
-				response.document === undefined
-					? undefined
-					: (JSON.parse(response.document) as ForwardingDocument),
+			documentVersion: Number(response.documentVersion),
+			document: fromDocumentField(response.document),
 		});
 		if (isApplied && isNew) {
 			this.knownSource = source;
--- a/src/services/forwarding/report-messages.ts
+++ b/src/services/forwarding/report-messages.ts
@@ -1,4 +1,5 @@
 import {type MessageInitShape} from '@bufbuild/protobuf';
+import {type ForwardingDocument} from '../../contracts/forwarding-document.js';
 import {
 	type AdapterId,
 	type FailureDomain,
@@ -51,8 +52,12 @@
 	/** Process and revision of the shared state that the host has. */
 	readonly knownSource: string;
 	readonly knownRevision: number;
-	/** Position of the document that the host has, if it cannot read a newer one from the store. */
-	readonly stuckDocumentPosition: number | undefined;
+	/** Version of the document in force, 0 for none. */
+	readonly documentVersion: number;
+	/** True when the host cannot read the newer document of the receiver from the store. */
+	readonly needsDocument: boolean;
+	/** The document in force, for a receiver that asked for it. */
+	readonly document: ForwardingDocument | undefined;
 	/** What the receiver does not know yet of fingerprints that may crash targets. */
 	readonly suspicions: readonly SuspicionReport[];
 	/** True when the host only exchanges suspicions and rates with the receiver. */
@@ -97,9 +102,9 @@
 		knownObservationSource: state.knownObservationSource,
 		knownRateRevision: BigInt(state.knownRateRevision),
 		knownSuspicionRevision: BigInt(state.knownSuspicionRevision),
-		...(state.stuckDocumentPosition === undefined
-			? {}
-			: {stuckDocumentPosition: BigInt(state.stuckDocumentPosition)}),
+		documentVersion: BigInt(state.documentVersion),
+		needsDocument: state.needsDocument,
+		...(state.document ? {document: JSON.stringify(state.document)} : {}),
 	};
 }
 
@@ -123,6 +128,15 @@
 	};
 }
 
+/** Parses the document in a message, which comes from a host of the same fleet. */
+export function fromDocumentField(
+	document: string | undefined,
+): ForwardingDocument | undefined {
+	return document === undefined
+		? undefined
+		: (JSON.parse(document) as ForwardingDocument);
+}
+
 /** Converts the reporting host of a message to a candidate for a relay. */
 export function toRelayCandidate(message: ReportRequest): RelayCandidate {
 	return {
--- a/src/services/forwarding/report-server.ts
+++ b/src/services/forwarding/report-server.ts
@@ -4,6 +4,7 @@
 import {type Clock} from '../../base/common/clock.js';
 import {Disposable} from '../../base/common/disposable.js';
 import {listenOn, type ListenError} from '../../base/node/listen.js';
+import {type ForwardingDocument} from '../../contracts/forwarding-document.js';
 import {type HostId, type TargetId} from '../../contracts/ids.js';
 import {DemandCollector} from '../../core/demand-collector.js';
 import {type HostDemand} from '../../core/host-demand.js';
@@ -23,6 +24,7 @@
 import {type CrashObserver} from './crash-observer.js';
 import {type FleetView} from './fleet-view.js';
 import {
+	fromDocumentField,
 	fromRateChange,
 	fromReportRequest,
 	fromSuspicion,
@@ -70,6 +72,8 @@
 	};
 	/** Called when a relayed report says that requests wait for an adapter. */
 	readonly onUrgentReport: () => void;
+	/** Called with a document that is newer than the one of this host, in the report of another one. */
+	readonly onDocumentReceived: (document: ForwardingDocument) => void;
 };
 
 type Waiter = {readonly isUrgent: boolean; readonly wake: () => void};
@@ -182,7 +186,14 @@
 			return this.refuse(request);
 		}
 
+		const document = fromDocumentField(request.document);
+		if (document) {
+			this.options.onDocumentReceived(document);
+		}
+
 		if (
+			!this.isBehind(request) &&
+			!(request.needsDocument && this.isAhead(request)) &&
 			request.knownSource === view.name &&
 			Number(request.knownRevision) === view.revision &&
 			this.observationFields(request).suspicions.length === 0
@@ -193,6 +204,21 @@
 		return this.respond(request);
 	}
 
+	/** Version of the document in force on this host, 0 for none. */
+	private get documentVersion(): number {
+		return this.options.view.document?.version ?? 0;
+	}
+
+	/** True when the reporting host has a newer document. */
+	private isBehind({documentVersion}: ReportRequest): boolean {
+		return Number(documentVersion) > this.documentVersion;
+	}
+
+	/** True when this host has a newer document than the reporting one. */
+	private isAhead({documentVersion}: ReportRequest): boolean {
+		return Number(documentVersion) < this.documentVersion;
+	}
+
 	private issuePermits({demands, rates}: AcquirePermitsRequest) {
 		const {limits, permits} = this.options;
 		const share = this.permitShare();
@@ -318,9 +344,9 @@
 				...toUnlistedFields(unlisted),
 			},
 			documentPosition: BigInt(view.documentPosition),
-			...(request.stuckDocumentPosition !== undefined &&
-			Number(request.stuckDocumentPosition) < view.documentPosition &&
-			view.document
+			documentVersion: BigInt(this.documentVersion),
+			wantsDocument: this.isBehind(request),
+			...(request.needsDocument && this.isAhead(request)
 				? {document: JSON.stringify(view.document)}
 				: {}),
 			reportIntervalMilliseconds: Math.ceil(
--- a/src/services/forwarding/state-follower.ts
+++ b/src/services/forwarding/state-follower.ts
@@ -90,11 +90,6 @@
 		return this.position ?? 0;
 	}
 
-	/** True when another host has a newer state, which this one could not read from the store. */
-	get isStuck(): boolean {
-		return this.isOutdated && this.isUnavailable;
-	}
-
 	/** Follows until disposed. */
 	async run(): Promise<void> {
 		while (!this.abort.signal.aborted) {
@@ -143,6 +138,12 @@
 		return true;
 	}
 
+	/** Reads the store without delay, because another host has a newer state. */
+	readSoon(): void {
+		this.isOutdated = true;
+		this.wake?.();
+	}
+
 	/** Records up to which position another host has read. A newer state is read from the store. */
 	receivePosition(position: StorePosition, ageMilliseconds: number): void {
 		const now = this.options.clock.monotonic();
@@ -152,8 +153,7 @@
 		}
 
 		if (position > this.position) {
-			this.isOutdated = true;
-			this.wake?.();
+			this.readSoon();
 			return;
 		}
 
--- a/test/forwarding/report-server.test.ts
+++ b/test/forwarding/report-server.test.ts
@@ -51,6 +51,7 @@
 		lease: () => undefined,
 		targetList: () => ({position: 0, ageMilliseconds: 0}),
 		onUrgentReport: () => undefined,
+		onDocumentReceived: () => undefined,
 	});
 	const port = (await server.listen(0, '127.0.0.1'))._unsafeUnwrap();
 	const client = createClient(
