Log the software version of targets and the stream that a caller takes up

It now has softwareVersion, lastEventId and resumedRequest; the version is decoded from the entry and passed on between hosts, the caller's header is decoded and goes on to the target unchanged. Nothing decides by them yet.

--- a/src/contracts/ids.ts
+++ b/src/contracts/ids.ts
@@ -33,6 +33,10 @@
 export const targetIdSchema = nameSchema.brand<'TargetId'>();
 export type TargetId = z.infer<typeof targetIdSchema>;
 
+/** Version of the software of a target. What two versions generate does not fit together. */
+export const softwareVersionSchema = nameSchema.brand<'SoftwareVersion'>();
+export type SoftwareVersion = z.infer<typeof softwareVersionSchema>;
+
 /** Identifies one run of a target process. A restarted target has a new one. */
 export const targetIncarnationSchema = nameSchema.brand<'TargetIncarnation'>();
 export type TargetIncarnation = z.infer<typeof targetIncarnationSchema>;
--- a/src/contracts/listed-target.ts
+++ b/src/contracts/listed-target.ts
@@ -3,6 +3,7 @@
 	type FailureDomain,
 	type ModelId,
 	type PoolName,
+	type SoftwareVersion,
 	type TargetId,
 	type TargetIncarnation,
 } from './ids.js';
@@ -39,6 +40,8 @@
 	/** Undefined for an entry that does not count its writes. */
 	readonly revision?: EntryRevision | undefined;
 	readonly pool: PoolName;
+	/** Undefined for an entry that names none. */
+	readonly softwareVersion?: SoftwareVersion | undefined;
 	/** `host:port` without a scheme. */
 	readonly address: string;
 	readonly failureDomain: FailureDomain;
--- a/src/contracts/request-codec.ts
+++ b/src/contracts/request-codec.ts
@@ -24,6 +24,8 @@
 	readonly remainingMilliseconds: number | undefined;
 	/** Id of the last event that the caller received of an interrupted stream. */
 	readonly lastEventId: number | undefined;
+	/** Request that brought the caller the first event of that stream. */
+	readonly resumedRequest: RequestId | undefined;
 	/** Alternating names and values of the headers that are forwarded to the target unchanged. */
 	readonly forwardedHeaders: readonly string[];
 };
--- a/src/platform/request-codec.ts
+++ b/src/platform/request-codec.ts
@@ -113,6 +113,7 @@
 			promptParts,
 			remainingMilliseconds: parseCount(valueOf(headerNames.deadline)),
 			lastEventId: parseCount(valueOf(headerNames.lastEventId)),
+			resumedRequest: parseId(valuesOf(rawHeaders, headerNames.resumes)),
 			forwardedHeaders,
 		});
 	}
@@ -194,6 +195,22 @@
 	return names;
 }
 
+function valuesOf(rawHeaders: readonly string[], name: string): string[] {
+	const key = name.toLowerCase();
+	return rawHeaders.filter(
+		(_, index) =>
+			index % 2 === 1 && rawHeaders[index - 1]!.toLowerCase() === key,
+	);
+}
+
+/** Returns the id that a header names. Several values, or one that is too long, name none. */
+function parseId(values: readonly string[]): RequestId | undefined {
+	const [value] = values;
+	return values.length === 1 && value !== '' && value!.length <= maximumIdLength
+		? (value as RequestId)
+		: undefined;
+}
+
 /** Parses a non-negative integer of at most 15 digits, which a number represents exactly. */
 function parseCount(text: string | undefined): number | undefined {
 	if (text === undefined || !/^\s*\d{1,15}\s*$/.test(text)) {
--- a/src/platform/target-list-state.ts
+++ b/src/platform/target-list-state.ts
@@ -5,6 +5,7 @@
 	type FailureDomain,
 	type ModelId,
 	type PoolName,
+	type SoftwareVersion,
 	type TargetId,
 	type TargetIncarnation,
 } from '../contracts/ids.js';
@@ -35,6 +36,8 @@
 
 const entrySchema = z.object({
 	service: z.string().min(1),
+	/** Of the worker's software, unlike the version of a model. */
+	version: z.string().max(128).optional(),
 	addr: z.string().regex(/^[\d.]+:\d{1,5}$/),
 	zone: z.string(),
 	slots: z.number().int().positive(),
@@ -194,6 +197,8 @@
 		id,
 		revision: toRevision(entry),
 		pool: entry.service as PoolName,
+		softwareVersion: (entry.version || undefined) as
+			SoftwareVersion | undefined,
 		address: entry.addr,
 		failureDomain: entry.zone as FailureDomain,
 		slots: entry.slots,
--- a/src/platform/wire.ts
+++ b/src/platform/wire.ts
@@ -4,6 +4,8 @@
 	deadline: 'Deadline-Ms',
 	promptPrefix: 'Prompt-Prefix',
 	lastEventId: 'Last-Event-Id',
+	/** Id of the request that brought the first event of a stream that the caller takes up again. */
+	resumes: 'Resumes',
 	signature: 'Response-Sig',
 	expectInstance: 'Expect-Instance',
 	load: 'Server-Load',
--- a/src/services/forwarding/forward-dispatch.ts
+++ b/src/services/forwarding/forward-dispatch.ts
@@ -270,8 +270,12 @@
 			attempt: binding.attempt,
 			kind: request.continuations > 0 ? 'continuation' : binding.kind,
 			target: binding.target,
+			softwareVersion: this.options.registry.get(binding.target)?.listed
+				.softwareVersion,
 			model: metadata.model,
 			adapter: metadata.adapter,
+			lastEventId: request.lastEventId,
+			resumedRequest: metadata.resumedRequest,
 			waitedMilliseconds: Math.round(binding.waitedMilliseconds),
 			listAgeMilliseconds: Math.round(
 				this.options.clock.monotonic() -
--- a/src/services/forwarding/report-messages.ts
+++ b/src/services/forwarding/report-messages.ts
@@ -7,6 +7,7 @@
 	type HostId,
 	type ModelId,
 	type PoolName,
+	type SoftwareVersion,
 	type TargetId,
 	type TargetIncarnation,
 } from '../../contracts/ids.js';
@@ -152,9 +153,18 @@
 export function toListedTarget(
 	target: ListedTarget,
 ): MessageInitShape<typeof ListedTargetSchema> {
-	const {id, residency, localWeights, isLeaving, revision, ...rest} = target;
+	const {
+		id,
+		residency,
+		localWeights,
+		isLeaving,
+		revision,
+		softwareVersion,
+		...rest
+	} = target;
 	return {
 		...rest,
+		softwareVersion: softwareVersion ?? '',
 		...(revision ? {revision: toRevisionMessage(revision)} : {}),
 		target: id,
 		leaving: isLeaving,
@@ -190,6 +200,10 @@
 		id: message.target as TargetId,
 		revision: fromRevisionMessage(message.revision),
 		pool: message.pool as PoolName,
+		softwareVersion:
+			message.softwareVersion === ''
+				? undefined
+				: (message.softwareVersion as SoftwareVersion),
 		address: message.address,
 		failureDomain: message.failureDomain as FailureDomain,
 		slots: message.slots,
