--- a/test/platform/decoders.test.ts
+++ b/test/platform/decoders.test.ts
@@ -30,6 +30,7 @@
 			id: 'i-1',
 			revision: {startedAt: 1_770_000_000_000, writes: 4},
 			pool: 'huvo11a',
+			softwareVersion: 'v1',
 			address: '10.128.0.9:8080',
 			failureDomain: 'palermo',
 			slots: 64,
