Continue a stream only at targets of the software version that began it

Cause: a continuation avoided the target that failed and nothing else; which version a stream began at was not known. The class: a part of an answer is taken for exchangeable because its request is repeatable, although it depends on what produced the parts before.

The request keeps the version of the target that brought its first event, the work item carries it to the queue and to the choice of candidates, and a stream ends at once when the last target of its version has left, instead of at its deadline. Before the first event any target will do.

--- a/src/platform/target-list-state.ts
+++ b/src/platform/target-list-state.ts
@@ -197,8 +197,8 @@
 		id,
 		revision: toRevision(entry),
 		pool: entry.service as PoolName,
-		softwareVersion: (entry.version || undefined) as
-			SoftwareVersion | undefined,
+		softwareVersion:
+			entry.version === '' ? undefined : (entry.version as SoftwareVersion),
 		address: entry.addr,
 		failureDomain: entry.zone as FailureDomain,
 		slots: entry.slots,
--- a/src/services/dispatch/dispatcher.ts
+++ b/src/services/dispatch/dispatcher.ts
@@ -15,6 +15,7 @@
 	type OfferingName,
 	type RequestId,
 	type TargetId,
+	type SoftwareVersion,
 } from '../../contracts/ids.js';
 import {type RefusalReason} from '../../contracts/target-error.js';
 import {AdmissionPolicy} from '../../core/admission-policy.js';
@@ -62,6 +63,8 @@
 	/** Absent for calls to a plain service. */
 	readonly model?: ModelId;
 	readonly adapter?: AdapterId;
+	/** Software version of the targets at which the stream may go on. Any if absent. */
+	readonly softwareVersion?: SoftwareVersion;
 	readonly promptCharacters: number;
 	/** Zero for calls to a plain service. */
 	readonly maximumTokens: number;
@@ -570,7 +573,7 @@
 			urgency: item.urgency,
 			isLong: estimate.isLong,
 			// A suspect waits for an empty target, so it is queued separately to avoid blocking other work.
-			routingKey: `${item.model ?? item.offering}|${item.adapter ?? ''}|${item.suspect ? 'suspect' : item.idempotent}`,
+			routingKey: `${item.model ?? item.offering}|${item.adapter ?? ''}|${item.softwareVersion ?? ''}|${item.suspect ? 'suspect' : item.idempotent}`,
 			expectedMilliseconds: this.serviceTimeEstimator.estimate(estimate.tokens),
 			deadline: this.clock.monotonic() + item.remainingMilliseconds,
 			startObjectiveDeadline:
--- a/src/services/forwarding/forward-dispatch.ts
+++ b/src/services/forwarding/forward-dispatch.ts
@@ -13,6 +13,7 @@
 	type OfferingName,
 	type PoolName,
 	type RequestId,
+	type SoftwareVersion,
 	type TargetId,
 } from '../../contracts/ids.js';
 import {
@@ -51,7 +52,11 @@
 import {type CrashObserver} from './crash-observer.js';
 import {type ForwardedRequest} from './forwarded-request.js';
 import {type TargetConnections} from './target-connections.js';
-import {type RegisteredTarget, type TargetRegistry} from './target-registry.js';
+import {
+	versionOf,
+	type RegisteredTarget,
+	type TargetRegistry,
+} from './target-registry.js';
 
 /** Limits on retries that apply to all hosts together. */
 export type RetryLimits = {
@@ -110,6 +115,8 @@
 const minimumContinuationMilliseconds = 100;
 /** Time within which a target that runs accepts or refuses a connection. */
 const probeTimeoutMilliseconds = 400;
+const missingVersionReason =
+	'no target of the software version of the stream is left';
 /** Margin by which the deadline of a target precedes that of this host, so that the response of the target arrives first. */
 const targetDeadlineMarginMilliseconds = 20;
 
@@ -459,6 +466,11 @@
 			return;
 		}
 
+		if (!this.hasTargetOfVersion(request)) {
+			request.fail(missingVersionReason);
+			return;
+		}
+
 		request.continuations++;
 		request.brokenStreamTargets.push(attempt.target);
 		this.dispatcher.post({
@@ -467,6 +479,19 @@
 		});
 	}
 
+	/** True unless the stream has begun and all targets of its software version have left. */
+	private hasTargetOfVersion({softwareVersion}: ForwardedRequest): boolean {
+		return (
+			softwareVersion === undefined ||
+			this.options.registry.hasVersion(this.pool, softwareVersion)
+		);
+	}
+
+	private versionOf(target: TargetId): SoftwareVersion | undefined {
+		const registered = this.options.registry.get(target);
+		return registered && versionOf(registered.listed);
+	}
+
 	private async startProbe(target: TargetId): Promise<void> {
 		const {registry, crashes} = this.options;
 		const address = registry.get(target)?.listed.address;
@@ -502,7 +527,12 @@
 			request: request.metadata.id,
 			target: binding.target,
 			codec: this.options.codec,
-			listener: new RequestAttempt(this, request, toAttempt(binding)),
+			listener: new RequestAttempt(
+				this,
+				request,
+				toAttempt(binding),
+				this.versionOf(binding.target),
+			),
 			...(request.isRepeatable
 				? {
 						startTimeoutMilliseconds: this.startTimeout(
@@ -577,6 +607,9 @@
 			offering: route.name as string as OfferingName,
 			...(metadata.model === undefined ? {} : {model: metadata.model}),
 			...(metadata.adapter === undefined ? {} : {adapter: metadata.adapter}),
+			...(request.softwareVersion === undefined
+				? {}
+				: {softwareVersion: request.softwareVersion}),
 			promptCharacters: metadata.promptTokens,
 			maximumTokens: metadata.maximumTokens,
 			prefixes: metadata.prefixKeys,
@@ -611,11 +644,25 @@
 			target: listed.id,
 			leaving: listed.isLeaving,
 		});
+		if (listed.isLeaving) {
+			this.endStreamsWithoutTargets();
+		}
 	}
 
 	private handleTargetRemoval({listed}: RegisteredTarget): void {
 		if (this.announcedTargets.delete(listed.id)) {
 			this.dispatcher.post({kind: 'target-removed', target: listed.id});
+			this.endStreamsWithoutTargets();
+		}
+	}
+
+	/** Ends the streams that wait for a target of a software version of which none is left. */
+	private endStreamsWithoutTargets(): void {
+		for (const request of this.requests.values()) {
+			if (this.isWaiting(request) && !this.hasTargetOfVersion(request)) {
+				this.abandon(request);
+				request.refuse(missingVersionReason, 0);
+			}
 		}
 	}
 
@@ -665,6 +712,7 @@
 		private readonly poolDispatch: ForwardDispatch,
 		private readonly request: ForwardedRequest,
 		private readonly attempt: Attempt,
+		private readonly softwareVersion: SoftwareVersion | undefined,
 	) {
 		super();
 	}
@@ -683,6 +731,10 @@
 		}
 
 		this.events += this.request.eventCount - before;
+		if (this.request.eventCount > 0) {
+			this.request.softwareVersion ??= this.softwareVersion;
+		}
+
 		if (this.events > 0) {
 			this.poolDispatch.dispatcher.post({
 				kind: 'progressed',
@@ -838,7 +890,12 @@
 	}
 
 	targetsFor(item: WorkItem): readonly TargetId[] {
-		return this.registry.candidates(this.pool, item.model, item.adapter);
+		return this.registry.candidates(
+			this.pool,
+			item.model,
+			item.adapter,
+			item.softwareVersion,
+		);
 	}
 }
 
--- a/src/services/forwarding/forwarded-request.ts
+++ b/src/services/forwarding/forwarded-request.ts
@@ -6,6 +6,7 @@
 import {
 	type Fingerprint,
 	type RequestId,
+	type SoftwareVersion,
 	type TargetId,
 } from '../../contracts/ids.js';
 import {
@@ -78,6 +79,8 @@
 	largestGapMilliseconds = 0;
 	/** True when the request finds out whether its quarantined fingerprints still crash targets. */
 	isQuarantineTrial = false;
+	/** Software version of the targets at which the stream may go on, undefined before its first event. */
+	softwareVersion: SoftwareVersion | undefined;
 	/** Number of times that the rest of a stream was requested from another target. */
 	continuations = 0;
 	/** Time from arrival until the first attempt was sent, undefined before that. */
--- a/src/services/forwarding/target-registry.ts
+++ b/src/services/forwarding/target-registry.ts
@@ -8,6 +8,7 @@
 	type AdapterId,
 	type ModelId,
 	type PoolName,
+	type SoftwareVersion,
 	type TargetId,
 	type TargetIncarnation,
 } from '../../contracts/ids.js';
@@ -209,11 +210,19 @@
 		return this.targets.values();
 	}
 
-	/** Targets to which a request for the model and adapter can be sent now. */
+	/** True while a target of the pool with this software version gets new work. */
+	hasVersion(pool: PoolName, version: SoftwareVersion): boolean {
+		return this.targetsOfPool(pool).some(
+			({listed}) => !listed.isLeaving && versionOf(listed) === version,
+		);
+	}
+
+	/** Targets to which a request for the model and adapter can be sent now. A stream that has begun goes on only at targets of its software version. */
 	candidates(
 		pool: PoolName,
 		model: ModelId | undefined,
 		adapter: AdapterId | undefined,
+		version?: SoftwareVersion,
 	): TargetId[] {
 		const now = this.options.clock.monotonic();
 		const found: TargetId[] = [];
@@ -222,6 +231,7 @@
 			if (
 				listed.pool !== pool ||
 				listed.isLeaving ||
+				(version !== undefined && versionOf(listed) !== version) ||
 				now < unreachableUntil ||
 				(model !== undefined && !content.has(model)) ||
 				(model !== undefined &&
@@ -406,6 +416,14 @@
 	}
 }
 
+/** Version of targets whose entries name none. */
+const unnamedVersion = 'unnamed' as SoftwareVersion;
+
+/** Returns the software version of a target. Targets that name none count as being of one version. */
+export function versionOf({softwareVersion}: ListedTarget): SoftwareVersion {
+	return softwareVersion ?? unnamedVersion;
+}
+
 function contentOf({residency}: ListedTarget): Map<ModelId, Set<AdapterId>> {
 	return new Map(
 		residency.models.map(({model, adapters}) => [model, new Set(adapters)]),
