Send a stream that its caller takes up to a target of the version that began it

Cause: the caller's header that names the first try was not read, and no host knew where the stream of another one had begun.

Each host remembers for a minute at which version its streams began and reports them to the owner or its relay, which returns its own streams: two hosts know each, so that it outlives the one that forwarded it. Reports carry them only while a pool had targets of several versions within that minute; 18 bytes a stream, at 500 streams a second 9 KB/s at the owner. A host asks the one to which it reports and then its peers for a stream that it does not know, at most 0.15 s each. What nobody knows is refused as not run and may come back after 0.5 s, unless all targets have had one version; a host that started lately learns of earlier versions from the others. Adapters that such requests wait for are loaded at a target of their version.

--- a/src/core/host-demand.ts
+++ b/src/core/host-demand.ts
@@ -1,4 +1,9 @@
-import {type AdapterId, type HostId, type ModelId} from '../contracts/ids.js';
+import {
+	type AdapterId,
+	type HostId,
+	type ModelId,
+	type SoftwareVersion,
+} from '../contracts/ids.js';
 
 /** Recent demand of one host, or of several together, for a model. */
 export type ModelDemand = {
@@ -14,6 +19,8 @@
 	readonly adapter: AdapterId;
 	/** Requests among them that are queued because no target holds the adapter. */
 	readonly waiting: number;
+	/** Software version of the targets at which the requests may run. Any if absent. */
+	readonly softwareVersion?: SoftwareVersion | undefined;
 };
 
 /** Report of a host to the owner of placement. The report of a relay includes the demand of the hosts that report to it. */
@@ -31,6 +38,15 @@
 /** Demand of one or more hosts. */
 export type DemandSum = Omit<HostDemand, 'host'>;
 
+/** Returns the key under which demand for an adapter is added up. */
+export function adapterDemandKey({
+	model,
+	adapter,
+	softwareVersion,
+}: Pick<AdapterDemand, 'model' | 'adapter' | 'softwareVersion'>): string {
+	return `${model}/${adapter}/${softwareVersion ?? ''}`;
+}
+
 /** Adds up demand. The age of a part is the time since it was reported. */
 export function sumDemand(
 	parts: Iterable<{
@@ -67,7 +83,7 @@
 		}
 
 		for (const each of demand.adapters) {
-			const key = `${each.model}/${each.adapter}`;
+			const key = adapterDemandKey(each);
 			const sum = adapters.get(key);
 			adapters.set(key, {
 				...each,
--- a/src/program/forwarding-root.ts
+++ b/src/program/forwarding-root.ts
@@ -24,6 +24,8 @@
 import {OwnerLease} from '../core/owner-lease.js';
 import {PermitBook} from '../core/permit-book.js';
 import {PermitIssuer} from '../core/permit-issuer.js';
+import {StreamOrigins} from '../core/stream-origins.js';
+import {VersionHistory} from '../core/version-history.js';
 import {PlatformDocumentState} from '../platform/document-state.js';
 import {PlatformOrderPort} from '../platform/order-port.js';
 import {PlatformOwnerLog} from '../platform/owner-log.js';
@@ -49,7 +51,11 @@
 	type StateChanges,
 } from '../services/forwarding/state-follower.js';
 import {TargetListManager} from '../services/forwarding/target-list-manager.js';
-import {TargetRegistry} from '../services/forwarding/target-registry.js';
+import {StreamOriginSharing} from '../services/forwarding/stream-origin-sharing.js';
+import {
+	TargetRegistry,
+	versionOf,
+} from '../services/forwarding/target-registry.js';
 import {HistogramMetricRegistry} from '../services/histogram-metric-registry.js';
 import {WinstonEventLogger} from '../services/winston-event-logger.js';
 import {type ForwardingSettings} from './forwarding-settings.js';
@@ -113,6 +119,7 @@
 	private readonly reportClient: ReportClient;
 	private readonly leaseManager: OwnerLeaseManager;
 	private readonly targetListManager: TargetListManager;
+	private readonly versions: VersionHistory;
 	private readonly documents: StateFollower<DocumentChange>;
 	private readonly targets: StateFollower<TargetListChange>;
 	private isStopping = false;
@@ -184,6 +191,15 @@
 			metrics,
 			mayTry: () => this.leaseManager.isHolder,
 		});
+		this.versions = new VersionHistory(clock);
+		registry.changed.subscribe(({listed}) => {
+			this.versions.observe(listed.pool, versionOf(listed));
+		});
+		const streams = new StreamOriginSharing({
+			origins: new StreamOrigins(clock),
+			versions: this.versions,
+			askOthers: async (stream) => this.reportClient.findStream(stream),
+		});
 		this.reportServer = components.add(
 			new ReportServer({
 				host,
@@ -194,6 +210,8 @@
 				crashes,
 				limits: rateLimits,
 				permits: permitIssuer,
+				streams,
+				askUpstream: async (stream) => this.reportClient.askUpstream(stream),
 				isOwner: () => this.leaseManager.isHolder,
 				relayedState: () => this.reportClient.relayedState(),
 				lease: () => this.leaseManager.status(),
@@ -227,6 +245,7 @@
 			crashes,
 			rateLimits,
 			permits,
+			streams,
 			onAdapterMissing: () => {
 				this.reportClient.scheduleReport();
 			},
@@ -251,6 +270,7 @@
 				isLocalOwner: () => this.leaseManager.isHolder,
 				crashes,
 				limits: rateLimits,
+				streams,
 				demand: () => this.reportServer.mergeDemand(service.demand()),
 				peerAddresses: () => this.reportServer.peerAddresses(),
 				document: () => service.currentDocument,
@@ -557,6 +577,10 @@
 
 		this.targetListManager.removeExpired();
 		this.registry.revertExpiredContents();
+		for (const {listed} of this.registry.all()) {
+			this.versions.observe(listed.pool, versionOf(listed));
+		}
+
 		if (this.isReady && !this.wasReady) {
 			this.wasReady = true;
 			this.events.record(forwardingEvents.hostReady, {
--- a/src/services/forwarding/forward-dispatch.ts
+++ b/src/services/forwarding/forward-dispatch.ts
@@ -51,6 +51,7 @@
 } from './forward-attempt.js';
 import {type CrashObserver} from './crash-observer.js';
 import {type ForwardedRequest} from './forwarded-request.js';
+import {type StreamOriginSharing} from './stream-origin-sharing.js';
 import {type TargetConnections} from './target-connections.js';
 import {
 	versionOf,
@@ -84,6 +85,7 @@
 	readonly crashes: CrashObserver;
 	readonly rateLimits: NamedRateLimits;
 	readonly permits: PermitBook;
+	readonly streams: StreamOriginSharing;
 	readonly maximumBodyBytes: number;
 };
 
@@ -115,7 +117,8 @@
 const minimumContinuationMilliseconds = 100;
 /** Time within which a target that runs accepts or refuses a connection. */
 const probeTimeoutMilliseconds = 400;
-const missingVersionReason =
+/** Reason of a refusal after which no retry helps. */
+export const missingVersionReason =
 	'no target of the software version of the stream is left';
 /** Margin by which the deadline of a target precedes that of this host, so that the response of the target arrives first. */
 const targetDeadlineMarginMilliseconds = 20;
@@ -418,6 +421,17 @@
 		}
 	}
 
+	/** Records the software version at which a stream began, for the case that its caller takes it up again. */
+	recordStreamStart({
+		isRepeatable,
+		metadata,
+		softwareVersion,
+	}: ForwardedRequest): void {
+		if (isRepeatable && softwareVersion !== undefined) {
+			this.options.streams.recordStart(metadata.id, softwareVersion);
+		}
+	}
+
 	/** Records that a target has answered a request completely. */
 	recordAnswer(request: ForwardedRequest): void {
 		this.options.crashes.recordAnswer(request.observed);
@@ -480,7 +494,7 @@
 	}
 
 	/** True unless the stream has begun and all targets of its software version have left. */
-	private hasTargetOfVersion({softwareVersion}: ForwardedRequest): boolean {
+	hasTargetOfVersion({softwareVersion}: ForwardedRequest): boolean {
 		return (
 			softwareVersion === undefined ||
 			this.options.registry.hasVersion(this.pool, softwareVersion)
@@ -661,7 +675,7 @@
 		for (const request of this.requests.values()) {
 			if (this.isWaiting(request) && !this.hasTargetOfVersion(request)) {
 				this.abandon(request);
-				request.refuse(missingVersionReason, 0);
+				request.refuse(missingVersionReason, undefined);
 			}
 		}
 	}
@@ -731,8 +745,9 @@
 		}
 
 		this.events += this.request.eventCount - before;
-		if (this.request.eventCount > 0) {
-			this.request.softwareVersion ??= this.softwareVersion;
+		if (this.request.eventCount > 0 && !this.request.softwareVersion) {
+			this.request.softwareVersion = this.softwareVersion;
+			this.poolDispatch.recordStreamStart(this.request);
 		}
 
 		if (this.events > 0) {
--- a/src/services/forwarding/forwarded-request.ts
+++ b/src/services/forwarding/forwarded-request.ts
@@ -278,7 +278,7 @@
 	}
 
 	/** Responds that the request was not executed and will not be. Fails the request if it may have been executed. */
-	refuse(reason: string, retryAfterMilliseconds: number): void {
+	refuse(reason: string, retryAfterMilliseconds: number | undefined): void {
 		if (this.executions > 0) {
 			this.fail(reason);
 			return;
--- a/src/services/forwarding/forwarding-service.ts
+++ b/src/services/forwarding/forwarding-service.ts
@@ -24,15 +24,24 @@
 import {type NamedRateLimits} from '../../core/named-rate-limits.js';
 import {type PermitBook} from '../../core/permit-book.js';
 import {pickPoolByWeight, RouteTable} from '../../core/route-table.js';
-import {type AdapterDemand, type HostDemand} from '../../core/host-demand.js';
+import {
+	adapterDemandKey,
+	type AdapterDemand,
+	type HostDemand,
+} from '../../core/host-demand.js';
 import {CallerResponse} from './caller-response.js';
 import {type CrashObserver} from './crash-observer.js';
-import {ForwardDispatch, type RetryLimits} from './forward-dispatch.js';
+import {
+	ForwardDispatch,
+	missingVersionReason,
+	type RetryLimits,
+} from './forward-dispatch.js';
 import {ForwardedRequest} from './forwarded-request.js';
 import {
 	ReceivedRequestHandler,
 	type ReceivedRequest,
 } from './forwarding-server.js';
+import {type StreamOriginSharing} from './stream-origin-sharing.js';
 import {type TargetRegistry} from './target-registry.js';
 
 /** Options of the forwarding service. */
@@ -49,6 +58,7 @@
 	readonly crashes: CrashObserver;
 	readonly rateLimits: NamedRateLimits;
 	readonly permits: PermitBook;
+	readonly streams: StreamOriginSharing;
 	/** Called when a request arrives for an adapter that no target holds. */
 	readonly onAdapterMissing: () => void;
 };
@@ -72,6 +82,11 @@
 /** Retry delay sent by a host without a document or one that is stopping. A starting host receives a document within this time, or not before its callers time out. */
 const startRetryMilliseconds = 500;
 
+const unknownVersionReason =
+	'the software version at which the stream began is not known';
+/** Delay after which a refused rest of a stream may come back. By then the report of the host that forwarded its beginning has arrived. */
+const unknownVersionRetryMilliseconds = 500;
+
 /** Forwards the requests of callers according to the current document. */
 export class ForwardingService extends ReceivedRequestHandler {
 	private document: ForwardingDocument | undefined;
@@ -243,14 +258,15 @@
 					continue;
 				}
 
-				const key = `${model}/${adapter}`;
-				const counted = adapters.get(key);
 				const isWaiting =
-					dispatch.isWaiting(request) &&
-					!this.hasCandidate(dispatch, request.metadata);
+					dispatch.isWaiting(request) && !this.hasCandidate(dispatch, request);
+				const softwareVersion = isWaiting ? request.softwareVersion : undefined;
+				const key = adapterDemandKey({model, adapter, softwareVersion});
+				const counted = adapters.get(key);
 				adapters.set(key, {
 					model,
 					adapter,
+					softwareVersion,
 					requests: (counted?.requests ?? 0) + 1,
 					waiting: (counted?.waiting ?? 0) + (isWaiting ? 1 : 0),
 				});
@@ -415,6 +431,49 @@
 			request.expire();
 		});
 		this.startTicking();
+		if (isTakenUpAgain(request)) {
+			void this.submitResumed(request, pool, message);
+		} else {
+			this.submitArrived(request, pool, message);
+		}
+	}
+
+	/** Submits the rest of a stream once it is known at which software version it began. Refuses it if no host knows. */
+	private async submitResumed(
+		request: ForwardedRequest,
+		pool: Pool,
+		message: IncomingMessage,
+	): Promise<void> {
+		const {streams} = this.options;
+		const {resumedRequest} = request.metadata;
+		request.softwareVersion =
+			streams.known(pool.dispatch.pool, resumedRequest) ??
+			(resumedRequest && (await streams.find(resumedRequest)));
+		if (request.isFinished) {
+			return;
+		}
+
+		if (request.softwareVersion === undefined) {
+			request.refuse(unknownVersionReason, unknownVersionRetryMilliseconds);
+			return;
+		}
+
+		if (resumedRequest) {
+			streams.recordStart(resumedRequest, request.softwareVersion);
+		}
+
+		if (pool.dispatch.hasTargetOfVersion(request)) {
+			this.submitArrived(request, pool, message);
+		} else {
+			request.refuse(missingVersionReason, undefined);
+		}
+	}
+
+	private submitArrived(
+		request: ForwardedRequest,
+		pool: Pool,
+		message: IncomingMessage,
+	): void {
 		if (this.isLagging) {
 			this.submitUnlessCallerLeft(request, pool, message);
 		} else {
@@ -464,7 +523,7 @@
 		dispatch.submit(request);
 		if (
 			metadata.adapter !== undefined &&
-			!this.hasCandidate(dispatch, metadata)
+			!this.hasCandidate(dispatch, request)
 		) {
 			this.options.onAdapterMissing();
 		}
@@ -472,9 +531,12 @@
 
 	private hasCandidate(
 		{pool}: ForwardDispatch,
-		{model, adapter}: RequestMetadata,
+		{metadata: {model, adapter}, softwareVersion}: ForwardedRequest,
 	): boolean {
-		return this.options.registry.candidates(pool, model, adapter).length > 0;
+		return (
+			this.options.registry.candidates(pool, model, adapter, softwareVersion)
+				.length > 0
+		);
 	}
 
 	private sendLocalResponse(
@@ -522,7 +584,13 @@
 			crashes: this.options.crashes,
 			rateLimits: this.options.rateLimits,
 			permits: this.options.permits,
+			streams: this.options.streams,
 			maximumBodyBytes: 4_194_304,
 		});
 	}
 }
+
+/** True when the caller has received events of the stream before. */
+function isTakenUpAgain({route, metadata}: ForwardedRequest): boolean {
+	return route.kind === 'stream' && metadata.lastEventId !== undefined;
+}
--- a/src/services/forwarding/observation-exchange.ts
+++ b/src/services/forwarding/observation-exchange.ts
@@ -3,9 +3,12 @@
 import {type CrashObserver} from './crash-observer.js';
 import {
 	fromRateChange,
+	fromSeenVersion,
 	fromSuspicion,
+	fromVersionedStreams,
 	type ReporterState,
 } from './report-messages.js';
+import {type StreamOriginSharing} from './stream-origin-sharing.js';
 
 /** State of the exchange with one other process. */
 type Peer = {
@@ -17,14 +20,15 @@
 	readonly delivered: Revisions;
 };
 
-type Revisions = {suspicions: number; rates: number};
+type Revisions = {suspicions: number; rates: number; streams: number};
 
 /** Other hosts whose state is kept. A host exchanges with its owner, its relay and a few others. */
 const maximumPeers = 32;
 
 /**
- * Exchanges with other hosts what their answers have shown of targets: suspicions against requests that crash them, and
- * the rates that they name. Sends what each host does not know yet, and again when a call has failed.
+ * Exchanges with other hosts what their answers have shown of targets: suspicions against requests that crash them, the
+ * rates that they name, and the software versions at which streams began. Sends what each host does not know yet, and
+ * again when a call has failed.
  */
 export class ObservationExchange {
 	/** By address. */
@@ -33,6 +37,7 @@
 	constructor(
 		private readonly crashes: CrashObserver,
 		private readonly limits: NamedRateLimits,
+		private readonly streams: StreamOriginSharing,
 	) {}
 
 	/** Returns what a report to the host at an address contains, and a function that applies its response. */
@@ -44,6 +49,9 @@
 			| 'knownObservationSource'
 			| 'knownSuspicionRevision'
 			| 'knownRateRevision'
+			| 'knownStreamRevision'
+			| 'streams'
+			| 'versions'
 		>;
 		readonly applyResponse: (response: ReportResponse) => void;
 	} {
@@ -52,6 +60,9 @@
 			peer?.delivered.suspicions ?? 0,
 		);
 		const rates = this.limits.changesSince(peer?.delivered.rates ?? 0);
+		const streams = this.streams.changesForReceiver(
+			peer?.delivered.streams ?? 0,
+		);
 		return {
 			fields: {
 				suspicions: suspicions.reports,
@@ -59,11 +70,15 @@
 				knownObservationSource: peer?.source ?? '',
 				knownSuspicionRevision: peer?.received.suspicions ?? 0,
 				knownRateRevision: peer?.received.rates ?? 0,
+				streams: streams.origins,
+				versions: this.streams.mixedVersions(),
+				knownStreamRevision: peer?.received.streams ?? 0,
 			},
 			applyResponse: (response) => {
 				this.applyResponse(address, response, {
 					suspicions: suspicions.revision,
 					rates: rates.revision,
+					streams: streams.revision,
 				});
 			},
 		};
@@ -81,14 +96,17 @@
 				? known
 				: {
 						source,
-						received: {suspicions: 0, rates: 0},
-						delivered: {suspicions: 0, rates: 0},
+						received: {suspicions: 0, rates: 0, streams: 0},
+						delivered: {suspicions: 0, rates: 0, streams: 0},
 					};
 		advance(peer.delivered, delivered);
 		advance(peer.received, {
 			suspicions: Number(response.suspicionRevision),
 			rates: Number(response.rateRevision),
+			streams: Number(response.streamRevision),
 		});
+		this.streams.merge(fromVersionedStreams(response.streams), 'upstream');
+		this.streams.mergeVersions(response.versions.map(fromSeenVersion));
 		this.peers.delete(address);
 		this.peers.set(address, peer);
 		if (this.peers.size > maximumPeers) {
@@ -107,4 +125,5 @@
 function advance(revisions: Revisions, to: Revisions): void {
 	revisions.suspicions = Math.max(revisions.suspicions, to.suspicions);
 	revisions.rates = Math.max(revisions.rates, to.rates);
+	revisions.streams = Math.max(revisions.streams, to.streams);
 }
--- a/src/services/forwarding/placement-owner.ts
+++ b/src/services/forwarding/placement-owner.ts
@@ -14,7 +14,11 @@
 import {DemandCollector} from '../../core/demand-collector.js';
 import {type NamedRateLimits} from '../../core/named-rate-limits.js';
 import {maximumDirectHosts} from '../../core/relay-assignment.js';
-import {type DemandSum, type HostDemand} from '../../core/host-demand.js';
+import {
+	type AdapterDemand,
+	type DemandSum,
+	type HostDemand,
+} from '../../core/host-demand.js';
 import {PoolPlacement, type PoolDemand} from './pool-placement.js';
 import {TargetOrderTask} from './target-order-task.js';
 import {type PlacedContent, type TargetRegistry} from './target-registry.js';
@@ -239,13 +243,28 @@
 				models.map(({model, idleMilliseconds}) => [model, idleMilliseconds]),
 			),
 			observedMilliseconds: sum.observedMilliseconds,
-			adapters: new Map(
-				sum.adapters.map((each) => [adapterKey(each), each.requests]),
-			),
+			adapters: sumAdapterRequests(sum.adapters),
 			awaitedAdapters: sum.adapters
 				.filter(({waiting}) => waiting > 0)
 				.sort((left, right) => right.waiting - left.waiting)
-				.map(({model, adapter}) => ({model, adapter})),
+				.map(({model, adapter, softwareVersion}) => ({
+					model,
+					adapter,
+					softwareVersion,
+				})),
 		};
 	}
 }
+
+/** Adds up the requests for each adapter over the software versions at which they may run. */
+function sumAdapterRequests(
+	demands: readonly AdapterDemand[],
+): Map<string, number> {
+	const requests = new Map<string, number>();
+	for (const demand of demands) {
+		const key = adapterKey(demand);
+		requests.set(key, (requests.get(key) ?? 0) + demand.requests);
+	}
+
+	return requests;
+}
--- a/src/services/forwarding/pool-placement.ts
+++ b/src/services/forwarding/pool-placement.ts
@@ -12,6 +12,7 @@
 	type ModelId,
 	type PoolName,
 	type TargetId,
+	type SoftwareVersion,
 } from '../../contracts/ids.js';
 import {
 	adapterKey,
@@ -35,6 +36,7 @@
 	type PlacementTarget,
 } from '../../core/placement-policy.js';
 import {type TargetOrderTask} from './target-order-task.js';
+import {versionOf} from './target-registry.js';
 
 /** Demand of all hosts for the models and adapters of one pool. */
 export type PoolDemand = {
@@ -47,7 +49,13 @@
 	/** Requests that are queued or in flight, by adapter key. */
 	readonly adapters: ReadonlyMap<string, number>;
 	/** Adapters for which requests wait, the one with the most waiting requests first. */
-	readonly awaitedAdapters: readonly AdapterReference[];
+	readonly awaitedAdapters: readonly AwaitedAdapter[];
+};
+
+/** An adapter for which requests wait. */
+export type AwaitedAdapter = AdapterReference & {
+	/** Software version of the targets at which they may run. Any if undefined. */
+	readonly softwareVersion: SoftwareVersion | undefined;
 };
 
 /** Options of the placement of one pool. */
@@ -185,8 +193,12 @@
 			this.planMilliseconds = clock.monotonic() - now;
 		}
 
-		for (const adapter of awaitedAdapters) {
-			this.placeAdapter(adapter, all, now);
+		for (const {softwareVersion, ...adapter} of awaitedAdapters) {
+			const usable =
+				softwareVersion === undefined
+					? all
+					: all.filter(({listed}) => versionOf(listed) === softwareVersion);
+			this.placeAdapter(adapter, usable, now);
 		}
 
 		for (const task of all) {
--- a/src/services/forwarding/report-client.ts
+++ b/src/services/forwarding/report-client.ts
@@ -11,6 +11,8 @@
 import {
 	type FailureDomain,
 	type HostId,
+	type RequestId,
+	type SoftwareVersion,
 	type TargetId,
 } from '../../contracts/ids.js';
 import {type TargetListChange} from '../../contracts/listed-target.js';
@@ -37,6 +39,7 @@
 } from './report-messages.js';
 import {type RelayedState} from './report-server.js';
 import {ObservationExchange} from './observation-exchange.js';
+import {type StreamOriginSharing} from './stream-origin-sharing.js';
 import {type PlacedContent} from './target-registry.js';
 
 /** Options of the report client. */
@@ -57,6 +60,7 @@
 	readonly isLocalOwner: () => boolean;
 	readonly crashes: CrashObserver;
 	readonly limits: NamedRateLimits;
+	readonly streams: StreamOriginSharing;
 	/** Returns the demand to report. */
 	readonly demand: () => HostDemand;
 	/** The document in force, undefined before the first one. */
@@ -102,6 +106,8 @@
 const retryDelayMilliseconds = 100;
 /** Time within which a host that issues permits responds, in which the requests that wait for them can still meet their objective. */
 const permitTimeoutMilliseconds = 150;
+/** Time within which a host says whether it knows a stream. Its caller waits for the next event. */
+const findStreamTimeoutMilliseconds = 150;
 /** Time since the last word of the owner up to which it counts as responsive, in addition to two intervals of the reports. */
 const responsiveMilliseconds = 900;
 /** Interval of the reports until the owner states another one. All hosts of a fleet may start together. */
@@ -139,6 +145,7 @@
 		this.observations = new ObservationExchange(
 			options.crashes,
 			options.limits,
+			options.streams,
 		);
 		for (const {observed} of [options.crashes, options.limits]) {
 			observed.subscribe(() => {
@@ -207,6 +214,36 @@
 		}));
 	}
 
+	/** Asks the host to which this one reports, and then all other known hosts at once, at which software version a stream began. */
+	async findStream(stream: RequestId): Promise<SoftwareVersion | undefined> {
+		const upstream = this.destination()?.address;
+		const version = await this.askUpstream(stream, false);
+		if (version !== undefined) {
+			return version;
+		}
+
+		const peers = this.state.peerAddresses.filter(
+			(address) => address !== this.options.peerAddress && address !== upstream,
+		);
+		const versions = await Promise.all(
+			peers.map(async (address) => this.askForStream(address, stream, true)),
+		);
+		return versions.find((each) => each !== undefined);
+	}
+
+	/** Asks the host to which this one reports at which software version a stream began. */
+	async askUpstream(
+		stream: RequestId,
+		isForwarded = true,
+	): Promise<SoftwareVersion | undefined> {
+		const destination = this.options.isLocalOwner()
+			? undefined
+			: this.destination();
+		return destination === undefined
+			? undefined
+			: this.askForStream(destination.address, stream, isForwarded);
+	}
+
 	/** Reports continuously until disposed. */
 	async run(): Promise<void> {
 		const {signal} = this.abort;
@@ -256,6 +293,23 @@
 		return this.options.clock.monotonic() - this.ownerHeardAt;
 	}
 
+	private async askForStream(
+		address: string,
+		stream: RequestId,
+		isForwarded: boolean,
+	): Promise<SoftwareVersion | undefined> {
+		const response = await ResultAsync.fromPromise(
+			this.getClient(address).findStream(
+				{stream, isForwarded},
+				{timeoutMs: findStreamTimeoutMilliseconds},
+			),
+			(cause) => new ReportCallError('the host did not respond', {cause}),
+		);
+		return response.isOk()
+			? (response.value.version as SoftwareVersion | undefined)
+			: undefined;
+	}
+
 	private destination(): ReportDestination | undefined {
 		const {holder, host} = this.options;
 		const owner = holder();
@@ -274,7 +328,8 @@
 	}
 
 	private reportLocally(): void {
-		const {localOwner, demand} = this.options;
+		const {localOwner, demand, streams} = this.options;
+		streams.markInformed();
 		localOwner.applyDemand(demand());
 		this.wasReachable = true;
 		this.applyUpdate({
@@ -311,6 +366,7 @@
 			return false;
 		}
 
+		this.options.streams.markInformed();
 		this.applyResponse(response.value);
 		return true;
 	}
--- a/src/services/forwarding/report-messages.ts
+++ b/src/services/forwarding/report-messages.ts
@@ -7,6 +7,7 @@
 	type HostId,
 	type ModelId,
 	type PoolName,
+	type RequestId,
 	type SoftwareVersion,
 	type TargetId,
 	type TargetIncarnation,
@@ -21,6 +22,8 @@
 import {type RateChange} from '../../core/named-rate-limits.js';
 import {type LeaseStatus} from '../../core/owner-lease.js';
 import {type RelayCandidate} from '../../core/relay-assignment.js';
+import {type StreamOrigin} from '../../core/stream-origins.js';
+import {type SeenVersion} from '../../core/version-history.js';
 import {
 	type EntryRevision as EntryRevisionMessage,
 	type EntryRevisionSchema,
@@ -30,6 +33,8 @@
 	type ReportRequest,
 	type ReportRequestSchema,
 	type ReportResponseSchema,
+	type SeenVersion as SeenVersionMessage,
+	type SeenVersionSchema,
 	type Suspicion,
 	type SuspicionSchema,
 	type TargetContent,
@@ -38,6 +43,8 @@
 	type TargetListUpdateSchema,
 	type TargetRate,
 	type TargetRateSchema,
+	type VersionedStreams,
+	type VersionedStreamsSchema,
 } from '../../generated/daisylever/owner/v1/owner_pb.js';
 import {type UnlistedTarget} from './fleet-view.js';
 import {type PlacedContent} from './target-registry.js';
@@ -69,6 +76,11 @@
 	readonly knownObservationSource: string;
 	readonly knownSuspicionRevision: number;
 	readonly knownRateRevision: number;
+	readonly knownStreamRevision: number;
+	/** Streams that the receiver does not know yet. */
+	readonly streams: readonly StreamOrigin[];
+	/** Software versions of the pools that had several lately. */
+	readonly versions: readonly SeenVersion[];
 };
 
 /** Converts the demand and state of a host to a message. */
@@ -85,11 +97,12 @@
 			requests,
 			idleMilliseconds: Math.floor(idleMilliseconds),
 		})),
-		adapters: demand.adapters.map(({model, adapter, requests, waiting}) => ({
-			model,
-			adapter,
-			requests,
-			waiting,
+		adapters: demand.adapters.map((each) => ({
+			model: each.model,
+			adapter: each.adapter,
+			requests: each.requests,
+			waiting: each.waiting,
+			softwareVersion: each.softwareVersion ?? '',
 		})),
 		failureDomain: state.failureDomain,
 		peerAddress: state.peerAddress,
@@ -103,6 +116,9 @@
 		knownObservationSource: state.knownObservationSource,
 		knownRateRevision: BigInt(state.knownRateRevision),
 		knownSuspicionRevision: BigInt(state.knownSuspicionRevision),
+		knownStreamRevision: BigInt(state.knownStreamRevision),
+		streams: toVersionedStreams(state.streams),
+		versions: state.versions.map(toSeenVersion),
 		documentVersion: BigInt(state.documentVersion),
 		needsDocument: state.needsDocument,
 		...(state.document ? {document: JSON.stringify(state.document)} : {}),
@@ -120,15 +136,67 @@
 			requests,
 			idleMilliseconds,
 		})),
-		adapters: message.adapters.map(({model, adapter, requests, waiting}) => ({
-			model: model as ModelId,
-			adapter: adapter as AdapterId,
-			requests,
-			waiting,
+		adapters: message.adapters.map((each) => ({
+			model: each.model as ModelId,
+			adapter: each.adapter as AdapterId,
+			requests: each.requests,
+			waiting: each.waiting,
+			softwareVersion: fromVersionField(each.softwareVersion),
 		})),
 	};
 }
 
+/** Converts a software version that targets of a pool had to a message. */
+export function toSeenVersion({
+	pool,
+	version,
+	ageMilliseconds,
+}: SeenVersion): MessageInitShape<typeof SeenVersionSchema> {
+	return {pool, version, ageMilliseconds: toAge(ageMilliseconds)};
+}
+
+/** Converts a message to a software version that targets of a pool had. */
+export function fromSeenVersion(message: SeenVersionMessage): SeenVersion {
+	return {
+		pool: message.pool as PoolName,
+		version: message.version as SoftwareVersion,
+		ageMilliseconds: message.ageMilliseconds,
+	};
+}
+
+/** Converts streams to messages, one for each software version. */
+export function toVersionedStreams(
+	origins: readonly StreamOrigin[],
+): Array<MessageInitShape<typeof VersionedStreamsSchema>> {
+	const streams = new Map<string, string[]>();
+	for (const {stream, version} of origins) {
+		const ofVersion = streams.get(version) ?? [];
+		ofVersion.push(stream);
+		streams.set(version, ofVersion);
+	}
+
+	return [...streams].map(([version, ofVersion]) => ({
+		version,
+		streams: ofVersion,
+	}));
+}
+
+/** Converts messages to streams. */
+export function fromVersionedStreams(
+	messages: readonly VersionedStreams[],
+): StreamOrigin[] {
+	return messages.flatMap(({version, streams}) =>
+		streams.map((stream) => ({
+			stream: stream as RequestId,
+			version: version as SoftwareVersion,
+		})),
+	);
+}
+
+function fromVersionField(version: string): SoftwareVersion | undefined {
+	return version === '' ? undefined : (version as SoftwareVersion);
+}
+
 /** Parses the document in a message, which comes from a host of the same fleet. */
 export function fromDocumentField(
 	document: string | undefined,
@@ -200,10 +268,7 @@
 		id: message.target as TargetId,
 		revision: fromRevisionMessage(message.revision),
 		pool: message.pool as PoolName,
-		softwareVersion:
-			message.softwareVersion === ''
-				? undefined
-				: (message.softwareVersion as SoftwareVersion),
+		softwareVersion: fromVersionField(message.softwareVersion),
 		address: message.address,
 		failureDomain: message.failureDomain as FailureDomain,
 		slots: message.slots,
--- a/src/services/forwarding/report-server.ts
+++ b/src/services/forwarding/report-server.ts
@@ -5,7 +5,12 @@
 import {Disposable} from '../../base/common/disposable.js';
 import {listenOn, type ListenError} from '../../base/node/listen.js';
 import {type ForwardingDocument} from '../../contracts/forwarding-document.js';
-import {type HostId, type TargetId} from '../../contracts/ids.js';
+import {
+	type HostId,
+	type RequestId,
+	type SoftwareVersion,
+	type TargetId,
+} from '../../contracts/ids.js';
 import {DemandCollector} from '../../core/demand-collector.js';
 import {type HostDemand} from '../../core/host-demand.js';
 import {type LeaseStatus} from '../../core/owner-lease.js';
@@ -19,6 +24,7 @@
 import {
 	OwnerService,
 	type AcquirePermitsRequest,
+	type FindStreamRequest,
 	type ReportRequest,
 } from '../../generated/daisylever/owner/v1/owner_pb.js';
 import {type CrashObserver} from './crash-observer.js';
@@ -27,16 +33,21 @@
 	fromDocumentField,
 	fromRateChange,
 	fromReportRequest,
+	fromSeenVersion,
 	fromSuspicion,
+	fromVersionedStreams,
 	toLeaseField,
 	toListedTarget,
 	toRelayCandidate,
+	toSeenVersion,
 	toSuspicion,
 	toTargetRate,
 	toTargetContent,
 	toUnlistedFields,
+	toVersionedStreams,
 } from './report-messages.js';
 import {type PlacementOwner} from './placement-owner.js';
+import {type StreamOriginSharing} from './stream-origin-sharing.js';
 
 /** State that a relay passes on from the owner. */
 export type RelayedState = {
@@ -59,6 +70,11 @@
 	readonly crashes: CrashObserver;
 	readonly limits: NamedRateLimits;
 	readonly permits: PermitIssuer;
+	readonly streams: StreamOriginSharing;
+	/** Asks the host to which this one reports at which software version a stream began. */
+	readonly askUpstream: (
+		stream: RequestId,
+	) => Promise<SoftwareVersion | undefined>;
 	/** True while this host holds the owner lease. */
 	readonly isOwner: () => boolean;
 	/** State of the owner while this host reports to it directly and hears from it, undefined otherwise. */
@@ -113,6 +129,7 @@
 					router.service(OwnerService, {
 						report: async (request) => this.report(request),
 						acquirePermits: (request) => this.issuePermits(request),
+						findStream: async (request) => this.findStream(request),
 					});
 				},
 			}),
@@ -241,13 +258,29 @@
 		};
 	}
 
-	/** Applies the suspicions and rates in a report. Returns true when a suspicion is new to this host. */
-	private mergeObservations({suspicions, rates}: ReportRequest): boolean {
+	/** Answers from what this host knows, or passes the question on to the host to which this one reports. */
+	private async findStream({stream, isForwarded}: FindStreamRequest) {
+		const {streams, askUpstream} = this.options;
+		const id = stream as RequestId;
+		const version =
+			streams.get(id) ?? (isForwarded ? undefined : await askUpstream(id));
+		return version === undefined ? {} : {version};
+	}
+
+	/** Applies the suspicions, rates and streams in a report. Returns true when a suspicion is new to this host. */
+	private mergeObservations({
+		suspicions,
+		rates,
+		streams,
+		versions,
+	}: ReportRequest): boolean {
 		const {crashes, limits} = this.options;
 		for (const rate of rates) {
 			limits.merge(fromRateChange(rate));
 		}
 
+		this.options.streams.merge(fromVersionedStreams(streams), 'reporter');
+		this.options.streams.mergeVersions(versions.map(fromSeenVersion));
 		return crashes.merge(suspicions.map(fromSuspicion));
 	}
 
@@ -297,7 +330,13 @@
 		const rates = limits.changesSince(
 			isKnownSource ? Number(request.knownRateRevision) : 0,
 		);
+		const streams = this.options.streams.changesForReporter(
+			isKnownSource ? Number(request.knownStreamRevision) : 0,
+		);
 		return {
+			streams: toVersionedStreams(streams.origins),
+			versions: this.options.streams.mixedVersions().map(toSeenVersion),
+			streamRevision: BigInt(streams.revision),
 			suspicions: suspicions.reports.map(toSuspicion),
 			suspicionRevision: BigInt(suspicions.revision),
 			rates: rates.changes.map(toTargetRate),
--- /dev/null
+++ b/src/services/forwarding/stream-origin-sharing.ts
@@ -0,0 +1,108 @@
+import {
+	type PoolName,
+	type RequestId,
+	type SoftwareVersion,
+} from '../../contracts/ids.js';
+import {
+	type OriginSource,
+	type StreamOrigin,
+	type StreamOriginChanges,
+	type StreamOrigins,
+} from '../../core/stream-origins.js';
+import {
+	type SeenVersion,
+	type VersionHistory,
+} from '../../core/version-history.js';
+
+/** Collaborators of the sharing of stream origins. */
+export type StreamOriginSharingOptions = {
+	readonly origins: StreamOrigins;
+	readonly versions: VersionHistory;
+	/** Asks other hosts at which software version a stream began. */
+	readonly askOthers: (
+		stream: RequestId,
+	) => Promise<SoftwareVersion | undefined>;
+};
+
+/**
+ * Decides which streams hosts tell each other, and finds the software version at which a stream began. Hosts report
+ * their streams to the owner or a relay, which returns its own: each stream is known to two hosts at least, so that it
+ * outlives the one that forwarded it. Nothing is sent while all targets have had one version.
+ */
+export class StreamOriginSharing {
+	constructor(private readonly options: StreamOriginSharingOptions) {}
+
+	/** Records the version of the target that brought the first event of a stream of this host. */
+	recordStart(stream: RequestId, version: SoftwareVersion): void {
+		this.options.origins.record(stream, version, 'own');
+	}
+
+	/** Records streams that another host sent. */
+	merge(origins: readonly StreamOrigin[], source: OriginSource): void {
+		for (const {stream, version} of origins) {
+			this.options.origins.record(stream, version, source);
+		}
+	}
+
+	/** Streams of this host and of those that report to it, for the host to which this one reports. */
+	changesForReceiver(revision: number): StreamOriginChanges {
+		return this.changes(revision, ['own', 'reporter']);
+	}
+
+	/** Streams of this host, for a host that reports to it. */
+	changesForReporter(revision: number): StreamOriginChanges {
+		return this.changes(revision, ['own']);
+	}
+
+	/** Software versions of the pools that had several lately, for other hosts. */
+	mixedVersions(): readonly SeenVersion[] {
+		return this.options.versions.mixedVersions();
+	}
+
+	/** Records software versions that another host has seen. */
+	mergeVersions(versions: readonly SeenVersion[]): void {
+		this.options.versions.merge(versions);
+	}
+
+	/** Records that the host to which this one reports has answered, or that this host is the owner. */
+	markInformed(): void {
+		this.options.versions.markInformed();
+	}
+
+	/** Returns the version at which a stream of a pool began, as far as this host knows it. */
+	known(
+		pool: PoolName,
+		stream: RequestId | undefined,
+	): SoftwareVersion | undefined {
+		const {origins, versions} = this.options;
+		return (
+			(stream === undefined ? undefined : origins.get(stream)) ??
+			versions.soleVersion(pool)
+		);
+	}
+
+	/** Returns the version at which a stream began, as far as this host knows it from other hosts or itself. */
+	get(stream: RequestId): SoftwareVersion | undefined {
+		return this.options.origins.get(stream);
+	}
+
+	/** Asks other hosts for the version at which a stream began. */
+	async find(stream: RequestId): Promise<SoftwareVersion | undefined> {
+		const version = await this.options.askOthers(stream);
+		if (version !== undefined) {
+			this.options.origins.record(stream, version, 'own');
+		}
+
+		return version;
+	}
+
+	private changes(
+		revision: number,
+		sources: readonly OriginSource[],
+	): StreamOriginChanges {
+		const {origins, versions} = this.options;
+		return versions.mixedVersions().length > 0
+			? origins.changesSince(revision, sources)
+			: {origins: [], revision};
+	}
+}
--- a/test/forwarding/forwarding-harness.ts
+++ b/test/forwarding/forwarding-harness.ts
@@ -25,6 +25,7 @@
 import {ForwardingServer} from '../../src/services/forwarding/forwarding-server.js';
 import {ForwardingService} from '../../src/services/forwarding/forwarding-service.js';
 import {TargetRegistry} from '../../src/services/forwarding/target-registry.js';
+import {createSharing} from './stream-sharing.js';
 
 /** Name of the only pool. */
 export const poolName = 'pool' as PoolName;
@@ -100,6 +101,7 @@
 	});
 
 	readonly registry: TargetRegistry;
+	readonly streams;
 	readonly service: ForwardingService;
 	/** Number of calls of `onAdapterMissing`. */
 	missingAdapterCount = 0;
@@ -107,7 +109,9 @@
 	private port = 0;
 	private callCount = 0;
 
-	constructor() {
+	/** Other hosts answer with `askOthers` at which software version a stream began. */
+	constructor(askOthers?: Parameters<typeof createSharing>[1]) {
+		this.streams = createSharing(this.clock, askOthers);
 		const events = new NullEventLogger();
 		const rateLimits = new NamedRateLimits({clock: this.clock});
 		this.registry = new TargetRegistry({clock: this.clock, events});
@@ -123,6 +127,7 @@
 			crashes: this.crashes,
 			rateLimits,
 			permits: new PermitBook({clock: this.clock, limits: rateLimits}),
+			streams: this.streams.sharing,
 			retries: {ratio: 0.2, slack: 56, windowMilliseconds: 10_000, hosts: 8},
 			onAdapterMissing: () => {
 				this.missingAdapterCount++;
--- a/test/forwarding/report-server.test.ts
+++ b/test/forwarding/report-server.test.ts
@@ -15,6 +15,7 @@
 import {type PlacementOwner} from '../../src/services/forwarding/placement-owner.js';
 import {ReportServer} from '../../src/services/forwarding/report-server.js';
 import {TargetRegistry} from '../../src/services/forwarding/target-registry.js';
+import {createSharing} from './stream-sharing.js';
 
 const target = 't' as TargetId;
 const fakeOwner = {hostCount: 7} as unknown as PlacementOwner;
@@ -52,6 +53,8 @@
 		targetList: () => ({position: 0, ageMilliseconds: 0}),
 		onUrgentReport: () => undefined,
 		onDocumentReceived: () => undefined,
+		streams: createSharing(clock).sharing,
+		askUpstream: async () => undefined,
 	});
 	const port = (await server.listen(0, '127.0.0.1'))._unsafeUnwrap();
 	const client = createClient(
--- /dev/null
+++ b/test/forwarding/stream-sharing.ts
@@ -0,0 +1,24 @@
+import {type Clock} from '../../src/base/common/clock.js';
+import {type RequestId, type SoftwareVersion} from '../../src/contracts/ids.js';
+import {StreamOrigins} from '../../src/core/stream-origins.js';
+import {VersionHistory} from '../../src/core/version-history.js';
+import {StreamOriginSharing} from '../../src/services/forwarding/stream-origin-sharing.js';
+
+/** Creates the sharing of a host. Without a function for other hosts, none of them knows any stream. */
+export function createSharing(
+	clock: Clock,
+	askOthers: (
+		stream: RequestId,
+	) => Promise<SoftwareVersion | undefined> = async () => undefined,
+): {
+	readonly sharing: StreamOriginSharing;
+	readonly versions: VersionHistory;
+} {
+	const versions = new VersionHistory(clock);
+	const sharing = new StreamOriginSharing({
+		origins: new StreamOrigins(clock),
+		versions,
+		askOthers,
+	});
+	return {sharing, versions};
+}
--- a/test/forwarding/unreachable-target.test.ts
+++ b/test/forwarding/unreachable-target.test.ts
@@ -27,6 +27,7 @@
 import {ForwardDispatch} from '../../src/services/forwarding/forward-dispatch.js';
 import {type ForwardedRequest} from '../../src/services/forwarding/forwarded-request.js';
 import {TargetRegistry} from '../../src/services/forwarding/target-registry.js';
+import {createSharing} from './stream-sharing.js';
 
 const pool = 'p' as PoolName;
 const targets = ['t1', 't2', 't3'] as TargetId[];
@@ -52,6 +53,7 @@
 		crashes,
 		rateLimits,
 		permits: new PermitBook({clock, limits: rateLimits}),
+		streams: createSharing(clock).sharing,
 		maximumBodyBytes: 1000,
 	});
 }
