Send a refused request to the same target on a connection of its own

It can happen here: a request that a target refused may wait and go to the same target again, with the same id, on the connection of its first attempt. The repeated refusal then counted for the second attempt, and the caller got 503 while it ran.

Such an attempt now has a connection of its own, which carries nothing of an earlier one; that is rare, so it costs few connections. The repeated refusal of another request was and is recognised by its id.

--- a/src/services/forwarding/forward-dispatch.ts
+++ b/src/services/forwarding/forward-dispatch.ts
@@ -292,23 +292,26 @@
 					(this.options.registry.get(binding.target)?.listedAt ?? 0),
 			),
 		});
-		connections.dispatcher.dispatch(
-			{
-				method: options.method,
-				path: options.requestTarget,
-				headers: this.options.codec.encodeAttempt(metadata, {
-					target: binding.target,
-					remainingMilliseconds:
-						request.remainingMilliseconds() - targetDeadlineMarginMilliseconds,
-					lastEventId: request.lastEventId,
-					priority: this.priorityAtTarget(request),
-				}),
-				body: options.body.length > 0 ? options.body : null,
-				idempotent: false,
-				blocking: false,
-			},
-			attempt,
-		);
+		const outgoing = {
+			method: options.method,
+			path: options.requestTarget,
+			headers: this.options.codec.encodeAttempt(metadata, {
+				target: binding.target,
+				remainingMilliseconds:
+					request.remainingMilliseconds() - targetDeadlineMarginMilliseconds,
+				lastEventId: request.lastEventId,
+				priority: this.priorityAtTarget(request),
+			}),
+			body: options.body.length > 0 ? options.body : null,
+			idempotent: false,
+			blocking: false,
+		};
+		// A repeated refusal of the earlier attempt has the same id and cannot be told from one of this attempt.
+		if (request.refusedBy.has(binding.target)) {
+			connections.dispatchAlone(outgoing, attempt);
+		} else {
+			connections.dispatcher.dispatch(outgoing, attempt);
+		}
 	}
 
 	/** Refuses the requests with a quarantined fingerprint that are queued, and cancels those that have not started at their target. */
@@ -405,6 +408,8 @@
 		const {registry, crashes} = this.options;
 		if (failure.kind === 'lost') {
 			this.recordLostRequest(request, attempt.target);
+		} else if (failure.kind === 'refused') {
+			request.refusedBy.add(attempt.target);
 		}
 
 		if (failure.kind === 'unreached') {
--- a/src/services/forwarding/forwarded-request.ts
+++ b/src/services/forwarding/forwarded-request.ts
@@ -73,6 +73,8 @@
 	executions = 0;
 	/** Targets at which a stream was interrupted. */
 	readonly brokenStreamTargets: TargetId[] = [];
+	/** Targets that refused the request. */
+	readonly refusedBy = new Set<TargetId>();
 	/** Number of events forwarded. */
 	eventCount = 0;
 	/** Longest gap between two chunks of the stream. */
--- a/src/services/forwarding/target-connections.ts
+++ b/src/services/forwarding/target-connections.ts
@@ -1,4 +1,4 @@
-import {buildConnector, Pool, type Dispatcher} from 'undici';
+import {buildConnector, Client, Pool, type Dispatcher} from 'undici';
 import {Disposable} from '../../base/common/disposable.js';
 
 /** Options of the connections to a target. */
@@ -15,28 +15,17 @@
 
 /** A pool of HTTP connections to one target. */
 export class TargetConnections extends Disposable {
+	private readonly origin: string;
 	private readonly pool: Pool;
+	private readonly singleClients = new Set<Client>();
 	private isFailing = false;
 
 	constructor(options: TargetConnectionsOptions) {
 		super();
-		const connect = buildConnector({timeout: connectTimeoutMilliseconds});
-		this.pool = new Pool(`http://${options.address}`, {
+		this.origin = `http://${options.address}`;
+		this.pool = new Pool(this.origin, {
 			connections: options.maximumConnections,
-			pipelining: 1,
-			connect: (target, callback) => {
-				connect(target, (...result: Parameters<typeof callback>) => {
-					const [, socket] = result;
-					socket?.prependListener('error', () => {
-						this.recordConnectionError();
-					});
-					callback(...result);
-				});
-			},
-			// Each attempt has its own inactivity timeout, which depends on whether its request may be repeated.
-			headersTimeout: 0,
-			bodyTimeout: 0,
-			keepAliveTimeout: keepAliveTimeoutMilliseconds,
+			...this.clientOptions(),
 		});
 	}
 
@@ -45,6 +34,19 @@
 		return this.pool;
 	}
 
+	/** Sends a request on a connection of its own, on which nothing that belongs to an earlier request can arrive. */
+	dispatchAlone(
+		request: Dispatcher.DispatchOptions,
+		handler: Dispatcher.DispatchHandler,
+	): void {
+		const client = new Client(this.origin, this.clientOptions());
+		this.singleClients.add(client);
+		client.dispatch({...request, reset: true}, handler);
+		void client.close().then(() => {
+			this.singleClients.delete(client);
+		});
+	}
+
 	/**
 	 * True while the error of a connection is being handled. The HTTP client treats a reset of a connection that would be
 	 * closed anyway as the end of its response, so a response that ends now is incomplete.
@@ -59,7 +61,31 @@
 	}
 
 	async dispose(): Promise<void> {
-		await this.pool.destroy();
+		await Promise.all(
+			[this.pool, ...this.singleClients].map(async (client) =>
+				client.destroy(),
+			),
+		);
+	}
+
+	private clientOptions(): Client.Options {
+		const connect = buildConnector({timeout: connectTimeoutMilliseconds});
+		return {
+			pipelining: 1,
+			connect: (target, callback) => {
+				connect(target, (...result: Parameters<typeof callback>) => {
+					const [, socket] = result;
+					socket?.prependListener('error', () => {
+						this.recordConnectionError();
+					});
+					callback(...result);
+				});
+			},
+			// Each attempt has its own inactivity timeout, which depends on whether its request may be repeated.
+			headersTimeout: 0,
+			bodyTimeout: 0,
+			keepAliveTimeout: keepAliveTimeoutMilliseconds,
+		};
 	}
 
 	private recordConnectionError(): void {
