Do not take a refusal without an id for the refusal of this request

A refusal that names no request was believed whatever it belonged to; on a kept connection it may be the late one of an earlier request. Workers echo the id in their responses, so a response without one proves nothing: the attempt counts as lost, and a request that may run once only ends with 502. The new test failed before (503).

--- a/src/services/forwarding/forward-attempt.ts
+++ b/src/services/forwarding/forward-attempt.ts
@@ -146,9 +146,10 @@
 		this.response = response;
 		onResponseMetadata(response);
 		const isSuccess = status >= 200 && status < 300;
+		// A failure without an id can be passed on, but neither proves that this request was not run nor answers it.
 		if (
 			response.requestId !== request &&
-			(response.requestId !== undefined || isSuccess)
+			(response.requestId !== undefined || isSuccess || response.isNotRun)
 		) {
 			// A late response to an earlier request on this connection. The response to this request would follow it and cannot be used.
 			this.fail('the response belongs to another request', true);
--- a/test/forwarding/faulty-targets.test.ts
+++ b/test/forwarding/faulty-targets.test.ts
@@ -104,6 +104,16 @@
 	assert.equal(result.body, 'done');
 });
 
+// Guards against a refusal that names no request: on a kept connection it may be the late one of an earlier request.
+test('a refusal without the id of the request does not prove that the request was not run', async () => {
+	await listWorker(0, ({socket}) => {
+		socket.write(refusal(undefined));
+	});
+	const result = await harness.call('/once/x', {body: 'b'});
+	assert.equal(result.status, 502);
+	assert.equal(executionCount(), 1);
+});
+
 const interrupted = streamEvents(1, 3, 'broken');
 const firstEvents = [1, 2, 3].map((id) => formatEvent(id)).join('');
 
