Continue a stream only with a body of the type that began it

Failures were recognised by their status here. A success of another type was not: a text with the form of an event was passed on as one, and an empty one ended the stream as complete. Now the rest of a stream has to have the content type of its beginning; otherwise the attempt is lost, and the stream goes on elsewhere or breaks.

The new test has eight answers in place of the rest; the last event of one of them reached the caller before.

--- a/src/contracts/request-codec.ts
+++ b/src/contracts/request-codec.ts
@@ -69,6 +69,8 @@
 	readonly isMisdirected: boolean;
 	/** The target that sent the response, if the response names it. */
 	readonly respondingTarget: TargetId | undefined;
+	/** Type of the body, undefined if the response names none. */
+	readonly contentType?: string | undefined;
 	readonly load: ReportedLoad | undefined;
 	/** Requests a second that the target takes from all hosts together at the moment, undefined if it names no limit. */
 	readonly requestsPerSecond: number | undefined;
--- a/src/platform/request-codec.ts
+++ b/src/platform/request-codec.ts
@@ -153,6 +153,7 @@
 				valueOf('Content-Length') !== undefined ||
 				valueOf('Transfer-Encoding') !== undefined,
 			isMisdirected,
+			contentType: valueOf('Content-Type'),
 			respondingTarget: valueOf(headerNames.instance) as TargetId | undefined,
 			load: parseLoad(valueOf(headerNames.load)),
 			requestsPerSecond: parseRate(
--- a/src/services/forwarding/forward-dispatch.ts
+++ b/src/services/forwarding/forward-dispatch.ts
@@ -738,7 +738,11 @@
 
 	onStreamStart(response: ResponseMetadata): void {
 		this.isFramed = response.isFramed;
-		this.request.startStream(response);
+		if (!this.request.startStream(response)) {
+			this.abortStream(
+				`a body of the type ${response.contentType} received instead of the rest of a stream`,
+			);
+		}
 	}
 
 	onStreamData(chunk: Buffer): boolean {
--- a/src/services/forwarding/forwarded-request.ts
+++ b/src/services/forwarding/forwarded-request.ts
@@ -87,6 +87,7 @@
 	continuations = 0;
 	/** Time from arrival until the first attempt was sent, undefined before that. */
 	waitedMilliseconds: number | undefined;
+	private contentType: string | undefined;
 	private lastChunkAt: number | undefined;
 	private splitter = new EventStreamSplitter();
 	private failureResponse:
@@ -190,16 +191,20 @@
 		);
 	}
 
-	/** Forwards the head of the first stream. The head of a continuation is dropped. */
-	startStream(response: ResponseMetadata): void {
+	/** Forwards the head of the first stream. The head of a continuation is dropped. Returns false when the body is no continuation of the stream. */
+	startStream(response: ResponseMetadata): boolean {
 		this.splitter = new EventStreamSplitter();
-		if (!this.options.response.hasStarted) {
-			this.options.response.startStream(
-				response.status,
-				response.forwardedHeaders,
-				response.isFramed,
-			);
+		if (this.options.response.hasStarted) {
+			return response.contentType === this.contentType;
 		}
+
+		this.contentType = response.contentType;
+		this.options.response.startStream(
+			response.status,
+			response.forwardedHeaders,
+			response.isFramed,
+		);
+		return true;
 	}
 
 	/** Forwards the events that a chunk completes. Returns whether the stream has made progress, or why it is invalid. */
--- a/test/forwarding/faulty-targets.test.ts
+++ b/test/forwarding/faulty-targets.test.ts
@@ -132,6 +132,97 @@
 	};
 }
 
+// Guards against the text or the head of an error in the middle of a stream, and against a stream that ends with an error
+// as if it were complete.
+test('an error instead of the rest of a stream is not part of the stream, and the stream does not look complete', async () => {
+	const head = (status: string, id: string, length: number) =>
+		responseHead(status, {
+			'Request-Id': id,
+			'Response-Sig': 'signed',
+			'Content-Type': 'text/plain',
+			'Content-Length': String(length),
+		});
+	const answers: ReadonlyArray<
+		readonly [string, (id: string, socket: Socket) => void]
+	> = [
+		[
+			'500 with a text',
+			(id, socket) => {
+				socket.write(head('500 Internal Server Error', id, 5) + 'error');
+			},
+		],
+		[
+			'500 with an event',
+			(id, socket) => {
+				const event = formatEvent(4);
+				socket.write(
+					head('500 Internal Server Error', id, event.length) + event,
+				);
+			},
+		],
+		[
+			'404 without a body',
+			(id, socket) => {
+				socket.write(head('404 Not Found', id, 0));
+			},
+		],
+		[
+			'503 that may have run',
+			(id, socket) => {
+				socket.write(head('503 Service Unavailable', id, 5) + 'error');
+			},
+		],
+		[
+			'200 with a text',
+			(id, socket) => {
+				socket.write(head('200 OK', id, 5) + 'error');
+			},
+		],
+		[
+			'200 of another type with the form of an event',
+			(id, socket) => {
+				const event = formatEvent(4);
+				socket.write(head('200 OK', id, event.length) + event);
+			},
+		],
+		[
+			'200 of another type without a body',
+			(id, socket) => {
+				socket.write(head('200 OK', id, 0));
+			},
+		],
+		[
+			'a second head within a chunk',
+			(id, socket) => {
+				const text = head('500 Internal Server Error', id, 5) + 'error';
+				socket.write(
+					responseHead('200 OK', {
+						'Request-Id': id,
+						'Response-Sig': 'signed',
+						'Content-Type': 'text/event-stream',
+						'Transfer-Encoding': 'chunked',
+					}) + `${text.length.toString(16)}\r\n${text}\r\n0\r\n\r\n`,
+				);
+			},
+		],
+	];
+	for (const [name, answer] of answers) {
+		await harness.stop();
+		harness = new ForwardingHarness();
+		await harness.start(forwardingDocument);
+		for (const worker of workers) {
+			worker.stop();
+		}
+
+		workers = [new StandInWorker('i-1'), new StandInWorker('i-2')];
+		await listWorker(0, breakThenAnswer(answer));
+		await listWorker(1, breakThenAnswer(answer));
+		const result = await harness.call('/stream/x', {body: 'b'});
+		assert.equal(result.body, firstEvents, name);
+		assert.equal(result.isComplete, false, name);
+	}
+});
+
 test('a refusal instead of the rest of a stream is not part of the stream', async () => {
 	const refuse = respondNotRun();
 	await listWorker(0, (received) => {
