Send nothing new to a target that says in an answer that it leaves

The header was not read, so a host went on until the store said the same, and fell back when a later entry named the worker as ready.

Any answer with it, to a request or an order, makes the host stop choosing that incarnation; entries that name it as ready are ignored until another incarnation is listed. Placement treats the target as leaving. While all targets of a pool leave, requests are refused at once, to come back after 3 s. The header is not passed on to callers, who learn nothing of targets.

--- a/src/contracts/request-codec.ts
+++ b/src/contracts/request-codec.ts
@@ -69,6 +69,8 @@
 	readonly isMisdirected: boolean;
 	/** The target that sent the response, if the response names it. */
 	readonly respondingTarget: TargetId | undefined;
+	/** True when the target says that it leaves. */
+	readonly isLeaving?: boolean;
 	/** Type of the body, undefined if the response names none. */
 	readonly contentType?: string | undefined;
 	readonly load: ReportedLoad | undefined;
--- a/src/contracts/target-orders.ts
+++ b/src/contracts/target-orders.ts
@@ -49,6 +49,12 @@
 	override readonly name = 'NoResponseError';
 }
 
+/** What the head of any answer of a target to an order or a read of its state says. */
+export type OrderAnswer = {
+	readonly target: ListedTarget;
+	readonly isLeaving: boolean;
+};
+
 /** Sends orders to targets and reads their state. */
 export abstract class TargetOrderPort {
 	/** Sends an order once, without retries. */
--- a/src/platform/order-port.ts
+++ b/src/platform/order-port.ts
@@ -6,10 +6,12 @@
 import {
 	NoResponseError,
 	TargetOrderPort,
+	type OrderAnswer,
 	type OrderOutcome,
 	type TargetOrder,
 	type TargetOrderState,
 } from '../contracts/target-orders.js';
+import {isLeavingHeader} from './request-codec.js';
 import {
 	residentModelsSchema,
 	toIncarnation,
@@ -45,6 +47,7 @@
 		private readonly dispatcherFor: (
 			target: ListedTarget,
 		) => Dispatcher | undefined,
+		private readonly onAnswer: (answer: OrderAnswer) => void = () => undefined,
 	) {
 		super();
 	}
@@ -122,6 +125,12 @@
 				body: body ?? null,
 				signal: AbortSignal.timeout(responseTimeoutMilliseconds),
 			});
+			this.onAnswer({
+				target,
+				isLeaving: isLeavingHeader(
+					response.headers[headerNames.leaving.toLowerCase()],
+				),
+			});
 			return {
 				status: response.statusCode,
 				text: await response.body.text(),
--- a/src/platform/request-codec.ts
+++ b/src/platform/request-codec.ts
@@ -53,6 +53,7 @@
 	'Content-Length',
 	headerNames.load,
 	headerNames.rateLimit,
+	headerNames.leaving,
 	headerNames.instance,
 	headerNames.notRun,
 	headerNames.retryAfter,
@@ -153,6 +154,7 @@
 				valueOf('Content-Length') !== undefined ||
 				valueOf('Transfer-Encoding') !== undefined,
 			isMisdirected,
+			isLeaving: isLeavingHeader(headers[headerNames.leaving.toLowerCase()]),
 			contentType: valueOf('Content-Type'),
 			respondingTarget: valueOf(headerNames.instance) as TargetId | undefined,
 			load: parseLoad(valueOf(headerNames.load)),
@@ -273,6 +275,11 @@
 	return rates.length === 0 ? undefined : Math.min(...rates);
 }
 
+/** True for the value by which a worker says that it leaves. */
+export function isLeavingHeader(value: string | string[] | undefined): boolean {
+	return [value ?? []].flat().some((each) => each.trim() === '1');
+}
+
 /** Returns the headers that are forwarded to the caller, as alternating names and values. */
 function forwardedResponseHeaders(
 	headers: Readonly<Record<string, string | string[] | undefined>>,
--- a/src/platform/wire.ts
+++ b/src/platform/wire.ts
@@ -12,6 +12,8 @@
 	/** Requests a second that the worker takes from all hosts together. */
 	rateLimit: 'Server-Limit',
 	notRun: 'Not-Run',
+	/** In all answers of a worker that leaves, with the value 1. */
+	leaving: 'Server-Leaving',
 	retryAfter: 'Retry-After',
 	instance: 'Instance-Id',
 	model: 'Model',
--- a/src/program/forwarding-root.ts
+++ b/src/program/forwarding-root.ts
@@ -173,6 +173,14 @@
 				port: new ChargedOrderPort(
 					new PlatformOrderPort(
 						({id}) => registry.getConnections(id)?.dispatcher,
+						({target: {id, residency}, isLeaving}) => {
+							if (isLeaving) {
+								registry.recordLeaving({
+									target: id,
+									incarnation: residency.incarnation,
+								});
+							}
+						},
 					),
 					permitIssuer,
 				),
@@ -222,6 +230,9 @@
 				onUrgentReport: () => {
 					this.reportClient.scheduleReport();
 				},
+				onLeavingTarget(target) {
+					registry.recordLeaving(target);
+				},
 				onDocumentReceived: (document) => {
 					this.takeDocument(document);
 				},
@@ -271,6 +282,7 @@
 				crashes,
 				limits: rateLimits,
 				streams,
+				leavingTargets: () => registry.leavingTargets(),
 				demand: () => this.reportServer.mergeDemand(service.demand()),
 				peerAddresses: () => this.reportServer.peerAddresses(),
 				document: () => service.currentDocument,
@@ -474,6 +486,9 @@
 		registry.changed.subscribe(() => {
 			service.notifyCandidatesChanged();
 		});
+		registry.leavingObserved.subscribe(() => {
+			this.reportClient.scheduleReport();
+		});
 		owner.contentChanged.subscribe((content) => {
 			if (this.leaseManager.isHolder) {
 				registry.applyContents([content], 0);
--- a/src/services/forwarding/forward-dispatch.ts
+++ b/src/services/forwarding/forward-dispatch.ts
@@ -564,6 +564,9 @@
 			onResponseMetadata: (response) => {
 				this.recordLoad(binding.target, response.load);
 				this.recordRateLimit(binding.target, response.requestsPerSecond);
+				if (response.isLeaving) {
+					this.recordLeaving(binding.target);
+				}
 			},
 			isNeeded: () =>
 				!request.isFinished && request.remainingMilliseconds() > 0,
@@ -685,6 +688,14 @@
 		}
 	}
 
+	private recordLeaving(target: TargetId): void {
+		const {registry} = this.options;
+		const incarnation = registry.get(target)?.listed.residency.incarnation;
+		if (incarnation !== undefined) {
+			registry.recordLeaving({target, incarnation});
+		}
+	}
+
 	private recordRateLimit(
 		target: TargetId,
 		requestsPerSecond: number | undefined,
--- a/src/services/forwarding/forwarding-service.ts
+++ b/src/services/forwarding/forwarding-service.ts
@@ -87,6 +87,9 @@
 /** Delay after which a refused rest of a stream may come back. By then the report of the host that forwarded its beginning has arrived. */
 const unknownVersionRetryMilliseconds = 500;
 
+/** Retry delay while all targets of a pool leave: the time in which another one starts and loads a model. */
+const newTargetMilliseconds = 3000;
+
 /** Forwards the requests of callers according to the current document. */
 export class ForwardingService extends ReceivedRequestHandler {
 	private document: ForwardingDocument | undefined;
@@ -520,6 +523,11 @@
 
 	private submit(request: ForwardedRequest, {dispatch}: Pool): void {
 		const {metadata} = request;
+		if (this.options.registry.isLeavingAltogether(dispatch.pool)) {
+			request.refuse('all targets of the pool leave', newTargetMilliseconds);
+			return;
+		}
+
 		dispatch.submit(request);
 		if (
 			metadata.adapter !== undefined &&
--- a/src/services/forwarding/report-client.ts
+++ b/src/services/forwarding/report-client.ts
@@ -17,6 +17,7 @@
 } from '../../contracts/ids.js';
 import {type TargetListChange} from '../../contracts/listed-target.js';
 import {type HostDemand} from '../../core/host-demand.js';
+import {type LeavingTarget} from '../../core/leaving-targets.js';
 import {type LeaseStatus, type LeaseHolder} from '../../core/owner-lease.js';
 import {type NamedRateLimits} from '../../core/named-rate-limits.js';
 import {type PermitDemand} from '../../core/permit-book.js';
@@ -61,6 +62,8 @@
 	readonly crashes: CrashObserver;
 	readonly limits: NamedRateLimits;
 	readonly streams: StreamOriginSharing;
+	/** Targets that said in an answer lately that they leave. */
+	readonly leavingTargets: () => readonly LeavingTarget[];
 	/** Returns the demand to report. */
 	readonly demand: () => HostDemand;
 	/** The document in force, undefined before the first one. */
@@ -392,6 +395,7 @@
 					needsDocument: this.options.needsDocument(),
 					document: this.documentWantedBy === address ? document : undefined,
 					observationsOnly,
+					leaving: this.options.leavingTargets(),
 					...fields,
 				}),
 				{timeoutMs: callTimeoutMilliseconds + this.reportIntervalMilliseconds},
--- a/src/services/forwarding/report-messages.ts
+++ b/src/services/forwarding/report-messages.ts
@@ -19,6 +19,7 @@
 } from '../../contracts/listed-target.js';
 import {type SuspicionReport} from '../../contracts/suspicion-report.js';
 import {type HostDemand} from '../../core/host-demand.js';
+import {type LeavingTarget} from '../../core/leaving-targets.js';
 import {type RateChange} from '../../core/named-rate-limits.js';
 import {type LeaseStatus} from '../../core/owner-lease.js';
 import {type RelayCandidate} from '../../core/relay-assignment.js';
@@ -81,6 +82,8 @@
 	readonly streams: readonly StreamOrigin[];
 	/** Software versions of the pools that had several lately. */
 	readonly versions: readonly SeenVersion[];
+	/** Targets that said in an answer lately that they leave. */
+	readonly leaving: readonly LeavingTarget[];
 };
 
 /** Converts the demand and state of a host to a message. */
@@ -119,6 +122,7 @@
 		knownStreamRevision: BigInt(state.knownStreamRevision),
 		streams: toVersionedStreams(state.streams),
 		versions: state.versions.map(toSeenVersion),
+		leaving: state.leaving.map((each) => ({...each})),
 		documentVersion: BigInt(state.documentVersion),
 		needsDocument: state.needsDocument,
 		...(state.document ? {document: JSON.stringify(state.document)} : {}),
@@ -146,6 +150,16 @@
 	};
 }
 
+/** Converts messages to targets that said that they leave. */
+export function fromLeavingTargets(
+	messages: ReportRequest['leaving'],
+): LeavingTarget[] {
+	return messages.map(({target, incarnation}) => ({
+		target: target as TargetId,
+		incarnation: incarnation as TargetIncarnation,
+	}));
+}
+
 /** Converts a software version that targets of a pool had to a message. */
 export function toSeenVersion({
 	pool,
--- a/src/services/forwarding/report-server.ts
+++ b/src/services/forwarding/report-server.ts
@@ -13,6 +13,7 @@
 } from '../../contracts/ids.js';
 import {DemandCollector} from '../../core/demand-collector.js';
 import {type HostDemand} from '../../core/host-demand.js';
+import {type LeavingTarget} from '../../core/leaving-targets.js';
 import {type LeaseStatus} from '../../core/owner-lease.js';
 import {type NamedRateLimits} from '../../core/named-rate-limits.js';
 import {type PermitIssuer} from '../../core/permit-issuer.js';
@@ -31,6 +32,7 @@
 import {type FleetView} from './fleet-view.js';
 import {
 	fromDocumentField,
+	fromLeavingTargets,
 	fromRateChange,
 	fromReportRequest,
 	fromSeenVersion,
@@ -88,6 +90,8 @@
 	};
 	/** Called when a relayed report says that requests wait for an adapter. */
 	readonly onUrgentReport: () => void;
+	/** Called with a target that said that it leaves, in an answer to another host. */
+	readonly onLeavingTarget: (target: LeavingTarget) => void;
 	/** Called with a document that is newer than the one of this host, in the report of another one. */
 	readonly onDocumentReceived: (document: ForwardingDocument) => void;
 };
@@ -273,12 +277,17 @@
 		rates,
 		streams,
 		versions,
+		leaving,
 	}: ReportRequest): boolean {
 		const {crashes, limits} = this.options;
 		for (const rate of rates) {
 			limits.merge(fromRateChange(rate));
 		}
 
+		for (const target of fromLeavingTargets(leaving)) {
+			this.options.onLeavingTarget(target);
+		}
+
 		this.options.streams.merge(fromVersionedStreams(streams), 'reporter');
 		this.options.streams.mergeVersions(versions.map(fromSeenVersion));
 		return crashes.merge(suspicions.map(fromSuspicion));
--- a/src/services/forwarding/target-registry.ts
+++ b/src/services/forwarding/target-registry.ts
@@ -18,6 +18,10 @@
 	type TargetListChange,
 } from '../../contracts/listed-target.js';
 import {EntryRevisions} from '../../core/entry-revisions.js';
+import {
+	LeavingTargets,
+	type LeavingTarget,
+} from '../../core/leaving-targets.js';
 import {TargetConnections} from './target-connections.js';
 
 /** Content of a target as sent by the placement owner. */
@@ -78,8 +82,11 @@
 	readonly removed = new TypedEvent<RegisteredTarget>();
 	/** A target was listed with another incarnation. Published before the new entry is applied. */
 	readonly restarted = new TypedEvent<RegisteredTarget>();
+	/** A target said in an answer that it leaves, which other hosts should know. */
+	readonly leavingObserved = new TypedEvent<LeavingTarget>();
 	private readonly targets = new Map<TargetId, RegisteredTarget>();
 	private readonly revisions: EntryRevisions;
+	private readonly leaving: LeavingTargets;
 	private maximumConnections = new Map<PoolName, number>();
 	private hostCount = 8;
 	private lastNewTargetAt = Number.NEGATIVE_INFINITY;
@@ -88,6 +95,7 @@
 	constructor(private readonly options: TargetRegistryOptions) {
 		super();
 		this.revisions = new EntryRevisions(options.clock);
+		this.leaving = new LeavingTargets(options.clock);
 	}
 
 	/** Applies the connection limits of a document. */
@@ -282,6 +290,36 @@
 		);
 	}
 
+	/** Records that a target said that it leaves: in an answer to this host, or to another one that passed it on. Until another incarnation is listed, it gets no new work. */
+	recordLeaving({target, incarnation}: LeavingTarget): void {
+		if (!this.leaving.record({target, incarnation})) {
+			return;
+		}
+
+		const registered = this.targets.get(target);
+		if (
+			registered?.listed.residency.incarnation === incarnation &&
+			!registered.listed.isLeaving
+		) {
+			registered.listed = {...registered.listed, isLeaving: true};
+			this.logListed(registered.listed);
+			this.changed.publish(registered);
+		}
+
+		this.leavingObserved.publish({target, incarnation});
+	}
+
+	/** Targets that said in an answer lately that they leave, for other hosts. */
+	leavingTargets(): readonly LeavingTarget[] {
+		return this.leaving.recent();
+	}
+
+	/** True when all targets of the pool leave. */
+	isLeavingAltogether(pool: PoolName): boolean {
+		const targets = this.targetsOfPool(pool);
+		return targets.length > 0 && targets.every(({listed}) => listed.isLeaving);
+	}
+
 	/** Returns the connections to a target, which are created on the first use, or undefined if it is not listed. */
 	getConnections(target: TargetId): TargetConnections | undefined {
 		const registered = this.targets.get(target);
@@ -302,7 +340,12 @@
 		this.targets.clear();
 	}
 
-	private list(listed: ListedTarget): void {
+	private list(entry: ListedTarget): void {
+		const listed =
+			!entry.isLeaving &&
+			this.leaving.isLeaving(entry.id, entry.residency.incarnation)
+				? {...entry, isLeaving: true}
+				: entry;
 		const now = this.options.clock.monotonic();
 		const registered = this.targets.get(listed.id);
 		if (!registered) {
--- a/test/forwarding/report-server.test.ts
+++ b/test/forwarding/report-server.test.ts
@@ -53,6 +53,7 @@
 		targetList: () => ({position: 0, ageMilliseconds: 0}),
 		onUrgentReport: () => undefined,
 		onDocumentReceived: () => undefined,
+		onLeavingTarget: () => undefined,
 		streams: createSharing(clock).sharing,
 		askUpstream: async () => undefined,
 	});
