Send nothing to a target for the time for which it turned this host away

The header was not read, and repeats went to the worker again.

HoldBacks keeps the time on the steady clock, from the end of the answer, for at most a minute; a later success does not end it, a new incarnation does. While it lasts the target is no candidate for first sends, repeats and continuations, a request that waits for a connection to it goes elsewhere, and the owner neither orders there nor reads its state. Requests wait for a short hold, and are refused at once when all targets with the model want nothing for longer than their callers wait, with the time until the first one takes them, or 3 s where placement can load the model elsewhere before. Times of another form are ignored and logged once a minute.

--- a/src/contracts/events/forwarding-events.ts
+++ b/src/contracts/events/forwarding-events.ts
@@ -159,6 +159,27 @@
 		description:
 			'An entry of the list of targets is older than one that this host has seen before (fields writes and knownWrites), as in a store that was restored from a copy. It is ignored until the target writes its entry again.',
 	},
+	targetHeldBack: {
+		number: 7027,
+		name: 'target-held-back',
+		level: 'info',
+		description:
+			'A target turned this host away and named the time for which it wants nothing (field milliseconds). Requests go to other targets until then, wait or are refused.',
+	},
+	targetUsedAgain: {
+		number: 7028,
+		name: 'target-used-again',
+		level: 'info',
+		description:
+			'The time for which a target wanted nothing from this host is over.',
+	},
+	targetHeaderInvalid: {
+		number: 7029,
+		name: 'target-header-invalid',
+		level: 'warn',
+		description:
+			'A target turned this host away with a time that cannot be read (field value). The header is ignored. Logged once a minute for each target.',
+	},
 	ownershipGained: {
 		number: 7030,
 		name: 'ownership-gained',
--- a/src/contracts/request-codec.ts
+++ b/src/contracts/request-codec.ts
@@ -55,6 +55,11 @@
 	readonly slowdown: number;
 };
 
+/** The time that a target named when it turned this host away, or a value that names none. */
+export type HoldBackRequest =
+	| {readonly kind: 'time'; readonly milliseconds: number}
+	| {readonly kind: 'invalid'; readonly value: string};
+
 /** What the status and headers of a target's response declare. */
 export type ResponseMetadata = {
 	readonly status: number;
@@ -71,6 +76,8 @@
 	readonly respondingTarget: TargetId | undefined;
 	/** True when the target says that it leaves. */
 	readonly isLeaving?: boolean;
+	/** Time for which the target wants nothing from this host, which it has turned away. */
+	readonly holdBack?: HoldBackRequest | undefined;
 	/** Type of the body, undefined if the response names none. */
 	readonly contentType?: string | undefined;
 	readonly load: ReportedLoad | undefined;
--- a/src/contracts/target-orders.ts
+++ b/src/contracts/target-orders.ts
@@ -6,6 +6,7 @@
 	type ModelId,
 } from './ids.js';
 import {type ListedTarget, type TargetResidency} from './listed-target.js';
+import {type ResponseMetadata} from './request-codec.js';
 
 /** An order to a target to load or unload a model, or an adapter of a resident model. */
 export type TargetOrder = {
@@ -50,9 +51,8 @@
 }
 
 /** What the head of any answer of a target to an order or a read of its state says. */
-export type OrderAnswer = {
+export type OrderAnswer = Pick<ResponseMetadata, 'isLeaving' | 'holdBack'> & {
 	readonly target: ListedTarget;
-	readonly isLeaving: boolean;
 };
 
 /** Sends orders to targets and reads their state. */
--- a/src/platform/order-port.ts
+++ b/src/platform/order-port.ts
@@ -11,7 +11,7 @@
 	type TargetOrder,
 	type TargetOrderState,
 } from '../contracts/target-orders.js';
-import {isLeavingHeader} from './request-codec.js';
+import {decodeAvailability} from './request-codec.js';
 import {
 	residentModelsSchema,
 	toIncarnation,
@@ -127,9 +127,7 @@
 			});
 			this.onAnswer({
 				target,
-				isLeaving: isLeavingHeader(
-					response.headers[headerNames.leaving.toLowerCase()],
-				),
+				...decodeAvailability(response.statusCode, response.headers),
 			});
 			return {
 				status: response.statusCode,
--- a/src/platform/request-codec.ts
+++ b/src/platform/request-codec.ts
@@ -9,6 +9,7 @@
 import {
 	RequestCodec,
 	RequestFormatError,
+	type HoldBackRequest,
 	type ResponseMetadata,
 	type AttemptMetadata,
 	type RequestMetadata,
@@ -61,6 +62,8 @@
 
 /** Requests with a longer id are refused, because it would not fit the type that ids are decoded to. */
 const maximumIdLength = 256;
+/** Characters of a malformed header in the log. */
+const maximumLoggedValue = 64;
 /** Largest priority that the header can express. Higher values are sent as this one. */
 const maximumPriority = 9;
 
@@ -70,6 +73,7 @@
 		rawHeaders: readonly string[],
 	): Result<RequestMetadata, RequestFormatError> {
 		const values = new Map<string, string>();
+		const repeatedNames = new Set<string>();
 		const forwardedHeaders: string[] = [];
 		const connectionNames = connectionHeaderNames(rawHeaders);
 		for (let index = 0; index + 1 < rawHeaders.length; index += 2) {
@@ -80,6 +84,10 @@
 				return err(new RequestFormatError('the request has more than one id'));
 			}
 
+			if (values.has(key)) {
+				repeatedNames.add(key);
+			}
+
 			values.set(key, value);
 			if (
 				!hopByHopNames.has(key) &&
@@ -114,7 +122,9 @@
 			promptParts,
 			remainingMilliseconds: parseCount(valueOf(headerNames.deadline)),
 			lastEventId: parseCount(valueOf(headerNames.lastEventId)),
-			resumedRequest: parseId(valuesOf(rawHeaders, headerNames.resumes)),
+			resumedRequest: repeatedNames.has(headerNames.resumes.toLowerCase())
+				? undefined
+				: parseId(valueOf(headerNames.resumes)),
 			forwardedHeaders,
 		});
 	}
@@ -154,7 +164,7 @@
 				valueOf('Content-Length') !== undefined ||
 				valueOf('Transfer-Encoding') !== undefined,
 			isMisdirected,
-			isLeaving: isLeavingHeader(headers[headerNames.leaving.toLowerCase()]),
+			...decodeAvailability(status, headers),
 			contentType: valueOf('Content-Type'),
 			respondingTarget: valueOf(headerNames.instance) as TargetId | undefined,
 			load: parseLoad(valueOf(headerNames.load)),
@@ -198,20 +208,11 @@
 	return names;
 }
 
-function valuesOf(rawHeaders: readonly string[], name: string): string[] {
-	const key = name.toLowerCase();
-	return rawHeaders.filter(
-		(_, index) =>
-			index % 2 === 1 && rawHeaders[index - 1]!.toLowerCase() === key,
-	);
-}
-
-/** Returns the id that a header names. Several values, or one that is too long, name none. */
-function parseId(values: readonly string[]): RequestId | undefined {
-	const [value] = values;
-	return values.length === 1 && value !== '' && value!.length <= maximumIdLength
-		? (value as RequestId)
-		: undefined;
+/** Returns the id that a header names, unless it is too long. */
+function parseId(value: string | undefined): RequestId | undefined {
+	return value === '' || (value?.length ?? 0) > maximumIdLength
+		? undefined
+		: (value as RequestId | undefined);
 }
 
 /** Parses a non-negative integer of at most 15 digits, which a number represents exactly. */
@@ -264,20 +265,50 @@
 	return {running, queued, slots, slowdown: (slowdownPercent ?? 100) / 100};
 }
 
-/** Parses a decimal number. Of several values the lowest counts; a value of another form is ignored. */
+/** Parses a decimal number. Of several values the lowest counts. */
 function parseRate(value: string | string[] | undefined): number | undefined {
-	const rates = [value ?? []]
+	const rates = parseDecimals(value);
+	return rates.length === 0 ? undefined : Math.min(...rates);
+}
+
+/** Parses the decimal numbers of a header. Values of another form are ignored. */
+function parseDecimals(value: string | string[] | undefined): number[] {
+	return [value ?? []]
 		.flat()
 		.flatMap((text) => text.split(','))
 		.map((text) => text.trim())
 		.filter((text) => /^\d{1,9}(?:\.\d{1,9})?$/.test(text))
 		.map(Number);
-	return rates.length === 0 ? undefined : Math.min(...rates);
 }
 
-/** True for the value by which a worker says that it leaves. */
-export function isLeavingHeader(value: string | string[] | undefined): boolean {
-	return [value ?? []].flat().some((each) => each.trim() === '1');
+/** Decodes what the head of any answer of a worker says of its availability. */
+export function decodeAvailability(
+	status: number,
+	headers: Readonly<Record<string, string | string[] | undefined>>,
+): Pick<ResponseMetadata, 'isLeaving' | 'holdBack'> {
+	const leaving = headers[headerNames.leaving.toLowerCase()];
+	return {
+		isLeaving: [leaving ?? []].flat().some((value) => value.trim() === '1'),
+		holdBack: parseHoldBack(
+			status,
+			headers[headerNames.retryAfter.toLowerCase()],
+		),
+	};
+}
+
+/** Parses the seconds that a worker names when it turns a request away. Of several values the longest counts. */
+export function parseHoldBack(
+	status: number,
+	value: string | string[] | undefined,
+): HoldBackRequest | undefined {
+	if (status !== 503 || value === undefined) {
+		return undefined;
+	}
+
+	const seconds = parseDecimals(value);
+	return seconds.length === 0
+		? {kind: 'invalid', value: String(value).slice(0, maximumLoggedValue)}
+		: {kind: 'time', milliseconds: Math.max(...seconds) * 1000};
 }
 
 /** Returns the headers that are forwarded to the caller, as alternating names and values. */
--- a/src/program/forwarding-root.ts
+++ b/src/program/forwarding-root.ts
@@ -173,7 +173,11 @@
 				port: new ChargedOrderPort(
 					new PlatformOrderPort(
 						({id}) => registry.getConnections(id)?.dispatcher,
-						({target: {id, residency}, isLeaving}) => {
+						({target: {id, residency}, isLeaving, holdBack}) => {
+							if (holdBack) {
+								registry.recordHoldBack(id, holdBack);
+							}
+
 							if (isLeaving) {
 								registry.recordLeaving({
 									target: id,
@@ -486,7 +490,11 @@
 		registry.changed.subscribe(() => {
 			service.notifyCandidatesChanged();
 		});
+		registry.heldBack.subscribe(() => {
+			this.metrics.count('daisylever_held_back_total');
+		});
 		registry.leavingObserved.subscribe(() => {
+			this.metrics.count('daisylever_leaving_answers_total');
 			this.reportClient.scheduleReport();
 		});
 		owner.contentChanged.subscribe((content) => {
--- a/src/services/forwarding/forward-attempt.ts
+++ b/src/services/forwarding/forward-attempt.ts
@@ -16,7 +16,7 @@
 			/** True when nothing listens at the address of the target, which means that its process has ended. */
 			readonly isConnectionRefused: boolean;
 	  }
-	/** The request was not sent, because its response would have come too late. */
+	/** The request was not sent, because its response would have come too late or its target wants nothing from this host. */
 	| {readonly kind: 'expired'; readonly reason: string}
 	/** The target stated that it did not execute the request. */
 	| {readonly kind: 'refused'; readonly response: ResponseMetadata}
@@ -56,7 +56,7 @@
 	readonly inactivityTimeoutMilliseconds?: number;
 	/** Called with the metadata of each response head, which may contain the load of the target. */
 	readonly onResponseMetadata: (response: ResponseMetadata) => void;
-	/** False once the response would come too late for its caller. */
+	/** False once the response would come too late for its caller, or while the target wants nothing from this host. */
 	readonly isNeeded: () => boolean;
 	/** Limit for the body of a response that is not a stream. */
 	readonly maximumBodyBytes: number;
@@ -116,10 +116,11 @@
 		// A timer that is due may not have run yet, if the event loop was blocked or the connection opened late.
 		if (!this.options.isNeeded()) {
 			this.finish();
-			controller.abort(new Error('the deadline has passed'));
+			controller.abort(new Error('the request is not sent any more'));
 			this.options.listener.onFailure({
 				kind: 'expired',
-				reason: 'the deadline passed before the request was sent',
+				reason:
+					'the deadline passed, or the target turned this host away, before the request was sent',
 			});
 			return;
 		}
--- a/src/services/forwarding/forward-dispatch.ts
+++ b/src/services/forwarding/forward-dispatch.ts
@@ -117,6 +117,8 @@
 const minimumContinuationMilliseconds = 100;
 /** Time within which a target that runs accepts or refuses a connection. */
 const probeTimeoutMilliseconds = 400;
+/** Longest delay until a request whose targets all turned this host away may come back: by then placement has loaded its model elsewhere. */
+const newReplicaMilliseconds = 3000;
 /** Reason of a refusal after which no retry helps. */
 export const missingVersionReason =
 	'no target of the software version of the stream is left';
@@ -175,6 +177,11 @@
 			lostAttemptLatencyMilliseconds,
 		});
 		this.subscriptions = [
+			registry.heldBack.subscribe(({listed}) => {
+				if (listed.pool === options.pool) {
+					this.refuseWaitingForHeldBack();
+				}
+			}),
 			registry.changed.subscribe((target) => {
 				this.handleTargetChange(target);
 			}),
@@ -410,6 +417,7 @@
 			this.recordLostRequest(request, attempt.target);
 		} else if (failure.kind === 'refused') {
 			request.refusedBy.add(attempt.target);
+			this.recordHoldBack(attempt.target, failure.response);
 		}
 
 		if (failure.kind === 'unreached') {
@@ -437,6 +445,36 @@
 		}
 	}
 
+	/** Records at the end of an answer that the target turned this host away, because the time that it names counts from there. */
+	recordHoldBack(target: TargetId, {holdBack}: ResponseMetadata): void {
+		if (holdBack) {
+			this.options.registry.recordHoldBack(target, holdBack);
+		}
+	}
+
+	/** Refuses requests whose targets have all turned this host away for longer than their callers wait. */
+	refuseHeldBack(request: ForwardedRequest): boolean {
+		const {metadata, softwareVersion} = request;
+		const hold = this.options.registry.holdMilliseconds(
+			this.pool,
+			metadata.model,
+			metadata.adapter,
+			softwareVersion,
+		);
+		if (hold === undefined || hold <= request.startTimeoutMilliseconds()) {
+			return false;
+		}
+
+		this.abandon(request);
+		request.refuse(
+			'all targets with the model turned this host away',
+			metadata.model === undefined
+				? Math.ceil(hold)
+				: Math.min(Math.ceil(hold), newReplicaMilliseconds),
+		);
+		return true;
+	}
+
 	/** Records that a target has answered a request completely. */
 	recordAnswer(request: ForwardedRequest): void {
 		this.options.crashes.recordAnswer(request.observed);
@@ -542,6 +580,7 @@
 		binding: Binding,
 		connections: TargetConnections,
 	): ForwardAttempt {
+		const {registry} = this.options;
 		return new ForwardAttempt({
 			request: request.metadata.id,
 			target: binding.target,
@@ -567,9 +606,15 @@
 				if (response.isLeaving) {
 					this.recordLeaving(binding.target);
 				}
+
+				if (response.holdBack) {
+					registry.recordHoldBack(binding.target, response.holdBack);
+				}
 			},
 			isNeeded: () =>
-				!request.isFinished && request.remainingMilliseconds() > 0,
+				!request.isFinished &&
+				request.remainingMilliseconds() > 0 &&
+				!registry.isHeldBack(binding.target),
 			maximumBodyBytes: this.options.maximumBodyBytes,
 			isStream: request.route.kind === 'stream',
 			connections,
@@ -678,6 +723,14 @@
 		}
 	}
 
+	private refuseWaitingForHeldBack(): void {
+		for (const request of this.requests.values()) {
+			if (this.isWaiting(request)) {
+				this.refuseHeldBack(request);
+			}
+		}
+	}
+
 	/** Ends the streams that wait for a target of a software version of which none is left. */
 	private endStreamsWithoutTargets(): void {
 		for (const request of this.requests.values()) {
@@ -808,6 +861,7 @@
 			return;
 		}
 
+		this.poolDispatch.recordHoldBack(this.attempt.target, response);
 		const isFailure = response.status >= 500;
 		if (isFailure) {
 			this.request.recordFailureResponse(response, body);
--- a/src/services/forwarding/forwarding-service.ts
+++ b/src/services/forwarding/forwarding-service.ts
@@ -528,6 +528,10 @@
 			return;
 		}
 
+		if (dispatch.refuseHeldBack(request)) {
+			return;
+		}
+
 		dispatch.submit(request);
 		if (
 			metadata.adapter !== undefined &&
--- a/src/services/forwarding/placement-owner.ts
+++ b/src/services/forwarding/placement-owner.ts
@@ -218,6 +218,7 @@
 							? relayedRetirementMilliseconds
 							: directRetirementMilliseconds,
 					requestsPerSecond: () => this.options.limits.get(target.listed.id),
+					isHeldBack: () => registry.isHeldBack(target.listed.id),
 					onOrderSent: () => {
 						this.lastOrderAt = this.options.clock.monotonic();
 					},
--- a/src/services/forwarding/target-order-task.ts
+++ b/src/services/forwarding/target-order-task.ts
@@ -41,6 +41,8 @@
 	readonly retirementMilliseconds: () => number;
 	/** Rate of requests that the target takes, undefined without a limit. Reads of its state count among them. */
 	readonly requestsPerSecond: () => number | undefined;
+	/** True while the target wants nothing from this host, not even orders. */
+	readonly isHeldBack: () => boolean;
 	/** Called before an order is sent. */
 	readonly onOrderSent: () => void;
 };
@@ -84,7 +86,12 @@
 
 	/** True when an order can be sent now. */
 	get canSendOrder(): boolean {
-		return !this.hasOpenCall && this.hasCurrentState && this.ledger.isReady;
+		return (
+			!this.hasOpenCall &&
+			this.hasCurrentState &&
+			this.ledger.isReady &&
+			!this.options.isHeldBack()
+		);
 	}
 
 	/** Time for which a model has been resident, 0 when it is not. */
@@ -105,6 +112,7 @@
 		if (
 			(this.ledger.needsStateRead || !this.hasCurrentState) &&
 			!this.hasOpenCall &&
+			!this.options.isHeldBack() &&
 			now - this.stateReadAt >= this.stateReadInterval()
 		) {
 			void this.readState();
--- a/src/services/forwarding/target-registry.ts
+++ b/src/services/forwarding/target-registry.ts
@@ -17,7 +17,9 @@
 	type ListedTarget,
 	type TargetListChange,
 } from '../../contracts/listed-target.js';
+import {type HoldBackRequest} from '../../contracts/request-codec.js';
 import {EntryRevisions} from '../../core/entry-revisions.js';
+import {HoldBacks} from '../../core/hold-backs.js';
 import {
 	LeavingTargets,
 	type LeavingTarget,
@@ -74,6 +76,9 @@
 /** Time for which the refusal of an adapter takes precedence. The owner can load the adapter again within milliseconds. */
 const missingAdapterMilliseconds = 100;
 
+/** Interval between two log events about invalid headers of a target. */
+const invalidLogIntervalMilliseconds = 60_000;
+
 /** Registry of all listed targets with their connections and tracked state. */
 export class TargetRegistry extends Disposable {
 	/** A target was listed or its entry or content has changed, so the candidates for queued requests may differ. */
@@ -82,11 +87,17 @@
 	readonly removed = new TypedEvent<RegisteredTarget>();
 	/** A target was listed with another incarnation. Published before the new entry is applied. */
 	readonly restarted = new TypedEvent<RegisteredTarget>();
+	/** A target turned this host away for some time. */
+	readonly heldBack = new TypedEvent<RegisteredTarget>();
 	/** A target said in an answer that it leaves, which other hosts should know. */
 	readonly leavingObserved = new TypedEvent<LeavingTarget>();
 	private readonly targets = new Map<TargetId, RegisteredTarget>();
 	private readonly revisions: EntryRevisions;
 	private readonly leaving: LeavingTargets;
+	private readonly holdBacks: HoldBacks;
+	private readonly holdTimers = new Map<TargetId, NodeJS.Timeout>();
+	/** Monotonic time at which an invalid header of a target was last logged. */
+	private readonly invalidLoggedAt = new Map<TargetId, number>();
 	private maximumConnections = new Map<PoolName, number>();
 	private hostCount = 8;
 	private lastNewTargetAt = Number.NEGATIVE_INFINITY;
@@ -96,6 +107,7 @@
 		super();
 		this.revisions = new EntryRevisions(options.clock);
 		this.leaving = new LeavingTargets(options.clock);
+		this.holdBacks = new HoldBacks(options.clock);
 	}
 
 	/** Applies the connection limits of a document. */
@@ -232,28 +244,66 @@
 		adapter: AdapterId | undefined,
 		version?: SoftwareVersion,
 	): TargetId[] {
-		const now = this.options.clock.monotonic();
-		const found: TargetId[] = [];
-		for (const target of this.targets.values()) {
-			const {listed, content, unreachableUntil} = target;
-			if (
-				listed.pool !== pool ||
-				listed.isLeaving ||
-				(version !== undefined && versionOf(listed) !== version) ||
-				now < unreachableUntil ||
-				(model !== undefined && !content.has(model)) ||
-				(model !== undefined &&
-					adapter !== undefined &&
-					!content.get(model)!.has(adapter)) ||
-				isMissing(target, {model, adapter}, now)
-			) {
-				continue;
-			}
+		return this.suitableTargets(pool, model, adapter, version).filter(
+			(target) => !this.holdBacks.isHeld(target),
+		);
+	}
 
-			found.push(listed.id);
+	/** Time until the first of the targets that turned this host away may get a request for the model and adapter. Undefined if another target may get it now, or if there is none at all. */
+	holdMilliseconds(
+		pool: PoolName,
+		model: ModelId | undefined,
+		adapter: AdapterId | undefined,
+		version?: SoftwareVersion,
+	): number | undefined {
+		const remaining = this.suitableTargets(pool, model, adapter, version).map(
+			(target) => this.holdBacks.remainingMilliseconds(target),
+		);
+		const shortest = Math.min(...remaining);
+		return remaining.length > 0 && shortest > 0 ? shortest : undefined;
+	}
+
+	/** True while a target that turned this host away wants nothing from it. */
+	isHeldBack(target: TargetId): boolean {
+		return this.holdBacks.isHeld(target);
+	}
+
+	/** Records that a target turned this host away. Called at the head and at the end of its answer, from which the time counts. */
+	recordHoldBack(target: TargetId, request: HoldBackRequest): void {
+		const registered = this.targets.get(target);
+		if (!registered) {
+			return;
 		}
 
-		return found;
+		if (request.kind === 'invalid') {
+			this.logInvalidHeader(target, request.value);
+			return;
+		}
+
+		const {events} = this.options;
+		const isNew = this.holdBacks.hold(target, request.milliseconds);
+		const remaining = this.holdBacks.remainingMilliseconds(target);
+		if (isNew) {
+			events.record(forwardingEvents.targetHeldBack, {
+				target,
+				milliseconds: Math.round(remaining),
+			});
+		}
+
+		if (remaining === 0) {
+			return;
+		}
+
+		clearTimeout(this.holdTimers.get(target));
+		this.holdTimers.set(
+			target,
+			setTimeout(() => {
+				this.endHold(target);
+			}, Math.ceil(remaining)),
+		);
+		if (isNew) {
+			this.heldBack.publish(registered);
+		}
 	}
 
 	/** Records that a target could not be reached. If its process has ended, it holds no models after its restart. */
@@ -332,6 +382,10 @@
 	}
 
 	async dispose(): Promise<void> {
+		for (const timer of this.holdTimers.values()) {
+			clearTimeout(timer);
+		}
+
 		await Promise.all(
 			[...this.targets.values()].map(async ({connections}) =>
 				connections?.dispose(),
@@ -340,6 +394,36 @@
 		this.targets.clear();
 	}
 
+	private suitableTargets(
+		pool: PoolName,
+		model: ModelId | undefined,
+		adapter: AdapterId | undefined,
+		version: SoftwareVersion | undefined,
+	): TargetId[] {
+		const now = this.options.clock.monotonic();
+		const found: TargetId[] = [];
+		for (const target of this.targets.values()) {
+			const {listed, content, unreachableUntil} = target;
+			if (
+				listed.pool !== pool ||
+				listed.isLeaving ||
+				(version !== undefined && versionOf(listed) !== version) ||
+				now < unreachableUntil ||
+				(model !== undefined && !content.has(model)) ||
+				(model !== undefined &&
+					adapter !== undefined &&
+					!content.get(model)!.has(adapter)) ||
+				isMissing(target, {model, adapter}, now)
+			) {
+				continue;
+			}
+
+			found.push(listed.id);
+		}
+
+		return found;
+	}
+
 	private list(entry: ListedTarget): void {
 		const listed =
 			!entry.isLeaving &&
@@ -370,6 +454,7 @@
 		const isRestarted =
 			before.residency.incarnation !== listed.residency.incarnation;
 		if (isRestarted) {
+			this.forgetHold(listed.id);
 			registered.missingUntil.clear();
 			registered.emptyUntil = 0;
 			this.restarted.publish(registered);
@@ -413,6 +498,7 @@
 		}
 
 		this.targets.delete(target);
+		this.forgetHold(target);
 		this.options.events.record(forwardingEvents.targetUnlisted, {target});
 		this.removed.publish(registered);
 		this.disconnect(registered);
@@ -436,6 +522,36 @@
 		});
 	}
 
+	private endHold(target: TargetId): void {
+		this.holdTimers.delete(target);
+		const registered = this.targets.get(target);
+		if (registered) {
+			this.options.events.record(forwardingEvents.targetUsedAgain, {target});
+			this.changed.publish(registered);
+		}
+	}
+
+	private forgetHold(target: TargetId): void {
+		this.holdBacks.forget(target);
+		clearTimeout(this.holdTimers.get(target));
+		this.holdTimers.delete(target);
+	}
+
+	private logInvalidHeader(target: TargetId, value: string): void {
+		const now = this.options.clock.monotonic();
+		const loggedAt = this.invalidLoggedAt.get(target);
+		if (
+			loggedAt === undefined ||
+			now - loggedAt >= invalidLogIntervalMilliseconds
+		) {
+			this.invalidLoggedAt.set(target, now);
+			this.options.events.record(forwardingEvents.targetHeaderInvalid, {
+				target,
+				value,
+			});
+		}
+	}
+
 	private logOutdated(
 		target: TargetId,
 		revision: EntryRevision | undefined,
--- a/test/forwarding/state-read-rate.test.ts
+++ b/test/forwarding/state-read-rate.test.ts
@@ -53,6 +53,7 @@
 		onChanged: () => undefined,
 		retirementMilliseconds: () => 100,
 		requestsPerSecond: () => requestsPerSecond,
+		isHeldBack: () => false,
 		onOrderSent: () => undefined,
 	});
 	for (let elapsed = 0; elapsed < milliseconds; elapsed += 20) {
