Treat a log that was restored while a host used it as unavailable

It would wait at an offset past the end, miss the records before it, and grant a key again whose claim is lost, so that a call could run twice.

The log service now names its generation in a header of our own protocol, and the stand-in can be restored. The test fails without the change: reads go on at old offsets and the append succeeds.

--- a/src/adapters/node/http-log-service.ts
+++ b/src/adapters/node/http-log-service.ts
@@ -1,4 +1,4 @@
-import {err, ok, type ResultAsync} from 'neverthrow';
+import {err, errAsync, ok, type Result, type ResultAsync} from 'neverthrow';
 import {z} from 'zod';
 import {
 	logOffsetSchema,
@@ -7,6 +7,7 @@
 } from '../../contracts/ids.js';
 import {
 	LogProtocolError,
+	LogRestoredError,
 	LogService,
 	LogTruncatedError,
 	LogUnavailableError,
@@ -41,6 +42,9 @@
 });
 const truncatedResponseSchema = z.object({earliest: logOffsetSchema});
 
+/** Header of all responses of the log service. Its value changes each time the service is restored from a copy. */
+const generationHeader = 'log-generation';
+
 /** Options of the log adapter. */
 export type HttpLogServiceOptions = HttpTransportOptions & {
 	/** Longest wait for a response, in addition to the wait that a read requests. The default is 2000 ms. */
@@ -51,6 +55,9 @@
 export class HttpLogService extends LogService {
 	private readonly transport: HttpTransport;
 	private readonly responseTimeoutMilliseconds: number;
+	/** Generation of the log in the first response that named one. */
+	private generation: string | undefined;
+	private isRestored = false;
 
 	constructor(options: HttpLogServiceOptions) {
 		super();
@@ -121,6 +128,10 @@
 			readonly signal?: AbortSignal;
 		} = {},
 	): ResultAsync<T, LogError> {
+		if (this.isRestored) {
+			return errAsync(restoredError());
+		}
+
 		return this.transport
 			.exchange(request, {
 				timeoutMilliseconds:
@@ -131,6 +142,9 @@
 				(cause): LogError =>
 					new LogUnavailableError('the log service did not respond', {cause}),
 			)
+			.andThen((response) =>
+				this.observeGeneration(response).map(() => response),
+			)
 			.andThen((response) =>
 				response.status === 200
 					? parseJson(response.body, schema).mapErr(
@@ -145,6 +159,26 @@
 					: err(toLogError(response)),
 			);
 	}
+
+	/** Fails when a response names another generation of the log than earlier ones. */
+	private observeGeneration({
+		headers,
+	}: TransportResponse): Result<void, LogError> {
+		const generation = headers[generationHeader];
+		if (typeof generation !== 'string') {
+			return ok(undefined);
+		}
+
+		this.generation ??= generation;
+		this.isRestored ||= generation !== this.generation;
+		return this.isRestored ? err(restoredError()) : ok(undefined);
+	}
+}
+
+function restoredError(): LogRestoredError {
+	return new LogRestoredError(
+		'the log service was restored from a copy; restart this host to use the restored log',
+	);
 }
 
 function toLogError(response: TransportResponse): LogError {
--- a/src/contracts/log-service.ts
+++ b/src/contracts/log-service.ts
@@ -35,6 +35,15 @@
 	override readonly name = 'LogUnavailableError';
 }
 
+/**
+ * The log service was restored from a copy while this process used it, so records that it had confirmed may be lost and
+ * their offsets are given out again. Nothing that this process knows of the log holds any more. It treats the log as
+ * unavailable until it ends.
+ */
+export class LogRestoredError extends LogError {
+	override readonly name = 'LogRestoredError';
+}
+
 /** The requested offset is no longer retained. */
 export class LogTruncatedError extends LogError {
 	override readonly name = 'LogTruncatedError';
--- a/src/stand-ins/log-server.ts
+++ b/src/stand-ins/log-server.ts
@@ -24,6 +24,7 @@
 	appends = 0;
 	/** Number of completed reads, including long polls. */
 	reads = 0;
+	private generation = 1;
 	private windowStart = 0;
 	private windowAppends = 0;
 
@@ -33,6 +34,12 @@
 		this.addRoutes();
 	}
 
+	/** Removes the records after the given number of each stream, as a service does that is restored from a copy. */
+	restore(lengths: Readonly<Record<string, number>>): void {
+		this.store.truncateTo(lengths);
+		this.generation++;
+	}
+
 	protected override statistics(): Readonly<Record<string, unknown>> {
 		return {
 			appends: this.appends,
@@ -42,6 +49,10 @@
 	}
 
 	private addRoutes(): void {
+		this.app.use('/streams/*', async (context, next) => {
+			await next();
+			context.header('Log-Generation', String(this.generation));
+		});
 		this.app.post('/streams/:name/records', async (context) => {
 			const body = appendSchema.safeParse(await context.req.json());
 			if (!body.success) {
--- a/src/stand-ins/log-store.ts
+++ b/src/stand-ins/log-store.ts
@@ -74,6 +74,16 @@
 		this.stream(name).records.splice(0, Math.max(0, offset - earliest));
 	}
 
+	/** Removes the records from an offset on, which is then given out again. Streams without an offset lose all records. */
+	truncateTo(lengths: Readonly<Record<string, number>>): void {
+		for (const [name, stream] of this.streams) {
+			const {earliest} = this.bounds(name);
+			const next = Math.max(earliest, lengths[name] ?? 0);
+			stream.records.splice(next - earliest);
+			stream.next = next;
+		}
+	}
+
 	/** Returns the number of stored records with an id, which exceeds one after repeated appends. */
 	occurrences(name: string, id: RecordId): number {
 		return this.stream(name).records.filter((record) => record.id === id)
--- a/test/targets/http-platform.test.ts
+++ b/test/targets/http-platform.test.ts
@@ -136,6 +136,39 @@
 	}, server);
 });
 
+// Guards against a host that goes on at offsets of the lost log, and against a claim that is granted anew because its
+// record is lost: to a process that knows the log of before, the restored one is unavailable.
+test('log adapter: a process does not use a log that was restored from a copy while it ran', async (t) => {
+	const server = new LogServer();
+	const {address} = await server.start();
+	const [log, later] = [
+		new HttpLogService({address}),
+		new HttpLogService({address}),
+	];
+	t.after(async () => {
+		await log.dispose();
+		await later.dispose();
+		await server.dispose();
+	});
+	await log.append('claims', ['a', 'b', 'c'].map(record));
+	server.restore({claims: 1});
+	for (const result of [
+		await log.read('claims', at(3), range),
+		await log.read('claims', at(0), range),
+		await log.readBounds('claims'),
+		await log.append('claims', [record('d')]),
+	]) {
+		assert.equal(result._unsafeUnwrapErr().name, 'LogRestoredError');
+	}
+
+	assert.equal(server.store.occurrences('claims', 'd' as RecordId), 0);
+	const {records} = (await later.read('claims', at(0), range))._unsafeUnwrap();
+	assert.deepEqual(
+		records.map(({id}) => id),
+		['a'],
+	);
+});
+
 // A failed read must not look like an empty list.
 test('host list adapter: the list follows changes after its lag, and an outage is an error', async (t) => {
 	const server = new HostListServer({
