Log why the rest of an interrupted stream is not requested

One text stood for six reasons, so that the log of a cut stream could not tell a spent number of executions from a suspect prompt part or a near deadline. No change of behaviour. The budget of retries and refusals of targets have lines of their own already.

--- a/src/services/forwarding/forward-dispatch.ts
+++ b/src/services/forwarding/forward-dispatch.ts
@@ -508,20 +508,13 @@
 		// The dispatcher drops the request and receives the rest of the stream as new work.
 		this.attempts.get(attempt.request)?.delete(attempt.attempt);
 		this.dispatcher.post({kind: 'abandoned', request: request.key});
-		if (
-			request.isFinished ||
-			!request.isRepeatable ||
-			request.executions >= request.route.maximumExecutions ||
-			!this.mayRepeat(request) ||
-			this.isQuarantined(request) ||
-			request.remainingMilliseconds() < minimumContinuationMilliseconds
-		) {
-			request.fail('the stream was interrupted');
+		if (request.isFinished) {
 			return;
 		}
 
-		if (!this.hasTargetOfVersion(request)) {
-			request.fail(missingVersionReason);
+		const obstacle = this.findContinuationObstacle(request);
+		if (obstacle !== undefined) {
+			request.fail(obstacle);
 			return;
 		}
 
@@ -541,6 +534,29 @@
 		);
 	}
 
+	/** Returns why the rest of an interrupted stream cannot be requested from another target, undefined when it can. */
+	private findContinuationObstacle(
+		request: ForwardedRequest,
+	): string | undefined {
+		if (!request.isRepeatable) {
+			return 'the stream was interrupted and may not be resumed';
+		}
+
+		if (request.executions >= request.route.maximumExecutions) {
+			return 'the stream was interrupted and its executions are used up';
+		}
+
+		if (!this.mayRepeat(request) || this.isQuarantined(request)) {
+			return 'the stream was interrupted and a part of its prompt is suspected to crash targets';
+		}
+
+		if (request.remainingMilliseconds() < minimumContinuationMilliseconds) {
+			return 'the stream was interrupted shortly before its deadline';
+		}
+
+		return this.hasTargetOfVersion(request) ? undefined : missingVersionReason;
+	}
+
 	private versionOf(target: TargetId): SoftwareVersion | undefined {
 		const registered = this.options.registry.get(target);
 		return registered && versionOf(registered.listed);
