Keep a silent attempt open until another target has begun

Callers saw streams cut in the middle (LOST), and 502s for calls, although their target was sound and only silent for a second or so.

Cause: after 1.3 s without progress the host closed the connection to the target, and only then looked for another one. When the retry budget was spent, the executions were used up or the other targets refused, nothing was left.

Change: an attempt without progress counts as stalled and stays open. The dispatcher sends the request to a target that has not had it (budget, executions, capacity as before) and tries again while it is stalled; whichever attempt brings the first event goes on, and the other is cancelled in the same turn. An attempt whose answer has not begun is given up 0.6 s later, so that its caller can repeat it; one whose answer has begun only at the deadline or when the caller leaves. Each attempt splits its own events. The property of the dispatcher plays stalls too.

--- a/src/contracts/events/forwarding-events.ts
+++ b/src/contracts/events/forwarding-events.ts
@@ -274,6 +274,13 @@
 		description:
 			'A request was refused because of a quarantined fingerprint: its own or that of a part of its prompt. Look for the fingerprint in the events 7016.',
 	},
+	attemptStalled: {
+		number: 7055,
+		name: 'attempt-stalled',
+		level: 'info',
+		description:
+			'An attempt makes no progress. It stays open while another target is sought, and is cancelled when that one responds first.',
+	},
 	eventLoopStalled: {
 		number: 7061,
 		name: 'event-loop-stalled',
--- a/src/services/dispatch/dispatcher.ts
+++ b/src/services/dispatch/dispatcher.ts
@@ -103,8 +103,9 @@
 /** An assignment of work to a target. */
 export type Binding = Attempt & {
 	readonly item: WorkItem;
-	readonly kind: 'first' | 'retry' | 'hedge';
-	/** Time in the queue since the work was last enqueued. Zero for a hedge. */
+	/** A replacement is sent while an attempt that makes no progress is still open. */
+	readonly kind: 'first' | 'retry' | 'hedge' | 'replacement';
+	/** Time in the queue since the work was last enqueued. Zero for a hedge or replacement. */
 	readonly waitedMilliseconds: number;
 	/** True if the work is expected or known to be long. */
 	readonly isLong: boolean;
@@ -151,6 +152,8 @@
 	| {readonly kind: 'abandoned'; readonly request: RequestId}
 	| ({readonly kind: 'progressed'; readonly tokens: number} & Attempt)
 	| ({readonly kind: 'completed'; readonly tokens: number} & Attempt)
+	/** The attempt makes no progress, but is still open. */
+	| ({readonly kind: 'stalled'} & Attempt)
 	/** The target refused the request without executing it. */
 	| ({readonly kind: 'refused'; readonly reason: RefusalReason} & Attempt)
 	/** The attempt ended without a complete response. */
@@ -206,6 +209,7 @@
 			| 'abandoned'
 			| 'progressed'
 			| 'completed'
+			| 'stalled'
 			| 'refused'
 			| 'lost'
 			| 'unreached'
@@ -263,6 +267,9 @@
 	firstTokenAt: number | undefined;
 	lastTokenAt: number;
 	tokens: number;
+	/** True while the attempt makes no progress. */
+	isStalled: boolean;
+	readonly isReplacement: boolean;
 };
 
 type TrackedRequest = {
@@ -326,6 +333,8 @@
 	private readonly trackedRequests = new Map<RequestId, TrackedRequest>();
 	/** Requests that wait for their first token, in the order of their last attempt. */
 	private readonly awaitingFirstToken = new Map<RequestId, TrackedRequest>();
+	/** Requests with a stalled attempt, for which a replacement is sought. */
+	private readonly stalledRequests = new Map<RequestId, TrackedRequest>();
 	private runningCount = 0;
 	private isDisposed = false;
 	/** Position at which the next search for free capacity starts. */
@@ -377,6 +386,11 @@
 		return this.queue.size;
 	}
 
+	/** True while requests have an attempt that makes no progress. */
+	get hasStalledRequests(): boolean {
+		return this.stalledRequests.size > 0;
+	}
+
 	/** Number of attempts in flight. */
 	get runningAttempts(): number {
 		return this.runningCount;
@@ -456,6 +470,11 @@
 				break;
 			}
 
+			case 'stalled': {
+				this.handleStall(message);
+				break;
+			}
+
 			case 'refused': {
 				this.handleRefusal(message, message.reason);
 				break;
@@ -476,6 +495,7 @@
 				this.refuseInfeasible();
 				this.refuseHopeless();
 				this.hedgeOverdueRequests();
+				this.replaceStalledAttempts();
 				break;
 			}
 		}
@@ -861,8 +881,8 @@
 		target: TargetId,
 		kind: Binding['kind'],
 		waitedMilliseconds: number,
+		item = tracked.work.item,
 	): void {
-		const {item} = tracked.work;
 		const now = this.clock.monotonic();
 		tracked.attemptCount++;
 		const attempt: RunningAttempt = {
@@ -873,6 +893,8 @@
 			firstTokenAt: undefined,
 			lastTokenAt: now,
 			tokens: 0,
+			isStalled: false,
+			isReplacement: kind === 'replacement',
 		};
 		tracked.attempts.set(attempt.attempt, attempt);
 		tracked.triedTargets.add(target);
@@ -1082,6 +1104,7 @@
 			return false;
 		}
 
+		this.recordRecovery(tracked, attempt);
 		const isStart = attempt.firstTokenAt === undefined;
 		const now = this.clock.monotonic();
 		if (attempt.firstTokenAt === undefined) {
@@ -1142,6 +1165,76 @@
 		this.removeRequest(tracked);
 	}
 
+	/** Seeks a replacement for an attempt that makes no progress. The attempt stays open until the replacement has begun. */
+	private handleStall(message: Attempt): void {
+		const tracked = this.trackedRequests.get(message.request);
+		const attempt = tracked?.attempts.get(message.attempt);
+		if (!tracked || !attempt) {
+			return;
+		}
+
+		attempt.isStalled = true;
+		this.observeLostAttempt(attempt.target);
+		this.stalledRequests.set(message.request, tracked);
+		this.replaceStalledAttempt(tracked);
+	}
+
+	/** Records that an attempt makes progress, which makes all others of the request needless. */
+	private recordRecovery(
+		tracked: TrackedRequest,
+		attempt: RunningAttempt,
+	): void {
+		attempt.isStalled = false;
+		this.stalledRequests.delete(tracked.work.request);
+		if (tracked.attempts.size > 1) {
+			this.cancelOtherAttempts(tracked, attempt);
+		}
+	}
+
+	private replaceStalledAttempts(): void {
+		for (const tracked of this.stalledRequests.values()) {
+			this.replaceStalledAttempt(tracked);
+		}
+	}
+
+	/** Sends a request whose attempts have all stalled to a target that it was not sent to before, if it may run once more. */
+	private replaceStalledAttempt(tracked: TrackedRequest): void {
+		const {item} = tracked.work;
+		const attempts = [...tracked.attempts.values()];
+		if (
+			!item.idempotent ||
+			item.suspect ||
+			attempts.some(({isStalled}) => !isStalled) ||
+			tracked.attemptCount >= (this.options.maximumAttempts ?? 3) ||
+			tracked.executionCount + attempts.length >=
+				(item.maximumExecutions ?? Infinity) ||
+			this.retryBudget.available < 1
+		) {
+			return;
+		}
+
+		const hasStarted = attempts.some(
+			({firstTokenAt}) => firstTokenAt !== undefined,
+		);
+		const replacement = {
+			...item,
+			isContinuation: item.isContinuation === true || hasStarted,
+		};
+		const loads = this.loadTracker
+			.loads(
+				this.targetsToCompare(item, this.options.directory.targetsFor(item)),
+			)
+			.filter(({target}) => !tracked.triedTargets.has(target));
+		const target = this.chooseTarget(
+			{...tracked.work, item: replacement},
+			loads,
+			false,
+		);
+		if (target !== undefined && this.retryBudget.tryAcquire()) {
+			this.startAttempt(tracked, target, 'replacement', 0, replacement);
+		}
+	}
+
 	private handleRefusal(message: Attempt, reason: RefusalReason): void {
 		const tracked = this.trackedRequests.get(message.request);
 		const attempt = tracked?.attempts.get(message.attempt);
@@ -1359,13 +1452,18 @@
 				continue;
 			}
 
-			// The cancelled attempt has waited at least this long. Without this observation, the detector would receive no
-			// latency from the slow target.
-			this.observeLatency(
-				attempt.target,
-				'first-token',
-				this.clock.monotonic() - attempt.startedAt,
-			);
+			if (attempt.isStalled || attempt.isReplacement) {
+				tracked.executionCount++;
+			} else {
+				// The cancelled attempt has waited at least this long. Without this observation, the detector would receive no
+				// latency from the slow target.
+				this.observeLatency(
+					attempt.target,
+					'first-token',
+					this.clock.monotonic() - attempt.startedAt,
+				);
+			}
+
 			tracked.mayHaveRun = true;
 			this.endAttempt(tracked, attempt);
 			this.port.cancel(toAttemptIdentity(attempt));
@@ -1435,6 +1533,7 @@
 		this.targetWithCapacity = attempt.target;
 		if (tracked.attempts.size === 0) {
 			this.awaitingFirstToken.delete(attempt.request);
+			this.stalledRequests.delete(attempt.request);
 		}
 	}
 
--- a/src/services/forwarding/forward-attempt.ts
+++ b/src/services/forwarding/forward-attempt.ts
@@ -40,6 +40,12 @@
 	/** A complete response that is not a stream was received. */
 	abstract onResponse(response: ResponseMetadata, body: Buffer): void;
 
+	/**
+	 * The target has made no progress within a timeout. A sound target may fall silent and go on, so the attempt stays
+	 * open. Returns the time after which it counts as lost, or undefined when it is to be kept.
+	 */
+	abstract onStall(reason: string): number | undefined;
+
 	/** The attempt ended without a response to forward. */
 	abstract onFailure(failure: AttemptFailure): void;
 }
@@ -50,9 +56,9 @@
 	readonly target: TargetId;
 	readonly codec: RequestCodec;
 	readonly listener: AttemptListener;
-	/** Time until the first data after which the connection counts as lost. No limit if absent. */
+	/** Time until the first data after which the attempt counts as stalled. No limit if absent. */
 	readonly startTimeoutMilliseconds?: number;
-	/** Inactivity after the first data from which the connection counts as lost. No limit if absent. */
+	/** Inactivity after the first data from which the attempt counts as stalled. No limit if absent. */
 	readonly inactivityTimeoutMilliseconds?: number;
 	/** Called with the metadata of each response head, which may contain the load of the target. */
 	readonly onResponseMetadata: (response: ResponseMetadata) => void;
@@ -72,6 +78,7 @@
 	private wasSent = false;
 	private isDone = false;
 	private isStreaming = false;
+	private isStalled = false;
 	private response: ResponseMetadata | undefined;
 	private readonly chunks: Buffer[] = [];
 	private bodyBytes = 0;
@@ -82,12 +89,7 @@
 			options.inactivityTimeoutMilliseconds === undefined
 				? undefined
 				: new ExpiryTimer(() => {
-						this.fail(
-							this.response
-								? 'the target sent no data within the inactivity timeout'
-								: 'the target did not start to respond within the start timeout',
-							true,
-						);
+						this.handleInactivity();
 					});
 	}
 
@@ -96,6 +98,11 @@
 		return this.wasSent;
 	}
 
+	/** True while the target makes no progress. */
+	get hasStalled(): boolean {
+		return this.isStalled && !this.isDone;
+	}
+
 	/** Cancels the attempt. The connection is closed, which also stops the execution at the target. */
 	cancel(): void {
 		if (this.isDone) {
@@ -268,6 +275,22 @@
 		}
 	}
 
+	private handleInactivity(): void {
+		const reason = this.response
+			? 'the target sent no data within the inactivity timeout'
+			: 'the target did not start to respond within the start timeout';
+		if (this.isStalled) {
+			this.fail(reason, true);
+			return;
+		}
+
+		this.isStalled = true;
+		const milliseconds = this.options.listener.onStall(reason);
+		if (milliseconds !== undefined && !this.isDone) {
+			this.inactivityTimer?.start(milliseconds);
+		}
+	}
+
 	private fail(
 		reason: string,
 		mustAbort: boolean,
@@ -295,6 +318,7 @@
 	}
 
 	private restartInactivityTimer(): void {
+		this.isStalled = false;
 		const {inactivityTimeoutMilliseconds} = this.options;
 		if (inactivityTimeoutMilliseconds !== undefined) {
 			this.inactivityTimer?.start(inactivityTimeoutMilliseconds);
--- a/src/services/forwarding/forward-dispatch.ts
+++ b/src/services/forwarding/forward-dispatch.ts
@@ -102,8 +102,10 @@
 const lostAttemptLatencyMilliseconds = 3000;
 /** Models differ in speed by up to a factor of three, so only a target beyond that is an outlier. */
 const ejectionRatio = 4;
-/** Inactivity of a connection after which a repeatable request is sent to another target. Less than the two seconds after which callers time out. */
+/** Inactivity of a target after which a repeatable request is sent to another one as well. Less than the two seconds after which callers time out. */
 const inactivityTimeoutMilliseconds = 1300;
+/** Further silence after which an attempt whose answer has not begun is given up, if no other target takes the request. Shortly before its caller leaves, who can then repeat it. */
+const silentStartMilliseconds = 600;
 /** Priority of work that has waited for so long that it goes ahead of more urgent work at its target. */
 const highestPriority = 0;
 /** Share of its objective for which work waits behind more urgent work at a target. It is then sent again as aged work. */
@@ -239,6 +241,10 @@
 	/** Removes a request that has its final response. */
 	remove(request: ForwardedRequest): void {
 		this.requests.delete(request.key);
+		for (const attempt of this.attempts.get(request.key)?.values() ?? []) {
+			attempt.cancel();
+		}
+
 		this.attempts.delete(request.key);
 	}
 
@@ -252,7 +258,7 @@
 
 	/** Lets the dispatcher check the deadlines of queued requests. Called periodically. */
 	tick(): void {
-		if (this.hasWaitingRequests) {
+		if (this.hasWaitingRequests || this.dispatcher.hasStalledRequests) {
 			this.dispatcher.post({kind: 'ticked'});
 		}
 	}
@@ -267,7 +273,12 @@
 		}
 
 		if (this.isQuarantined(request)) {
-			this.refuseRequest(request);
+			if (binding.kind === 'replacement') {
+				this.dispatcher.post({kind: 'unreached', ...toAttempt(binding)});
+			} else {
+				this.refuseRequest(request);
+			}
+
 			return;
 		}
 
@@ -334,6 +345,41 @@
 		attempts?.delete(attempt);
 	}
 
+	/** True while other attempts of the request are open. */
+	hasOtherAttempts({request, attempt}: Attempt): boolean {
+		return [...(this.attempts.get(request)?.keys() ?? [])].some(
+			(each) => each !== attempt,
+		);
+	}
+
+	/** Cancels the other attempts of a request, because this one has answered or goes on. */
+	cancelOtherAttempts({request, attempt}: Attempt): void {
+		for (const [number, other] of this.attempts.get(request) ?? []) {
+			if (number !== attempt) {
+				other.cancel();
+				this.attempts.get(request)?.delete(number);
+			}
+		}
+	}
+
+	/** Seeks a target that can replace one that has fallen silent. Returns the time after which the attempt is given up, undefined when its answer has begun. */
+	handleStall(
+		request: ForwardedRequest,
+		attempt: Attempt,
+		reason: string,
+	): number | undefined {
+		this.options.events.record(forwardingEvents.attemptStalled, {
+			request: request.metadata.id,
+			attempt: attempt.attempt,
+			target: attempt.target,
+			reason,
+			events: request.eventCount,
+		});
+		this.recordLostRequest(request, attempt.target);
+		void this.replaceStalled(request, attempt);
+		return request.hasStarted ? undefined : silentStartMilliseconds;
+	}
+
 	/** Handles a refusal by the dispatcher: the request waited too long, or no target accepted it. */
 	handleRefusal({
 		item,
@@ -557,6 +603,20 @@
 		return this.hasTargetOfVersion(request) ? undefined : missingVersionReason;
 	}
 
+	private async replaceStalled(
+		request: ForwardedRequest,
+		attempt: Attempt,
+	): Promise<void> {
+		if (this.mayHaveCrashedTarget(request)) {
+			await this.probe(attempt.target);
+		}
+
+		const open = this.attempts.get(attempt.request)?.get(attempt.attempt);
+		if (open?.hasStalled && this.mayRepeat(request)) {
+			this.dispatcher.post({kind: 'stalled', ...attempt});
+		}
+	}
+
 	private versionOf(target: TargetId): SoftwareVersion | undefined {
 		const registered = this.options.registry.get(target);
 		return registered && versionOf(registered.listed);
--- a/src/services/forwarding/forwarded-request.ts
+++ b/src/services/forwarding/forwarded-request.ts
@@ -15,7 +15,7 @@
 	type RequestMetadata,
 } from '../../contracts/request-codec.js';
 import {type ObservedRequest} from '../../core/crash-correlation.js';
-import {EventStreamSplitter} from '../../core/event-stream-splitter.js';
+import {type StreamEvent} from '../../core/event-stream-splitter.js';
 import {type CallerResponse} from './caller-response.js';
 
 /** Options of a forwarded request. */
@@ -89,7 +89,6 @@
 	waitedMilliseconds: number | undefined;
 	private contentType: string | undefined;
 	private lastChunkAt: number | undefined;
-	private splitter = new EventStreamSplitter();
 	private failureResponse:
 		{metadata: ResponseMetadata; body: Buffer} | undefined;
 
@@ -193,7 +192,6 @@
 
 	/** Forwards the head of the first stream. The head of a continuation is dropped. Returns false when the body is no continuation of the stream. */
 	startStream(response: ResponseMetadata): boolean {
-		this.splitter = new EventStreamSplitter();
 		if (this.options.response.hasStarted) {
 			return response.contentType === this.contentType;
 		}
@@ -207,10 +205,12 @@
 		return true;
 	}
 
-	/** Forwards the events that a chunk completes. Returns whether the stream has made progress, or why it is invalid. */
-	forwardStreamData(chunk: Buffer): Result<boolean, StreamDataError> {
+	/** Forwards events. Returns whether the stream has made progress, or why it is invalid. */
+	forwardEvents(
+		events: readonly StreamEvent[],
+	): Result<boolean, StreamDataError> {
 		let hasProgress = false;
-		for (const event of this.splitter.push(chunk)) {
+		for (const event of events) {
 			if (event.id !== undefined) {
 				if (this.lastEventId !== undefined && event.id <= this.lastEventId) {
 					return err(
@@ -229,10 +229,6 @@
 			this.options.response.write(event.bytes);
 		}
 
-		if (this.splitter.isOversized) {
-			return err(new StreamDataError('an event exceeds the size limit'));
-		}
-
 		this.recordEventGap();
 		return ok(hasProgress);
 	}
@@ -242,15 +238,10 @@
 		return this.options.response.waitForDrain(callback);
 	}
 
-	/** Forwards the end of the stream. Returns false when it ends in the middle of an event. */
-	endStream(): boolean {
-		if (this.splitter.remainder.length > 0) {
-			return false;
-		}
-
+	/** Forwards the end of the stream. */
+	endStream(): void {
 		this.options.response.end();
 		this.finish('complete');
-		return true;
 	}
 
 	/** Records the failure response of a target, which is forwarded when no other target succeeds. */
--- a/src/services/forwarding/request-attempt.ts
+++ b/src/services/forwarding/request-attempt.ts
@@ -1,5 +1,6 @@
 import {type SoftwareVersion} from '../../contracts/ids.js';
 import {type ResponseMetadata} from '../../contracts/request-codec.js';
+import {EventStreamSplitter} from '../../core/event-stream-splitter.js';
 import {type Attempt} from '../dispatch/dispatcher.js';
 import {AttemptListener, type AttemptFailure} from './forward-attempt.js';
 import {type ForwardDispatch} from './forward-dispatch.js';
@@ -7,6 +8,7 @@
 
 /** Forwards the events of one attempt to its request and the dispatcher. */
 export class RequestAttempt extends AttemptListener {
+	private readonly splitter = new EventStreamSplitter();
 	private events = 0;
 	private isFramed = true;
 
@@ -29,8 +31,21 @@
 	}
 
 	onStreamData(chunk: Buffer): boolean {
+		const events = this.splitter.push(chunk);
+		if (this.splitter.isOversized) {
+			this.abortStream('an event exceeds the size limit');
+			return false;
+		}
+
+		if (events.some(({id}) => id !== undefined)) {
+			this.poolDispatch.cancelOtherAttempts(this.attempt);
+		} else if (this.poolDispatch.hasOtherAttempts(this.attempt)) {
+			// Comments and empty events do not decide which of the targets goes on.
+			return false;
+		}
+
 		const before = this.request.eventCount;
-		const forwarded = this.request.forwardStreamData(chunk);
+		const forwarded = this.request.forwardEvents(events);
 		if (forwarded.isErr()) {
 			this.abortStream(forwarded.error.message);
 			return false;
@@ -58,11 +73,13 @@
 	}
 
 	onStreamEnd(): void {
-		if (!this.request.endStream()) {
+		if (this.splitter.remainder.length > 0) {
 			this.abortStream('the stream ended in the middle of an event');
 			return;
 		}
 
+		this.poolDispatch.cancelOtherAttempts(this.attempt);
+		this.request.endStream();
 		this.recordEnd(this.isFramed && this.events > 0);
 
 		this.poolDispatch.endAttempt(this.attempt, {
@@ -95,10 +112,15 @@
 			this.recordEnd(response.isFramed);
 		}
 
+		this.poolDispatch.cancelOtherAttempts(this.attempt);
 		this.request.forwardResponse(response, body);
 		this.poolDispatch.endAttempt(this.attempt, {kind: 'completed', tokens: 1});
 	}
 
+	onStall(reason: string): number | undefined {
+		return this.poolDispatch.handleStall(this.request, this.attempt, reason);
+	}
+
 	onFailure(failure: AttemptFailure): void {
 		this.poolDispatch.recordFailure(this.request, this.attempt, failure);
 		if (failure.kind !== 'lost') {
@@ -130,7 +152,10 @@
 
 	/** Sends the request, or the rest of its stream, to another target if it may be sent again. */
 	private repeat(): void {
-		if (this.request.hasStarted) {
+		if (
+			this.request.hasStarted &&
+			!this.poolDispatch.hasOtherAttempts(this.attempt)
+		) {
 			this.poolDispatch.continueStream(this.request, this.attempt);
 			return;
 		}
--- a/test/dispatch/dispatcher.test.ts
+++ b/test/dispatch/dispatcher.test.ts
@@ -46,7 +46,9 @@
 		assert.ok(others.filter((each) => each.target === target).length < slots);
 		const same = others.filter((each) => each.request === request);
 		assert.ok(
-			same.length === 0 || (item.idempotent && binding.kind === 'hedge'),
+			same.length === 0 ||
+				(item.idempotent &&
+					(binding.kind === 'hedge' || binding.kind === 'replacement')),
 		);
 		assert.ok(item.idempotent || !this.mayHaveRun.has(request));
 		const onTarget = others.filter((each) => each.target === target);
@@ -150,6 +152,7 @@
 		arbitrary: fc.record({
 			kind: fc.constantFrom(
 				'progress',
+				'stall',
 				'complete',
 				'refuse',
 				'lose-unknown',
@@ -195,6 +198,12 @@
 
 				const {request, attempt, target} = binding;
 				const identity = {request, attempt, target};
+				if (event.kind === 'stall') {
+					dispatcher.handle({kind: 'stalled', ...identity});
+					assert.equal(dispatcher.runningAttempts, port.running.size);
+					continue;
+				}
+
 				if (event.kind === 'abandon') {
 					dispatcher.handle({kind: 'abandoned', request});
 					port.recordResponse(request, 'abandoned');
@@ -243,6 +252,7 @@
 			assert.equal(port.waiting.size, 0);
 			assert.equal(dispatcher.queueLength, 0);
 			assert.equal(dispatcher.runningAttempts, 0);
+			assert.equal(dispatcher.hasStalledRequests, false);
 			assert.equal(limiter.localCounts().size, 0);
 			assert.equal(dispatcher.reservedTarget(), undefined);
 		}),
@@ -250,6 +260,110 @@
 	);
 });
 
+function stallOnly(
+	dispatcher: Dispatcher,
+	port: RecordingPort,
+): {readonly key: string; readonly attempt: Attempt} {
+	const [[key, {request, attempt, target}]] = [...port.running] as [
+		[string, Binding],
+	];
+	const identity = {request, attempt, target};
+	dispatcher.handle({kind: 'stalled', ...identity});
+	return {key, attempt: identity};
+}
+
+// Guards against a stream that is given up for the silence of its target before another one has begun.
+test('a stalled attempt stays open until its replacement makes progress', () => {
+	const {port, dispatcher, submit} = setUp();
+	submit('r1');
+	const stalled = stallOnly(dispatcher, port);
+	assert.equal(port.running.size, 2);
+	assert.ok(port.running.has(stalled.key));
+	const replacement = [...port.running.values()].at(-1)!;
+	assert.equal(replacement.kind, 'replacement');
+	assert.notEqual(replacement.target, stalled.attempt.target);
+	const {request, attempt, target} = replacement;
+	dispatcher.handle({kind: 'progressed', request, attempt, target, tokens: 1});
+	assert.deepEqual([...port.running.values()], [replacement]);
+	assert.equal(dispatcher.hasStalledRequests, false);
+});
+
+// Guards against a second run of a stream whose target goes on.
+test('the replacement of a stalled attempt is cancelled when that one makes progress', () => {
+	const {port, dispatcher, submit} = setUp();
+	submit('r1');
+	const {key, attempt} = stallOnly(dispatcher, port);
+	dispatcher.handle({kind: 'progressed', ...attempt, tokens: 1});
+	assert.deepEqual([...port.running.keys()], [key]);
+	assert.equal(dispatcher.hasStalledRequests, false);
+});
+
+// A pool in which one target is silent with all its slots in use and the others are full: the pattern of a pause under load.
+test('stalled attempts wait for free slots of other targets and use each of those once', () => {
+	const {clock, port, dispatcher, submit} = setUp();
+	for (let index = 0; index < slots * targets.length; index++) {
+		submit(`r${index}`);
+	}
+
+	const bindings = [...port.running.values()];
+	const silent = bindings.filter(({target}) => target === targets[0]);
+	for (const {request, attempt, target} of silent) {
+		dispatcher.handle({kind: 'stalled', request, attempt, target});
+	}
+
+	assert.equal(port.running.size, bindings.length);
+	assert.deepEqual(port.responses, []);
+	const {request, attempt, target} = bindings.find(
+		(each) => each.target === targets[1],
+	)!;
+	port.running.delete(`${request}#${attempt}`);
+	dispatcher.handle({kind: 'completed', request, attempt, target, tokens: 3});
+	clock.advance(25);
+	dispatcher.handle({kind: 'ticked'});
+	const replacements = [...port.running.values()].filter(
+		({kind}) => kind === 'replacement',
+	);
+	assert.deepEqual(
+		replacements.map((each) => each.target),
+		[target],
+	);
+	const [refused] = replacements;
+	port.running.delete(`${refused!.request}#${refused!.attempt}`);
+	dispatcher.handle({
+		kind: 'refused',
+		request: refused!.request,
+		attempt: refused!.attempt,
+		target: refused!.target,
+		reason: 'busy',
+	});
+	for (let tick = 0; tick < 10; tick++) {
+		clock.advance(25);
+		dispatcher.handle({kind: 'ticked'});
+	}
+
+	const again = [...port.running.values()].filter(
+		(each) => each.request === refused!.request,
+	);
+	assert.ok(again.some(({target}) => target === targets[0]));
+	assert.ok(again.every(({target}) => target !== refused!.target));
+});
+
+// Guards against more executions than a request may have.
+test('a stalled attempt is not replaced when the request may not be executed again', () => {
+	for (const changes of [
+		{maximumExecutions: 1},
+		{idempotent: false},
+		{suspect: true},
+	]) {
+		const {clock, port, dispatcher, submit} = setUp();
+		submit('r1', changes);
+		stallOnly(dispatcher, port);
+		clock.advance(25);
+		dispatcher.handle({kind: 'ticked'});
+		assert.equal(port.running.size, 1);
+	}
+});
+
 // The refused request must also be retried on another target.
 test('a target that refused a request because it is leaving receives no further work', () => {
 	const {port, dispatcher, submit} = setUp();
--- a/test/forwarding/forward-attempt.test.ts
+++ b/test/forwarding/forward-attempt.test.ts
@@ -32,6 +32,10 @@
 		assert.fail('no response is expected');
 	}
 
+	onStall(): number | undefined {
+		assert.fail('no stall is expected');
+	}
+
 	onFailure(failure: AttemptFailure): void {
 		this.failures.push(failure);
 	}
