Test that a target may be silent at any point of its answer

A single target that pauses for 1.7 s before the head, in it, between events, in an event and before the end, for five kinds of route; a change of the document beside it; two pauses in one stream.

--- a/test/forwarding/silent-targets.test.ts
+++ b/test/forwarding/silent-targets.test.ts
@@ -9,6 +9,7 @@
 	streamEvents,
 	type WorkerBehaviour,
 } from '../platform/stand-in-worker.js';
+import {type ForwardingDocument} from '../../src/contracts/forwarding-document.js';
 import {waitUntil} from '../process/processes.js';
 import {forwardingDocument, ForwardingHarness} from './forwarding-harness.js';
 
@@ -46,7 +47,7 @@
 	const worker = new StandInWorker(`i-${workers.length + 1}`);
 	worker.behaviour = behaviour;
 	workers.push(worker);
-	harness.list(worker.id, await worker.start());
+	harness.list(worker.id, await worker.start(), {slots: 64});
 	return worker;
 }
 
@@ -203,3 +204,135 @@
 	assert.equal(result.body, allEvents);
 	assert.equal(second.requests.length, 1);
 });
+
+/** The parts of an answer, between which a target falls silent. */
+function partsOf(
+	kind: 'stream' | 'call',
+	headers: ReadonlyMap<string, string>,
+): string[] {
+	if (kind === 'call') {
+		const answer = completeResponse(
+			headers.get('request-id') ?? '',
+			'whole body',
+		);
+		return [
+			'',
+			answer.slice(0, 20),
+			answer.slice(20, -4),
+			answer.slice(-4, -1),
+			answer.slice(-1),
+		];
+	}
+
+	const head = streamHead(headers);
+	const event = framed(formatEvent(2));
+	return [
+		'',
+		head.slice(0, 20),
+		head.slice(20) + framed(formatEvent(1)),
+		event.slice(0, 9),
+		event.slice(9) +
+			framed(formatEvent(3)) +
+			framed(formatEvent(4)) +
+			framed(formatEvent(5)),
+		'0\r\n\r\n',
+	];
+}
+
+function isStreamRoute(path: string): boolean {
+	return /stream|fixed|single/.test(path);
+}
+
+// Guards against an answer that is cut or replaced by a failure at one of the points where its target may fall silent.
+test('a target may be silent for a while at any point of its answer', async () => {
+	harness.service.setHostCount(1);
+	harness.registry.setHostCount(1);
+	const worker = await addWorker((request) => {
+		const {headers, socket, path} = request;
+		const parts = partsOf(isStreamRoute(path) ? 'stream' : 'call', headers);
+		const point = Number(path.split('/').at(-1));
+		socket.write(parts.slice(0, point).join(''));
+		setTimeout(() => {
+			socket.write(parts.slice(point).join(''));
+		}, silenceMilliseconds);
+	});
+	const cases = ['stream', 'fixed', 'single', 'idempotent', 'once'].flatMap(
+		(route) =>
+			(isStreamRoute(route) ? [1, 2, 3, 4, 5] : [1, 2, 3, 4]).map(
+				(point) => `/${route}/${point}`,
+			),
+	);
+	const results = await Promise.all(
+		cases.map(async (path) => ({
+			path,
+			result: await harness.call(path, {body: 'b'}),
+		})),
+	);
+	for (const {path, result} of results) {
+		assert.equal(result.status, 200, path);
+		assert.equal(result.isComplete, true, path);
+		assert.equal(
+			result.body,
+			isStreamRoute(path) ? allEvents : 'whole body',
+			path,
+		);
+	}
+
+	assert.equal(worker.requests.length, cases.length);
+});
+
+// Guards against a stream that ends because the configuration changes while its target is silent.
+test('a change of the document does not end an open stream whose target is silent', async () => {
+	const changes: ReadonlyArray<(document: ForwardingDocument) => object> = [
+		() => ({routes: []}),
+		({routes}) => ({
+			routes: routes.map((route) => ({
+				...route,
+				timeoutMilliseconds: 100,
+				maximumExecutions: 1,
+			})),
+		}),
+		() => ({routes: [], pools: []}),
+	];
+	const first = await addWorker(pause(silenceMilliseconds));
+	const calls = changes.map(async () => harness.call('/stream/x', {body: 'b'}));
+	await waitUntil(
+		'the requests',
+		() => first.requests.length === changes.length,
+	);
+	for (const [index, change] of changes.entries()) {
+		const document: ForwardingDocument = {
+			...forwardingDocument,
+			...change(forwardingDocument),
+			version: index + 2,
+		};
+		harness.registry.applyDocument(document);
+		harness.service.applyDocument(document);
+	}
+
+	for (const result of await Promise.all(calls)) {
+		assert.equal(result.isComplete, true);
+		assert.equal(result.body, allEvents);
+	}
+});
+
+// Guards against a stream that is cut by its second silence after the first one ended.
+test('a target may fall silent twice in one stream', async () => {
+	await addWorker(({headers, socket}) => {
+		socket.write(streamHead(headers) + framed(formatEvent(1)));
+		setTimeout(() => {
+			socket.write(framed(formatEvent(2)) + framed(formatEvent(3)));
+		}, 1400);
+		setTimeout(() => {
+			socket.write(
+				framed(formatEvent(4)) + framed(formatEvent(5)) + '0\r\n\r\n',
+			);
+		}, 2900);
+	});
+	const result = await harness.call('/stream/x', {
+		body: 'b',
+		headers: {'Deadline-Ms': '6000'},
+	});
+	assert.equal(result.isComplete, true);
+	assert.equal(result.body, allEvents);
+});
