Add a failing test of a call whose silent target begins to answer

The dispatcher still seeks a replacement after the head and a part of the answer have arrived, and a target that is listed then gets the call a second time: 'second' instead of 'late' on. No change of behaviour.

--- a/test/forwarding/silent-targets-review.test.ts
+++ b/test/forwarding/silent-targets-review.test.ts
@@ -269,3 +269,32 @@
 	await result;
 	assert.equal(third.requests.length, 0);
 });
+
+// Guards against a replacement that is sent in vain at each tick, although the target that fell silent has begun to answer.
+test('a call whose silent target has begun to answer is not sent elsewhere', async () => {
+	const first = await addWorker(({headers, socket}) => {
+		const [head, body] = completeResponse(
+			headers.get('request-id') ?? '',
+			'late',
+		).split('\r\n\r\n');
+		setTimeout(() => {
+			socket.write(`${head}\r\n\r\n${body!.slice(0, 1)}`);
+		}, 1500);
+		setTimeout(() => {
+			socket.write(body!.slice(1));
+		}, 2100);
+	});
+	const result = harness.call('/idempotent/x', {
+		headers: {'Deadline-Ms': '4500'},
+	});
+	await waitUntil('the request', () => first.requests.length === 1);
+	const startedAt = performance.now();
+	await waitUntil(
+		'the answer begins',
+		() => performance.now() - startedAt > 1700,
+	);
+	const second = await addWorker(respondWith('second'));
+	const {body} = await result;
+	assert.equal(body, 'late');
+	assert.equal(second.requests.length, 0);
+});
