--- a/test/forwarding/silent-targets-review.test.ts
+++ b/test/forwarding/silent-targets-review.test.ts
@@ -180,27 +180,35 @@
 	assert.equal(body, allEvents);
 });
 
-// Guards against a sound attempt that is given up because its replacement was turned down without "not run".
-for (const status of ['404 Not Found', '429 Too Many Requests']) {
-	test(`a silent call gets its answer although its replacement responds ${status}`, async () => {
-		const first = await addWorker(({headers, socket}) => {
-			setTimeout(() => {
-				socket.write(completeResponse(headers.get('request-id') ?? '', 'late'));
-			}, silenceMilliseconds);
-		});
-		const result = harness.call('/idempotent/x');
-		await waitUntil('the request', () => first.requests.length === 1);
-		const second = await addWorker(({headers, socket}) => {
-			socket.write(
-				completeResponse(headers.get('request-id') ?? '', 'no', status),
-			);
-		});
-		const {status: received, body} = await result;
-		assert.equal(second.requests.length, 1);
-		assert.deepEqual([received, body], [200, 'late']);
+/** A call falls silent, its replacement responds with a status that does not say that it was not run, and then the first target answers. */
+async function checkTurnedDownReplacement(status: string): Promise<void> {
+	const first = await addWorker(({headers, socket}) => {
+		setTimeout(() => {
+			socket.write(completeResponse(headers.get('request-id') ?? '', 'late'));
+		}, silenceMilliseconds);
 	});
+	const result = harness.call('/idempotent/x');
+	await waitUntil('the request', () => first.requests.length === 1);
+	const second = await addWorker(({headers, socket}) => {
+		socket.write(
+			completeResponse(headers.get('request-id') ?? '', 'no', status),
+		);
+	});
+	const {status: received, body} = await result;
+	assert.equal(second.requests.length, 1);
+	assert.deepEqual([received, body], [200, 'late']);
 }
 
+// Guards against a sound attempt that is given up because its replacement was turned down without "not run".
+test('a silent call gets its answer although its replacement responds 404', async () => {
+	await checkTurnedDownReplacement('404 Not Found');
+});
+
+// Guards against the same with a status that callers take for a refusal.
+test('a silent call gets its answer although its replacement responds 429', async () => {
+	await checkTurnedDownReplacement('429 Too Many Requests');
+});
+
 // Guards against a stream that hangs until its deadline on a connection that went silent for good, while its only target accepts new ones.
 test('a stream on a dead connection goes on at its only target', async () => {
 	const first = await addWorker((request) => {
@@ -298,3 +306,27 @@
 	assert.equal(body, 'late');
 	assert.equal(second.requests.length, 0);
 });
+
+// Guards against a stream that is cut because its whole length, instead of its rest, is expected to exceed the time left.
+test('the rest of a broken stream is requested although a whole one would no longer fit', async () => {
+	const first = await addWorker((request) => {
+		sendParts([
+			[0, firstPart],
+			[900, framed(formatEvent(3))],
+			[1800, framed(formatEvent(4))],
+		])(request);
+		setTimeout(() => {
+			request.socket.destroy();
+		}, 1900);
+	});
+	const result = harness.call('/stream/x', {
+		body: 'b',
+		headers: {'Deadline-Ms': '2600', 'Token-Count': '10,64'},
+	});
+	await waitUntil('the request', () => first.requests.length === 1);
+	const second = await addWorker(finishStream);
+	const {body, isComplete} = await result;
+	assert.equal(second.requests.length, 1);
+	assert.equal(isComplete, true);
+	assert.equal(body, allEvents);
+});
