Request the rest of a stream although a whole one would no longer fit

A broken stream near its deadline was cut without asking another target: its rest was weighed with the expected time of a whole stream, on arrival and in the queue.

--- a/src/services/dispatch/dispatcher.ts
+++ b/src/services/dispatch/dispatcher.ts
@@ -612,7 +612,11 @@
 			isLong: estimate.isLong,
 			// A suspect waits for an empty target, so it is queued separately to avoid blocking other work.
 			routingKey: `${item.model ?? item.offering}|${item.adapter ?? ''}|${item.softwareVersion ?? ''}|${item.suspect ? 'suspect' : item.idempotent}`,
-			expectedMilliseconds: this.serviceTimeEstimator.estimate(estimate.tokens),
+			// The rest of a stream takes less time than a whole one, and its caller has begun to read it.
+			expectedMilliseconds:
+				item.isContinuation === true
+					? 0
+					: this.serviceTimeEstimator.estimate(estimate.tokens),
 			deadline: this.clock.monotonic() + item.remainingMilliseconds,
 			startObjectiveDeadline:
 				this.clock.monotonic() + (item.startObjectiveMilliseconds ?? Infinity),
