Keep a silent stream until another target continues it

Callers saw 'interrupted' in the middle of an answer when the target of a stream was silent for longer than the progress timeout and the ping, no other target had room and other work waited: the generation was cancelled at its target first, and its rest was then refused as overload like new work. With no work waiting, the answer was generated a second time.

A session whose target produced tokens and then answers no ping now pings on. Meanwhile the rest of the stream is queued for another target. When one is assigned, it takes over and the silent attempt is cancelled; when the silent target answers first, the stream is resumed there and the queued rest is withdrawn. A refusal of the rest ends nothing; it is queued again at the next ping. At the deadline the session gives up as before. A refused connection, a closed one and a suspect request are handled as before.

On the previous code the test with a full pool ends with 'interrupted after 5 tokens', and the test with one target fails because the engine started the run twice. The tests of a target that stays silent and of a caller that leaves pass on both.

--- a/src/services/dispatch/engine-pool-dispatch.ts
+++ b/src/services/dispatch/engine-pool-dispatch.ts
@@ -26,6 +26,7 @@
 import {type QuarantineManager} from '../entry/quarantine-manager.js';
 import {
 	GenerationSession,
+	SilenceObserver,
 	type GenerationFailedError,
 } from '../generation-session.js';
 import {detectEndedIncarnation} from '../targets/failure-detector.js';
@@ -89,6 +90,8 @@
 export class EnginePoolDispatch extends AbstractPoolDispatch {
 	readonly dispatcher: Dispatcher;
 	private readonly runs = new Map<RequestId, GenerationRun>();
+	/** Runs whose target is silent, by the id of the submission that is queued to continue them on another target. */
+	private readonly standbys = new Map<RequestId, SilentAttempt>();
 
 	constructor(private readonly options: EnginePoolDispatchOptions) {
 		super();
@@ -141,8 +144,52 @@
 		this.post({kind: 'abandoned', request: run.submissionId});
 	}
 
+	/**
+	 * Queues a silent run for another target. The silent attempt goes on until the other one starts, because the target
+	 * may respond again before another one has room.
+	 */
+	submitStandby(silent: SilentAttempt): void {
+		const {run} = silent;
+		const request = run.nextSubmissionId;
+		if (
+			this.standbys.has(request) ||
+			run.submissionCount - run.submissionsNotRun >= maximumSubmissions ||
+			this.options.quarantine.status(run.fingerprints) !== 'clear'
+		) {
+			return;
+		}
+
+		this.standbys.set(request, silent);
+		this.post({
+			kind: 'submitted',
+			item: {
+				...this.toWorkItem(run, false),
+				request,
+				avoidedTargets: [silent.binding.target],
+			},
+		});
+	}
+
+	/** Withdraws the queued submission of a run, whose target responds again or whose attempt has ended. */
+	withdrawStandby(run: GenerationRun): void {
+		if (this.standbys.delete(run.nextSubmissionId)) {
+			this.post({kind: 'abandoned', request: run.nextSubmissionId});
+		}
+	}
+
 	/** Starts one attempt on the assigned target. */
 	startAttempt(binding: Binding): void {
+		const silent = this.standbys.get(binding.request);
+		if (silent?.binding.target === binding.target) {
+			// The target responds again, so that the next ping resumes its own attempt.
+			this.withdrawStandby(silent.run);
+			return;
+		}
+
+		if (silent) {
+			this.replaceSilentAttempt(silent, binding.request);
+		}
+
 		const run = this.runs.get(binding.request);
 		const target = this.options.targets.target(binding.target);
 		if (!run || this.requeueIfStatusChanged(run, binding)) {
@@ -174,6 +221,10 @@
 
 	/** Fails a run that the dispatcher refused. */
 	refuse(refusal: WorkRefusal): void {
+		if (this.standbys.delete(refusal.item.request)) {
+			return;
+		}
+
 		const run = this.runs.get(refusal.item.request);
 		if (!run) {
 			return;
@@ -196,6 +247,10 @@
 
 	/** Submits a run again after its last attempt failed, to continue from the delivered tokens, or fails it. */
 	continueOrFail(item: WorkItem, execution: Execution): void {
+		if (this.standbys.delete(item.request)) {
+			return;
+		}
+
 		const run = this.runs.get(item.request);
 		if (!run) {
 			return;
@@ -229,12 +284,27 @@
 		}
 
 		this.runs.clear();
+		this.standbys.clear();
 	}
 
 	protected isIdle(): boolean {
 		return this.runs.size === 0;
 	}
 
+	/** Ends the silent attempt of a run for which another target is assigned now. The run continues under the new submission. */
+	private replaceSilentAttempt(
+		{run, key, binding}: SilentAttempt,
+		request: RequestId,
+	): void {
+		this.standbys.delete(request);
+		run.cancelAttempt(key);
+		run.endAttempt(key);
+		this.runs.delete(binding.request);
+		this.post({kind: 'abandoned', request: binding.request});
+		run.submissionCount += 1;
+		this.runs.set(request, run);
+	}
+
 	/** Requeues a request whose quarantine status changed while it was queued. Returns true if it was requeued. */
 	private requeueIfStatusChanged(
 		run: GenerationRun,
@@ -298,6 +368,11 @@
 			engine,
 			request: this.toGenerationRequest(run, key),
 			...(this.options.timeouts ?? defaultProgressTimeouts),
+			silenceObserver: new RunSilenceObserver(this, this.options, {
+				run,
+				binding,
+				key,
+			}),
 			logger: this.options.events,
 		});
 		let tokens = run.deliveredTokens.length;
@@ -353,6 +428,7 @@
 			return;
 		}
 
+		this.withdrawStandby(run);
 		if (failure.reason === 'conflict') {
 			// The target contradicts tokens that the caller has received, so no continuation would be consistent.
 			this.removeRun(run);
@@ -454,6 +530,7 @@
 	}
 
 	private removeRun(run: GenerationRun): void {
+		this.withdrawStandby(run);
 		this.runs.delete(run.submissionId);
 		this.disposeIfIdle();
 	}
@@ -516,6 +593,44 @@
 	}
 }
 
+/** An attempt whose target does not respond at present. */
+type SilentAttempt = {
+	readonly run: GenerationRun;
+	readonly binding: Binding;
+	readonly key: AttemptKey;
+};
+
+/** Keeps a silent attempt until another target has room for its run or the deadline passes. */
+class RunSilenceObserver extends SilenceObserver {
+	constructor(
+		private readonly poolDispatch: EnginePoolDispatch,
+		private readonly options: Pick<
+			EnginePoolDispatchOptions,
+			'clock' | 'targets'
+		>,
+		private readonly attempt: SilentAttempt,
+	) {
+		super();
+	}
+
+	continueWaiting(): boolean {
+		const {binding, run} = this.attempt;
+		const {clock, targets} = this.options;
+		// A suspect runs alone on a reserved target, so that its attempt has to end first.
+		if (binding.item.suspect || clock.monotonic() >= run.deadline) {
+			return false;
+		}
+
+		targets.markUnavailable(binding.target, 'unreachable');
+		this.poolDispatch.submitStandby(this.attempt);
+		return true;
+	}
+
+	silenceEnded(): void {
+		this.poolDispatch.withdrawStandby(this.attempt.run);
+	}
+}
+
 type FailedAttempt = {
 	readonly target: TrackedTarget;
 	/** Incarnation of the target when the attempt started, if known. */
--- a/src/services/dispatch/generation-run.ts
+++ b/src/services/dispatch/generation-run.ts
@@ -58,6 +58,11 @@
 		return `${this.request.requestId}.${this.submissionCount}` as RequestId;
 	}
 
+	/** Identifier of the submission that would follow the current one. */
+	get nextSubmissionId(): RequestId {
+		return `${this.request.requestId}.${this.submissionCount + 1}` as RequestId;
+	}
+
 	/** Registers an attempt and returns the signal that cancels it. */
 	beginAttempt(key: AttemptKey): AbortSignal {
 		this.attemptStarted = true;
--- a/src/services/generation-session.ts
+++ b/src/services/generation-session.ts
@@ -24,6 +24,7 @@
 	StreamRecovery,
 	type StreamInterruption,
 } from '../core/stream-assembler.js';
+import {isSilence} from './targets/failure-detector.js';
 
 /** An event of a generation for its caller. `completed` is the last event of a complete response. */
 export type GenerationProgress =
@@ -74,6 +75,15 @@
 	}
 }
 
+/** Decides how long a session waits for a target that has produced tokens and does not respond to pings any more. */
+export abstract class SilenceObserver {
+	/** Called when a ping received no response. Returns false when the session must give up. */
+	abstract continueWaiting(): boolean;
+
+	/** Called when the target responds again, before the stream is resumed. */
+	abstract silenceEnded(): void;
+}
+
 /** Dependencies and settings of a generation session. */
 export type GenerationSessionOptions = {
 	readonly engine: Engine;
@@ -86,6 +96,8 @@
 	readonly pingMilliseconds: number;
 	/** Limit on consecutive resumes without a new token between them, 3 by default. */
 	readonly maximumResumes?: number;
+	/** Without it, the session gives up after the first ping without a response. */
+	readonly silenceObserver?: SilenceObserver;
 	readonly logger?: EventLogger;
 };
 
@@ -319,10 +331,8 @@
 		});
 		let action = this.recovery.handleInterruption(interruption);
 		if (action.kind === 'probe') {
-			const ping = await this.options.engine.ping(
-				this.options.pingMilliseconds,
-			);
-			action = this.recovery.handleProbeResult(ping.isOk());
+			const isReachable = await this.probe(signal);
+			action = this.recovery.handleProbeResult(isReachable);
 		}
 
 		if (signal.aborted) {
@@ -343,6 +353,33 @@
 		return undefined;
 	}
 
+	/** Pings the target, again and again while it is silent and the observer waits. Returns whether it responded. */
+	private async probe(signal: AbortSignal): Promise<boolean> {
+		const {engine, pingMilliseconds, silenceObserver} = this.options;
+		let isSilent = false;
+		for (;;) {
+			const ping = await engine.ping(pingMilliseconds);
+			if (ping.isOk()) {
+				if (isSilent && !signal.aborted) {
+					silenceObserver?.silenceEnded();
+				}
+
+				return true;
+			}
+
+			if (
+				signal.aborted ||
+				!this.hasTokens() ||
+				!isSilence(ping.error) ||
+				!silenceObserver?.continueWaiting()
+			) {
+				return false;
+			}
+
+			isSilent = true;
+		}
+	}
+
 	private failure(
 		reason: GenerationFailureReason,
 		cause?: TargetError,
