Close idle connections of callers after the time of the settings

Callers of 'run' whose connections were kept by a balancer lost them after 6 s of idleness whatever the settings said: 'timeouts.keepAliveMilliseconds' (60 s by default) was read and used nowhere, and Node.js closed the connections after its default of 5 s and a further second. A request sent at that moment fails. The listener for callers now takes the setting.

--- a/src/base/node/http-listener.ts
+++ b/src/base/node/http-listener.ts
@@ -21,6 +21,8 @@
 	readonly connections: number;
 	/** Time in which the headers and the body of a request must arrive. */
 	readonly requestTimeoutMilliseconds: number;
+	/** Time after which an idle connection is closed. Default: 5000, that of Node.js. */
+	readonly idleTimeoutMilliseconds?: number;
 };
 
 /** Options of a listener. */
@@ -48,6 +50,9 @@
 			serverOptions: {
 				maxHeaderSize: limits.headerBytes,
 				requestTimeout: limits.requestTimeoutMilliseconds,
+				...(limits.idleTimeoutMilliseconds === undefined
+					? {}
+					: {keepAliveTimeout: limits.idleTimeoutMilliseconds}),
 				...(tls
 					? {cert: tls.certificate, key: tls.key, minVersion: 'TLSv1.2'}
 					: {}),
--- a/src/program/composition-root.ts
+++ b/src/program/composition-root.ts
@@ -431,6 +431,7 @@
 				connections: settings.limits.connections,
 				requestTimeoutMilliseconds:
 					settings.timeouts.requestReceiveMilliseconds,
+				idleTimeoutMilliseconds: settings.timeouts.keepAliveMilliseconds,
 			},
 			clock,
 			events,
