Keep reports and reads going after a value that cannot be applied

Callers saw: hosts that stop following the list or the owner for good. An exception in a report (a field that does not fit its 32 or 64 bits, a document that is not JSON) or in the application of a read ended the loop of the task, and only an unhandled rejection was logged. A host that has run for 50 days could not report at all, because the time since its first request no longer fits its field.

Change: times are cut to the size of their field, an entry with an address that no connection can be opened to is not taken from another host, and both loops log a failure and go on. The log line of a report is limited to one a minute. State that cannot be applied is read again from the newest.

--- a/src/contracts/events/forwarding-events.ts
+++ b/src/contracts/events/forwarding-events.ts
@@ -74,7 +74,7 @@
 		name: 'target-entry-malformed',
 		level: 'warn',
 		description:
-			'An entry of the list of targets cannot be read. Its target receives no requests.',
+			'An entry of the list of targets cannot be read. Its target receives no requests until it can. Logged once a minute for each target and 60 times a minute for all; the field omittedLines counts the lines left out before this one.',
 	},
 	targetDied: {
 		number: 7015,
@@ -180,6 +180,20 @@
 		description:
 			'A target turned this host away with a time that cannot be read (field value). The header is ignored. Logged once a minute for each target.',
 	},
+	stateReadFailed: {
+		number: 7063,
+		name: 'state-read-failed',
+		level: 'error',
+		description:
+			'What was read of the state in the field state could not be applied (field reason). The host reads the complete newest state again.',
+	},
+	reportFailed: {
+		number: 7064,
+		name: 'report-failed',
+		level: 'error',
+		description:
+			'The report to the owner or a relay could not be made, or its response could not be applied (field reason). The host reports again. Logged once a minute.',
+	},
 	ownershipGained: {
 		number: 7030,
 		name: 'ownership-gained',
--- a/src/services/forwarding/report-client.ts
+++ b/src/services/forwarding/report-client.ts
@@ -17,6 +17,7 @@
 } from '../../contracts/ids.js';
 import {type TargetListChange} from '../../contracts/listed-target.js';
 import {type HostDemand} from '../../core/host-demand.js';
+import {LogLimiter} from '../../core/log-limiter.js';
 import {type LeavingTarget} from '../../core/leaving-targets.js';
 import {type LeaseStatus, type LeaseHolder} from '../../core/owner-lease.js';
 import {type NamedRateLimits} from '../../core/named-rate-limits.js';
@@ -115,6 +116,8 @@
 const responsiveMilliseconds = 900;
 /** Interval of the reports until the owner states another one. All hosts of a fleet may start together. */
 const initialReportIntervalMilliseconds = 500;
+/** Characters of the reason in a log line. */
+const maximumReasonLength = 300;
 /** Delay of a report about a missing adapter, in which further ones are combined with it. */
 const scheduledReportDelayMilliseconds = 5;
 
@@ -125,6 +128,7 @@
 	private readonly clients = new Map<string, Client<typeof OwnerService>>();
 	private readonly route: ReportRoute;
 	private readonly observations: ObservationExchange;
+	private readonly failureLog: LogLimiter;
 	private peerPosition = 0;
 	private isExchangingWithPeer = false;
 	private knownSource = '';
@@ -145,6 +149,11 @@
 	constructor(private readonly options: ReportClientOptions) {
 		super();
 		this.route = new ReportRoute({clock: options.clock});
+		this.failureLog = new LogLimiter({
+			clock: options.clock,
+			intervalMilliseconds: 60_000,
+			maximumLines: 1,
+		});
 		this.observations = new ObservationExchange(
 			options.crashes,
 			options.limits,
@@ -259,7 +268,7 @@
 			}
 
 			const startedAt = this.options.clock.monotonic();
-			const hasResponded = await this.report();
+			const hasResponded = await this.reportSafely();
 			this.recordReachability(hasResponded);
 			if (!hasResponded && !this.isOwnerResponsive()) {
 				// The next report to the owner does not wait for it.
@@ -282,7 +291,7 @@
 			if (this.options.isLocalOwner()) {
 				this.reportLocally();
 			} else {
-				void this.report();
+				void this.reportSafely();
 			}
 		}, scheduledReportDelayMilliseconds);
 	}
@@ -347,6 +356,22 @@
 		});
 	}
 
+	/** Reports once. A failure of this host counts as no response, so that it does not end the reports. */
+	private async reportSafely(): Promise<boolean> {
+		const reported = await ResultAsync.fromPromise(this.report(), String);
+		if (reported.isErr()) {
+			const omittedLines = this.failureLog.admit('report');
+			if (omittedLines !== undefined) {
+				this.options.events.record(forwardingEvents.reportFailed, {
+					reason: reported.error.slice(0, maximumReasonLength),
+					omittedLines,
+				});
+			}
+		}
+
+		return reported.unwrapOr(false);
+	}
+
 	private async report(): Promise<boolean> {
 		const destination = this.destination();
 		if (!destination) {
@@ -420,7 +445,10 @@
 
 		this.peerPosition = (this.peerPosition + 1) % peers.length;
 		this.isExchangingWithPeer = true;
-		await this.call(peers[this.peerPosition]!, true);
+		await ResultAsync.fromPromise(
+			this.call(peers[this.peerPosition]!, true),
+			String,
+		);
 		this.isExchangingWithPeer = false;
 	}
 
--- a/src/services/forwarding/report-messages.ts
+++ b/src/services/forwarding/report-messages.ts
@@ -17,6 +17,7 @@
 	type ListedTarget,
 	type TargetListChange,
 } from '../../contracts/listed-target.js';
+import {isTargetAddress} from '../../contracts/target-address.js';
 import {type SuspicionReport} from '../../contracts/suspicion-report.js';
 import {type HostDemand} from '../../core/host-demand.js';
 import {type LeavingTarget} from '../../core/leaving-targets.js';
@@ -94,11 +95,11 @@
 	return {
 		host: demand.host,
 		members: [...demand.members],
-		observedMilliseconds: Math.floor(demand.observedMilliseconds),
+		observedMilliseconds: toAge(demand.observedMilliseconds),
 		models: demand.models.map(({model, requests, idleMilliseconds}) => ({
 			model,
 			requests,
-			idleMilliseconds: Math.floor(idleMilliseconds),
+			idleMilliseconds: toAge(idleMilliseconds),
 		})),
 		adapters: demand.adapters.map((each) => ({
 			model: each.model,
@@ -265,10 +266,15 @@
 	update: TargetListUpdate,
 ): TargetListChange[] {
 	return [
-		...update.listed.map((message) => ({
-			kind: 'listed' as const,
-			target: fromListedTarget(message),
-		})),
+		...update.listed.map((message) =>
+			isTargetAddress(message.address)
+				? {kind: 'listed' as const, target: fromListedTarget(message)}
+				: {
+						kind: 'malformed' as const,
+						target: message.target as TargetId,
+						reason: 'the host that reports it sent an invalid address',
+					},
+		),
 		...update.unlisted.map((target, index) => ({
 			kind: 'unlisted' as const,
 			target: target as TargetId,
@@ -372,12 +378,12 @@
 	return {
 		lease: {
 			position: BigInt(position),
-			ageMilliseconds: Math.floor(ageMilliseconds),
+			ageMilliseconds: toAge(ageMilliseconds),
 			expired: isExpired,
 			...(sinceLastOrderMilliseconds === undefined
 				? {}
 				: {
-						sinceLastOrderMilliseconds: Math.floor(sinceLastOrderMilliseconds),
+						sinceLastOrderMilliseconds: toAge(sinceLastOrderMilliseconds),
 					}),
 		},
 	};
@@ -428,8 +434,12 @@
 	};
 }
 
+/** Largest number of the 32-bit fields. A larger one would make the whole message fail to encode. */
+const maximumField = 4_294_967_295;
+
+/** Converts a time in milliseconds to a field. One of 50 days or more is sent as 50 days. */
 function toAge(milliseconds: number): number {
-	return Math.max(0, Math.floor(milliseconds));
+	return Math.min(maximumField, Math.max(0, Math.floor(milliseconds)));
 }
 
 /** Converts the rate that a target named to a message. */
--- a/src/services/forwarding/state-follower.ts
+++ b/src/services/forwarding/state-follower.ts
@@ -1,3 +1,4 @@
+import {ResultAsync} from 'neverthrow';
 import {type Clock} from '../../base/common/clock.js';
 import {Disposable} from '../../base/common/disposable.js';
 import {type EventLogger} from '../../base/common/event-logger.js';
@@ -52,6 +53,10 @@
 const retryDelayMilliseconds = 150;
 /** Delay after a failed read while another host sends the state. */
 const receivingRetryDelayMilliseconds = 1000;
+/** Delay after a read that could not be applied. */
+const failureDelayMilliseconds = 2000;
+/** Characters of the reason in a log line. */
+const maximumReasonLength = 300;
 /** Time since the last message of another host up to which this one relies on it. Longer than the interval of its messages. */
 const senderTimeoutMilliseconds = 2000;
 
@@ -99,7 +104,13 @@
 				continue;
 			}
 
-			if (!(await this.step())) {
+			const isRead = await ResultAsync.fromPromise(this.step(), String);
+			if (isRead.isErr()) {
+				await this.handleStepFailure(isRead.error);
+				continue;
+			}
+
+			if (!isRead.value) {
 				await this.sleep(
 					this.isReceiving
 						? receivingRetryDelayMilliseconds
@@ -267,6 +278,16 @@
 		return true;
 	}
 
+	/** Lets the host read the complete state again after what it read could not be applied. */
+	private async handleStepFailure(reason: string): Promise<void> {
+		this.options.events.record(forwardingEvents.stateReadFailed, {
+			state: this.options.name,
+			reason: reason.slice(0, maximumReasonLength),
+		});
+		this.position = undefined;
+		await this.sleep(failureDelayMilliseconds);
+	}
+
 	private handleReadError(error: SharedStoreError): void {
 		const {name, events} = this.options;
 		if (
