Keep odd entries of the target list from hindering the sound ones

Callers saw (report of an operator of a similar system): one entry of another writer, nested deeply, with a number too large or a port out of range, and the machines that read the list ended or stopped following it.

Cause here, each shown by a test: the address 127.0.0.1:99999 or 999.1.1.1 throws where the connections are created, which ends the dispatch of the pool; slots above 32 bits and a count of writes of hundreds of digits make the reports of the owner to all hosts fail to encode; such a count also makes all later entries of the worker look older; 2,000,000 models of a wrong type (4 MB) block the event loop for 9 s and make a log line of 145 MB; an odd entry that changes is logged with each write; a record shorter than its key is dropped without a word. Deep nesting alone does no harm: 100,000 levels are rejected or ignored in at most 50 ms. In the configuration, a version that is no integer ends the reports of all hosts, and a timeout above 2^31 ms expires requests at once. A load with no slots in the answer of a worker is divided by.

Change: addresses, ids, names, lists, numbers and sizes have limits, problems are reported in bounded size, the log has a limit for each key and for all.

--- a/src/platform/document-state.ts
+++ b/src/platform/document-state.ts
@@ -1,5 +1,6 @@
 import {type ResultAsync} from 'neverthrow';
 import {z} from 'zod';
+import {decodeJson, durationSchema} from '../contracts/bounded-json.js';
 import {
 	type ForwardingDocument,
 	type RouteKind,
@@ -18,13 +19,16 @@
 
 const bytesPerMegabyte = 1_000_000;
 
+/** Size of a configuration. The check of a larger one would block the event loop. */
+const maximumConfigurationBytes = 16_777_216;
+
 const routeSchema = z.object({
 	name: z.string(),
 	host: z.string(),
 	prefix: z.string(),
 	kind: z.enum(['idempotent', 'non_idempotent', 'stream']),
-	timeout_ms: z.number(),
-	goal_ms: z.number().optional(),
+	timeout_ms: durationSchema,
+	goal_ms: durationSchema.optional(),
 	priority: z.number().default(0),
 	attempts: z.number().default(1),
 	allow_resume: z.boolean().default(false),
@@ -52,7 +56,8 @@
 });
 
 const configurationSchema = z.object({
-	version: z.number(),
+	/** Reports between hosts carry it as an integer. */
+	version: z.number().int().nonnegative(),
 	routes: z.array(routeSchema),
 	services: z.array(
 		z.object({
@@ -64,8 +69,8 @@
 	limits: z.object({
 		header_bytes: z.number(),
 		max_body_bytes: z.number(),
-		header_ms: z.number(),
-		idle_ms: z.number(),
+		header_ms: durationSchema,
+		idle_ms: durationSchema,
 	}),
 });
 
@@ -110,17 +115,14 @@
 
 /** Decodes the operator's configuration into a forwarding document, or states why it is unreadable. */
 export function decodeDocument(value: Buffer): DocumentChange {
-	let content: unknown;
-	try {
-		content = JSON.parse(value.toString('utf8'));
-	} catch {
-		return {kind: 'unreadable', reason: 'the configuration is not valid JSON'};
-	}
-
-	const parsed = configurationSchema.safeParse(content);
-	return parsed.success
-		? {kind: 'document', document: toDocument(parsed.data)}
-		: {kind: 'unreadable', reason: z.prettifyError(parsed.error)};
+	return decodeJson(
+		value,
+		configurationSchema,
+		maximumConfigurationBytes,
+	).match<DocumentChange>(
+		(content) => ({kind: 'document', document: toDocument(content)}),
+		(reason) => ({kind: 'unreadable', reason}),
+	);
 }
 
 function toDocument(
--- a/src/platform/order-port.ts
+++ b/src/platform/order-port.ts
@@ -1,6 +1,11 @@
 import {request, type Dispatcher} from 'undici';
 import {errAsync, okAsync, ResultAsync} from 'neverthrow';
 import {z} from 'zod';
+import {decodeJson} from '../contracts/bounded-json.js';
+import {
+	maximumTargetCount,
+	toIncarnation,
+} from '../contracts/entry-revision.js';
 import {type AdapterId, type ModelId} from '../contracts/ids.js';
 import {type ListedTarget} from '../contracts/listed-target.js';
 import {
@@ -12,21 +17,19 @@
 	type TargetOrderState,
 } from '../contracts/target-orders.js';
 import {decodeAvailability} from './request-codec.js';
-import {
-	residentModelsSchema,
-	toIncarnation,
-	toResidentModels,
-} from './target-list-state.js';
+import {residentModelsSchema, toResidentModels} from './target-list-state.js';
 import {headerNames, paths} from './wire.js';
 
 const reportSchema = z.object({
 	models: residentModelsSchema,
 	busy: z.boolean(),
-	seq: z.number(),
+	seq: z.number().int().nonnegative().max(maximumTargetCount),
 	born: z.number().optional(),
 	coming: z.array(z.string()).default([]),
 });
 
+/** Size of a report. */
+const maximumReportBytes = 262_144;
 /** Workers respond to orders within milliseconds. An order without a response in this time is sent again; its sequence number ensures that only one of the two takes effect. */
 const responseTimeoutMilliseconds = 250;
 
@@ -81,9 +84,12 @@
 	): ResultAsync<TargetOrderState, NoResponseError> {
 		return this.call(target, 'GET', paths.report, undefined).andThen(
 			({status, text}) => {
-				const parsed =
-					status === 200 ? reportSchema.safeParse(parseJson(text)) : undefined;
-				if (!parsed?.success) {
+				const report = decodeJson(
+					Buffer.from(text),
+					reportSchema,
+					maximumReportBytes,
+				);
+				if (status !== 200 || report.isErr()) {
 					return errAsync(
 						new NoResponseError(
 							`the target ${target.id} returned no valid report; its response has status ${status}`,
@@ -92,11 +98,11 @@
 				}
 
 				return okAsync({
-					incarnation: toIncarnation(target.id, parsed.data.born),
-					orderSequence: parsed.data.seq,
-					models: toResidentModels(parsed.data.models),
-					isBusy: parsed.data.busy,
-					loadingAdapters: parsed.data.coming.flatMap((name) =>
+					incarnation: toIncarnation(target.id, report.value.born),
+					orderSequence: report.value.seq,
+					models: toResidentModels(report.value.models),
+					isBusy: report.value.busy,
+					loadingAdapters: report.value.coming.flatMap((name) =>
 						parseLoadingAdapter(name),
 					),
 				});
@@ -146,15 +152,6 @@
 	}
 }
 
-function parseJson(text: string): unknown {
-	try {
-		return JSON.parse(text);
-	} catch {
-		// Undefined fails the schema.
-		return undefined;
-	}
-}
-
 /** Parses `MODEL/ADAPTER@VERSION`. Returns an empty list for a name of another form. */
 function parseLoadingAdapter(
 	name: string,
--- a/src/platform/request-codec.ts
+++ b/src/platform/request-codec.ts
@@ -1,4 +1,5 @@
 import {err, ok, type Result} from 'neverthrow';
+import {parseCount, parseDecimals} from '../base/common/header-numbers.js';
 import {
 	type AdapterId,
 	type ModelId,
@@ -215,15 +216,6 @@
 		: (value as RequestId | undefined);
 }
 
-/** Parses a non-negative integer of at most 15 digits, which a number represents exactly. */
-function parseCount(text: string | undefined): number | undefined {
-	if (text === undefined || !/^\s*\d{1,15}\s*$/.test(text)) {
-		return undefined;
-	}
-
-	return Number(text);
-}
-
 /** Parses `ID:TOKENS` pairs, separated by commas, and returns the ids. */
 function parsePromptParts(text: string | undefined): PromptPartId[] {
 	return text === undefined
@@ -253,12 +245,12 @@
 	return prefixes;
 }
 
-/** Parses `RUNNING,QUEUED,SLOTS[,SLOWDOWN]`. The slowdown is in percent, and 100 is usual. */
+/** Parses `RUNNING,QUEUED,SLOTS[,SLOWDOWN]`. The slowdown is in percent, and 100 is usual. A load without slots has no meaning. */
 function parseLoad(text: string | undefined): ReportedLoad | undefined {
 	const [running, queued, slots, slowdownPercent] = (text ?? '')
 		.split(',')
 		.map((part) => parseCount(part));
-	if (running === undefined || queued === undefined || slots === undefined) {
+	if (running === undefined || queued === undefined || !slots) {
 		return undefined;
 	}
 
@@ -271,16 +263,6 @@
 	return rates.length === 0 ? undefined : Math.min(...rates);
 }
 
-/** Parses the decimal numbers of a header. Values of another form are ignored. */
-function parseDecimals(value: string | string[] | undefined): number[] {
-	return [value ?? []]
-		.flat()
-		.flatMap((text) => text.split(','))
-		.map((text) => text.trim())
-		.filter((text) => /^\d{1,9}(?:\.\d{1,9})?$/.test(text))
-		.map(Number);
-}
-
 /** Decodes what the head of any answer of a worker says of its availability. */
 export function decodeAvailability(
 	status: number,
--- a/src/platform/target-list-state.ts
+++ b/src/platform/target-list-state.ts
@@ -1,5 +1,15 @@
 import {type ResultAsync} from 'neverthrow';
 import {z} from 'zod';
+import {
+	boundedList,
+	decodeJson,
+	nameSchema,
+} from '../contracts/bounded-json.js';
+import {
+	toEntryRevision,
+	toIncarnation,
+	toTargetCount,
+} from '../contracts/entry-revision.js';
 import {
 	type AdapterId,
 	type FailureDomain,
@@ -10,7 +20,6 @@
 	type TargetIncarnation,
 } from '../contracts/ids.js';
 import {
-	type EntryRevision,
 	type ListedTarget,
 	type TargetListChange,
 } from '../contracts/listed-target.js';
@@ -20,41 +29,51 @@
 	type StoreChanges,
 	type StorePosition,
 } from '../contracts/shared-store.js';
+import {isTargetAddress} from '../contracts/target-address.js';
 import {decodeKeyedRecord} from './keyed-record.js';
 import {type StoreClient} from './store-client.js';
 import {generationOf} from './store-position.js';
 import {topics} from './wire.js';
 
+/** Size of an entry. The names of all models and adapters of a worker take a few kilobytes; the check of a larger one would block the event loop. */
+const maximumEntryBytes = 262_144;
+/** Requests that a worker can run at once. Reports between hosts carry 32 bits. */
+const maximumSlots = 1_000_000;
+/** Ids of workers are sent in headers. */
+const targetIdPattern = /^[\u0021-\u007E]+$/;
+
 /** Resident models with their adapters, as entries and reports of workers list them. */
-export const residentModelsSchema = z.array(
+export const residentModelsSchema = boundedList(
 	z.object({
-		name: z.string(),
+		name: nameSchema,
 		version: z.number().optional(),
-		adapters: z.array(z.string()).default([]),
+		adapters: boundedList(nameSchema).default([]),
 	}),
 );
 
 const entrySchema = z.object({
-	service: z.string().min(1),
+	service: nameSchema.min(1),
 	/** Of the worker's software, unlike the version of a model. */
 	version: z.string().max(128).optional(),
-	addr: z.string().regex(/^[\d.]+:\d{1,5}$/),
-	zone: z.string(),
-	slots: z.number().int().positive(),
+	addr: z
+		.string()
+		.refine(isTargetAddress, 'expected an IPv4 address and a port'),
+	zone: nameSchema,
+	slots: z.number().int().positive().max(maximumSlots),
 	state: z.enum(['ready', 'draining']),
 	born: z.number().optional(),
 	seq: z.number().optional(),
 	models: residentModelsSchema.optional(),
 	at_hand: z
 		.object({
-			in_memory: z.array(z.string()).default([]),
-			on_disk: z.array(z.string()).default([]),
+			in_memory: boundedList(nameSchema).default([]),
+			on_disk: boundedList(nameSchema).default([]),
 		})
 		.optional(),
 });
 
 /** The count of writes in an entry, which a worker increments about every second. */
-const writeCountPattern = /"seq"\s*:\s*(\d+)/;
+const writeCountPattern = /"seq"\s*:\s*(0|[1-9]\d{0,14})(?=\s*[,}])/;
 
 /** The last entry of a worker. */
 type LastEntry = {
@@ -107,7 +126,9 @@
 				return {
 					changes: records.flatMap(({body}) => {
 						const record = decodeKeyedRecord(body);
-						return record ? this.decodeChange(record.key, record.value) : [];
+						return record
+							? this.decodeChange(record.key, record.value)
+							: [decodeEntry('', body)];
 					}),
 					next,
 				};
@@ -124,9 +145,15 @@
 			return [decodeEntry(key, value)];
 		}
 
+		if (value.length > maximumEntryBytes) {
+			this.lastEntries.delete(key);
+			return [decodeEntry(key, value)];
+		}
+
 		const entry = value.toString('utf8');
-		const writes = writeCountPattern.exec(entry)?.[1];
-		const text = entry.replace(writeCountPattern, '');
+		const writes = countedWrites(entry);
+		const text =
+			writes === undefined ? entry : entry.replace(writeCountPattern, '');
 		const last = this.lastEntries.get(key);
 		if (last?.text === text) {
 			return last.startedAt === undefined || writes === undefined
@@ -135,7 +162,7 @@
 						{
 							kind: 'renewed',
 							target: key as TargetId,
-							revision: {startedAt: last.startedAt, writes: Number(writes)},
+							revision: {startedAt: last.startedAt, writes},
 						},
 					];
 		}
@@ -148,6 +175,13 @@
 	}
 }
 
+/** Returns the count of writes in the text of an entry, if it is plausible and no other field could be meant. */
+function countedWrites(entry: string): number | undefined {
+	return entry.indexOf('"seq"') === entry.lastIndexOf('"seq"')
+		? toTargetCount(writeCountPattern.exec(entry)?.[1])
+		: undefined;
+}
+
 /** Decodes the entry of one worker. Without a value the worker is no longer listed. */
 export function decodeEntry(
 	key: string,
@@ -158,17 +192,18 @@
 		return {kind: 'unlisted', target};
 	}
 
-	let content: unknown;
-	try {
-		content = JSON.parse(value.toString('utf8'));
-	} catch {
-		return {kind: 'malformed', target, reason: 'the entry is not valid JSON'};
+	if (!targetIdPattern.test(key)) {
+		return {kind: 'malformed', target, reason: 'the key is no id of a worker'};
 	}
 
-	const parsed = entrySchema.safeParse(content);
-	return parsed.success
-		? {kind: 'listed', target: toTarget(target, parsed.data)}
-		: {kind: 'malformed', target, reason: z.prettifyError(parsed.error)};
+	return decodeJson(
+		value,
+		entrySchema,
+		maximumEntryBytes,
+	).match<TargetListChange>(
+		(entry) => ({kind: 'listed', target: toTarget(target, entry)}),
+		(reason) => ({kind: 'malformed', target, reason}),
+	);
 }
 
 /** Converts the models of an entry or report to those of the product. */
@@ -181,21 +216,13 @@
 	}));
 }
 
-/** Returns the incarnation of a worker. A worker that restarts under its id reports another start time in `born`. */
-export function toIncarnation(
-	target: TargetId,
-	born: number | undefined,
-): TargetIncarnation {
-	return `${target}@${born ?? 0}` as TargetIncarnation;
-}
-
 function toTarget(
 	id: TargetId,
 	entry: z.infer<typeof entrySchema>,
 ): ListedTarget {
 	return {
 		id,
-		revision: toRevision(entry),
+		revision: toEntryRevision(entry.born, entry.seq),
 		pool: entry.service as PoolName,
 		softwareVersion:
 			entry.version === '' ? undefined : (entry.version as SoftwareVersion),
@@ -213,16 +240,3 @@
 		},
 	};
 }
-
-function toRevision({
-	born,
-	seq,
-}: z.infer<typeof entrySchema>): EntryRevision | undefined {
-	return isCount(born) && isCount(seq)
-		? {startedAt: born, writes: seq}
-		: undefined;
-}
-
-function isCount(value: number | undefined): value is number {
-	return Number.isSafeInteger(value) && value! >= 0;
-}
--- a/src/services/forwarding/target-registry.ts
+++ b/src/services/forwarding/target-registry.ts
@@ -20,6 +20,7 @@
 import {type HoldBackRequest} from '../../contracts/request-codec.js';
 import {EntryRevisions} from '../../core/entry-revisions.js';
 import {HoldBacks} from '../../core/hold-backs.js';
+import {LogLimiter} from '../../core/log-limiter.js';
 import {
 	LeavingTargets,
 	type LeavingTarget,
@@ -78,6 +79,10 @@
 
 /** Interval between two log events about invalid headers of a target. */
 const invalidLogIntervalMilliseconds = 60_000;
+/** Log lines about malformed entries in a minute: one for each target, and of all targets together this number. */
+const malformedLogLimits = {intervalMilliseconds: 60_000, maximumLines: 60};
+/** Models of a target in a log line. */
+const maximumLoggedModels = 64;
 
 /** Registry of all listed targets with their connections and tracked state. */
 export class TargetRegistry extends Disposable {
@@ -98,6 +103,7 @@
 	private readonly holdTimers = new Map<TargetId, NodeJS.Timeout>();
 	/** Monotonic time at which an invalid header of a target was last logged. */
 	private readonly invalidLoggedAt = new Map<TargetId, number>();
+	private readonly malformedLog: LogLimiter;
 	private maximumConnections = new Map<PoolName, number>();
 	private hostCount = 8;
 	private lastNewTargetAt = Number.NEGATIVE_INFINITY;
@@ -108,6 +114,10 @@
 		this.revisions = new EntryRevisions(options.clock);
 		this.leaving = new LeavingTargets(options.clock);
 		this.holdBacks = new HoldBacks(options.clock);
+		this.malformedLog = new LogLimiter({
+			clock: options.clock,
+			...malformedLogLimits,
+		});
 	}
 
 	/** Applies the connection limits of a document. */
@@ -149,10 +159,7 @@
 		);
 
 		if (change.kind === 'malformed') {
-			this.options.events.record(forwardingEvents.targetEntryMalformed, {
-				target: change.target,
-				reason: change.reason,
-			});
+			this.logMalformed(change.target, change.reason);
 		}
 
 		this.unlist(change.target);
@@ -552,6 +559,17 @@
 		}
 	}
 
+	private logMalformed(target: TargetId, reason: string): void {
+		const omittedLines = this.malformedLog.admit(target);
+		if (omittedLines !== undefined) {
+			this.options.events.record(forwardingEvents.targetEntryMalformed, {
+				target,
+				reason,
+				omittedLines,
+			});
+		}
+	}
+
 	private logOutdated(
 		target: TargetId,
 		revision: EntryRevision | undefined,
@@ -570,7 +588,9 @@
 			pool,
 			isLeaving,
 			incarnation: residency.incarnation,
-			models: residency.models.map(({model}) => model),
+			models: residency.models
+				.slice(0, maximumLoggedModels)
+				.map(({model}) => model),
 		});
 	}
 }
