Begin nothing during a stop that its end would cut, and answer what is open

Callers saw (report of an operator of a similar system): requests that came late in the grace of a planned stop were taken and passed on, and cut with no answer at its end, among them ones that may not be repeated.

Cause here, each shown by a test: a request was taken until 3.5 s whatever it takes; one that its target refused later than that was sent again; one without a response at the end, and one whose body had not arrived, were cut by the exit; one that arrived in the last 50 ms, after the last check for open requests, was passed on. A second SIGTERM cut all.

Change: a stopping host begins a request only if its deadline, or the time that such requests take at present plus a second of silence, lies before the end. It checks again when it sends. At the end each request without a response gets one: 502 when it may have run, 503 when no byte of it was sent to a target. A second signal does the same and then exits.

--- a/src/program/forwarding-root.ts
+++ b/src/program/forwarding-root.ts
@@ -88,7 +88,7 @@
 const idleCloseMilliseconds = 1000;
 /** Time after the start of a stop from which new requests and requests not yet sent to a target are refused. By then callers have had several seconds to notice the closed connections, and a stream takes up to four seconds. */
 const refuseRequestsMilliseconds = 3500;
-/** Time before the end of the stop period at which open requests are aborted, so that the process ends in time. */
+/** Time before the end of the stop period at which open requests get a last response or are aborted, so that the process ends in time. */
 const stopMarginMilliseconds = 250;
 /** Interval of the checks during a stop. */
 const stopCheckMilliseconds = 50;
@@ -417,14 +417,14 @@
 		const endMilliseconds =
 			this.settings.stopSeconds * 1000 - stopMarginMilliseconds;
 		this.isStopping = true;
-		this.service.beginStop();
+		this.service.beginStop(startedAt + endMilliseconds);
 		this.events.record(forwardingEvents.hostStopping, {
 			openRequests: this.service.openRequests,
 		});
 		void this.leaseManager.release();
 		while (
 			elapsed() < stopListeningMilliseconds ||
-			(this.service.openRequests > 0 && elapsed() < endMilliseconds)
+			(this.hasOpenRequests && elapsed() < endMilliseconds)
 		) {
 			await wait(stopCheckMilliseconds);
 			if (elapsed() >= stopListeningMilliseconds) {
@@ -444,6 +444,13 @@
 			openRequests: this.service.openRequests,
 			milliseconds: Math.round(elapsed()),
 		});
+		await this.sendLastResponses();
+	}
+
+	/** Responds to all open requests, ends streams, and refuses what arrives from here on, because the process ends before it could be answered otherwise. Returns once the responses are on their way. */
+	async sendLastResponses(): Promise<void> {
+		this.service.endOpenRequests();
+		this.server.endIncompleteRequests();
 		await wait(stopCheckMilliseconds);
 	}
 
@@ -462,6 +469,10 @@
 		await this.components.dispose();
 	}
 
+	private get hasOpenRequests(): boolean {
+		return this.service.openRequests > 0 || this.server.incompleteRequests > 0;
+	}
+
 	private get isReady(): boolean {
 		return (
 			!this.isStopping &&
--- a/src/program/run-forwarding-host.ts
+++ b/src/program/run-forwarding-host.ts
@@ -15,7 +15,10 @@
 	file: string,
 ): Promise<CommandResult> {
 	const host = new ForwardingHost(settings);
-	stopOnSignals(async () => host.stop());
+	stopOnSignals(
+		async () => host.stop(),
+		async () => host.sendLastResponses(),
+	);
 	process.on('SIGHUP', () => {
 		host.reload(loadForwardingSettings(file));
 	});
--- a/src/services/forwarding/forward-dispatch.ts
+++ b/src/services/forwarding/forward-dispatch.ts
@@ -83,6 +83,10 @@
 	readonly rateLimits: NamedRateLimits;
 	readonly permits: PermitBook;
 	readonly streams: StreamOriginSharing;
+	/** False when this host stops before the answer to a request that is sent now would end. */
+	readonly mayBegin: (request: ForwardedRequest) => boolean;
+	/** Delay after which a request that is refused for a stop may come back, to another host. */
+	readonly stopRetryMilliseconds: number;
 	readonly maximumBodyBytes: number;
 };
 
@@ -236,6 +240,20 @@
 		}
 	}
 
+	/** Ends a request at the end of a stop. An attempt of which no byte was sent has not run. */
+	endUnanswered(
+		request: ForwardedRequest,
+		reason: string,
+		retryAfterMilliseconds: number,
+	): void {
+		for (const attempt of this.attempts.get(request.key)?.values() ?? []) {
+			request.executions -= attempt.isSent ? 0 : 1;
+		}
+
+		this.abandon(request);
+		request.refuse(reason, retryAfterMilliseconds);
+	}
+
 	/** Removes a request that has its final response. */
 	remove(request: ForwardedRequest): void {
 		this.requests.delete(request.key);
@@ -271,6 +289,15 @@
 			return;
 		}
 
+		if (!this.options.mayBegin(request)) {
+			this.abandon(request);
+			request.refuse(
+				'the host stops before the request could end',
+				this.options.stopRetryMilliseconds,
+			);
+			return;
+		}
+
 		request.waitedMilliseconds ??= binding.waitedMilliseconds;
 		request.executions++;
 		const attempt = this.createAttempt(request, binding, connections);
--- a/src/services/forwarding/forwarding-server.ts
+++ b/src/services/forwarding/forwarding-server.ts
@@ -51,6 +51,9 @@
 		idleTimeoutMilliseconds: 15_000,
 	};
 
+	/** Ends the receiving of each request whose body has not arrived completely. */
+	private readonly incomplete = new Set<() => void>();
+
 	constructor(private readonly handler: ReceivedRequestHandler) {
 		super();
 		const app = new Hono<{Bindings: HttpBindings}>();
@@ -92,6 +95,18 @@
 		return listenOn(this.server, port, hostname);
 	}
 
+	/** Number of requests whose bodies have not arrived completely. */
+	get incompleteRequests(): number {
+		return this.incomplete.size;
+	}
+
+	/** Lets the handler, which accepts no requests any more, respond to those that have not arrived completely. */
+	endIncompleteRequests(): void {
+		for (const end of this.incomplete) {
+			end();
+		}
+	}
+
 	/** Closes connections without an open request. */
 	closeIdleConnections(): void {
 		this.server.closeIdleConnections();
@@ -124,6 +139,18 @@
 		const chunks: Buffer[] = [];
 		let size = 0;
 		let isRejected = false;
+		const endIncomplete = () => {
+			this.incomplete.delete(endIncomplete);
+			if (!isRejected) {
+				isRejected = true;
+				this.handler.handle({message, response, body: Buffer.alloc(0)});
+			}
+		};
+
+		this.incomplete.add(endIncomplete);
+		message.on('close', () => {
+			this.incomplete.delete(endIncomplete);
+		});
 		message.on('data', (chunk: Buffer) => {
 			size += chunk.length;
 			if (size > bodyBytes && !isRejected) {
@@ -136,6 +163,7 @@
 			}
 		});
 		message.on('end', () => {
+			this.incomplete.delete(endIncomplete);
 			if (!isRejected) {
 				this.handler.handle({message, response, body: Buffer.concat(chunks)});
 			}
--- a/src/services/forwarding/forwarding-service.ts
+++ b/src/services/forwarding/forwarding-service.ts
@@ -41,6 +41,7 @@
 	ReceivedRequestHandler,
 	type ReceivedRequest,
 } from './forwarding-server.js';
+import {StopAdmission} from './stop-admission.js';
 import {type StreamOriginSharing} from './stream-origin-sharing.js';
 import {type TargetRegistry} from './target-registry.js';
 
@@ -82,6 +83,8 @@
 /** Retry delay sent by a host without a document or one that is stopping. A starting host receives a document within this time, or not before its callers time out. */
 const startRetryMilliseconds = 500;
 
+/** Reason of the refusals of a stopping host. */
+const stoppingReason = 'the host is stopping';
 const unknownVersionReason =
 	'the software version at which the stream began is not known';
 /** Delay after which a refused rest of a stream may come back. By then the report of the host that forwarded its beginning has arrived. */
@@ -105,6 +108,7 @@
 	/** Interval of the timer that calls `recordEventLoopDelay`. Infinite before its first call. */
 	private intervalMilliseconds = Number.POSITIVE_INFINITY;
 	private stalledAt = Number.NEGATIVE_INFINITY;
+	private readonly stopAdmission: StopAdmission;
 	private isStopping = false;
 	private isAcceptingRequests = true;
 	private timer: NodeJS.Timeout | undefined;
@@ -127,6 +131,7 @@
 				dispatch.refuseQuarantined();
 			}
 		});
+		this.stopAdmission = new StopAdmission(options.clock);
 		this.currentHostCount = options.retries.hosts;
 		this.lastIntervalAt = options.clock.monotonic();
 	}
@@ -171,28 +176,39 @@
 		}
 	}
 
-	/** Begins the stop: from now on each response closes its connection. */
-	beginStop(): void {
+	/** Begins the stop, which ends at a monotonic time: from now on each response closes its connection, and only requests whose answers end before are begun. */
+	beginStop(endsAt: number): void {
 		this.isStopping = true;
+		this.stopAdmission.begin(endsAt);
 	}
 
-	/** Refuses new requests and those not sent yet as not executed, because an execution that began now would be interrupted at the end of the stop. */
+	/** Refuses new requests and those not sent yet as not executed, because an execution that began now would be interrupted at the end of the stop. Called repeatedly, because a target may still refuse a request that was sent before. */
 	refuseUnsentRequests(): void {
-		if (!this.isAcceptingRequests) {
-			return;
-		}
-
 		this.isAcceptingRequests = false;
 		for (const {dispatch} of this.pools.values()) {
 			for (const request of dispatch.activeRequests()) {
 				if (request.executions === 0 && !request.isFinished) {
 					dispatch.abandon(request);
-					request.refuse('the host is stopping', startRetryMilliseconds);
+					request.refuse(stoppingReason, startRetryMilliseconds);
 				}
 			}
 		}
 	}
 
+	/** Ends all open requests at the end of the stop: those without a response with an own one that says whether they may have been executed, streams by closing their connections. */
+	endOpenRequests(): void {
+		this.refuseUnsentRequests();
+		for (const {dispatch} of this.pools.values()) {
+			for (const request of dispatch.activeRequests()) {
+				dispatch.endUnanswered(request, stoppingReason, startRetryMilliseconds);
+			}
+		}
+
+		for (const request of this.requests) {
+			request.refuse(stoppingReason, startRetryMilliseconds);
+		}
+	}
+
 	/** Applies a document and returns true, or returns false for a document that is not newer than the current one. */
 	applyDocument(document: ForwardingDocument): boolean {
 		if (this.document && document.version <= this.document.version) {
@@ -422,6 +438,10 @@
 		}
 
 		request.isQuarantineTrial = admission === 'trial';
+		if (!this.mayBegin(request)) {
+			request.refuse(stoppingReason, startRetryMilliseconds);
+			return;
+		}
 
 		response.once('close', () => {
 			if (!request.isFinished) {
@@ -568,10 +588,27 @@
 		);
 	}
 
+	/** False when the host stops before the answer to a request that is sent now would end. A stream that has begun goes on to the end. */
+	private mayBegin(request: ForwardedRequest): boolean {
+		if (!this.isStopping || request.hasStarted) {
+			return true;
+		}
+
+		const isNew = request.executions === 0;
+		return (
+			(this.isAcceptingRequests || !isNew) &&
+			this.stopAdmission.canEnd(request, this.requests)
+		);
+	}
+
 	private recordMetrics(request: ForwardedRequest, outcome: string): void {
 		const {metrics, clock} = this.options;
 		const {kind} = request.route;
 		const [result] = outcome.split(':');
+		if (isCompleteAnswer(outcome)) {
+			this.stopAdmission.recordAnswer(request);
+		}
+
 		metrics.count('daisylever_answers_total', {kind, result: result!});
 		metrics.observe(
 			'daisylever_answer_milliseconds',
@@ -597,6 +634,8 @@
 			rateLimits: this.options.rateLimits,
 			permits: this.options.permits,
 			streams: this.options.streams,
+			mayBegin: (request) => this.mayBegin(request),
+			stopRetryMilliseconds: startRetryMilliseconds,
 			maximumBodyBytes: 4_194_304,
 		});
 	}
@@ -606,3 +645,8 @@
 function isTakenUpAgain({route, metadata}: ForwardedRequest): boolean {
 	return route.kind === 'stream' && metadata.lastEventId !== undefined;
 }
+
+/** True for an answer of a target that is neither an own response nor broken. */
+function isCompleteAnswer(outcome: string): boolean {
+	return outcome === 'complete' || outcome.startsWith('status ');
+}
--- a/test/forwarding/forwarding.test.ts
+++ b/test/forwarding/forwarding.test.ts
@@ -364,7 +364,7 @@
 // Guards against executions that begin shortly before a stopping host exits and are interrupted by it.
 test('a stopping host refuses new requests as not executed', async () => {
 	const worker = await listWorker(0, respondWith('ok'));
-	harness.service.beginStop();
+	harness.service.beginStop(harness.clock.monotonic() + 7750);
 	const taken = await harness.call('/idempotent/x');
 	assert.equal(taken.status, 200);
 	harness.service.refuseUnsentRequests();
@@ -378,7 +378,7 @@
 test('a stopping host refuses queued requests', async () => {
 	const waiting = harness.call('/stream/x');
 	await delay(50);
-	harness.service.beginStop();
+	harness.service.beginStop(harness.clock.monotonic() + 7750);
 	harness.service.refuseUnsentRequests();
 	assert.equal((await waiting).status, 503);
 	const worker = await listWorker(0, respondWith('ok'));
--- a/test/forwarding/unreachable-target.test.ts
+++ b/test/forwarding/unreachable-target.test.ts
@@ -54,6 +54,8 @@
 		rateLimits,
 		permits: new PermitBook({clock, limits: rateLimits}),
 		streams: createSharing(clock).sharing,
+		mayBegin: () => true,
+		stopRetryMilliseconds: 500,
 		maximumBodyBytes: 1000,
 	});
 }
