Find out when a host reaches no target of a pool

Nothing judged the paths to all targets of a pool together.

TargetReachability decides from contacts and failures whether a pool is cut off from this host, names the targets to probe, and publishes changes. The prober opens the connections and logs both changes; the gauge daisylever_pools_cut_off counts the pools. A refused connection is held back until a new connection to another target of the pool confirms it. It is discarded when the pool is cut off, so it neither marks targets as empty nor counts as their death.

--- a/src/base/node/connection-probe.ts
+++ b/src/base/node/connection-probe.ts
@@ -1,28 +1,51 @@
 import {connect} from 'node:net';
 
-/** Opens and closes a connection. Returns true when it is refused, which means that nothing listens at the address. */
-export async function isConnectionRefused(
+/** How an attempt to open a connection ended. */
+export type ConnectionOutcome = 'opened' | 'refused' | 'timed-out' | 'failed';
+
+/** Opens and closes a connection. */
+export async function probeConnection(
 	address: string,
 	timeoutMilliseconds: number,
-): Promise<boolean> {
+	signal?: AbortSignal,
+): Promise<ConnectionOutcome> {
 	const separator = address.lastIndexOf(':');
 	return new Promise((resolve) => {
 		const socket = connect({
 			host: address.slice(0, separator),
 			port: Number(address.slice(separator + 1)),
 		});
-		const end = (isRefused: boolean) => {
+		const abort = () => {
+			end('failed');
+		};
+
+		const end = (outcome: ConnectionOutcome) => {
 			clearTimeout(timer);
+			signal?.removeEventListener('abort', abort);
 			socket.destroy();
-			resolve(isRefused);
+			resolve(outcome);
 		};
 
-		const timer = setTimeout(end, timeoutMilliseconds, false);
+		const timer = setTimeout(() => {
+			// After a pause of the process, a connection that opened in time is noticed after the timer.
+			setImmediate(() => {
+				end('timed-out');
+			});
+		}, timeoutMilliseconds);
+		signal?.addEventListener('abort', abort);
 		socket.once('connect', () => {
-			end(false);
+			end('opened');
 		});
 		socket.on('error', (error: NodeJS.ErrnoException) => {
-			end(error.code === 'ECONNREFUSED');
+			end(error.code === 'ECONNREFUSED' ? 'refused' : 'failed');
 		});
 	});
 }
+
+/** Opens and closes a connection. Returns true when it is refused, which means that nothing listens at the address or that the path to it is cut. */
+export async function isConnectionRefused(
+	address: string,
+	timeoutMilliseconds: number,
+): Promise<boolean> {
+	return (await probeConnection(address, timeoutMilliseconds)) === 'refused';
+}
--- a/src/contracts/events/forwarding-events.ts
+++ b/src/contracts/events/forwarding-events.ts
@@ -281,6 +281,27 @@
 		description:
 			'The event loop of the process was blocked for the given time, and streams paused. Look for slow machines and long garbage collections.',
 	},
+	poolUnreachable: {
+		number: 7070,
+		name: 'pool-unreachable',
+		level: 'warn',
+		description:
+			'This host reaches no target of the pool. The fields failingTargets and failures count the targets and the failures by kind since the last contact, sinceContactMilliseconds and firstFailureAgeMilliseconds are the ages of that contact and of the first failure. If other hosts log the same, look at the targets, otherwise at the network of this host.',
+	},
+	poolReachedAgain: {
+		number: 7071,
+		name: 'pool-reached-again',
+		level: 'info',
+		description:
+			'A target of the pool answers this host again, or the pool has no targets any more. The field milliseconds is the time for which the pool was unreachable.',
+	},
+	ownershipGivenUp: {
+		number: 7072,
+		name: 'ownership-given-up',
+		level: 'warn',
+		description:
+			'This host releases the owner lease because it reaches no target of the pools with an engine. It claims the lease again once it reaches one, or when no other host does.',
+	},
 	logLinesDropped: {
 		number: 7060,
 		name: 'log-lines-dropped',
--- a/src/program/forwarding-root.ts
+++ b/src/program/forwarding-root.ts
@@ -41,6 +41,7 @@
 import {OwnerLeaseManager} from '../services/forwarding/owner-lease-manager.js';
 import {PermitClient} from '../services/forwarding/permit-client.js';
 import {PlacementOwner} from '../services/forwarding/placement-owner.js';
+import {ReachabilityProber} from '../services/forwarding/reachability-prober.js';
 import {
 	ReportClient,
 	type FleetUpdate,
@@ -154,6 +155,7 @@
 		const registry = components.add(new TargetRegistry({clock, events}));
 		this.registry = registry;
 		registry.setHostCount(defaultHostCount);
+		components.add(new ReachabilityProber({clock, events, registry}));
 		this.targetListManager = new TargetListManager(clock, registry);
 		const rateLimits = new NamedRateLimits({clock});
 		const permits = new PermitBook({clock, limits: rateLimits});
@@ -642,6 +644,10 @@
 			'daisylever_uses_relay',
 			this.reportClient.relay === '' ? 0 : 1,
 		);
+		this.metrics.gauge(
+			'daisylever_pools_cut_off',
+			this.registry.reachability.cutOffPools().length,
+		);
 		this.metrics.gauge('daisylever_hosts', this.service.hostCount);
 	}
 
--- a/src/services/forwarding/forward-dispatch.ts
+++ b/src/services/forwarding/forward-dispatch.ts
@@ -271,6 +271,7 @@
 			return;
 		}
 
+		this.options.registry.reachability.recordSent(binding.target);
 		request.waitedMilliseconds ??= binding.waitedMilliseconds;
 		request.executions++;
 		const attempt = this.createAttempt(request, binding, connections);
@@ -409,9 +410,10 @@
 					: failure.reason,
 			events: request.eventCount,
 		});
-		const {registry, crashes} = this.options;
+		const {registry} = this.options;
 		if (failure.kind === 'lost') {
 			this.recordLostRequest(request, attempt.target);
+			registry.reachability.recordLostAttempt(attempt.target);
 		} else if (failure.kind === 'refused') {
 			request.refusedBy.add(attempt.target);
 			this.recordHoldBack(attempt.target, failure.response);
@@ -420,7 +422,7 @@
 		if (failure.kind === 'unreached') {
 			registry.recordUnreachable(attempt.target, failure.isConnectionRefused);
 			if (failure.isConnectionRefused) {
-				crashes.recordTargetDeath(attempt.target, 'connection-refused');
+				this.recordRefusedConnection(attempt.target);
 			}
 		} else if (failure.kind === 'refused' && failure.response.isMisdirected) {
 			registry.recordMissing(
@@ -547,19 +549,36 @@
 	}
 
 	private async startProbe(target: TargetId): Promise<void> {
-		const {registry, crashes} = this.options;
+		const {registry} = this.options;
 		const address = registry.get(target)?.listed.address;
 		if (
 			address !== undefined &&
 			(await isConnectionRefused(address, probeTimeoutMilliseconds))
 		) {
 			registry.recordUnreachable(target, true);
-			crashes.recordTargetDeath(target, 'connection-refused');
+			await new Promise<void>((resolve) => {
+				this.recordRefusedConnection(target, resolve);
+			});
 		}
 
 		this.probes.delete(target);
 	}
 
+	/** Records the death of a target once it is clear that the refused connection proves it. Calls back when that is decided. */
+	private recordRefusedConnection(
+		target: TargetId,
+		onDecided?: () => void,
+	): void {
+		const {registry, crashes} = this.options;
+		registry.reachability.judgeRefusal(target, (isProof) => {
+			if (isProof) {
+				crashes.recordTargetDeath(target, 'connection-refused');
+			}
+
+			onDecided?.();
+		});
+	}
+
 	private isQuarantined(request: ForwardedRequest): boolean {
 		return (
 			!request.isQuarantineTrial &&
--- a/src/services/forwarding/target-connections.ts
+++ b/src/services/forwarding/target-connections.ts
@@ -1,3 +1,4 @@
+import {type Socket} from 'node:net';
 import {buildConnector, Client, Pool, type Dispatcher} from 'undici';
 import {Disposable} from '../../base/common/disposable.js';
 
@@ -6,6 +7,10 @@
 	/** `host:port` of the target. */
 	readonly address: string;
 	readonly maximumConnections: number;
+	/** Called when a connection has opened. */
+	readonly onConnected?: () => void;
+	/** Called when bytes were received. */
+	readonly onData?: () => void;
 };
 
 /** Connect timeout. A target on the same network accepts within milliseconds, so a longer wait means that it is unavailable. */
@@ -20,7 +25,7 @@
 	private readonly singleClients = new Set<Client>();
 	private isFailing = false;
 
-	constructor(options: TargetConnectionsOptions) {
+	constructor(private readonly options: TargetConnectionsOptions) {
 		super();
 		this.origin = `http://${options.address}`;
 		this.pool = new Pool(this.origin, {
@@ -78,6 +83,10 @@
 					socket?.prependListener('error', () => {
 						this.recordConnectionError();
 					});
+					if (socket) {
+						this.observeContact(socket);
+					}
+
 					callback(...result);
 				});
 			},
@@ -88,6 +97,19 @@
 		};
 	}
 
+	private observeContact(socket: Socket): void {
+		const {onConnected, onData} = this.options;
+		onConnected?.();
+		let bytesRead = 0;
+		// The end of a connection makes it readable too.
+		socket.on('readable', () => {
+			if (socket.bytesRead > bytesRead) {
+				bytesRead = socket.bytesRead;
+				onData?.();
+			}
+		});
+	}
+
 	private recordConnectionError(): void {
 		this.isFailing = true;
 		process.nextTick(() => {
--- a/src/services/forwarding/target-registry.ts
+++ b/src/services/forwarding/target-registry.ts
@@ -24,6 +24,7 @@
 	LeavingTargets,
 	type LeavingTarget,
 } from '../../core/leaving-targets.js';
+import {TargetReachability} from '../../core/target-reachability.js';
 import {TargetConnections} from './target-connections.js';
 
 /** Content of a target as sent by the placement owner. */
@@ -91,6 +92,8 @@
 	readonly heldBack = new TypedEvent<RegisteredTarget>();
 	/** A target said in an answer that it leaves, which other hosts should know. */
 	readonly leavingObserved = new TypedEvent<LeavingTarget>();
+	/** Whether this host reaches the targets of each pool. */
+	readonly reachability: TargetReachability;
 	private readonly targets = new Map<TargetId, RegisteredTarget>();
 	private readonly revisions: EntryRevisions;
 	private readonly leaving: LeavingTargets;
@@ -105,6 +108,7 @@
 
 	constructor(private readonly options: TargetRegistryOptions) {
 		super();
+		this.reachability = new TargetReachability(options);
 		this.revisions = new EntryRevisions(options.clock);
 		this.leaving = new LeavingTargets(options.clock);
 		this.holdBacks = new HoldBacks(options.clock);
@@ -306,7 +310,7 @@
 		}
 	}
 
-	/** Records that a target could not be reached. If its process has ended, it holds no models after its restart. */
+	/** Records that a target could not be reached. If its process has ended, it holds no models after its restart. A refused connection alone does not prove that. */
 	recordUnreachable(target: TargetId, isConnectionRefused: boolean): void {
 		const registered = this.targets.get(target);
 		if (!registered) {
@@ -315,9 +319,20 @@
 
 		const now = this.options.clock.monotonic();
 		registered.unreachableUntil = now + unreachableMilliseconds;
-		if (isConnectionRefused) {
-			registered.emptyUntil = now + emptyMilliseconds;
+		this.reachability.recordFailure(
+			target,
+			isConnectionRefused ? 'connection-refused' : 'connect-timeout',
+		);
+		if (!isConnectionRefused) {
+			return;
 		}
+
+		const {incarnation} = registered.listed.residency;
+		this.reachability.judgeRefusal(target, (isProof) => {
+			if (isProof && registered.listed.residency.incarnation === incarnation) {
+				registered.emptyUntil = now + emptyMilliseconds;
+			}
+		});
 	}
 
 	/** Records that a target refused a request because it does not hold the model or adapter. */
@@ -431,6 +446,7 @@
 				? {...entry, isLeaving: true}
 				: entry;
 		const now = this.options.clock.monotonic();
+		this.reachability.addTarget(listed.id, listed.pool);
 		const registered = this.targets.get(listed.id);
 		if (!registered) {
 			const target: RegisteredTarget = {
@@ -498,6 +514,7 @@
 		}
 
 		this.targets.delete(target);
+		this.reachability.removeTarget(target);
 		this.forgetHold(target);
 		this.options.events.record(forwardingEvents.targetUnlisted, {target});
 		this.removed.publish(registered);
@@ -515,6 +532,12 @@
 		const limit = this.maximumConnections.get(listed.pool) ?? listed.slots;
 		return new TargetConnections({
 			address: listed.address,
+			onConnected: () => {
+				this.reachability.recordConnection(listed.id);
+			},
+			onData: () => {
+				this.reachability.recordData(listed.id);
+			},
 			maximumConnections: Math.max(
 				2,
 				Math.floor((limit * connectionShare) / this.hostCount),
--- a/test/forwarding/forwarding-harness.ts
+++ b/test/forwarding/forwarding-harness.ts
@@ -24,6 +24,7 @@
 import {CrashObserver} from '../../src/services/forwarding/crash-observer.js';
 import {ForwardingServer} from '../../src/services/forwarding/forwarding-server.js';
 import {ForwardingService} from '../../src/services/forwarding/forwarding-service.js';
+import {ReachabilityProber} from '../../src/services/forwarding/reachability-prober.js';
 import {TargetRegistry} from '../../src/services/forwarding/target-registry.js';
 import {createSharing} from './stream-sharing.js';
 
@@ -101,6 +102,7 @@
 	});
 
 	readonly registry: TargetRegistry;
+	readonly prober: ReachabilityProber;
 	readonly streams;
 	readonly service: ForwardingService;
 	/** Number of calls of `onAdapterMissing`. */
@@ -115,6 +117,11 @@
 		const events = new NullEventLogger();
 		const rateLimits = new NamedRateLimits({clock: this.clock});
 		this.registry = new TargetRegistry({clock: this.clock, events});
+		this.prober = new ReachabilityProber({
+			clock: this.clock,
+			events,
+			registry: this.registry,
+		});
 		this.service = new ForwardingService({
 			host: 'h1' as HostId,
 			failureDomain: 'z' as FailureDomain,
@@ -156,6 +163,7 @@
 	}
 
 	async stop(): Promise<void> {
+		this.prober.dispose();
 		this.service.dispose();
 		this.server.dispose();
 		await this.registry.dispose();
