Let an owner that reaches no engine step down

A host that is cut off from all targets of the pools with an engine releases the lease while other hosts are there, and leaves a free lease to them for 5 s. An owner for want of others keeps it and offers it again every 20 s. Stepping down ends the right to send orders at once; after a release with an unknown outcome only a later confirmed renewal gives it back.

--- a/src/core/owner-lease.ts
+++ b/src/core/owner-lease.ts
@@ -141,15 +141,21 @@
 		now: number,
 		sinceLastOrderMilliseconds: number | undefined,
 	): LeaseStatus | undefined {
-		return this.ownRecordPosition !== undefined &&
-			Number.isFinite(this.renewedAt)
-			? {
-					position: this.ownRecordPosition,
-					ageMilliseconds: now - this.renewedAt,
-					isExpired: !this.isValid(now),
-					sinceLastOrderMilliseconds,
-				}
-			: undefined;
+		if (
+			this.ownRecordPosition === undefined ||
+			!Number.isFinite(this.renewedAt)
+		) {
+			return undefined;
+		}
+
+		const since = this.sinceAnyOrder(sinceLastOrderMilliseconds, now);
+		// A negative time says that an earlier holder may still send orders, which a status cannot tell.
+		return {
+			position: this.ownRecordPosition,
+			ageMilliseconds: now - this.renewedAt,
+			isExpired: !this.isValid(now) && (since === undefined || since >= 0),
+			sinceLastOrderMilliseconds: since && Math.max(0, since),
+		};
 	}
 
 	/** Applies the lease status that the holder sent. It dates the last record of the holder earlier than the time at which this host read it. */
@@ -175,8 +181,12 @@
 			: undefined;
 	}
 
-	/** Returns the next operation on the log. `isHolderResponding` is true if the holder has recently responded to this host. */
-	nextStep(now: number, isHolderResponding: boolean): LeaseStep {
+	/** Returns the next operation on the log. `isHolderResponding` is true if the holder has recently responded to this host. A host that should leave the lease to others claims it after the additional delay. */
+	nextStep(
+		now: number,
+		isHolderResponding: boolean,
+		additionalDelayMilliseconds = 0,
+	): LeaseStep {
 		if (this.isHeld && !this.mustRead) {
 			return now >= this.renewedAt + this.timing.renewalMilliseconds
 				? {kind: 'append', append: this.createAppend('renewed')}
@@ -187,7 +197,8 @@
 			return {kind: 'read'};
 		}
 
-		const claimDelay = this.timing.claimDelayMilliseconds ?? 0;
+		const claimDelay =
+			(this.timing.claimDelayMilliseconds ?? 0) + additionalDelayMilliseconds;
 		if (this.restore?.wasHolder) {
 			return {kind: 'append', append: this.createAppend('claimed')};
 		}
@@ -295,24 +306,33 @@
 		}
 
 		const {record, expectedEnd} = this.createAppend('released');
-		// While this host may not send orders yet, an earlier holder is the last one that can have sent any.
-		const sinceAnyOrder = Math.min(
-			sinceLastOrderMilliseconds ?? Number.POSITIVE_INFINITY,
-			now < this.ordersAllowedFrom
-				? this.timing.handoverMilliseconds - (this.ordersAllowedFrom - now)
-				: Number.POSITIVE_INFINITY,
-		);
 		return {
 			record: {
 				...record,
-				sinceLastOrderMilliseconds: Number.isFinite(sinceAnyOrder)
-					? sinceAnyOrder
-					: undefined,
+				sinceLastOrderMilliseconds: this.sinceAnyOrder(
+					sinceLastOrderMilliseconds,
+					now,
+				),
 			},
 			expectedEnd,
 		};
 	}
 
+	/**
+	 * Stops orders at once and creates the record that releases the lease, so that another host can claim it. If the
+	 * outcome of its append is unknown, only a later renewal proves that it is not in the log and allows orders again.
+	 * Returns undefined if this host does not hold the lease or must read the log first.
+	 */
+	stepDown(
+		sinceLastOrderMilliseconds: number | undefined,
+		now: number,
+	): LeaseAppend | undefined {
+		this.validUntil = Number.NEGATIVE_INFINITY;
+		return this.mustRead
+			? undefined
+			: this.createRelease(sinceLastOrderMilliseconds, now);
+	}
+
 	/** Stops holding the lease after a target refused its token. The log must then be read again. */
 	markSuperseded(): void {
 		this.isHeld = false;
@@ -414,6 +434,20 @@
 					Math.min(handoverMilliseconds, previous.sinceLastOrderMilliseconds);
 	}
 
+	/** Returns the time since the last order of this host or an earlier holder. While this host may not send orders yet, an earlier holder is the last one that can have sent any. */
+	private sinceAnyOrder(
+		sinceLastOrderMilliseconds: number | undefined,
+		now: number,
+	): number | undefined {
+		const since = Math.min(
+			sinceLastOrderMilliseconds ?? Number.POSITIVE_INFINITY,
+			now < this.ordersAllowedFrom
+				? this.timing.handoverMilliseconds - (this.ordersAllowedFrom - now)
+				: Number.POSITIVE_INFINITY,
+		);
+		return Number.isFinite(since) ? since : undefined;
+	}
+
 	private createAppend(kind: OwnerRecord['kind']): LeaseAppend {
 		return {
 			record: {kind, ...this.candidate},
--- a/src/program/forwarding-root.ts
+++ b/src/program/forwarding-root.ts
@@ -333,6 +333,7 @@
 				random,
 				events,
 				isHolderResponsive: () => reportClient.isOwnerResponsive(),
+				mustAbstain: () => service.hostCount > 1 && this.reachesNoEngine,
 				quarantined: () => crashes.quarantined(),
 				onSuspicionsRead(reports) {
 					crashes.merge(reports);
@@ -472,6 +473,19 @@
 		);
 	}
 
+	/** True while this host reaches no target of the pools with an engine. */
+	private get reachesNoEngine(): boolean {
+		const {registry, service} = this;
+		const pools = (service.currentDocument?.pools ?? []).filter(
+			({name, engine}) =>
+				engine !== undefined && registry.targetsOfPool(name).length > 0,
+		);
+		return (
+			pools.length > 0 &&
+			pools.every(({name}) => registry.reachability.isCutOff(name))
+		);
+	}
+
 	private connectComponents(): void {
 		const {registry, service, owner, events} = this;
 		this.documents.changed.subscribe(({changes}) => {
--- a/src/services/forwarding/owner-lease-manager.ts
+++ b/src/services/forwarding/owner-lease-manager.ts
@@ -23,6 +23,8 @@
 	readonly events: EventLogger;
 	/** True when the holder has responded to this host recently. */
 	readonly isHolderResponsive: () => boolean;
+	/** True while this host should leave the lease to others, because it reaches no target that gets orders. */
+	readonly mustAbstain: () => boolean;
 	/** Quarantined fingerprints, which the records of the lease keep. */
 	readonly quarantined: () => readonly SuspicionReport[];
 	/** Called with the fingerprints that the last record of a holder names. */
@@ -39,6 +41,10 @@
 const readIntervalMilliseconds = 350;
 /** Quarantined fingerprints in a record, which is written again with each renewal. */
 const maximumRecordedSuspicions = 32;
+/** Time for which a host that reaches no target leaves a free or expired lease to others. A fleet whose hosts are all cut off needs an owner too, from which they receive the target list. */
+const abstentionMilliseconds = 5000;
+/** Time after which such an owner offers the lease to others again. */
+const offerIntervalMilliseconds = 20_000;
 /** Upper limit of a random delay at the start. Hosts that start together then claim at different times, so that the first claim usually decides. */
 const startJitterMilliseconds = 250;
 
@@ -48,6 +54,8 @@
 	private wasHolder = false;
 	private loggedOwner: string | undefined;
 	private isReleasing = false;
+	/** When this host claimed the lease although it should leave it to others. */
+	private claimedForWantOfOthersAt: number | undefined;
 	private hasReadLog = false;
 
 	constructor(private readonly options: OwnerLeaseManagerOptions) {
@@ -119,9 +127,16 @@
 
 	private async step(): Promise<number> {
 		const {lease, log, clock, isHolderResponsive} = this.options;
+		const stepDown = this.stepDown();
+		if (stepDown) {
+			await this.append(stepDown);
+			return checkIntervalMilliseconds;
+		}
+
 		const step = lease.nextStep(
 			clock.monotonic(),
 			this.hasReadLog && isHolderResponsive(),
+			this.additionalDelay(),
 		);
 		if (step.kind === 'wait') {
 			return lease.isHolder
@@ -145,10 +160,31 @@
 		// A lease that is new or was released is claimed as soon as this host may.
 		const isClaimable =
 			lease.isHolder ||
-			lease.nextStep(clock.monotonic(), false).kind === 'append';
+			lease.nextStep(clock.monotonic(), false, this.additionalDelay()).kind ===
+				'append';
 		return isClaimable ? 0 : readIntervalMilliseconds;
 	}
 
+	/** Gives up the lease while this host should leave it to others, unless no other host wanted it. */
+	private stepDown(): LeaseAppend | undefined {
+		const {lease, clock, mustAbstain, sinceLastOrder} = this.options;
+		if (!mustAbstain()) {
+			this.claimedForWantOfOthersAt = undefined;
+			return undefined;
+		}
+
+		const now = clock.monotonic();
+		return !lease.isHolder ||
+			(this.claimedForWantOfOthersAt !== undefined &&
+				now - this.claimedForWantOfOthersAt < offerIntervalMilliseconds)
+			? undefined
+			: lease.stepDown(sinceLastOrder(), now);
+	}
+
+	private additionalDelay(): number {
+		return this.options.mustAbstain() ? abstentionMilliseconds : 0;
+	}
+
 	private async append(append: LeaseAppend): Promise<void> {
 		const {lease, log, clock} = this.options;
 		const sentAt = clock.monotonic();
@@ -165,6 +201,15 @@
 		}
 
 		lease.applyAppendOutcome(append, outcome.value, sentAt, clock.monotonic());
+		if (outcome.value.kind === 'conflict') {
+			return;
+		}
+
+		if (append.record.kind === 'claimed' && this.options.mustAbstain()) {
+			this.claimedForWantOfOthersAt = clock.monotonic();
+		} else if (append.record.kind === 'released' && !this.isReleasing) {
+			this.options.events.record(forwardingEvents.ownershipGivenUp);
+		}
 	}
 
 	private logOwnershipChange(): void {
--- a/test/forwarding/owner-lease.test.ts
+++ b/test/forwarding/owner-lease.test.ts
@@ -124,13 +124,19 @@
 
 /**
  * One step of a host: `run` performs its next operation, `lose` loses the response to its append, which the log
- * may also receive later, `freeze` suspends it and `hear` delivers the lease status of another host to it.
+ * may also receive later, `freeze` suspends it and `hear` delivers the lease status of another host to it. `step-down`
+ * gives up the lease, with or without a confirmed append.
  */
 type Event =
 	| {readonly kind: 'run'; readonly host: number; readonly pause: number}
 	| {readonly kind: 'lose'; readonly host: number; readonly late: boolean}
 	| {readonly kind: 'freeze'; readonly host: number; readonly for: number}
-	| {readonly kind: 'hear'; readonly host: number; readonly from: number};
+	| {readonly kind: 'hear'; readonly host: number; readonly from: number}
+	| {
+			readonly kind: 'step-down';
+			readonly host: number;
+			readonly outcome: 'confirmed' | 'lost' | 'late' | 'failed';
+	  };
 
 /** Runs the events on three hosts and asserts the minimum time between orders of different holders. */
 function checkOrderDistance(events: readonly Event[]): void {
@@ -172,6 +178,16 @@
 			continue;
 		}
 
+		if (event.kind === 'step-down') {
+			const at = orderedAt[event.host];
+			stepDown(lease, log, delayedAppends, {
+				outcome: event.outcome,
+				now,
+				sinceLastOrder: at === undefined ? undefined : now - at,
+			});
+			continue;
+		}
+
 		if (event.kind === 'lose') {
 			loseAppendResponse(lease, log, delayedAppends, event.late, now);
 		} else {
@@ -200,6 +216,40 @@
 	}
 }
 
+function stepDown(
+	lease: OwnerLease,
+	log: Log,
+	delayedAppends: LeaseAppend[],
+	{
+		outcome,
+		now,
+		sinceLastOrder,
+	}: {
+		readonly outcome: 'confirmed' | 'lost' | 'late' | 'failed';
+		readonly now: number;
+		readonly sinceLastOrder: number | undefined;
+	},
+): void {
+	const append = lease.stepDown(sinceLastOrder, now);
+	assert.equal(lease.orderToken(now), undefined);
+	if (!append) {
+		return;
+	}
+
+	if (outcome === 'confirmed') {
+		lease.applyAppendOutcome(append, log.append(append), now, now);
+		return;
+	}
+
+	if (outcome === 'late') {
+		delayedAppends.push(append);
+	} else if (outcome === 'lost') {
+		log.append(append);
+	}
+
+	lease.handleAppendFailure();
+}
+
 function loseAppendResponse(
 	lease: OwnerLease,
 	log: Log,
@@ -271,6 +321,19 @@
 							from: host,
 						}),
 					},
+					{
+						weight: 1,
+						arbitrary: fc.record({
+							kind: fc.constant('step-down' as const),
+							host,
+							outcome: fc.constantFrom(
+								'confirmed' as const,
+								'lost' as const,
+								'late' as const,
+								'failed' as const,
+							),
+						}),
+					},
 					{
 						weight: 1,
 						arbitrary: fc.record({
@@ -323,3 +386,70 @@
 	assert.ok(now - lastOrderAt >= times.handoverMilliseconds);
 	assert.ok(now < 10_000);
 });
+
+// Guards against a host without paths to targets that keeps the lease, and against one that cannot get it back.
+test('a host that steps down gives no orders, and claims again at once or after an additional delay', () => {
+	for (const delay of [0, 5000]) {
+		const log = new Log();
+		const lease = new OwnerLease(candidate('a'), times);
+		step(lease, log, 0);
+		step(lease, log, 0);
+		const append = lease.stepDown(100, 500)!;
+		assert.equal(lease.orderToken(500), undefined);
+		lease.applyAppendOutcome(append, log.append(append), 500, 500);
+		assert.equal(lease.isHolder, false);
+		assert.equal(lease.holder, undefined);
+		assert.equal(
+			lease.nextStep(500 + delay, false, delay).kind,
+			'append',
+			'The lease is not claimed after the delay.',
+		);
+		assert.notEqual(lease.nextStep(499 + delay, false, delay).kind, 'append');
+		step(lease, log, 500 + delay);
+		assert.equal(lease.isHolder, true);
+	}
+});
+
+// Guards against orders behind a release that may still reach the log.
+test('a host whose release has an unknown outcome gives orders only after its next renewal is confirmed', () => {
+	const log = new Log();
+	const lease = new OwnerLease(candidate('a'), times);
+	step(lease, log, 0);
+	step(lease, log, 0);
+	const append = lease.stepDown(undefined, 100)!;
+	lease.handleAppendFailure();
+	assert.equal(lease.stepDown(undefined, 150), undefined);
+	step(lease, log, 200);
+	assert.equal(lease.isHolder, true);
+	assert.equal(lease.orderToken(200), undefined);
+	step(lease, log, times.renewalMilliseconds);
+	assert.notEqual(lease.orderToken(times.renewalMilliseconds), undefined);
+	assert.equal(log.append(append).kind, 'conflict');
+});
+
+// Guards against orders too soon after those of the holder before last: a holder that waits for its first order steps
+// down, its release is lost, and its status names no order.
+test('the status of a holder that may not send orders yet passes on the rest of its wait', () => {
+	const log = new Log();
+	const [first, second, third] = ['a', 'b', 'c'].map(
+		(host) => new OwnerLease(candidate(host), times),
+	) as [OwnerLease, OwnerLease, OwnerLease];
+	step(first, log, 0);
+	step(first, log, 0);
+	assert.notEqual(first.orderToken(0), undefined);
+	let now = 0;
+	while (!second.isHolder) {
+		now += 100;
+		step(second, log, now);
+	}
+
+	assert.notEqual(second.stepDown(undefined, now), undefined);
+	second.handleAppendFailure();
+	while (third.orderToken(now) === undefined) {
+		now += 100;
+		third.applyHolderStatus(second.status(now, undefined)!, now);
+		step(third, log, now);
+	}
+
+	assert.ok(now >= times.validityMilliseconds + times.handoverMilliseconds);
+});
