Cut off a pool only after 400 ms without contact

Targets that refuse new connections and serve open ones would change the state of their pool with each answer. The decision waits for 400 ms without contact.

--- a/src/core/target-reachability.ts
+++ b/src/core/target-reachability.ts
@@ -68,7 +68,7 @@
 const maximumRequiredTargets = 4;
 /** Targets that must fail to connect in a pool of more than two targets. Lost attempts alone can concern old connections only. */
 const requiredConnectFailures = 2;
-/** Silence after a request from which a target of its pool is probed. */
+/** Silence after a request from which a target of its pool is probed, and silence of a pool from which it can count as cut off: open connections may serve while new ones are refused. */
 const silenceMilliseconds = 400;
 /** Time without contact from which a target of a pool without requests is probed. */
 const idleProbeMilliseconds = 2000;
@@ -214,11 +214,7 @@
 		state.hasConnectFailure ||= isConnectFailure;
 		pool.failureCounts.set(kind, (pool.failureCounts.get(kind) ?? 0) + 1);
 		pool.firstFailureAt ??= now;
-		if (!pool.isCutOff && this.hasLostAllPaths(pool)) {
-			pool.isCutOff = true;
-			this.refusals.discard(name);
-			this.changed.publish(name);
-		}
+		this.decide(name, pool);
 	}
 
 	/** Records that an attempt ended without the rest of its answer. */
@@ -256,6 +252,10 @@
 		this.refusals.discardExpired();
 		this.refill(now);
 		const pools = [...this.pools];
+		for (const [name, pool] of pools) {
+			this.decide(name, pool);
+		}
+
 		return [
 			...pools.flatMap(([name, pool]) => this.suspicionProbes(name, pool, now)),
 			...this.recoveryProbes(now),
@@ -330,8 +330,23 @@
 		}
 	}
 
+	private decide(name: PoolName, pool: PoolState): void {
+		if (!pool.isCutOff && this.hasLostAllPaths(pool)) {
+			pool.isCutOff = true;
+			this.refusals.discard(name);
+			this.changed.publish(name);
+		}
+	}
+
 	private hasLostAllPaths(pool: PoolState): boolean {
 		const count = pool.targets.size;
+		if (
+			pool.failing.size === 0 ||
+			this.clock.monotonic() - pool.contactAt < silenceMilliseconds
+		) {
+			return false;
+		}
+
 		const failing = this.recentFailures(pool);
 		const unconnected = failing.filter(
 			({hasConnectFailure}) => hasConnectFailure,
--- a/test/platform/stand-in-worker.ts
+++ b/test/platform/stand-in-worker.ts
@@ -40,6 +40,11 @@
 		return `127.0.0.1:${(this.server.address() as AddressInfo).port}`;
 	}
 
+	/** Refuses new connections. Open ones go on. */
+	stopListening(): void {
+		this.server.close();
+	}
+
 	stop(): void {
 		for (const socket of this.sockets) {
 			socket.destroy();
