--- /dev/null
+++ b/test/process/owner-without-targets.test.ts
@@ -0,0 +1,179 @@
+import assert from 'node:assert/strict';
+import {type Socket} from 'node:net';
+import {after, before, test} from 'node:test';
+import {request} from 'undici';
+import {StandInStore} from '../platform/stand-in-store.js';
+import {respondWith, StandInWorker} from '../platform/stand-in-worker.js';
+import {
+	startForwardingHost,
+	type ForwardingTestHost,
+} from './forwarding-host.js';
+import {waitUntil} from './processes.js';
+
+const store = new StandInStore();
+const workers = [new StandInWorker('i-1'), new StandInWorker('i-2')];
+const ports = new Map<StandInWorker, number>();
+const hosts: ForwardingTestHost[] = [];
+/** Connections that were used for the requests of callers of each host, and for each other path by its owner. */
+const sockets = new Map<string, Set<Socket>>();
+const callIntervalMilliseconds = 50;
+let requestCount = 0;
+const stop = new AbortController();
+
+function hasLogged(host: ForwardingTestHost | undefined, event: string) {
+	return host?.process.lines.some((line) => line.includes(`"${event}"`));
+}
+
+async function call(host: ForwardingTestHost, name: string): Promise<void> {
+	requestCount++;
+	const response = await request(
+		`http://127.0.0.1:${host.ports.callers}/x/${name}`,
+		{
+			headers: {
+				host: 'a.example',
+				'request-id': `r${requestCount}`,
+				'deadline-ms': '1000',
+			},
+		},
+	);
+	await response.body.dump();
+}
+
+/** Sends requests through a host, one after the other, until the end of the test. */
+async function callContinually(
+	host: ForwardingTestHost,
+	name: string,
+): Promise<void> {
+	while (!stop.signal.aborted) {
+		await call(host, name);
+		await new Promise((resolve) => {
+			setTimeout(resolve, callIntervalMilliseconds);
+		});
+	}
+}
+
+async function metrics(host: ForwardingTestHost): Promise<string> {
+	const response = await request(
+		`http://127.0.0.1:${host.ports.metrics}/metrics`,
+	);
+	return response.body.text();
+}
+
+before(async () => {
+	const storeAddress = await store.start();
+	store.put('keyed.op', 'config', {
+		version: 1,
+		routes: [
+			{
+				name: 'r',
+				host: 'a.example',
+				prefix: '/x/',
+				kind: 'idempotent',
+				timeout_ms: 3000,
+				goal_ms: 300,
+				service: 's',
+				attempts: 2,
+			},
+		],
+		services: [{name: 's', max_conns: 100, engine: {weights_mb: 1000}}],
+		limits: {
+			header_bytes: 16_384,
+			max_body_bytes: 1000,
+			header_ms: 3000,
+			idle_ms: 15_000,
+		},
+	});
+	for (const worker of workers) {
+		worker.behaviour = (received) => {
+			const name = received.path.replace('/x/', '');
+			const used = sockets.get(name) ?? new Set();
+			used.add(received.socket);
+			sockets.set(name, used);
+			respondWith('served')(received);
+		};
+
+		const address = await worker.start();
+		ports.set(worker, Number(address.split(':')[1]));
+		store.put('keyed.servers', worker.id, {
+			service: 's',
+			addr: address,
+			zone: 'z',
+			slots: 16,
+			state: 'ready',
+			born: 1,
+			seq: 1,
+		});
+	}
+
+	for (const name of ['h1', 'h2']) {
+		const host = await startForwardingHost(name, {
+			store: storeAddress,
+			targets: {drainMilliseconds: 2000},
+		});
+		hosts.push(host);
+		await waitUntil(`${name} is ready`, () =>
+			hasLogged(host, 'forwarding-ready'),
+		);
+		await waitUntil('h1 is the owner', () =>
+			hasLogged(hosts[0], 'ownership-gained'),
+		);
+	}
+});
+
+after(() => {
+	stop.abort();
+	for (const {process: host} of hosts) {
+		host.child.kill('SIGKILL');
+	}
+
+	store.stop();
+	for (const worker of workers) {
+		worker.stop();
+	}
+});
+
+// Guards against an owner that keeps the lease for as long as no order of it reaches a target.
+test('an owner that reaches no target hands over the lease, and finds out when it reaches one again', async () => {
+	const [first, second] = hosts as [ForwardingTestHost, ForwardingTestHost];
+	const calls = [callContinually(first, 'h1'), callContinually(second, 'h2')];
+	await waitUntil(
+		'each host has requests',
+		() => sockets.has('h1') && sockets.has('h2'),
+	);
+	await waitUntil('h1 knows of h2', async () =>
+		(await metrics(first)).includes('daisylever_hosts 2'),
+	);
+
+	// Only the connections of h2 go on.
+	for (const worker of workers) {
+		worker.stopListening();
+	}
+
+	const kept = sockets.get('h2')!;
+	for (const socket of [...sockets.values()].flatMap((used) => [...used])) {
+		if (!kept.has(socket)) {
+			socket.destroy();
+		}
+	}
+
+	await waitUntil('h1 notices', () => hasLogged(first, 'pool-unreachable'));
+	assert.match(await metrics(first), /^daisylever_pools_cut_off 1$/m);
+	await waitUntil('h1 gives the lease up', () =>
+		hasLogged(first, 'ownership-given-up'),
+	);
+	await waitUntil('h2 is the owner', () =>
+		hasLogged(second, 'ownership-gained'),
+	);
+	assert.ok(!hasLogged(second, 'pool-unreachable'));
+
+	for (const worker of workers) {
+		await worker.start(ports.get(worker));
+	}
+
+	await waitUntil('h1 reaches the targets', () =>
+		hasLogged(first, 'pool-reached-again'),
+	);
+	assert.match(await metrics(first), /^daisylever_pools_cut_off 0$/m);
+	stop.abort();
+	await Promise.all(calls);
+});
