Use targets at once when the paths to them return

A host whose attempts were lost behind a cut ejected up to a third of the targets, kept low limits for starts and left out each target for 300 ms after its last failure, although the targets had not been slow. When a pool is reached again, the dispatcher forgets latencies and waits, and the registry the times of unreachable targets. The test of the registry fails without the last in the built code; the other two test new methods.

--- a/src/core/outlier-detector.ts
+++ b/src/core/outlier-detector.ts
@@ -124,6 +124,16 @@
 		this.reducedWeightTargets.delete(target);
 	}
 
+	/** Forgets all samples and restores all targets, because the latencies measured so far were not those of the targets. */
+	reset(): void {
+		const targets = [...this.states.keys()];
+		this.states.clear();
+		this.reducedWeightTargets.clear();
+		for (const target of targets) {
+			this.addTarget(target);
+		}
+	}
+
 	/** Records a measured latency. Returns `ejected` or `restored` if it changes the state of the target so. */
 	observe(
 		target: TargetId,
--- a/src/core/start-limiter.ts
+++ b/src/core/start-limiter.ts
@@ -146,6 +146,11 @@
 		this.targets.delete(target);
 	}
 
+	/** Forgets all targets, because the waits so far were not those at the targets. */
+	reset(): void {
+		this.targets.clear();
+	}
+
 	/** Usual time from send to start of the requests of a level, undefined when none has started there. */
 	usualStartMilliseconds(target: TargetId, level: number): number | undefined {
 		return this.targets.get(target)?.levels.get(level)?.startMilliseconds;
--- a/src/services/dispatch/dispatcher.ts
+++ b/src/services/dispatch/dispatcher.ts
@@ -187,6 +187,8 @@
 	| {readonly kind: 'hosts-changed'; readonly hosts: readonly HostId[]}
 	/** Sent instead of the names of the hosts, where these are unknown. */
 	| {readonly kind: 'host-count-changed'; readonly count: number}
+	/** The host reaches targets of the pool again, after it had lost the paths to all. */
+	| {readonly kind: 'paths-restored'}
 	/** The set of targets that can run waiting work has changed. */
 	| {readonly kind: 'candidates-changed'}
 	/** Other hosts have reserved these targets for suspects. */
@@ -545,6 +547,12 @@
 				break;
 			}
 
+			case 'paths-restored': {
+				this.outlierDetector.reset();
+				this.startLimiter?.reset();
+				break;
+			}
+
 			case 'candidates-changed': {
 				// `handle` dispatches waiting work after each message.
 				break;
@@ -1463,6 +1471,7 @@
 const poolMessageKinds: ReadonlySet<string> = new Set<PoolMessage['kind']>([
 	'cache-changed',
 	'candidates-changed',
+	'paths-restored',
 	'host-count-changed',
 	'hosts-changed',
 	'suspects-reserved',
--- a/src/services/forwarding/forward-dispatch.ts
+++ b/src/services/forwarding/forward-dispatch.ts
@@ -185,6 +185,11 @@
 			registry.removed.subscribe((target) => {
 				this.handleTargetRemoval(target);
 			}),
+			registry.reachability.changed.subscribe((pool) => {
+				if (pool === options.pool && !registry.reachability.isCutOff(pool)) {
+					this.dispatcher.post({kind: 'paths-restored'});
+				}
+			}),
 		];
 		for (const target of registry.targetsOfPool(options.pool)) {
 			this.handleTargetChange(target);
--- a/src/services/forwarding/target-registry.ts
+++ b/src/services/forwarding/target-registry.ts
@@ -109,6 +109,9 @@
 	constructor(private readonly options: TargetRegistryOptions) {
 		super();
 		this.reachability = new TargetReachability(options);
+		this.reachability.changed.subscribe((pool) => {
+			this.useReachedTargets(pool);
+		});
 		this.revisions = new EntryRevisions(options.clock);
 		this.leaving = new LeavingTargets(options.clock);
 		this.holdBacks = new HoldBacks(options.clock);
@@ -409,6 +412,15 @@
 		this.targets.clear();
 	}
 
+	/** The targets of a pool that this host reaches again get work at once. */
+	private useReachedTargets(pool: PoolName): void {
+		if (!this.reachability.isCutOff(pool)) {
+			for (const target of this.targetsOfPool(pool)) {
+				target.unreachableUntil = 0;
+			}
+		}
+	}
+
 	private suitableTargets(
 		pool: PoolName,
 		model: ModelId | undefined,
--- a/test/dispatch/routing.test.ts
+++ b/test/dispatch/routing.test.ts
@@ -239,3 +239,37 @@
 	assert.equal(hedging.tryHedge(hedgeCandidate), true);
 	assert.equal(hedging.tryHedge(hedgeCandidate), false);
 });
+
+// Guards against targets that get less work after the paths to them have returned, because attempts were lost on the way.
+test('after a reset, the outlier detector restores all targets and compares new samples only', () => {
+	const clock = new ManualClock();
+	const detector = new OutlierDetector({clock});
+	const names = ['a', 'b', 'c'].map(id);
+	for (const name of names) {
+		detector.addTarget(name);
+	}
+
+	for (let round = 0; round < 20; round++) {
+		clock.advance(25);
+		for (const name of names) {
+			detector.observe(name, 'first-token', name === 'a' ? 3000 : 100);
+		}
+	}
+
+	assert.equal(detector.health(id('a')).weight, 0);
+	detector.reset();
+	assert.equal(detector.ejectedCount, 0);
+	assert.deepEqual(detector.reducedTargets(), []);
+	for (let round = 0; round < 20; round++) {
+		clock.advance(25);
+		for (const name of names) {
+			detector.observe(name, 'first-token', 100);
+		}
+	}
+
+	assert.deepEqual(detector.health(id('a')), {
+		weight: 1,
+		speed: 1,
+		isProbeDue: false,
+	});
+});
--- a/test/dispatch/start-limiter.test.ts
+++ b/test/dispatch/start-limiter.test.ts
@@ -363,3 +363,21 @@
 		assert.ok(deferred > expected, `${deferred} of ${sent * 0.1} at ${load}`);
 	}
 });
+
+// Guards against a host that sends little after the paths to its targets have returned, because requests hung before.
+test('after a reset, the limits no longer show the waits of earlier requests', () => {
+	const clock = new ManualClock();
+	const limiter = new StartLimiter({clock});
+	for (let sent = 0; sent < 4; sent++) {
+		limiter.recordSent(target, {
+			request: `r${sent}` as RequestId,
+			level: 0,
+			objectiveMilliseconds,
+		});
+	}
+
+	clock.advance(2000);
+	assert.equal(limiter.hasCapacity(target, 0), false);
+	limiter.reset();
+	assert.equal(limiter.hasCapacity(target, 0), true);
+});
--- a/test/forwarding/target-registry.test.ts
+++ b/test/forwarding/target-registry.test.ts
@@ -114,7 +114,7 @@
 	assert.deepEqual(registry.candidates(pool, model, undefined), [target]);
 });
 
-// Guards against targets that count as empty for seconds after the paths to them have returned.
+// Guards against targets that count as empty or unreachable for a while after the paths to them have returned.
 test('a target that refuses connections like all others does not count as empty', () => {
 	for (const others of [[], [other]]) {
 		const {clock, registry, list, applyOwnerContents} = createRegistry();
@@ -128,7 +128,8 @@
 		}
 
 		assert.equal(registry.reachability.isCutOff(pool), true);
-		clock.advance(500);
+		clock.advance(10);
+		assert.deepEqual(registry.candidates(pool, model, undefined), []);
 		registry.reachability.recordConnection(target);
 		applyOwnerContents();
 		assert.deepEqual(registry.candidates(pool, model, undefined), [target]);
