--- a/src/program/forwarding-root.ts
+++ b/src/program/forwarding-root.ts
@@ -41,6 +41,7 @@
 import {OwnerLeaseManager} from '../services/forwarding/owner-lease-manager.js';
 import {PermitClient} from '../services/forwarding/permit-client.js';
 import {PlacementOwner} from '../services/forwarding/placement-owner.js';
+import {ReachabilityProber} from '../services/forwarding/reachability-prober.js';
 import {
 	ReportClient,
 	type FleetUpdate,
@@ -154,6 +155,7 @@
 		const registry = components.add(new TargetRegistry({clock, events}));
 		this.registry = registry;
 		registry.setHostCount(defaultHostCount);
+		components.add(new ReachabilityProber({clock, events, registry}));
 		this.targetListManager = new TargetListManager(clock, registry);
 		const rateLimits = new NamedRateLimits({clock});
 		const permits = new PermitBook({clock, limits: rateLimits});
@@ -331,6 +333,7 @@
 				random,
 				events,
 				isHolderResponsive: () => reportClient.isOwnerResponsive(),
+				mustAbstain: () => service.hostCount > 1 && this.reachesNoEngine,
 				quarantined: () => crashes.quarantined(),
 				onSuspicionsRead(reports) {
 					crashes.merge(reports);
@@ -481,6 +484,19 @@
 		);
 	}
 
+	/** True while this host reaches no target of the pools with an engine. */
+	private get reachesNoEngine(): boolean {
+		const {registry, service} = this;
+		const pools = (service.currentDocument?.pools ?? []).filter(
+			({name, engine}) =>
+				engine !== undefined && registry.targetsOfPool(name).length > 0,
+		);
+		return (
+			pools.length > 0 &&
+			pools.every(({name}) => registry.reachability.isCutOff(name))
+		);
+	}
+
 	private connectComponents(): void {
 		const {registry, service, owner, events} = this;
 		this.documents.changed.subscribe(({changes}) => {
@@ -653,6 +669,10 @@
 			'daisylever_uses_relay',
 			this.reportClient.relay === '' ? 0 : 1,
 		);
+		this.metrics.gauge(
+			'daisylever_pools_cut_off',
+			this.registry.reachability.cutOffPools().length,
+		);
 		this.metrics.gauge('daisylever_hosts', this.service.hostCount);
 	}
 
