Forward requests to a peer while all targets of their pool are cut off

Callers of a host without paths to the targets of a pool got 502, 503 or 504 until the paths came back. Cause: a host had one way to a target only.

While PoolReachability says that a pool is cut off, the host hands new requests, and those of which nothing is being sent, to another host by the call Forward of daisylever.forwarding.v1 on the listener for peers. The peer serves them like those of its callers, under its own document and budget, and never forwards them again. Not run stays not run (503); without a statement the outcome is unknown (502), and only repeatable requests and resumable streams go on elsewhere, within the executions of the route and the retry budget.

test/forwarding/peer-forwarding.test.ts runs two to four hosts in one process.

--- a/src/contracts/events/forwarding-events.ts
+++ b/src/contracts/events/forwarding-events.ts
@@ -274,6 +274,27 @@
 		description:
 			'A request was refused because of a quarantined fingerprint: its own or that of a part of its prompt. Look for the fingerprint in the events 7016.',
 	},
+	requestSentToPeer: {
+		number: 7055,
+		name: 'request-sent-to-peer',
+		level: 'info',
+		description:
+			'A request was forwarded to another host (field peer), because this one reaches no target of its pool.',
+	},
+	peerFailed: {
+		number: 7056,
+		name: 'peer-failed',
+		level: 'info',
+		description:
+			'A host to which a request was forwarded has not answered it. Field outcome: not-run (it refused the request or could not be reached), failed (it states that the request may have run) or lost (it made no statement).',
+	},
+	requestTakenFromPeer: {
+		number: 7057,
+		name: 'request-taken-from-peer',
+		level: 'info',
+		description:
+			'Another host (field peer), which reaches no target of the pool, forwarded a request to this one.',
+	},
 	eventLoopStalled: {
 		number: 7061,
 		name: 'event-loop-stalled',
--- a/src/program/forwarding-root.ts
+++ b/src/program/forwarding-root.ts
@@ -19,9 +19,11 @@
 import {type ForwardingDocument} from '../contracts/forwarding-document.js';
 import {type TargetListChange} from '../contracts/listed-target.js';
 import {type DocumentChange} from '../contracts/shared-store.js';
+import {AlwaysReachable} from '../contracts/pool-reachability.js';
 import {CrashCorrelation} from '../core/crash-correlation.js';
 import {NamedRateLimits} from '../core/named-rate-limits.js';
 import {OwnerLease} from '../core/owner-lease.js';
+import {PeerSelection} from '../core/peer-selection.js';
 import {PermitBook} from '../core/permit-book.js';
 import {PermitIssuer} from '../core/permit-issuer.js';
 import {StreamOrigins} from '../core/stream-origins.js';
@@ -39,6 +41,9 @@
 import {ForwardingService} from '../services/forwarding/forwarding-service.js';
 import {FleetView} from '../services/forwarding/fleet-view.js';
 import {OwnerLeaseManager} from '../services/forwarding/owner-lease-manager.js';
+import {PeerConnections} from '../services/forwarding/peer-connections.js';
+import {PeerForwarder} from '../services/forwarding/peer-forwarder.js';
+import {addPeerRoutes} from '../services/forwarding/peer-routes.js';
 import {PermitClient} from '../services/forwarding/permit-client.js';
 import {PlacementOwner} from '../services/forwarding/placement-owner.js';
 import {
@@ -240,8 +245,17 @@
 				onDocumentReceived: (document) => {
 					this.takeDocument(document);
 				},
+				addRoutes: (router) => {
+					addPeerRoutes(router, {
+						clock,
+						serve: (request) => {
+							this.service.handlePeerRequest(request);
+						},
+					});
+				},
 			}),
 		);
+		const peerAddress = `${listen.peers.address}:${listen.peers.port}`;
 		this.service = new ForwardingService({
 			host,
 			failureDomain: settings.failureDomain,
@@ -261,6 +275,22 @@
 			rateLimits,
 			permits,
 			streams,
+			reachability: new AlwaysReachable(),
+			peers: components.add(
+				new PeerForwarder({
+					host,
+					clock,
+					events,
+					metrics,
+					selection: new PeerSelection({
+						clock,
+						random,
+						ownAddress: peerAddress,
+					}),
+					connections: components.add(new PeerConnections()),
+					knownPeers: () => this.reportClient.knownPeers(),
+				}),
+			),
 			onAdapterMissing: () => {
 				this.reportClient.scheduleReport();
 			},
@@ -270,7 +300,6 @@
 			service.dispose();
 		});
 		this.server = components.add(new ForwardingServer(service));
-		const peerAddress = `${listen.peers.address}:${listen.peers.port}`;
 		const {processorShare} = settings.machine;
 		this.reportClient = components.add(
 			new ReportClient({
--- a/src/services/forwarding/forward-dispatch.ts
+++ b/src/services/forwarding/forward-dispatch.ts
@@ -84,6 +84,8 @@
 	readonly permits: PermitBook;
 	readonly streams: StreamOriginSharing;
 	readonly maximumBodyBytes: number;
+	/** Gives a request that has not run and that this host cannot serve to another host. Returns false when it is to be refused. */
+	readonly tryOtherHost?: (request: ForwardedRequest) => boolean;
 };
 
 /** Retries that a host may have saved up although its share of the slack is smaller. */
@@ -242,6 +244,42 @@
 		this.attempts.delete(request.key);
 	}
 
+	/**
+	 * Removes and returns the requests of which nothing is being sent, for another host to serve. To be called from a
+	 * timer or immediate: by then the dispatcher has decided on all attempts that ended, so that a request which may
+	 * have run waits only if it may be repeated and its repetition is charged to the retry budget.
+	 */
+	takeUnsent(): ForwardedRequest[] {
+		const taken: ForwardedRequest[] = [];
+		for (const request of this.requests.values()) {
+			const attempts = [...(this.attempts.get(request.key)?.values() ?? [])];
+			if (request.isFinished || attempts.some(({isSent}) => isSent)) {
+				continue;
+			}
+
+			const executions = request.executions - attempts.length;
+			if (executions > 0 && !this.mayRunAgain(request, executions)) {
+				continue;
+			}
+
+			// The attempts whose connections are not open yet are cancelled and do not run.
+			this.abandon(request);
+			this.remove(request);
+			request.executions = executions;
+			taken.push(request);
+		}
+
+		return taken;
+	}
+
+	/** Takes a repetition from the retry budget of this host for a request that may have run. Returns false when none is left or the request must not be repeated. */
+	tryRepeatElsewhere(request: ForwardedRequest): boolean {
+		return (
+			this.mayRunAgain(request, request.executions) &&
+			this.retryBudget.tryAcquire()
+		);
+	}
+
 	/** Sets the number of hosts that share the targets and the retry budget. */
 	setHostCount(count: number): void {
 		this.dispatcher.post({kind: 'host-count-changed', count});
@@ -345,7 +383,10 @@
 			this.refusedDemand.record(item.model);
 		}
 
-		this.requests.get(item.request)?.refuse(message, retryAfterMilliseconds);
+		const request = this.requests.get(item.request);
+		if (request && !this.tryOtherHost(request)) {
+			request.refuse(message, retryAfterMilliseconds);
+		}
 	}
 
 	/** Handles the failure of the last attempt, which is not retried. */
@@ -356,7 +397,10 @@
 		}
 
 		if (execution === 'not-run') {
-			request.refuse('no target accepted the request', 500);
+			if (!this.tryOtherHost(request)) {
+				request.refuse('no target accepted the request', 500);
+			}
+
 			return;
 		}
 
@@ -541,6 +585,22 @@
 		);
 	}
 
+	private mayRunAgain(request: ForwardedRequest, executions: number): boolean {
+		return (
+			request.isRepeatable &&
+			executions < request.route.maximumExecutions &&
+			this.mayRepeat(request)
+		);
+	}
+
+	private tryOtherHost(request: ForwardedRequest): boolean {
+		return (
+			request.executions === 0 &&
+			!request.isFinished &&
+			this.options.tryOtherHost?.(request) === true
+		);
+	}
+
 	private versionOf(target: TargetId): SoftwareVersion | undefined {
 		const registered = this.options.registry.get(target);
 		return registered && versionOf(registered.listed);
--- a/src/services/forwarding/forwarded-request.ts
+++ b/src/services/forwarding/forwarded-request.ts
@@ -27,10 +27,14 @@
 	readonly method: string;
 	/** Path and query as received from the caller. */
 	readonly requestTarget: string;
+	/** Alternating names and values as received from the caller. */
+	readonly rawHeaders: readonly string[];
 	readonly body: Buffer;
 	readonly fingerprint: Fingerprint;
 	readonly response: CallerResponse;
 	readonly documentVersion: number;
+	/** Name of the host that forwarded the request to this one, undefined for requests of callers. */
+	readonly forwardedBy: string | undefined;
 	/** Monotonic time at which the last byte of the request was received. */
 	readonly arrivedAt: number;
 	readonly codec: RequestCodec;
@@ -87,6 +91,8 @@
 	continuations = 0;
 	/** Time from arrival until the first attempt was sent, undefined before that. */
 	waitedMilliseconds: number | undefined;
+	/** Address of the host to which the request was forwarded last, undefined while this host serves it itself. */
+	peer: string | undefined;
 	private contentType: string | undefined;
 	private lastChunkAt: number | undefined;
 	private splitter = new EventStreamSplitter();
@@ -358,11 +364,17 @@
 			metadata.id,
 			retryAfterMilliseconds,
 		);
-		response.send(
+		response.sendOwn({
 			status,
-			[...Object.entries(headers).flat(), 'Content-Type', 'text/plain'],
-			'',
-		);
+			headers: [
+				...Object.entries(headers).flat(),
+				'Content-Type',
+				'text/plain',
+			],
+			execution: status === 503 ? 'not-run' : 'unknown',
+			reason,
+			retryAfterMilliseconds,
+		});
 		this.finish(`own ${status}: ${reason}`);
 	}
 
@@ -392,6 +404,8 @@
 			largestGapMilliseconds: Math.round(this.largestGapMilliseconds),
 			continuations: this.continuations,
 			documentVersion,
+			forwardedTo: this.peer,
+			forwardedBy: this.options.forwardedBy,
 		});
 		this.options.onFinished(this, outcome);
 	}
--- a/src/services/forwarding/forwarding-service.ts
+++ b/src/services/forwarding/forwarding-service.ts
@@ -21,6 +21,7 @@
 	type RequestCodec,
 	type RequestMetadata,
 } from '../../contracts/request-codec.js';
+import {type PoolReachability} from '../../contracts/pool-reachability.js';
 import {type NamedRateLimits} from '../../core/named-rate-limits.js';
 import {type PermitBook} from '../../core/permit-book.js';
 import {pickPoolByWeight, RouteTable} from '../../core/route-table.js';
@@ -29,7 +30,11 @@
 	type AdapterDemand,
 	type HostDemand,
 } from '../../core/host-demand.js';
-import {CallerResponse} from './caller-response.js';
+import {
+	type ArrivedRequest,
+	type PeerOrigin,
+	type PeerRequest,
+} from './arrived-request.js';
 import {type CrashObserver} from './crash-observer.js';
 import {
 	ForwardDispatch,
@@ -41,6 +46,8 @@
 	ReceivedRequestHandler,
 	type ReceivedRequest,
 } from './forwarding-server.js';
+import {HttpCallerResponse} from './http-caller-response.js';
+import {type PeerForwarder} from './peer-forwarder.js';
 import {type StreamOriginSharing} from './stream-origin-sharing.js';
 import {type TargetRegistry} from './target-registry.js';
 
@@ -59,6 +66,9 @@
 	readonly rateLimits: NamedRateLimits;
 	readonly permits: PermitBook;
 	readonly streams: StreamOriginSharing;
+	readonly reachability: PoolReachability;
+	/** Forwards the requests for pools that are cut off. */
+	readonly peers: PeerForwarder;
 	/** Called when a request arrives for an adapter that no target holds. */
 	readonly onAdapterMissing: () => void;
 };
@@ -82,6 +92,8 @@
 /** Retry delay sent by a host without a document or one that is stopping. A starting host receives a document within this time, or not before its callers time out. */
 const startRetryMilliseconds = 500;
 
+const stoppingReason = 'the host is stopping';
+const cutOffReason = 'the host reaches no target of the pool';
 const unknownVersionReason =
 	'the software version at which the stream began is not known';
 /** Delay after which a refused rest of a stream may come back. By then the report of the host that forwarded its beginning has arrived. */
@@ -111,7 +123,7 @@
 
 	constructor(private readonly options: ForwardingServiceOptions) {
 		super();
-		const {crashes, registry, rateLimits, permits} = options;
+		const {crashes, registry, rateLimits, permits, reachability} = options;
 		registry.restarted.subscribe(({listed}) => {
 			crashes.recordTargetDeath(listed.id, 'restarted');
 			rateLimits.forget(listed.id);
@@ -127,6 +139,14 @@
 				dispatch.refuseQuarantined();
 			}
 		});
+		reachability.changed.subscribe((name) => {
+			setImmediate(() => {
+				const pool = this.pools.get(name);
+				if (pool) {
+					this.forwardUnsent(pool);
+				}
+			});
+		});
 		this.currentHostCount = options.retries.hosts;
 		this.lastIntervalAt = options.clock.monotonic();
 	}
@@ -187,7 +207,7 @@
 			for (const request of dispatch.activeRequests()) {
 				if (request.executions === 0 && !request.isFinished) {
 					dispatch.abandon(request);
-					request.refuse('the host is stopping', startRetryMilliseconds);
+					request.refuse(stoppingReason, startRetryMilliseconds);
 				}
 			}
 		}
@@ -301,9 +321,8 @@
 		};
 	}
 
-	handle(received: ReceivedRequest): void {
-		const {message, response} = received;
-		const {codec, events, metrics} = this.options;
+	handle({message, response, body}: ReceivedRequest): void {
+		const {codec, clock, events, metrics} = this.options;
 		metrics.count('daisylever_requests_total');
 		const metadata = codec.decodeRequest(message.rawHeaders);
 		if (metadata.isErr()) {
@@ -333,7 +352,90 @@
 			return;
 		}
 
-		this.forward(received, metadata.value, route, this.document.version);
+		this.forward(
+			{
+				method: message.method ?? 'GET',
+				requestTarget,
+				rawHeaders: message.rawHeaders,
+				body,
+				arrivedAt: clock.monotonic(),
+				response: new HttpCallerResponse(response, () => this.isStopping),
+				hasCallerLeft: () =>
+					message.socket.destroyed || message.socket.readableEnded,
+				onCallerLeft(callback) {
+					response.once('close', callback);
+				},
+				origin: undefined,
+			},
+			metadata.value,
+			route,
+			this.document.version,
+		);
+	}
+
+	/** Serves a request that another host forwarded, as one of a caller. Refuses it at once if it would have to be forwarded again. */
+	handlePeerRequest(received: PeerRequest): void {
+		const {codec, clock, events, reachability} = this.options;
+		const {origin, response, rawHeaders, requestTarget, arrivedAt} = received;
+		const metadata = codec.decodeRequest(rawHeaders);
+		const route = this.routes?.match(
+			headerValue(rawHeaders, 'host') ?? '',
+			requestTarget,
+		);
+		if (!this.document) {
+			response.refuseHost('the host has no document', startRetryMilliseconds);
+			return;
+		}
+
+		if (!this.isAcceptingRequests) {
+			response.refuseHost(stoppingReason, startRetryMilliseconds);
+			return;
+		}
+
+		if (reachability.isCutOff(origin.pool)) {
+			response.refuseHost(cutOffReason, startRetryMilliseconds);
+			return;
+		}
+
+		if (metadata.isErr() || !route) {
+			response.sendOwn({
+				status: 404,
+				headers: [],
+				execution: 'not-run',
+				reason: 'no route matches',
+				retryAfterMilliseconds: startRetryMilliseconds,
+			});
+			return;
+		}
+
+		events.record(forwardingEvents.requestTakenFromPeer, {
+			request: metadata.value.id,
+			peer: origin.host,
+			pool: origin.pool,
+			lastEventId: origin.lastEventId,
+		});
+		const request = this.forward(
+			received,
+			{
+				...metadata.value,
+				remainingMilliseconds:
+					origin.remainingMilliseconds + clock.monotonic() - arrivedAt,
+				lastEventId: origin.lastEventId,
+			},
+			{
+				...route,
+				maximumExecutions: Math.min(
+					route.maximumExecutions,
+					origin.maximumExecutions,
+				),
+			},
+			this.document.version,
+		);
+		response.describeWith(() => ({
+			executions: request.executions,
+			softwareVersion: request.softwareVersion,
+			isSuspect: this.options.crashes.hasSuspectPart(request.observed),
+		}));
 	}
 
 	reject(
@@ -360,8 +462,10 @@
 	/** Checks the deadlines of queued requests until no request is open. An open request may be queued again. */
 	private startTicking(): void {
 		this.timer ??= setInterval(() => {
-			for (const {dispatch} of this.pools.values()) {
-				dispatch.tick();
+			for (const pool of this.pools.values()) {
+				pool.dispatch.tick();
+				// An attempt that was being connected when the pool was cut off returns its request later.
+				this.forwardUnsent(pool);
 			}
 
 			if (this.requests.size === 0) {
@@ -372,16 +476,15 @@
 	}
 
 	private forward(
-		{message, response, body}: ReceivedRequest,
+		arrived: ArrivedRequest,
 		metadata: RequestMetadata,
 		route: RouteRule,
 		documentVersion: number,
-	): void {
-		const {clock, codec, events, random} = this.options;
-		const name = pickPoolByWeight(route, random);
+	): ForwardedRequest {
+		const {clock, codec, events, peers} = this.options;
+		const {method, requestTarget, rawHeaders, body, origin} = arrived;
+		const name = this.pickPool(route, origin);
 		const pool = name === undefined ? undefined : this.pools.get(name);
-		const requestTarget = message.url ?? '/';
-		const method = message.method ?? 'GET';
 		this.lastKey++;
 		const request = new ForwardedRequest({
 			key: String(this.lastKey) as RequestId,
@@ -389,19 +492,22 @@
 			route,
 			method,
 			requestTarget,
+			rawHeaders,
 			body,
 			fingerprint: sha256(
 				Buffer.concat([Buffer.from(`${method} ${requestTarget}\n`), body]),
 			) as Fingerprint,
-			response: new CallerResponse(response, () => this.isStopping),
+			response: arrived.response,
 			documentVersion,
-			arrivedAt: clock.monotonic(),
+			forwardedBy: origin?.host,
+			arrivedAt: arrived.arrivedAt,
 			codec,
 			clock,
 			events,
 			onFinished: (finished, outcome) => {
 				this.requests.delete(finished);
 				pool?.dispatch.remove(finished);
+				peers.cancel(finished);
 				this.recordMetrics(finished, outcome);
 			},
 		});
@@ -412,18 +518,18 @@
 			(metadata.model !== undefined && !pool.models?.has(metadata.model))
 		) {
 			request.refuse('the pool or model does not exist', 0);
-			return;
+			return request;
 		}
 
 		const admission = this.options.crashes.admit(request.observed);
 		if (admission === 'quarantined') {
 			request.refuseQuarantined();
-			return;
+			return request;
 		}
 
 		request.isQuarantineTrial = admission === 'trial';
 
-		response.once('close', () => {
+		arrived.onCallerLeft(() => {
 			if (!request.isFinished) {
 				pool.dispatch.abandon(request);
 				request.handleCallerDisconnect();
@@ -435,9 +541,61 @@
 		});
 		this.startTicking();
 		if (isTakenUpAgain(request)) {
-			void this.submitResumed(request, pool, message);
+			void this.submitResumed(request, pool, arrived);
+		} else {
+			this.submitArrived(request, pool, arrived);
+		}
+
+		return request;
+	}
+
+	/** Requests from another host keep the pool that it picked, so that the weights stay as configured. */
+	private pickPool(
+		route: RouteRule,
+		origin: PeerOrigin | undefined,
+	): PoolName | undefined {
+		return origin && route.pools.some(({pool}) => pool === origin.pool)
+			? origin.pool
+			: pickPoolByWeight(route, this.options.random);
+	}
+
+	/** Forwards the requests for a pool that is cut off of which nothing is being sent to other hosts. Those that another host forwarded are refused instead. */
+	private forwardUnsent({dispatch}: Pool): void {
+		if (!this.options.reachability.isCutOff(dispatch.pool)) {
+			return;
+		}
+
+		for (const request of dispatch.takeUnsent()) {
+			this.forwardToPeer(request, dispatch);
+		}
+	}
+
+	/** Takes a request that would be refused out of the dispatch of a pool that is cut off, and forwards it to another host. */
+	private tryOtherHost(request: ForwardedRequest, name: PoolName): boolean {
+		const pool = this.pools.get(name);
+		if (
+			!pool ||
+			request.options.forwardedBy !== undefined ||
+			!this.options.reachability.isCutOff(name)
+		) {
+			return false;
+		}
+
+		pool.dispatch.abandon(request);
+		pool.dispatch.remove(request);
+		this.forwardToPeer(request, pool.dispatch);
+		return true;
+	}
+
+	/** Forwards a request to another host, or refuses it if it came from one. */
+	private forwardToPeer(
+		request: ForwardedRequest,
+		dispatch: ForwardDispatch,
+	): void {
+		if (request.options.forwardedBy === undefined) {
+			void this.options.peers.forward(request, dispatch);
 		} else {
-			this.submitArrived(request, pool, message);
+			request.refuse(cutOffReason, startRetryMilliseconds);
 		}
 	}
 
@@ -445,11 +603,12 @@
 	private async submitResumed(
 		request: ForwardedRequest,
 		pool: Pool,
-		message: IncomingMessage,
+		arrived: ArrivedRequest,
 	): Promise<void> {
 		const {streams} = this.options;
 		const {resumedRequest} = request.metadata;
 		request.softwareVersion =
+			arrived.origin?.softwareVersion ??
 			streams.known(pool.dispatch.pool, resumedRequest) ??
 			(resumedRequest && (await streams.find(resumedRequest)));
 		if (request.isFinished) {
@@ -465,8 +624,11 @@
 			streams.recordStart(resumedRequest, request.softwareVersion);
 		}
 
-		if (pool.dispatch.hasTargetOfVersion(request)) {
-			this.submitArrived(request, pool, message);
+		if (
+			pool.dispatch.hasTargetOfVersion(request) ||
+			this.options.reachability.isCutOff(pool.dispatch.pool)
+		) {
+			this.submitArrived(request, pool, arrived);
 		} else {
 			request.refuse(missingVersionReason, undefined);
 		}
@@ -475,10 +637,10 @@
 	private submitArrived(
 		request: ForwardedRequest,
 		pool: Pool,
-		message: IncomingMessage,
+		arrived: ArrivedRequest,
 	): void {
 		if (this.isLagging) {
-			this.submitUnlessCallerLeft(request, pool, message);
+			this.submitUnlessCallerLeft(request, pool, arrived);
 		} else {
 			this.submit(request, pool);
 		}
@@ -498,15 +660,14 @@
 	private submitUnlessCallerLeft(
 		request: ForwardedRequest,
 		pool: Pool,
-		message: IncomingMessage,
+		arrived: ArrivedRequest,
 		turns = socketReadTurns,
 	): void {
 		if (request.isFinished) {
 			return;
 		}
 
-		const {socket} = message;
-		if (socket.destroyed || socket.readableEnded) {
+		if (arrived.hasCallerLeft()) {
 			request.handleCallerDisconnect();
 			return;
 		}
@@ -517,12 +678,17 @@
 		}
 
 		setImmediate(() => {
-			this.submitUnlessCallerLeft(request, pool, message, turns - 1);
+			this.submitUnlessCallerLeft(request, pool, arrived, turns - 1);
 		});
 	}
 
 	private submit(request: ForwardedRequest, {dispatch}: Pool): void {
 		const {metadata} = request;
+		if (this.options.reachability.isCutOff(dispatch.pool)) {
+			this.forwardToPeer(request, dispatch);
+			return;
+		}
+
 		if (this.options.registry.isLeavingAltogether(dispatch.pool)) {
 			request.refuse('all targets of the pool leave', newTargetMilliseconds);
 			return;
@@ -561,16 +727,23 @@
 			request,
 			retryAfterMilliseconds,
 		);
-		new CallerResponse(response, () => this.isStopping).send(
+		new HttpCallerResponse(response, () => this.isStopping).send(
 			status,
 			Object.entries(headers).flat(),
-			'',
+			Buffer.alloc(0),
 		);
 	}
 
 	private recordMetrics(request: ForwardedRequest, outcome: string): void {
 		const {metrics, clock} = this.options;
 		const {kind} = request.route;
+		if (request.options.forwardedBy !== undefined) {
+			metrics.count('daisylever_peer_requests_total', {
+				result: outcome.split(':')[0]!,
+			});
+			return;
+		}
+
 		const [result] = outcome.split(':');
 		metrics.count('daisylever_answers_total', {kind, result: result!});
 		metrics.observe(
@@ -598,6 +771,7 @@
 			permits: this.options.permits,
 			streams: this.options.streams,
 			maximumBodyBytes: 4_194_304,
+			tryOtherHost: (request) => this.tryOtherHost(request, pool),
 		});
 	}
 }
@@ -606,3 +780,14 @@
 function isTakenUpAgain({route, metadata}: ForwardedRequest): boolean {
 	return route.kind === 'stream' && metadata.lastEventId !== undefined;
 }
+
+/** Returns the first value of a header, given the lower-case name. */
+function headerValue(
+	rawHeaders: readonly string[],
+	name: string,
+): string | undefined {
+	const index = rawHeaders.findIndex(
+		(header, position) => position % 2 === 0 && header.toLowerCase() === name,
+	);
+	return index === -1 ? undefined : rawHeaders[index + 1];
+}
--- /dev/null
+++ b/src/services/forwarding/http-caller-response.ts
@@ -0,0 +1,117 @@
+import {type ServerResponse} from 'node:http';
+import {CallerResponse, type OwnResponse} from './caller-response.js';
+
+/** The HTTP response to one request of a caller. */
+export class HttpCallerResponse extends CallerResponse {
+	private isStreaming = false;
+	private isFinished = false;
+
+	constructor(
+		private readonly response: ServerResponse,
+		private readonly mustClose: () => boolean,
+	) {
+		super();
+	}
+
+	get hasStarted(): boolean {
+		return this.isStreaming || this.isFinished;
+	}
+
+	get isEnded(): boolean {
+		return this.isFinished;
+	}
+
+	send(status: number, headers: readonly string[], body: Uint8Array): void {
+		if (this.hasStarted) {
+			return;
+		}
+
+		this.isFinished = true;
+		this.response.writeHead(status, [
+			...headers,
+			'Content-Length',
+			String(body.length),
+			...this.connectionHeaders(),
+		]);
+		this.response.end(body);
+	}
+
+	sendUnframed(
+		status: number,
+		headers: readonly string[],
+		body: Uint8Array,
+	): void {
+		if (this.hasStarted) {
+			return;
+		}
+
+		this.isFinished = true;
+		this.writeUnframedHead(status, headers);
+		this.response.end(body);
+	}
+
+	sendOwn({status, headers}: OwnResponse): void {
+		this.send(status, headers, Buffer.alloc(0));
+	}
+
+	startStream(
+		status: number,
+		headers: readonly string[],
+		isFramed: boolean,
+	): void {
+		if (this.hasStarted) {
+			return;
+		}
+
+		this.isStreaming = true;
+		if (isFramed) {
+			this.response.writeHead(status, [
+				...headers,
+				...this.connectionHeaders(),
+			]);
+		} else {
+			this.writeUnframedHead(status, headers);
+		}
+
+		this.response.flushHeaders();
+	}
+
+	write(bytes: Uint8Array): void {
+		if (this.isStreaming && !this.isFinished) {
+			this.response.write(bytes);
+		}
+	}
+
+	waitForDrain(callback: () => void): boolean {
+		if (this.isFinished || !this.response.writableNeedDrain) {
+			return false;
+		}
+
+		this.response.once('drain', callback);
+		return true;
+	}
+
+	end(): void {
+		if (!this.isFinished) {
+			this.isFinished = true;
+			this.response.end();
+		}
+	}
+
+	/** Closes the connection without ending the response, so that a truncated stream does not look complete. */
+	abort(): void {
+		if (!this.isFinished) {
+			this.isFinished = true;
+			this.response.destroy();
+		}
+	}
+
+	private writeUnframedHead(status: number, headers: readonly string[]): void {
+		this.response.useChunkedEncodingByDefault = false;
+		this.response.writeHead(status, [...headers, 'Connection', 'close']);
+	}
+
+	private connectionHeaders(): string[] {
+		return this.mustClose() ? ['Connection', 'close'] : [];
+	}
+}
--- a/src/services/forwarding/report-client.ts
+++ b/src/services/forwarding/report-client.ts
@@ -157,6 +157,17 @@
 		}
 	}
 
+	/** Addresses of the other hosts that this one knows from its reports, and of the owner. */
+	knownPeers(): readonly string[] {
+		const owner = this.options.holder()?.peerAddress;
+		return [
+			...new Set([
+				...this.state.peerAddresses,
+				...(owner === undefined ? [] : [owner]),
+			]),
+		].filter((address) => address !== this.options.peerAddress);
+	}
+
 	/** True when a word of the owner has reached this host recently, directly or through a relay. */
 	isOwnerResponsive(): boolean {
 		return (
--- a/src/services/forwarding/report-server.ts
+++ b/src/services/forwarding/report-server.ts
@@ -1,4 +1,5 @@
 import {createServer, type Server} from 'node:http';
+import {type ConnectRouter} from '@connectrpc/connect';
 import {connectNodeAdapter} from '@connectrpc/connect-node';
 import {type Result} from 'neverthrow';
 import {type Clock} from '../../base/common/clock.js';
@@ -94,6 +95,8 @@
 	readonly onLeavingTarget: (target: LeavingTarget) => void;
 	/** Called with a document that is newer than the one of this host, in the report of another one. */
 	readonly onDocumentReceived: (document: ForwardingDocument) => void;
+	/** Adds further calls between hosts to the listener. */
+	readonly addRoutes?: (router: ConnectRouter) => void;
 };
 
 type Waiter = {readonly isUrgent: boolean; readonly wake: () => void};
@@ -135,6 +138,7 @@
 						acquirePermits: (request) => this.issuePermits(request),
 						findStream: async (request) => this.findStream(request),
 					});
+					options.addRoutes?.(router);
 				},
 			}),
 		);
--- a/test/forwarding/forwarding-harness.ts
+++ b/test/forwarding/forwarding-harness.ts
@@ -1,7 +1,19 @@
-import {request as httpRequest, type IncomingHttpHeaders} from 'node:http';
-import {NullEventLogger} from '../../src/base/common/event-logger.js';
+import {
+	createServer,
+	request as httpRequest,
+	type IncomingHttpHeaders,
+	type Server,
+} from 'node:http';
+import {connectNodeAdapter} from '@connectrpc/connect-node';
+import {
+	EventLogger,
+	NullEventLogger,
+	type LogEventDefinition,
+} from '../../src/base/common/event-logger.js';
 import {NullMetricRegistry} from '../../src/base/common/metric-registry.js';
 import {SeededRandomSource} from '../../src/base/common/random-source.js';
+import {TypedEvent} from '../../src/base/common/typed-event.js';
+import {listenOn} from '../../src/base/node/listen.js';
 import {SystemClock} from '../../src/base/node/system-clock.js';
 import {
 	type ForwardingDocument,
@@ -17,13 +29,18 @@
 	type TargetIncarnation,
 } from '../../src/contracts/ids.js';
 import {type ListedTarget} from '../../src/contracts/listed-target.js';
+import {PoolReachability} from '../../src/contracts/pool-reachability.js';
 import {CrashCorrelation} from '../../src/core/crash-correlation.js';
 import {NamedRateLimits} from '../../src/core/named-rate-limits.js';
+import {PeerSelection} from '../../src/core/peer-selection.js';
 import {PermitBook} from '../../src/core/permit-book.js';
 import {PlatformRequestCodec} from '../../src/platform/request-codec.js';
 import {CrashObserver} from '../../src/services/forwarding/crash-observer.js';
 import {ForwardingServer} from '../../src/services/forwarding/forwarding-server.js';
 import {ForwardingService} from '../../src/services/forwarding/forwarding-service.js';
+import {PeerConnections} from '../../src/services/forwarding/peer-connections.js';
+import {PeerForwarder} from '../../src/services/forwarding/peer-forwarder.js';
+import {addPeerRoutes} from '../../src/services/forwarding/peer-routes.js';
 import {TargetRegistry} from '../../src/services/forwarding/target-registry.js';
 import {createSharing} from './stream-sharing.js';
 
@@ -90,6 +107,43 @@
 	readonly disconnectMilliseconds?: number;
 };
 
+/** Tells what the test says of the paths to the only pool. */
+export class StandInReachability extends PoolReachability {
+	readonly changed = new TypedEvent<PoolName>();
+	private isPoolCutOff = false;
+
+	isCutOff(): boolean {
+		return this.isPoolCutOff;
+	}
+
+	/** Cuts the pool off or ends that. */
+	setCutOff(isCutOff: boolean): void {
+		this.isPoolCutOff = isCutOff;
+		this.changed.publish(poolName);
+	}
+}
+
+/** An event that the service has logged. */
+export type LoggedEvent = {
+	readonly name: string;
+	readonly fields: Readonly<Record<string, unknown>>;
+};
+
+/** Keeps the events that the service logs. */
+class RecordingEventLogger extends EventLogger {
+	readonly logged: LoggedEvent[] = [];
+	readonly recorded = new TypedEvent<LoggedEvent>();
+
+	record(
+		{name}: LogEventDefinition,
+		fields: Readonly<Record<string, unknown>> = {},
+	): void {
+		const event = {name, fields};
+		this.logged.push(event);
+		this.recorded.publish(event);
+	}
+}
+
 /** A forwarding server in this process. The test provides the targets. */
 export class ForwardingHarness {
 	readonly clock = new SystemClock();
@@ -105,21 +159,42 @@
 	readonly service: ForwardingService;
 	/** Number of calls of `onAdapterMissing`. */
 	missingAdapterCount = 0;
+	readonly reachability = new StandInReachability();
+	/** Addresses of the hosts to which requests may be forwarded. */
+	knownPeers: readonly string[] = [];
+	private readonly eventLogger = new RecordingEventLogger();
+	private readonly peerConnections = new PeerConnections();
+	private readonly peers: PeerForwarder;
 	private readonly server: ForwardingServer;
+	private peerServer: Server | undefined;
 	private port = 0;
 	private callCount = 0;
 
 	/** Other hosts answer with `askOthers` at which software version a stream began. */
 	constructor(askOthers?: Parameters<typeof createSharing>[1]) {
 		this.streams = createSharing(this.clock, askOthers);
-		const events = new NullEventLogger();
+		const events = this.eventLogger;
+		const random = new SeededRandomSource(5);
 		const rateLimits = new NamedRateLimits({clock: this.clock});
 		this.registry = new TargetRegistry({clock: this.clock, events});
+		this.peers = new PeerForwarder({
+			host: 'h1' as HostId,
+			clock: this.clock,
+			events,
+			metrics: new NullMetricRegistry(),
+			selection: new PeerSelection({
+				clock: this.clock,
+				random,
+				ownAddress: '',
+			}),
+			connections: this.peerConnections,
+			knownPeers: () => this.knownPeers,
+		});
 		this.service = new ForwardingService({
 			host: 'h1' as HostId,
 			failureDomain: 'z' as FailureDomain,
 			clock: this.clock,
-			random: new SeededRandomSource(5),
+			random,
 			events,
 			metrics: new NullMetricRegistry(),
 			codec: new PlatformRequestCodec(),
@@ -128,6 +203,8 @@
 			rateLimits,
 			permits: new PermitBook({clock: this.clock, limits: rateLimits}),
 			streams: this.streams.sharing,
+			reachability: this.reachability,
+			peers: this.peers,
 			retries: {ratio: 0.2, slack: 56, windowMilliseconds: 10_000, hosts: 8},
 			onAdapterMissing: () => {
 				this.missingAdapterCount++;
@@ -150,6 +227,40 @@
 		this.port = (await this.server.listen(0, '127.0.0.1'))._unsafeUnwrap();
 	}
 
+	/** Opens the listener for other hosts and returns its address. */
+	async listenForPeers(): Promise<string> {
+		this.peerServer = createServer(
+			connectNodeAdapter({
+				routes: (router) => {
+					addPeerRoutes(router, {
+						clock: this.clock,
+						serve: (request) => {
+							this.service.handlePeerRequest(request);
+						},
+					});
+				},
+			}),
+		);
+		const port = await listenOn(this.peerServer, 0, '127.0.0.1');
+		return `127.0.0.1:${port._unsafeUnwrap()}`;
+	}
+
+	/** Closes the listener for other hosts with all its connections, like the end of the process. */
+	closePeerListener(): void {
+		this.peerServer?.close();
+		this.peerServer?.closeAllConnections();
+	}
+
+	/** Published with each event that the service logs. */
+	get eventLogged(): TypedEvent<LoggedEvent> {
+		return this.eventLogger.recorded;
+	}
+
+	/** Events of a kind that the service has logged. */
+	logged(name: string): readonly LoggedEvent[] {
+		return this.eventLogger.logged.filter((event) => event.name === name);
+	}
+
 	/** Port at which callers connect. */
 	get callerPort(): number {
 		return this.port;
@@ -157,6 +268,9 @@
 
 	async stop(): Promise<void> {
 		this.service.dispose();
+		this.peers.dispose();
+		this.peerConnections.dispose();
+		this.closePeerListener();
 		this.server.dispose();
 		await this.registry.dispose();
 	}
@@ -182,6 +296,57 @@
 		});
 	}
 
+	/** Requests a stream. `received` returns what has arrived so far. A caller that is paused reads nothing until `resume`. */
+	stream(
+		path: string,
+		options: {readonly isPaused?: boolean} = {},
+	): {
+		readonly promise: Promise<CallerResult>;
+		readonly received: () => string;
+		readonly resume: () => void;
+	} {
+		this.callCount++;
+		let body = '';
+		let resume: () => void = () => undefined;
+		const request = httpRequest({
+			port: this.port,
+			host: '127.0.0.1',
+			path,
+			headers: {Host: 'a.example', 'Request-Id': `r${this.callCount}`},
+		});
+		const promise = new Promise<CallerResult>((resolve, reject) => {
+			request.on('error', reject);
+			request.on('response', (response) => {
+				response.on('error', () => undefined);
+				response.on('close', () => {
+					resolve({
+						status: response.statusCode ?? 0,
+						headers: response.headers,
+						body,
+						isComplete: response.complete,
+					});
+				});
+				resume = () => {
+					response.on('data', (chunk: Buffer) => {
+						body += chunk.toString();
+					});
+				};
+
+				if (options.isPaused !== true) {
+					resume();
+				}
+			});
+		});
+		request.end();
+		return {
+			promise,
+			received: () => body,
+			resume() {
+				resume();
+			},
+		};
+	}
+
 	/** Sends one request and resolves with the response when the connection or response ends. */
 	async call(path: string, options: CallOptions = {}): Promise<CallerResult> {
 		this.callCount++;
