--- a/src/contracts/events/forwarding-events.ts
+++ b/src/contracts/events/forwarding-events.ts
@@ -295,6 +295,27 @@
 		description:
 			'An attempt makes no progress. It stays open while another target is sought, and is cancelled when that one responds first.',
 	},
+	requestSentToPeer: {
+		number: 7056,
+		name: 'request-sent-to-peer',
+		level: 'info',
+		description:
+			'A request was forwarded to another host (field peer), because this one reaches no target of its pool.',
+	},
+	peerFailed: {
+		number: 7057,
+		name: 'peer-failed',
+		level: 'info',
+		description:
+			'A host to which a request was forwarded has not answered it. Field outcome: not-run (it refused the request or could not be reached), failed (it states that the request may have run) or lost (it made no statement).',
+	},
+	requestTakenFromPeer: {
+		number: 7058,
+		name: 'request-taken-from-peer',
+		level: 'info',
+		description:
+			'Another host (field peer), which reaches no target of the pool, forwarded a request to this one.',
+	},
 	eventLoopStalled: {
 		number: 7061,
 		name: 'event-loop-stalled',
--- a/src/core/target-reachability.ts
+++ b/src/core/target-reachability.ts
@@ -1,6 +1,7 @@
 import {type Clock} from '../base/common/clock.js';
 import {TypedEvent} from '../base/common/typed-event.js';
 import {type PoolName, type TargetId} from '../contracts/ids.js';
+import {PoolReachability} from '../contracts/pool-reachability.js';
 import {HeldRefusals, type RefusalDecision} from './held-refusals.js';
 
 /** Kind of an observation that a target does not answer this host. */
@@ -88,7 +89,7 @@
  * Decides from contacts and failures whether this host reaches any target of a pool. A pool is cut off when several of
  * its targets, or all of one or two, have failed since the last contact with any of them. One contact ends that.
  */
-export class TargetReachability {
+export class TargetReachability extends PoolReachability {
 	/** A pool was cut off from this host, or is reached again. */
 	readonly changed = new TypedEvent<PoolName>();
 	/** Probes of a pool are due at once. */
@@ -102,6 +103,7 @@
 	private recoveryProbeAt = Number.NEGATIVE_INFINITY;
 
 	constructor({clock}: {readonly clock: Clock}) {
+		super();
 		this.clock = clock;
 		this.refilledAt = clock.monotonic();
 		this.refusals = new HeldRefusals(clock);
