Send brittle targets only what they have room for

Callers saw: workers of a service that say `Server-Brittle: N` fell over when all hosts together were turned away more than N times within a second.

Cause: hosts knew the room of a target from late reports only, and each sent up to all its slots.

RefusalLimits decides for each host and target: a share of the slots, places of accepted requests that have just ended, room in a report that is milliseconds old, and otherwise a random opportunity, of which all hosts together have a part of N. The dispatcher asks it beside the permits. Events 7062 to 7064.

--- a/src/contracts/events/forwarding-events.ts
+++ b/src/contracts/events/forwarding-events.ts
@@ -104,6 +104,26 @@
 		description:
 			'One request with a quarantined fingerprint is sent, to find out whether it still crashes targets. Only the owner does this, less often each time.',
 	},
+	targetBrittle: {
+		number: 7062,
+		name: 'target-brittle',
+		level: 'warn',
+		description:
+			'A target says in its answers that it falls over when it turns away more requests a second than the given number. Hosts send it only what it has room for.',
+	},
+	targetNoLongerBrittle: {
+		number: 7063,
+		name: 'target-no-longer-brittle',
+		level: 'info',
+		description: 'The answers of a target no longer say that it is brittle.',
+	},
+	brittleTargetLimited: {
+		number: 7064,
+		name: 'brittle-target-limited',
+		level: 'info',
+		description:
+			'For the first time since the target has become brittle, a request does not go to it because the target may have no room. Requests wait, go to other targets or are refused early.',
+	},
 	targetRateLimited: {
 		number: 7019,
 		name: 'target-rate-limited',
--- a/src/contracts/request-codec.ts
+++ b/src/contracts/request-codec.ts
@@ -78,6 +78,8 @@
 	readonly isLeaving?: boolean;
 	/** Time for which the target wants nothing from this host, which it has turned away. */
 	readonly holdBack?: HoldBackRequest | undefined;
+	/** Refusals a second above which the target says that it falls over, undefined if it does not say so. */
+	readonly refusalsPerSecond?: number | undefined;
 	/** Type of the body, undefined if the response names none. */
 	readonly contentType?: string | undefined;
 	readonly load: ReportedLoad | undefined;
--- a/src/contracts/target-orders.ts
+++ b/src/contracts/target-orders.ts
@@ -51,7 +51,10 @@
 }
 
 /** What the head of any answer of a target to an order or a read of its state says. */
-export type OrderAnswer = Pick<ResponseMetadata, 'isLeaving' | 'holdBack'> & {
+export type OrderAnswer = Pick<
+	ResponseMetadata,
+	'isLeaving' | 'holdBack' | 'refusalsPerSecond'
+> & {
 	readonly target: ListedTarget;
 };
 
--- a/src/platform/request-codec.ts
+++ b/src/platform/request-codec.ts
@@ -54,6 +54,7 @@
 	'Content-Length',
 	headerNames.load,
 	headerNames.rateLimit,
+	headerNames.brittle,
 	headerNames.leaving,
 	headerNames.instance,
 	headerNames.notRun,
@@ -155,6 +156,7 @@
 
 		const isSigned = valueOf(headerNames.signature) !== undefined;
 		const isMisdirected = status === 421;
+		const rates = headers[headerNames.rateLimit.toLowerCase()];
 		return {
 			status,
 			requestId: valueOf(headerNames.requestId) as RequestId | undefined,
@@ -168,9 +170,7 @@
 			contentType: valueOf('Content-Type'),
 			respondingTarget: valueOf(headerNames.instance) as TargetId | undefined,
 			load: parseLoad(valueOf(headerNames.load)),
-			requestsPerSecond: parseRate(
-				headers[headerNames.rateLimit.toLowerCase()],
-			),
+			requestsPerSecond: parseRate(rates),
 			forwardedHeaders: forwardedResponseHeaders(headers),
 		};
 	}
@@ -276,8 +276,7 @@
 	return [value ?? []]
 		.flat()
 		.flatMap((text) => text.split(','))
-		.map((text) => text.trim())
-		.filter((text) => /^\d{1,9}(?:\.\d{1,9})?$/.test(text))
+		.filter((text) => /^\s*\d{1,9}(?:\.\d{1,9})?\s*$/.test(text))
 		.map(Number);
 }
 
@@ -285,14 +284,13 @@
 export function decodeAvailability(
 	status: number,
 	headers: Readonly<Record<string, string | string[] | undefined>>,
-): Pick<ResponseMetadata, 'isLeaving' | 'holdBack'> {
+): Pick<ResponseMetadata, 'isLeaving' | 'holdBack' | 'refusalsPerSecond'> {
 	const leaving = headers[headerNames.leaving.toLowerCase()];
+	const retryAfter = headers[headerNames.retryAfter.toLowerCase()];
 	return {
 		isLeaving: [leaving ?? []].flat().some((value) => value.trim() === '1'),
-		holdBack: parseHoldBack(
-			status,
-			headers[headerNames.retryAfter.toLowerCase()],
-		),
+		holdBack: parseHoldBack(status, retryAfter),
+		refusalsPerSecond: parseRate(headers[headerNames.brittle.toLowerCase()]),
 	};
 }
 
--- a/src/platform/wire.ts
+++ b/src/platform/wire.ts
@@ -11,6 +11,8 @@
 	load: 'Server-Load',
 	/** Requests a second that the worker takes from all hosts together. */
 	rateLimit: 'Server-Limit',
+	/** In all answers of a worker that falls over when it turns away more requests a second than the value. */
+	brittle: 'Server-Brittle',
 	notRun: 'Not-Run',
 	/** In all answers of a worker that leaves, with the value 1. */
 	leaving: 'Server-Leaving',
--- a/src/program/forwarding-root.ts
+++ b/src/program/forwarding-root.ts
@@ -33,6 +33,7 @@
 import {StoreClient} from '../platform/store-client.js';
 import {PlatformTargetListState} from '../platform/target-list-state.js';
 import {BoundedOutput} from '../services/bounded-output.js';
+import {BrittleObserver} from '../services/forwarding/brittle-observer.js';
 import {ChargedOrderPort} from '../services/forwarding/charged-order-port.js';
 import {CrashObserver} from '../services/forwarding/crash-observer.js';
 import {ForwardingServer} from '../services/forwarding/forwarding-server.js';
@@ -157,6 +158,12 @@
 		this.targetListManager = new TargetListManager(clock, registry);
 		const rateLimits = new NamedRateLimits({clock});
 		const permits = new PermitBook({clock, limits: rateLimits});
+		const brittle = new BrittleObserver({
+			clock,
+			random,
+			events,
+			hostCount: () => this.service.hostCount,
+		});
 		const permitIssuer = new PermitIssuer({clock, limits: rateLimits});
 		const fallbackIssuer = new PermitIssuer({clock, limits: rateLimits});
 		registry.removed.subscribe(({listed}) => {
@@ -173,7 +180,13 @@
 				port: new ChargedOrderPort(
 					new PlatformOrderPort(
 						({id}) => registry.getConnections(id)?.dispatcher,
-						({target: {id, residency}, isLeaving, holdBack}) => {
+						({
+							target: {id, residency},
+							isLeaving,
+							holdBack,
+							refusalsPerSecond,
+						}) => {
+							brittle.recordAnnouncement(id, refusalsPerSecond);
 							if (holdBack) {
 								registry.recordHoldBack(id, holdBack);
 							}
@@ -221,6 +234,7 @@
 				view: this.view,
 				crashes,
 				limits: rateLimits,
+				brittle: brittle.targets,
 				permits: permitIssuer,
 				streams,
 				askUpstream: async (stream) => this.reportClient.askUpstream(stream),
@@ -260,6 +274,7 @@
 			crashes,
 			rateLimits,
 			permits,
+			brittle,
 			streams,
 			onAdapterMissing: () => {
 				this.reportClient.scheduleReport();
@@ -285,6 +300,7 @@
 				isLocalOwner: () => this.leaseManager.isHolder,
 				crashes,
 				limits: rateLimits,
+				brittle: brittle.targets,
 				streams,
 				leavingTargets: () => registry.leavingTargets(),
 				demand: () => this.reportServer.mergeDemand(service.demand()),
--- a/src/services/dispatch/dispatcher.ts
+++ b/src/services/dispatch/dispatcher.ts
@@ -37,6 +37,7 @@
 	type TargetHealth,
 } from '../../core/outlier-detector.js';
 import {type PermitBook} from '../../core/permit-book.js';
+import {type RefusalLimits} from '../../core/refusal-limits.js';
 import {PrefixAffinity} from '../../core/prefix-affinity.js';
 import {RetryBudget} from '../../core/retry-budget.js';
 import {
@@ -237,6 +238,8 @@
 	readonly startLimiter?: StartLimiter;
 	/** Permits for requests to targets that name the rate that they take. No such limit if absent. */
 	readonly permits?: PermitBook;
+	/** Limits requests to targets that fall over when they turn away too many. No such limit if absent. */
+	readonly refusalLimits?: RefusalLimits;
 	/** False to disable hedging. */
 	readonly hedging?: boolean;
 	/** Maximum number of attempts per request, including hedges. 3 by default. */
@@ -879,6 +882,7 @@
 		this.runningCount++;
 		this.loadTracker.startRequest(target, item.request, tracked.isLong);
 		this.options.permits?.recordSent(target);
+		this.options.refusalLimits?.recordSent(target);
 		if (isStartLimited(item)) {
 			this.startLimiter?.recordSent(target, {
 				request: item.request,
@@ -1053,6 +1057,7 @@
 			(!this.startLimiter ||
 				!isStartLimited(item) ||
 				this.startLimiter.hasCapacity(load.target, startLevel(item))) &&
+			(this.options.refusalLimits?.mayReceive(load) ?? true) &&
 			// Last, because it asks for a permit.
 			(this.options.permits?.hasPermit(load.target) ?? true)
 		);
@@ -1431,6 +1436,7 @@
 
 		this.runningCount--;
 		this.loadTracker.endRequest(attempt.target, attempt.request);
+		this.options.refusalLimits?.recordEnded(attempt.target);
 		this.startLimiter?.recordEnded(attempt.target, attempt.request);
 		this.targetWithCapacity = attempt.target;
 		if (tracked.attempts.size === 0) {
--- a/src/services/forwarding/forward-dispatch.ts
+++ b/src/services/forwarding/forward-dispatch.ts
@@ -44,6 +44,7 @@
 	type WorkItem,
 	type WorkRefusal,
 } from '../dispatch/dispatcher.js';
+import {type BrittleObserver} from './brittle-observer.js';
 import {ForwardAttempt, type AttemptFailure} from './forward-attempt.js';
 import {type CrashObserver} from './crash-observer.js';
 import {type ForwardedRequest} from './forwarded-request.js';
@@ -82,6 +83,7 @@
 	readonly crashes: CrashObserver;
 	readonly rateLimits: NamedRateLimits;
 	readonly permits: PermitBook;
+	readonly brittle: BrittleObserver;
 	readonly streams: StreamOriginSharing;
 	readonly maximumBodyBytes: number;
 };
@@ -164,6 +166,7 @@
 			retryBudget: this.retryBudget,
 			startLimiter: this.startLimiter,
 			permits: options.permits,
+			refusalLimits: options.brittle.limits,
 			hedging: false,
 			speedFactor: (target) =>
 				registry.get(target)?.listed.failureDomain === options.failureDomain
@@ -599,6 +602,7 @@
 				: {}),
 			onResponseMetadata: (response) => {
 				this.recordLoad(binding.target, response.load);
+				this.options.brittle.recordResponse(binding.target, response);
 				this.recordRateLimit(binding.target, response.requestsPerSecond);
 				if (response.isLeaving) {
 					this.recordLeaving(binding.target);
--- a/src/services/forwarding/forwarding-service.ts
+++ b/src/services/forwarding/forwarding-service.ts
@@ -30,6 +30,7 @@
 	type HostDemand,
 } from '../../core/host-demand.js';
 import {CallerResponse} from './caller-response.js';
+import {type BrittleObserver} from './brittle-observer.js';
 import {type CrashObserver} from './crash-observer.js';
 import {
 	ForwardDispatch,
@@ -58,6 +59,7 @@
 	readonly crashes: CrashObserver;
 	readonly rateLimits: NamedRateLimits;
 	readonly permits: PermitBook;
+	readonly brittle: BrittleObserver;
 	readonly streams: StreamOriginSharing;
 	/** Called when a request arrives for an adapter that no target holds. */
 	readonly onAdapterMissing: () => void;
@@ -111,16 +113,18 @@
 
 	constructor(private readonly options: ForwardingServiceOptions) {
 		super();
-		const {crashes, registry, rateLimits, permits} = options;
+		const {crashes, registry, rateLimits, permits, brittle} = options;
 		registry.restarted.subscribe(({listed}) => {
 			crashes.recordTargetDeath(listed.id, 'restarted');
 			rateLimits.forget(listed.id);
 			permits.forget(listed.id);
+			brittle.recordRestart(listed.id);
 		});
 		registry.removed.subscribe(({listed}) => {
 			crashes.recordTargetDeath(listed.id, 'unlisted');
 			rateLimits.forget(listed.id);
 			permits.forget(listed.id);
+			brittle.forget(listed.id);
 		});
 		crashes.quarantineGrown.subscribe(() => {
 			for (const {dispatch} of this.pools.values()) {
@@ -596,6 +600,7 @@
 			crashes: this.options.crashes,
 			rateLimits: this.options.rateLimits,
 			permits: this.options.permits,
+			brittle: this.options.brittle,
 			streams: this.options.streams,
 			maximumBodyBytes: 4_194_304,
 		});
--- a/src/services/forwarding/observation-exchange.ts
+++ b/src/services/forwarding/observation-exchange.ts
@@ -1,7 +1,9 @@
+import {type BrittleTargets} from '../../core/brittle-targets.js';
 import {type NamedRateLimits} from '../../core/named-rate-limits.js';
 import {type ReportResponse} from '../../generated/daisylever/owner/v1/owner_pb.js';
 import {type CrashObserver} from './crash-observer.js';
 import {
+	fromBrittleTarget,
 	fromRateChange,
 	fromSeenVersion,
 	fromSuspicion,
@@ -20,14 +22,25 @@
 	readonly delivered: Revisions;
 };
 
-type Revisions = {suspicions: number; rates: number; streams: number};
+type Revisions = {
+	suspicions: number;
+	rates: number;
+	streams: number;
+	brittle: number;
+};
 
+const noRevisions: Revisions = {
+	suspicions: 0,
+	rates: 0,
+	streams: 0,
+	brittle: 0,
+};
 /** Other hosts whose state is kept. A host exchanges with its owner, its relay and a few others. */
 const maximumPeers = 32;
 
 /**
  * Exchanges with other hosts what their answers have shown of targets: suspicions against requests that crash them, the
- * rates that they name, and the software versions at which streams began. Sends what each host does not know yet, and
+ * rates that they name, which of them are brittle, and the software versions at which streams began. Sends what each host does not know yet, and
  * again when a call has failed.
  */
 export class ObservationExchange {
@@ -38,6 +51,7 @@
 		private readonly crashes: CrashObserver,
 		private readonly limits: NamedRateLimits,
 		private readonly streams: StreamOriginSharing,
+		private readonly brittle: BrittleTargets,
 	) {}
 
 	/** Returns what a report to the host at an address contains, and a function that applies its response. */
@@ -52,6 +66,8 @@
 			| 'knownStreamRevision'
 			| 'streams'
 			| 'versions'
+			| 'brittle'
+			| 'knownBrittleRevision'
 		>;
 		readonly applyResponse: (response: ReportResponse) => void;
 	} {
@@ -63,8 +79,11 @@
 		const streams = this.streams.changesForReceiver(
 			peer?.delivered.streams ?? 0,
 		);
+		const brittle = this.brittle.changesSince(peer?.delivered.brittle ?? 0);
 		return {
 			fields: {
+				brittle: brittle.news,
+				knownBrittleRevision: peer?.received.brittle ?? 0,
 				suspicions: suspicions.reports,
 				rates: rates.changes,
 				knownObservationSource: peer?.source ?? '',
@@ -79,6 +98,7 @@
 					suspicions: suspicions.revision,
 					rates: rates.revision,
 					streams: streams.revision,
+					brittle: brittle.revision,
 				});
 			},
 		};
@@ -96,14 +116,15 @@
 				? known
 				: {
 						source,
-						received: {suspicions: 0, rates: 0, streams: 0},
-						delivered: {suspicions: 0, rates: 0, streams: 0},
+						received: {...noRevisions},
+						delivered: {...noRevisions},
 					};
 		advance(peer.delivered, delivered);
 		advance(peer.received, {
 			suspicions: Number(response.suspicionRevision),
 			rates: Number(response.rateRevision),
 			streams: Number(response.streamRevision),
+			brittle: Number(response.brittleRevision),
 		});
 		this.streams.merge(fromVersionedStreams(response.streams), 'upstream');
 		this.streams.mergeVersions(response.versions.map(fromSeenVersion));
@@ -118,6 +139,10 @@
 		for (const rate of rates) {
 			this.limits.merge(fromRateChange(rate));
 		}
+
+		for (const target of response.brittle) {
+			this.brittle.merge(fromBrittleTarget(target));
+		}
 	}
 }
 
@@ -125,5 +150,6 @@
 function advance(revisions: Revisions, to: Revisions): void {
 	revisions.suspicions = Math.max(revisions.suspicions, to.suspicions);
 	revisions.rates = Math.max(revisions.rates, to.rates);
+	revisions.brittle = Math.max(revisions.brittle, to.brittle);
 	revisions.streams = Math.max(revisions.streams, to.streams);
 }
--- a/src/services/forwarding/report-client.ts
+++ b/src/services/forwarding/report-client.ts
@@ -16,6 +16,7 @@
 	type TargetId,
 } from '../../contracts/ids.js';
 import {type TargetListChange} from '../../contracts/listed-target.js';
+import {type BrittleTargets} from '../../core/brittle-targets.js';
 import {type HostDemand} from '../../core/host-demand.js';
 import {type LeavingTarget} from '../../core/leaving-targets.js';
 import {type LeaseStatus, type LeaseHolder} from '../../core/owner-lease.js';
@@ -61,6 +62,7 @@
 	readonly isLocalOwner: () => boolean;
 	readonly crashes: CrashObserver;
 	readonly limits: NamedRateLimits;
+	readonly brittle: BrittleTargets;
 	readonly streams: StreamOriginSharing;
 	/** Targets that said in an answer lately that they leave. */
 	readonly leavingTargets: () => readonly LeavingTarget[];
@@ -149,8 +151,13 @@
 			options.crashes,
 			options.limits,
 			options.streams,
+			options.brittle,
 		);
-		for (const {observed} of [options.crashes, options.limits]) {
+		for (const {observed} of [
+			options.crashes,
+			options.limits,
+			options.brittle,
+		]) {
 			observed.subscribe(() => {
 				this.scheduleReport();
 			});
--- a/src/services/forwarding/report-messages.ts
+++ b/src/services/forwarding/report-messages.ts
@@ -18,6 +18,7 @@
 	type TargetListChange,
 } from '../../contracts/listed-target.js';
 import {type SuspicionReport} from '../../contracts/suspicion-report.js';
+import {type BrittleNews} from '../../core/brittle-targets.js';
 import {type HostDemand} from '../../core/host-demand.js';
 import {type LeavingTarget} from '../../core/leaving-targets.js';
 import {type RateChange} from '../../core/named-rate-limits.js';
@@ -26,6 +27,8 @@
 import {type StreamOrigin} from '../../core/stream-origins.js';
 import {type SeenVersion} from '../../core/version-history.js';
 import {
+	type BrittleTarget,
+	type BrittleTargetSchema,
 	type EntryRevision as EntryRevisionMessage,
 	type EntryRevisionSchema,
 	type LeaseState,
@@ -78,6 +81,9 @@
 	readonly knownSuspicionRevision: number;
 	readonly knownRateRevision: number;
 	readonly knownStreamRevision: number;
+	/** What targets said of being brittle and the receiver does not know yet. */
+	readonly brittle: readonly BrittleNews[];
+	readonly knownBrittleRevision: number;
 	/** Streams that the receiver does not know yet. */
 	readonly streams: readonly StreamOrigin[];
 	/** Software versions of the pools that had several lately. */
@@ -122,6 +128,8 @@
 		knownStreamRevision: BigInt(state.knownStreamRevision),
 		streams: toVersionedStreams(state.streams),
 		versions: state.versions.map(toSeenVersion),
+		brittle: state.brittle.map(toBrittleTarget),
+		knownBrittleRevision: BigInt(state.knownBrittleRevision),
 		leaving: state.leaving.map((each) => ({...each})),
 		documentVersion: BigInt(state.documentVersion),
 		needsDocument: state.needsDocument,
@@ -449,3 +457,21 @@
 	const {target, requestsPerSecond, ageMilliseconds} = message;
 	return {target: target as TargetId, requestsPerSecond, ageMilliseconds};
 }
+
+/** Converts what a target said of being brittle to a message. */
+export function toBrittleTarget(
+	news: BrittleNews,
+): MessageInitShape<typeof BrittleTargetSchema> {
+	const {target, refusalsPerSecond, ageMilliseconds} = news;
+	return {
+		target,
+		...(refusalsPerSecond === undefined ? {} : {refusalsPerSecond}),
+		ageMilliseconds: toAge(ageMilliseconds),
+	};
+}
+
+/** Converts a message to what a target said of being brittle. */
+export function fromBrittleTarget(message: BrittleTarget): BrittleNews {
+	const {target, refusalsPerSecond, ageMilliseconds} = message;
+	return {target: target as TargetId, refusalsPerSecond, ageMilliseconds};
+}
--- a/src/services/forwarding/report-server.ts
+++ b/src/services/forwarding/report-server.ts
@@ -12,6 +12,7 @@
 	type TargetId,
 } from '../../contracts/ids.js';
 import {DemandCollector} from '../../core/demand-collector.js';
+import {type BrittleTargets} from '../../core/brittle-targets.js';
 import {type HostDemand} from '../../core/host-demand.js';
 import {type LeavingTarget} from '../../core/leaving-targets.js';
 import {type LeaseStatus} from '../../core/owner-lease.js';
@@ -31,6 +32,7 @@
 import {type CrashObserver} from './crash-observer.js';
 import {type FleetView} from './fleet-view.js';
 import {
+	fromBrittleTarget,
 	fromDocumentField,
 	fromLeavingTargets,
 	fromRateChange,
@@ -38,6 +40,7 @@
 	fromSeenVersion,
 	fromSuspicion,
 	fromVersionedStreams,
+	toBrittleTarget,
 	toLeaseField,
 	toListedTarget,
 	toRelayCandidate,
@@ -71,6 +74,7 @@
 	readonly view: FleetView;
 	readonly crashes: CrashObserver;
 	readonly limits: NamedRateLimits;
+	readonly brittle: BrittleTargets;
 	readonly permits: PermitIssuer;
 	readonly streams: StreamOriginSharing;
 	/** Asks the host to which this one reports at which software version a stream began. */
@@ -278,12 +282,17 @@
 		streams,
 		versions,
 		leaving,
+		brittle,
 	}: ReportRequest): boolean {
 		const {crashes, limits} = this.options;
 		for (const rate of rates) {
 			limits.merge(fromRateChange(rate));
 		}
 
+		for (const target of brittle) {
+			this.options.brittle.merge(fromBrittleTarget(target));
+		}
+
 		for (const target of fromLeavingTargets(leaving)) {
 			this.options.onLeavingTarget(target);
 		}
@@ -342,7 +351,12 @@
 		const streams = this.options.streams.changesForReporter(
 			isKnownSource ? Number(request.knownStreamRevision) : 0,
 		);
+		const brittle = this.options.brittle.changesSince(
+			isKnownSource ? Number(request.knownBrittleRevision) : 0,
+		);
 		return {
+			brittle: brittle.news.map(toBrittleTarget),
+			brittleRevision: BigInt(brittle.revision),
 			streams: toVersionedStreams(streams.origins),
 			versions: this.options.streams.mixedVersions().map(toSeenVersion),
 			streamRevision: BigInt(streams.revision),
--- a/test/forwarding/forwarding-harness.ts
+++ b/test/forwarding/forwarding-harness.ts
@@ -21,6 +21,7 @@
 import {NamedRateLimits} from '../../src/core/named-rate-limits.js';
 import {PermitBook} from '../../src/core/permit-book.js';
 import {PlatformRequestCodec} from '../../src/platform/request-codec.js';
+import {BrittleObserver} from '../../src/services/forwarding/brittle-observer.js';
 import {CrashObserver} from '../../src/services/forwarding/crash-observer.js';
 import {ForwardingServer} from '../../src/services/forwarding/forwarding-server.js';
 import {ForwardingService} from '../../src/services/forwarding/forwarding-service.js';
@@ -127,6 +128,12 @@
 			crashes: this.crashes,
 			rateLimits,
 			permits: new PermitBook({clock: this.clock, limits: rateLimits}),
+			brittle: new BrittleObserver({
+				clock: this.clock,
+				random: new SeededRandomSource(6),
+				events,
+				hostCount: () => this.service.hostCount,
+			}),
 			streams: this.streams.sharing,
 			retries: {ratio: 0.2, slack: 56, windowMilliseconds: 10_000, hosts: 8},
 			onAdapterMissing: () => {
--- a/test/forwarding/report-server.test.ts
+++ b/test/forwarding/report-server.test.ts
@@ -6,6 +6,7 @@
 import {NullEventLogger} from '../../src/base/common/event-logger.js';
 import {NullMetricRegistry} from '../../src/base/common/metric-registry.js';
 import {type HostId, type TargetId} from '../../src/contracts/ids.js';
+import {BrittleTargets} from '../../src/core/brittle-targets.js';
 import {CrashCorrelation} from '../../src/core/crash-correlation.js';
 import {NamedRateLimits} from '../../src/core/named-rate-limits.js';
 import {PermitIssuer} from '../../src/core/permit-issuer.js';
@@ -26,6 +27,7 @@
 	const clock = new ManualClock();
 	const events = new NullEventLogger();
 	const limits = new NamedRateLimits({clock});
+	const brittle = new BrittleTargets({clock});
 	const server = new ReportServer({
 		host: 'h1' as HostId,
 		capacity: 1,
@@ -42,6 +44,7 @@
 			mayTry: () => false,
 		}),
 		limits,
+		brittle,
 		permits: new PermitIssuer({clock, limits}),
 		isOwner: () => false,
 		relayedState: () => ({
--- a/test/forwarding/unreachable-target.test.ts
+++ b/test/forwarding/unreachable-target.test.ts
@@ -23,6 +23,7 @@
 import {NamedRateLimits} from '../../src/core/named-rate-limits.js';
 import {PermitBook} from '../../src/core/permit-book.js';
 import {PlatformRequestCodec} from '../../src/platform/request-codec.js';
+import {BrittleObserver} from '../../src/services/forwarding/brittle-observer.js';
 import {CrashObserver} from '../../src/services/forwarding/crash-observer.js';
 import {ForwardDispatch} from '../../src/services/forwarding/forward-dispatch.js';
 import {type ForwardedRequest} from '../../src/services/forwarding/forwarded-request.js';
@@ -53,6 +54,12 @@
 		crashes,
 		rateLimits,
 		permits: new PermitBook({clock, limits: rateLimits}),
+		brittle: new BrittleObserver({
+			clock,
+			random: new SeededRandomSource(6),
+			events: new NullEventLogger(),
+			hostCount: () => 1,
+		}),
 		streams: createSharing(clock).sharing,
 		maximumBodyBytes: 1000,
 	});
--- a/test/platform/decoders.test.ts
+++ b/test/platform/decoders.test.ts
@@ -1,8 +1,12 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
+import fc from 'fast-check';
 import {type TargetId} from '../../src/contracts/ids.js';
 import {decodeDocument} from '../../src/platform/document-state.js';
-import {PlatformRequestCodec} from '../../src/platform/request-codec.js';
+import {
+	decodeAvailability,
+	PlatformRequestCodec,
+} from '../../src/platform/request-codec.js';
 import {decodeEntry} from '../../src/platform/target-list-state.js';
 
 const entry = {
@@ -304,3 +308,41 @@
 	const {forwardedHeaders} = codec.decodeResponse(200, {'server-limit': '3'});
 	assert.deepEqual(forwardedHeaders, []);
 });
+
+// Guards against a header that is misread, after which hosts flood a brittle target or send it nothing, and against
+// callers that learn about it.
+test('a response that says that its target is brittle names a decimal number, the lowest of several', () => {
+	const decode = (value: string | string[]) =>
+		codec.decodeResponse(200, {'server-brittle': value});
+	const number = fc
+		.tuple(fc.nat(999_999), fc.nat(999))
+		.map(([whole, fraction]) => `${whole}.${fraction}`);
+	fc.assert(
+		fc.property(fc.array(number, {minLength: 1, maxLength: 4}), (values) => {
+			const lowest = Math.min(...values.map(Number));
+			assert.equal(decode(values).refusalsPerSecond, lowest);
+			assert.equal(decode(values.join(' , ')).refusalsPerSecond, lowest);
+			assert.deepEqual(decode(values).forwardedHeaders, []);
+		}),
+	);
+	fc.assert(
+		fc.property(fc.string(), (text) => {
+			const {refusalsPerSecond} = decode(text);
+			assert.ok(
+				refusalsPerSecond === undefined ||
+					(Number.isFinite(refusalsPerSecond) && refusalsPerSecond >= 0),
+			);
+			assert.equal(decode([`x${text}`, '7']).refusalsPerSecond! <= 7, true);
+		}),
+	);
+	for (const malformed of ['', '-3', '1e3', 'many', '9999999999999']) {
+		assert.equal(decode(malformed).refusalsPerSecond, undefined, malformed);
+		assert.equal(decode([malformed, '4']).refusalsPerSecond, 4, malformed);
+	}
+
+	assert.equal(codec.decodeResponse(503, {}).refusalsPerSecond, undefined);
+	assert.equal(
+		decodeAvailability(202, {'server-brittle': '0'}).refusalsPerSecond,
+		0,
+	);
+});
--- a/test/platform/stand-in-worker.ts
+++ b/test/platform/stand-in-worker.ts
@@ -191,3 +191,86 @@
 function chunk(text: string): string {
 	return `${text.length.toString(16)}\r\n${text}\r\n`;
 }
+
+/** Room of a worker that turns requests away when it is full. */
+export type WorkerRoom = {
+	readonly slots: number;
+	/** Slots in use by requests of other hosts. */
+	readonly usedByOthers: number;
+	readonly serviceMilliseconds: number;
+	/** Refusals a second above which the worker falls over, once it is brittle. */
+	readonly refusalsPerSecond: number;
+};
+
+/** Lets a worker say that it is brittle, turn away what it has no room for, and fall over after too many refusals within a second. */
+export class BrittleBehaviour {
+	/** Requests that may wait at the worker. */
+	queueRoom = 8;
+	isAnnounced = false;
+	/** True while too many refusals make the worker fall over. */
+	isBrittle = false;
+	falls = 0;
+	refusals = 0;
+	private inFlight = 0;
+	private refusedAt: number[] = [];
+
+	constructor(
+		private readonly worker: StandInWorker,
+		private readonly room: WorkerRoom,
+	) {
+		worker.behaviour = (request) => {
+			this.respond(request);
+		};
+	}
+
+	private respond({headers, socket}: WorkerRequest): void {
+		const id = headers.get('request-id') ?? '';
+		const {slots, usedByOthers, serviceMilliseconds} = this.room;
+		if (usedByOthers + this.inFlight >= slots + this.queueRoom) {
+			socket.write(
+				responseHead('503 Service Unavailable', {
+					...this.headers(id),
+					'Not-Run': '1',
+					'Content-Length': '0',
+				}),
+			);
+			this.recordRefusal();
+			return;
+		}
+
+		this.inFlight++;
+		setTimeout(() => {
+			this.inFlight--;
+			socket.write(
+				responseHead('200 OK', {
+					...this.headers(id),
+					'Response-Sig': 'signed',
+					'Content-Length': '6',
+				}) + 'served',
+			);
+		}, serviceMilliseconds);
+	}
+
+	private headers(id: string): Record<string, string> {
+		const {slots, usedByOthers, refusalsPerSecond} = this.room;
+		const occupied = usedByOthers + this.inFlight;
+		return {
+			'Request-Id': id,
+			'Server-Load': `${Math.min(slots, occupied)},${Math.max(0, occupied - slots)},${slots}`,
+			...(this.isAnnounced
+				? {'Server-Brittle': String(refusalsPerSecond)}
+				: {}),
+		};
+	}
+
+	private recordRefusal(): void {
+		const now = performance.now();
+		this.refusals++;
+		this.refusedAt = [...this.refusedAt.filter((at) => now - at < 1000), now];
+		if (this.isBrittle && this.refusedAt.length > this.room.refusalsPerSecond) {
+			this.falls++;
+			this.refusedAt = [];
+			this.worker.stop();
+		}
+	}
+}
