--- a/test/forwarding/forwarding-harness.ts
+++ b/test/forwarding/forwarding-harness.ts
@@ -35,6 +35,7 @@
 import {PeerSelection} from '../../src/core/peer-selection.js';
 import {PermitBook} from '../../src/core/permit-book.js';
 import {PlatformRequestCodec} from '../../src/platform/request-codec.js';
+import {BrittleObserver} from '../../src/services/forwarding/brittle-observer.js';
 import {CrashObserver} from '../../src/services/forwarding/crash-observer.js';
 import {ForwardingServer} from '../../src/services/forwarding/forwarding-server.js';
 import {ForwardingService} from '../../src/services/forwarding/forwarding-service.js';
@@ -209,6 +210,12 @@
 			crashes: this.crashes,
 			rateLimits,
 			permits: new PermitBook({clock: this.clock, limits: rateLimits}),
+			brittle: new BrittleObserver({
+				clock: this.clock,
+				random: new SeededRandomSource(6),
+				events,
+				hostCount: () => this.service.hostCount,
+			}),
 			streams: this.streams.sharing,
 			reachability: this.reachability,
 			peers: this.peers,
