--- a/src/contracts/events/forwarding-events.ts
+++ b/src/contracts/events/forwarding-events.ts
@@ -74,7 +74,7 @@
 		name: 'target-entry-malformed',
 		level: 'warn',
 		description:
-			'An entry of the list of targets cannot be read. Its target receives no requests.',
+			'An entry of the list of targets cannot be read. Its target receives no requests until it can. Logged once a minute for each target and 60 times a minute for all; the field omittedLines counts the lines left out before this one.',
 	},
 	targetDied: {
 		number: 7015,
@@ -104,6 +104,26 @@
 		description:
 			'One request with a quarantined fingerprint is sent, to find out whether it still crashes targets. Only the owner does this, less often each time.',
 	},
+	targetBrittle: {
+		number: 7062,
+		name: 'target-brittle',
+		level: 'warn',
+		description:
+			'A target says in its answers that it falls over when it turns away more requests a second than the given number. Hosts send it only what it has room for.',
+	},
+	targetNoLongerBrittle: {
+		number: 7063,
+		name: 'target-no-longer-brittle',
+		level: 'info',
+		description: 'The answers of a target no longer say that it is brittle.',
+	},
+	brittleTargetLimited: {
+		number: 7064,
+		name: 'brittle-target-limited',
+		level: 'info',
+		description:
+			'For the first time since the target has become brittle, a request does not go to it because the target may have no room. Requests wait, go to other targets or are refused early.',
+	},
 	targetRateLimited: {
 		number: 7019,
 		name: 'target-rate-limited',
@@ -180,6 +200,20 @@
 		description:
 			'A target turned this host away with a time that cannot be read (field value). The header is ignored. Logged once a minute for each target.',
 	},
+	stateReadFailed: {
+		number: 7065,
+		name: 'state-read-failed',
+		level: 'error',
+		description:
+			'What was read of the state in the field state could not be applied (field reason). The host reads the complete newest state again.',
+	},
+	reportFailed: {
+		number: 7066,
+		name: 'report-failed',
+		level: 'error',
+		description:
+			'The report to the owner or a relay could not be made, or its response could not be applied (field reason). The host reports again. Logged once a minute.',
+	},
 	ownershipGained: {
 		number: 7030,
 		name: 'ownership-gained',
@@ -281,6 +315,27 @@
 		description:
 			'An attempt makes no progress. It stays open while another target is sought, and is cancelled when that one responds first.',
 	},
+	requestSentToPeer: {
+		number: 7056,
+		name: 'request-sent-to-peer',
+		level: 'info',
+		description:
+			'A request was forwarded to another host (field peer), because this one reaches no target of its pool.',
+	},
+	peerFailed: {
+		number: 7057,
+		name: 'peer-failed',
+		level: 'info',
+		description:
+			'A host to which a request was forwarded has not answered it. Field outcome: not-run (it refused the request or could not be reached), failed (it states that the request may have run) or lost (it made no statement).',
+	},
+	requestTakenFromPeer: {
+		number: 7058,
+		name: 'request-taken-from-peer',
+		level: 'info',
+		description:
+			'Another host (field peer), which reaches no target of the pool, forwarded a request to this one.',
+	},
 	eventLoopStalled: {
 		number: 7061,
 		name: 'event-loop-stalled',
@@ -288,6 +343,27 @@
 		description:
 			'The event loop of the process was blocked for the given time, and streams paused. Look for slow machines and long garbage collections.',
 	},
+	poolUnreachable: {
+		number: 7070,
+		name: 'pool-unreachable',
+		level: 'warn',
+		description:
+			'This host reaches no target of the pool. The fields failingTargets and failures count the targets and the failures by kind since the last contact, sinceContactMilliseconds and firstFailureAgeMilliseconds are the ages of that contact and of the first failure. If other hosts log the same, look at the targets, otherwise at the network of this host.',
+	},
+	poolReachedAgain: {
+		number: 7071,
+		name: 'pool-reached-again',
+		level: 'info',
+		description:
+			'A target of the pool answers this host again, or the pool has no targets any more. The field milliseconds is the time for which the pool was unreachable.',
+	},
+	ownershipGivenUp: {
+		number: 7072,
+		name: 'ownership-given-up',
+		level: 'warn',
+		description:
+			'This host releases the owner lease because it reaches no target of the pools with an engine. It claims the lease again once it reaches one, or when no other host does.',
+	},
 	logLinesDropped: {
 		number: 7060,
 		name: 'log-lines-dropped',
--- a/src/program/forwarding-root.ts
+++ b/src/program/forwarding-root.ts
@@ -22,6 +22,7 @@
 import {CrashCorrelation} from '../core/crash-correlation.js';
 import {NamedRateLimits} from '../core/named-rate-limits.js';
 import {OwnerLease} from '../core/owner-lease.js';
+import {PeerSelection} from '../core/peer-selection.js';
 import {PermitBook} from '../core/permit-book.js';
 import {PermitIssuer} from '../core/permit-issuer.js';
 import {StreamOrigins} from '../core/stream-origins.js';
@@ -33,14 +34,19 @@
 import {StoreClient} from '../platform/store-client.js';
 import {PlatformTargetListState} from '../platform/target-list-state.js';
 import {BoundedOutput} from '../services/bounded-output.js';
+import {BrittleObserver} from '../services/forwarding/brittle-observer.js';
 import {ChargedOrderPort} from '../services/forwarding/charged-order-port.js';
 import {CrashObserver} from '../services/forwarding/crash-observer.js';
 import {ForwardingServer} from '../services/forwarding/forwarding-server.js';
 import {ForwardingService} from '../services/forwarding/forwarding-service.js';
 import {FleetView} from '../services/forwarding/fleet-view.js';
 import {OwnerLeaseManager} from '../services/forwarding/owner-lease-manager.js';
+import {PeerConnections} from '../services/forwarding/peer-connections.js';
+import {PeerForwarder} from '../services/forwarding/peer-forwarder.js';
+import {addPeerRoutes} from '../services/forwarding/peer-routes.js';
 import {PermitClient} from '../services/forwarding/permit-client.js';
 import {PlacementOwner} from '../services/forwarding/placement-owner.js';
+import {ReachabilityProber} from '../services/forwarding/reachability-prober.js';
 import {
 	ReportClient,
 	type FleetUpdate,
@@ -88,7 +94,7 @@
 const idleCloseMilliseconds = 1000;
 /** Time after the start of a stop from which new requests and requests not yet sent to a target are refused. By then callers have had several seconds to notice the closed connections, and a stream takes up to four seconds. */
 const refuseRequestsMilliseconds = 3500;
-/** Time before the end of the stop period at which open requests are aborted, so that the process ends in time. */
+/** Time before the end of the stop period at which open requests get a last response or are aborted, so that the process ends in time. */
 const stopMarginMilliseconds = 250;
 /** Interval of the checks during a stop. */
 const stopCheckMilliseconds = 50;
@@ -154,9 +160,16 @@
 		const registry = components.add(new TargetRegistry({clock, events}));
 		this.registry = registry;
 		registry.setHostCount(defaultHostCount);
+		components.add(new ReachabilityProber({clock, events, registry}));
 		this.targetListManager = new TargetListManager(clock, registry);
 		const rateLimits = new NamedRateLimits({clock});
 		const permits = new PermitBook({clock, limits: rateLimits});
+		const brittle = new BrittleObserver({
+			clock,
+			random,
+			events,
+			hostCount: () => this.service.hostCount,
+		});
 		const permitIssuer = new PermitIssuer({clock, limits: rateLimits});
 		const fallbackIssuer = new PermitIssuer({clock, limits: rateLimits});
 		registry.removed.subscribe(({listed}) => {
@@ -173,7 +186,13 @@
 				port: new ChargedOrderPort(
 					new PlatformOrderPort(
 						({id}) => registry.getConnections(id)?.dispatcher,
-						({target: {id, residency}, isLeaving, holdBack}) => {
+						({
+							target: {id, residency},
+							isLeaving,
+							holdBack,
+							refusalsPerSecond,
+						}) => {
+							brittle.recordAnnouncement(id, refusalsPerSecond);
 							if (holdBack) {
 								registry.recordHoldBack(id, holdBack);
 							}
@@ -221,6 +240,7 @@
 				view: this.view,
 				crashes,
 				limits: rateLimits,
+				brittle: brittle.targets,
 				permits: permitIssuer,
 				streams,
 				askUpstream: async (stream) => this.reportClient.askUpstream(stream),
@@ -240,8 +260,17 @@
 				onDocumentReceived: (document) => {
 					this.takeDocument(document);
 				},
+				addRoutes: (router) => {
+					addPeerRoutes(router, {
+						clock,
+						serve: (request) => {
+							this.service.handlePeerRequest(request);
+						},
+					});
+				},
 			}),
 		);
+		const peerAddress = `${listen.peers.address}:${listen.peers.port}`;
 		this.service = new ForwardingService({
 			host,
 			failureDomain: settings.failureDomain,
@@ -260,7 +289,24 @@
 			crashes,
 			rateLimits,
 			permits,
+			brittle,
 			streams,
+			reachability: registry.reachability,
+			peers: components.add(
+				new PeerForwarder({
+					host,
+					clock,
+					events,
+					metrics,
+					selection: new PeerSelection({
+						clock,
+						random,
+						ownAddress: peerAddress,
+					}),
+					connections: components.add(new PeerConnections()),
+					knownPeers: () => this.reportClient.knownPeers(),
+				}),
+			),
 			onAdapterMissing: () => {
 				this.reportClient.scheduleReport();
 			},
@@ -270,7 +316,6 @@
 			service.dispose();
 		});
 		this.server = components.add(new ForwardingServer(service));
-		const peerAddress = `${listen.peers.address}:${listen.peers.port}`;
 		const {processorShare} = settings.machine;
 		this.reportClient = components.add(
 			new ReportClient({
@@ -285,6 +330,7 @@
 				isLocalOwner: () => this.leaseManager.isHolder,
 				crashes,
 				limits: rateLimits,
+				brittle: brittle.targets,
 				streams,
 				leavingTargets: () => registry.leavingTargets(),
 				demand: () => this.reportServer.mergeDemand(service.demand()),
@@ -331,6 +377,7 @@
 				random,
 				events,
 				isHolderResponsive: () => reportClient.isOwnerResponsive(),
+				mustAbstain: () => service.hostCount > 1 && this.reachesNoEngine,
 				quarantined: () => crashes.quarantined(),
 				onSuspicionsRead(reports) {
 					crashes.merge(reports);
@@ -417,14 +464,14 @@
 		const endMilliseconds =
 			this.settings.stopSeconds * 1000 - stopMarginMilliseconds;
 		this.isStopping = true;
-		this.service.beginStop();
+		this.service.beginStop(startedAt + endMilliseconds);
 		this.events.record(forwardingEvents.hostStopping, {
 			openRequests: this.service.openRequests,
 		});
 		void this.leaseManager.release();
 		while (
 			elapsed() < stopListeningMilliseconds ||
-			(this.service.openRequests > 0 && elapsed() < endMilliseconds)
+			(this.hasOpenRequests && elapsed() < endMilliseconds)
 		) {
 			await wait(stopCheckMilliseconds);
 			if (elapsed() >= stopListeningMilliseconds) {
@@ -444,6 +491,13 @@
 			openRequests: this.service.openRequests,
 			milliseconds: Math.round(elapsed()),
 		});
+		await this.sendLastResponses();
+	}
+
+	/** Responds to all open requests, ends streams, and refuses what arrives from here on, because the process ends before it could be answered otherwise. Returns once the responses are on their way. */
+	async sendLastResponses(): Promise<void> {
+		this.service.endOpenRequests();
+		this.server.endIncompleteRequests();
 		await wait(stopCheckMilliseconds);
 	}
 
@@ -462,6 +516,10 @@
 		await this.components.dispose();
 	}
 
+	private get hasOpenRequests(): boolean {
+		return this.service.openRequests > 0 || this.server.incompleteRequests > 0;
+	}
+
 	private get isReady(): boolean {
 		return (
 			!this.isStopping &&
@@ -470,6 +528,19 @@
 		);
 	}
 
+	/** True while this host reaches no target of the pools with an engine. */
+	private get reachesNoEngine(): boolean {
+		const {registry, service} = this;
+		const pools = (service.currentDocument?.pools ?? []).filter(
+			({name, engine}) =>
+				engine !== undefined && registry.targetsOfPool(name).length > 0,
+		);
+		return (
+			pools.length > 0 &&
+			pools.every(({name}) => registry.reachability.isCutOff(name))
+		);
+	}
+
 	private connectComponents(): void {
 		const {registry, service, owner, events} = this;
 		this.documents.changed.subscribe(({changes}) => {
@@ -642,6 +713,10 @@
 			'daisylever_uses_relay',
 			this.reportClient.relay === '' ? 0 : 1,
 		);
+		this.metrics.gauge(
+			'daisylever_pools_cut_off',
+			this.registry.reachability.cutOffPools().length,
+		);
 		this.metrics.gauge('daisylever_hosts', this.service.hostCount);
 	}
 
--- a/src/services/forwarding/forward-dispatch.ts
+++ b/src/services/forwarding/forward-dispatch.ts
@@ -44,6 +44,7 @@
 	type WorkItem,
 	type WorkRefusal,
 } from '../dispatch/dispatcher.js';
+import {type BrittleObserver} from './brittle-observer.js';
 import {ForwardAttempt, type AttemptFailure} from './forward-attempt.js';
 import {type CrashObserver} from './crash-observer.js';
 import {type ForwardedRequest} from './forwarded-request.js';
@@ -82,8 +83,15 @@
 	readonly crashes: CrashObserver;
 	readonly rateLimits: NamedRateLimits;
 	readonly permits: PermitBook;
+	readonly brittle: BrittleObserver;
 	readonly streams: StreamOriginSharing;
+	/** False when this host stops before the answer to a request that is sent now would end. */
+	readonly mayBegin: (request: ForwardedRequest) => boolean;
+	/** Delay after which a request that is refused for a stop may come back, to another host. */
+	readonly stopRetryMilliseconds: number;
 	readonly maximumBodyBytes: number;
+	/** Gives a request that has not run and that this host cannot serve to another host. Returns false when it is to be refused. */
+	readonly tryOtherHost?: (request: ForwardedRequest) => boolean;
 };
 
 /** Retries that a host may have saved up although its share of the slack is smaller. */
@@ -166,6 +174,7 @@
 			retryBudget: this.retryBudget,
 			startLimiter: this.startLimiter,
 			permits: options.permits,
+			refusalLimits: options.brittle.limits,
 			hedging: false,
 			speedFactor: (target) =>
 				registry.get(target)?.listed.failureDomain === options.failureDomain
@@ -187,6 +196,11 @@
 			registry.removed.subscribe((target) => {
 				this.handleTargetRemoval(target);
 			}),
+			registry.reachability.changed.subscribe((pool) => {
+				if (pool === options.pool && !registry.reachability.isCutOff(pool)) {
+					this.dispatcher.post({kind: 'paths-restored'});
+				}
+			}),
 		];
 		for (const target of registry.targetsOfPool(options.pool)) {
 			this.handleTargetChange(target);
@@ -238,6 +252,20 @@
 		}
 	}
 
+	/** Ends a request at the end of a stop. An attempt of which no byte was sent has not run. */
+	endUnanswered(
+		request: ForwardedRequest,
+		reason: string,
+		retryAfterMilliseconds: number,
+	): void {
+		for (const attempt of this.attempts.get(request.key)?.values() ?? []) {
+			request.executions -= attempt.isSent ? 0 : 1;
+		}
+
+		this.abandon(request);
+		request.refuse(reason, retryAfterMilliseconds);
+	}
+
 	/** Removes a request that has its final response. */
 	remove(request: ForwardedRequest): void {
 		this.requests.delete(request.key);
@@ -248,6 +276,42 @@
 		this.attempts.delete(request.key);
 	}
 
+	/**
+	 * Removes and returns the requests of which nothing is being sent, for another host to serve. To be called from a
+	 * timer or immediate: by then the dispatcher has decided on all attempts that ended, so that a request which may
+	 * have run waits only if it may be repeated and its repetition is charged to the retry budget.
+	 */
+	takeUnsent(): ForwardedRequest[] {
+		const taken: ForwardedRequest[] = [];
+		for (const request of this.requests.values()) {
+			const attempts = [...(this.attempts.get(request.key)?.values() ?? [])];
+			if (request.isFinished || attempts.some(({isSent}) => isSent)) {
+				continue;
+			}
+
+			const executions = request.executions - attempts.length;
+			if (executions > 0 && !this.mayRunAgain(request, executions)) {
+				continue;
+			}
+
+			// The attempts whose connections are not open yet are cancelled and do not run.
+			this.abandon(request);
+			this.remove(request);
+			request.executions = executions;
+			taken.push(request);
+		}
+
+		return taken;
+	}
+
+	/** Takes a repetition from the retry budget of this host for a request that may have run. Returns false when none is left or the request must not be repeated. */
+	tryRepeatElsewhere(request: ForwardedRequest): boolean {
+		return (
+			this.mayRunAgain(request, request.executions) &&
+			this.retryBudget.tryAcquire()
+		);
+	}
+
 	/** Sets the number of hosts that share the targets and the retry budget. */
 	setHostCount(count: number): void {
 		this.dispatcher.post({kind: 'host-count-changed', count});
@@ -272,16 +336,26 @@
 			return;
 		}
 
+		if (binding.kind === 'replacement' && !this.maySendRest(request, binding)) {
+			this.dispatcher.post({kind: 'unreached', ...toAttempt(binding)});
+			return;
+		}
+
 		if (this.isQuarantined(request)) {
-			if (binding.kind === 'replacement') {
-				this.dispatcher.post({kind: 'unreached', ...toAttempt(binding)});
-			} else {
-				this.refuseRequest(request);
-			}
+			this.refuseRequest(request);
+			return;
+		}
 
+		if (!this.options.mayBegin(request)) {
+			this.abandon(request);
+			request.refuse(
+				'the host stops before the request could end',
+				this.options.stopRetryMilliseconds,
+			);
 			return;
 		}
 
+		this.options.registry.reachability.recordSent(binding.target);
 		request.waitedMilliseconds ??= binding.waitedMilliseconds;
 		request.executions++;
 		const attempt = this.createAttempt(request, binding, connections);
@@ -321,8 +395,11 @@
 			idempotent: false,
 			blocking: false,
 		};
-		// A repeated refusal of the earlier attempt has the same id and cannot be told from one of this attempt.
-		if (request.refusedBy.has(binding.target)) {
+		// What still belongs to an earlier attempt has the same id and cannot be told from the response to this one.
+		if (
+			request.refusedBy.has(binding.target) ||
+			binding.kind === 'replacement'
+		) {
 			connections.dispatchAlone(outgoing, attempt);
 		} else {
 			connections.dispatcher.dispatch(outgoing, attempt);
@@ -356,12 +433,36 @@
 	cancelOtherAttempts({request, attempt}: Attempt): void {
 		for (const [number, other] of this.attempts.get(request) ?? []) {
 			if (number !== attempt) {
+				this.discountUnbegun(request, other);
 				other.cancel();
 				this.attempts.get(request)?.delete(number);
 			}
 		}
 	}
 
+	/** Cancels the other attempts of a request whose responses have not gone on since this one began. */
+	giveUpOtherAttempts(attempt: Attempt): void {
+		const others = [...(this.attempts.get(attempt.request) ?? [])].filter(
+			([number]) => number !== attempt.attempt,
+		);
+		for (const [number, other] of others) {
+			other.cancel();
+			this.endAttempt(
+				{...attempt, attempt: number},
+				{kind: 'lost', execution: 'unknown'},
+			);
+		}
+	}
+
+	/** Tells the dispatcher that an attempt goes on, and withdraws its request from those that were lost at the target. */
+	handleRecovery(request: ForwardedRequest, attempt: Attempt): void {
+		this.options.crashes.withdrawLostRequest(
+			attempt.target,
+			request.metadata.id,
+		);
+		this.dispatcher.post({kind: 'recovered', ...attempt});
+	}
+
 	/** Seeks a target that can replace one that has fallen silent. Returns the time after which the attempt is given up, undefined when its answer has begun. */
 	handleStall(
 		request: ForwardedRequest,
@@ -376,6 +477,7 @@
 			events: request.eventCount,
 		});
 		this.recordLostRequest(request, attempt.target);
+		this.options.registry.reachability.recordLostAttempt(attempt.target);
 		void this.replaceStalled(request, attempt);
 		return request.hasStarted ? undefined : silentStartMilliseconds;
 	}
@@ -391,7 +493,10 @@
 			this.refusedDemand.record(item.model);
 		}
 
-		this.requests.get(item.request)?.refuse(message, retryAfterMilliseconds);
+		const request = this.requests.get(item.request);
+		if (request && !this.tryOtherHost(request)) {
+			request.refuse(message, retryAfterMilliseconds);
+		}
 	}
 
 	/** Handles the failure of the last attempt, which is not retried. */
@@ -402,7 +507,10 @@
 		}
 
 		if (execution === 'not-run') {
-			request.refuse('no target accepted the request', 500);
+			if (!this.tryOtherHost(request)) {
+				request.refuse('no target accepted the request', 500);
+			}
+
 			return;
 		}
 
@@ -455,9 +563,10 @@
 					: failure.reason,
 			events: request.eventCount,
 		});
-		const {registry, crashes} = this.options;
+		const {registry} = this.options;
 		if (failure.kind === 'lost') {
 			this.recordLostRequest(request, attempt.target);
+			registry.reachability.recordLostAttempt(attempt.target);
 		} else if (failure.kind === 'refused') {
 			request.refusedBy.add(attempt.target);
 			this.recordHoldBack(attempt.target, failure.response);
@@ -466,7 +575,7 @@
 		if (failure.kind === 'unreached') {
 			registry.recordUnreachable(attempt.target, failure.isConnectionRefused);
 			if (failure.isConnectionRefused) {
-				crashes.recordTargetDeath(attempt.target, 'connection-refused');
+				this.recordRefusedConnection(attempt.target);
 			}
 		} else if (failure.kind === 'refused' && failure.response.isMisdirected) {
 			registry.recordMissing(
@@ -580,6 +689,24 @@
 		);
 	}
 
+	/** A model request begins to run with its first token, so a replacement without a response has not run. */
+	private discountUnbegun(key: RequestId, attempt: ForwardAttempt): void {
+		const request = this.requests.get(key);
+		if (request?.route.kind === 'stream' && !attempt.hasResponse) {
+			request.executions--;
+		}
+	}
+
+	/** True unless the rest of a stream must not be sent to the target of a replacement, which may have changed since the stall. */
+	private maySendRest(request: ForwardedRequest, {target}: Binding): boolean {
+		return (
+			this.mayRepeat(request) &&
+			!this.isQuarantined(request) &&
+			(request.softwareVersion === undefined ||
+				request.softwareVersion === this.versionOf(target))
+		);
+	}
+
 	/** Returns why the rest of an interrupted stream cannot be requested from another target, undefined when it can. */
 	private findContinuationObstacle(
 		request: ForwardedRequest,
@@ -613,29 +740,67 @@
 
 		const open = this.attempts.get(attempt.request)?.get(attempt.attempt);
 		if (open?.hasStalled && this.mayRepeat(request)) {
-			this.dispatcher.post({kind: 'stalled', ...attempt});
+			const {softwareVersion} = request;
+			this.dispatcher.post({
+				kind: 'stalled',
+				...attempt,
+				...(softwareVersion === undefined ? {} : {softwareVersion}),
+			});
 		}
 	}
 
+	private mayRunAgain(request: ForwardedRequest, executions: number): boolean {
+		return (
+			request.isRepeatable &&
+			executions < request.route.maximumExecutions &&
+			this.mayRepeat(request)
+		);
+	}
+
+	private tryOtherHost(request: ForwardedRequest): boolean {
+		return (
+			request.executions === 0 &&
+			!request.isFinished &&
+			this.options.tryOtherHost?.(request) === true
+		);
+	}
+
 	private versionOf(target: TargetId): SoftwareVersion | undefined {
 		const registered = this.options.registry.get(target);
 		return registered && versionOf(registered.listed);
 	}
 
 	private async startProbe(target: TargetId): Promise<void> {
-		const {registry, crashes} = this.options;
+		const {registry} = this.options;
 		const address = registry.get(target)?.listed.address;
 		if (
 			address !== undefined &&
 			(await isConnectionRefused(address, probeTimeoutMilliseconds))
 		) {
 			registry.recordUnreachable(target, true);
-			crashes.recordTargetDeath(target, 'connection-refused');
+			await new Promise<void>((resolve) => {
+				this.recordRefusedConnection(target, resolve);
+			});
 		}
 
 		this.probes.delete(target);
 	}
 
+	/** Records the death of a target once it is clear that the refused connection proves it. Calls back when that is decided. */
+	private recordRefusedConnection(
+		target: TargetId,
+		onDecided?: () => void,
+	): void {
+		const {registry, crashes} = this.options;
+		registry.reachability.judgeRefusal(target, (isProof) => {
+			if (isProof) {
+				crashes.recordTargetDeath(target, 'connection-refused');
+			}
+
+			onDecided?.();
+		});
+	}
+
 	private isQuarantined(request: ForwardedRequest): boolean {
 		return (
 			!request.isQuarantineTrial &&
@@ -663,6 +828,7 @@
 				request,
 				toAttempt(binding),
 				this.versionOf(binding.target),
+				binding.kind === 'replacement',
 			),
 			...(request.isRepeatable
 				? {
@@ -675,6 +841,7 @@
 				: {}),
 			onResponseMetadata: (response) => {
 				this.recordLoad(binding.target, response.load);
+				this.options.brittle.recordResponse(binding.target, response);
 				this.recordRateLimit(binding.target, response.requestsPerSecond);
 				if (response.isLeaving) {
 					this.recordLeaving(binding.target);
--- a/src/services/forwarding/forwarded-request.ts
+++ b/src/services/forwarding/forwarded-request.ts
@@ -27,10 +27,14 @@
 	readonly method: string;
 	/** Path and query as received from the caller. */
 	readonly requestTarget: string;
+	/** Alternating names and values as received from the caller. */
+	readonly rawHeaders: readonly string[];
 	readonly body: Buffer;
 	readonly fingerprint: Fingerprint;
 	readonly response: CallerResponse;
 	readonly documentVersion: number;
+	/** Name of the host that forwarded the request to this one, undefined for requests of callers. */
+	readonly forwardedBy: string | undefined;
 	/** Monotonic time at which the last byte of the request was received. */
 	readonly arrivedAt: number;
 	readonly codec: RequestCodec;
@@ -45,6 +49,10 @@
 	override readonly name = 'StreamDataError';
 }
 
+/** Why a stream whose events do not follow the last one is invalid. */
+export const repeatedEventReason =
+	'the id of an event is not greater than that of the last one';
+
 /** Statuses that tell a caller that its request was not executed. A response of a target with one of these statuses but without that statement is forwarded neither for a request that is not repeatable nor as a recorded failure. */
 const notRunStatuses = new Set([408, 421, 429, 503]);
 
@@ -87,6 +95,8 @@
 	continuations = 0;
 	/** Time from arrival until the first attempt was sent, undefined before that. */
 	waitedMilliseconds: number | undefined;
+	/** Address of the host to which the request was forwarded last, undefined while this host serves it itself. */
+	peer: string | undefined;
 	private contentType: string | undefined;
 	private lastChunkAt: number | undefined;
 	private failureResponse:
@@ -205,6 +215,11 @@
 		return true;
 	}
 
+	/** True when an event with the id may follow the last one. */
+	isNextEvent(id: number): boolean {
+		return this.lastEventId === undefined || id > this.lastEventId;
+	}
+
 	/** Forwards events. Returns whether the stream has made progress, or why it is invalid. */
 	forwardEvents(
 		events: readonly StreamEvent[],
@@ -212,12 +227,8 @@
 		let hasProgress = false;
 		for (const event of events) {
 			if (event.id !== undefined) {
-				if (this.lastEventId !== undefined && event.id <= this.lastEventId) {
-					return err(
-						new StreamDataError(
-							'the id of an event is not greater than that of the last one',
-						),
-					);
+				if (!this.isNextEvent(event.id)) {
+					return err(new StreamDataError(repeatedEventReason));
 				}
 
 				this.lastEventId = event.id;
@@ -349,11 +360,17 @@
 			metadata.id,
 			retryAfterMilliseconds,
 		);
-		response.send(
+		response.sendOwn({
 			status,
-			[...Object.entries(headers).flat(), 'Content-Type', 'text/plain'],
-			'',
-		);
+			headers: [
+				...Object.entries(headers).flat(),
+				'Content-Type',
+				'text/plain',
+			],
+			execution: status === 503 ? 'not-run' : 'unknown',
+			reason,
+			retryAfterMilliseconds,
+		});
 		this.finish(`own ${status}: ${reason}`);
 	}
 
@@ -383,6 +400,8 @@
 			largestGapMilliseconds: Math.round(this.largestGapMilliseconds),
 			continuations: this.continuations,
 			documentVersion,
+			forwardedTo: this.peer,
+			forwardedBy: this.options.forwardedBy,
 		});
 		this.options.onFinished(this, outcome);
 	}
--- a/src/services/forwarding/report-messages.ts
+++ b/src/services/forwarding/report-messages.ts
@@ -17,7 +17,9 @@
 	type ListedTarget,
 	type TargetListChange,
 } from '../../contracts/listed-target.js';
+import {isTargetAddress} from '../../contracts/target-address.js';
 import {type SuspicionReport} from '../../contracts/suspicion-report.js';
+import {type BrittleNews} from '../../core/brittle-targets.js';
 import {type HostDemand} from '../../core/host-demand.js';
 import {type LeavingTarget} from '../../core/leaving-targets.js';
 import {type RateChange} from '../../core/named-rate-limits.js';
@@ -26,6 +28,8 @@
 import {type StreamOrigin} from '../../core/stream-origins.js';
 import {type SeenVersion} from '../../core/version-history.js';
 import {
+	type BrittleTarget,
+	type BrittleTargetSchema,
 	type EntryRevision as EntryRevisionMessage,
 	type EntryRevisionSchema,
 	type LeaseState,
@@ -78,6 +82,9 @@
 	readonly knownSuspicionRevision: number;
 	readonly knownRateRevision: number;
 	readonly knownStreamRevision: number;
+	/** What targets said of being brittle and the receiver does not know yet. */
+	readonly brittle: readonly BrittleNews[];
+	readonly knownBrittleRevision: number;
 	/** Streams that the receiver does not know yet. */
 	readonly streams: readonly StreamOrigin[];
 	/** Software versions of the pools that had several lately. */
@@ -94,11 +101,11 @@
 	return {
 		host: demand.host,
 		members: [...demand.members],
-		observedMilliseconds: Math.floor(demand.observedMilliseconds),
+		observedMilliseconds: toAge(demand.observedMilliseconds),
 		models: demand.models.map(({model, requests, idleMilliseconds}) => ({
 			model,
 			requests,
-			idleMilliseconds: Math.floor(idleMilliseconds),
+			idleMilliseconds: toAge(idleMilliseconds),
 		})),
 		adapters: demand.adapters.map((each) => ({
 			model: each.model,
@@ -122,6 +129,8 @@
 		knownStreamRevision: BigInt(state.knownStreamRevision),
 		streams: toVersionedStreams(state.streams),
 		versions: state.versions.map(toSeenVersion),
+		brittle: state.brittle.map(toBrittleTarget),
+		knownBrittleRevision: BigInt(state.knownBrittleRevision),
 		leaving: state.leaving.map((each) => ({...each})),
 		documentVersion: BigInt(state.documentVersion),
 		needsDocument: state.needsDocument,
@@ -265,10 +274,15 @@
 	update: TargetListUpdate,
 ): TargetListChange[] {
 	return [
-		...update.listed.map((message) => ({
-			kind: 'listed' as const,
-			target: fromListedTarget(message),
-		})),
+		...update.listed.map((message) =>
+			isTargetAddress(message.address)
+				? {kind: 'listed' as const, target: fromListedTarget(message)}
+				: {
+						kind: 'malformed' as const,
+						target: message.target as TargetId,
+						reason: 'the host that reports it sent an invalid address',
+					},
+		),
 		...update.unlisted.map((target, index) => ({
 			kind: 'unlisted' as const,
 			target: target as TargetId,
@@ -372,12 +386,12 @@
 	return {
 		lease: {
 			position: BigInt(position),
-			ageMilliseconds: Math.floor(ageMilliseconds),
+			ageMilliseconds: toAge(ageMilliseconds),
 			expired: isExpired,
 			...(sinceLastOrderMilliseconds === undefined
 				? {}
 				: {
-						sinceLastOrderMilliseconds: Math.floor(sinceLastOrderMilliseconds),
+						sinceLastOrderMilliseconds: toAge(sinceLastOrderMilliseconds),
 					}),
 		},
 	};
@@ -428,8 +442,12 @@
 	};
 }
 
+/** Largest number of the 32-bit fields. A larger one would make the whole message fail to encode. */
+const maximumField = 4_294_967_295;
+
+/** Converts a time in milliseconds to a field. One of 50 days or more is sent as 50 days. */
 function toAge(milliseconds: number): number {
-	return Math.max(0, Math.floor(milliseconds));
+	return Math.min(maximumField, Math.max(0, Math.floor(milliseconds)));
 }
 
 /** Converts the rate that a target named to a message. */
@@ -449,3 +467,21 @@
 	const {target, requestsPerSecond, ageMilliseconds} = message;
 	return {target: target as TargetId, requestsPerSecond, ageMilliseconds};
 }
+
+/** Converts what a target said of being brittle to a message. */
+export function toBrittleTarget(
+	news: BrittleNews,
+): MessageInitShape<typeof BrittleTargetSchema> {
+	const {target, refusalsPerSecond, ageMilliseconds} = news;
+	return {
+		target,
+		...(refusalsPerSecond === undefined ? {} : {refusalsPerSecond}),
+		ageMilliseconds: toAge(ageMilliseconds),
+	};
+}
+
+/** Converts a message to what a target said of being brittle. */
+export function fromBrittleTarget(message: BrittleTarget): BrittleNews {
+	const {target, refusalsPerSecond, ageMilliseconds} = message;
+	return {target: target as TargetId, refusalsPerSecond, ageMilliseconds};
+}
--- a/src/services/forwarding/target-registry.ts
+++ b/src/services/forwarding/target-registry.ts
@@ -20,10 +20,12 @@
 import {type HoldBackRequest} from '../../contracts/request-codec.js';
 import {EntryRevisions} from '../../core/entry-revisions.js';
 import {HoldBacks} from '../../core/hold-backs.js';
+import {LogLimiter} from '../../core/log-limiter.js';
 import {
 	LeavingTargets,
 	type LeavingTarget,
 } from '../../core/leaving-targets.js';
+import {TargetReachability} from '../../core/target-reachability.js';
 import {TargetConnections} from './target-connections.js';
 
 /** Content of a target as sent by the placement owner. */
@@ -78,6 +80,10 @@
 
 /** Interval between two log events about invalid headers of a target. */
 const invalidLogIntervalMilliseconds = 60_000;
+/** Log lines about malformed entries in a minute: one for each target, and of all targets together this number. */
+const malformedLogLimits = {intervalMilliseconds: 60_000, maximumLines: 60};
+/** Models of a target in a log line. */
+const maximumLoggedModels = 64;
 
 /** Registry of all listed targets with their connections and tracked state. */
 export class TargetRegistry extends Disposable {
@@ -91,6 +97,8 @@
 	readonly heldBack = new TypedEvent<RegisteredTarget>();
 	/** A target said in an answer that it leaves, which other hosts should know. */
 	readonly leavingObserved = new TypedEvent<LeavingTarget>();
+	/** Whether this host reaches the targets of each pool. */
+	readonly reachability: TargetReachability;
 	private readonly targets = new Map<TargetId, RegisteredTarget>();
 	private readonly revisions: EntryRevisions;
 	private readonly leaving: LeavingTargets;
@@ -98,6 +106,7 @@
 	private readonly holdTimers = new Map<TargetId, NodeJS.Timeout>();
 	/** Monotonic time at which an invalid header of a target was last logged. */
 	private readonly invalidLoggedAt = new Map<TargetId, number>();
+	private readonly malformedLog: LogLimiter;
 	private maximumConnections = new Map<PoolName, number>();
 	private hostCount = 8;
 	private lastNewTargetAt = Number.NEGATIVE_INFINITY;
@@ -105,9 +114,17 @@
 
 	constructor(private readonly options: TargetRegistryOptions) {
 		super();
+		this.reachability = new TargetReachability(options);
+		this.reachability.changed.subscribe((pool) => {
+			this.useReachedTargets(pool);
+		});
 		this.revisions = new EntryRevisions(options.clock);
 		this.leaving = new LeavingTargets(options.clock);
 		this.holdBacks = new HoldBacks(options.clock);
+		this.malformedLog = new LogLimiter({
+			clock: options.clock,
+			...malformedLogLimits,
+		});
 	}
 
 	/** Applies the connection limits of a document. */
@@ -149,10 +166,7 @@
 		);
 
 		if (change.kind === 'malformed') {
-			this.options.events.record(forwardingEvents.targetEntryMalformed, {
-				target: change.target,
-				reason: change.reason,
-			});
+			this.logMalformed(change.target, change.reason);
 		}
 
 		this.unlist(change.target);
@@ -306,7 +320,7 @@
 		}
 	}
 
-	/** Records that a target could not be reached. If its process has ended, it holds no models after its restart. */
+	/** Records that a target could not be reached. If its process has ended, it holds no models after its restart. A refused connection alone does not prove that. */
 	recordUnreachable(target: TargetId, isConnectionRefused: boolean): void {
 		const registered = this.targets.get(target);
 		if (!registered) {
@@ -315,9 +329,20 @@
 
 		const now = this.options.clock.monotonic();
 		registered.unreachableUntil = now + unreachableMilliseconds;
-		if (isConnectionRefused) {
-			registered.emptyUntil = now + emptyMilliseconds;
+		this.reachability.recordFailure(
+			target,
+			isConnectionRefused ? 'connection-refused' : 'connect-timeout',
+		);
+		if (!isConnectionRefused) {
+			return;
 		}
+
+		const {incarnation} = registered.listed.residency;
+		this.reachability.judgeRefusal(target, (isProof) => {
+			if (isProof && registered.listed.residency.incarnation === incarnation) {
+				registered.emptyUntil = now + emptyMilliseconds;
+			}
+		});
 	}
 
 	/** Records that a target refused a request because it does not hold the model or adapter. */
@@ -394,6 +419,15 @@
 		this.targets.clear();
 	}
 
+	/** The targets of a pool that this host reaches again get work at once. */
+	private useReachedTargets(pool: PoolName): void {
+		if (!this.reachability.isCutOff(pool)) {
+			for (const target of this.targetsOfPool(pool)) {
+				target.unreachableUntil = 0;
+			}
+		}
+	}
+
 	private suitableTargets(
 		pool: PoolName,
 		model: ModelId | undefined,
@@ -431,6 +465,7 @@
 				? {...entry, isLeaving: true}
 				: entry;
 		const now = this.options.clock.monotonic();
+		this.reachability.addTarget(listed.id, listed.pool);
 		const registered = this.targets.get(listed.id);
 		if (!registered) {
 			const target: RegisteredTarget = {
@@ -498,6 +533,7 @@
 		}
 
 		this.targets.delete(target);
+		this.reachability.removeTarget(target);
 		this.forgetHold(target);
 		this.options.events.record(forwardingEvents.targetUnlisted, {target});
 		this.removed.publish(registered);
@@ -515,6 +551,12 @@
 		const limit = this.maximumConnections.get(listed.pool) ?? listed.slots;
 		return new TargetConnections({
 			address: listed.address,
+			onConnected: () => {
+				this.reachability.recordConnection(listed.id);
+			},
+			onData: () => {
+				this.reachability.recordData(listed.id);
+			},
 			maximumConnections: Math.max(
 				2,
 				Math.floor((limit * connectionShare) / this.hostCount),
@@ -552,6 +594,17 @@
 		}
 	}
 
+	private logMalformed(target: TargetId, reason: string): void {
+		const omittedLines = this.malformedLog.admit(target);
+		if (omittedLines !== undefined) {
+			this.options.events.record(forwardingEvents.targetEntryMalformed, {
+				target,
+				reason,
+				omittedLines,
+			});
+		}
+	}
+
 	private logOutdated(
 		target: TargetId,
 		revision: EntryRevision | undefined,
@@ -570,7 +623,9 @@
 			pool,
 			isLeaving,
 			incarnation: residency.incarnation,
-			models: residency.models.map(({model}) => model),
+			models: residency.models
+				.slice(0, maximumLoggedModels)
+				.map(({model}) => model),
 		});
 	}
 }
