--- a/src/platform/request-codec.ts
+++ b/src/platform/request-codec.ts
@@ -55,6 +55,7 @@
 	'Content-Length',
 	headerNames.load,
 	headerNames.rateLimit,
+	headerNames.brittle,
 	headerNames.leaving,
 	headerNames.instance,
 	headerNames.notRun,
@@ -156,6 +157,7 @@
 
 		const isSigned = valueOf(headerNames.signature) !== undefined;
 		const isMisdirected = status === 421;
+		const rates = headers[headerNames.rateLimit.toLowerCase()];
 		return {
 			status,
 			requestId: valueOf(headerNames.requestId) as RequestId | undefined,
@@ -169,9 +171,7 @@
 			contentType: valueOf('Content-Type'),
 			respondingTarget: valueOf(headerNames.instance) as TargetId | undefined,
 			load: parseLoad(valueOf(headerNames.load)),
-			requestsPerSecond: parseRate(
-				headers[headerNames.rateLimit.toLowerCase()],
-			),
+			requestsPerSecond: parseRate(rates),
 			forwardedHeaders: forwardedResponseHeaders(headers),
 		};
 	}
@@ -267,14 +267,13 @@
 export function decodeAvailability(
 	status: number,
 	headers: Readonly<Record<string, string | string[] | undefined>>,
-): Pick<ResponseMetadata, 'isLeaving' | 'holdBack'> {
+): Pick<ResponseMetadata, 'isLeaving' | 'holdBack' | 'refusalsPerSecond'> {
 	const leaving = headers[headerNames.leaving.toLowerCase()];
+	const retryAfter = headers[headerNames.retryAfter.toLowerCase()];
 	return {
 		isLeaving: [leaving ?? []].flat().some((value) => value.trim() === '1'),
-		holdBack: parseHoldBack(
-			status,
-			headers[headerNames.retryAfter.toLowerCase()],
-		),
+		holdBack: parseHoldBack(status, retryAfter),
+		refusalsPerSecond: parseRate(headers[headerNames.brittle.toLowerCase()]),
 	};
 }
 
--- a/src/services/forwarding/forwarding-service.ts
+++ b/src/services/forwarding/forwarding-service.ts
@@ -35,6 +35,7 @@
 	type PeerOrigin,
 	type PeerRequest,
 } from './arrived-request.js';
+import {type BrittleObserver} from './brittle-observer.js';
 import {type CrashObserver} from './crash-observer.js';
 import {
 	ForwardDispatch,
@@ -66,6 +67,7 @@
 	readonly crashes: CrashObserver;
 	readonly rateLimits: NamedRateLimits;
 	readonly permits: PermitBook;
+	readonly brittle: BrittleObserver;
 	readonly streams: StreamOriginSharing;
 	readonly reachability: PoolReachability;
 	/** Forwards the requests for pools that are cut off. */
@@ -126,16 +128,19 @@
 
 	constructor(private readonly options: ForwardingServiceOptions) {
 		super();
-		const {crashes, registry, rateLimits, permits, reachability} = options;
+		const {crashes, registry, rateLimits, permits, brittle, reachability} =
+			options;
 		registry.restarted.subscribe(({listed}) => {
 			crashes.recordTargetDeath(listed.id, 'restarted');
 			rateLimits.forget(listed.id);
 			permits.forget(listed.id);
+			brittle.recordRestart(listed.id);
 		});
 		registry.removed.subscribe(({listed}) => {
 			crashes.recordTargetDeath(listed.id, 'unlisted');
 			rateLimits.forget(listed.id);
 			permits.forget(listed.id);
+			brittle.forget(listed.id);
 		});
 		crashes.quarantineGrown.subscribe(() => {
 			for (const {dispatch} of this.pools.values()) {
@@ -805,6 +810,7 @@
 			crashes: this.options.crashes,
 			rateLimits: this.options.rateLimits,
 			permits: this.options.permits,
+			brittle: this.options.brittle,
 			streams: this.options.streams,
 			mayBegin: (request) => this.mayBegin(request),
 			stopRetryMilliseconds: startRetryMilliseconds,
