--- a/src/measure/measure-dispatch.ts
+++ b/src/measure/measure-dispatch.ts
@@ -14,11 +14,11 @@
 	type TargetId,
 } from '../contracts/ids.js';
 import {
-	Dispatcher,
 	DispatchPort,
 	CandidateDirectory,
 	type Binding,
-} from '../services/dispatch/dispatcher.js';
+} from '../services/dispatch/dispatch-contracts.js';
+import {Dispatcher} from '../services/dispatch/dispatcher.js';
 import {formatTable} from './result-table.js';
 
 // Measures the time of the dispatcher per request in pools of several sizes: submission, choice of a
--- a/src/measure/serving-model.ts
+++ b/src/measure/serving-model.ts
@@ -16,12 +16,14 @@
 } from '../core/routing-policy.js';
 import {
 	DispatchPort,
-	Dispatcher,
 	CandidateDirectory,
 	type Attempt,
 	type Binding,
-	type DispatcherOptions,
 	type WorkRefusal,
+} from '../services/dispatch/dispatch-contracts.js';
+import {
+	Dispatcher,
+	type DispatcherOptions,
 } from '../services/dispatch/dispatcher.js';
 import {TargetModel, type ModelWork, type Slowdown} from './target-model.js';
 import {VirtualTimeline} from './virtual-timeline.js';
--- a/src/services/dispatch/abstract-pool-dispatch.ts
+++ b/src/services/dispatch/abstract-pool-dispatch.ts
@@ -1,5 +1,6 @@
 import {Disposable} from '../../base/common/disposable.js';
-import {type Dispatcher, type DispatcherMessage} from './dispatcher.js';
+import {type DispatcherMessage} from './dispatch-contracts.js';
+import {type Dispatcher} from './dispatcher.js';
 
 const tickIntervalMilliseconds = 10;
 
--- a/src/services/dispatch/engine-pool-dispatch.ts
+++ b/src/services/dispatch/engine-pool-dispatch.ts
@@ -35,14 +35,14 @@
 	type TargetDirectory,
 } from '../targets/target-directory.js';
 import {
-	Dispatcher,
 	DispatchPort,
 	CandidateDirectory,
 	type Attempt,
 	type Binding,
 	type WorkItem,
 	type WorkRefusal,
-} from './dispatcher.js';
+} from './dispatch-contracts.js';
+import {Dispatcher} from './dispatcher.js';
 import {AbstractPoolDispatch} from './abstract-pool-dispatch.js';
 import {type AttemptKey, type GenerationRun} from './generation-run.js';
 
--- a/src/services/dispatch/service-pool-dispatch.ts
+++ b/src/services/dispatch/service-pool-dispatch.ts
@@ -20,14 +20,14 @@
 import {type Urgency} from '../../core/dispatch-queue.js';
 import {type TargetDirectory} from '../targets/target-directory.js';
 import {
-	Dispatcher,
 	DispatchPort,
 	CandidateDirectory,
 	type Attempt,
 	type Binding,
 	type WorkItem,
 	type WorkRefusal,
-} from './dispatcher.js';
+} from './dispatch-contracts.js';
+import {Dispatcher} from './dispatcher.js';
 import {AbstractPoolDispatch} from './abstract-pool-dispatch.js';
 
 /** A call to a plain service, as submitted to its dispatch. */
--- a/src/services/forwarding/forward-dispatch.ts
+++ b/src/services/forwarding/forward-dispatch.ts
@@ -35,15 +35,14 @@
 import {SlotPolicy} from '../../core/slot-policy.js';
 import {StartLimiter} from '../../core/start-limiter.js';
 import {
-	Dispatcher,
 	DispatchPort,
 	CandidateDirectory,
-	startLevel,
 	type Attempt,
 	type Binding,
 	type WorkItem,
 	type WorkRefusal,
-} from '../dispatch/dispatcher.js';
+} from '../dispatch/dispatch-contracts.js';
+import {Dispatcher, startLevel} from '../dispatch/dispatcher.js';
 import {type BrittleObserver} from './brittle-observer.js';
 import {ForwardAttempt, type AttemptFailure} from './forward-attempt.js';
 import {type CrashObserver} from './crash-observer.js';
--- a/src/services/forwarding/request-attempt.ts
+++ b/src/services/forwarding/request-attempt.ts
@@ -4,7 +4,7 @@
 	EventStreamSplitter,
 	type StreamEvent,
 } from '../../core/event-stream-splitter.js';
-import {type Attempt} from '../dispatch/dispatcher.js';
+import {type Attempt} from '../dispatch/dispatch-contracts.js';
 import {AttemptListener, type AttemptFailure} from './forward-attempt.js';
 import {type ForwardDispatch} from './forward-dispatch.js';
 import {
--- a/test/dispatch/caller-limits.test.ts
+++ b/test/dispatch/caller-limits.test.ts
@@ -18,12 +18,12 @@
 import {type RequestProblem} from '../../src/contracts/request-problem.js';
 import {CallerLimiter} from '../../src/core/caller-limiter.js';
 import {
-	Dispatcher,
 	DispatchPort,
 	CandidateDirectory,
 	type Binding,
 	type WorkRefusal,
-} from '../../src/services/dispatch/dispatcher.js';
+} from '../../src/services/dispatch/dispatch-contracts.js';
+import {Dispatcher} from '../../src/services/dispatch/dispatcher.js';
 import {LimitedServiceGateway} from '../../src/services/entry/limited-service-gateway.js';
 import {
 	ServiceGateway,
--- a/test/dispatch/dispatcher.test.ts
+++ b/test/dispatch/dispatcher.test.ts
@@ -17,14 +17,14 @@
 import {SlotPolicy} from '../../src/core/slot-policy.js';
 import {RetryBudget} from '../../src/core/retry-budget.js';
 import {
-	Dispatcher,
 	DispatchPort,
 	CandidateDirectory,
 	type Attempt,
 	type Binding,
 	type WorkItem,
 	type WorkRefusal,
-} from '../../src/services/dispatch/dispatcher.js';
+} from '../../src/services/dispatch/dispatch-contracts.js';
+import {Dispatcher} from '../../src/services/dispatch/dispatcher.js';
 
 const slots = 3;
 const targets = ['a', 'b', 'c'] as TargetId[];
--- a/test/dispatch/start-limiter.test.ts
+++ b/test/dispatch/start-limiter.test.ts
@@ -21,13 +21,15 @@
 import {StartLimiter} from '../../src/core/start-limiter.js';
 import {
 	CandidateDirectory,
-	Dispatcher,
-	startLevel,
 	DispatchPort,
 	type Attempt,
 	type Binding,
 	type WorkItem,
 	type WorkRefusal,
+} from '../../src/services/dispatch/dispatch-contracts.js';
+import {
+	Dispatcher,
+	startLevel,
 } from '../../src/services/dispatch/dispatcher.js';
 
 const model = 'busy' as ModelId;
--- a/test/forwarding/early-refusal.test.ts
+++ b/test/forwarding/early-refusal.test.ts
@@ -13,12 +13,12 @@
 	type TargetId,
 } from '../../src/contracts/ids.js';
 import {
-	Dispatcher,
 	DispatchPort,
 	CandidateDirectory,
 	type WorkItem,
 	type WorkRefusal,
-} from '../../src/services/dispatch/dispatcher.js';
+} from '../../src/services/dispatch/dispatch-contracts.js';
+import {Dispatcher} from '../../src/services/dispatch/dispatcher.js';
 
 const target = 't' as TargetId;
 
