Leave a stream alone that its own target took up within the overlap

A stream was cut 0.3 s after its silent target woke, if the second target had sent a head before: the second attempt was cancelled, but its timer still gave up the other one. The timer acts only while its attempt is open.

The test of the released target raced on a busy machine: its second target began 100 ms after it was asked, within the interval at which the test looks. The target that is silent now stays so, and the second one begins after 0.5 s; the bound on the release is the 0.4 s of the rule.

--- a/src/services/forwarding/forward-dispatch.ts
+++ b/src/services/forwarding/forward-dispatch.ts
@@ -421,6 +421,11 @@
 		attempts?.delete(attempt);
 	}
 
+	/** True while the attempt is open. */
+	hasAttempt({request, attempt}: Attempt): boolean {
+		return this.attempts.get(request)?.has(attempt) ?? false;
+	}
+
 	/** True while other attempts of the request are open. */
 	hasOtherAttempts({request, attempt}: Attempt): boolean {
 		return [...(this.attempts.get(request)?.keys() ?? [])].some(
--- a/src/services/forwarding/request-attempt.ts
+++ b/src/services/forwarding/request-attempt.ts
@@ -48,7 +48,9 @@
 
 		if (this.poolDispatch.hasOtherAttempts(this.attempt)) {
 			this.overlapTimer = setTimeout(() => {
-				this.poolDispatch.giveUpOtherAttempts(this.attempt);
+				if (this.isOpen()) {
+					this.poolDispatch.giveUpOtherAttempts(this.attempt);
+				}
 			}, maximumOverlapMilliseconds);
 		}
 	}
@@ -247,6 +249,14 @@
 		}
 	}
 
+	/** False once the attempt was cancelled, or the request was submitted anew. */
+	private isOpen(): boolean {
+		return (
+			this.request.continuations === this.generation &&
+			this.poolDispatch.hasAttempt(this.attempt)
+		);
+	}
+
 	private stopOverlapTimer(): void {
 		clearTimeout(this.overlapTimer);
 	}
--- a/test/forwarding/replaced-attempts.test.ts
+++ b/test/forwarding/replaced-attempts.test.ts
@@ -240,6 +240,24 @@
 	assert.ok(closed > 0, 'both targets worked on the stream for 0.7 s');
 });
 
+// Guards against a stream that is cut by the bound on the overlap, because its own target woke after the second had begun.
+test('a target that wakes within the overlap goes on undisturbed', async () => {
+	const first = await addWorker(
+		sendParts([
+			[0, firstPart],
+			[1450, framed(formatEvent(3))],
+			[2200, framed(formatEvent(4)) + framed(formatEvent(5)) + '0\r\n\r\n'],
+		]),
+	);
+	const result = call('/stream/x');
+	await waitUntil('the request', () => first.requests.length === 1);
+	const second = await addWorker(sendParts([]));
+	const {body, isComplete} = await result;
+	assert.equal(second.requests.length, 1);
+	assert.equal(isComplete, true);
+	assert.equal(body, allEvents);
+});
+
 // Guards against a sound attempt that ends with the last of its replacements.
 test('a stall in which all other targets break off at once ends at the sound target', async () => {
 	const first = await addWorker(answerCalls(pause(silenceMilliseconds)));
--- a/test/forwarding/silent-targets.test.ts
+++ b/test/forwarding/silent-targets.test.ts
@@ -156,10 +156,10 @@
 // Guards against a caller that waits for a target that stays silent while another one can go on, and against two targets
 // that work on one stream for long.
 test('a stream goes on at another target once that one has begun, and the silent one is released', async () => {
-	const {call, first, second} = await startAtFirst(
-		'/stream/x',
-		finishStream(100),
-	);
+	const first = await addWorker(pause(10_000));
+	const call = harness.call('/stream/x', {body: 'b'});
+	await waitUntil('the request', () => first.requests.length === 1);
+	const second = await addWorker(finishStream(500));
 	await waitUntil('the rest is asked for', () => second.requests.length === 1);
 	assert.equal(first.closedSocketCount, 0);
 	const result = await call;
@@ -169,7 +169,7 @@
 	await waitUntil(
 		'the silent target is released',
 		() => first.closedSocketCount > 0,
-		200,
+		400,
 	);
 });
 
