--- a/review/1/case.js
+++ b/review/1/case.js
@@ -1,6 +1,5 @@
 /* eslint-disable camelcase -- these are the names of the platform. */
 /** A worker crashes while streams without a length and without chunks run on it. */
-import path from 'node:path';
 import {eventsOf, send} from '../common/consumer.js';
 import {sleep} from '../common/processes.js';
 import {hasTrouble, hostName, route, runCase} from '../common/setup.js';
@@ -52,78 +51,73 @@
 	}
 }
 
-await runCase(
-	path.join(import.meta.dirname, 'record.txt'),
-	async (setup, record) => {
-		setup.configure(
-			[
-				route('plan', {
-					kind: 'stream',
-					service: 'lm',
-					gap_aim_ms: 150,
-					timeout_ms: 20_000,
-					goal_ms: 3000,
-				}),
-			],
-			[{name: 'lm', max_conns: 370}],
-		);
-		for (let index = 1; index <= workerCount; index++) {
-			await setup.addWorker(`i-${index}`, {service: 'lm', slots: 64}, stream);
-		}
-
-		const host = await setup.startHost('front-palermo-1');
-		if (!(await setup.deployment.waitReady(host))) {
-			return undefined;
-		}
+await runCase('review/1/record.txt', async (setup, record) => {
+	setup.configure(
+		[
+			route('plan', {
+				kind: 'stream',
+				service: 'lm',
+				gap_aim_ms: 150,
+				timeout_ms: 20_000,
+				goal_ms: 3000,
+			}),
+		],
+		[{name: 'lm', max_conns: 370}],
+	);
+	for (let index = 1; index <= workerCount; index++) {
+		await setup.addWorker(`i-${index}`, {service: 'lm', slots: 64}, stream);
+	}
 
-		const answers = [];
-		const requests = Array.from({length: streamCount}, async (_, index) => {
-			await sleep(index * 20);
-			const id = `r-${index}`;
-			record.add(`request ${id} is sent`);
-			const answer = await send(
-				{port: host.ports.front},
-				{path: '/plan/x', id, host: hostName, deadline: 20_000},
-			);
-			answers.push({id, ...answer});
-		});
-		await sleep(1310);
-		if (hasTrouble) {
-			const [crashing] = [...setup.workers.values()].sort(
-				(left, right) => unframedStreams(right) - unframedStreams(left),
-			);
-			record.add(
-				`worker ${crashing.id} crashes: ${crashing.sockets.size} channels are reset, ${unframedStreams(crashing)} of them with an unframed stream`,
-			);
-			for (const socket of crashing.sockets) {
-				socket.resetAndDestroy();
-			}
+	const host = await setup.startHost('front-palermo-1');
+	if (!(await setup.deployment.waitReady(host))) {
+		return undefined;
+	}
 
-			crashing.server.close();
-			setup.unlist(crashing.id);
+	const answers = [];
+	const requests = Array.from({length: streamCount}, async (_, index) => {
+		await sleep(index * 20);
+		const id = `r-${index}`;
+		record.add(`request ${id} is sent`);
+		const answer = await send(
+			{port: host.ports.front},
+			{path: '/plan/x', id, host: hostName, deadline: 20_000},
+		);
+		answers.push({id, ...answer});
+	});
+	await sleep(1310);
+	if (hasTrouble) {
+		const [crashing] = [...setup.workers.values()].sort(
+			(left, right) => unframedStreams(right) - unframedStreams(left),
+		);
+		record.add(
+			`worker ${crashing.id} crashes: ${crashing.sockets.size} channels are reset, ${unframedStreams(crashing)} of them with an unframed stream`,
+		);
+		for (const socket of crashing.sockets) {
+			socket.resetAndDestroy();
 		}
 
-		await Promise.all(requests);
-		for (const worker of setup.workers.values()) {
-			for (const {headers} of worker.requests) {
-				record.add(`worker ${worker.id} ran ${headers['request-id']}`);
-			}
-		}
+		crashing.server.close();
+		setup.unlist(crashing.id);
+	}
 
-		let isBroken = false;
-		for (const {id, status, framing, body, ending, isComplete} of answers) {
-			const {ids, endsBetweenEvents} = eventsOf(body);
-			const looksComplete =
-				status === 200 &&
-				isComplete &&
-				(framing !== 'none' || endsBetweenEvents);
-			const isWhole = ids.length === eventCount && ids.at(-1) === eventCount;
-			record.add(
-				`answer ${id}: status ${status}, framing ${framing}, ${ids.length} of ${eventCount} events, channel ${ending}, ${looksComplete ? 'looks complete' : 'is seen as cut'}${looksComplete && !isWhole ? ' BUT IS NOT' : ''}`,
-			);
-			isBroken ||= looksComplete && !isWhole;
+	await Promise.all(requests);
+	for (const worker of setup.workers.values()) {
+		for (const {headers} of worker.requests) {
+			record.add(`worker ${worker.id} ran ${headers['request-id']}`);
 		}
+	}
+
+	let isBroken = false;
+	for (const {id, status, framing, body, ending, isComplete} of answers) {
+		const {ids, endsBetweenEvents} = eventsOf(body);
+		const looksComplete =
+			status === 200 && isComplete && (framing !== 'none' || endsBetweenEvents);
+		const isWhole = ids.length === eventCount && ids.at(-1) === eventCount;
+		record.add(
+			`answer ${id}: status ${status}, framing ${framing}, ${ids.length} of ${eventCount} events, channel ${ending}, ${looksComplete ? 'looks complete' : 'is seen as cut'}${looksComplete && !isWhole ? ' BUT IS NOT' : ''}`,
+		);
+		isBroken ||= looksComplete && !isWhole;
+	}
 
-		return isBroken;
-	},
-);
+	return isBroken;
+});
--- a/review/common/processes.js
+++ b/review/common/processes.js
@@ -7,7 +7,8 @@
 import path from 'node:path';
 import process from 'node:process';
 
-const root = path.resolve(import.meta.dirname, '../..');
+/** The scripts start in the root of the repository. */
+const root = process.cwd();
 
 export const sleep = async (milliseconds) =>
 	new Promise((resolve) => {
@@ -131,6 +132,9 @@
 		child.once('exit', (code, signal) => {
 			host.exit = {code, signal};
 		});
+		child.once('error', () => {
+			host.exit = {code: undefined, signal: undefined};
+		});
 		return host;
 	}
 
@@ -147,13 +151,17 @@
 		}, milliseconds);
 	}
 
-	async stop() {
+	/** Kills all processes that still run. */
+	kill() {
 		for (const {child, exit} of this.hosts) {
 			if (!exit) {
 				child.kill('SIGKILL');
 			}
 		}
+	}
 
+	async stop() {
+		this.kill();
 		await waitUntil(() => this.hosts.every(({exit}) => exit), 5000);
 		rmSync(this.folder, {recursive: true, force: true});
 	}
--- a/review/common/setup.js
+++ b/review/common/setup.js
@@ -116,6 +116,22 @@
 	const record = new Record(file);
 	const setup = new Setup();
 	let code = 2;
+	process.once('exit', () => {
+		setup.deployment.kill();
+	});
+	for (const signal of ['SIGINT', 'SIGTERM']) {
+		process.once(signal, () => {
+			process.exit(2);
+		});
+	}
+
+	for (const event of ['uncaughtException', 'unhandledRejection']) {
+		process.once(event, (error) => {
+			record.add(`the case could not run: ${error?.stack ?? error}`);
+			process.exit(2);
+		});
+	}
+
 	const limit = setTimeout(async () => {
 		record.add('the case did not end in time');
 		await setup.stop();
