--- a/review/2/case.js
+++ b/review/2/case.js
@@ -12,6 +12,8 @@
 const maximumTries = 4;
 /** Time until a killed process is started again. */
 const restartMilliseconds = 500;
+/** Time for which a worker serves after it has left the list: `drain_ms` and a little longer. */
+const drainMilliseconds = 2200;
 
 await runCase('review/2/record.txt', async (setup, record) => {
 	setup.configure(
@@ -63,6 +65,7 @@
 	await sleep(1000);
 	setup.unlist('i-1');
 	setup.unlist('i-2');
+	const unlistedAt = performance.now();
 	record.add('the workers of version v1 have left the list and serve on');
 	await sleep(1000);
 	if (hasTrouble) {
@@ -78,8 +81,12 @@
 		}
 
 		record.add('all processes are started again');
+		await sleep(
+			Math.max(0, unlistedAt + drainMilliseconds - performance.now()),
+		);
 		setup.workers.get('i-1').stop();
 		setup.workers.get('i-2').stop();
+		record.add('the workers of version v1 have ended');
 	}
 
 	const results = await Promise.all(streams);
