Know the software versions from before a restart instead of guessing them

Cause: the owner counted as informed of all versions without having heard them from anyone. A process that is as young as all others took the only version in the list for the only one that there was, and its responses made the other hosts as sure.

The versions of the last minute, and the time for which none is missing, are now part of the lease records, which every host reads when it starts; a host that lacks some asks for them with its report. An empty lease log shows that no host ran before.

--- a/src/contracts/shared-store.ts
+++ b/src/contracts/shared-store.ts
@@ -3,6 +3,7 @@
 import {type HostId} from './ids.js';
 import {type SuspicionReport} from './suspicion-report.js';
 import {type TargetListChange} from './listed-target.js';
+import {type VersionReport} from './version-report.js';
 
 /** A call to the shared store failed. */
 export class SharedStoreError extends Error {
@@ -92,6 +93,8 @@
 	readonly sinceLastOrderMilliseconds?: number | undefined;
 	/** Quarantined fingerprints, so that they outlive all hosts. */
 	readonly suspicions?: readonly SuspicionReport[] | undefined;
+	/** Software versions that targets had, so that a host that starts after all others have ended knows them. Absent from the records of older builds. */
+	readonly versionReport?: VersionReport | undefined;
 };
 
 /** A record with its position. The position of a claim is the fencing token of the lease. */
@@ -107,6 +110,8 @@
 	readonly next: StorePosition;
 	/** True when the store was restored since the position was read, or ever before a read of all records. These are then all records of the restored log. */
 	readonly isRestored: boolean;
+	/** True when these are all records that were ever appended, because none was deleted or lost. */
+	readonly isWhole?: boolean;
 };
 
 /** Outcome of a conditional append. */
--- a/src/core/version-history.ts
+++ b/src/core/version-history.ts
@@ -1,18 +1,18 @@
 import {type Clock} from '../base/common/clock.js';
 import {type PoolName, type SoftwareVersion} from '../contracts/ids.js';
+import {
+	type SeenVersion,
+	type VersionReport,
+} from '../contracts/version-report.js';
 import {streamLifetimeMilliseconds} from './stream-origins.js';
 
-/** A software version of targets of a pool, with the time since a target last had it. */
-export type SeenVersion = {
-	readonly pool: PoolName;
-	readonly version: SoftwareVersion;
-	readonly ageMilliseconds: number;
-};
-
-/** Remembers which software versions the targets of each pool had lately, on this host and on those that told it. */
+/**
+ * Remembers which software versions the targets of each pool had lately. A process knows them only since its start,
+ * unless another one that has run for longer has told it what was there before.
+ */
 export class VersionHistory {
-	private readonly startedAt: number;
-	private isInformed = false;
+	/** Monotonic time since which no version is missing. */
+	private knownSince: number;
 	/** Monotonic time at which a target of the pool last had a version. */
 	private readonly lastSeenAt = new Map<
 		PoolName,
@@ -20,7 +20,12 @@
 	>();
 
 	constructor(private readonly clock: Clock) {
-		this.startedAt = clock.monotonic();
+		this.knownSince = clock.monotonic();
+	}
+
+	/** True when no version is missing at which a stream may have begun that can still be taken up. */
+	get isComplete(): boolean {
+		return this.reachMilliseconds >= streamLifetimeMilliseconds;
 	}
 
 	/** Records the version of a target that is listed now. */
@@ -28,12 +33,7 @@
 		this.record(pool, version, this.clock.monotonic());
 	}
 
-	/** Records that the host to which this one reports has told it all that it knows, or that there is none. */
-	markInformed(): void {
-		this.isInformed = true;
-	}
-
-	/** Records what another host has seen. */
+	/** Records versions that another host has seen, of which others may be missing. */
 	merge(versions: readonly SeenVersion[]): void {
 		const now = this.clock.monotonic();
 		for (const {pool, version, ageMilliseconds} of versions) {
@@ -41,15 +41,35 @@
 		}
 	}
 
+	/** Records all versions of a time that ends now. */
+	learn({versions, reachMilliseconds}: VersionReport): void {
+		this.merge(versions);
+		this.knownSince = Math.min(
+			this.knownSince,
+			this.clock.monotonic() - reachMilliseconds,
+		);
+	}
+
+	/** Returns all versions that this process knows, for others. */
+	report(): VersionReport {
+		return {
+			versions: [...this.lastSeenAt.keys()].flatMap((pool) =>
+				this.recentVersions(pool),
+			),
+			reachMilliseconds: Math.min(
+				this.reachMilliseconds,
+				streamLifetimeMilliseconds,
+			),
+		};
+	}
+
 	/**
 	 * Returns the version at which any stream of the pool that can still be taken up began. Undefined if the pool had
-	 * several, or if this process started lately and no other host has told it what was there before.
+	 * several, or if versions may be missing.
 	 */
 	soleVersion(pool: PoolName): SoftwareVersion | undefined {
-		const isYoung =
-			this.clock.monotonic() - this.startedAt < streamLifetimeMilliseconds;
 		const versions = this.recentVersions(pool);
-		return versions.length === 1 && (this.isInformed || !isYoung)
+		return versions.length === 1 && this.isComplete
 			? versions[0]!.version
 			: undefined;
 	}
@@ -62,6 +82,10 @@
 		});
 	}
 
+	private get reachMilliseconds(): number {
+		return this.clock.monotonic() - this.knownSince;
+	}
+
 	private recentVersions(pool: PoolName): SeenVersion[] {
 		const now = this.clock.monotonic();
 		const seen = this.lastSeenAt.get(pool);
--- a/src/platform/owner-log.ts
+++ b/src/platform/owner-log.ts
@@ -1,6 +1,11 @@
 import {errAsync, type ResultAsync} from 'neverthrow';
 import {z} from 'zod';
-import {fingerprintSchema, hostIdSchema} from '../contracts/ids.js';
+import {
+	fingerprintSchema,
+	hostIdSchema,
+	type PoolName,
+	type SoftwareVersion,
+} from '../contracts/ids.js';
 import {
 	HistoryTruncatedError,
 	OwnerLog,
@@ -23,6 +28,17 @@
 	triedMillisecondsAgo: z.number().optional(),
 });
 
+const versionReportSchema = z.object({
+	versions: z.array(
+		z.object({
+			pool: z.string().transform((name) => name as PoolName),
+			version: z.string().transform((name) => name as SoftwareVersion),
+			ageMilliseconds: z.number(),
+		}),
+	),
+	reachMilliseconds: z.number(),
+});
+
 const recordSchema = z.object({
 	kind: z.enum(['claimed', 'renewed', 'released']),
 	host: hostIdSchema,
@@ -30,10 +46,17 @@
 	peerAddress: z.string(),
 	sinceLastOrderMilliseconds: z.number().optional(),
 	suspicions: z.array(suspicionSchema).optional(),
+	/** Parsed on its own, because an unreadable report must not hide the record, which decides on the lease. */
+	versionReport: z.unknown(),
 	/** Position at which the writer meant to append the record. Another one shows that the store was restored since. */
 	intendedPosition: z.number().optional(),
 });
 
+type RetainedRecords = StoreRecords & {
+	/** True when the store has deleted records at the position. */
+	readonly isTruncated: boolean;
+};
+
 /** Generation of a store that was never restored. */
 const firstGeneration = 1;
 
@@ -47,17 +70,21 @@
 		from: StorePosition | undefined,
 	): ResultAsync<OwnerRecords, SharedStoreError> {
 		return this.readRetained(from)
-			.map((result) => ({
-				...result,
-				isRestored:
-					from === undefined && generationOf(result.next) > firstGeneration,
-			}))
+			.map(({isTruncated, ...result}) => {
+				const isRestored =
+					from === undefined && generationOf(result.next) > firstGeneration;
+				return from === undefined
+					? {...result, isRestored, isWhole: !isRestored && !isTruncated}
+					: {...result, isRestored};
+			})
 			.orElse((error) =>
 				error instanceof StoreRestoredError
-					? this.readRetained(error.earliest).map((result) => ({
-							...result,
-							isRestored: true,
-						}))
+					? this.readRetained(error.earliest).map(
+							({isTruncated, ...result}) => ({
+								...result,
+								isRestored: true,
+							}),
+						)
 					: errAsync(error),
 			)
 			.map(({records, ...rest}) => ({
@@ -68,9 +95,21 @@
 						return [];
 					}
 
-					const {intendedPosition = position, ...record} = parsed.data;
+					const {
+						intendedPosition = position,
+						versionReport,
+						...record
+					} = parsed.data;
 					const isFromCopy = intendedPosition !== position;
-					return [{...record, position, isFromCopy}];
+					const {data: report} = versionReportSchema.safeParse(versionReport);
+					return [
+						{
+							...record,
+							...(report ? {versionReport: report} : {}),
+							position,
+							isFromCopy,
+						},
+					];
 				}),
 			}));
 	}
@@ -89,12 +128,15 @@
 	/** Reads from a position on, or from the first retained one if the store has deleted the records at it. */
 	private readRetained(
 		from: StorePosition | undefined,
-	): ResultAsync<StoreRecords, SharedStoreError> {
+	): ResultAsync<RetainedRecords, SharedStoreError> {
 		return this.store
 			.read(topics.owner, from, 0)
+			.map((result) => ({...result, isTruncated: false}))
 			.orElse((error) =>
 				error instanceof HistoryTruncatedError
-					? this.store.read(topics.owner, error.earliest, 0)
+					? this.store
+							.read(topics.owner, error.earliest, 0)
+							.map((result) => ({...result, isTruncated: true}))
 					: errAsync(error),
 			);
 	}
--- a/src/program/forwarding-root.ts
+++ b/src/program/forwarding-root.ts
@@ -326,6 +326,7 @@
 				clock,
 				events,
 				holder: () => this.leaseManager.holder,
+				holderRunMilliseconds: () => this.leaseManager.holderRunMilliseconds,
 				localOwner: owner,
 				isLocalOwner: () => this.leaseManager.isHolder,
 				crashes,
@@ -382,6 +383,10 @@
 				onSuspicionsRead(reports) {
 					crashes.merge(reports);
 				},
+				versionReport: () => this.versions.report(),
+				onVersionsRead: (report) => {
+					this.versions.learn(report);
+				},
 				sinceLastOrder: () => owner.sinceLastOrder(),
 			}),
 		);
--- a/src/services/forwarding/observation-exchange.ts
+++ b/src/services/forwarding/observation-exchange.ts
@@ -66,6 +66,7 @@
 			| 'knownStreamRevision'
 			| 'streams'
 			| 'versions'
+			| 'wantsVersionReport'
 			| 'brittle'
 			| 'knownBrittleRevision'
 		>;
@@ -91,6 +92,7 @@
 				knownRateRevision: peer?.received.rates ?? 0,
 				streams: streams.origins,
 				versions: this.streams.mixedVersions(),
+				wantsVersionReport: this.streams.lacksVersions,
 				knownStreamRevision: peer?.received.streams ?? 0,
 			},
 			applyResponse: (response) => {
@@ -127,7 +129,10 @@
 			brittle: Number(response.brittleRevision),
 		});
 		this.streams.merge(fromVersionedStreams(response.streams), 'upstream');
-		this.streams.mergeVersions(response.versions.map(fromSeenVersion));
+		this.streams.learnVersions({
+			versions: response.versions.map(fromSeenVersion),
+			reachMilliseconds: response.versionReachMilliseconds ?? 0,
+		});
 		this.peers.delete(address);
 		this.peers.set(address, peer);
 		if (this.peers.size > maximumPeers) {
--- a/src/services/forwarding/owner-lease-manager.ts
+++ b/src/services/forwarding/owner-lease-manager.ts
@@ -5,8 +5,12 @@
 import {wait} from '../../base/node/wait.js';
 import {forwardingEvents} from '../../contracts/events/forwarding-events.js';
 import {type FencingToken} from '../../contracts/ids.js';
-import {type OwnerLog} from '../../contracts/shared-store.js';
+import {
+	type OwnerLog,
+	type OwnerRecords,
+} from '../../contracts/shared-store.js';
 import {type SuspicionReport} from '../../contracts/suspicion-report.js';
+import {type VersionReport} from '../../contracts/version-report.js';
 import {
 	type LeaseStatus,
 	type LeaseAppend,
@@ -29,6 +33,10 @@
 	readonly quarantined: () => readonly SuspicionReport[];
 	/** Called with the fingerprints that the last record of a holder names. */
 	readonly onSuspicionsRead: (reports: readonly SuspicionReport[]) => void;
+	/** The software versions that targets had, which the records of the lease keep. */
+	readonly versionReport: () => VersionReport;
+	/** Called with the software versions that the log tells. */
+	readonly onVersionsRead: (report: VersionReport) => void;
 	/** Time since the last order of this host, undefined when it has sent none. */
 	readonly sinceLastOrder: () => number | undefined;
 };
@@ -120,6 +128,12 @@
 		this.abort.abort();
 	}
 
+	/** Shortest time for which the holder of the lease has run, as far as the log shows it. */
+	get holderRunMilliseconds(): number {
+		const {lease, clock} = this.options;
+		return lease.holderRunMilliseconds(clock.monotonic());
+	}
+
 	/** Records that a target refused the token of the lease, because a newer holder exists. */
 	markSuperseded(): void {
 		this.options.lease.markSuperseded();
@@ -157,6 +171,7 @@
 		this.hasReadLog = true;
 		lease.applyRecords(read.value, clock.monotonic());
 		this.options.onSuspicionsRead(read.value.records.at(-1)?.suspicions ?? []);
+		this.options.onVersionsRead(versionsOf(read.value));
 		// A lease that is new or was released is claimed as soon as this host may.
 		const isClaimable =
 			lease.isHolder ||
@@ -192,7 +207,11 @@
 			.quarantined()
 			.slice(-maximumRecordedSuspicions);
 		const outcome = await log.append(
-			suspicions.length === 0 ? append.record : {...append.record, suspicions},
+			{
+				...append.record,
+				...(suspicions.length === 0 ? {} : {suspicions}),
+				versionReport: this.options.versionReport(),
+			},
 			append.expectedEnd,
 		);
 		if (outcome.isErr()) {
@@ -237,3 +256,24 @@
 		}
 	}
 }
+
+/** Returns what records of the lease tell of software versions. A log that was never written to tells that no host has run before. */
+function versionsOf({records, isWhole}: OwnerRecords): VersionReport {
+	const last = records.at(-1);
+	if (!last) {
+		return {
+			versions: [],
+			reachMilliseconds: isWhole ? Number.POSITIVE_INFINITY : 0,
+		};
+	}
+
+	// Holders of older builds tell nothing, so what an earlier record tells has a gap behind it.
+	return (
+		last.versionReport ?? {
+			versions:
+				records.findLast(({versionReport}) => versionReport)?.versionReport
+					?.versions ?? [],
+			reachMilliseconds: 0,
+		}
+	);
+}
--- a/src/services/forwarding/report-client.ts
+++ b/src/services/forwarding/report-client.ts
@@ -57,6 +57,8 @@
 	readonly events: EventLogger;
 	/** The lease holder according to the lease log. */
 	readonly holder: () => LeaseHolder | undefined;
+	/** Shortest time for which the holder has run, as far as the lease log shows it. */
+	readonly holderRunMilliseconds: () => number;
 	/** The owner in this process, which is called directly. */
 	readonly localOwner: PlacementOwner;
 	/** True while this host holds the owner lease. */
@@ -358,8 +360,7 @@
 	}
 
 	private reportLocally(): void {
-		const {localOwner, demand, streams} = this.options;
-		streams.markInformed();
+		const {localOwner, demand} = this.options;
 		localOwner.applyDemand(demand());
 		this.wasReachable = true;
 		this.applyUpdate({
@@ -412,7 +413,14 @@
 			return false;
 		}
 
-		this.options.streams.markInformed();
+		if (response.value.versionReachMilliseconds === undefined) {
+			// A host of an older build tells the versions that it has seen, but not for how long it has run.
+			this.options.streams.learnVersions({
+				versions: [],
+				reachMilliseconds: this.options.holderRunMilliseconds(),
+			});
+		}
+
 		this.applyResponse(response.value);
 		return true;
 	}
--- a/src/services/forwarding/report-messages.ts
+++ b/src/services/forwarding/report-messages.ts
@@ -26,7 +26,7 @@
 import {type LeaseStatus} from '../../core/owner-lease.js';
 import {type RelayCandidate} from '../../core/relay-assignment.js';
 import {type StreamOrigin} from '../../core/stream-origins.js';
-import {type SeenVersion} from '../../core/version-history.js';
+import {type SeenVersion} from '../../contracts/version-report.js';
 import {
 	type BrittleTarget,
 	type BrittleTargetSchema,
@@ -89,6 +89,8 @@
 	readonly streams: readonly StreamOrigin[];
 	/** Software versions of the pools that had several lately. */
 	readonly versions: readonly SeenVersion[];
+	/** True while the host does not know all software versions that targets had lately. */
+	readonly wantsVersionReport: boolean;
 	/** Targets that said in an answer lately that they leave. */
 	readonly leaving: readonly LeavingTarget[];
 };
@@ -129,6 +131,7 @@
 		knownStreamRevision: BigInt(state.knownStreamRevision),
 		streams: toVersionedStreams(state.streams),
 		versions: state.versions.map(toSeenVersion),
+		wantsVersionReport: state.wantsVersionReport,
 		brittle: state.brittle.map(toBrittleTarget),
 		knownBrittleRevision: BigInt(state.knownBrittleRevision),
 		leaving: state.leaving.map((each) => ({...each})),
--- a/src/services/forwarding/report-server.ts
+++ b/src/services/forwarding/report-server.ts
@@ -362,7 +362,7 @@
 			brittle: brittle.news.map(toBrittleTarget),
 			brittleRevision: BigInt(brittle.revision),
 			streams: toVersionedStreams(streams.origins),
-			versions: this.options.streams.mixedVersions().map(toSeenVersion),
+			...this.versionFields(request),
 			streamRevision: BigInt(streams.revision),
 			suspicions: suspicions.reports.map(toSuspicion),
 			suspicionRevision: BigInt(suspicions.revision),
@@ -371,6 +371,19 @@
 		};
 	}
 
+	private versionFields({wantsVersionReport}: ReportRequest) {
+		const {streams} = this.options;
+		if (!wantsVersionReport) {
+			return {versions: streams.mixedVersions().map(toSeenVersion)};
+		}
+
+		const {versions, reachMilliseconds} = streams.versionReport();
+		return {
+			versions: versions.map(toSeenVersion),
+			versionReachMilliseconds: Math.floor(reachMilliseconds),
+		};
+	}
+
 	private respond(request: ReportRequest) {
 		const {owner, view, isOwner, lease, targetList} = this.options;
 		const holdsLease = isOwner();
--- a/src/services/forwarding/stream-origin-sharing.ts
+++ b/src/services/forwarding/stream-origin-sharing.ts
@@ -11,8 +11,9 @@
 } from '../../core/stream-origins.js';
 import {
 	type SeenVersion,
-	type VersionHistory,
-} from '../../core/version-history.js';
+	type VersionReport,
+} from '../../contracts/version-report.js';
+import {type VersionHistory} from '../../core/version-history.js';
 
 /** Collaborators of the sharing of stream origins. */
 export type StreamOriginSharingOptions = {
@@ -64,9 +65,19 @@
 		this.options.versions.merge(versions);
 	}
 
-	/** Records that the host to which this one reports has answered, or that this host is the owner. */
-	markInformed(): void {
-		this.options.versions.markInformed();
+	/** True while this host does not know all software versions at which streams may have begun. */
+	get lacksVersions(): boolean {
+		return !this.options.versions.isComplete;
+	}
+
+	/** All software versions that this host knows, for a host that lacks some. */
+	versionReport(): VersionReport {
+		return this.options.versions.report();
+	}
+
+	/** Records all software versions that targets had within a time. */
+	learnVersions(report: VersionReport): void {
+		this.options.versions.learn(report);
 	}
 
 	/** Returns the version at which a stream of a pool began, as far as this host knows it. */
--- a/test/forwarding/owner-lease-manager.test.ts
+++ b/test/forwarding/owner-lease-manager.test.ts
@@ -4,12 +4,17 @@
 import {ManualClock} from '../../src/base/common/clock.js';
 import {NullEventLogger} from '../../src/base/common/event-logger.js';
 import {SeededRandomSource} from '../../src/base/common/random-source.js';
-import {type HostId} from '../../src/contracts/ids.js';
+import {
+	type HostId,
+	type PoolName,
+	type SoftwareVersion,
+} from '../../src/contracts/ids.js';
 import {
 	OwnerLog,
 	type OwnerRecord,
 	type PositionedOwnerRecord,
 } from '../../src/contracts/shared-store.js';
+import {type VersionReport} from '../../src/contracts/version-report.js';
 import {OwnerLease} from '../../src/core/owner-lease.js';
 import {OwnerLeaseManager} from '../../src/services/forwarding/owner-lease-manager.js';
 import {waitUntil} from '../process/processes.js';
@@ -29,6 +34,7 @@
 			records: this.records.slice(from ?? 0),
 			next: this.records.length,
 			isRestored: false,
+			...(from === undefined ? {isWhole: true} : {}),
 		});
 	}
 
@@ -54,9 +60,22 @@
 	}
 }
 
+/** What the hosts know of software versions. */
+const toldVersions: VersionReport = {
+	versions: [
+		{
+			pool: 'p' as PoolName,
+			version: 'v1' as SoftwareVersion,
+			ageMilliseconds: 10,
+		},
+	],
+	reachMilliseconds: 500,
+};
+
 /** A host whose abstention the test sets. */
 function startHost(name: string, clock: ManualClock, log: OwnerLog) {
 	const abstention = {isRequired: false};
+	const versionReports: VersionReport[] = [];
 	const manager = new OwnerLeaseManager({
 		lease: new OwnerLease(
 			{host: name as HostId, incarnation: `${name}-1`, peerAddress: name},
@@ -72,10 +91,14 @@
 		onSuspicionsRead() {
 			// No suspicions are recorded.
 		},
+		versionReport: () => toldVersions,
+		onVersionsRead(report) {
+			versionReports.push(report);
+		},
 		sinceLastOrder: () => undefined,
 	});
 	void manager.run();
-	return {manager, abstention};
+	return {manager, abstention, versionReports};
 }
 
 // Guards against an owner that keeps the lease although no order of it arrives.
@@ -141,3 +164,53 @@
 	await waitUntil('a offers the lease', () => log.history().length === 4);
 	assert.equal(log.history().at(-1), 'a released');
 });
+
+// Guards against software versions that end with the last process that saw them: the records of the lease keep them.
+test('a host learns the software versions of the time before from the log of the lease', async (context) => {
+	const clock = new ManualClock();
+	const log = new MemoryOwnerLog();
+	const first = startHost('a', clock, log);
+	context.after(() => {
+		first.manager.dispose();
+	});
+	await waitUntil('a holds the lease', () => first.manager.isHolder);
+	// Nobody ran before the first holder.
+	assert.deepEqual(first.versionReports[0], {
+		versions: [],
+		reachMilliseconds: Number.POSITIVE_INFINITY,
+	});
+	const second = startHost('b', clock, log);
+	context.after(() => {
+		second.manager.dispose();
+	});
+	await waitUntil('b has read the log', () => second.versionReports.length > 0);
+	assert.deepEqual(second.versionReports[0], toldVersions);
+});
+
+// Guards the upgrade from 6c3cf75, whose records tell no versions: what it does not tell is not known.
+test('the record of an older build does not say that there was no other software version', async (context) => {
+	const clock = new ManualClock();
+	const log = new MemoryOwnerLog();
+	const old = {
+		host: 'o' as HostId,
+		incarnation: 'o-1',
+		peerAddress: 'o',
+		isFromCopy: false,
+	};
+	log.records.push(
+		{...old, kind: 'claimed', position: 0},
+		{...old, kind: 'renewed', position: 1, versionReport: toldVersions},
+		{...old, kind: 'renewed', position: 2},
+	);
+	const host = startHost('b', clock, log);
+	context.after(() => {
+		host.manager.dispose();
+	});
+	await waitUntil('b has read the log', () => host.versionReports.length > 0);
+	assert.deepEqual(host.versionReports[0], {
+		...toldVersions,
+		reachMilliseconds: 0,
+	});
+	// The first holder ever has seen everything.
+	assert.equal(host.manager.holderRunMilliseconds, Number.POSITIVE_INFINITY);
+});
--- a/test/forwarding/stream-origins.test.ts
+++ b/test/forwarding/stream-origins.test.ts
@@ -156,19 +156,46 @@
 
 // Guards against streams that cannot go on in a fleet of one version: a host that has just started learns from the others
 // that there was no other version.
-test('a host that started lately knows the sole version once another host has answered', () => {
+test('a host that started lately knows the sole version once a host that has run for longer has told it', () => {
 	const clock = new ManualClock();
 	const [young, old] = [createSharing(clock), createSharing(clock)];
-	young.versions.observe(pool, v2);
-	assert.equal(young.sharing.known(pool, undefined), undefined);
-	young.sharing.markInformed();
-	assert.equal(young.sharing.known(pool, undefined), v2);
-	old.versions.observe(pool, v1);
-	clock.advance(streamLifetimeMilliseconds / 2);
 	old.versions.observe(pool, v2);
-	young.sharing.mergeVersions(old.sharing.mixedVersions());
+	clock.advance(streamLifetimeMilliseconds);
+	old.versions.observe(pool, v2);
+	const late = createSharing(clock);
+	late.versions.observe(pool, v2);
+	assert.equal(late.sharing.known(pool, undefined), undefined);
+	assert.ok(late.sharing.lacksVersions);
+	late.sharing.learnVersions(old.sharing.versionReport());
+	assert.equal(late.sharing.known(pool, undefined), v2);
+	assert.ok(!late.sharing.lacksVersions);
+	young.versions.observe(pool, v2);
+	young.sharing.mergeVersions([{pool, version: v1, ageMilliseconds: 1}]);
 	assert.equal(young.sharing.known(pool, undefined), undefined);
-	clock.advance(streamLifetimeMilliseconds / 2 + 1);
+	clock.advance(streamLifetimeMilliseconds + 1);
 	young.versions.observe(pool, v2);
 	assert.equal(young.sharing.known(pool, undefined), v2);
 });
+
+// Guards against a fact that nobody has: a host that is as young as the one that asks cannot tell what was there before.
+test('a young host does not make another one sure', () => {
+	const clock = new ManualClock();
+	const [first, second] = [createSharing(clock), createSharing(clock)];
+	for (const {versions} of [first, second]) {
+		versions.observe(pool, v2);
+	}
+
+	clock.advance(streamLifetimeMilliseconds / 2);
+	second.sharing.learnVersions(first.sharing.versionReport());
+	assert.equal(second.sharing.known(pool, undefined), undefined);
+	// What was seen before a gap stays known, as that of a fleet whose last record in the store tells two versions.
+	second.sharing.learnVersions({
+		versions: [{pool, version: v1, ageMilliseconds: 10}],
+		reachMilliseconds: streamLifetimeMilliseconds,
+	});
+	second.versions.observe(pool, v2);
+	assert.equal(second.sharing.known(pool, undefined), undefined);
+	clock.advance(streamLifetimeMilliseconds);
+	second.versions.observe(pool, v2);
+	assert.equal(second.sharing.known(pool, undefined), v2);
+});
--- a/test/platform/store-client.test.ts
+++ b/test/platform/store-client.test.ts
@@ -127,6 +127,7 @@
 	const lost = await log.append({...record, kind: 'renewed'}, 1);
 	assert.equal(lost._unsafeUnwrapErr().outcome, 'unknown');
 	const read = (await log.read(undefined))._unsafeUnwrap();
+	assert.equal(read.isWhole, true);
 	assert.deepEqual(
 		read.records.map(({kind, position}) => [kind, position]),
 		[
@@ -137,4 +138,30 @@
 	store.truncate('daisylever.owner');
 	const remaining = (await log.read(0))._unsafeUnwrap();
 	assert.deepEqual(remaining, {records: [], next: 2, isRestored: false});
+	assert.equal((await log.read(undefined))._unsafeUnwrap().isWhole, false);
+});
+
+// Guards against a report of a later build that hides the record that it comes with, and so the holder of the lease.
+test('a record of the lease counts although its version report is unreadable', async () => {
+	const {next} = (await new PlatformOwnerLog(client).read(0))._unsafeUnwrap();
+	(
+		await client.append(
+			'daisylever.owner',
+			Buffer.from(
+				JSON.stringify({
+					kind: 'claimed',
+					host: 'h2',
+					incarnation: 'h2-1',
+					peerAddress: '127.0.0.1:2',
+					versionReport: {versions: 'all', reachMilliseconds: 1},
+				}),
+			),
+			next,
+		)
+	)._unsafeUnwrap();
+	const {records} = (
+		await new PlatformOwnerLog(client).read(next)
+	)._unsafeUnwrap();
+	assert.equal(records[0]?.host, 'h2');
+	assert.equal(records[0]?.versionReport, undefined);
 });
