Do not trust a target list that has gone stale with the version of a stream

The sole version of a pool now counts only while the target list is no older than the drain bound. A host whose list had a gap that no read closes starts to know from then on, and asks the host to which it reports for what it missed. Streams that it knows go on.

--- a/src/core/version-history.ts
+++ b/src/core/version-history.ts
@@ -6,6 +6,13 @@
 } from '../contracts/version-report.js';
 import {streamLifetimeMilliseconds} from './stream-origins.js';
 
+/** Options of the version history. */
+export type VersionHistoryOptions = {
+	readonly clock: Clock;
+	/** False while this host does not see changes of the target list in time. */
+	readonly isListCurrent: () => boolean;
+};
+
 /**
  * Remembers which software versions the targets of each pool had lately. A process knows them only since its start,
  * unless another one that has run for longer has told it what was there before.
@@ -13,14 +20,16 @@
 export class VersionHistory {
 	/** Monotonic time since which no version is missing. */
 	private knownSince: number;
+	private readonly clock: Clock;
 	/** Monotonic time at which a target of the pool last had a version. */
 	private readonly lastSeenAt = new Map<
 		PoolName,
 		Map<SoftwareVersion, number>
 	>();
 
-	constructor(private readonly clock: Clock) {
-		this.knownSince = clock.monotonic();
+	constructor(private readonly options: VersionHistoryOptions) {
+		this.clock = options.clock;
+		this.knownSince = this.clock.monotonic();
 	}
 
 	/** True when no version is missing at which a stream may have begun that can still be taken up. */
@@ -50,26 +59,32 @@
 		);
 	}
 
+	/** Records that versions may have come and gone since the last change of the target list. */
+	recordGap(): void {
+		this.knownSince = this.clock.monotonic();
+	}
+
 	/** Returns all versions that this process knows, for others. */
 	report(): VersionReport {
 		return {
 			versions: [...this.lastSeenAt.keys()].flatMap((pool) =>
 				this.recentVersions(pool),
 			),
-			reachMilliseconds: Math.min(
-				this.reachMilliseconds,
-				streamLifetimeMilliseconds,
-			),
+			reachMilliseconds: this.options.isListCurrent()
+				? Math.min(this.reachMilliseconds, streamLifetimeMilliseconds)
+				: 0,
 		};
 	}
 
 	/**
 	 * Returns the version at which any stream of the pool that can still be taken up began. Undefined if the pool had
-	 * several, or if versions may be missing.
+	 * several, if versions may be missing, or while targets of another one may be listed that this host does not see.
 	 */
 	soleVersion(pool: PoolName): SoftwareVersion | undefined {
 		const versions = this.recentVersions(pool);
-		return versions.length === 1 && this.isComplete
+		return versions.length === 1 &&
+			this.isComplete &&
+			this.options.isListCurrent()
 			? versions[0]!.version
 			: undefined;
 	}
--- a/src/program/forwarding-root.ts
+++ b/src/program/forwarding-root.ts
@@ -222,7 +222,11 @@
 			metrics,
 			mayTry: () => this.leaseManager.isHolder,
 		});
-		this.versions = new VersionHistory(clock);
+		this.versions = new VersionHistory({
+			clock,
+			isListCurrent: () =>
+				this.targets.ageMilliseconds <= settings.targets.drainMilliseconds,
+		});
 		registry.changed.subscribe(({listed}) => {
 			this.versions.observe(listed.pool, versionOf(listed));
 		});
@@ -560,6 +564,13 @@
 		});
 		this.targets.changed.subscribe(
 			(changes: StateChanges<TargetListChange>) => {
+				if (
+					changes.mayLackChanges &&
+					changes.gapMilliseconds > this.settings.targets.drainMilliseconds
+				) {
+					this.versions.recordGap();
+				}
+
 				this.targetListManager.apply(changes);
 			},
 		);
--- a/src/services/forwarding/state-follower.ts
+++ b/src/services/forwarding/state-follower.ts
@@ -46,6 +46,8 @@
 	readonly isSnapshot: boolean;
 	/** True when the store was restored from a copy since the previous read, so that newer changes may be missing. */
 	readonly isRestored: boolean;
+	/** True when changes between the previous state and this one may be missing. */
+	readonly mayLackChanges: boolean;
 	/** Time between the previous successful read and this one. */
 	readonly gapMilliseconds: number;
 };
@@ -78,6 +80,7 @@
 	/** True from the read that shows that the store lost records until the next successful read. */
 	private hasLostRecords = false;
 	private wasReceiving = false;
+	private hadState = false;
 	private wake: (() => void) | undefined;
 
 	constructor(private readonly options: StateFollowerOptions<Change>) {
@@ -142,6 +145,7 @@
 				changes,
 				isSnapshot,
 				isRestored: false,
+				mayLackChanges: true,
 				gapMilliseconds,
 			});
 		}
@@ -265,12 +269,15 @@
 		this.position = result.value.next;
 		this.lastReadAt = this.ownReadAt;
 		const isRestored = this.hasLostRecords;
+		const {hadState} = this;
+		this.hadState = true;
 		this.hasLostRecords = false;
 		if (isSnapshot || result.value.changes.length > 0) {
 			this.changed.publish({
 				changes: result.value.changes,
 				isSnapshot,
 				isRestored,
+				mayLackChanges: isSnapshot && hadState && !isRestored,
 				gapMilliseconds,
 			});
 		}
--- a/test/forwarding/stream-origins.test.ts
+++ b/test/forwarding/stream-origins.test.ts
@@ -199,3 +199,26 @@
 	second.versions.observe(pool, v2);
 	assert.equal(second.sharing.known(pool, undefined), v2);
 });
+
+// Guards against a host that was cut off while a version came and went: it is as young as one that has just started.
+test('a host that was cut off is not sure of the versions, nor does it make others sure', () => {
+	const clock = new ManualClock();
+	const host = createSharing(clock);
+	host.versions.observe(pool, v1);
+	clock.advance(streamLifetimeMilliseconds);
+	host.versions.observe(pool, v1);
+	const report = host.sharing.versionReport();
+	assert.equal(host.sharing.known(pool, undefined), v1);
+	host.list.isCurrent = false;
+	assert.equal(host.sharing.known(pool, undefined), undefined);
+	assert.equal(host.sharing.versionReport().reachMilliseconds, 0);
+	host.versions.recordGap();
+	host.list.isCurrent = true;
+	assert.equal(host.sharing.known(pool, undefined), undefined);
+	const other = createSharing(clock);
+	other.versions.observe(pool, v1);
+	other.sharing.learnVersions(host.sharing.versionReport());
+	assert.equal(other.sharing.known(pool, undefined), undefined);
+	host.sharing.learnVersions(report);
+	assert.equal(host.sharing.known(pool, undefined), v1);
+});
--- a/test/forwarding/stream-sharing.ts
+++ b/test/forwarding/stream-sharing.ts
@@ -13,12 +13,18 @@
 ): {
 	readonly sharing: StreamOriginSharing;
 	readonly versions: VersionHistory;
+	/** Whether the host sees changes of the target list in time. */
+	readonly list: {isCurrent: boolean};
 } {
-	const versions = new VersionHistory(clock);
+	const list = {isCurrent: true};
+	const versions = new VersionHistory({
+		clock,
+		isListCurrent: () => list.isCurrent,
+	});
 	const sharing = new StreamOriginSharing({
 		origins: new StreamOrigins(clock),
 		versions,
 		askOthers,
 	});
-	return {sharing, versions};
+	return {sharing, versions, list};
 }
--- a/test/forwarding/target-list-manager.test.ts
+++ b/test/forwarding/target-list-manager.test.ts
@@ -50,6 +50,7 @@
 			changes,
 			isSnapshot: options.isSnapshot ?? false,
 			isRestored: false,
+			mayLackChanges: false,
 			gapMilliseconds: options.gap ?? 100,
 		});
 	};
--- a/test/platform/odd-entries.test.ts
+++ b/test/platform/odd-entries.test.ts
@@ -62,6 +62,7 @@
 			changes,
 			isSnapshot,
 			isRestored: false,
+			mayLackChanges: false,
 			gapMilliseconds: 0,
 		});
 	};
--- a/test/process/restarted-versions.test.ts
+++ b/test/process/restarted-versions.test.ts
@@ -48,3 +48,28 @@
 	const {goesOn} = await killAllHosts(['v1']);
 	assert.ok(goesOn >= streamCount / 2, `${goesOn} of ${streamCount} go on`);
 });
+
+// Guards against a host that is cut off while the software version changes and goes on to take the last one that it saw
+// for the only one.
+test('a host that does not see the target list any more does not guess the version of a stream', async () => {
+	const fleet = new VersionFleet();
+	try {
+		await fleet.start(['v1'], 1);
+		const streamsOf = (prefix: string) =>
+			Array.from({length: 4}, (_, index) => ({
+				id: `${prefix}${index}`,
+				lastEventId: 3,
+				versions: new Set<string>(),
+				isOpen: false,
+			}));
+		assert.equal(await fleet.takeUp(streamsOf('before'), [0]), 4);
+		fleet.store.isAway = true;
+		// Longer than the time within which a host must know that a target leaves.
+		await sleep(2500);
+		assert.equal(await fleet.takeUp(streamsOf('during'), [0]), 0);
+		fleet.store.isAway = false;
+		assert.equal(await fleet.takeUp(streamsOf('after'), [0]), 4);
+	} finally {
+		fleet.stop();
+	}
+});
