Show the early end of answers whose targets send no length

Cause: the host copied the framing of the target. Without framing the end of the connection is the mark of a whole answer, and it comes from the host, or from the kernel after a kill, whatever the reason.

Responses to callers now have a length or chunks, and the last chunk follows only when the target has ended the answer in order. Callers of HTTP/1.0, who know no chunks, see a reset.

--- a/src/services/forwarding/caller-response.ts
+++ b/src/services/forwarding/caller-response.ts
@@ -25,7 +25,7 @@
 		body: Uint8Array,
 	): void;
 
-	/** Sends a response that is delimited by the end of the connection. A content length would tell the caller that the body is complete, which this host does not know. */
+	/** Sends a response whose target gave no length and no chunks, and ended it in order. */
 	abstract sendUnframed(
 		status: number,
 		headers: readonly string[],
@@ -35,7 +35,7 @@
 	/** Sends a response of this host. */
 	abstract sendOwn(response: OwnResponse): void;
 
-	/** Sends the head of a stream. Without framing, the end of the connection ends the stream. */
+	/** Sends the head of a stream. `isFramed` is false if only the end of its connection marks the end of the stream at the target. */
 	abstract startStream(
 		status: number,
 		headers: readonly string[],
--- a/src/services/forwarding/http-caller-response.ts
+++ b/src/services/forwarding/http-caller-response.ts
@@ -1,4 +1,5 @@
 import {type ServerResponse} from 'node:http';
+import {Socket} from 'node:net';
 import {CallerResponse, type OwnResponse} from './caller-response.js';
 
 /** The HTTP response to one request of a caller. */
@@ -46,7 +47,7 @@
 		}
 
 		this.isFinished = true;
-		this.writeUnframedHead(status, headers);
+		this.writeHead(status, headers);
 		this.response.end(body);
 	}
 
@@ -54,25 +55,13 @@
 		this.send(status, headers, Buffer.alloc(0));
 	}
 
-	startStream(
-		status: number,
-		headers: readonly string[],
-		isFramed: boolean,
-	): void {
+	startStream(status: number, headers: readonly string[]): void {
 		if (this.hasStarted) {
 			return;
 		}
 
 		this.isStreaming = true;
-		if (isFramed) {
-			this.response.writeHead(status, [
-				...headers,
-				...this.connectionHeaders(),
-			]);
-		} else {
-			this.writeUnframedHead(status, headers);
-		}
-
+		this.writeHead(status, headers);
 		this.response.flushHeaders();
 	}
 
@@ -100,15 +89,23 @@
 
 	/** Closes the connection without ending the response, so that a truncated stream does not look complete. */
 	abort(): void {
-		if (!this.isFinished) {
-			this.isFinished = true;
-			this.response.destroy();
+		if (this.isFinished) {
+			return;
+		}
+
+		this.isFinished = true;
+		const {chunkedEncoding, socket} = this.response;
+		if (!chunkedEncoding && socket instanceof Socket) {
+			// A caller of HTTP/1.0 takes the orderly end of the connection for the end of the body.
+			socket.resetAndDestroy();
 		}
+
+		this.response.destroy();
 	}
 
-	private writeUnframedHead(status: number, headers: readonly string[]): void {
-		this.response.useChunkedEncodingByDefault = false;
-		this.response.writeHead(status, [...headers, 'Connection', 'close']);
+	/** Sends the head of a response without a length, which goes in chunks: the missing last one shows a break, also when this process is killed. */
+	private writeHead(status: number, headers: readonly string[]): void {
+		this.response.writeHead(status, [...headers, ...this.connectionHeaders()]);
 	}
 
 	private connectionHeaders(): string[] {
