Cut a stream whose rest is answered with a failure at another host

Cause: a response that is no stream was sent to a caller whose stream had begun, which does nothing, and the request counted as finished. The call to the peer now fails, so that the rest is requested elsewhere or the stream is cut.

The new test in peer-forwarding.test.ts was left open for 2 s before and is cut now.

--- a/src/services/forwarding/peer-call.ts
+++ b/src/services/forwarding/peer-call.ts
@@ -214,7 +214,15 @@
 
 		// The request cancels this call when it finishes. An outcome that is set keeps the connection for later calls.
 		this.outcome = {kind: 'answered'};
-		if (!this.head.isStream) {
+		if (!this.head.isStream && request.hasStarted) {
+			this.outcome = {
+				kind: 'failed',
+				reason: `status ${this.head.status} received instead of the rest of a stream`,
+				executions: 1,
+				status: 502,
+				isSuspect: false,
+			};
+		} else if (!this.head.isStream) {
 			request.forwardResponse(
 				toMetadata(this.head),
 				Buffer.concat(this.chunks),
--- a/test/forwarding/peer-forwarding.test.ts
+++ b/test/forwarding/peer-forwarding.test.ts
@@ -403,6 +403,36 @@
 });
 
 // Guards against work for callers that have left, which goes on at a target.
+// Guards against a channel that stays open without an end: a failure arrives where the rest of a stream is due.
+test('a stream whose rest is answered with a failure at another host is cut for its caller', async () => {
+	const ending = await addHost();
+	const {behaviour, sendNext} = eventByEvent();
+	await addWorker(ending, behaviour);
+	const stream = first.stream('/stream/x');
+	await waitUntil('the request arrives', () => requestCount() === 1);
+	sendNext();
+	await waitUntil('the first event', () => stream.received() === events(1, 1));
+	const failing = await addHost();
+	await addWorker(failing, ({headers, socket}) => {
+		socket.write(
+			completeResponse(
+				headers.get('request-id') ?? '',
+				'broken',
+				'500 Internal Server Error',
+			),
+		);
+	});
+	ending.closePeerListener();
+	const isCut = await Promise.race([
+		stream.promise.then(({isComplete}) => !isComplete),
+		new Promise<string>((resolve) => {
+			setTimeout(resolve, 2000, 'left open');
+		}),
+	]);
+	assert.equal(isCut, true);
+	assert.equal(stream.received(), events(1, 1));
+});
+
 test('when the caller leaves, the call ends at the other host and at the target', async () => {
 	const host = await addHost();
 	const worker = await addWorker(host, () => undefined);
