Keep the origins of streams in the store, so that they outlive the hosts that know them

Cause: the software version at which a stream began was known to its host and to the host to which that one reports, and nowhere else. When both ended nobody knew it, and a version must not be guessed.

While a pool has several versions, the hosts to which others report write these streams to a topic of the store every 0.5 s. The topic is read only for a stream that no host knows. Relays no longer pass the streams on to the owner.

--- a/src/contracts/events/forwarding-events.ts
+++ b/src/contracts/events/forwarding-events.ts
@@ -364,6 +364,13 @@
 		description:
 			'This host releases the owner lease because it reaches no target of the pools with an engine. It claims the lease again once it reaches one, or when no other host does.',
 	},
+	streamsNotStored: {
+		number: 7073,
+		name: 'streams-not-stored',
+		level: 'warn',
+		description:
+			'The software versions at which streams began could not be written to the store, or read from it (field call). Streams whose hosts have ended are refused until a later call succeeds. Logged once a minute for each call.',
+	},
 	logLinesDropped: {
 		number: 7060,
 		name: 'log-lines-dropped',
--- a/src/contracts/shared-store.ts
+++ b/src/contracts/shared-store.ts
@@ -1,6 +1,7 @@
 import {type ResultAsync} from 'neverthrow';
 import {type ForwardingDocument} from './forwarding-document.js';
 import {type HostId} from './ids.js';
+import {type StreamOrigin} from './stream-origin.js';
 import {type SuspicionReport} from './suspicion-report.js';
 import {type TargetListChange} from './listed-target.js';
 import {type VersionReport} from './version-report.js';
@@ -137,3 +138,22 @@
 		expectedEnd: StorePosition,
 	): ResultAsync<ConditionalAppendOutcome, SharedStoreError>;
 }
+
+/** Streams that a read returned, and the position after them. */
+export type StoredStreams = {
+	readonly origins: readonly StreamOrigin[];
+	readonly next: StorePosition;
+};
+
+/** The log of the software versions at which streams began, while targets of a pool have several. */
+export abstract class StreamLog {
+	/** Appends streams. An append whose outcome is unknown may be repeated. */
+	abstract append(
+		origins: readonly StreamOrigin[],
+	): ResultAsync<void, SharedStoreError>;
+
+	/** Reads streams from a position on, or from the first retained one when it is undefined. More may follow unless there are none. */
+	abstract read(
+		from: StorePosition | undefined,
+	): ResultAsync<StoredStreams, SharedStoreError>;
+}
--- a/src/core/stream-origins.ts
+++ b/src/core/stream-origins.ts
@@ -1,12 +1,6 @@
 import {type Clock} from '../base/common/clock.js';
 import {type RequestId, type SoftwareVersion} from '../contracts/ids.js';
-
-/** Software version at which a stream began. */
-export type StreamOrigin = {
-	/** Request that brought the first event. */
-	readonly stream: RequestId;
-	readonly version: SoftwareVersion;
-};
+import {type StreamOrigin} from '../contracts/stream-origin.js';
 
 /** Streams that one read returned, and the revision up to which the reader has them. */
 export type StreamOriginChanges = {
--- a/src/platform/owner-log.ts
+++ b/src/platform/owner-log.ts
@@ -1,13 +1,6 @@
 import {errAsync, type ResultAsync} from 'neverthrow';
-import {z} from 'zod';
+import {parseOwnerRecord} from '../contracts/owner-record.js';
 import {
-	fingerprintSchema,
-	hostIdSchema,
-	type PoolName,
-	type SoftwareVersion,
-} from '../contracts/ids.js';
-import {
-	HistoryTruncatedError,
 	OwnerLog,
 	StoreRestoredError,
 	type ConditionalAppendOutcome,
@@ -16,47 +9,10 @@
 	type SharedStoreError,
 	type StorePosition,
 } from '../contracts/shared-store.js';
-import {type StoreClient, type StoreRecords} from './store-client.js';
+import {type StoreClient} from './store-client.js';
 import {generationOf} from './store-position.js';
 import {topics} from './wire.js';
 
-const suspicionSchema = z.object({
-	fingerprint: fingerprintSchema,
-	deaths: z.array(z.object({key: z.string(), ageMilliseconds: z.number()})),
-	answeredMillisecondsAgo: z.number().optional(),
-	trials: z.number(),
-	triedMillisecondsAgo: z.number().optional(),
-});
-
-const versionReportSchema = z.object({
-	versions: z.array(
-		z.object({
-			pool: z.string().transform((name) => name as PoolName),
-			version: z.string().transform((name) => name as SoftwareVersion),
-			ageMilliseconds: z.number(),
-		}),
-	),
-	reachMilliseconds: z.number(),
-});
-
-const recordSchema = z.object({
-	kind: z.enum(['claimed', 'renewed', 'released']),
-	host: hostIdSchema,
-	incarnation: z.string(),
-	peerAddress: z.string(),
-	sinceLastOrderMilliseconds: z.number().optional(),
-	suspicions: z.array(suspicionSchema).optional(),
-	/** Parsed on its own, because an unreadable report must not hide the record, which decides on the lease. */
-	versionReport: z.unknown(),
-	/** Position at which the writer meant to append the record. Another one shows that the store was restored since. */
-	intendedPosition: z.number().optional(),
-});
-
-type RetainedRecords = StoreRecords & {
-	/** True when the store has deleted records at the position. */
-	readonly isTruncated: boolean;
-};
-
 /** Generation of a store that was never restored. */
 const firstGeneration = 1;
 
@@ -69,47 +25,33 @@
 	read(
 		from: StorePosition | undefined,
 	): ResultAsync<OwnerRecords, SharedStoreError> {
-		return this.readRetained(from)
-			.map(({isTruncated, ...result}) => {
-				const isRestored =
-					from === undefined && generationOf(result.next) > firstGeneration;
-				return from === undefined
-					? {...result, isRestored, isWhole: !isRestored && !isTruncated}
-					: {...result, isRestored};
+		return this.store
+			.readRetained(topics.owner, from)
+			.map(({records, next, isTruncated}) => {
+				const isFirst = from === undefined;
+				const isRestored = isFirst && generationOf(next) > firstGeneration;
+				const isWhole = isFirst && !isRestored && !isTruncated;
+				return {records, next, isRestored, ...(isFirst ? {isWhole} : {})};
 			})
 			.orElse((error) =>
 				error instanceof StoreRestoredError
-					? this.readRetained(error.earliest).map(
-							({isTruncated, ...result}) => ({
-								...result,
-								isRestored: true,
-							}),
-						)
+					? this.store
+							.readRetained(topics.owner, error.earliest)
+							.map(({records, next}) => ({records, next, isRestored: true}))
 					: errAsync(error),
 			)
 			.map(({records, ...rest}) => ({
 				...rest,
-				records: records.flatMap(({position, body}) => {
-					const parsed = recordSchema.safeParse(parseJson(body));
-					if (!parsed.success) {
+				records: records.flatMap((stored) => {
+					const record = parseOwnerRecord(stored.body);
+					if (!record) {
 						return [];
 					}
 
-					const {
-						intendedPosition = position,
-						versionReport,
-						...record
-					} = parsed.data;
+					const {position} = stored;
+					const {intendedPosition = position, ...content} = record;
 					const isFromCopy = intendedPosition !== position;
-					const {data: report} = versionReportSchema.safeParse(versionReport);
-					return [
-						{
-							...record,
-							...(report ? {versionReport: report} : {}),
-							position,
-							isFromCopy,
-						},
-					];
+					return [{...content, position, isFromCopy}];
 				}),
 			}));
 	}
@@ -124,29 +66,4 @@
 			expectedEnd,
 		);
 	}
-
-	/** Reads from a position on, or from the first retained one if the store has deleted the records at it. */
-	private readRetained(
-		from: StorePosition | undefined,
-	): ResultAsync<RetainedRecords, SharedStoreError> {
-		return this.store
-			.read(topics.owner, from, 0)
-			.map((result) => ({...result, isTruncated: false}))
-			.orElse((error) =>
-				error instanceof HistoryTruncatedError
-					? this.store
-							.read(topics.owner, error.earliest, 0)
-							.map((result) => ({...result, isTruncated: true}))
-					: errAsync(error),
-			);
-	}
-}
-
-function parseJson(body: Buffer): unknown {
-	try {
-		return JSON.parse(body.toString('utf8'));
-	} catch {
-		// Undefined fails the schema, so the record is skipped.
-		return undefined;
-	}
 }
--- a/src/platform/store-client.ts
+++ b/src/platform/store-client.ts
@@ -1,12 +1,17 @@
 import {Pool} from 'undici';
-import {errAsync, okAsync, ResultAsync} from 'neverthrow';
+import {errAsync, fromThrowable, okAsync, ResultAsync} from 'neverthrow';
 import {z} from 'zod';
 import {Disposable} from '../base/common/disposable.js';
+import {
+	frameRecord,
+	splitFramedRecords,
+} from '../base/common/framed-records.js';
 import {TypedEvent} from '../base/common/typed-event.js';
 import {
 	HistoryTruncatedError,
 	SharedStoreError,
 	StoreRestoredError,
+	type ConditionalAppendOutcome,
 	type StorePosition,
 } from '../contracts/shared-store.js';
 import {
@@ -42,16 +47,6 @@
 	readonly next: StorePosition;
 };
 
-/** Outcome of an append on the condition that the topic ends at an expected position. */
-export type AppendOutcome =
-	| {readonly kind: 'appended'; readonly position: StorePosition}
-	/** The topic ends at another position, which is returned, or the store was restored since the expected one was read. */
-	| {
-			readonly kind: 'conflict';
-			readonly next: StorePosition;
-			readonly isRestored: boolean;
-	  };
-
 /** Options of the store client. */
 export type StoreClientOptions = {
 	/** `host:port` of the store. */
@@ -71,8 +66,6 @@
 const connectionCount = 4;
 /** The store usually responds within a few milliseconds, and within 300 ms when it is slow. */
 const defaultTimeoutMilliseconds = 800;
-/** Size of the length field before each record. */
-const lengthBytes = 4;
 /** Size of each of the two positions at the start of the response to a read. */
 const positionBytes = 8;
 
@@ -159,6 +152,21 @@
 		});
 	}
 
+	/** Reads without a wait, from the first retained record on if the store has deleted those at the position. */
+	readRetained(
+		topic: string,
+		from: StorePosition | undefined,
+	): ResultAsync<StoreRecords & {isTruncated?: true}, SharedStoreError> {
+		return this.read(topic, from, 0).orElse((error) =>
+			error instanceof HistoryTruncatedError
+				? this.read(topic, error.earliest, 0).map((result) => ({
+						...result,
+						isTruncated: true as const,
+					}))
+				: errAsync(error),
+		);
+	}
+
 	/** Reads the newest record of each key of a topic. */
 	readNewest(topic: string): ResultAsync<KeyedRecords, SharedStoreError> {
 		return this.readPages(topic, undefined, [], undefined);
@@ -169,19 +177,16 @@
 		topic: string,
 		body: Buffer,
 		expectedEnd: StorePosition,
-	): ResultAsync<AppendOutcome, SharedStoreError> {
+	): ResultAsync<ConditionalAppendOutcome, SharedStoreError> {
 		const query = new URLSearchParams({
 			topic,
 			part: '0',
 			as_of: String(offsetOf(expectedEnd)),
 		});
-		const framed = Buffer.alloc(lengthBytes + body.length);
-		framed.writeUInt32BE(body.length);
-		body.copy(framed, lengthBytes);
 		return this.call(
 			'POST',
 			`${paths.logAppend}?${query.toString()}`,
-			framed,
+			frameRecord(body),
 			0,
 		).andThen(({status, body: responseBody, generation}) => {
 			const isRestored = generation !== generationOf(expectedEnd);
@@ -209,6 +214,24 @@
 		});
 	}
 
+	/** Appends records to a topic, wherever it ends. All or none of them are appended. */
+	appendAll(
+		topic: string,
+		bodies: readonly string[],
+	): ResultAsync<void, SharedStoreError> {
+		const query = new URLSearchParams({topic, part: '0'});
+		return this.call(
+			'POST',
+			`${paths.logAppend}?${query.toString()}`,
+			Buffer.concat(bodies.map((body) => frameRecord(Buffer.from(body)))),
+			0,
+		).andThen(({status}) =>
+			status === 200
+				? okAsync(undefined)
+				: errAsync(unexpectedStatus('append', status)),
+		);
+	}
+
 	/** Closes all connections. Calls in progress fail. */
 	async dispose(): Promise<void> {
 		await this.pool.destroy();
@@ -329,19 +352,11 @@
 	call: string,
 	read: () => T,
 ): ResultAsync<T, SharedStoreError> {
-	try {
-		return okAsync(read());
-	} catch (error) {
-		return errAsync(
-			new SharedStoreError(
-				'unknown',
-				`the response of the store to ${call} is malformed`,
-				{
-					cause: error,
-				},
-			),
-		);
-	}
+	const reason = `the response of the store to ${call} is malformed`;
+	return fromThrowable(
+		read,
+		(cause) => new SharedStoreError('unknown', reason, {cause}),
+	)().asyncMap(async (value) => value);
 }
 
 function parseGeneration(
@@ -368,16 +383,8 @@
 		return new HistoryTruncatedError(toPosition(generationOf(from), first));
 	}
 
-	const records: StoreRecord[] = [];
-	let index = positionBytes * 2;
-	let position = from;
-	while (index + lengthBytes <= body.length) {
-		const length = body.readUInt32BE(index);
-		index += lengthBytes;
-		records.push({position, body: body.subarray(index, index + length)});
-		index += length;
-		position += 1;
-	}
-
-	return {records, next: position};
+	const records = splitFramedRecords(body, positionBytes * 2).map(
+		(record, index) => ({position: from + index, body: record}),
+	);
+	return {records, next: from + records.length};
 }
--- a/src/platform/wire.ts
+++ b/src/platform/wire.ts
@@ -48,6 +48,8 @@
 	targets: 'keyed.servers',
 	/** Written by this program. */
 	owner: 'daisylever.owner',
+	/** Written by this program. */
+	streams: 'daisylever.streams',
 } as const;
 
 /** Key of the configuration in the operator's topic. */
--- a/src/program/forwarding-root.ts
+++ b/src/program/forwarding-root.ts
@@ -32,6 +32,7 @@
 import {PlatformOwnerLog} from '../platform/owner-log.js';
 import {PlatformRequestCodec} from '../platform/request-codec.js';
 import {StoreClient} from '../platform/store-client.js';
+import {PlatformStreamLog} from '../platform/stream-log.js';
 import {PlatformTargetListState} from '../platform/target-list-state.js';
 import {BoundedOutput} from '../services/bounded-output.js';
 import {BrittleObserver} from '../services/forwarding/brittle-observer.js';
@@ -58,6 +59,10 @@
 } from '../services/forwarding/state-follower.js';
 import {TargetListManager} from '../services/forwarding/target-list-manager.js';
 import {StreamOriginSharing} from '../services/forwarding/stream-origin-sharing.js';
+import {
+	StreamRecorder,
+	type StreamWriter,
+} from '../services/forwarding/stream-recorder.js';
 import {
 	TargetRegistry,
 	versionOf,
@@ -126,6 +131,7 @@
 	private readonly leaseManager: OwnerLeaseManager;
 	private readonly targetListManager: TargetListManager;
 	private readonly versions: VersionHistory;
+	private readonly streamRecorder: StreamRecorder;
 	private readonly documents: StateFollower<DocumentChange>;
 	private readonly targets: StateFollower<TargetListChange>;
 	private isStopping = false;
@@ -233,8 +239,27 @@
 		const streams = new StreamOriginSharing({
 			origins: new StreamOrigins(clock),
 			versions: this.versions,
+			stored: new StreamOrigins(clock),
+			readStore: async () => this.streamRecorder.read(),
+			isRecording: () =>
+				this.reportServer.isRelay && this.reportClient.isStreamKeeperResponsive,
 			askOthers: async (stream) => this.reportClient.findStream(stream),
 		});
+		this.streamRecorder = components.add(
+			new StreamRecorder({
+				log: new PlatformStreamLog(client),
+				streams,
+				clock,
+				random,
+				events,
+				metrics,
+				writer: () => this.streamWriter,
+				hostCount: () => this.service.hostCount,
+			}),
+		);
+		client.generationChanged.subscribe(() => {
+			this.streamRecorder.handleRestore();
+		});
 		this.reportServer = components.add(
 			new ReportServer({
 				host,
@@ -451,6 +476,7 @@
 		void this.targets.run();
 		void this.leaseManager.run();
 		void this.reportClient.run();
+		void this.streamRecorder.run();
 		const timer = setInterval(() => {
 			this.update();
 		}, updateIntervalMilliseconds);
@@ -529,6 +555,16 @@
 		return this.service.openRequests > 0 || this.server.incompleteRequests > 0;
 	}
 
+	private get streamWriter(): StreamWriter {
+		if (this.leaseManager.isHolder || this.reportServer.isRelay) {
+			return 'this-host';
+		}
+
+		return this.reportClient.isStreamKeeperResponsive
+			? 'receiver'
+			: 'each-host';
+	}
+
 	private get isReady(): boolean {
 		return (
 			!this.isStopping &&
--- a/src/services/forwarding/report-client.ts
+++ b/src/services/forwarding/report-client.ts
@@ -149,6 +149,7 @@
 	private reportIntervalMilliseconds = initialReportIntervalMilliseconds;
 	private isReportScheduled = false;
 	private wasReachable = true;
+	private hasKeepingReceiver = false;
 
 	constructor(private readonly options: ReportClientOptions) {
 		super();
@@ -194,6 +195,11 @@
 		);
 	}
 
+	/** True while the host to which this one reports writes the streams in the reports to the store. One of an older build does not. */
+	get isStreamKeeperResponsive(): boolean {
+		return this.hasKeepingReceiver && this.isOwnerResponsive();
+	}
+
 	/** Address of the relay in use, empty while this host reports to the owner. */
 	get relay(): string {
 		return this.route.relay;
@@ -413,6 +419,7 @@
 			return false;
 		}
 
+		this.hasKeepingReceiver = response.value.keepsStreams;
 		if (response.value.versionReachMilliseconds === undefined) {
 			// A host of an older build tells the versions that it has seen, but not for how long it has run.
 			this.options.streams.learnVersions({
--- a/src/services/forwarding/report-messages.ts
+++ b/src/services/forwarding/report-messages.ts
@@ -25,7 +25,7 @@
 import {type RateChange} from '../../core/named-rate-limits.js';
 import {type LeaseStatus} from '../../core/owner-lease.js';
 import {type RelayCandidate} from '../../core/relay-assignment.js';
-import {type StreamOrigin} from '../../core/stream-origins.js';
+import {type StreamOrigin} from '../../contracts/stream-origin.js';
 import {type SeenVersion} from '../../contracts/version-report.js';
 import {
 	type BrittleTarget,
--- a/src/services/forwarding/report-server.ts
+++ b/src/services/forwarding/report-server.ts
@@ -191,6 +191,11 @@
 		return hosts / Math.max(hosts, relayed.hostCount);
 	}
 
+	/** True while other hosts report to this one as a relay. */
+	get isRelay(): boolean {
+		return !this.options.isOwner() && this.relayedDemand.reporterCount > 0;
+	}
+
 	/** Adds the demand of the hosts that report to this one to its own demand. */
 	mergeDemand(own: HostDemand): HostDemand {
 		return this.relayedDemand.mergeWith(own);
@@ -408,6 +413,7 @@
 			isOwner: holdsLease,
 			isRelay: !holdsLease,
 			source: view.name,
+			keepsStreams: true,
 			revision: BigInt(revision),
 			hostCount: relayed.hostCount,
 			ownerSilenceMilliseconds: Math.ceil(relayed.ownerSilenceMilliseconds),
--- a/src/services/forwarding/stream-origin-sharing.ts
+++ b/src/services/forwarding/stream-origin-sharing.ts
@@ -5,10 +5,10 @@
 } from '../../contracts/ids.js';
 import {
 	type OriginSource,
-	type StreamOrigin,
 	type StreamOriginChanges,
 	type StreamOrigins,
 } from '../../core/stream-origins.js';
+import {type StreamOrigin} from '../../contracts/stream-origin.js';
 import {
 	type SeenVersion,
 	type VersionReport,
@@ -19,6 +19,12 @@
 export type StreamOriginSharingOptions = {
 	readonly origins: StreamOrigins;
 	readonly versions: VersionHistory;
+	/** Streams that were read from the store. They are kept apart, so that many of them do not displace those of this host. */
+	readonly stored: StreamOrigins;
+	/** Reads the store, which calls `recordStored`. */
+	readonly readStore: () => Promise<void>;
+	/** True while this host writes the streams of others to the store itself, and the host to which it reports would do the same. */
+	readonly isRecording: () => boolean;
 	/** Asks other hosts at which software version a stream began. */
 	readonly askOthers: (
 		stream: RequestId,
@@ -27,8 +33,8 @@
 
 /**
  * Decides which streams hosts tell each other, and finds the software version at which a stream began. Hosts report
- * their streams to the owner or a relay, which returns its own: each stream is known to two hosts at least, so that it
- * outlives the one that forwarded it. Nothing is sent while all targets have had one version.
+ * their streams to the owner or a relay, which returns its own and writes all of them to the store: each stream is known
+ * to two hosts at least and outlives them. Nothing is sent while all targets have had one version.
  */
 export class StreamOriginSharing {
 	constructor(private readonly options: StreamOriginSharingOptions) {}
@@ -47,9 +53,23 @@
 
 	/** Streams of this host and of those that report to it, for the host to which this one reports. */
 	changesForReceiver(revision: number): StreamOriginChanges {
+		return this.options.isRecording()
+			? {origins: [], revision}
+			: this.changes(revision, ['own', 'reporter']);
+	}
+
+	/** Streams of this host and of those that report to it, for the store. */
+	changesForStore(revision: number): StreamOriginChanges {
 		return this.changes(revision, ['own', 'reporter']);
 	}
 
+	/** Records streams that were read from the store. */
+	recordStored(origins: readonly StreamOrigin[]): void {
+		for (const {stream, version} of origins) {
+			this.options.stored.record(stream, version, 'upstream');
+		}
+	}
+
 	/** Streams of this host, for a host that reports to it. */
 	changesForReporter(revision: number): StreamOriginChanges {
 		return this.changes(revision, ['own']);
@@ -85,21 +105,28 @@
 		pool: PoolName,
 		stream: RequestId | undefined,
 	): SoftwareVersion | undefined {
-		const {origins, versions} = this.options;
+		const {versions} = this.options;
 		return (
-			(stream === undefined ? undefined : origins.get(stream)) ??
+			(stream === undefined ? undefined : this.get(stream)) ??
 			versions.soleVersion(pool)
 		);
 	}
 
 	/** Returns the version at which a stream began, as far as this host knows it from other hosts or itself. */
 	get(stream: RequestId): SoftwareVersion | undefined {
-		return this.options.origins.get(stream);
+		const {origins, stored} = this.options;
+		return origins.get(stream) ?? stored.get(stream);
 	}
 
-	/** Asks other hosts for the version at which a stream began. */
+	/** Asks other hosts for the version at which a stream began, and reads the store if none of them knows it. */
 	async find(stream: RequestId): Promise<SoftwareVersion | undefined> {
-		const version = await this.options.askOthers(stream);
+		const {askOthers, readStore} = this.options;
+		let version = await askOthers(stream);
+		if (version === undefined) {
+			await readStore();
+			version = this.get(stream);
+		}
+
 		if (version !== undefined) {
 			this.options.origins.record(stream, version, 'own');
 		}
--- a/test/forwarding/early-ends.test.ts
+++ b/test/forwarding/early-ends.test.ts
@@ -11,19 +11,20 @@
 import {waitUntil} from '../process/processes.js';
 import {ForwardingHarness, forwardingDocument} from './forwarding-harness.js';
 
-let harness: ForwardingHarness;
-let worker: StandInWorker;
+/** The host and its only target, new for each test. */
+const setup: {harness?: ForwardingHarness; worker?: StandInWorker} = {};
 
 beforeEach(async () => {
-	harness = new ForwardingHarness();
+	const harness = new ForwardingHarness();
+	const worker = new StandInWorker('i-0');
 	await harness.start(forwardingDocument);
-	worker = new StandInWorker('i-0');
 	harness.list('i-0', await worker.start());
+	Object.assign(setup, {harness, worker});
 });
 
 afterEach(async () => {
-	worker.stop();
-	await harness.stop();
+	setup.worker!.stop();
+	await setup.harness!.stop();
 });
 
 /** Sends the head of a response without a length and without chunks, and the start of its body. */
@@ -82,8 +83,8 @@
 	],
 ] satisfies Array<[string, string, WorkerBehaviour]>) {
 	test(`an unframed stream does not look whole: ${name}`, async () => {
-		worker.behaviour = behaviour;
-		const {isComplete, status, body} = await harness.call(path, {
+		setup.worker!.behaviour = behaviour;
+		const {isComplete, status, body} = await setup.harness!.call(path, {
 			headers: {'Deadline-Ms': '400'},
 		});
 		assert.equal(status, 200);
@@ -92,11 +93,11 @@
 }
 
 test('an unframed answer that its target ends in order looks whole', async () => {
-	worker.behaviour = beginThen('whole', close);
-	const plain = await harness.call('/once/x', {body: 'b'});
+	setup.worker!.behaviour = beginThen('whole', close);
+	const plain = await setup.harness!.call('/once/x', {body: 'b'});
 	assert.deepEqual([plain.body, plain.isComplete], ['whole', true]);
-	worker.behaviour = beginThen(formatEvent(1) + formatEvent(2), close);
-	const stream = await harness.call('/fixed/x');
+	setup.worker!.behaviour = beginThen(formatEvent(1) + formatEvent(2), close);
+	const stream = await setup.harness!.call('/fixed/x');
 	assert.deepEqual(
 		[stream.body, stream.isComplete],
 		[formatEvent(1) + formatEvent(2), true],
@@ -113,8 +114,8 @@
 	['ended by its target', close, 'closed'],
 ] as const) {
 	test(`a caller of HTTP/1.0 sees how an unframed stream ends: ${name}`, async () => {
-		worker.behaviour = beginThen(formatEvent(1), end);
-		const socket = connect(harness.callerPort, '127.0.0.1');
+		setup.worker!.behaviour = beginThen(formatEvent(1), end);
+		const socket = connect(setup.harness!.callerPort, '127.0.0.1');
 		let received = '';
 		let seen: string | undefined;
 		socket.on('data', (chunk) => {
--- a/test/forwarding/report-server.test.ts
+++ b/test/forwarding/report-server.test.ts
@@ -1,16 +1,25 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
+import {create, fromBinary, toBinary} from '@bufbuild/protobuf';
 import {createClient} from '@connectrpc/connect';
 import {createConnectTransport} from '@connectrpc/connect-node';
 import {ManualClock} from '../../src/base/common/clock.js';
 import {NullEventLogger} from '../../src/base/common/event-logger.js';
 import {NullMetricRegistry} from '../../src/base/common/metric-registry.js';
-import {type HostId, type TargetId} from '../../src/contracts/ids.js';
+import {
+	type HostId,
+	type PoolName,
+	type SoftwareVersion,
+	type TargetId,
+} from '../../src/contracts/ids.js';
 import {BrittleTargets} from '../../src/core/brittle-targets.js';
 import {CrashCorrelation} from '../../src/core/crash-correlation.js';
 import {NamedRateLimits} from '../../src/core/named-rate-limits.js';
 import {PermitIssuer} from '../../src/core/permit-issuer.js';
-import {OwnerService} from '../../src/generated/daisylever/owner/v1/owner_pb.js';
+import {
+	OwnerService,
+	ReportResponseSchema,
+} from '../../src/generated/daisylever/owner/v1/owner_pb.js';
 import {CrashObserver} from '../../src/services/forwarding/crash-observer.js';
 import {FleetView} from '../../src/services/forwarding/fleet-view.js';
 import {type PlacementOwner} from '../../src/services/forwarding/placement-owner.js';
@@ -21,10 +30,10 @@
 const target = 't' as TargetId;
 const fakeOwner = {hostCount: 7} as unknown as PlacementOwner;
 
-// Guards against a host that counts as a relay of every host that exchanges observations with it: the owner would count
-// those hosts twice, and several hosts would issue the permits of the same rate.
-test('a report that only exchanges observations makes its receiver neither a relay nor an issuer of permits', async () => {
+/** Starts a report server that relays for others, with a client. */
+async function startRelay() {
 	const clock = new ManualClock();
+	const {sharing, versions} = createSharing(clock);
 	const events = new NullEventLogger();
 	const limits = new NamedRateLimits({clock});
 	const brittle = new BrittleTargets({clock});
@@ -57,7 +66,7 @@
 		onUrgentReport: () => undefined,
 		onDocumentReceived: () => undefined,
 		onLeavingTarget: () => undefined,
-		streams: createSharing(clock).sharing,
+		streams: sharing,
 		askUpstream: async () => undefined,
 	});
 	const port = (await server.listen(0, '127.0.0.1'))._unsafeUnwrap();
@@ -68,6 +77,13 @@
 			httpVersion: '1.1',
 		}),
 	);
+	return {server, client, limits, sharing, versions, clock};
+}
+
+// Guards against a host that counts as a relay of every host that exchanges observations with it: the owner would count
+// those hosts twice, and several hosts would issue the permits of the same rate.
+test('a report that only exchanges observations makes its receiver neither a relay nor an issuer of permits', async () => {
+	const {server, client, limits} = await startRelay();
 	const report = {
 		host: 'h2',
 		members: ['h2'],
@@ -93,3 +109,32 @@
 	assert.equal(server.permitShare(), 2 / 7);
 	server.dispose();
 });
+
+// Guards the upgrade from 6c3cf75: its hosts do not ask for a version report, and get what they got before.
+test('a host of an older build gets the versions of mixed pools only, a newer one that lacks some all of them', async () => {
+	const {server, client, versions, clock} = await startRelay();
+	versions.observe('p' as PoolName, 'v1' as SoftwareVersion);
+	clock.advance(1000);
+	const report = {host: 'h2', members: ['h2']};
+	const older = await client.report(report);
+	assert.deepEqual(older.versions, []);
+	assert.equal(older.versionReachMilliseconds, undefined);
+	const newer = await client.report({...report, wantsVersionReport: true});
+	assert.deepEqual(
+		newer.versions.map(({pool, version}) => [pool, version]),
+		[['p', 'v1']],
+	);
+	assert.equal(newer.versionReachMilliseconds, 1000);
+	assert.equal(newer.keepsStreams, true);
+	// What a response of an older build leaves out reads as: nothing told, nothing kept.
+	const response = fromBinary(
+		ReportResponseSchema,
+		toBinary(
+			ReportResponseSchema,
+			create(ReportResponseSchema, {isOwner: true}),
+		),
+	);
+	assert.equal(response.versionReachMilliseconds, undefined);
+	assert.equal(response.keepsStreams, false);
+	server.dispose();
+});
--- a/test/forwarding/stream-sharing.ts
+++ b/test/forwarding/stream-sharing.ts
@@ -24,6 +24,9 @@
 	const sharing = new StreamOriginSharing({
 		origins: new StreamOrigins(clock),
 		versions,
+		stored: new StreamOrigins(clock),
+		readStore: async () => undefined,
+		isRecording: () => false,
 		askOthers,
 	});
 	return {sharing, versions, list};
--- a/test/platform/stand-in-store.ts
+++ b/test/platform/stand-in-store.ts
@@ -186,9 +186,14 @@
 			return;
 		}
 
-		this.append(topic, body.subarray(4));
+		for (let index = 0; index < body.length;) {
+			const start = index + 4;
+			index = start + body.readUInt32BE(index);
+			this.append(topic, body.subarray(start, index));
+		}
+
 		if (fault !== 'lost-answer') {
-			sendJson(response, 200, {offset: end, end: end + 1});
+			sendJson(response, 200, {offset: end, end: this.end(topic)});
 		}
 	}
 
--- a/test/platform/store-client.test.ts
+++ b/test/platform/store-client.test.ts
@@ -1,9 +1,14 @@
 import assert from 'node:assert/strict';
 import {after, before, test} from 'node:test';
-import {type HostId} from '../../src/contracts/ids.js';
+import {
+	type HostId,
+	type RequestId,
+	type SoftwareVersion,
+} from '../../src/contracts/ids.js';
 import {HistoryTruncatedError} from '../../src/contracts/shared-store.js';
 import {PlatformDocumentState} from '../../src/platform/document-state.js';
 import {PlatformOwnerLog} from '../../src/platform/owner-log.js';
+import {PlatformStreamLog} from '../../src/platform/stream-log.js';
 import {StoreClient} from '../../src/platform/store-client.js';
 import {PlatformTargetListState} from '../../src/platform/target-list-state.js';
 import {StandInStore} from './stand-in-store.js';
@@ -165,3 +170,30 @@
 	assert.equal(records[0]?.host, 'h2');
 	assert.equal(records[0]?.versionReport, undefined);
 });
+
+// Guards against streams that are lost at the limits of a record, and against an unreadable record that hides the others.
+test('streams of any number are read as they were written, and unreadable records are passed over', async () => {
+	const log = new PlatformStreamLog(client);
+	assert.deepEqual((await log.read(undefined))._unsafeUnwrap().origins, []);
+	const origins = Array.from({length: 5000}, (_, index) => ({
+		stream: `stream-${index}` as RequestId,
+		version: `v${index % 2}` as SoftwareVersion,
+	}));
+	(await log.append(origins))._unsafeUnwrap();
+	(
+		await client.appendAll('daisylever.streams', ['{', '{"v1": 5}'])
+	)._unsafeUnwrap();
+	(await log.append([origins[0]!]))._unsafeUnwrap();
+	const read = (await log.read(undefined))._unsafeUnwrap();
+	assert.equal(read.origins.length, 5001);
+	assert.deepEqual(
+		new Map(read.origins.map(({stream, version}) => [stream, version])),
+		new Map(origins.map(({stream, version}) => [stream, version])),
+	);
+	assert.deepEqual((await log.read(read.next))._unsafeUnwrap().origins, []);
+	store.truncate('daisylever.streams');
+	(await log.append([origins[1]!]))._unsafeUnwrap();
+	assert.deepEqual((await log.read(undefined))._unsafeUnwrap().origins, [
+		origins[1],
+	]);
+});
--- a/test/process/version-fleet.ts
+++ b/test/process/version-fleet.ts
@@ -22,9 +22,10 @@
 	isOpen: boolean;
 };
 
-/** Events of a stream at its first worker, which then leaves it open. */
-const eventsBeforeKill = 3;
-const eventsOfStream = 6;
+/** Events that a worker sends at once when a stream begins, and those with which it ends one that is taken up again. */
+const eventCount = 3;
+/** Interval at which the events of a stream follow that has begun, so that its host does not take its worker for silent. */
+const eventMilliseconds = 300;
 /** Tries of a caller that takes a stream up again, and the delay before the second, which doubles with each try. */
 const maximumTries = 5;
 const retryMilliseconds = 250;
@@ -174,7 +175,7 @@
 		}
 
 		await waitUntil('the first events of all streams', () =>
-			streams.every(({lastEventId}) => lastEventId >= eventsBeforeKill),
+			streams.every(({lastEventId}) => lastEventId >= eventCount),
 		);
 		return streams;
 	}
@@ -186,6 +187,7 @@
 	): Promise<number> {
 		const goesOn = await Promise.all(
 			streams.map(async (stream, index) => {
+				const before = stream.lastEventId;
 				for (let attempt = 0; attempt < maximumTries; attempt++) {
 					await this.read(
 						hosts[(index + attempt) % hosts.length]!,
@@ -196,7 +198,7 @@
 							resumes: stream.id,
 						},
 					);
-					if (stream.lastEventId === eventsOfStream) {
+					if (stream.lastEventId > before) {
 						return true;
 					}
 
@@ -255,10 +257,16 @@
 	return streams.filter(({versions}) => versions.size > 1).map(({id}) => id);
 }
 
-/** A stream that begins stays open after a few events. One that is taken up again is sent to its end. */
+/** A stream that begins goes on until its connection is closed. One that is taken up again ends after a few events. */
 function sendEvents(version: string, {headers, socket}: WorkerRequest): void {
 	const last = headers.get('last-event-id');
-	const end = last === undefined ? eventsBeforeKill : eventsOfStream;
+	let id = Number(last ?? 0);
+	const sendEvent = () => {
+		id++;
+		const text = formatEvent(id).replace('piece', version);
+		socket.write(`${text.length.toString(16)}\r\n${text}\r\n`);
+	};
+
 	socket.write(
 		responseHead('200 OK', {
 			'Request-Id': headers.get('request-id') ?? '',
@@ -267,12 +275,17 @@
 			'Transfer-Encoding': 'chunked',
 		}),
 	);
-	for (let id = Number(last ?? 0) + 1; id <= end; id++) {
-		const text = formatEvent(id).replace('piece', version);
-		socket.write(`${text.length.toString(16)}\r\n${text}\r\n`);
+	for (let count = 0; count < eventCount; count++) {
+		sendEvent();
 	}
 
 	if (last !== undefined) {
 		socket.write('0\r\n\r\n');
+		return;
 	}
+
+	const timer = setInterval(sendEvent, eventMilliseconds);
+	socket.once('close', () => {
+		clearInterval(timer);
+	});
 }
