Bound the bodies of reports, orders, store reads and peer answers

Cause: the limit of a report was checked after the whole body had been read; orders, reads of the store and plain answers through a peer had none. They are now read up to a limit, at which the connection is closed.

The bound of peer answers has no test. A bound for all answers at once is open.

--- a/src/platform/order-port.ts
+++ b/src/platform/order-port.ts
@@ -1,6 +1,7 @@
 import {request, type Dispatcher} from 'undici';
 import {errAsync, okAsync, ResultAsync} from 'neverthrow';
 import {z} from 'zod';
+import {readBody} from '../base/node/read-body.js';
 import {decodeJson} from '../contracts/bounded-json.js';
 import {
 	maximumTargetCount,
@@ -83,12 +84,8 @@
 		target: ListedTarget,
 	): ResultAsync<TargetOrderState, NoResponseError> {
 		return this.call(target, 'GET', paths.report, undefined).andThen(
-			({status, text}) => {
-				const report = decodeJson(
-					Buffer.from(text),
-					reportSchema,
-					maximumReportBytes,
-				);
+			({status, body}) => {
+				const report = decodeJson(body, reportSchema, maximumReportBytes);
 				if (status !== 200 || report.isErr()) {
 					return errAsync(
 						new NoResponseError(
@@ -116,7 +113,7 @@
 		path: string,
 		body: string | undefined,
 	): ResultAsync<
-		{readonly status: number; readonly text: string},
+		{readonly status: number; readonly body: Buffer},
 		NoResponseError
 	> {
 		const send = async () => {
@@ -137,7 +134,7 @@
 			});
 			return {
 				status: response.statusCode,
-				text: await response.body.text(),
+				body: await readBody(response.body, maximumReportBytes),
 			};
 		};
 
--- a/src/platform/store-client.ts
+++ b/src/platform/store-client.ts
@@ -7,6 +7,7 @@
 	splitFramedRecords,
 } from '../base/common/framed-records.js';
 import {TypedEvent} from '../base/common/typed-event.js';
+import {readBody} from '../base/node/read-body.js';
 import {
 	HistoryTruncatedError,
 	SharedStoreError,
@@ -66,6 +67,8 @@
 const connectionCount = 4;
 /** The store usually responds within a few milliseconds, and within 300 ms when it is slow. */
 const defaultTimeoutMilliseconds = 800;
+/** Several times what the store returns at most, a page of newest records in base64. */
+const maximumResponseBytes = 8_388_608;
 /** Size of each of the two positions at the start of the response to a read. */
 const positionBytes = 8;
 
@@ -316,7 +319,10 @@
 				const generation = this.observeGeneration(
 					response.headers[headerNames.storeGeneration.toLowerCase()],
 				);
-				const responseBody = Buffer.from(await response.body.arrayBuffer());
+				const responseBody = await readBody(
+					response.body,
+					maximumResponseBytes,
+				);
 				if (generation !== this.generation) {
 					throw new Error('the store was restored after it sent the response');
 				}
--- a/src/services/forwarding/forward-dispatch.ts
+++ b/src/services/forwarding/forward-dispatch.ts
@@ -213,6 +213,11 @@
 		return this.options.pool;
 	}
 
+	/** Limit for the body of a response that is not a stream. */
+	get maximumBodyBytes(): number {
+		return this.options.maximumBodyBytes;
+	}
+
 	/** Requests that are queued or in flight. */
 	activeRequests(): Iterable<ForwardedRequest> {
 		return this.requests.values();
--- a/src/services/forwarding/peer-call.ts
+++ b/src/services/forwarding/peer-call.ts
@@ -44,6 +44,8 @@
 	readonly client: Client<typeof PeerForwardingService>;
 	readonly request: ForwardedRequest;
 	readonly message: MessageInitShape<typeof ForwardRequestSchema>;
+	/** Limit for the body of a response that is not a stream. */
+	readonly maximumBodyBytes: number;
 	/** Called with the software version at which the stream of the request began. */
 	readonly onStreamStart: (version: SoftwareVersion) => void;
 };
@@ -61,6 +63,7 @@
 	});
 
 	private readonly chunks: Uint8Array[] = [];
+	private bodyBytes = 0;
 	private readonly splitter = new EventStreamSplitter();
 	private head: Head | undefined;
 	private outcome: PeerCallOutcome | undefined;
@@ -167,6 +170,12 @@
 	private async handleData({bytes, softwareVersion}: Data): Promise<void> {
 		const {request, onStreamStart} = this.options;
 		if (!this.head?.isStream) {
+			this.bodyBytes += bytes.length;
+			if (this.bodyBytes > this.options.maximumBodyBytes) {
+				this.end({kind: 'lost', reason: 'the body exceeds the size limit'});
+				return;
+			}
+
 			this.chunks.push(bytes);
 			return;
 		}
--- a/src/services/forwarding/peer-forwarder.ts
+++ b/src/services/forwarding/peer-forwarder.ts
@@ -72,6 +72,7 @@
 				client: connections.get(peer),
 				request,
 				message: this.createMessage(request, dispatch, allowed),
+				maximumBodyBytes: dispatch.maximumBodyBytes,
 				onStreamStart(version) {
 					if (request.softwareVersion === undefined) {
 						request.softwareVersion = version;
