--- a/src/core/owner-lease.ts
+++ b/src/core/owner-lease.ts
@@ -101,9 +101,6 @@
 	private ownRecordPosition: StorePosition | undefined;
 	/** The restore of the store after which nobody has claimed the lease yet. */
 	private restore: ObservedRestore | undefined;
-	/** Incarnation of the last record that was read, and a time at which it ran already. */
-	private observedHolder:
-		{readonly incarnation: string; readonly since: number} | undefined;
 
 	constructor(
 		private readonly candidate: LeaseCandidate,
@@ -223,8 +220,7 @@
 	}
 
 	/** Applies records read from the log. */
-	applyRecords(read: OwnerRecords, now: number): void {
-		const {records, next, isRestored} = read;
+	applyRecords({records, next, isRestored}: OwnerRecords, now: number): void {
 		if (isRestored) {
 			this.handleRestore(now);
 		}
@@ -239,15 +235,9 @@
 			this.applyRecord(record, now);
 		}
 
-		this.observeHolder(read, now);
 		this.applyHolderReport();
 	}
 
-	/** Shortest time for which the holder of the last record that was read has run, as far as the log shows it. Infinite for the first holder ever. */
-	holderRunMilliseconds(now: number): number {
-		return this.observedHolder ? now - this.observedHolder.since : 0;
-	}
-
 	/** Position from which to read the log next, or undefined before the first read. */
 	get readPosition(): StorePosition | undefined {
 		return this.nextPosition;
@@ -359,28 +349,6 @@
 		}
 	}
 
-	private observeHolder({records, isWhole}: OwnerRecords, now: number): void {
-		const incarnation = records.at(-1)?.incarnation;
-		if (
-			incarnation === undefined ||
-			incarnation === this.observedHolder?.incarnation
-		) {
-			return;
-		}
-
-		const others = records.findLastIndex(
-			(record) => record.incarnation !== incarnation,
-		);
-		const renewals = records.length - others - 2;
-		this.observedHolder = {
-			incarnation,
-			since:
-				isWhole && others === -1
-					? Number.NEGATIVE_INFINITY
-					: now - renewals * this.timing.renewalMilliseconds,
-		};
-	}
-
 	private applyRecord(record: PositionedOwnerRecord, now: number): void {
 		const isOwn =
 			record.host === this.candidate.host &&
--- a/src/program/forwarding-root.ts
+++ b/src/program/forwarding-root.ts
@@ -355,7 +355,6 @@
 				clock,
 				events,
 				holder: () => this.leaseManager.holder,
-				holderRunMilliseconds: () => this.leaseManager.holderRunMilliseconds,
 				localOwner: owner,
 				isLocalOwner: () => this.leaseManager.isHolder,
 				crashes,
--- a/src/services/forwarding/owner-lease-manager.ts
+++ b/src/services/forwarding/owner-lease-manager.ts
@@ -128,12 +128,6 @@
 		this.abort.abort();
 	}
 
-	/** Shortest time for which the holder of the lease has run, as far as the log shows it. */
-	get holderRunMilliseconds(): number {
-		const {lease, clock} = this.options;
-		return lease.holderRunMilliseconds(clock.monotonic());
-	}
-
 	/** Records that a target refused the token of the lease, because a newer holder exists. */
 	markSuperseded(): void {
 		this.options.lease.markSuperseded();
--- a/src/services/forwarding/report-client.ts
+++ b/src/services/forwarding/report-client.ts
@@ -25,6 +25,7 @@
 import {type PermitDemand} from '../../core/permit-book.js';
 import {type PermitGrant} from '../../core/permit-issuer.js';
 import {ReportRoute, type ReportDestination} from '../../core/report-route.js';
+import {streamLifetimeMilliseconds} from '../../core/stream-origins.js';
 import {
 	OwnerService,
 	type ReportResponse,
@@ -57,8 +58,6 @@
 	readonly events: EventLogger;
 	/** The lease holder according to the lease log. */
 	readonly holder: () => LeaseHolder | undefined;
-	/** Shortest time for which the holder has run, as far as the lease log shows it. */
-	readonly holderRunMilliseconds: () => number;
 	/** The owner in this process, which is called directly. */
 	readonly localOwner: PlacementOwner;
 	/** True while this host holds the owner lease. */
@@ -420,11 +419,11 @@
 		}
 
 		this.hasKeepingReceiver = response.value.keepsStreams;
-		if (response.value.versionReachMilliseconds === undefined) {
-			// A host of an older build tells the versions that it has seen, but not for how long it has run.
+		if (!response.value.keepsStreams) {
+			// A host of an older build does not tell how far back the versions reach that it knows. It takes them for all.
 			this.options.streams.learnVersions({
 				versions: [],
-				reachMilliseconds: this.options.holderRunMilliseconds(),
+				reachMilliseconds: streamLifetimeMilliseconds,
 			});
 		}
 
