--- a/src/contracts/stream-origin.ts
+++ b/src/contracts/stream-origin.ts
@@ -21,7 +21,7 @@
 export function encodeStreamRecords(
 	origins: readonly StreamOrigin[],
 ): string[] {
-	const records: Array<Record<string, string[]>> = [];
+	const records: Array<Map<string, string[]>> = [];
 	let count = 0;
 	let characters = 0;
 	for (const {stream, version} of origins) {
@@ -31,7 +31,7 @@
 			count >= maximumStreamsOfRecord ||
 			characters >= maximumCharactersOfRecord
 		) {
-			record = {};
+			record = new Map();
 			records.push(record);
 			count = 0;
 			characters = 0;
@@ -39,11 +39,12 @@
 
 		count++;
 		characters += stream.length;
-		record[version] ??= [];
-		record[version].push(stream);
+		const streams = record.get(version) ?? [];
+		streams.push(stream);
+		record.set(version, streams);
 	}
 
-	return records.map((record) => JSON.stringify(record));
+	return records.map((record) => JSON.stringify(Object.fromEntries(record)));
 }
 
 /** Returns the streams of a stored record. An unreadable one, which a later build may have written, tells nothing. */
--- a/test/platform/store-client.test.ts
+++ b/test/platform/store-client.test.ts
@@ -191,6 +191,13 @@
 		new Map(origins.map(({stream, version}) => [stream, version])),
 	);
 	assert.deepEqual((await log.read(read.next))._unsafeUnwrap().origins, []);
+	// A target may name any version. This one is a property of all objects.
+	const odd = {
+		stream: 'odd' as RequestId,
+		version: 'constructor' as SoftwareVersion,
+	};
+	(await log.append([odd]))._unsafeUnwrap();
+	assert.deepEqual((await log.read(read.next))._unsafeUnwrap().origins, [odd]);
 	store.truncate('daisylever.streams');
 	(await log.append([origins[1]!]))._unsafeUnwrap();
 	assert.deepEqual((await log.read(undefined))._unsafeUnwrap().origins, [
