--- a/src/platform/store-client.ts
+++ b/src/platform/store-client.ts
@@ -67,8 +67,8 @@
 const connectionCount = 4;
 /** The store usually responds within a few milliseconds, and within 300 ms when it is slow. */
 const defaultTimeoutMilliseconds = 800;
-/** Several times what the store returns at most, a page of newest records in base64. */
-const maximumResponseBytes = 8_388_608;
+/** Far more than a page of the store, so that a large entry of another writer hides no other. */
+const maximumResponseBytes = 16_777_216;
 /** Size of each of the two positions at the start of the response to a read. */
 const positionBytes = 8;
 
