Do not take the end of a killed target for the end of its answer

Callers saw unframed streams (no length, no chunks) that ended as complete before their last event, and cut bodies as successes. The kernel ends the connections of a killed process in order, and between two events nothing in the bytes tells such an end from that of a whole answer.

The host now holds the end of an unframed success back until it knows that the process of its target still runs: a new connection to the address from the entry at sending time is accepted, and the entry has not been replaced by a later incarnation. Otherwise the attempt is lost: the stream goes on at another target where that is allowed and is cut where it is not, a body is repeated or answered with 502. The cost is one connection and one round trip for each unframed answer.

--- a/src/services/forwarding/forward-dispatch.ts
+++ b/src/services/forwarding/forward-dispatch.ts
@@ -21,6 +21,7 @@
 	type RequestCodec,
 	type ReportedLoad,
 } from '../../contracts/request-codec.js';
+import {type ListedTarget} from '../../contracts/listed-target.js';
 import {type RefusalReason} from '../../contracts/target-error.js';
 import {AdmissionPolicy} from '../../core/admission-policy.js';
 import {AgingShare} from '../../core/aging-share.js';
@@ -667,6 +668,32 @@
 		await running;
 	}
 
+	/**
+	 * Finds out whether the process that an entry describes has ended, by a new connection and by the newest entry of
+	 * the target. A refusal says nothing while this host reaches no target of the pool, and silence is no proof.
+	 */
+	async hasTargetEnded({
+		id,
+		address,
+		residency,
+	}: ListedTarget): Promise<boolean> {
+		const {registry} = this.options;
+		const isCutOff = registry.reachability.isCutOff(this.pool);
+		const isRefused = await isConnectionRefused(
+			address,
+			probeTimeoutMilliseconds,
+		);
+		const newest = registry.get(id)?.listed;
+		const isReplaced =
+			newest !== undefined &&
+			newest.residency.incarnation !== residency.incarnation;
+		if (isRefused && newest?.address === address) {
+			registry.recordUnreachable(id, true);
+		}
+
+		return isReplaced || (isRefused && !isCutOff);
+	}
+
 	/** Requests the rest of an interrupted stream from another target, or fails the request. */
 	continueStream(request: ForwardedRequest, attempt: Attempt): void {
 		// The dispatcher drops the request and receives the rest of the stream as new work.
@@ -836,7 +863,7 @@
 				this,
 				request,
 				toAttempt(binding),
-				this.versionOf(binding.target),
+				registry.get(binding.target)?.listed,
 				binding.kind === 'replacement',
 			),
 			...(request.isRepeatable
--- a/src/services/forwarding/request-attempt.ts
+++ b/src/services/forwarding/request-attempt.ts
@@ -1,4 +1,4 @@
-import {type SoftwareVersion} from '../../contracts/ids.js';
+import {type ListedTarget} from '../../contracts/listed-target.js';
 import {type ResponseMetadata} from '../../contracts/request-codec.js';
 import {
 	EventStreamSplitter,
@@ -11,6 +11,7 @@
 	type ForwardedRequest,
 	repeatedEventReason,
 } from './forwarded-request.js';
+import {versionOf} from './target-registry.js';
 
 /** Time for which two targets may work on a stream after the second has begun to respond. */
 const maximumOverlapMilliseconds = 300;
@@ -30,7 +31,8 @@
 		private readonly poolDispatch: ForwardDispatch,
 		private readonly request: ForwardedRequest,
 		private readonly attempt: Attempt,
-		private readonly softwareVersion: SoftwareVersion | undefined,
+		/** The entry of the target when the attempt was sent, undefined when it was gone. */
+		private readonly listed: ListedTarget | undefined,
 		private readonly isReplacement: boolean,
 	) {
 		super();
@@ -87,7 +89,7 @@
 
 		this.events += this.request.eventCount - before;
 		if (this.request.eventCount > 0 && !this.request.softwareVersion) {
-			this.request.softwareVersion = this.softwareVersion;
+			this.request.softwareVersion = this.listed && versionOf(this.listed);
 			this.poolDispatch.recordStreamStart(this.request);
 		}
 
@@ -121,15 +123,13 @@
 			return;
 		}
 
-		this.stopOverlapTimer();
-		this.request.forwardEvents(this.heldEvents);
-		this.poolDispatch.cancelOtherAttempts(this.attempt);
-		this.request.endStream();
-		this.recordEnd(this.isFramed && this.events > 0);
+		if (this.isFramed) {
+			this.completeStream();
+			return;
+		}
 
-		this.poolDispatch.endAttempt(this.attempt, {
-			kind: 'completed',
-			tokens: this.events,
+		void this.endUnlessTargetEnded(() => {
+			this.completeStream();
 		});
 	}
 
@@ -157,13 +157,14 @@
 			return;
 		}
 
-		if (isSuccess) {
-			this.recordEnd(response.isFramed);
+		if (!isSuccess || response.isFramed) {
+			this.completeResponse(response, body);
+			return;
 		}
 
-		this.poolDispatch.cancelOtherAttempts(this.attempt);
-		this.request.forwardResponse(response, body);
-		this.poolDispatch.endAttempt(this.attempt, {kind: 'completed', tokens: 1});
+		void this.endUnlessTargetEnded(() => {
+			this.completeResponse(response, body);
+		});
 	}
 
 	onStall(reason: string): number | undefined {
@@ -236,6 +237,52 @@
 		});
 	}
 
+	/**
+	 * Ends an answer that only the end of its connection marks. The kernel ends the connections of a killed process in
+	 * order, so such an answer counts as whole only if the process of its target still runs.
+	 */
+	private async endUnlessTargetEnded(complete: () => void): Promise<void> {
+		const hasEnded =
+			this.listed !== undefined &&
+			(await this.poolDispatch.hasTargetEnded(this.listed));
+		if (!this.isOpen()) {
+			return;
+		}
+
+		if (hasEnded) {
+			this.poolDispatch.cancelAttempt(this.attempt);
+			this.onFailure({
+				kind: 'lost',
+				reason: 'the process of the target ended with the connection',
+			});
+			return;
+		}
+
+		complete();
+	}
+
+	private completeStream(): void {
+		this.stopOverlapTimer();
+		this.request.forwardEvents(this.heldEvents);
+		this.poolDispatch.cancelOtherAttempts(this.attempt);
+		this.request.endStream();
+		this.recordEnd(this.isFramed && this.events > 0);
+		this.poolDispatch.endAttempt(this.attempt, {
+			kind: 'completed',
+			tokens: this.events,
+		});
+	}
+
+	private completeResponse(response: ResponseMetadata, body: Buffer): void {
+		if (response.status < 300) {
+			this.recordEnd(response.isFramed);
+		}
+
+		this.poolDispatch.cancelOtherAttempts(this.attempt);
+		this.request.forwardResponse(response, body);
+		this.poolDispatch.endAttempt(this.attempt, {kind: 'completed', tokens: 1});
+	}
+
 	/** Records the end of an answer. One that only the end of its connection marks may have been cut short by the end of its target. */
 	private recordEnd(isComplete: boolean): void {
 		if (isComplete) {
