Name the requests that a planned stop cuts

Warnings of the dispatcher (3003, 3010, 3013 and others) named a request by a number of the process that no other line contained, and nothing was logged about what the end of a stop interrupts. The key of a request is now its caller's id with the number. The end of a stop logs each request that it cuts (7080) with its route, targets, age, events and unsent bytes, each complete answer that its caller has not taken (7081), both at most 32 times, and in forwarding-stopped the time of the signal and how many requests were begun, refused and cut.

The hosts of the process tests take their program from DAISYLEVER_PROGRAM, so that a test can run against another build.

--- a/src/contracts/events/forwarding-events.ts
+++ b/src/contracts/events/forwarding-events.ts
@@ -28,7 +28,7 @@
 		name: 'forwarding-stopped',
 		level: 'info',
 		description:
-			'The process completed its planned stop. An event with the field reason reports an unhandled error instead.',
+			'The process completed its planned stop. The fields signalledAt and noticedAfterMilliseconds tell when the signal was noticed and by how much at most it was late; begunRequests and refusedRequests count what arrived or waited during the stop, cutRequests and unsentResponses what its end interrupts. An event with the field reason reports an unhandled error instead.',
 	},
 	settingsReloaded: {
 		number: 7004,
@@ -371,6 +371,20 @@
 		description:
 			'The software versions at which streams began could not be written to the store, or read from it (field call). Streams whose hosts have ended are refused until a later call succeeds. Logged once a minute for each call.',
 	},
+	requestCutByStop: {
+		number: 7080,
+		name: 'request-cut-by-stop',
+		level: 'warn',
+		description:
+			'A request was still open at the end of the planned stop and is ended without its whole answer. The field isTargetAtWork is true while an attempt at a target is open, sinceEventMilliseconds is the time since its last event, unsentBytes is what its caller has not taken yet. At most 32 are listed, event 7003 has their number.',
+	},
+	responseCutByStop: {
+		number: 7081,
+		name: 'response-cut-by-stop',
+		level: 'warn',
+		description:
+			'An answer is complete, but its caller had not taken all of it at the end of the planned stop. The field unsentBytes is what is lost. At most 32 are listed, event 7003 has their number.',
+	},
 	logLinesDropped: {
 		number: 7060,
 		name: 'log-lines-dropped',
--- a/src/program/forwarding-root.ts
+++ b/src/program/forwarding-root.ts
@@ -493,6 +493,7 @@
 			return;
 		}
 
+		const signalledAt = new Date().toISOString();
 		const startedAt = this.clock.monotonic();
 		const elapsed = () => this.clock.monotonic() - startedAt;
 		const endMilliseconds =
@@ -521,8 +522,12 @@
 			}
 		}
 
+		const {openRequests} = this.service;
+		const counts = this.service.endOpenRequests();
 		this.events.record(forwardingEvents.hostStopped, {
-			openRequests: this.service.openRequests,
+			openRequests,
+			...counts,
+			signalledAt,
 			milliseconds: Math.round(elapsed()),
 		});
 		await this.sendLastResponses();
--- a/src/services/forwarding/caller-response.ts
+++ b/src/services/forwarding/caller-response.ts
@@ -18,6 +18,9 @@
 	/** True once the response was completed or aborted. */
 	abstract get isEnded(): boolean;
 
+	/** Bytes that wait in this process until the receiver takes them. */
+	abstract get unsentBytes(): number;
+
 	/** Sends a complete response with a content length. */
 	abstract send(
 		status: number,
--- a/src/services/forwarding/forward-attempt.ts
+++ b/src/services/forwarding/forward-attempt.ts
@@ -96,6 +96,11 @@
 					});
 	}
 
+	/** The target to which the request is sent. */
+	get target(): TargetId {
+		return this.options.target;
+	}
+
 	/** True once the head of a response to the request was received. */
 	get hasResponse(): boolean {
 		return this.response !== undefined;
--- a/src/services/forwarding/forward-dispatch.ts
+++ b/src/services/forwarding/forward-dispatch.ts
@@ -238,6 +238,13 @@
 		return (this.attempts.get(request.key)?.size ?? 0) === 0;
 	}
 
+	/** Targets to which the request was sent and that have not answered it completely. */
+	openTargets(request: ForwardedRequest): TargetId[] {
+		return [...(this.attempts.get(request.key)?.values() ?? [])]
+			.filter(({isSent}) => isSent)
+			.map(({target}) => target);
+	}
+
 	/** Queues a request. Its outcome is reported through the methods of the request. */
 	submit(request: ForwardedRequest): void {
 		this.requests.set(request.key, request);
--- a/src/services/forwarding/forwarded-request.ts
+++ b/src/services/forwarding/forwarded-request.ts
@@ -20,7 +20,7 @@
 
 /** Options of a forwarded request. */
 export type ForwardedRequestOptions = {
-	/** Unique on this host, unlike the id in the metadata, which callers may reuse. */
+	/** Id of the caller's request and a number of this process. Unique on this host, unlike the id alone, which callers may reuse. */
 	readonly key: RequestId;
 	readonly metadata: RequestMetadata;
 	readonly route: RouteRule;
@@ -98,6 +98,7 @@
 	/** Address of the host to which the request was forwarded last, undefined while this host serves it itself. */
 	peer: string | undefined;
 	private contentType: string | undefined;
+	private firstChunkAt: number | undefined;
 	private lastChunkAt: number | undefined;
 	private failureResponse:
 		{metadata: ResponseMetadata; body: Buffer} | undefined;
@@ -142,6 +143,21 @@
 		return kind === 'idempotent' || (kind === 'stream' && isResumable);
 	}
 
+	/** Time since the request arrived. */
+	get ageMilliseconds(): number {
+		return this.options.clock.monotonic() - this.options.arrivedAt;
+	}
+
+	/** Monotonic time of the first events, undefined before them. */
+	get firstEventAt(): number | undefined {
+		return this.firstChunkAt;
+	}
+
+	/** Monotonic time of the last events, undefined before the first ones. */
+	get lastEventAt(): number | undefined {
+		return this.lastChunkAt;
+	}
+
 	/** Monotonic time at which the final response is due. */
 	get deadline(): number {
 		const {arrivedAt, metadata, route} = this.options;
@@ -347,6 +363,7 @@
 			);
 		}
 
+		this.firstChunkAt ??= now;
 		this.lastChunkAt = now;
 	}
 
--- a/src/services/forwarding/forwarding-service.ts
+++ b/src/services/forwarding/forwarding-service.ts
@@ -76,6 +76,18 @@
 	readonly onAdapterMissing: () => void;
 };
 
+/** What a planned stop did to the requests of callers. */
+export type StopCounts = {
+	/** Requests first sent to a target during the stop. */
+	readonly begunRequests: number;
+	/** Requests refused as not run during the stop. */
+	readonly refusedRequests: number;
+	/** Requests that the end of the stop ended without their whole answer. */
+	readonly cutRequests: number;
+	/** Complete answers that their callers had not taken when the stop ended. */
+	readonly unsentResponses: number;
+};
+
 type Pool = {
 	readonly dispatch: ForwardDispatch;
 	/** Models of the pool, undefined for a pool without an engine. */
@@ -95,6 +107,9 @@
 /** Retry delay sent by a host without a document or one that is stopping. A starting host receives a document within this time, or not before its callers time out. */
 const startRetryMilliseconds = 500;
 
+/** Log lines for the requests that one stop cuts, and as many for its unsent answers. */
+const maximumCutLines = 32;
+
 /** Reason of the refusals of a stopping host. */
 const stoppingReason = 'the host is stopping';
 const cutOffReason = 'the host reaches no target of the pool';
@@ -122,6 +137,11 @@
 	private intervalMilliseconds = Number.POSITIVE_INFINITY;
 	private stalledAt = Number.NEGATIVE_INFINITY;
 	private readonly stopAdmission: StopAdmission;
+	/** Responses to callers whose bytes have not all left the process, with the ids of their requests. */
+	private readonly openResponses = new Map<ServerResponse, RequestId>();
+	/** Keys of the requests first sent during the stop. */
+	private readonly begunRequests = new Set<RequestId>();
+	private refusedRequests = 0;
 	private isStopping = false;
 	private isAcceptingRequests = true;
 	private timer: NodeJS.Timeout | undefined;
@@ -219,9 +239,11 @@
 		}
 	}
 
-	/** Ends all open requests at the end of the stop: those without a response with an own one that says whether they may have been executed, streams by closing their connections. */
-	endOpenRequests(): void {
+	/** Ends all open requests at the end of the stop: those without a response with an own one that says whether they may have been executed, streams by closing their connections. Returns what the whole stop did to requests. */
+	endOpenRequests(): StopCounts {
 		this.refuseUnsentRequests();
+		const cutRequests = this.recordCutRequests();
+		const unsentResponses = this.recordUnsentResponses();
 		for (const {dispatch} of this.pools.values()) {
 			for (const request of dispatch.activeRequests()) {
 				dispatch.endUnanswered(request, stoppingReason, startRetryMilliseconds);
@@ -231,6 +253,13 @@
 		for (const request of this.requests) {
 			request.refuse(stoppingReason, startRetryMilliseconds);
 		}
+
+		return {
+			begunRequests: this.begunRequests.size,
+			refusedRequests: this.refusedRequests,
+			cutRequests,
+			unsentResponses,
+		};
 	}
 
 	/** Applies a document and returns true, or returns false for a document that is not newer than the current one. */
@@ -350,7 +379,12 @@
 			return;
 		}
 
+		this.openResponses.set(response, metadata.value.id);
+		response.once('close', () => {
+			this.openResponses.delete(response);
+		});
 		if (!this.document || !this.routes || !this.isAcceptingRequests) {
+			this.refusedRequests += this.isStopping ? 1 : 0;
 			this.sendLocalResponse(
 				response,
 				503,
@@ -507,7 +541,7 @@
 		const pool = name === undefined ? undefined : this.pools.get(name);
 		this.lastKey++;
 		const request = new ForwardedRequest({
-			key: String(this.lastKey) as RequestId,
+			key: `${metadata.id}#${this.lastKey}` as RequestId,
 			metadata,
 			route,
 			method,
@@ -771,8 +805,74 @@
 		);
 	}
 
+	/** Logs the requests that were sent to a target or another host and have no whole answer. Returns their number. */
+	private recordCutRequests(): number {
+		const now = this.options.clock.monotonic();
+		let count = 0;
+		for (const request of this.requests) {
+			const {metadata, route, options, peer, lastEventAt} = request;
+			const targets = [...this.pools.values()].flatMap(({dispatch}) =>
+				dispatch.openTargets(request),
+			);
+			const isCut =
+				request.hasStarted || targets.length > 0 || request.executions > 0;
+			count += isCut ? 1 : 0;
+			if (!isCut || count > maximumCutLines) {
+				continue;
+			}
+
+			this.options.events.record(forwardingEvents.requestCutByStop, {
+				request: metadata.id,
+				key: request.key,
+				route: route.name,
+				targets,
+				forwardedTo: peer,
+				forwardedBy: options.forwardedBy,
+				ageMilliseconds: Math.round(request.ageMilliseconds),
+				waitedMilliseconds:
+					request.waitedMilliseconds === undefined
+						? undefined
+						: Math.round(request.waitedMilliseconds),
+				remainingMilliseconds: Math.round(request.remainingMilliseconds()),
+				events: request.eventCount,
+				maximumTokens: metadata.maximumTokens,
+				sinceEventMilliseconds:
+					lastEventAt === undefined ? undefined : Math.round(now - lastEventAt),
+				isTargetAtWork: targets.length > 0,
+				unsentBytes: options.response.unsentBytes,
+			});
+		}
+
+		return count;
+	}
+
+	/** Logs the complete answers that their callers have not taken. Returns their number. */
+	private recordUnsentResponses(): number {
+		let count = 0;
+		for (const [response, request] of this.openResponses) {
+			const unsentBytes = response.writableLength;
+			if (!response.writableEnded || unsentBytes === 0) {
+				continue;
+			}
+
+			count++;
+			if (count <= maximumCutLines) {
+				this.options.events.record(forwardingEvents.responseCutByStop, {
+					request,
+					unsentBytes,
+				});
+			}
+		}
+
+		return count;
+	}
+
 	private recordMetrics(request: ForwardedRequest, outcome: string): void {
 		const {metrics, clock} = this.options;
+		if (this.isStopping && outcome.startsWith('own 503')) {
+			this.refusedRequests++;
+		}
+
 		const {kind} = request.route;
 		if (request.options.forwardedBy !== undefined) {
 			metrics.count('daisylever_peer_requests_total', {
@@ -812,7 +912,14 @@
 			permits: this.options.permits,
 			brittle: this.options.brittle,
 			streams: this.options.streams,
-			mayBegin: (request) => this.mayBegin(request),
+			mayBegin: (request) => {
+				const mayBegin = this.mayBegin(request);
+				if (this.isStopping && mayBegin && request.executions === 0) {
+					this.begunRequests.add(request.key);
+				}
+
+				return mayBegin;
+			},
 			stopRetryMilliseconds: startRetryMilliseconds,
 			maximumBodyBytes: 4_194_304,
 			tryOtherHost: (request) => this.tryOtherHost(request, pool),
--- a/src/services/forwarding/http-caller-response.ts
+++ b/src/services/forwarding/http-caller-response.ts
@@ -22,6 +22,10 @@
 		return this.isFinished;
 	}
 
+	get unsentBytes(): number {
+		return this.response.writableLength;
+	}
+
 	send(status: number, headers: readonly string[], body: Uint8Array): void {
 		if (this.hasStarted) {
 			return;
--- a/src/services/forwarding/peer-response.ts
+++ b/src/services/forwarding/peer-response.ts
@@ -45,6 +45,10 @@
 		return this.isFinished;
 	}
 
+	get unsentBytes(): number {
+		return this.queuedBytes;
+	}
+
 	/** Sets the source of what the calling host needs to know besides the answer. */
 	describeWith(readState: () => ServedRequestState): void {
 		this.readState = readState;
--- a/test/process/forwarding-host.ts
+++ b/test/process/forwarding-host.ts
@@ -26,6 +26,10 @@
 	return port;
 }
 
+/** Program of the hosts. Another build can be tested with the same stand-ins and callers. */
+const programFile =
+	process.env.DAISYLEVER_PROGRAM ?? 'build/src/program/main.js';
+
 type TestSettings = Readonly<Record<string, unknown>> & {
 	readonly store: string;
 };
@@ -80,7 +84,7 @@
 	);
 	const child = spawn(
 		process.execPath,
-		['build/src/program/main.js', 'forward', '--settings', file],
+		[programFile, 'forward', '--settings', file],
 		{stdio: ['ignore', 'pipe', 'pipe']},
 	);
 	return {process: new TestProcess(child), ports, settingsFile: file};
