Keep answers open until their bytes have left the process

A caller that read slowly lost the end of an answer during a planned stop: of 4,000,000 bytes it got 3,967,488 and then the end of the connection. An answer counted as ended with response.end(), and closeIdleConnections of Node.js, called from 1 s after SIGTERM on, destroys the socket of a response that has ended but is not written yet. The exit of the process would have dropped the same bytes.

The server now counts a response until its close event, which follows the write of its last byte, and the stop waits for it. Its own check for idle connections compares the bytes read with those of the last whole request and spares connections with an open response. A connection on which the caller still sends a body when its last answer ends is no longer destroyed, which reset it; its sending side is closed and it is read for up to a second. Requests that arrive on it are neither handled nor passed on. The process exits 100 ms before the end of stopSeconds at the latest.

--- a/src/program/forwarding-root.ts
+++ b/src/program/forwarding-root.ts
@@ -101,6 +101,12 @@
 const refuseRequestsMilliseconds = 3500;
 /** Time before the end of the stop period at which open requests get a last response or are aborted, so that the process ends in time. */
 const stopMarginMilliseconds = 250;
+/** Time before the end of the stop period at which the process exits at the latest. */
+const exitMarginMilliseconds = 100;
+/** Time after the last response within which callers close connections on which they were still sending. */
+const maximumLingerMilliseconds = 1000;
+/** The same for a stop that a second signal has cut short. */
+const shortLingerMilliseconds = 200;
 /** Interval of the checks during a stop. */
 const stopCheckMilliseconds = 50;
 /** Interval at which expired targets are removed, readiness is checked and metrics are updated. */
@@ -530,14 +536,27 @@
 			signalledAt,
 			milliseconds: Math.round(elapsed()),
 		});
-		await this.sendLastResponses();
+		await this.sendLastResponses(
+			Math.min(
+				maximumLingerMilliseconds,
+				this.settings.stopSeconds * 1000 - exitMarginMilliseconds - elapsed(),
+			),
+		);
 	}
 
-	/** Responds to all open requests, ends streams, and refuses what arrives from here on, because the process ends before it could be answered otherwise. Returns once the responses are on their way. */
-	async sendLastResponses(): Promise<void> {
+	/** Responds to all open requests, ends streams, and refuses what arrives from here on, because the process ends before it could be answered otherwise. Returns once the responses have left the process and their connections have ended in order, at most after the given time. */
+	async sendLastResponses(
+		maximumMilliseconds = shortLingerMilliseconds,
+	): Promise<void> {
 		this.service.endOpenRequests();
 		this.server.endIncompleteRequests();
-		await wait(stopCheckMilliseconds);
+		const startedAt = this.clock.monotonic();
+		do {
+			await wait(stopCheckMilliseconds);
+		} while (
+			this.clock.monotonic() - startedAt < maximumMilliseconds &&
+			(this.server.openResponses > 0 || this.server.lingeringConnections > 0)
+		);
 	}
 
 	/** Records in the log that the settings file was read again, or why it was rejected. Settings in use do not change. */
@@ -555,8 +574,13 @@
 		await this.components.dispose();
 	}
 
+	/** True while requests have no whole answer, or bytes of their answers have not left this process. */
 	private get hasOpenRequests(): boolean {
-		return this.service.openRequests > 0 || this.server.incompleteRequests > 0;
+		return (
+			this.service.openRequests > 0 ||
+			this.server.incompleteRequests > 0 ||
+			this.server.openResponses > 0
+		);
 	}
 
 	private get streamWriter(): StreamWriter {
--- a/src/services/forwarding/forwarding-server.ts
+++ b/src/services/forwarding/forwarding-server.ts
@@ -4,7 +4,7 @@
 	type Server,
 	type ServerResponse,
 } from 'node:http';
-import {Server as NetServer} from 'node:net';
+import {Server as NetServer, type Socket} from 'node:net';
 import {getRequestListener, type HttpBindings} from '@hono/node-server';
 import {Hono} from 'hono';
 import {type Result} from 'neverthrow';
@@ -41,6 +41,19 @@
 /** Concurrent connections of callers. Less than the limit of file descriptors of a small machine. */
 const maximumConnections = 3000;
 
+/** Time for which a connection is read after its last answer, while its caller still sends. A caller sends the rest of a body within a round trip or two of the answer. */
+const lingerMilliseconds = 1000;
+
+/** What is known of the connection of a caller. */
+type CallerConnection = {
+	/** Requests whose answers have not left the process. */
+	openResponses: number;
+	/** Bytes read when the last request was complete, undefined before the first one. */
+	bytesAtRequestEnd: number | undefined;
+	/** The last request, undefined before the first one. */
+	lastMessage: IncomingMessage | undefined;
+};
+
 /** HTTP server for callers. It enforces the limits of the document on headers, bodies and connections. */
 export class ForwardingServer extends Disposable {
 	private readonly server: Server;
@@ -54,6 +67,10 @@
 	/** Ends the receiving of each request whose body has not arrived completely. */
 	private readonly incomplete = new Set<() => void>();
 
+	private readonly connections = new Map<Socket, CallerConnection>();
+	/** Connections that are read until their callers close them. */
+	private readonly lingering = new Set<Socket>();
+
 	constructor(private readonly handler: ReceivedRequestHandler) {
 		super();
 		const app = new Hono<{Bindings: HttpBindings}>();
@@ -72,9 +89,19 @@
 				noDelay: true,
 			},
 			(message, response) => {
+				if (this.lingering.has(message.socket)) {
+					// The connection can carry no more answers, so the request is neither handled nor passed on.
+					message.resume();
+					return;
+				}
+
+				this.observeResponse(message, response);
 				void listener(message, response);
 			},
 		);
+		this.server.on('connection', (socket: Socket) => {
+			this.observeConnection(socket);
+		});
 		this.server.maxConnections = maximumConnections;
 		this.server.requestTimeout = 0;
 		this.applyLimits(this.limits);
@@ -107,9 +134,31 @@
 		}
 	}
 
-	/** Closes connections without an open request. */
+	/** Number of requests whose answers have not completely left this process. */
+	get openResponses(): number {
+		let count = 0;
+		for (const {openResponses} of this.connections.values()) {
+			count += openResponses;
+		}
+
+		return count;
+	}
+
+	/** Number of connections that are read until their callers close them. */
+	get lingeringConnections(): number {
+		return this.lingering.size;
+	}
+
+	/** Closes connections that have had a request and have none now. The same function of Node.js also closes those whose last answer has not been written to the network yet. */
 	closeIdleConnections(): void {
-		this.server.closeIdleConnections();
+		for (const [socket, connection] of this.connections) {
+			if (
+				connection.openResponses === 0 &&
+				connection.bytesAtRequestEnd === socket.bytesRead
+			) {
+				socket.destroy();
+			}
+		}
 	}
 
 	/** Stops accepting connections. Closing the HTTP server itself would also reset connections on which a request is about to arrive. */
@@ -124,6 +173,68 @@
 		this.server.closeAllConnections();
 	}
 
+	private observeConnection(socket: Socket): void {
+		const connection: CallerConnection = {
+			openResponses: 0,
+			bytesAtRequestEnd: undefined,
+			lastMessage: undefined,
+		};
+		this.connections.set(socket, connection);
+		const destroySoon = socket.destroySoon.bind(socket);
+		// The HTTP server calls this after the last answer of a connection. A connection that is closed with unread bytes is reset, and the caller can lose an answer that it has not read yet.
+		socket.destroySoon = () => {
+			if (connection.lastMessage?.complete === false) {
+				this.linger(socket);
+			} else {
+				destroySoon();
+			}
+		};
+
+		socket.once('close', () => {
+			this.connections.delete(socket);
+			this.lingering.delete(socket);
+		});
+	}
+
+	private observeResponse(
+		message: IncomingMessage,
+		response: ServerResponse,
+	): void {
+		const {socket} = message;
+		const connection = this.connections.get(socket);
+		if (!connection) {
+			return;
+		}
+
+		connection.lastMessage = message;
+		connection.openResponses++;
+		response.once('close', () => {
+			connection.openResponses--;
+		});
+		message.once('end', () => {
+			connection.bytesAtRequestEnd = socket.bytesRead;
+		});
+	}
+
+	/** Ends the sending side of a connection and reads what the caller still sends, until it closes the connection. */
+	private linger(socket: Socket): void {
+		if (this.lingering.has(socket) || socket.destroyed) {
+			return;
+		}
+
+		this.lingering.add(socket);
+		socket.end();
+		socket.once('end', () => {
+			socket.destroy();
+		});
+		const timer = setTimeout(() => {
+			socket.destroy();
+		}, lingerMilliseconds);
+		socket.once('close', () => {
+			clearTimeout(timer);
+		});
+	}
+
 	private receive(message: IncomingMessage, response: ServerResponse): void {
 		const {headerBytes, bodyBytes} = this.limits;
 		if (headerSizeOf(message.rawHeaders) > headerBytes) {
--- a/test/process/stop-answers.test.ts
+++ b/test/process/stop-answers.test.ts
@@ -170,6 +170,8 @@
 	setTimeout(sendNext, gapMilliseconds * slowdown);
 }
 
+const largeBody = 'x'.repeat(4_000_000);
+
 let documentVersion = 0;
 
 function putConfiguration(): void {
@@ -284,6 +286,56 @@
 	});
 }
 
+// Guards against an answer whose last bytes have not left the process when its connection is closed as idle, or when the process ends.
+test('an answer that its caller reads slowly is whole', async () => {
+	worker.behaviour = ({headers, socket}) => {
+		socket.write(completeResponse(headers.get('request-id') ?? '', largeBody));
+	};
+
+	const caller = createCaller();
+	caller.socket.pause();
+	caller.send('/once/x');
+	await waitForWorker(caller);
+	await waitFor(200);
+	const signalledAt = await stopHost();
+	await waitFor(4000 - (performance.now() - signalledAt));
+	caller.socket.resume();
+	await caller.waitForEnd();
+	assert.ok(caller.isWhole, `${caller.received.length} bytes, ${caller.error}`);
+	assert.equal(await host.process.waitForExit(), 0);
+});
+
+// Guards against a reset of a connection on which the caller still sends, which can lose the answer before it is read.
+test('a caller that still sends its body at the end of the stop reads the refusal and the end of the connection', async () => {
+	const caller = createCaller();
+	caller.send('/once/x', {body: 'begin', length: 50_000});
+	let endedAt: number | undefined;
+	const timer = setInterval(() => {
+		if (caller.isEnded) {
+			endedAt ??= performance.now();
+		}
+
+		// What a caller sends before it learns of the end is still on its way then.
+		if (endedAt === undefined || performance.now() - endedAt < 100) {
+			caller.socket.write('more');
+		} else {
+			clearInterval(timer);
+			caller.socket.end();
+		}
+	}, 1);
+	try {
+		await stopHost();
+		await waitUntil('the connection ends', () => caller.socket.closed);
+	} finally {
+		clearInterval(timer);
+	}
+
+	assert.equal(caller.status, 503);
+	assert.ok(caller.isWhole);
+	assert.equal(caller.error, undefined);
+	assert.equal(await host.process.waitForExit(), 0);
+});
+
 // Guards against cut requests that no log line names, so that nobody can tell why they were cut.
 test('the log names each request that the end of the stop cuts', async () => {
 	const caller = createCaller();
