Keep the description of failed assertions out of the bundled program

An answer of a target with status 101 that nobody asked for stopped the deployed process for more than four seconds, and all its requests with it.

The HTTP client reports such an answer by a failed assertion without a message. node:assert then reads and parses the source at the call to describe it, which takes seconds in a minified bundle. The bundle now takes node:assert from a module of this repository that throws with a plain message, so no assertion of any library can stop the process this way. The build of the bundle moves to scripts/build-bundle.sh, which the executable and the test use.

The new test builds the bundle, sends an answer with status 101 and expects no stall of a second.

--- a/scripts/build-binary.sh
+++ b/scripts/build-binary.sh
@@ -6,8 +6,7 @@
 output=${1:-build/daisylever}
 directory=$(dirname "$output")
 mkdir -p "$directory"
-npx esbuild src/program/main.ts --bundle --platform=node --target=node20 --format=cjs \
-	--minify-whitespace --minify-syntax --outfile="$output.cjs" --log-level=warning
+bash scripts/build-bundle.sh "$output.cjs"
 # Compiling the bundle takes most of the time from start to readiness; the code cache avoids it.
 cat > "$output.json" <<JSON
 {
--- a/test/process/forwarding-host.ts
+++ b/test/process/forwarding-host.ts
@@ -37,9 +37,10 @@
 export async function startForwardingHost(
 	name: string,
 	settings: TestSettings,
+	programFile = 'build/src/program/main.js',
 ): Promise<ForwardingTestHost> {
 	for (;;) {
-		const host = await spawnForwardingHost(name, settings);
+		const host = await spawnForwardingHost(name, settings, programFile);
 		const {lines} = host.process;
 		await waitUntil(
 			`${name} starts or ends`,
@@ -56,6 +57,7 @@
 async function spawnForwardingHost(
 	name: string,
 	settings: TestSettings,
+	programFile: string,
 ): Promise<ForwardingTestHost> {
 	const directory = await mkdtemp(path.join(tmpdir(), 'forwarding-'));
 	const file = path.join(directory, 'settings.yaml');
@@ -80,7 +82,7 @@
 	);
 	const child = spawn(
 		process.execPath,
-		['build/src/program/main.js', 'forward', '--settings', file],
+		[programFile, 'forward', '--settings', file],
 		{stdio: ['ignore', 'pipe', 'pipe']},
 	);
 	return {process: new TestProcess(child), ports, settingsFile: file};
