--- a/test/process/forwarding-host.ts
+++ b/test/process/forwarding-host.ts
@@ -41,9 +41,10 @@
 export async function startForwardingHost(
 	name: string,
 	settings: TestSettings,
+	programFile = 'build/src/program/main.js',
 ): Promise<ForwardingTestHost> {
 	for (;;) {
-		const host = await spawnForwardingHost(name, settings);
+		const host = await spawnForwardingHost(name, settings, programFile);
 		const {lines} = host.process;
 		await waitUntil(
 			`${name} starts or ends`,
@@ -60,6 +61,7 @@
 async function spawnForwardingHost(
 	name: string,
 	settings: TestSettings,
+	programFile: string,
 ): Promise<ForwardingTestHost> {
 	const directory = await mkdtemp(path.join(tmpdir(), 'forwarding-'));
 	const file = path.join(directory, 'settings.yaml');
