--- a/test/process/forwarding-host.ts
+++ b/test/process/forwarding-host.ts
@@ -27,7 +27,7 @@
 }
 
 /** Program of the hosts. Another build can be tested with the same stand-ins and callers. */
-const programFile =
+const defaultProgramFile =
 	process.env.DAISYLEVER_PROGRAM ?? 'build/src/program/main.js';
 
 type TestSettings = Readonly<Record<string, unknown>> & {
@@ -41,7 +41,7 @@
 export async function startForwardingHost(
 	name: string,
 	settings: TestSettings,
-	programFile = 'build/src/program/main.js',
+	programFile = defaultProgramFile,
 ): Promise<ForwardingTestHost> {
 	for (;;) {
 		const host = await spawnForwardingHost(name, settings, programFile);
