Do not take the last moments of a killed target for a running one

The kernel closes the descriptors of a killed process one after the other. A connection can have a lower number than the listener, so its end arrives while the listener still takes connections, and the probe counted as proof of a running process.

--- a/src/services/forwarding/forward-dispatch.ts
+++ b/src/services/forwarding/forward-dispatch.ts
@@ -2,7 +2,10 @@
 import {Disposable} from '../../base/common/disposable.js';
 import {type EventLogger} from '../../base/common/event-logger.js';
 import {type RandomSource} from '../../base/common/random-source.js';
-import {isConnectionRefused} from '../../base/node/connection-probe.js';
+import {
+	hasListenerEnded,
+	isConnectionRefused,
+} from '../../base/node/connection-probe.js';
 import {forwardingEvents} from '../../contracts/events/forwarding-events.js';
 import {type Execution} from '../../contracts/execution.js';
 import {
@@ -679,10 +682,7 @@
 	}: ListedTarget): Promise<boolean> {
 		const {registry} = this.options;
 		const isCutOff = registry.reachability.isCutOff(this.pool);
-		const isRefused = await isConnectionRefused(
-			address,
-			probeTimeoutMilliseconds,
-		);
+		const isRefused = await hasListenerEnded(address, probeTimeoutMilliseconds);
 		const newest = registry.get(id)?.listed;
 		const isReplaced =
 			newest !== undefined &&
