Give orders and reports connections of their own

A worker may send a second copy of an answer late, where the next answer on its connection is expected. Orders and reports used the connections of requests, and their answers carry no id, so a caller got the 409 to an order as the answer to its request.

Reports now use one connection for each target that carries nothing else, and each order a connection of its own that is closed after its answer, so that no later order takes a copy for its answer either. An order takes one round trip more.

--- a/src/platform/order-port.ts
+++ b/src/platform/order-port.ts
@@ -44,13 +44,20 @@
 	421: 'not-this-target',
 };
 
+/** Connections to one target for orders and reports. A worker may send a second copy of an answer late, so no other answer may be expected on them. */
+export type OrderConnections = {
+	readonly reportDispatcher: Dispatcher;
+	/** Calls `use` with a dispatcher whose connection is opened for this call alone, and closes it afterwards. */
+	withOwnConnection<T>(use: (dispatcher: Dispatcher) => Promise<T>): Promise<T>;
+};
+
 /** Sends orders to workers and fetches their reports over HTTP. */
 export class PlatformOrderPort extends TargetOrderPort {
-	/** The dispatcher of a target is the connection pool that requests to the target use too. Without one, the default dispatcher is used. */
+	/** Without connections to a target, the default dispatcher is used. */
 	constructor(
-		private readonly dispatcherFor: (
+		private readonly connectionsTo: (
 			target: ListedTarget,
-		) => Dispatcher | undefined,
+		) => OrderConnections | undefined,
 		private readonly onAnswer: (answer: OrderAnswer) => void = () => undefined,
 	) {
 		super();
@@ -116,8 +123,7 @@
 		{readonly status: number; readonly body: Buffer},
 		NoResponseError
 	> {
-		const send = async () => {
-			const dispatcher = this.dispatcherFor(target);
+		const send = async (dispatcher: Dispatcher | undefined) => {
 			const response = await request(`http://${target.address}${path}`, {
 				...(dispatcher ? {dispatcher} : {}),
 				method,
@@ -138,8 +144,11 @@
 			};
 		};
 
+		const connections = this.connectionsTo(target);
 		return ResultAsync.fromPromise(
-			send(),
+			connections && method === 'POST'
+				? connections.withOwnConnection(send)
+				: send(connections?.reportDispatcher),
 			(cause) =>
 				new NoResponseError(
 					`the target ${target.id} did not respond to ${method} ${path}`,
--- a/src/program/forwarding-root.ts
+++ b/src/program/forwarding-root.ts
@@ -191,7 +191,7 @@
 				limits: rateLimits,
 				port: new ChargedOrderPort(
 					new PlatformOrderPort(
-						({id}) => registry.getConnections(id)?.dispatcher,
+						({id}) => registry.getConnections(id),
 						({
 							target: {id, residency},
 							isLeaving,
--- a/src/services/forwarding/target-connections.ts
+++ b/src/services/forwarding/target-connections.ts
@@ -22,6 +22,8 @@
 export class TargetConnections extends Disposable {
 	private readonly origin: string;
 	private readonly pool: Pool;
+	/** Opened by the first report. */
+	private reportPool: Pool | undefined;
 	private readonly singleClients = new Set<Client>();
 	private isFailing = false;
 
@@ -39,6 +41,29 @@
 		return this.pool;
 	}
 
+	/** Dispatcher for the reports that the owner asks for. A late answer to one must not be taken for the answer to a request. */
+	get reportDispatcher(): Dispatcher {
+		this.reportPool ??= new Pool(this.origin, {
+			connections: 1,
+			...this.clientOptions(),
+		});
+		return this.reportPool;
+	}
+
+	/** Calls `use` with a dispatcher whose connection is opened for this call alone, and closes it afterwards. */
+	async withOwnConnection<T>(
+		use: (dispatcher: Dispatcher) => Promise<T>,
+	): Promise<T> {
+		const client = new Client(this.origin, this.clientOptions());
+		this.singleClients.add(client);
+		try {
+			return await use(client);
+		} finally {
+			this.singleClients.delete(client);
+			await client.destroy();
+		}
+	}
+
 	/** Sends a request on a connection of its own, on which nothing that belongs to an earlier request can arrive. */
 	dispatchAlone(
 		request: Dispatcher.DispatchOptions,
@@ -63,13 +88,16 @@
 	/** Accepts no new requests. Requests in flight keep their connections until they end. */
 	close(): void {
 		void this.pool.close();
+		void this.reportPool?.close();
 	}
 
 	async dispose(): Promise<void> {
 		await Promise.all(
-			[this.pool, ...this.singleClients].map(async (client) =>
-				client.destroy(),
-			),
+			[
+				this.pool,
+				...(this.reportPool ? [this.reportPool] : []),
+				...this.singleClients,
+			].map(async (client) => client.destroy()),
 		);
 	}
 
