Refuse offsets of the store that no store has

A fraction or a negative number as the end of a topic became the position of a host. All its later reads asked for that position, so the host followed the store no more, or got records at fractions of positions. A number of 2^38 or more became a position of another generation.

The client takes only integers up to the limit of a position, and reads again otherwise.

--- a/src/platform/store-client.ts
+++ b/src/platform/store-client.ts
@@ -18,6 +18,7 @@
 import {
 	generationOf,
 	maximumGeneration,
+	maximumOffset,
 	offsetOf,
 	toPosition,
 } from './store-position.js';
@@ -72,16 +73,17 @@
 /** Size of each of the two positions at the start of the response to a read. */
 const positionBytes = 8;
 
+const offsetSchema = z.number().int().nonnegative().max(maximumOffset);
 const newestResponseSchema = z.object({
 	items: z.array(
-		z.object({key: z.string(), value: z.string(), offset: z.number()}),
+		z.object({key: z.string(), value: z.string(), offset: offsetSchema}),
 	),
 	more: z.boolean(),
-	end: z.number(),
+	end: offsetSchema,
 });
-const appendResponseSchema = z.object({offset: z.number()});
-const truncatedResponseSchema = z.object({first: z.number()});
-const conflictResponseSchema = z.object({end: z.number()});
+const appendResponseSchema = z.object({offset: offsetSchema});
+const truncatedResponseSchema = z.object({first: offsetSchema});
+const conflictResponseSchema = z.object({end: offsetSchema});
 
 /** The client of the platform's store, which all adapters share. */
 export class StoreClient extends Disposable {
--- a/src/platform/store-position.ts
+++ b/src/platform/store-position.ts
@@ -2,6 +2,8 @@
 
 /** Offsets of a generation of the store stay below this number, so that a position, as a number, holds both. At 1,000 records a second they reach it after eight years. */
 const offsetLimit = 2 ** 38;
+/** Largest offset that a position holds. */
+export const maximumOffset = offsetLimit - 1;
 /** Largest generation whose positions a number represents exactly. */
 export const maximumGeneration =
 	Math.floor(Number.MAX_SAFE_INTEGER / offsetLimit) - 1;
--- a/test/process/odd-input.ts
+++ b/test/process/odd-input.ts
@@ -134,14 +134,19 @@
 		return this.version;
 	}
 
+	/** True once the host has put a configuration in force. */
+	uses(version: number): boolean {
+		return this.host.process.lines.some(
+			(line) =>
+				line.includes('"document-applied"') &&
+				new RegExp(`"version":${version}[,}]`).test(line),
+		);
+	}
+
 	/** Waits until the host uses a configuration. */
 	async waitForConfiguration(version: number): Promise<void> {
 		await waitUntil(`configuration ${version} is used`, () =>
-			this.host.process.lines.some(
-				(line) =>
-					line.includes('"document-applied"') &&
-					new RegExp(`"version":${version}[,}]`).test(line),
-			),
+			this.uses(version),
 		);
 	}
 
