Check documents and addresses that other hosts report before they are used

A host took the document in a report as it was. One without routes or with a fractional version threw in the middle of its application: the host kept half of it and no later configuration came into force, and reports failed because the version is sent as an integer. An address of a host of which no URL can be made threw where calls are made: a forwarded request then waited until its deadline, and requests for permits stopped for good.

Documents between hosts are now decoded by a schema that keeps the fields of later builds; an unreadable one is logged as document-unreadable and ignored. Addresses of relays, peers and the owner at which no call can be made are ignored. Sizes that overflow to infinity, which JSON cannot hold, are cut.

--- a/src/contracts/forwarding-document.ts
+++ b/src/contracts/forwarding-document.ts
@@ -1,3 +1,6 @@
+import {type Result} from 'neverthrow';
+import {z} from 'zod';
+import {decodeJson, durationSchema} from './bounded-json.js';
 import {type ModelId, type PoolName, type RouteName} from './ids.js';
 
 /** Whether requests of a route may be sent again after a failure. A stream may only if its route is resumable. */
@@ -79,3 +82,65 @@
 	readonly pools: readonly ForwardingPool[];
 	readonly limits: RequestLimits;
 };
+
+/** Size of a document between hosts. The check of a larger one would block the event loop. */
+const maximumDocumentBytes = 16_777_216;
+
+// Fields of later builds are kept, because a host passes on the documents that it receives.
+const documentSchema = z.looseObject({
+	/** Reports between hosts carry it as an integer. */
+	version: z.number().int().nonnegative(),
+	routes: z.array(
+		z.looseObject({
+			name: z.string(),
+			hostName: z.string(),
+			pathPrefix: z.string(),
+			kind: z.enum(['idempotent', 'non-idempotent', 'stream']),
+			timeoutMilliseconds: durationSchema,
+			latencyObjectiveMilliseconds: durationSchema,
+			priority: z.number(),
+			maximumExecutions: z.number(),
+			isResumable: z.boolean(),
+			pools: z.array(z.looseObject({pool: z.string(), weight: z.number()})),
+		}),
+	),
+	pools: z.array(
+		z.looseObject({
+			name: z.string(),
+			maximumConnections: z.number(),
+			engine: z
+				.looseObject({
+					memoryBytes: z.number(),
+					adapterSlots: z.number(),
+					loadsPerSecond: z.number(),
+					models: z.array(
+						z.looseObject({
+							id: z.string(),
+							bytes: z.number(),
+							loadMilliseconds: z.number(),
+							adapterCount: z.number(),
+							adapterBytes: z.number(),
+						}),
+					),
+				})
+				.optional(),
+		}),
+	),
+	limits: z.looseObject({
+		headerBytes: z.number(),
+		bodyBytes: z.number(),
+		headerTimeoutMilliseconds: durationSchema,
+		idleTimeoutMilliseconds: durationSchema,
+	}),
+});
+
+/** Decodes a document of another host, or states why it is unreadable. */
+export function decodeForwardingDocument(
+	text: string,
+): Result<ForwardingDocument, string> {
+	return decodeJson(
+		Buffer.from(text),
+		documentSchema,
+		maximumDocumentBytes,
+	).map((document) => document as unknown as ForwardingDocument);
+}
--- a/src/contracts/target-address.ts
+++ b/src/contracts/target-address.ts
@@ -10,3 +10,11 @@
 	const port = addressPattern.exec(address)?.[1];
 	return port !== undefined && Number(port) <= maximumPort;
 }
+
+/** True for `host:port` of a host, which may have a name, at which a call can be made. */
+export function isHostAddress(address: string): boolean {
+	return (
+		/^(?:[\w.-]+|\[[\d:a-f]+]):[1-9]\d{0,4}$/i.test(address) &&
+		URL.canParse(`http://${address}`)
+	);
+}
--- a/src/platform/document-state.ts
+++ b/src/platform/document-state.ts
@@ -153,15 +153,15 @@
 			name: service.name as PoolName,
 			maximumConnections: service.max_conns,
 			engine: service.engine && {
-				memoryBytes: service.engine.weights_mb * bytesPerMegabyte,
+				memoryBytes: toBytes(service.engine.weights_mb),
 				adapterSlots: service.engine.lora_slots,
 				loadsPerSecond: service.engine.loads_per_s,
 				models: service.engine.models.map((model) => ({
 					id: model.name as ModelId,
-					bytes: Math.ceil(model.weights_mb * bytesPerMegabyte),
-					loadMilliseconds: model.load_s * 1000,
+					bytes: toBytes(model.weights_mb),
+					loadMilliseconds: Math.min(Number.MAX_VALUE, model.load_s * 1000),
 					adapterCount: model.adapters,
-					adapterBytes: Math.ceil(model.adapter_mb * bytesPerMegabyte),
+					adapterBytes: toBytes(model.adapter_mb),
 				})),
 			},
 		})),
@@ -173,3 +173,8 @@
 		},
 	};
 }
+
+/** Converts a size. Infinity cannot be sent to other hosts. */
+function toBytes(megabytes: number): number {
+	return Math.min(Number.MAX_VALUE, Math.ceil(megabytes * bytesPerMegabyte));
+}
--- a/src/program/forwarding-root.ts
+++ b/src/program/forwarding-root.ts
@@ -16,7 +16,6 @@
 import {SystemClock} from '../base/node/system-clock.js';
 import {wait} from '../base/node/wait.js';
 import {forwardingEvents} from '../contracts/events/forwarding-events.js';
-import {type ForwardingDocument} from '../contracts/forwarding-document.js';
 import {type TargetListChange} from '../contracts/listed-target.js';
 import {type DocumentChange} from '../contracts/shared-store.js';
 import {CrashCorrelation} from '../core/crash-correlation.js';
@@ -663,6 +662,9 @@
 	): void {
 		if (document) {
 			this.takeDocument(document);
+		}
+
+		if (document?.kind === 'document') {
 			this.documents.receive({
 				changes: [],
 				isSnapshot: false,
@@ -682,8 +684,8 @@
 	}
 
 	/** Puts a document of another host in force if it is newer than the current one. */
-	private takeDocument(document: ForwardingDocument): void {
-		this.applyDocument({kind: 'document', document});
+	private takeDocument(change: DocumentChange): void {
+		this.applyDocument(change);
 		this.view.setDocument(
 			this.documents.currentPosition,
 			this.service.currentDocument,
--- a/src/services/forwarding/report-client.ts
+++ b/src/services/forwarding/report-client.ts
@@ -8,6 +8,8 @@
 import {wait} from '../../base/node/wait.js';
 import {forwardingEvents} from '../../contracts/events/forwarding-events.js';
 import {type ForwardingDocument} from '../../contracts/forwarding-document.js';
+import {type DocumentChange} from '../../contracts/shared-store.js';
+import {isHostAddress} from '../../contracts/target-address.js';
 import {
 	type FailureDomain,
 	type HostId,
@@ -34,6 +36,7 @@
 import {type PlacementOwner} from './placement-owner.js';
 import {
 	fromDocumentField,
+	fromPeerAddresses,
 	fromLeaseState,
 	fromRateChange,
 	fromTargetContent,
@@ -100,7 +103,7 @@
 	/** Version of the document in force on the sender, 0 for none. */
 	readonly documentVersion: number;
 	/** The document in force, sent to a host that cannot read it from the store. */
-	readonly document: ForwardingDocument | undefined;
+	readonly document: DocumentChange | undefined;
 };
 
 /** The call to the owner or a relay failed. */
@@ -351,7 +354,9 @@
 		const {holder, host} = this.options;
 		const owner = holder();
 		return this.route.destination(
-			owner && owner.host !== host ? owner.peerAddress : undefined,
+			owner && owner.host !== host && isHostAddress(owner.peerAddress)
+				? owner.peerAddress
+				: undefined,
 		);
 	}
 
@@ -509,7 +514,7 @@
 		const isApplied = this.applyUpdate({
 			hostCount: response.hostCount,
 			ownerSilenceMilliseconds: response.ownerSilenceMilliseconds,
-			peerAddresses: response.peerAddresses,
+			peerAddresses: fromPeerAddresses(response.peerAddresses),
 			contents: isNew ? response.contents.map(fromTargetContent) : [],
 			targetList: targetList && {
 				changes: isNew ? fromTargetListUpdate(targetList) : [],
@@ -526,8 +531,11 @@
 			this.knownRevision = revision;
 		}
 
-		if (response.isOwner && response.relayAddress !== this.route.relay) {
-			this.route.applyAssignment(response.relayAddress);
+		const relayAddress = isHostAddress(response.relayAddress)
+			? response.relayAddress
+			: '';
+		if (response.isOwner && relayAddress !== this.route.relay) {
+			this.route.applyAssignment(relayAddress);
 			this.options.events.record(forwardingEvents.relayAssigned, {
 				relay: this.route.relay,
 				hosts: response.hostCount,
--- a/src/services/forwarding/report-messages.ts
+++ b/src/services/forwarding/report-messages.ts
@@ -1,5 +1,9 @@
 import {type MessageInitShape} from '@bufbuild/protobuf';
-import {type ForwardingDocument} from '../../contracts/forwarding-document.js';
+import {
+	decodeForwardingDocument,
+	type ForwardingDocument,
+} from '../../contracts/forwarding-document.js';
+import {type DocumentChange} from '../../contracts/shared-store.js';
 import {
 	type AdapterId,
 	type FailureDomain,
@@ -17,7 +21,10 @@
 	type ListedTarget,
 	type TargetListChange,
 } from '../../contracts/listed-target.js';
-import {isTargetAddress} from '../../contracts/target-address.js';
+import {
+	isHostAddress,
+	isTargetAddress,
+} from '../../contracts/target-address.js';
 import {type SuspicionReport} from '../../contracts/suspicion-report.js';
 import {type BrittleNews} from '../../core/brittle-targets.js';
 import {type HostDemand} from '../../core/host-demand.js';
@@ -223,17 +230,29 @@
 	return version === '' ? undefined : (version as SoftwareVersion);
 }
 
-/** Parses the document in a message, which comes from a host of the same fleet. */
+/** Parses the document in a message. */
 export function fromDocumentField(
 	document: string | undefined,
-): ForwardingDocument | undefined {
+): DocumentChange | undefined {
 	return document === undefined
 		? undefined
-		: (JSON.parse(document) as ForwardingDocument);
+		: decodeForwardingDocument(document).match<DocumentChange>(
+				(readable) => ({kind: 'document', document: readable}),
+				(reason) => ({
+					kind: 'unreadable',
+					reason: `sent by another host: ${reason}`,
+				}),
+			);
 }
 
-/** Converts the reporting host of a message to a candidate for a relay. */
-export function toRelayCandidate(message: ReportRequest): RelayCandidate {
+/** Converts the reporting host of a message to a candidate for a relay. Undefined when no call can be made to its address. */
+export function toRelayCandidate(
+	message: ReportRequest,
+): RelayCandidate | undefined {
+	if (!isHostAddress(message.peerAddress)) {
+		return undefined;
+	}
+
 	return {
 		host: message.host as HostId,
 		failureDomain: message.failureDomain as FailureDomain,
@@ -243,6 +262,11 @@
 	};
 }
 
+/** Returns the addresses of hosts in a message at which calls can be made. */
+export function fromPeerAddresses(addresses: readonly string[]): string[] {
+	return addresses.filter((address) => isHostAddress(address));
+}
+
 /** Converts an entry of the target list to a message. */
 export function toListedTarget(
 	target: ListedTarget,
--- a/src/services/forwarding/report-server.ts
+++ b/src/services/forwarding/report-server.ts
@@ -5,13 +5,13 @@
 import {type Clock} from '../../base/common/clock.js';
 import {Disposable} from '../../base/common/disposable.js';
 import {listenOn, type ListenError} from '../../base/node/listen.js';
-import {type ForwardingDocument} from '../../contracts/forwarding-document.js';
 import {
 	type HostId,
 	type RequestId,
 	type SoftwareVersion,
 	type TargetId,
 } from '../../contracts/ids.js';
+import {type DocumentChange} from '../../contracts/shared-store.js';
 import {DemandCollector} from '../../core/demand-collector.js';
 import {type BrittleTargets} from '../../core/brittle-targets.js';
 import {type HostDemand} from '../../core/host-demand.js';
@@ -98,7 +98,7 @@
 	/** Called with a target that said that it leaves, in an answer to another host. */
 	readonly onLeavingTarget: (target: LeavingTarget) => void;
 	/** Called with a document that is newer than the one of this host, in the report of another one. */
-	readonly onDocumentReceived: (document: ForwardingDocument) => void;
+	readonly onDocumentReceived: (document: DocumentChange) => void;
 	/** Adds further calls between hosts to the listener. */
 	readonly addRoutes?: (router: ConnectRouter) => void;
 };
@@ -316,7 +316,11 @@
 		const {owner, isOwner, relayedState, onUrgentReport} = this.options;
 		const demand = fromReportRequest(request);
 		if (isOwner()) {
-			this.relays.apply(toRelayCandidate(request));
+			const candidate = toRelayCandidate(request);
+			if (candidate) {
+				this.relays.apply(candidate);
+			}
+
 			owner.applyDemand(demand);
 			return true;
 		}
