Answer a request whose peer sends a malformed head

Node.js throws for a status outside 100 to 999, an odd number of header items and invalid names or values. The call to the peer then counted as answered, and the caller waited for nothing.

Such a head now counts as a lost answer of the peer.

--- a/src/services/forwarding/peer-call.ts
+++ b/src/services/forwarding/peer-call.ts
@@ -1,3 +1,4 @@
+import {validateHeaderName, validateHeaderValue} from 'node:http';
 import {type MessageInitShape} from '@bufbuild/protobuf';
 import {Code, ConnectError, type Client} from '@connectrpc/connect';
 import {ExpiryTimer} from '../../base/node/expiry-timer.js';
@@ -157,6 +158,11 @@
 	}
 
 	private handleHead(head: Head): void {
+		if (!canSendHead(head)) {
+			this.end({kind: 'lost', reason: 'the peer sent a malformed head'});
+			return;
+		}
+
 		this.head = head;
 		if (head.isStream && !this.options.request.startStream(toMetadata(head))) {
 			this.end({
@@ -247,6 +253,24 @@
 	}
 }
 
+/** True when Node.js accepts the head of a final response. It throws for any other. */
+function canSendHead({status, headers}: Head): boolean {
+	if (status < 200 || status > 999 || headers.length % 2 !== 0) {
+		return false;
+	}
+
+	try {
+		for (let index = 0; index < headers.length; index += 2) {
+			validateHeaderName(headers[index]!);
+			validateHeaderValue(headers[index]!, headers[index + 1]!);
+		}
+	} catch {
+		return false;
+	}
+
+	return true;
+}
+
 function fromFailure({
 	mayHaveRun,
 	reason,
