Cut times that no timer can hold where timers are set

The longest timeout that a configuration can name, 2^31 - 1 ms, exceeded the range of timers once an allowance was added. The timer fired at once, requests of the route expired within a millisecond, and Node.js wrote a warning to standard error. Settings with longer times made the followers of the store read without a pause.

--- a/src/base/node/expiry-timer.ts
+++ b/src/base/node/expiry-timer.ts
@@ -1,3 +1,5 @@
+import {maximumTimerMilliseconds} from '../common/timer-limits.js';
+
 /**
  * A restartable timeout. It calls back unless it is restarted, paused or stopped in time.
  *
@@ -24,11 +26,14 @@
 
 		clearTimeout(this.timer);
 		this.milliseconds = milliseconds;
-		this.timer = setTimeout(() => {
-			if (!this.isPaused) {
-				this.immediate = setImmediate(this.callback);
-			}
-		}, milliseconds);
+		this.timer = setTimeout(
+			() => {
+				if (!this.isPaused) {
+					this.immediate = setImmediate(this.callback);
+				}
+			},
+			Math.min(maximumTimerMilliseconds, milliseconds),
+		);
 	}
 
 	/**
--- a/src/contracts/bounded-json.ts
+++ b/src/contracts/bounded-json.ts
@@ -1,9 +1,8 @@
 import {isUtf8} from 'node:buffer';
 import {err, ok, type Result} from 'neverthrow';
 import {z} from 'zod';
+import {maximumTimerMilliseconds} from '../base/common/timer-limits.js';
 
-/** Longest time that a timer can wait for, in milliseconds. With a longer one it would run at once. */
-const maximumTimerMilliseconds = 2_147_483_647;
 /** Characters of a name. */
 const maximumNameLength = 256;
 /** Items of one list, such as the models of a target. */
--- a/src/program/forwarding-settings.ts
+++ b/src/program/forwarding-settings.ts
@@ -1,11 +1,18 @@
 import {type Result} from 'neverthrow';
 import {z} from 'zod';
+import {maximumTimerMilliseconds} from '../base/common/timer-limits.js';
 import {failureDomainSchema, hostIdSchema} from '../contracts/ids.js';
 import {readTextFile} from './settings-loader.js';
 import {listenAddressSchema, logSettingsSchema} from './settings.js';
 import {YamlSource, type YamlValidationError} from './yaml-validation.js';
 
-const positiveMillisecondsSchema = z.number().positive();
+/** A time that a timer waits for. One that it cannot wait for is cut. */
+const positiveMillisecondsSchema = z
+	.number()
+	.positive()
+	.transform((milliseconds) =>
+		Math.min(maximumTimerMilliseconds, milliseconds),
+	);
 
 /** Settings of a forwarding host. Settings that the whole fleet shares are in the operators' document. */
 export const forwardingSettingsSchema = z.strictObject({
--- a/src/services/forwarding/forwarded-request.ts
+++ b/src/services/forwarding/forwarded-request.ts
@@ -1,6 +1,7 @@
 import {err, ok, type Result} from 'neverthrow';
 import {type Clock} from '../../base/common/clock.js';
 import {type EventLogger} from '../../base/common/event-logger.js';
+import {maximumTimerMilliseconds} from '../../base/common/timer-limits.js';
 import {forwardingEvents} from '../../contracts/events/forwarding-events.js';
 import {type RouteRule} from '../../contracts/forwarding-document.js';
 import {
@@ -196,7 +197,10 @@
 	start(onExpired: () => void): void {
 		this.timer = setTimeout(
 			onExpired,
-			Math.max(0, this.remainingMilliseconds() + deadlineGraceMilliseconds),
+			Math.min(
+				maximumTimerMilliseconds,
+				Math.max(0, this.remainingMilliseconds() + deadlineGraceMilliseconds),
+			),
 		);
 	}
 
