--- a/src/program/forwarding-root.ts
+++ b/src/program/forwarding-root.ts
@@ -16,7 +16,6 @@
 import {SystemClock} from '../base/node/system-clock.js';
 import {wait} from '../base/node/wait.js';
 import {forwardingEvents} from '../contracts/events/forwarding-events.js';
-import {type ForwardingDocument} from '../contracts/forwarding-document.js';
 import {type TargetListChange} from '../contracts/listed-target.js';
 import {type DocumentChange} from '../contracts/shared-store.js';
 import {CrashCorrelation} from '../core/crash-correlation.js';
@@ -197,7 +196,7 @@
 				limits: rateLimits,
 				port: new ChargedOrderPort(
 					new PlatformOrderPort(
-						({id}) => registry.getConnections(id)?.dispatcher,
+						({id}) => registry.getConnections(id),
 						({
 							target: {id, residency},
 							isLeaving,
@@ -698,6 +697,9 @@
 	): void {
 		if (document) {
 			this.takeDocument(document);
+		}
+
+		if (document?.kind === 'document') {
 			this.documents.receive({
 				changes: [],
 				isSnapshot: false,
@@ -717,8 +719,8 @@
 	}
 
 	/** Puts a document of another host in force if it is newer than the current one. */
-	private takeDocument(document: ForwardingDocument): void {
-		this.applyDocument({kind: 'document', document});
+	private takeDocument(change: DocumentChange): void {
+		this.applyDocument(change);
 		this.view.setDocument(
 			this.documents.currentPosition,
 			this.service.currentDocument,
