Begin late in a stop only what certainly ends

Callers lost streams that a stopping host had begun shortly before its end: one execution, not resumable, 47 events on average and up to 159. The host judged them by the average time of the route plus four deviations. A host that has just started knows two or three short answers, and begins a stream of 159 events 3.5 s after SIGTERM as if it were one of them.

From 2.7 s after SIGTERM on it is begun only if its deadline ends before the stop, because a target may become many times slower at any moment; refusing costs the caller one attempt, a cut its whole answer.

The times of the stop count from the signal. A signal that a blocked event loop or a frozen process notices late counts from the last run of the timer that measures the delay of the loop.

--- a/src/program/forwarding-root.ts
+++ b/src/program/forwarding-root.ts
@@ -500,12 +500,17 @@
 		}
 
 		const signalledAt = new Date().toISOString();
-		const startedAt = this.clock.monotonic();
+		// The end counts from the signal, which a blocked event loop notices late.
+		const noticedAfterMilliseconds = this.service.signalDelayMilliseconds();
+		const startedAt = this.clock.monotonic() - noticedAfterMilliseconds;
 		const elapsed = () => this.clock.monotonic() - startedAt;
 		const endMilliseconds =
 			this.settings.stopSeconds * 1000 - stopMarginMilliseconds;
 		this.isStopping = true;
-		this.service.beginStop(startedAt + endMilliseconds);
+		this.service.beginStop(
+			startedAt + endMilliseconds,
+			startedAt + stopListeningMilliseconds,
+		);
 		this.events.record(forwardingEvents.hostStopping, {
 			openRequests: this.service.openRequests,
 		});
@@ -534,6 +539,7 @@
 			openRequests,
 			...counts,
 			signalledAt,
+			noticedAfterMilliseconds: Math.round(noticedAfterMilliseconds),
 			milliseconds: Math.round(elapsed()),
 		});
 		await this.sendLastResponses(
--- a/src/services/forwarding/forwarding-service.ts
+++ b/src/services/forwarding/forwarding-service.ts
@@ -136,6 +136,8 @@
 	/** Interval of the timer that calls `recordEventLoopDelay`. Infinite before its first call. */
 	private intervalMilliseconds = Number.POSITIVE_INFINITY;
 	private stalledAt = Number.NEGATIVE_INFINITY;
+	/** Length of the last stall. */
+	private stalledMilliseconds = 0;
 	private readonly stopAdmission: StopAdmission;
 	/** Responses to callers whose bytes have not all left the process, with the ids of their requests. */
 	private readonly openResponses = new Map<ServerResponse, RequestId>();
@@ -207,6 +209,7 @@
 		);
 		if (delay >= stallThresholdMilliseconds) {
 			this.stalledAt = now;
+			this.stalledMilliseconds = delay;
 			this.options.events.record(forwardingEvents.eventLoopStalled, {
 				milliseconds: Math.round(delay),
 			});
@@ -220,10 +223,23 @@
 		}
 	}
 
-	/** Begins the stop, which ends at a monotonic time: from now on each response closes its connection, and only requests whose answers end before are begun. */
-	beginStop(endsAt: number): void {
+	/** Begins the stop, which ends at a monotonic time: from now on each response closes its connection, and only requests whose answers end before are begun. What is begun from `mustEndFrom` on must end in any case. */
+	beginStop(endsAt: number, mustEndFrom = endsAt): void {
 		this.isStopping = true;
-		this.stopAdmission.begin(endsAt);
+		this.stopAdmission.begin({mustEndFrom, endsAt});
+	}
+
+	/** Time by which a signal that is noticed now may be older: the event loop was blocked for so long until a moment ago. */
+	signalDelayMilliseconds(): number {
+		const now = this.options.clock.monotonic();
+		const overdue = now - this.lastIntervalAt - this.intervalMilliseconds;
+		if (overdue >= stallThresholdMilliseconds) {
+			return now - this.lastIntervalAt;
+		}
+
+		return now - this.stalledAt < stallThresholdMilliseconds
+			? this.stalledMilliseconds + now - this.stalledAt
+			: 0;
 	}
 
 	/** Refuses new requests and those not sent yet as not executed, because an execution that began now would be interrupted at the end of the stop. Called repeatedly, because a target may still refuse a request that was sent before. */
--- a/test/process/stop-answers.test.ts
+++ b/test/process/stop-answers.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import {connect, type Socket} from 'node:net';
 import {after, afterEach, before, beforeEach, test} from 'node:test';
+import {SeededRandomSource} from '../../src/base/common/random-source.js';
 import {StandInStore} from '../platform/stand-in-store.js';
 import {
 	completeResponse,
@@ -15,6 +16,8 @@
 } from './forwarding-host.js';
 import {waitUntil} from './processes.js';
 
+const seed = Number(process.env.STOP_SEED ?? 11);
+const random = new SeededRandomSource(seed);
 const store = new StandInStore();
 const worker = new StandInWorker('i-1');
 let workerAddress = '';
@@ -24,8 +27,14 @@
 
 /** Time between two events of a worker that is not slow. */
 const gapMilliseconds = 60;
-/** Tokens that an event holds. */
+/** Largest number of events, and tokens that each of them holds. */
+const largestEvents = 159;
 const tokensPerEvent = 4;
+/** Requests that a caller sends later than this after SIGTERM must not be cut. */
+const lateMilliseconds = 3000;
+/** Time from SIGTERM until a host is killed. Before its last sixth, no stream that a worker still writes may be cut. */
+const graceMilliseconds = 8000;
+
 const callers = new Set<Caller>();
 
 /** What a caller reads on one connection. */
@@ -121,6 +130,8 @@
 		silentMilliseconds?: number;
 	}
 >();
+/** Times at which workers sent the ends of answers. */
+const endedAt = new Map<string, number>();
 
 function stream(request: WorkerRequest): void {
 	const {headers, socket} = request;
@@ -133,6 +144,7 @@
 	} = plans.get(id) ?? {events: 5, slowdown: 1};
 	if (!request.path.startsWith('/summary/')) {
 		setTimeout(() => {
+			endedAt.set(id, performance.now());
 			socket.write(completeResponse(id, 'done'));
 		}, gapMilliseconds * slowdown);
 		return;
@@ -156,6 +168,7 @@
 		const event = formatEvent(sent);
 		socket.write(`${event.length.toString(16)}\r\n${event}\r\n`);
 		if (sent === events) {
+			endedAt.set(id, performance.now());
 			socket.write('0\r\n\r\n');
 			return;
 		}
@@ -170,6 +183,14 @@
 	setTimeout(sendNext, gapMilliseconds * slowdown);
 }
 
+/** Draws a number of events: 47 on average, with a heavy tail. */
+function drawEvents(): number {
+	return Math.min(
+		largestEvents,
+		Math.max(2, Math.round(-47 * Math.log(1 - random.next()))),
+	);
+}
+
 const largeBody = 'x'.repeat(4_000_000);
 
 let documentVersion = 0;
@@ -286,6 +307,70 @@
 	});
 }
 
+// Guards against a host that has just started, knows a few short answers, and begins a long stream that the end of its stop cuts.
+test('a stream that is sent late in the stop of a young host is whole or refused as not run', async (context) => {
+	for (let count = 0; count < 3; count++) {
+		const caller = createCaller();
+		caller.send('/summary/x', {events: 5});
+		await caller.waitForEnd();
+		assert.ok(caller.isWhole);
+		caller.socket.destroy();
+	}
+
+	// The process goes on until this stream ends.
+	const open = createCaller();
+	plans.set(open.id, {events: 100, slowdown: 1});
+	open.send('/summary/x', {events: 100});
+	await waitForWorker(open);
+	const signalledAt = await stopHost();
+	await waitFor(2600 - (performance.now() - signalledAt));
+	// These connections are accepted before the host stops listening and have had no request, so they are not idle.
+	const lastCallers = Array.from({length: 40}, () => createCaller());
+	for (const [index, caller] of lastCallers.entries()) {
+		const at = 2700 + index * 20;
+		await waitFor(at - (performance.now() - signalledAt));
+		const events = drawEvents();
+		const slowdown = random.next() < 0.25 ? 2 + 6 * random.next() : 1;
+		plans.set(caller.id, {events, slowdown});
+		caller.send('/summary/x', {events});
+	}
+
+	await host.process.waitForExit();
+	await Promise.all(lastCallers.map(async (caller) => caller.waitForEnd()));
+	const late = lastCallers.filter(
+		({sentAt}) => sentAt - signalledAt > lateMilliseconds,
+	);
+	const cut = lastCallers.filter(
+		(caller) => hasReachedWorker(caller) && !caller.isWhole,
+	);
+	const refused = lastCallers.filter(({status}) => status === 503);
+	context.diagnostic(
+		JSON.stringify({
+			seed,
+			sent: lastCallers.length,
+			late: late.length,
+			begun: lastCallers.filter((caller) => hasReachedWorker(caller)).length,
+			cut: cut.length,
+			cutLate: cut.filter((caller) => late.includes(caller)).length,
+			refused: refused.length,
+		}),
+	);
+	assert.ok(open.isWhole);
+	assert.ok(late.length > 10);
+	assert.equal(
+		lastCallers.filter(({status}) => status === undefined).length,
+		0,
+	);
+	assert.deepEqual(
+		cut.filter((caller) => late.includes(caller)).map(({id}) => id),
+		[],
+	);
+	for (const caller of refused) {
+		assert.ok(!hasReachedWorker(caller));
+		assert.match(caller.received, /\r\nretry-after/i);
+	}
+});
+
 // Guards against an answer whose last bytes have not left the process when its connection is closed as idle, or when the process ends.
 test('an answer that its caller reads slowly is whole', async () => {
 	worker.behaviour = ({headers, socket}) => {
@@ -358,3 +443,144 @@
 	assert.equal(stopped?.fields.cutRequests, 1);
 	assert.ok(stopped?.fields.signalledAt);
 });
+
+/** What became of one request of the mix. */
+type Outcome = {
+	readonly id: string;
+	readonly host: ForwardingTestHost;
+	readonly sentAt: number;
+	readonly status: number | undefined;
+	readonly isWhole: boolean;
+};
+
+/** Sends requests to a host one after the other, on a connection that is kept as long as the host keeps it. */
+async function callUntilExit(
+	target: ForwardingTestHost,
+	isKept: boolean,
+	outcomes: Outcome[],
+): Promise<void> {
+	let caller: Caller | undefined;
+	while (target.process.exitCode === undefined) {
+		lastCaller++;
+		const id = `c${lastCaller}`;
+		if (!caller || !isKept || caller.socket.destroyed || caller.isEnded) {
+			caller?.socket.destroy();
+			caller = new Caller(id, target.ports.callers);
+		}
+
+		caller.id = id;
+		caller.received = '';
+		const events = drawEvents();
+		plans.set(id, {
+			events,
+			slowdown: random.next() < 0.25 ? 2 + 6 * random.next() : 1,
+			silentAt: random.next() < 0.15 ? Math.ceil(random.next() * events) : 0,
+			silentMilliseconds: 2800 * random.next(),
+		});
+		const path = random.next() < 0.2 ? '/once/x' : '/summary/x';
+		caller.send(path, {events});
+		const {sentAt} = caller;
+		while (
+			!caller.isWhole &&
+			!caller.isEnded &&
+			!caller.socket.destroyed &&
+			performance.now() - sentAt < 20_000
+		) {
+			await waitFor(5);
+		}
+
+		outcomes.push({
+			id,
+			host: target,
+			sentAt,
+			status: caller.status,
+			isWhole: caller.isWhole,
+		});
+		if (/\r\nconnection: close/i.test(caller.received)) {
+			caller.socket.destroy();
+		}
+
+		await waitFor(50 * random.next());
+	}
+}
+
+// Guards against answers that are cut because something else changes while a host stops.
+test('two hosts that stop at once cut no answer while targets leave and the configuration changes', async (context) => {
+	const second = await startForwardingHost(`h${hostCount}-2`, {
+		store: storeAddress,
+		targets: {drainMilliseconds: 2000},
+	});
+	await second.process.json(
+		'the second host is ready',
+		({message}) => message === 'forwarding-ready',
+	);
+	const leaving = new StandInWorker('i-2');
+	leaving.behaviour = stream;
+	const leavingAddress = await leaving.start();
+	listWorker(leaving.id, leavingAddress, 'ready', 1);
+	const outcomes: Outcome[] = [];
+	const calls = [host, second].flatMap((target) =>
+		Array.from({length: 10}, async (_, index) =>
+			callUntilExit(target, index % 2 === 0, outcomes),
+		),
+	);
+	await waitFor(4000);
+	const signalledAt = await stopHost();
+	second.process.signal('SIGTERM');
+	await waitFor(500);
+	listWorker(leaving.id, leavingAddress, 'draining', 2);
+	await waitFor(500);
+	putConfiguration();
+	await waitFor(1000);
+	store.put('keyed.servers', leaving.id, undefined);
+	await Promise.all(calls);
+	const reached = new Set(
+		[...worker.requests, ...leaving.requests].map(({headers}) =>
+			headers.get('request-id'),
+		),
+	);
+	leaving.stop();
+	store.put('keyed.servers', leaving.id, undefined);
+	const cut = outcomes.filter(({id, isWhole}) => reached.has(id) && !isWhole);
+	const counted = cut.filter(
+		({id, sentAt}) =>
+			sentAt - signalledAt > lateMilliseconds ||
+			(endedAt.get(id) ?? Number.POSITIVE_INFINITY) - signalledAt <
+				graceMilliseconds * (5 / 6),
+	);
+	const during = outcomes.filter(({sentAt}) => sentAt > signalledAt);
+	context.diagnostic(
+		JSON.stringify({
+			seed,
+			sent: outcomes.length,
+			sentInStop: during.length,
+			begunInStop: during.filter(({id}) => reached.has(id)).length,
+			refusedInStop: during.filter(({status}) => status === 503).length,
+			cut: cut.length,
+			counted: counted.length,
+		}),
+	);
+	assert.ok(outcomes.some(({isWhole, status}) => isWhole && status === 200));
+	assert.deepEqual(counted, []);
+	assert.equal(await host.process.waitForExit(), 0);
+	assert.equal(await second.process.waitForExit(), 0);
+});
+
+// Guards against a stop that counts from when the process notices the signal, and is killed before it has answered.
+test('a host that was frozen when the signal came ends within the time of its stop', async () => {
+	const caller = createCaller();
+	plans.set(caller.id, {events: 100_000, slowdown: 1});
+	caller.send('/summary/x', {events: 100});
+	await waitForWorker(caller);
+	// The host measures from the last run of a timer, which is up to 250 ms old when the freeze begins.
+	await waitFor(1000);
+	host.process.signal('SIGSTOP');
+	await waitFor(100);
+	const signalledAt = performance.now();
+	host.process.signal('SIGTERM');
+	await waitFor(2000);
+	host.process.signal('SIGCONT');
+	assert.equal(await host.process.waitForExit(), 0);
+	const milliseconds = performance.now() - signalledAt;
+	assert.ok(milliseconds < graceMilliseconds, `${milliseconds} ms`);
+});
