Offer no request to another host that a stop would cut

A host that reaches no target of a pool forwards its requests to other hosts, and to the next one when one has not run them. It asked whether the answer would end before its own stop only when the request arrived, so a request that came back late in the stop was forwarded again and cut at its end.

The check is now made before each call to another host. The new test fails without it (two hosts get the request) and passes with it, three times.

--- a/src/services/forwarding/forward-dispatch.ts
+++ b/src/services/forwarding/forward-dispatch.ts
@@ -223,6 +223,11 @@
 		return this.requests.values();
 	}
 
+	/** False when this host stops before the answer to a request that is sent now would end. */
+	mayBegin(request: ForwardedRequest): boolean {
+		return this.options.mayBegin(request);
+	}
+
 	/** Requests that were refused lately for lack of capacity, by model. */
 	refusedRequests(): ReadonlyMap<ModelId, number> {
 		return this.refusedDemand.counts();
--- a/src/services/forwarding/peer-forwarder.ts
+++ b/src/services/forwarding/peer-forwarder.ts
@@ -26,6 +26,7 @@
 const maximumPeers = 3;
 /** Retry delay sent when no peer takes a request. The caller may reach another host by then. */
 const noPeerRetryMilliseconds = 500;
+const stoppingReason = 'the host stops before the request could end';
 /** Margin by which the deadline at a peer precedes that of this host, so that the statement of the peer arrives first. */
 const deadlineMarginMilliseconds = 20;
 /** Remaining time below which a request is not sent to a peer. */
@@ -54,6 +55,11 @@
 				return;
 			}
 
+			if (!dispatch.mayBegin(request)) {
+				request.refuse(stoppingReason, noPeerRetryMilliseconds);
+				return;
+			}
+
 			const peer =
 				excluded.size < maximumPeers
 					? selection.choose(knownPeers(), excluded)
--- a/test/forwarding/peer-forwarding.test.ts
+++ b/test/forwarding/peer-forwarding.test.ts
@@ -627,3 +627,23 @@
 	assert.equal(result.isComplete, true);
 	assert.equal(written, eventCount);
 });
+
+// Guards against a request that one host has not run and that a stopping host offers to the next one, whose answer the end of the stop would cut.
+test('a request that another host has not run is not forwarded again once its answer would come after the stop', async () => {
+	const refuseLate: WorkerBehaviour = (request) => {
+		setTimeout(() => {
+			respondNotRun()(request);
+		}, 300);
+	};
+
+	for (let index = 0; index < 2; index++) {
+		await addWorker(await addHost(), refuseLate);
+	}
+
+	const call = first.call('/once/x', {body: 'b'});
+	await waitUntil('a worker has the request', () => requestCount() === 1);
+	first.service.beginStop(first.clock.monotonic() + 500);
+	const {status} = await call;
+	assert.equal(status, 503);
+	assert.equal(workers.filter(({requests}) => requests.length > 0).length, 1);
+});
