End the hosts of a fault soak that is stopped

Hosts live on when the process that started them is ended, and one that was being started at the end of a soak was not killed. The soak now kills its hosts when its process exits, also by SIGINT and SIGTERM, and a host that starts too late at once. Workers end with the channel to the soak.

--- a/test/soak/run-soak.ts
+++ b/test/soak/run-soak.ts
@@ -26,6 +26,12 @@
 	actions?: boolean;
 }>();
 
+for (const signal of ['SIGINT', 'SIGTERM'] as const) {
+	process.once(signal, () => {
+		process.exit(1);
+	});
+}
+
 for (let seed = firstSeed; seed < firstSeed + options.seeds; seed++) {
 	const {violations, outcomes, reports, actions, logs} = await runSoak({
 		...options,
--- a/test/soak/soak-fleet.ts
+++ b/test/soak/soak-fleet.ts
@@ -1,3 +1,4 @@
+import process from 'node:process';
 import {LoopbackProxy} from '../loopback-proxy.js';
 import {StandInStore, type StoreCopy} from '../platform/stand-in-store.js';
 import {
@@ -68,6 +69,7 @@
 
 	/** Starts everything and waits until all hosts are ready. */
 	async start(hostCount: number): Promise<void> {
+		process.once('exit', this.killHosts);
 		this.store.generation = 1;
 		this.storeProxy = new LoopbackProxy(await this.store.start());
 		this.storeAddress = await this.storeProxy.start();
@@ -124,6 +126,11 @@
 			seenVersion: 0,
 		};
 		this.lives.push(life);
+		if (this.isStopping) {
+			host.process.signal('SIGKILL');
+			return;
+		}
+
 		host.process.child.once('exit', (code, signal) => {
 			this.handleHostExit(life, code, signal);
 		});
@@ -264,10 +271,7 @@
 			clearInterval(timer);
 		}
 
-		for (const {host} of this.lives) {
-			host.process.signal('SIGKILL');
-		}
-
+		this.killHosts();
 		for (const worker of this.workers) {
 			worker.kill();
 		}
@@ -275,10 +279,18 @@
 		await waitUntil('all processes have ended', () =>
 			this.lives.every(({host}) => host.process.exitCode !== undefined),
 		);
+		process.off('exit', this.killHosts);
 		this.storeProxy?.stop();
 		this.store.stop();
 	}
 
+	/** Workers end by themselves with the process of the soak, hosts do not. */
+	private readonly killHosts = (): void => {
+		for (const {host} of this.lives) {
+			host.process.signal('SIGKILL');
+		}
+	};
+
 	private writeConfiguration(): void {
 		const version = this.configurationVersion;
 		const route = (
