Send late bodies in parts in the test of a stop

Half of the streams that are sent late in the stop of a young host now have a body in chunks whose last one follows up to 0.3 s after the head.

--- a/test/process/stop-answers.test.ts
+++ b/test/process/stop-answers.test.ts
@@ -92,6 +92,26 @@
 		);
 	}
 
+	/** Sends a request with a body in chunks. The last one follows after the given time. */
+	sendSlowly(path: string, events: number, milliseconds: number): void {
+		this.socket.write(
+			[
+				`POST ${path} HTTP/1.1`,
+				'Host: a.example',
+				`Request-Id: ${this.id}`,
+				'Deadline-Ms: 15000',
+				`Token-Count: 10,${events * tokensPerEvent}`,
+				'Transfer-Encoding: chunked',
+				'',
+				'5\r\nbegin\r\n',
+			].join('\r\n'),
+		);
+		setTimeout(() => {
+			this.sentAt = performance.now();
+			this.socket.write('3\r\nend\r\n0\r\n\r\n');
+		}, milliseconds);
+	}
+
 	get status(): number | undefined {
 		return this.received === ''
 			? undefined
@@ -332,7 +352,12 @@
 		const events = drawEvents();
 		const slowdown = random.next() < 0.25 ? 2 + 6 * random.next() : 1;
 		plans.set(caller.id, {events, slowdown});
-		caller.send('/summary/x', {events});
+		// Every second body arrives in parts, the last one some tenths of a second after the head.
+		if (index % 2 === 0) {
+			caller.send('/summary/x', {events});
+		} else {
+			caller.sendSlowly('/summary/x', events, 300 * random.next());
+		}
 	}
 
 	await host.process.waitForExit();
