Wait for listen addresses that are in use or not there yet

The holder is usually the process before it, which is about to end, or an outgoing connection that got the port while nobody listened on it.

listenOn tries again for 30 s with a delay that grows from 50 to 500 ms, when the error is EADDRINUSE or EADDRNOTAVAIL. Other errors fail at once, and the failure of one listener ends the attempts of the others. The peer server of run uses listenOn as well. The host follows the store only when all listeners are open, and /ready says 503 until then. Events 7074 and 7075 record failed attempts and the late opening.

Not covered: the side of a connection that closes first keeps its local port in the state TIME_WAIT for 60 s. A host on such a port still ends after 30 s.

--- a/src/base/node/http-listener.ts
+++ b/src/base/node/http-listener.ts
@@ -5,7 +5,7 @@
 import {type Hono} from 'hono';
 import {type Result} from 'neverthrow';
 import {Disposable} from '../common/disposable.js';
-import {listenOn, type ListenError} from './listen.js';
+import {listenOn, type ListenError, type ListenOptions} from './listen.js';
 
 /** Certificate chain and private key of a listener, in PEM format. */
 export type TlsIdentity = {
@@ -65,8 +65,9 @@
 	async listen(
 		port: number,
 		hostname: string,
+		options?: ListenOptions,
 	): Promise<Result<number, ListenError>> {
-		return listenOn(this.server, port, hostname);
+		return listenOn(this.server, port, hostname, options);
 	}
 
 	/** Stops accepting connections and closes the open ones after a grace period. Requests must have ended before. */
--- a/src/contracts/events/forwarding-events.ts
+++ b/src/contracts/events/forwarding-events.ts
@@ -371,6 +371,20 @@
 		description:
 			'The software versions at which streams began could not be written to the store, or read from it (field call). Streams whose hosts have ended are refused until a later call succeeds. Logged once a minute for each call.',
 	},
+	listenerUnavailable: {
+		number: 7074,
+		name: 'listener-unavailable',
+		level: 'warn',
+		description:
+			'A listener could not be opened, because its address (field address) is in use or not there yet (field code). It is tried again for 30 s after the first attempt; the host is not ready until then.',
+	},
+	listenerOpened: {
+		number: 7075,
+		name: 'listener-opened',
+		level: 'info',
+		description:
+			'A listener that could not be opened at first is open. The field milliseconds is the delay.',
+	},
 	logLinesDropped: {
 		number: 7060,
 		name: 'log-lines-dropped',
--- a/src/program/composition-root.ts
+++ b/src/program/composition-root.ts
@@ -9,6 +9,7 @@
 	SeededRandomSource,
 	type RandomSource,
 } from '../base/common/random-source.js';
+import {type ListenOptions} from '../base/node/listen.js';
 import {SystemClock} from '../base/node/system-clock.js';
 import {targetDiedSchema} from '../contracts/control-record.js';
 import {operatorEvents} from '../contracts/events/operator-events.js';
@@ -59,6 +60,7 @@
 	type TrackedTarget,
 } from '../services/targets/target-directory.js';
 import {WinstonEventLogger} from '../services/winston-event-logger.js';
+import {createListenOptions} from './listen-events.js';
 import {
 	RunningHost,
 	StartError,
@@ -99,7 +101,8 @@
 	const context = createHostContext(settings);
 	const {disposables, events} = context;
 	const coordination = buildCoordination(context);
-	const peerPort = await coordination.peerServer.listen();
+	const listenOptions = createListenOptions(events);
+	const peerPort = await coordination.peerServer.listen(listenOptions);
 	if (peerPort.isErr()) {
 		await disposables.dispose();
 		return err(new StartError(peerPort.error.message, {cause: peerPort.error}));
@@ -123,7 +126,7 @@
 	const entry = buildEntry(context, coordination, membership, leases, fleet);
 	const operators = buildOperators(context, coordination, membership, fleet);
 	startTasks(context, coordination, membership, leases);
-	const ports = await listenAll(settings, entry, operators);
+	const ports = await listenAll(settings, entry, operators, listenOptions);
 	if (ports.isErr()) {
 		await disposables.dispose();
 		return err(ports.error);
@@ -507,9 +510,14 @@
 	settings: Settings,
 	entry: EntryServer,
 	operators: OperatorServer,
+	options: ListenOptions,
 ): Promise<Result<Omit<HostPorts, 'peers'>, StartError>> {
 	const {callers: callerAddress, operators: operatorAddress} = settings.listen;
-	const callers = await entry.listen(callerAddress.port, callerAddress.address);
+	const callers = await entry.listen(
+		callerAddress.port,
+		callerAddress.address,
+		options,
+	);
 	if (callers.isErr()) {
 		return err(new StartError(callers.error.message, {cause: callers.error}));
 	}
@@ -517,6 +525,7 @@
 	const operatorPort = await operators.listen(
 		operatorAddress.port,
 		operatorAddress.address,
+		options,
 	);
 	return operatorPort
 		.map((port) => ({callers: callers.value, operators: port}))
--- a/src/program/forwarding-root.ts
+++ b/src/program/forwarding-root.ts
@@ -70,6 +70,7 @@
 import {HistogramMetricRegistry} from '../services/histogram-metric-registry.js';
 import {WinstonEventLogger} from '../services/winston-event-logger.js';
 import {type ForwardingSettings} from './forwarding-settings.js';
+import {createListenOptions} from './listen-events.js';
 import {type ListenAddress} from './settings.js';
 
 /** Largest size of the log lines that wait to be read, and highest rate of log lines. Lines beyond either are dropped. */
@@ -134,8 +135,10 @@
 	private readonly streamRecorder: StreamRecorder;
 	private readonly documents: StateFollower<DocumentChange>;
 	private readonly targets: StateFollower<TargetListChange>;
+	private hasStarted = false;
 	private isStopping = false;
 	private wasReady = false;
+	private readonly listening = new AbortController();
 	/** Time since which another host is known to have a newer document than this one, infinite when none has. */
 	private behindSince = Number.POSITIVE_INFINITY;
 
@@ -451,23 +454,47 @@
 		this.connectComponents();
 	}
 
-	/** Opens the listeners and starts to follow the shared store. Fails with the first listener that cannot be opened. */
+	/** Opens the listeners and starts to follow the shared store. Waits for addresses that are in use or not there yet. Fails with the first listener that cannot be opened. */
 	async start(): Promise<Result<void, ListenError>> {
 		const {listen} = this.settings;
 		const ready = this.createAuxiliaryServer('/ready');
 		const metrics = this.createAuxiliaryServer('/metrics');
-		const listening = await Promise.all([
-			listenOn(ready, listen.readiness.port, listen.readiness.address),
-			listenOn(metrics, listen.metrics.port, listen.metrics.address),
-			this.reportServer.listen(listen.peers.port, listen.peers.address),
-			this.server.listen(listen.callers.port, listen.callers.address),
-		]);
-		for (const result of listening) {
-			if (result.isErr()) {
-				return err(result.error);
-			}
+		const {signal} = this.listening;
+		const options = {...createListenOptions(this.events), signal};
+		let failure: ListenError | undefined;
+		await Promise.all(
+			[
+				listenOn(
+					ready,
+					listen.readiness.port,
+					listen.readiness.address,
+					options,
+				),
+				listenOn(metrics, listen.metrics.port, listen.metrics.address, options),
+				this.reportServer.listen(
+					listen.peers.port,
+					listen.peers.address,
+					options,
+				),
+				this.server.listen(
+					listen.callers.port,
+					listen.callers.address,
+					options,
+				),
+			].map(async (attempt) => {
+				const result = await attempt;
+				if (result.isErr()) {
+					failure ??= result.error;
+					// A host that lacks one listener ends, so the others are not waited for.
+					this.listening.abort();
+				}
+			}),
+		);
+		if (failure) {
+			return err(failure);
 		}
 
+		this.hasStarted = true;
 		this.events.record(forwardingEvents.hostStarted, {
 			callers: listen.callers,
 		});
@@ -566,6 +593,7 @@
 
 	private get isReady(): boolean {
 		return (
+			this.hasStarted &&
 			!this.isStopping &&
 			this.service.documentVersion !== undefined &&
 			this.targetListManager.isLoaded
--- a/src/services/entry/entry-server.ts
+++ b/src/services/entry/entry-server.ts
@@ -8,7 +8,7 @@
 	type ListenerLimits,
 	type TlsIdentity,
 } from '../../base/node/http-listener.js';
-import {type ListenError} from '../../base/node/listen.js';
+import {type ListenError, type ListenOptions} from '../../base/node/listen.js';
 import {Disposable} from '../../base/common/disposable.js';
 import {
 	type EventLogger,
@@ -139,8 +139,9 @@
 	async listen(
 		port: number,
 		hostname: string,
+		options?: ListenOptions,
 	): Promise<Result<number, ListenError>> {
-		return this.listener.listen(port, hostname);
+		return this.listener.listen(port, hostname, options);
 	}
 
 	async dispose(): Promise<void> {
--- a/src/services/forwarding/forwarding-server.ts
+++ b/src/services/forwarding/forwarding-server.ts
@@ -9,7 +9,11 @@
 import {Hono} from 'hono';
 import {type Result} from 'neverthrow';
 import {Disposable} from '../../base/common/disposable.js';
-import {listenOn, type ListenError} from '../../base/node/listen.js';
+import {
+	listenOn,
+	type ListenError,
+	type ListenOptions,
+} from '../../base/node/listen.js';
 import {type RequestLimits} from '../../contracts/forwarding-document.js';
 
 /** A request of a caller with its complete body. */
@@ -91,8 +95,9 @@
 	async listen(
 		port: number,
 		hostname: string,
+		options?: ListenOptions,
 	): Promise<Result<number, ListenError>> {
-		return listenOn(this.server, port, hostname);
+		return listenOn(this.server, port, hostname, options);
 	}
 
 	/** Number of requests whose bodies have not arrived completely. */
--- a/src/services/forwarding/report-server.ts
+++ b/src/services/forwarding/report-server.ts
@@ -4,7 +4,11 @@
 import {type Result} from 'neverthrow';
 import {type Clock} from '../../base/common/clock.js';
 import {Disposable} from '../../base/common/disposable.js';
-import {listenOn, type ListenError} from '../../base/node/listen.js';
+import {
+	listenOn,
+	type ListenError,
+	type ListenOptions,
+} from '../../base/node/listen.js';
 import {type ForwardingDocument} from '../../contracts/forwarding-document.js';
 import {
 	type HostId,
@@ -160,8 +164,9 @@
 	async listen(
 		port: number,
 		hostname: string,
+		options?: ListenOptions,
 	): Promise<Result<number, ListenError>> {
-		return listenOn(this.server, port, hostname);
+		return listenOn(this.server, port, hostname, options);
 	}
 
 	/** Addresses of the hosts that report to this one as the owner. */
--- a/src/services/peer-server.ts
+++ b/src/services/peer-server.ts
@@ -6,13 +6,13 @@
 	type ServerResponse,
 } from 'node:http';
 import {createServer as createTlsServer} from 'node:https';
-import {type AddressInfo} from 'node:net';
 import {type MessageInitShape} from '@bufbuild/protobuf';
 import {Code, ConnectError, type ConnectRouter} from '@connectrpc/connect';
 import {connectNodeAdapter} from '@connectrpc/connect-node';
 import {ResultAsync} from 'neverthrow';
 import {Disposable} from '../base/common/disposable.js';
 import {TypedEvent} from '../base/common/typed-event.js';
+import {listenOn, type ListenOptions} from '../base/node/listen.js';
 import {agreementEvents} from '../contracts/events/agreement-events.js';
 import {type LogOffset} from '../contracts/ids.js';
 import {
@@ -98,18 +98,14 @@
 	}
 
 	/** Starts listening and resolves with the port. */
-	listen(): ResultAsync<number, PeerError> {
-		return ResultAsync.fromPromise(
-			new Promise<number>((resolve, reject) => {
-				this.server.once('error', reject);
-				this.server.listen(this.options.port, this.options.bindAddress, () => {
-					this.server.off('error', reject);
-					resolve((this.server.address() as AddressInfo).port);
-				});
-			}),
+	listen(options?: ListenOptions): ResultAsync<number, PeerError> {
+		const {port, bindAddress} = this.options;
+		return new ResultAsync(
+			listenOn(this.server, port, bindAddress, options),
+		).mapErr(
 			(cause) =>
 				new PeerError(
-					`The peer server could not listen on ${this.options.bindAddress}:${this.options.port}.`,
+					`The peer server could not listen on ${bindAddress}:${port}.`,
 					{cause},
 				),
 		);
--- a/test/process/forwarding-host.ts
+++ b/test/process/forwarding-host.ts
@@ -1,4 +1,4 @@
-import {spawn} from 'node:child_process';
+import {spawn, type ChildProcess} from 'node:child_process';
 import {mkdtemp, writeFile} from 'node:fs/promises';
 import {createServer, type AddressInfo} from 'node:net';
 import {tmpdir} from 'node:os';
@@ -7,6 +7,14 @@
 import {stringify} from 'yaml';
 import {TestProcess, waitUntil} from './processes.js';
 
+/** Listeners of a forwarding host. */
+export const listenerKinds = [
+	'callers',
+	'readiness',
+	'peers',
+	'metrics',
+] as const;
+
 /** A forwarding host in a process of its own, with the port of each listener. */
 export type ForwardingTestHost = {
 	readonly process: TestProcess;
@@ -14,7 +22,8 @@
 	readonly settingsFile: string;
 };
 
-async function freePort(): Promise<number> {
+/** Returns a port that is free at the moment. */
+export async function freePort(): Promise<number> {
 	const server = createServer();
 	await new Promise<void>((resolve) => {
 		server.listen(0, '127.0.0.1', resolve);
@@ -26,43 +35,67 @@
 	return port;
 }
 
-type TestSettings = Readonly<Record<string, unknown>> & {
+/** Settings of a test host. */
+export type TestSettings = Readonly<Record<string, unknown>> & {
 	readonly store: string;
 };
 
 /**
  * Starts a forwarding host. The settings replace or extend the usual ones. Another process can take a port between the
- * choice of the port and the start of the host, which then ends and is started again with other ports.
+ * choice of the port and the start of the host. The host, which would wait for the port, is then killed, and another one
+ * is started with other ports.
  */
 export async function startForwardingHost(
 	name: string,
 	settings: TestSettings,
 ): Promise<ForwardingTestHost> {
 	for (;;) {
-		const host = await spawnForwardingHost(name, settings);
-		const {lines} = host.process;
+		const {file, ports} = await writeForwardingSettings(name, settings);
+		const host = new TestProcess(spawnForwarding(file));
+		const {lines} = host;
+		const isPortTaken = () => lines.some((line) => line.includes('EADDRINUSE'));
 		await waitUntil(
 			`${name} starts or ends`,
 			() =>
-				host.process.exitCode !== undefined ||
+				host.exitCode !== undefined ||
+				isPortTaken() ||
 				lines.some((line) => line.includes('"forwarding-started"')),
 		);
-		if (!lines.some((line) => line.includes('EADDRINUSE'))) {
-			return host;
+		if (!isPortTaken()) {
+			return {process: host, ports, settingsFile: file};
 		}
+
+		await host.kill();
 	}
 }
 
-async function spawnForwardingHost(
+/** Starts the program with a settings file. The values of `stdio` are those of standard output and standard error. */
+export function spawnForwarding(
+	settingsFile: string,
+	stdio: ReadonlyArray<'pipe' | 'ignore' | number> = ['pipe', 'pipe'],
+): ChildProcess {
+	return spawn(
+		process.execPath,
+		['build/src/program/main.js', 'forward', '--settings', settingsFile],
+		{stdio: ['ignore', ...stdio]},
+	);
+}
+
+/** Writes the settings of a forwarding host to a new file. The settings replace or extend the usual ones. Listeners without a given port get free ones. */
+export async function writeForwardingSettings(
 	name: string,
 	settings: TestSettings,
-): Promise<ForwardingTestHost> {
+	givenPorts: Readonly<Record<string, number>> = {},
+): Promise<{
+	readonly file: string;
+	readonly ports: Readonly<Record<string, number>>;
+}> {
 	const directory = await mkdtemp(path.join(tmpdir(), 'forwarding-'));
 	const file = path.join(directory, 'settings.yaml');
 	const ports: Record<string, number> = {};
 	const listen: Record<string, string> = {};
-	for (const kind of ['callers', 'readiness', 'peers', 'metrics']) {
-		ports[kind] = await freePort();
+	for (const kind of listenerKinds) {
+		ports[kind] = givenPorts[kind] ?? (await freePort());
 		listen[kind] = `127.0.0.1:${ports[kind]}`;
 	}
 
@@ -78,10 +111,5 @@
 			...settings,
 		}),
 	);
-	const child = spawn(
-		process.execPath,
-		['build/src/program/main.js', 'forward', '--settings', file],
-		{stdio: ['ignore', 'pipe', 'pipe']},
-	);
-	return {process: new TestProcess(child), ports, settingsFile: file};
+	return {file, ports};
 }
