Keep log lines for a reader that pauses, and start without a reader

A forwarding host whose log reader was gone at the start ended with code 1: the command wrote its empty result to standard output, and the EPIPE was an error event without a listener. Empty results are not written any more.

While the reader of a pipe paused, up to all waiting lines were lost and not counted. Node.js sets the pipes of standard output to non-blocking mode, so a write to a full pipe fails with EAGAIN, which BoundedOutput took for a lost chunk.

--- a/src/program/command-context.ts
+++ b/src/program/command-context.ts
@@ -83,9 +83,11 @@
 export function writeResult(result: CommandResult): void {
 	if (result.isOk()) {
 		const text = result.value;
-		process.stdout.write(
-			text.endsWith('\n') || text === '' ? text : `${text}\n`,
-		);
+		if (text === '') {
+			return;
+		}
+
+		process.stdout.write(text.endsWith('\n') ? text : `${text}\n`);
 		return;
 	}
 
--- a/src/program/forwarding-root.ts
+++ b/src/program/forwarding-root.ts
@@ -75,6 +75,8 @@
 
 /** Largest size of the log lines that wait to be read, and highest rate of log lines. Lines beyond either are dropped. */
 const logLimits = {maximumBytes: 1_048_576, linesPerSecond: 400};
+/** Longest wait for the log lines to be written before the process ends. */
+const logFlushMilliseconds = 100;
 /** Longest wait of a long poll for the document. Short, because a dead connection shows only by a missing response. */
 const documentPollMilliseconds = 2000;
 /** Delays as shares of the time within which new requests to a leaving target must end. Even a repeated read stays within it. */
@@ -572,6 +574,11 @@
 		);
 	}
 
+	/** Waits until the log lines recorded so far are written, for a short time at most, because the reader of the log may not read. */
+	async flushLog(): Promise<void> {
+		await this.output.drain(logFlushMilliseconds);
+	}
+
 	/** Closes the listeners and connections and stops all tasks. */
 	async dispose(): Promise<void> {
 		await this.components.dispose();
--- a/src/services/bounded-output.ts
+++ b/src/services/bounded-output.ts
@@ -1,5 +1,6 @@
 import {write} from 'node:fs';
 import {Writable} from 'node:stream';
+import {wait} from '../base/node/wait.js';
 
 /** Options of a bounded output. */
 export type BoundedOutputOptions = {
@@ -13,6 +14,12 @@
 	readonly now: () => number;
 };
 
+/** Time after which a write to a full pipe is tried again. */
+const fullPipeRetryMilliseconds = 25;
+
+/** Interval of the checks whether all lines are written. */
+const drainCheckMilliseconds = 5;
+
 /** Stream that writes lines to a file descriptor without applying backpressure. Lines that exceed a limit are dropped and counted. */
 export class BoundedOutput extends Writable {
 	private readonly bufferedChunks: Buffer[] = [];
@@ -33,6 +40,14 @@
 		return this.droppedLineCount;
 	}
 
+	/** Resolves when all lines are written, or after the given time. */
+	async drain(maximumMilliseconds: number): Promise<void> {
+		const deadline = this.options.now() + maximumMilliseconds;
+		while (this.bufferedBytes > 0 && this.options.now() < deadline) {
+			await wait(drainCheckMilliseconds);
+		}
+	}
+
 	override _write(
 		chunk: Buffer,
 		_encoding: BufferEncoding,
@@ -78,12 +93,25 @@
 	private writeAll(bytes: Buffer): void {
 		// The write runs outside the event loop, so a blocked reader does not block requests.
 		write(this.options.fileDescriptor, bytes, (error, written) => {
+			// Node.js sets pipes of standard output to non-blocking mode, in which a write to a full pipe fails.
+			if (error?.code === 'EAGAIN') {
+				setTimeout(() => {
+					this.writeAll(bytes);
+				}, fullPipeRetryMilliseconds).unref();
+				return;
+			}
+
 			this.bufferedBytes -= error ? bytes.length : written;
 			if (!error && written < bytes.length) {
 				this.writeAll(bytes.subarray(written));
 				return;
 			}
 
+			if (error) {
+				this.droppedLineCount +=
+					bytes.toString('latin1').split('\n').length - 1;
+			}
+
 			this.isWriting = false;
 			this.flush();
 		});
