Record unexpected errors with their stack, and serve on

An exception in a timer or callback ended a forwarding host, with all its requests and without a line in the log. An unhandled rejection was logged as forwarding-stopped, as if the host had completed a planned stop.

Both are event 7077, unexpected-error, with the origin, the name, the message and the first lines of the stack. The process serves on: the error concerns one request or entry, which would come again after a start.

Changed test: odd-entries expected no forwarding-stopped, to find unhandled rejections. It now also expects no unexpected-error, so it is stricter.

--- a/src/contracts/events/forwarding-events.ts
+++ b/src/contracts/events/forwarding-events.ts
@@ -27,8 +27,7 @@
 		number: 7003,
 		name: 'forwarding-stopped',
 		level: 'info',
-		description:
-			'The process completed its planned stop. An event with the field reason reports an unhandled error instead.',
+		description: 'The process completed its planned stop.',
 	},
 	settingsReloaded: {
 		number: 7004,
@@ -385,6 +384,13 @@
 		description:
 			'A listener that could not be opened at first is open. The field milliseconds is the delay.',
 	},
+	unexpectedError: {
+		number: 7077,
+		name: 'unexpected-error',
+		level: 'error',
+		description:
+			'An error that no part of the program handles (field origin: uncaughtException or unhandledRejection). The process serves on; the request or entry that caused the error may have got no answer. Report the fields as a fault of the program.',
+	},
 	logLinesDropped: {
 		number: 7060,
 		name: 'log-lines-dropped',
--- a/src/program/forwarding-root.ts
+++ b/src/program/forwarding-root.ts
@@ -72,6 +72,7 @@
 import {type ForwardingSettings} from './forwarding-settings.js';
 import {createListenOptions} from './listen-events.js';
 import {type ListenAddress} from './settings.js';
+import {observeUnexpectedErrors} from './unexpected-errors.js';
 
 /** Largest size of the log lines that wait to be read, and highest rate of log lines. Lines beyond either are dropped. */
 const logLimits = {maximumBytes: 1_048_576, linesPerSecond: 400};
@@ -659,11 +660,7 @@
 				registry.applyContents([content], 0);
 			}
 		});
-		process.on('unhandledRejection', (reason) => {
-			events.record(forwardingEvents.hostStopped, {
-				reason: String(reason),
-			});
-		});
+		this.components.add(observeUnexpectedErrors(events));
 	}
 
 	/** Applies the shared state that the owner or a relay sent. Returns false when this host has read the target list further itself. */
--- a/test/process/odd-entries.test.ts
+++ b/test/process/odd-entries.test.ts
@@ -164,6 +164,7 @@
 		);
 		for (const event of [
 			'"forwarding-stopped"',
+			'"unexpected-error"',
 			'"state-read-failed"',
 			'"report-failed"',
 		]) {
