Read settings again for 5 s when a host starts and finds errors in them

A host that started while its settings file was missing, empty or half written ended with code 3 at once. The platform replaces the file whenever its values change, also during a restart.

run and forward read the file again every 100 ms for 5 s and write the first errors to standard error.

--- a/src/program/forwarding-commands.ts
+++ b/src/program/forwarding-commands.ts
@@ -1,12 +1,14 @@
 import process from 'node:process';
 import {type Command} from 'commander';
-import {err, ok} from 'neverthrow';
+import {err, ok, type Result} from 'neverthrow';
 import {writeResult, type CommandResult} from './command-context.js';
 import {CommandFailure} from './command-failure.js';
 import {
 	loadForwardingSettings,
 	type ForwardingSettings,
 } from './forwarding-settings.js';
+import {loadUntilValid} from './settings-loader.js';
+import {type YamlValidationError} from './yaml-validation.js';
 
 /** Starts a forwarding host that stops on SIGTERM or SIGINT. Resolves when it listens or has failed to start. The file is read again on SIGHUP. */
 export type RunForwardingHost = (
@@ -16,9 +18,9 @@
 
 async function runWithSettings(
 	file: string,
+	loaded: Result<ForwardingSettings, YamlValidationError>,
 	runHost: RunForwardingHost,
 ): Promise<CommandResult> {
-	const loaded = loadForwardingSettings(file);
 	if (loaded.isErr()) {
 		const {problems, message} = loaded.error;
 		return err(
@@ -49,11 +51,14 @@
 		)
 		.option('--check', 'check the settings and end')
 		.action(
-			async (options: {
+			async ({
+				settings: file,
+				check,
+			}: {
 				readonly settings: string;
 				readonly check?: boolean;
 			}) => {
-				if (options.check === true) {
+				if (check === true) {
 					writeResult(
 						await runWithSettings(options.settings, async ({host}) =>
 							ok(`${options.settings} is valid: host ${host}`),
@@ -62,7 +67,8 @@
 					return;
 				}
 
-				writeResult(await runWithSettings(options.settings, runHost));
+				const loaded = await loadUntilValid(() => loadForwardingSettings(file));
+				writeResult(await runWithSettings(file, loaded, runHost));
 			},
 		);
 	command.addHelpText(
--- a/src/program/host-commands.ts
+++ b/src/program/host-commands.ts
@@ -9,7 +9,7 @@
 import {CommandFailure} from './command-failure.js';
 import {runDemonstration} from './demo-command.js';
 import {type HostPorts} from './running-host.js';
-import {loadSettings} from './settings-loader.js';
+import {loadSettings, loadUntilValid} from './settings-loader.js';
 import {type Settings} from './settings.js';
 
 /** Starts a host that stops on SIGTERM or SIGINT. Resolves with its ports when it listens, or with the failure to start. */
@@ -47,7 +47,7 @@
 	{settings: file}: SettingsOptions,
 	runHost: RunHost,
 ): Promise<CommandResult> {
-	const loaded = loadSettings(file, process.env);
+	const loaded = await loadUntilValid(() => loadSettings(file, process.env));
 	if (loaded.isErr()) {
 		const {problems, message} = loaded.error;
 		return err(
--- a/src/program/settings-loader.ts
+++ b/src/program/settings-loader.ts
@@ -1,6 +1,8 @@
 import {readFileSync} from 'node:fs';
+import process from 'node:process';
 import {err, ok, type Result} from 'neverthrow';
 import {z} from 'zod';
+import {wait} from '../base/node/wait.js';
 import {settingsSchema, type Settings} from './settings.js';
 import {
 	YamlSource,
@@ -29,6 +31,10 @@
 	z.strictObject({file: z.string()}),
 ]);
 
+/** Time for which a host that starts reads settings with errors again: their writer may be about to replace or complete the file. */
+const settingsRetryMilliseconds = 5000;
+const settingsRetryDelayMilliseconds = 100;
+
 type ResolveContext = {
 	readonly source: YamlSource;
 	readonly environment: Environment;
@@ -152,6 +158,26 @@
 	}
 }
 
+/** Reads the settings of a host that starts, and again for some seconds while they have errors. Fails with the errors of the last reading. */
+export async function loadUntilValid<T>(
+	load: () => Result<T, YamlValidationError>,
+): Promise<Result<T, YamlValidationError>> {
+	const deadline = performance.now() + settingsRetryMilliseconds;
+	let loaded = load();
+	if (loaded.isErr()) {
+		process.stderr.write(
+			`daisylever: the settings have errors and are read again for ${settingsRetryMilliseconds / 1000} s: ${loaded.error.message}\n`,
+		);
+	}
+
+	while (loaded.isErr() && performance.now() < deadline) {
+		await wait(settingsRetryDelayMilliseconds);
+		loaded = load();
+	}
+
+	return loaded;
+}
+
 /** Reads and validates the settings file of a host. Fails with all errors of the file. */
 export function loadSettings(
 	file: string,
