Handle signals from the first module on, and a repeated SIGTERM

SIGHUP during the start ended a host, SIGTERM ended it by the signal instead of code 0, and SIGUSR1 opened the debugger of Node.js to every local process. The handlers were installed after all modules were loaded and the settings read. A second SIGTERM during a stop ended the process at once and cut its streams; a platform may repeat SIGTERM.

main.ts imports process-signals.ts only and loads the rest afterwards, since the modules of static imports are compiled before the first one runs. What comes before the host exists is kept: SIGTERM and SIGINT end the process with code 0, SIGHUP reads the settings once the host exists. SIGPIPE, SIGUSR1 and SIGUSR2 do nothing. During a stop SIGTERM does nothing, and SIGINT ends the process at once with code 1. A host that is stopped before it has started ends at once. Commands that run no host end by signals as before. Events 7076 and 7078 record signals and the end of the process with its reason; the log lines get 100 ms to be written before the exit.

The test of a taken port in forwarding also checks process-ending.

--- a/src/contracts/events/forwarding-events.ts
+++ b/src/contracts/events/forwarding-events.ts
@@ -375,7 +375,7 @@
 		name: 'listener-unavailable',
 		level: 'warn',
 		description:
-			'A listener could not be opened, because its address (field address) is in use or not there yet (field code). It is tried again for 30 s after the first attempt; the host is not ready until then.',
+			'A listener could not be opened, because its address (field address) is in use or not there yet (field code). It is tried again for 30 s; the host is not ready until it listens. Logged for the attempts 1, 2, 4, 8 and so on.',
 	},
 	listenerOpened: {
 		number: 7075,
@@ -384,6 +384,13 @@
 		description:
 			'A listener that could not be opened at first is open. The field milliseconds is the delay.',
 	},
+	signalReceived: {
+		number: 7076,
+		name: 'signal-received',
+		level: 'info',
+		description:
+			'The process received a signal. The field action says what follows: stop, end at once, read the settings again, or nothing.',
+	},
 	unexpectedError: {
 		number: 7077,
 		name: 'unexpected-error',
@@ -391,6 +398,13 @@
 		description:
 			'An error that no part of the program handles (field origin: uncaughtException or unhandledRejection). The process serves on; the request or entry that caused the error may have got no answer. Report the fields as a fault of the program.',
 	},
+	processEnding: {
+		number: 7078,
+		name: 'process-ending',
+		level: 'info',
+		description:
+			'The process ends with the given exit code for the given reason.',
+	},
 	logLinesDropped: {
 		number: 7060,
 		name: 'log-lines-dropped',
--- a/src/program/forwarding-commands.ts
+++ b/src/program/forwarding-commands.ts
@@ -60,8 +60,10 @@
 			}) => {
 				if (check === true) {
 					writeResult(
-						await runWithSettings(options.settings, async ({host}) =>
-							ok(`${options.settings} is valid: host ${host}`),
+						await runWithSettings(
+							file,
+							loadForwardingSettings(file),
+							async ({host}) => ok(`${file} is valid: host ${host}`),
 						),
 					);
 					return;
@@ -73,6 +75,6 @@
 		);
 	command.addHelpText(
 		'after',
-		'\nSIGTERM stops the host gracefully, a second one at once. SIGHUP reads the settings again.',
+		'\nSIGTERM or SIGINT stops the host gracefully, SIGINT during the stop at once. SIGHUP reads the settings again.',
 	);
 }
--- a/src/program/forwarding-root.ts
+++ b/src/program/forwarding-root.ts
@@ -120,10 +120,12 @@
 
 /** A host that forwards the requests of callers to listed targets, as the operators’ document says. */
 export class ForwardingHost extends Disposable {
+	/** Log of the host. */
+	readonly events: EventLogger;
+
 	private readonly components = new DisposableStore();
 	private readonly clock = new SystemClock();
 	private readonly metrics = new HistogramMetricRegistry();
-	private readonly events: EventLogger;
 	private readonly output: BoundedOutput;
 	private readonly registry: TargetRegistry;
 	private readonly service: ForwardingService;
@@ -517,9 +519,9 @@
 		return ok(undefined);
 	}
 
-	/** Serves new requests until the load balancer has noticed the stop, then lets open requests end. Returns before the stop period of the settings is over. Calls after the first do nothing. */
+	/** Serves new requests until the load balancer has noticed the stop, then lets open requests end. Returns before the stop period of the settings is over. Calls after the first do nothing, as do calls before the host has started, when there is nothing to end. */
 	async stop(): Promise<void> {
-		if (this.isStopping) {
+		if (this.isStopping || !this.hasStarted) {
 			return;
 		}
 
--- a/src/program/main.ts
+++ b/src/program/main.ts
@@ -1,7 +1,10 @@
 import process from 'node:process';
-import {createCommandLine, runCommandLine} from './command-line.js';
 import {type RunForwardingHost} from './forwarding-commands.js';
 import {type RunHost} from './host-commands.js';
+import {processSignals} from './process-signals.js';
+
+// A signal that arrives before its handler is installed ends the process. All other modules are therefore loaded later.
+processSignals.installForCommand(process.argv);
 
 // The host modules are loaded on demand, so that the operators' commands start without loading them.
 const runHost: RunHost = async (settings) => {
@@ -14,7 +17,13 @@
 	return module.runForwardingHost(settings, file);
 };
 
-void runCommandLine(
-	createCommandLine(runHost, runForwardingHost),
-	process.argv,
-);
+async function main(): Promise<void> {
+	const {createCommandLine, runCommandLine} = await import('./command-line.js');
+	await runCommandLine(
+		createCommandLine(runHost, runForwardingHost),
+		process.argv,
+	);
+}
+
+// eslint-disable-next-line unicorn/prefer-top-level-await -- The bundle is CommonJS, which has no top-level await.
+void main();
--- a/src/program/run-host.ts
+++ b/src/program/run-host.ts
@@ -1,10 +1,11 @@
 import {err, ok, type Result} from 'neverthrow';
 import {startHost} from './composition-root.js';
+import {HostSignals} from './host-signals.js';
 import {type HostPorts, type StartError} from './running-host.js';
 import {type Settings} from './settings.js';
-import {stopOnSignals} from './stop-signals.js';
+import {observeUnexpectedErrors} from './unexpected-errors.js';
 
-/** Starts a host, stops it on signals, and returns its ports once it listens. The first SIGTERM or SIGINT stops it gracefully, the second at once. Fails when a listener cannot be opened. */
+/** Starts a host, lets it handle the signals of the process, and returns its ports once it listens. Fails when a listener cannot be opened. */
 export async function runHost(
 	settings: Settings,
 ): Promise<Result<HostPorts, StartError>> {
@@ -14,6 +15,10 @@
 	}
 
 	const host = started.value;
-	stopOnSignals(async () => host.stop());
+	observeUnexpectedErrors(host.events);
+	new HostSignals({
+		events: host.events,
+		stop: async () => host.stop(),
+	}).takeOver();
 	return ok(host.ports);
 }
--- a/src/program/running-host.ts
+++ b/src/program/running-host.ts
@@ -39,6 +39,11 @@
 		private readonly options: RunningHostOptions,
 	) {}
 
+	/** Log of the host. */
+	get events(): EventLogger {
+		return this.options.events;
+	}
+
 	/** Refuses new requests, releases the leases, waits for running requests up to the drain timeout and disposes of all components. */
 	async stop(): Promise<void> {
 		const {gate, membership, leases, disposables, events} = this.options;
--- a/test/process/forwarding.test.ts
+++ b/test/process/forwarding.test.ts
@@ -182,4 +182,9 @@
 				line.includes('cannot listen on') && line.includes('EADDRINUSE'),
 		),
 	);
+	const ending = await second.json(
+		'the end',
+		({message}) => message === 'process-ending',
+	);
+	assert.equal(ending.fields.code, 1);
 });
