--- a/src/contracts/events/forwarding-events.ts
+++ b/src/contracts/events/forwarding-events.ts
@@ -28,7 +28,7 @@
 		name: 'forwarding-stopped',
 		level: 'info',
 		description:
-			'The process completed its planned stop. The fields signalledAt and noticedAfterMilliseconds tell when the signal was noticed and by how much at most it was late; begunRequests and refusedRequests count what arrived or waited during the stop, cutRequests and unsentResponses what its end interrupts. An event with the field reason reports an unhandled error instead.',
+			'The process completed its planned stop. The fields signalledAt and noticedAfterMilliseconds tell when the signal was noticed and by how much at most it was late; begunRequests and refusedRequests count what arrived or waited during the stop, cutRequests and unsentResponses what its end interrupts.',
 	},
 	settingsReloaded: {
 		number: 7004,
@@ -371,6 +371,41 @@
 		description:
 			'The software versions at which streams began could not be written to the store, or read from it (field call). Streams whose hosts have ended are refused until a later call succeeds. Logged once a minute for each call.',
 	},
+	listenerUnavailable: {
+		number: 7074,
+		name: 'listener-unavailable',
+		level: 'warn',
+		description:
+			'A listener could not be opened, because its address (field address) is in use or not there yet (field code). It is tried again for 30 s; the host is not ready until it listens. Logged for the attempts 1, 2, 4, 8 and so on.',
+	},
+	listenerOpened: {
+		number: 7075,
+		name: 'listener-opened',
+		level: 'info',
+		description:
+			'A listener that could not be opened at first is open. The field milliseconds is the delay.',
+	},
+	signalReceived: {
+		number: 7076,
+		name: 'signal-received',
+		level: 'info',
+		description:
+			'The process received a signal. The field action says what follows: stop, end at once, read the settings again, or nothing.',
+	},
+	unexpectedError: {
+		number: 7077,
+		name: 'unexpected-error',
+		level: 'error',
+		description:
+			'An error that no part of the program handles (field origin: uncaughtException or unhandledRejection). The process serves on; the request or entry that caused the error may have got no answer. Report the fields as a fault of the program.',
+	},
+	processEnding: {
+		number: 7078,
+		name: 'process-ending',
+		level: 'info',
+		description:
+			'The process ends with the given exit code for the given reason.',
+	},
 	requestCutByStop: {
 		number: 7080,
 		name: 'request-cut-by-stop',
--- a/src/program/forwarding-root.ts
+++ b/src/program/forwarding-root.ts
@@ -69,10 +69,14 @@
 import {HistogramMetricRegistry} from '../services/histogram-metric-registry.js';
 import {WinstonEventLogger} from '../services/winston-event-logger.js';
 import {type ForwardingSettings} from './forwarding-settings.js';
+import {createListenOptions} from './listen-events.js';
 import {type ListenAddress} from './settings.js';
+import {observeUnexpectedErrors} from './unexpected-errors.js';
 
 /** Largest size of the log lines that wait to be read, and highest rate of log lines. Lines beyond either are dropped. */
 const logLimits = {maximumBytes: 1_048_576, linesPerSecond: 400};
+/** Longest wait for the log lines to be written before the process ends. */
+const logFlushMilliseconds = 100;
 /** Longest wait of a long poll for the document. Short, because a dead connection shows only by a missing response. */
 const documentPollMilliseconds = 2000;
 /** Delays as shares of the time within which new requests to a leaving target must end. Even a repeated read stays within it. */
@@ -121,10 +125,12 @@
 
 /** A host that forwards the requests of callers to listed targets, as the operators’ document says. */
 export class ForwardingHost extends Disposable {
+	/** Log of the host. */
+	readonly events: EventLogger;
+
 	private readonly components = new DisposableStore();
 	private readonly clock = new SystemClock();
 	private readonly metrics = new HistogramMetricRegistry();
-	private readonly events: EventLogger;
 	private readonly output: BoundedOutput;
 	private readonly registry: TargetRegistry;
 	private readonly service: ForwardingService;
@@ -139,8 +145,10 @@
 	private readonly streamRecorder: StreamRecorder;
 	private readonly documents: StateFollower<DocumentChange>;
 	private readonly targets: StateFollower<TargetListChange>;
+	private hasStarted = false;
 	private isStopping = false;
 	private wasReady = false;
+	private readonly listening = new AbortController();
 	/** Time since which another host is known to have a newer document than this one, infinite when none has. */
 	private behindSince = Number.POSITIVE_INFINITY;
 
@@ -456,23 +464,47 @@
 		this.connectComponents();
 	}
 
-	/** Opens the listeners and starts to follow the shared store. Fails with the first listener that cannot be opened. */
+	/** Opens the listeners and starts to follow the shared store. Waits for addresses that are in use or not there yet. Fails with the first listener that cannot be opened. */
 	async start(): Promise<Result<void, ListenError>> {
 		const {listen} = this.settings;
 		const ready = this.createAuxiliaryServer('/ready');
 		const metrics = this.createAuxiliaryServer('/metrics');
-		const listening = await Promise.all([
-			listenOn(ready, listen.readiness.port, listen.readiness.address),
-			listenOn(metrics, listen.metrics.port, listen.metrics.address),
-			this.reportServer.listen(listen.peers.port, listen.peers.address),
-			this.server.listen(listen.callers.port, listen.callers.address),
-		]);
-		for (const result of listening) {
-			if (result.isErr()) {
-				return err(result.error);
-			}
+		const {signal} = this.listening;
+		const options = {...createListenOptions(this.events), signal};
+		let failure: ListenError | undefined;
+		await Promise.all(
+			[
+				listenOn(
+					ready,
+					listen.readiness.port,
+					listen.readiness.address,
+					options,
+				),
+				listenOn(metrics, listen.metrics.port, listen.metrics.address, options),
+				this.reportServer.listen(
+					listen.peers.port,
+					listen.peers.address,
+					options,
+				),
+				this.server.listen(
+					listen.callers.port,
+					listen.callers.address,
+					options,
+				),
+			].map(async (attempt) => {
+				const result = await attempt;
+				if (result.isErr()) {
+					failure ??= result.error;
+					// A host that lacks one listener ends, so the others are not waited for.
+					this.listening.abort();
+				}
+			}),
+		);
+		if (failure) {
+			return err(failure);
 		}
 
+		this.hasStarted = true;
 		this.events.record(forwardingEvents.hostStarted, {
 			callers: listen.callers,
 		});
@@ -492,9 +524,9 @@
 		return ok(undefined);
 	}
 
-	/** Serves new requests until the load balancer has noticed the stop, then lets open requests end. Returns before the stop period of the settings is over. Calls after the first do nothing. */
+	/** Serves new requests until the load balancer has noticed the stop, then lets open requests end. Returns before the stop period of the settings is over. Calls after the first do nothing, as do calls before the host has started, when there is nothing to end. */
 	async stop(): Promise<void> {
-		if (this.isStopping) {
+		if (this.isStopping || !this.hasStarted) {
 			return;
 		}
 
@@ -574,6 +606,11 @@
 		);
 	}
 
+	/** Waits until the log lines recorded so far are written, for a short time at most, because the reader of the log may not read. */
+	async flushLog(): Promise<void> {
+		await this.output.drain(logFlushMilliseconds);
+	}
+
 	/** Closes the listeners and connections and stops all tasks. */
 	async dispose(): Promise<void> {
 		await this.components.dispose();
@@ -600,6 +637,7 @@
 
 	private get isReady(): boolean {
 		return (
+			this.hasStarted &&
 			!this.isStopping &&
 			this.service.documentVersion !== undefined &&
 			this.targetListManager.isLoaded
@@ -658,11 +696,7 @@
 				registry.applyContents([content], 0);
 			}
 		});
-		process.on('unhandledRejection', (reason) => {
-			events.record(forwardingEvents.hostStopped, {
-				reason: String(reason),
-			});
-		});
+		this.components.add(observeUnexpectedErrors(events));
 	}
 
 	/** Applies the shared state that the owner or a relay sent. Returns false when this host has read the target list further itself. */
