--- a/src/platform/store-position.ts
+++ b/src/contracts/store-position.ts
@@ -1,4 +1,4 @@
-import {type StorePosition} from '../contracts/shared-store.js';
+import {type StorePosition} from './shared-store.js';
 
 /** Offsets of a generation of the store stay below this number, so that a position, as a number, holds both. At 1,000 records a second they reach it after eight years. */
 const offsetLimit = 2 ** 38;
--- a/src/platform/document-state.ts
+++ b/src/platform/document-state.ts
@@ -1,5 +1,6 @@
 import {type ResultAsync} from 'neverthrow';
 import {z} from 'zod';
+import {toFinite} from '../base/common/finite-number.js';
 import {decodeJson, durationSchema} from '../contracts/bounded-json.js';
 import {
 	type ForwardingDocument,
@@ -153,15 +154,17 @@
 			name: service.name as PoolName,
 			maximumConnections: service.max_conns,
 			engine: service.engine && {
-				memoryBytes: toBytes(service.engine.weights_mb),
+				memoryBytes: toFinite(service.engine.weights_mb * bytesPerMegabyte),
 				adapterSlots: service.engine.lora_slots,
 				loadsPerSecond: service.engine.loads_per_s,
 				models: service.engine.models.map((model) => ({
 					id: model.name as ModelId,
-					bytes: toBytes(model.weights_mb),
-					loadMilliseconds: Math.min(Number.MAX_VALUE, model.load_s * 1000),
+					bytes: toFinite(Math.ceil(model.weights_mb * bytesPerMegabyte)),
+					loadMilliseconds: toFinite(model.load_s * 1000),
 					adapterCount: model.adapters,
-					adapterBytes: toBytes(model.adapter_mb),
+					adapterBytes: toFinite(
+						Math.ceil(model.adapter_mb * bytesPerMegabyte),
+					),
 				})),
 			},
 		})),
@@ -173,8 +176,3 @@
 		},
 	};
 }
-
-/** Converts a size. Infinity cannot be sent to other hosts. */
-function toBytes(megabytes: number): number {
-	return Math.min(Number.MAX_VALUE, Math.ceil(megabytes * bytesPerMegabyte));
-}
--- a/src/platform/order-port.ts
+++ b/src/platform/order-port.ts
@@ -2,6 +2,7 @@
 import {errAsync, okAsync, ResultAsync} from 'neverthrow';
 import {z} from 'zod';
 import {readBody} from '../base/node/read-body.js';
+import {type SeparateConnections} from '../base/node/separate-connections.js';
 import {decodeJson} from '../contracts/bounded-json.js';
 import {
 	maximumTargetCount,
@@ -44,20 +45,13 @@
 	421: 'not-this-target',
 };
 
-/** Connections to one target for orders and reports. A worker may send a second copy of an answer late, so no other answer may be expected on them. */
-export type OrderConnections = {
-	readonly reportDispatcher: Dispatcher;
-	/** Calls `use` with a dispatcher whose connection is opened for this call alone, and closes it afterwards. */
-	withOwnConnection<T>(use: (dispatcher: Dispatcher) => Promise<T>): Promise<T>;
-};
-
 /** Sends orders to workers and fetches their reports over HTTP. */
 export class PlatformOrderPort extends TargetOrderPort {
 	/** Without connections to a target, the default dispatcher is used. */
 	constructor(
 		private readonly connectionsTo: (
 			target: ListedTarget,
-		) => OrderConnections | undefined,
+		) => SeparateConnections | undefined,
 		private readonly onAnswer: (answer: OrderAnswer) => void = () => undefined,
 	) {
 		super();
--- a/src/platform/owner-log.ts
+++ b/src/platform/owner-log.ts
@@ -9,8 +9,8 @@
 	type SharedStoreError,
 	type StorePosition,
 } from '../contracts/shared-store.js';
+import {generationOf} from '../contracts/store-position.js';
 import {type StoreClient} from './store-client.js';
-import {generationOf} from './store-position.js';
 import {topics} from './wire.js';
 
 /** Generation of a store that was never restored. */
--- a/src/platform/store-client.ts
+++ b/src/platform/store-client.ts
@@ -21,7 +21,7 @@
 	maximumOffset,
 	offsetOf,
 	toPosition,
-} from './store-position.js';
+} from '../contracts/store-position.js';
 import {headerNames, paths} from './wire.js';
 
 /** One record of a topic. */
--- a/src/platform/target-list-state.ts
+++ b/src/platform/target-list-state.ts
@@ -30,9 +30,9 @@
 	type StorePosition,
 } from '../contracts/shared-store.js';
 import {isTargetAddress} from '../contracts/target-address.js';
+import {generationOf} from '../contracts/store-position.js';
 import {decodeKeyedRecord} from './keyed-record.js';
 import {type StoreClient} from './store-client.js';
-import {generationOf} from './store-position.js';
 import {topics} from './wire.js';
 
 /** Size of an entry. The names of all models and adapters of a worker take a few kilobytes; the check of a larger one would block the event loop. */
--- a/test/platform/restored-store-client.test.ts
+++ b/test/platform/restored-store-client.test.ts
@@ -14,7 +14,7 @@
 	generationOf,
 	offsetOf,
 	toPosition,
-} from '../../src/platform/store-position.js';
+} from '../../src/contracts/store-position.js';
 import {StandInStore} from './stand-in-store.js';
 
 const topic = 'keyed.op';
