Bound the bytes of all answers that a host holds at once

Each answer was limited to 4 MB, but not their sum. 60 answers of 4 MB whose callers do not read took the resident size of a real process to 485 MB (unbundled, this machine); the bundled program took 397 MB with callers that read, 539 MB with 60 and 664 MB with 100 that do not. Machines have 160 to 350 MB, so the kernel would have ended the process.

The settings have machine.memoryMegabytes. Bodies that wait for their ends, and those that their callers have not read, take at most a fifth of it; an answer beyond that is given up and counts as lost at its target, which the event answers-exceed-memory reports. Without the setting nothing changes.

Request bodies, answers through a peer and the heap limit of V8 are not bounded yet.

--- a/src/contracts/events/forwarding-events.ts
+++ b/src/contracts/events/forwarding-events.ts
@@ -371,6 +371,13 @@
 		description:
 			'The software versions at which streams began could not be written to the store, or read from it (field call). Streams whose hosts have ended are refused until a later call succeeds. Logged once a minute for each call.',
 	},
+	answersExceedMemory: {
+		number: 7090,
+		name: 'answers-exceed-memory',
+		level: 'warn',
+		description:
+			'An answer was given up because the bodies of all answers that this host holds exceed their share of machine.memoryMegabytes. Its request counts as lost at its target. The field heldBytes is the sum, omittedLines the number of such answers since the last line. Look for callers that do not read and for large answers without events.',
+	},
 	logLinesDropped: {
 		number: 7060,
 		name: 'log-lines-dropped',
--- a/src/program/forwarding-root.ts
+++ b/src/program/forwarding-root.ts
@@ -18,7 +18,9 @@
 import {forwardingEvents} from '../contracts/events/forwarding-events.js';
 import {type TargetListChange} from '../contracts/listed-target.js';
 import {type DocumentChange} from '../contracts/shared-store.js';
+import {ByteBudget} from '../core/byte-budget.js';
 import {CrashCorrelation} from '../core/crash-correlation.js';
+import {LogLimiter} from '../core/log-limiter.js';
 import {NamedRateLimits} from '../core/named-rate-limits.js';
 import {OwnerLease} from '../core/owner-lease.js';
 import {PeerSelection} from '../core/peer-selection.js';
@@ -113,6 +115,12 @@
 /** Longest delay of the claim of a weak machine, so that a stronger one claims first. */
 const maximumClaimDelayMilliseconds = 1000;
 
+const bytesPerMegabyte = 1_000_000;
+/** Share of the memory of the machine for the bodies of answers. A process without requests takes about a third of a small machine, and each body is held up to twice. */
+const answerMemoryShare = 0.2;
+/** Time between log lines about answers that exceed the memory. */
+const memoryLogIntervalMilliseconds = 10_000;
+
 /** A host that forwards the requests of callers to listed targets, as the operators’ document says. */
 export class ForwardingHost extends Disposable {
 	private readonly components = new DisposableStore();
@@ -320,6 +328,7 @@
 			brittle,
 			streams,
 			reachability: registry.reachability,
+			budget: this.createBudget(),
 			peers: components.add(
 				new PeerForwarder({
 					host,
@@ -584,6 +593,32 @@
 		);
 	}
 
+	/** Limits the answers that are held at once, and logs when some exceed the limit. */
+	private createBudget(): ByteBudget {
+		const {memoryMegabytes} = this.settings.machine;
+		const budget = new ByteBudget(
+			memoryMegabytes
+				? memoryMegabytes * bytesPerMegabyte * answerMemoryShare
+				: Number.POSITIVE_INFINITY,
+		);
+		const log = new LogLimiter({
+			clock: this.clock,
+			intervalMilliseconds: memoryLogIntervalMilliseconds,
+			maximumLines: 1,
+		});
+		budget.refused.subscribe(() => {
+			this.metrics.count('daisylever_answers_over_memory_total');
+			const omittedLines = log.admit('answers');
+			if (omittedLines !== undefined) {
+				this.events.record(forwardingEvents.answersExceedMemory, {
+					heldBytes: budget.heldBytes,
+					omittedLines,
+				});
+			}
+		});
+		return budget;
+	}
+
 	private connectComponents(): void {
 		const {registry, service, owner, events} = this;
 		this.documents.changed.subscribe(({changes}) => {
--- a/src/program/forwarding-settings.ts
+++ b/src/program/forwarding-settings.ts
@@ -47,6 +47,8 @@
 		.strictObject({
 			/** Processor cores of this machine that the host may use. Relays and the owner are chosen among the strongest machines. */
 			processorShare: z.number().positive().default(1),
+			/** Memory that the process may use. The bodies of answers are not limited if it is absent, null or 0. */
+			memoryMegabytes: z.number().nonnegative().nullish(),
 		})
 		.prefault({}),
 	/** Longest time from the first SIGTERM to the end of the process. */
--- a/src/services/forwarding/forward-attempt.ts
+++ b/src/services/forwarding/forward-attempt.ts
@@ -5,6 +5,7 @@
 	type ResponseMetadata,
 	type RequestCodec,
 } from '../../contracts/request-codec.js';
+import {type ByteBudget} from '../../core/byte-budget.js';
 import {type TargetConnections} from './target-connections.js';
 
 /** Why an attempt ended without a usable response. */
@@ -69,6 +70,8 @@
 	readonly isNeeded: () => boolean;
 	/** Limit for the body of a response that is not a stream. */
 	readonly maximumBodyBytes: number;
+	/** Limit for the bodies of all responses that are held at once. No limit if absent. */
+	readonly budget?: ByteBudget | undefined;
 	/** True when a successful response is a stream of events. */
 	readonly isStream: boolean;
 	/** The connections over which the request is sent. */
@@ -85,6 +88,8 @@
 	private response: ResponseMetadata | undefined;
 	private readonly chunks: Buffer[] = [];
 	private bodyBytes = 0;
+	/** Bytes that count in the budget. */
+	private heldBytes = 0;
 	private readonly inactivityTimer: ExpiryTimer | undefined;
 
 	constructor(private readonly options: ForwardAttemptOptions) {
@@ -216,6 +221,16 @@
 			return;
 		}
 
+		const {budget} = this.options;
+		if (budget && !budget.tryTake(chunk.length)) {
+			this.fail(
+				'the answers that wait for their ends exceed the memory of the host',
+				true,
+			);
+			return;
+		}
+
+		this.heldBytes += chunk.length;
 		this.chunks.push(chunk);
 	}
 
@@ -323,6 +338,8 @@
 
 	private finish(): void {
 		this.isDone = true;
+		this.options.budget?.release(this.heldBytes);
+		this.heldBytes = 0;
 		this.inactivityTimer?.stop();
 	}
 
--- a/src/services/forwarding/forward-dispatch.ts
+++ b/src/services/forwarding/forward-dispatch.ts
@@ -22,6 +22,7 @@
 	type ReportedLoad,
 } from '../../contracts/request-codec.js';
 import {type RefusalReason} from '../../contracts/target-error.js';
+import {type ByteBudget} from '../../core/byte-budget.js';
 import {AdmissionPolicy} from '../../core/admission-policy.js';
 import {AgingShare} from '../../core/aging-share.js';
 import {CallerLimiter} from '../../core/caller-limiter.js';
@@ -89,6 +90,8 @@
 	/** Delay after which a request that is refused for a stop may come back, to another host. */
 	readonly stopRetryMilliseconds: number;
 	readonly maximumBodyBytes: number;
+	/** Limit for the bodies of all answers that are held at once. No limit if absent. */
+	readonly budget?: ByteBudget | undefined;
 	/** Gives a request that has not run and that this host cannot serve to another host. Returns false when it is to be refused. */
 	readonly tryOtherHost?: (request: ForwardedRequest) => boolean;
 };
@@ -865,6 +868,7 @@
 				request.remainingMilliseconds() > 0 &&
 				!registry.isHeldBack(binding.target),
 			maximumBodyBytes: this.options.maximumBodyBytes,
+			budget: this.options.budget,
 			isStream: request.route.kind === 'stream',
 			connections,
 		});
--- a/src/services/forwarding/forwarding-service.ts
+++ b/src/services/forwarding/forwarding-service.ts
@@ -22,6 +22,7 @@
 	type RequestMetadata,
 } from '../../contracts/request-codec.js';
 import {type PoolReachability} from '../../contracts/pool-reachability.js';
+import {type ByteBudget} from '../../core/byte-budget.js';
 import {type NamedRateLimits} from '../../core/named-rate-limits.js';
 import {type PermitBook} from '../../core/permit-book.js';
 import {pickPoolByWeight, RouteTable} from '../../core/route-table.js';
@@ -72,6 +73,8 @@
 	readonly reachability: PoolReachability;
 	/** Forwards the requests for pools that are cut off. */
 	readonly peers: PeerForwarder;
+	/** Limit for the bodies of all answers that are held at once. No limit if absent. */
+	readonly budget?: ByteBudget | undefined;
 	/** Called when a request arrives for an adapter that no target holds. */
 	readonly onAdapterMissing: () => void;
 };
@@ -379,7 +382,11 @@
 				rawHeaders: message.rawHeaders,
 				body,
 				arrivedAt: clock.monotonic(),
-				response: new HttpCallerResponse(response, () => this.isStopping),
+				response: new HttpCallerResponse(
+					response,
+					() => this.isStopping,
+					this.options.budget,
+				),
 				hasCallerLeft: () =>
 					message.socket.destroyed || message.socket.readableEnded,
 				onCallerLeft(callback) {
@@ -815,6 +822,7 @@
 			mayBegin: (request) => this.mayBegin(request),
 			stopRetryMilliseconds: startRetryMilliseconds,
 			maximumBodyBytes: 4_194_304,
+			budget: this.options.budget,
 			tryOtherHost: (request) => this.tryOtherHost(request, pool),
 		});
 	}
--- a/src/services/forwarding/http-caller-response.ts
+++ b/src/services/forwarding/http-caller-response.ts
@@ -1,5 +1,6 @@
 import {type ServerResponse} from 'node:http';
 import {Socket} from 'node:net';
+import {type ByteBudget} from '../../core/byte-budget.js';
 import {CallerResponse, type OwnResponse} from './caller-response.js';
 
 /** The HTTP response to one request of a caller. */
@@ -10,6 +11,7 @@
 	constructor(
 		private readonly response: ServerResponse,
 		private readonly mustClose: () => boolean,
+		private readonly budget?: ByteBudget,
 	) {
 		super();
 	}
@@ -34,6 +36,7 @@
 			String(body.length),
 			...this.connectionHeaders(),
 		]);
+		this.holdUntilSent(body.length);
 		this.response.end(body);
 	}
 
@@ -48,6 +51,7 @@
 
 		this.isFinished = true;
 		this.writeHead(status, headers);
+		this.holdUntilSent(body.length);
 		this.response.end(body);
 	}
 
@@ -103,6 +107,19 @@
 		this.response.destroy();
 	}
 
+	/** Counts bytes as held until the caller has read them or left. */
+	private holdUntilSent(bytes: number): void {
+		const {budget, response} = this;
+		if (!budget || bytes === 0 || response.destroyed) {
+			return;
+		}
+
+		budget.take(bytes);
+		response.once('close', () => {
+			budget.release(bytes);
+		});
+	}
+
 	/** Sends the head of a response without a length, which goes in chunks: the missing last one shows a break, also when this process is killed. */
 	private writeHead(status: number, headers: readonly string[]): void {
 		this.response.writeHead(status, [...headers, ...this.connectionHeaders()]);
--- a/test/process/odd-input.ts
+++ b/test/process/odd-input.ts
@@ -87,9 +87,12 @@
 	async start({
 		storeAddress,
 		programFile,
+		settings,
 	}: {
 		readonly storeAddress?: string;
 		readonly programFile?: string;
+		/** Settings in addition to the usual ones. */
+		readonly settings?: Readonly<Record<string, unknown>>;
 	} = {}): Promise<void> {
 		this.storeAddress = await this.store.start();
 		this.soundWorker.behaviour = respondWith('served');
@@ -98,7 +101,7 @@
 		await this.list(this.oddWorker, 'odd');
 		this.host = await startForwardingHost(
 			'h1',
-			{store: storeAddress ?? this.storeAddress},
+			{store: storeAddress ?? this.storeAddress, ...settings},
 			programFile,
 		);
 		this.host.process.child.stderr!.on('data', (data: Buffer) => {
