--- a/src/contracts/events/forwarding-events.ts
+++ b/src/contracts/events/forwarding-events.ts
@@ -420,6 +420,13 @@
 		description:
 			'An answer is complete, but its caller had not taken all of it at the end of the planned stop. The field unsentBytes is what is lost. At most 32 are listed, event 7003 has their number.',
 	},
+	answersExceedMemory: {
+		number: 7090,
+		name: 'answers-exceed-memory',
+		level: 'warn',
+		description:
+			'An answer was given up because the bodies of all answers that this host holds exceed their share of machine.memoryMegabytes. Its request counts as lost at its target. The field heldBytes is the sum, omittedLines the number of such answers since the last line. Look for callers that do not read and for large answers without events.',
+	},
 	logLinesDropped: {
 		number: 7060,
 		name: 'log-lines-dropped',
