Do not take a refused connection to a live target for its end

Callers got 502 instead of a complete answer without a length when the target refused a further connection at that moment, as one at its limit of connections does: the check of such answers took each refusal for the end of the process. A refusal now counts only when no other connection to the target is open 50 ms later, because the kernel ends all connections of a killed process.

The new test of test/forwarding/ended-targets.test.ts failed before with 502 instead of 200. The one after it fails without the wait, since a killed process closes its listener before its connections.

--- a/src/services/forwarding/forward-dispatch.ts
+++ b/src/services/forwarding/forward-dispatch.ts
@@ -3,6 +3,7 @@
 import {type EventLogger} from '../../base/common/event-logger.js';
 import {type RandomSource} from '../../base/common/random-source.js';
 import {isConnectionRefused} from '../../base/node/connection-probe.js';
+import {wait} from '../../base/node/wait.js';
 import {forwardingEvents} from '../../contracts/events/forwarding-events.js';
 import {type Execution} from '../../contracts/execution.js';
 import {
@@ -124,6 +125,8 @@
 const minimumContinuationMilliseconds = 100;
 /** Time within which a target that runs accepts or refuses a connection. */
 const probeTimeoutMilliseconds = 400;
+/** Time within which the kernel ends all connections of a killed process. */
+const connectionsEndMilliseconds = 50;
 /** Longest delay until a request whose targets all turned this host away may come back: by then placement has loaded its model elsewhere. */
 const newReplicaMilliseconds = 3000;
 /** Reason of a refusal after which no retry helps. */
@@ -677,7 +680,8 @@
 
 	/**
 	 * Finds out whether the process that an entry describes has ended, by a new connection and by the newest entry of
-	 * the target. A refusal says nothing while this host reaches no target of the pool, and silence is no proof.
+	 * the target. A refusal says nothing while this host reaches no target of the pool, or while other connections to the
+	 * target stay open: it may be at its limit of connections. Silence is no proof.
 	 */
 	async hasTargetEnded({
 		id,
@@ -690,6 +694,11 @@
 			address,
 			probeTimeoutMilliseconds,
 		);
+		if (isRefused && registry.getConnections(id)?.hasOpenConnection) {
+			await wait(connectionsEndMilliseconds);
+		}
+
+		const isAlive = registry.getConnections(id)?.hasOpenConnection ?? false;
 		const newest = registry.get(id)?.listed;
 		const isReplaced =
 			newest !== undefined &&
@@ -698,7 +707,7 @@
 			registry.recordUnreachable(id, true);
 		}
 
-		return isReplaced || (isRefused && !isCutOff);
+		return isReplaced || (isRefused && !isCutOff && !isAlive);
 	}
 
 	/** Requests the rest of an interrupted stream from another target, or fails the request. */
--- a/src/services/forwarding/target-connections.ts
+++ b/src/services/forwarding/target-connections.ts
@@ -23,6 +23,8 @@
 	private readonly origin: string;
 	private readonly pool: Pool;
 	private readonly singleClients = new Set<Client>();
+	/** Connections whose end has not been noticed. */
+	private readonly openSockets = new Set<Socket>();
 	private isFailing = false;
 
 	constructor(private readonly options: TargetConnectionsOptions) {
@@ -60,6 +62,13 @@
 		return this.isFailing;
 	}
 
+	/** True while the target has a connection to this host open. One with unread bytes does not count, since its end may be behind them. */
+	get hasOpenConnection(): boolean {
+		return [...this.openSockets].some(
+			({destroyed, readableLength}) => !destroyed && readableLength === 0,
+		);
+	}
+
 	/** Accepts no new requests. Requests in flight keep their connections until they end. */
 	close(): void {
 		void this.pool.close();
@@ -100,12 +109,18 @@
 	private observeContact(socket: Socket): void {
 		const {onConnected, onData} = this.options;
 		onConnected?.();
+		this.openSockets.add(socket);
+		socket.once('close', () => {
+			this.openSockets.delete(socket);
+		});
 		let bytesRead = 0;
 		// The end of a connection makes it readable too.
 		socket.on('readable', () => {
 			if (socket.bytesRead > bytesRead) {
 				bytesRead = socket.bytesRead;
 				onData?.();
+			} else {
+				this.openSockets.delete(socket);
 			}
 		});
 	}
--- a/test/forwarding/ended-targets.test.ts
+++ b/test/forwarding/ended-targets.test.ts
@@ -132,3 +132,64 @@
 	assert.equal(body, formatEvent(1));
 	assert.equal(isComplete, false);
 });
+
+// Guards against whole answers that are taken for cut: a target at its limit of connections refuses further ones, and its process still runs.
+test('an unframed answer is whole when its target refuses a further connection while others to it stay open', async () => {
+	const {worker} = await addWorker('i-0', ({headers, path, socket}) => {
+		const head = {
+			'Request-Id': headers.get('request-id') ?? '',
+			'Response-Sig': 'signed',
+		};
+		if (path === '/fixed/x') {
+			socket.write(
+				responseHead('200 OK', {
+					...head,
+					'Content-Type': 'text/event-stream',
+					'Content-Length': String(2 * formatEvent(1).length),
+				}) + formatEvent(1),
+			);
+			return;
+		}
+
+		worker.stopListening();
+		socket.end(
+			responseHead('200 OK', {...head, Connection: 'close'}) + 'whole',
+		);
+	});
+	const stream = setup.harness!.stream('/fixed/x');
+	await waitUntil('the first event', () => stream.received() !== '');
+	const {status, body} = await setup.harness!.call('/once/x', {body: 'b'});
+	assert.deepEqual([status, body], [200, 'whole']);
+	worker.requests[0]!.socket.write(formatEvent(2));
+	const {isComplete} = await stream.promise;
+	assert.equal(isComplete, true);
+});
+
+// Guards against the opposite: a killed process closes its listener first and its connections some milliseconds later.
+test('an unframed stream does not look whole when the other connections of its target end shortly after', async () => {
+	const {worker} = await addWorker('i-0', ({headers, path, socket}) => {
+		socket.write(
+			responseHead('200 OK', {
+				'Request-Id': headers.get('request-id') ?? '',
+				'Response-Sig': 'signed',
+				'Content-Type': 'text/event-stream',
+				Connection: 'close',
+			}) + formatEvent(1),
+		);
+		if (path === '/fixed/second') {
+			worker.stopListening();
+			socket.end();
+			setTimeout(() => {
+				worker.stop();
+			}, 10);
+		}
+	});
+	const first = setup.harness!.stream('/fixed/first');
+	await waitUntil('the first event', () => first.received() !== '');
+	const second = setup.harness!.stream('/fixed/second');
+	const results = await Promise.all([first.promise, second.promise]);
+	assert.deepEqual(
+		results.map(({isComplete}) => isComplete),
+		[false, false],
+	);
+});
