Keep no responses of closed connections in the list of open answers

The list of answers whose bytes have not left the process, from which a planned stop logs unsent ones, kept each response that waited behind another one on a connection that its caller closed, because Node.js does not close such responses. Memory grew with each of these callers. The list now ends with the connection.

--- a/src/services/forwarding/forwarding-service.ts
+++ b/src/services/forwarding/forwarding-service.ts
@@ -1,4 +1,5 @@
 import {type IncomingMessage, type ServerResponse} from 'node:http';
+import {type Socket} from 'node:net';
 import {type Clock} from '../../base/common/clock.js';
 import {sha256} from '../../base/common/digest.js';
 import {type EventLogger} from '../../base/common/event-logger.js';
@@ -139,8 +140,12 @@
 	/** Length of the last stall. */
 	private stalledMilliseconds = 0;
 	private readonly stopAdmission: StopAdmission;
-	/** Responses to callers whose bytes have not all left the process, with the ids of their requests. */
-	private readonly openResponses = new Map<ServerResponse, RequestId>();
+	/** Responses to callers whose bytes have not all left the process, with the ids of their requests, by connection. */
+	private readonly openResponses = new Map<
+		Socket,
+		Map<ServerResponse, RequestId>
+	>();
+
 	/** Keys of the requests first sent during the stop. */
 	private readonly begunRequests = new Set<RequestId>();
 	private refusedRequests = 0;
@@ -197,6 +202,16 @@
 		return this.requests.size;
 	}
 
+	/** Number of responses to callers whose bytes have not all left the process. */
+	get openCallerResponses(): number {
+		let count = 0;
+		for (const responses of this.openResponses.values()) {
+			count += responses.size;
+		}
+
+		return count;
+	}
+
 	/** Records by how much a timer with this interval was late. Called by it. */
 	recordEventLoopDelay(intervalMilliseconds: number): void {
 		const now = this.options.clock.monotonic();
@@ -395,10 +410,7 @@
 			return;
 		}
 
-		this.openResponses.set(response, metadata.value.id);
-		response.once('close', () => {
-			this.openResponses.delete(response);
-		});
+		this.keepOpenResponse(message.socket, response, metadata.value.id);
 		if (!this.document || !this.routes || !this.isAcceptingRequests) {
 			this.refusedRequests += this.isStopping ? 1 : 0;
 			this.sendLocalResponse(
@@ -521,6 +533,30 @@
 		response.end();
 	}
 
+	/** Keeps a response until its bytes have left the process or its connection is closed. Node.js closes only the response that has the connection, not those that wait behind it. */
+	private keepOpenResponse(
+		socket: Socket,
+		response: ServerResponse,
+		request: RequestId,
+	): void {
+		if (socket.destroyed) {
+			return;
+		}
+
+		const known = this.openResponses.get(socket);
+		const responses = known ?? new Map<ServerResponse, RequestId>();
+		responses.set(response, request);
+		response.once('close', () => {
+			responses.delete(response);
+		});
+		if (!known) {
+			this.openResponses.set(socket, responses);
+			socket.once('close', () => {
+				this.openResponses.delete(socket);
+			});
+		}
+	}
+
 	private recordRequestTime(model: ModelId | undefined): void {
 		const now = this.options.clock.monotonic();
 		this.firstRequestAt ??= now;
@@ -865,7 +901,8 @@
 	/** Logs the complete answers that their callers have not taken. Returns their number. */
 	private recordUnsentResponses(): number {
 		let count = 0;
-		for (const [response, request] of this.openResponses) {
+		const open = [...this.openResponses.values()].flatMap((each) => [...each]);
+		for (const [response, request] of open) {
 			const unsentBytes = response.writableLength;
 			if (!response.writableEnded || unsentBytes === 0) {
 				continue;
