Let other hosts take whole answers before a planned stop ends

A host that stopped ended its process as soon as it had no open request, although a host that had forwarded one still read the answer; the caller behind it lost the answer. The answers to other hosts now count as open until they have been taken, as those to callers do, up to the end of the stop.

--- a/src/program/forwarding-root.ts
+++ b/src/program/forwarding-root.ts
@@ -561,7 +561,9 @@
 			await wait(stopCheckMilliseconds);
 		} while (
 			this.clock.monotonic() - startedAt < maximumMilliseconds &&
-			(this.server.openResponses > 0 || this.server.lingeringConnections > 0)
+			(this.server.openResponses > 0 ||
+				this.server.lingeringConnections > 0 ||
+				this.service.hasOpenPeerResponses)
 		);
 	}
 
@@ -585,7 +587,8 @@
 		return (
 			this.service.openRequests > 0 ||
 			this.server.incompleteRequests > 0 ||
-			this.server.openResponses > 0
+			this.server.openResponses > 0 ||
+			this.service.hasOpenPeerResponses
 		);
 	}
 
--- a/src/services/forwarding/forwarding-service.ts
+++ b/src/services/forwarding/forwarding-service.ts
@@ -50,6 +50,7 @@
 } from './forwarding-server.js';
 import {StopAdmission} from './stop-admission.js';
 import {HttpCallerResponse} from './http-caller-response.js';
+import {type PeerResponse} from './peer-response.js';
 import {type PeerForwarder} from './peer-forwarder.js';
 import {type StreamOriginSharing} from './stream-origin-sharing.js';
 import {type TargetRegistry} from './target-registry.js';
@@ -146,6 +147,8 @@
 		Map<ServerResponse, RequestId>
 	>();
 
+	/** Answers to other hosts that have not taken all of them. */
+	private readonly openPeerResponses = new Set<PeerResponse>();
 	/** Keys of the requests first sent during the stop. */
 	private readonly begunRequests = new Set<RequestId>();
 	private refusedRequests = 0;
@@ -202,6 +205,11 @@
 		return this.requests.size;
 	}
 
+	/** True while another host has not taken all of an answer to a request that it forwarded. */
+	get hasOpenPeerResponses(): boolean {
+		return this.openPeerResponses.size > 0;
+	}
+
 	/** Number of responses to callers whose bytes have not all left the process. */
 	get openCallerResponses(): number {
 		let count = 0;
@@ -459,6 +467,10 @@
 	handlePeerRequest(received: PeerRequest): void {
 		const {codec, clock, events, reachability} = this.options;
 		const {origin, response, rawHeaders, requestTarget, arrivedAt} = received;
+		this.openPeerResponses.add(response);
+		response.onClosed(() => {
+			this.openPeerResponses.delete(response);
+		});
 		const metadata = codec.decodeRequest(rawHeaders);
 		const route = this.routes?.match(
 			headerValue(rawHeaders, 'host') ?? '',
--- a/src/services/forwarding/peer-response.ts
+++ b/src/services/forwarding/peer-response.ts
@@ -36,6 +36,7 @@
 	private drainCallbacks: Array<() => void> = [];
 	private wakeReader: (() => void) | undefined;
 	private readState: (() => ServedRequestState) | undefined;
+	private closedCallback: (() => void) | undefined;
 
 	get hasStarted(): boolean {
 		return this.isStreaming || this.isFinished;
@@ -49,6 +50,11 @@
 		return this.queuedBytes;
 	}
 
+	/** Calls back once the calling host has taken the whole answer or the call has ended. */
+	onClosed(callback: () => void): void {
+		this.closedCallback = callback;
+	}
+
 	/** Sets the source of what the calling host needs to know besides the answer. */
 	describeWith(readState: () => ServedRequestState): void {
 		this.readState = readState;
@@ -155,6 +161,7 @@
 			}
 		} finally {
 			signal.removeEventListener('abort', wake);
+			this.closedCallback?.();
 		}
 	}
 
--- a/test/process/stop-answers.test.ts
+++ b/test/process/stop-answers.test.ts
@@ -2,6 +2,7 @@
 import {connect, type Socket} from 'node:net';
 import {after, afterEach, before, beforeEach, test} from 'node:test';
 import {SeededRandomSource} from '../../src/base/common/random-source.js';
+import {PeerConnections} from '../../src/services/forwarding/peer-connections.js';
 import {StandInStore} from '../platform/stand-in-store.js';
 import {
 	completeResponse,
@@ -390,6 +391,56 @@
 	assert.equal(await host.process.waitForExit(), 0);
 });
 
+// Guards against the same for the answers that this host gives to other hosts, which forwarded the requests of their callers.
+test('an answer that another host reads slowly is whole', async () => {
+	worker.behaviour = ({headers, socket}) => {
+		socket.write(completeResponse(headers.get('request-id') ?? '', largeBody));
+	};
+
+	const connections = new PeerConnections();
+	const {peers} = host.ports;
+	const messages = connections
+		.get(`127.0.0.1:${peers}`)
+		.forward({
+			host: 'other',
+			method: 'POST',
+			requestTarget: '/once/x',
+			rawHeaders: ['Host', 'a.example', 'Request-Id', 'forwarded'],
+			pool: 's',
+			remainingMilliseconds: 15_000,
+			maximumExecutions: 1,
+		})
+		[Symbol.asyncIterator]();
+	const cases: Array<string | undefined> = [];
+	let bytes = 0;
+	const read = async () => {
+		const {value, done} = await messages.next();
+		if (done === true) {
+			return false;
+		}
+
+		cases.push(value.message.case);
+		bytes +=
+			value.message.case === 'data' ? value.message.value.bytes.length : 0;
+		return true;
+	};
+
+	while (cases.at(-1) !== 'head') {
+		assert.ok(await read());
+	}
+
+	const signalledAt = await stopHost();
+	await waitFor(4000 - (performance.now() - signalledAt));
+	while (await read()) {
+		// Reads to the end.
+	}
+
+	connections.dispose();
+	assert.equal(bytes, largeBody.length);
+	assert.equal(cases.at(-1), 'end');
+	assert.equal(await host.process.waitForExit(), 0);
+});
+
 // Guards against a reset of a connection on which the caller still sends, which can lose the answer before it is read.
 test('a caller that still sends its body at the end of the stop reads the refusal and the end of the connection', async () => {
 	const caller = createCaller();
