Take the last answer of a leaving target for whole

A target that leaves ends its process right after its last answer. When that answer had no length, the check whether its target was killed found a refused connection, and the caller got 502 for a request that had run, or a stream without its end. A refusal is no sign of a kill for a target that leaves or has removed its entry, since a killed one stays listed for longer than its connections. A target that is killed while it leaves can still cut such an answer unnoticed.

--- a/src/services/forwarding/forward-dispatch.ts
+++ b/src/services/forwarding/forward-dispatch.ts
@@ -681,7 +681,8 @@
 	/**
 	 * Finds out whether the process that an entry describes has ended, by a new connection and by the newest entry of
 	 * the target. A refusal says nothing while this host reaches no target of the pool, or while other connections to the
-	 * target stay open: it may be at its limit of connections. Silence is no proof.
+	 * target stay open: it may be at its limit of connections. A leaving target ends by itself after its last answer.
+	 * Silence is no proof.
 	 */
 	async hasTargetEnded({
 		id,
@@ -700,6 +701,7 @@
 
 		const isAlive = registry.getConnections(id)?.hasOpenConnection ?? false;
 		const newest = registry.get(id)?.listed;
+		const isLeaving = newest?.isLeaving ?? true;
 		const isReplaced =
 			newest !== undefined &&
 			newest.residency.incarnation !== residency.incarnation;
@@ -707,7 +709,7 @@
 			registry.recordUnreachable(id, true);
 		}
 
-		return isReplaced || (isRefused && !isCutOff && !isAlive);
+		return isReplaced || (isRefused && !isCutOff && !isAlive && !isLeaving);
 	}
 
 	/** Requests the rest of an interrupted stream from another target, or fails the request. */
--- a/test/forwarding/ended-targets.test.ts
+++ b/test/forwarding/ended-targets.test.ts
@@ -1,6 +1,9 @@
 import assert from 'node:assert/strict';
 import {afterEach, beforeEach, test} from 'node:test';
-import {type TargetIncarnation} from '../../src/contracts/ids.js';
+import {
+	type TargetId,
+	type TargetIncarnation,
+} from '../../src/contracts/ids.js';
 import {
 	completeResponse,
 	formatEvent,
@@ -165,6 +168,37 @@
 	assert.equal(isComplete, true);
 });
 
+// Guards against the last answer of each planned stop of a target, which ends its process at once after it.
+for (const leave of ['says that it leaves', 'removes its entry'] as const) {
+	test(`an unframed answer is whole when its target ${leave} and ends after it`, async () => {
+		const {worker, address} = await addWorker('i-0', ({headers, socket}) => {
+			setTimeout(() => {
+				worker.stopListening();
+				socket.end(
+					responseHead('200 OK', {
+						'Request-Id': headers.get('request-id') ?? '',
+						'Response-Sig': 'signed',
+						Connection: 'close',
+					}) + 'whole',
+				);
+			}, 100);
+		});
+		const answer = setup.harness!.call('/once/x', {body: 'b'});
+		await waitUntil('the execution', () => worker.requests.length === 1);
+		if (leave === 'removes its entry') {
+			setup.harness!.registry.applyChange({
+				kind: 'unlisted',
+				target: worker.id as TargetId,
+			});
+		} else {
+			setup.harness!.list('i-0', address, {isLeaving: true});
+		}
+
+		const {status, body} = await answer;
+		assert.deepEqual([status, body], [200, 'whole']);
+	});
+}
+
 // Guards against the opposite: a killed process closes its listener first and its connections some milliseconds later.
 test('an unframed stream does not look whole when the other connections of its target end shortly after', async () => {
 	const {worker} = await addWorker('i-0', ({headers, path, socket}) => {
