--- a/src/services/forwarding/forward-dispatch.ts
+++ b/src/services/forwarding/forward-dispatch.ts
@@ -6,6 +6,7 @@
 	hasListenerEnded,
 	isConnectionRefused,
 } from '../../base/node/connection-probe.js';
+import {wait} from '../../base/node/wait.js';
 import {forwardingEvents} from '../../contracts/events/forwarding-events.js';
 import {type Execution} from '../../contracts/execution.js';
 import {
@@ -130,6 +131,8 @@
 const minimumContinuationMilliseconds = 100;
 /** Time within which a target that runs accepts or refuses a connection. */
 const probeTimeoutMilliseconds = 400;
+/** Time within which the kernel ends all connections of a killed process. */
+const connectionsEndMilliseconds = 50;
 /** Longest delay until a request whose targets all turned this host away may come back: by then placement has loaded its model elsewhere. */
 const newReplicaMilliseconds = 3000;
 /** Reason of a refusal after which no retry helps. */
@@ -688,7 +691,9 @@
 
 	/**
 	 * Finds out whether the process that an entry describes has ended, by a new connection and by the newest entry of
-	 * the target. A refusal says nothing while this host reaches no target of the pool, and silence is no proof.
+	 * the target. A refusal says nothing while this host reaches no target of the pool, or while other connections to the
+	 * target stay open: it may be at its limit of connections. A leaving target ends by itself after its last answer.
+	 * Silence is no proof.
 	 */
 	async hasTargetEnded({
 		id,
@@ -698,7 +703,13 @@
 		const {registry} = this.options;
 		const isCutOff = registry.reachability.isCutOff(this.pool);
 		const isRefused = await hasListenerEnded(address, probeTimeoutMilliseconds);
+		if (isRefused && registry.getConnections(id)?.hasOpenConnection) {
+			await wait(connectionsEndMilliseconds);
+		}
+
+		const isAlive = registry.getConnections(id)?.hasOpenConnection ?? false;
 		const newest = registry.get(id)?.listed;
+		const isLeaving = newest?.isLeaving ?? true;
 		const isReplaced =
 			newest !== undefined &&
 			newest.residency.incarnation !== residency.incarnation;
@@ -706,7 +717,7 @@
 			registry.recordUnreachable(id, true);
 		}
 
-		return isReplaced || (isRefused && !isCutOff);
+		return isReplaced || (isRefused && !isCutOff && !isAlive && !isLeaving);
 	}
 
 	/** Requests the rest of an interrupted stream from another target, or fails the request. */
--- a/src/services/forwarding/target-connections.ts
+++ b/src/services/forwarding/target-connections.ts
@@ -25,6 +25,8 @@
 	/** Opened by the first report. */
 	private reportPool: Pool | undefined;
 	private readonly singleClients = new Set<Client>();
+	/** Connections whose end has not been noticed. */
+	private readonly openSockets = new Set<Socket>();
 	private isFailing = false;
 
 	constructor(private readonly options: TargetConnectionsOptions) {
@@ -85,6 +87,13 @@
 		return this.isFailing;
 	}
 
+	/** True while the target has a connection to this host open. One with unread bytes does not count, since its end may be behind them. */
+	get hasOpenConnection(): boolean {
+		return [...this.openSockets].some(
+			({destroyed, readableLength}) => !destroyed && readableLength === 0,
+		);
+	}
+
 	/** Accepts no new requests. Requests in flight keep their connections until they end. */
 	close(): void {
 		void this.pool.close();
@@ -128,12 +137,18 @@
 	private observeContact(socket: Socket): void {
 		const {onConnected, onData} = this.options;
 		onConnected?.();
+		this.openSockets.add(socket);
+		socket.once('close', () => {
+			this.openSockets.delete(socket);
+		});
 		let bytesRead = 0;
 		// The end of a connection makes it readable too.
 		socket.on('readable', () => {
 			if (socket.bytesRead > bytesRead) {
 				bytesRead = socket.bytesRead;
 				onData?.();
+			} else {
+				this.openSockets.delete(socket);
 			}
 		});
 	}
