Wait for a listen address longer than the kernel keeps a closed connection

A host whose port was the local port of an outgoing connection that had been closed on its own side ended with code 1 after 30 s: the kernel keeps the port for 60 s (TIME_WAIT). The attempts now last 75 s.

--- a/src/base/node/listen.ts
+++ b/src/base/node/listen.ts
@@ -25,14 +25,14 @@
 	readonly onOpenedLate?: (opened: Omit<ListenRetry, 'code'>) => void;
 	/** Ends the attempts. */
 	readonly signal?: AbortSignal;
-	/** Time in which attempts are repeated. Default: 30 s. */
+	/** Time in which attempts are repeated. Default: 75 s. */
 	readonly retryMilliseconds?: number;
 };
 
 /** Errors that end by themselves: another socket holds the address, or the network interface has not got it yet. */
 const temporaryCodes = new Set(['EADDRINUSE', 'EADDRNOTAVAIL']);
-/** A predecessor that ends and an outgoing connection with the local port hold an address for some seconds. */
-const defaultRetryMilliseconds = 30_000;
+/** A predecessor holds an address for some seconds, and the kernel keeps the local port of a closed outgoing connection for 60 s. */
+const defaultRetryMilliseconds = 75_000;
 const firstRetryDelayMilliseconds = 50;
 const maximumRetryDelayMilliseconds = 500;
 
--- a/src/contracts/events/forwarding-events.ts
+++ b/src/contracts/events/forwarding-events.ts
@@ -376,7 +376,7 @@
 		name: 'listener-unavailable',
 		level: 'warn',
 		description:
-			'A listener could not be opened, because its address (field address) is in use or not there yet (field code). It is tried again for 30 s; the host is not ready until it listens. Logged for the attempts 1, 2, 4, 8 and so on.',
+			'A listener could not be opened, because its address (field address) is in use or not there yet (field code). It is tried again for 75 s; the host is not ready until it listens. Logged for the attempts 1, 2, 4, 8 and so on.',
 	},
 	listenerOpened: {
 		number: 7075,
--- a/test/process/taken-addresses.test.ts
+++ b/test/process/taken-addresses.test.ts
@@ -188,7 +188,7 @@
 	);
 });
 
-// Guards against a host that tries for 30 s what cannot succeed.
+// Guards against a host that tries for 75 s what cannot succeed.
 test('a host that may not use an address ends at once with code 1', async () => {
 	const {file} = await writeForwardingSettings('wrong-address', settings);
 	const text = await readFile(file, 'utf8');
