Check answers that end together over few connections

Each answer without a length opened a connection of its own to its target when it ended, to see whether the target still runs. Targets accept a limited number of connections from all hosts and reset further ones. The checks of one target now share a connection that is opened after all of these answers have ended.

--- a/src/base/node/connection-probe.ts
+++ b/src/base/node/connection-probe.ts
@@ -49,3 +49,52 @@
 ): Promise<boolean> {
 	return (await probeConnection(address, timeoutMilliseconds)) === 'refused';
 }
+
+type SharedProbe = {
+	readonly running: Promise<boolean>;
+	/** Begins when the running one has ended. */
+	next: Promise<boolean> | undefined;
+};
+
+/** Probes on behalf of several callers: at most one connection is opened to an address at a time, and each caller gets the result of a probe that began after its call. */
+export class SharedConnectionProbes {
+	private readonly probes = new Map<string, SharedProbe>();
+
+	/** Opens and closes a connection, like the function `isConnectionRefused`. */
+	async isRefused(
+		address: string,
+		timeoutMilliseconds: number,
+	): Promise<boolean> {
+		const probe = this.probes.get(address);
+		if (!probe) {
+			return this.start(address, timeoutMilliseconds);
+		}
+
+		probe.next ??= this.startAfter(probe, address, timeoutMilliseconds);
+		return probe.next;
+	}
+
+	private async startAfter(
+		{running}: SharedProbe,
+		address: string,
+		timeoutMilliseconds: number,
+	): Promise<boolean> {
+		await running;
+		return this.start(address, timeoutMilliseconds);
+	}
+
+	private async start(
+		address: string,
+		timeoutMilliseconds: number,
+	): Promise<boolean> {
+		const running = isConnectionRefused(address, timeoutMilliseconds);
+		const probe: SharedProbe = {running, next: undefined};
+		this.probes.set(address, probe);
+		const isRefused = await running;
+		if (!probe.next && this.probes.get(address) === probe) {
+			this.probes.delete(address);
+		}
+
+		return isRefused;
+	}
+}
--- a/src/services/forwarding/forward-dispatch.ts
+++ b/src/services/forwarding/forward-dispatch.ts
@@ -2,7 +2,10 @@
 import {Disposable} from '../../base/common/disposable.js';
 import {type EventLogger} from '../../base/common/event-logger.js';
 import {type RandomSource} from '../../base/common/random-source.js';
-import {isConnectionRefused} from '../../base/node/connection-probe.js';
+import {
+	isConnectionRefused,
+	SharedConnectionProbes,
+} from '../../base/node/connection-probe.js';
 import {wait} from '../../base/node/wait.js';
 import {forwardingEvents} from '../../contracts/events/forwarding-events.js';
 import {type Execution} from '../../contracts/execution.js';
@@ -147,6 +150,8 @@
 	private readonly announcedTargets = new Set<TargetId>();
 	/** Probes that have not ended, by target. */
 	private readonly probes = new Map<TargetId, Promise<void>>();
+	/** Probes of the targets whose answers have ended without a length. */
+	private readonly endProbes = new SharedConnectionProbes();
 	private lastLoadSequence = 0;
 	private readonly subscriptions: Disposable[];
 
@@ -691,7 +696,7 @@
 	}: ListedTarget): Promise<boolean> {
 		const {registry} = this.options;
 		const isCutOff = registry.reachability.isCutOff(this.pool);
-		const isRefused = await isConnectionRefused(
+		const isRefused = await this.endProbes.isRefused(
 			address,
 			probeTimeoutMilliseconds,
 		);
--- a/test/forwarding/ended-targets.test.ts
+++ b/test/forwarding/ended-targets.test.ts
@@ -227,3 +227,36 @@
 		[false, false],
 	);
 });
+
+// Guards against checks that use up the connections that a target accepts.
+test('unframed answers that end together are checked over few connections', async () => {
+	const count = 4;
+	const {worker} = await addWorker('i-0', () => {
+		if (worker.requests.length < count) {
+			return;
+		}
+
+		for (const {headers, socket} of worker.requests) {
+			socket.end(
+				responseHead('200 OK', {
+					'Request-Id': headers.get('request-id') ?? '',
+					'Response-Sig': 'signed',
+					Connection: 'close',
+				}) + 'whole',
+			);
+		}
+	});
+	const answers = await Promise.all(
+		Array.from({length: count}, async () =>
+			setup.harness!.call('/once/x', {body: 'b'}),
+		),
+	);
+	assert.ok(answers.every(({body}) => body === 'whole'));
+	await waitUntil(
+		'the connections end',
+		() => worker.closedSocketCount > worker.requests.length,
+	);
+	// Each call that is not idempotent has a connection of its own.
+	const checks = worker.closedSocketCount - worker.requests.length;
+	assert.ok(checks <= count / 2, `${checks} checks`);
+});
