--- a/src/services/forwarding/forward-dispatch.ts
+++ b/src/services/forwarding/forward-dispatch.ts
@@ -2,10 +2,8 @@
 import {Disposable} from '../../base/common/disposable.js';
 import {type EventLogger} from '../../base/common/event-logger.js';
 import {type RandomSource} from '../../base/common/random-source.js';
-import {
-	hasListenerEnded,
-	isConnectionRefused,
-} from '../../base/node/connection-probe.js';
+import {isConnectionRefused} from '../../base/node/connection-probe.js';
+import {SharedListenerChecks} from '../../base/node/shared-listener-checks.js';
 import {wait} from '../../base/node/wait.js';
 import {forwardingEvents} from '../../contracts/events/forwarding-events.js';
 import {type Execution} from '../../contracts/execution.js';
@@ -153,6 +151,8 @@
 	private readonly announcedTargets = new Set<TargetId>();
 	/** Probes that have not ended, by target. */
 	private readonly probes = new Map<TargetId, Promise<void>>();
+	/** Checks of the targets whose answers have ended without a length. */
+	private readonly endChecks = new SharedListenerChecks();
 	private lastLoadSequence = 0;
 	private readonly subscriptions: Disposable[];
 
@@ -702,7 +702,10 @@
 	}: ListedTarget): Promise<boolean> {
 		const {registry} = this.options;
 		const isCutOff = registry.reachability.isCutOff(this.pool);
-		const isRefused = await hasListenerEnded(address, probeTimeoutMilliseconds);
+		const isRefused = await this.endChecks.hasEnded(
+			address,
+			probeTimeoutMilliseconds,
+		);
 		if (isRefused && registry.getConnections(id)?.hasOpenConnection) {
 			await wait(connectionsEndMilliseconds);
 		}
