--- a/test/soak/run-soak.ts
+++ b/test/soak/run-soak.ts
@@ -11,6 +11,7 @@
 	.option('--seconds <number>', 'time for each seed', Number, 40)
 	.option('--hosts <number>', 'hosts', Number, 4)
 	.option('--callers <number>', 'callers', Number, 24)
+	.option('--second-program <file>', 'program of every second host')
 	.option('--reports <number>', 'violations to print for each seed', Number, 5)
 	.option('--logs <folder>', 'folder for the logs of the hosts')
 	.option('--actions', 'print the actions of the schedule')
@@ -21,6 +22,7 @@
 	seconds: number;
 	hosts: number;
 	callers: number;
+	secondProgram?: string;
 	reports: number;
 	logs?: string;
 	actions?: boolean;
--- a/test/soak/soak-fleet.ts
+++ b/test/soak/soak-fleet.ts
@@ -65,7 +65,10 @@
 	private readonly copies: StoreCopy[] = [];
 	private readonly timers: NodeJS.Timeout[] = [];
 
-	constructor(readonly record: SoakRecord) {}
+	constructor(
+		readonly record: SoakRecord,
+		private readonly secondProgram?: string,
+	) {}
 
 	/** Starts everything and waits until all hosts are ready. */
 	async start(hostCount: number): Promise<void> {
@@ -112,10 +115,12 @@
 
 	/** Starts a host in the place of the one with its name and waits until it is ready. */
 	async startHost(name: string): Promise<void> {
-		const host = await startForwardingHost(name, {
-			store: this.storeAddress,
-			targets: {drainMilliseconds: 2000},
-		});
+		const isSecond = Number(name.slice(1)) % 2 === 0;
+		const host = await startForwardingHost(
+			name,
+			{store: this.storeAddress, targets: {drainMilliseconds: 2000}},
+			isSecond ? this.secondProgram : undefined,
+		);
 		const life: HostLife = {
 			name,
 			host,
--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -10,6 +10,8 @@
 	readonly seconds: number;
 	readonly hosts: number;
 	readonly callers: number;
+	/** Program of every second host, to run two builds side by side. Default: that of the others. */
+	readonly secondProgram?: string;
 };
 
 /** What a soak found. */
@@ -29,7 +31,7 @@
 /** Runs a fleet of processes under a schedule of faults and checks from outside what callers and workers see. */
 export async function runSoak(options: SoakOptions): Promise<SoakResult> {
 	const record = new SoakRecord();
-	const fleet = new SoakFleet(record);
+	const fleet = new SoakFleet(record, options.secondProgram);
 	const callers = new SoakCallers(
 		fleet,
 		new SeededRandomSource(options.seed + 1_000_000),
