Serve after a freeze that is longer than the stop period

A host measures its stop from the latest moment at which the signal can have come, and took the whole of a freeze for that. After a freeze that is longer than the stop period it ended at once: callers that the load balancer still sent there found no listener. A process whose signal is older than the stop period has been killed, so the stop now begins when the signal is noticed in this case.

The new test of test/process/stop-answers.test.ts failed before: the caller one second after the signal got no answer.

--- a/src/program/forwarding-root.ts
+++ b/src/program/forwarding-root.ts
@@ -501,11 +501,14 @@
 
 		const signalledAt = new Date().toISOString();
 		// The end counts from the signal, which a blocked event loop notices late.
-		const noticedAfterMilliseconds = this.service.signalDelayMilliseconds();
-		const startedAt = this.clock.monotonic() - noticedAfterMilliseconds;
-		const elapsed = () => this.clock.monotonic() - startedAt;
 		const endMilliseconds =
 			this.settings.stopSeconds * 1000 - stopMarginMilliseconds;
+		const signalDelayMilliseconds = this.service.signalDelayMilliseconds();
+		// A process whose signal is older than the stop period has been killed, so the signal came at the end of a longer delay.
+		const noticedAfterMilliseconds =
+			signalDelayMilliseconds < endMilliseconds ? signalDelayMilliseconds : 0;
+		const startedAt = this.clock.monotonic() - noticedAfterMilliseconds;
+		const elapsed = () => this.clock.monotonic() - startedAt;
 		this.isStopping = true;
 		this.service.beginStop(
 			startedAt + endMilliseconds,
--- a/test/process/stop-answers.test.ts
+++ b/test/process/stop-answers.test.ts
@@ -635,3 +635,26 @@
 	const milliseconds = performance.now() - signalledAt;
 	assert.ok(milliseconds < graceMilliseconds, `${milliseconds} ms`);
 });
+
+// Guards against a host that ends at once, without serving until the load balancer has noticed, because it takes the whole of a long freeze for the age of the signal.
+test('a host that was frozen for longer than its stop period still serves when the signal comes after the freeze', async () => {
+	// A stopping host begins only what it knows to end in time.
+	for (let count = 0; count < 10; count++) {
+		const known = createCaller();
+		known.send('/once/x');
+		await known.waitForEnd();
+		assert.equal(known.status, 200);
+	}
+
+	await waitFor(1000);
+	host.process.signal('SIGSTOP');
+	await waitFor(graceMilliseconds + 500);
+	host.process.signal('SIGCONT');
+	const signalledAt = await stopHost();
+	await waitFor(1000 - (performance.now() - signalledAt));
+	const caller = createCaller();
+	caller.send('/once/x');
+	await caller.waitForEnd();
+	assert.equal(caller.status, 200);
+	assert.equal(await host.process.waitForExit(), 0);
+});
