Take small answers although large ones fill the memory for answers

A host whose memory for answers was taken by large ones that nobody read lost every further answer: callers of small plain calls got 502.

A body of up to 64 KiB is now taken in any case. The new test of forward-attempt.test.ts failed before (no body) and passes; the process test passes.

--- a/src/services/forwarding/forward-attempt.ts
+++ b/src/services/forwarding/forward-attempt.ts
@@ -8,6 +8,9 @@
 import {type ByteBudget} from '../../core/byte-budget.js';
 import {type TargetConnections} from './target-connections.js';
 
+/** Size up to which a body is taken in any case, so that large ones that nobody reads do not cost all other callers theirs. */
+const smallBodyBytes = 65_536;
+
 /** Why an attempt ended without a usable response. */
 export type AttemptFailure =
 	/** No byte of the request was sent. */
@@ -227,7 +230,9 @@
 		}
 
 		const {budget} = this.options;
-		if (budget && !budget.tryTake(chunk.length)) {
+		if (this.bodyBytes <= smallBodyBytes) {
+			budget?.take(chunk.length);
+		} else if (budget && !budget.tryTake(chunk.length)) {
 			this.fail(
 				'the answers that wait for their ends exceed the memory of the host',
 				true,
--- a/test/forwarding/forward-attempt.test.ts
+++ b/test/forwarding/forward-attempt.test.ts
@@ -2,6 +2,8 @@
 import {test} from 'node:test';
 import {type Dispatcher} from 'undici';
 import {type RequestId, type TargetId} from '../../src/contracts/ids.js';
+import {ByteBudget} from '../../src/core/byte-budget.js';
+import {type ResponseMetadata} from '../../src/contracts/request-codec.js';
 import {PlatformRequestCodec} from '../../src/platform/request-codec.js';
 import {
 	AttemptListener,
@@ -11,6 +13,7 @@
 
 class RecordingListener extends AttemptListener {
 	readonly failures: AttemptFailure[] = [];
+	readonly bodies: Buffer[] = [];
 
 	onStreamStart(): void {
 		assert.fail('no stream is expected');
@@ -28,8 +31,8 @@
 		assert.fail('no stream is expected');
 	}
 
-	onResponse(): void {
-		assert.fail('no response is expected');
+	onResponse(_response: ResponseMetadata, body: Buffer): void {
+		this.bodies.push(body);
 	}
 
 	onStall(): number | undefined {
@@ -74,4 +77,54 @@
 		listener.failures.map(({kind}) => kind),
 		['expired'],
 	);
+	assert.equal(listener.bodies.length, 0);
+});
+
+function receiveBody(budget: ByteBudget, size: number): RecordingListener {
+	const listener = new RecordingListener();
+	const attempt = new ForwardAttempt({
+		request: 'r' as RequestId,
+		target: 't' as TargetId,
+		codec: new PlatformRequestCodec(),
+		listener,
+		onResponseMetadata: () => undefined,
+		isNeeded: () => true,
+		maximumBodyBytes: 1_000_000,
+		budget,
+		isStream: false,
+		connections: {isConnectionFailing: false},
+	});
+	const controller = {
+		abort: () => undefined,
+	} as unknown as Dispatcher.DispatchController;
+	attempt.onRequestStart(controller);
+	attempt.onResponseStart(controller, 200, {
+		'request-id': 'r',
+		'response-sig': 'signed',
+		'content-length': String(size),
+	});
+	for (let sent = 0; sent < size; sent += 1000) {
+		attempt.onResponseData(
+			controller,
+			Buffer.alloc(Math.min(1000, size - sent)),
+		);
+	}
+
+	attempt.onResponseEnd();
+	return listener;
+}
+
+// Guards against callers that do not read large answers and so cost all other callers theirs.
+test('a small answer is whole while large ones take all memory for answers, and a large one is given up', () => {
+	const budget = new ByteBudget(1000);
+	budget.take(1000);
+	const small = receiveBody(budget, 60_000);
+	assert.equal(small.bodies[0]?.length, 60_000);
+	assert.deepEqual(small.failures, []);
+	const large = receiveBody(budget, 200_000);
+	assert.deepEqual(
+		large.failures.map(({kind}) => kind),
+		['lost'],
+	);
+	assert.equal(budget.heldBytes, 1000);
 });
