Count the whole time since the last timer as the delay of a signal, and check ends briefly

The end of an answer without a length is held back for 150 ms at most instead of 400 ms for a target that neither accepts nor refuses a connection, and the last log lines get 50 ms instead of 100, so that a stop ends in time although nobody reads the log. Both are from the review.

--- a/src/program/forwarding-root.ts
+++ b/src/program/forwarding-root.ts
@@ -78,7 +78,7 @@
 /** Largest size of the log lines that wait to be read, and highest rate of log lines. Lines beyond either are dropped. */
 const logLimits = {maximumBytes: 1_048_576, linesPerSecond: 400};
 /** Longest wait for the log lines to be written before the process ends. */
-const logFlushMilliseconds = 100;
+const logFlushMilliseconds = 50;
 /** Longest wait of a long poll for the document. Short, because a dead connection shows only by a missing response. */
 const documentPollMilliseconds = 2000;
 /** Delays as shares of the time within which new requests to a leaving target must end. Even a repeated read stays within it. */
@@ -106,7 +106,7 @@
 const refuseRequestsMilliseconds = 3500;
 /** Time before the end of the stop period at which open requests get a last response or are aborted, so that the process ends in time. */
 const stopMarginMilliseconds = 250;
-/** Time before the end of the stop period at which the process exits at the latest. */
+/** Time before the end of the stop period at which connections are no longer waited for. A check that is late and the last log lines take up to as long. */
 const exitMarginMilliseconds = 100;
 /** Time after the last response within which callers close connections on which they were still sending. */
 const maximumLingerMilliseconds = 1000;
--- a/src/services/forwarding/forward-dispatch.ts
+++ b/src/services/forwarding/forward-dispatch.ts
@@ -129,6 +129,8 @@
 const minimumContinuationMilliseconds = 100;
 /** Time within which a target that runs accepts or refuses a connection. */
 const probeTimeoutMilliseconds = 400;
+/** Time for which the end of an answer is held back at most for a target that neither accepts nor refuses a connection, which proves nothing. */
+const endCheckTimeoutMilliseconds = 150;
 /** Time within which the kernel ends all connections of a killed process. */
 const connectionsEndMilliseconds = 50;
 /** Longest delay until a request whose targets all turned this host away may come back: by then placement has loaded its model elsewhere. */
@@ -704,7 +706,7 @@
 		const isCutOff = registry.reachability.isCutOff(this.pool);
 		const isRefused = await this.endChecks.hasEnded(
 			address,
-			probeTimeoutMilliseconds,
+			endCheckTimeoutMilliseconds,
 		);
 		if (isRefused && registry.getConnections(id)?.hasOpenConnection) {
 			await wait(connectionsEndMilliseconds);
--- a/src/services/forwarding/forwarding-service.ts
+++ b/src/services/forwarding/forwarding-service.ts
@@ -141,7 +141,7 @@
 	/** Interval of the timer that calls `recordEventLoopDelay`. Infinite before its first call. */
 	private intervalMilliseconds = Number.POSITIVE_INFINITY;
 	private stalledAt = Number.NEGATIVE_INFINITY;
-	/** Length of the last stall. */
+	/** Time from the last run of the timer before the last stall to its end. */
 	private stalledMilliseconds = 0;
 	private readonly stopAdmission: StopAdmission;
 	/** Responses to callers whose bytes have not all left the process, with the ids of their requests, by connection. */
@@ -235,7 +235,7 @@
 		);
 		if (delay >= stallThresholdMilliseconds) {
 			this.stalledAt = now;
-			this.stalledMilliseconds = delay;
+			this.stalledMilliseconds = delay + intervalMilliseconds;
 			this.options.events.record(forwardingEvents.eventLoopStalled, {
 				milliseconds: Math.round(delay),
 			});
