Choose a port of a single connection in the test of taken addresses

The test of an address that an outgoing connection holds failed in 2 of its first 6 repeated runs, and once took 25 s. The kernel gives one local port to connections with different destinations, and the busy machine had 2,781 sockets in the state TIME_WAIT: after the close, another socket still held the port.

--- a/test/process/taken-addresses.test.ts
+++ b/test/process/taken-addresses.test.ts
@@ -72,17 +72,42 @@
 	};
 }
 
+/** Number of sockets of this machine with a local port, those in the state TIME_WAIT included. */
+async function countSockets(port: number): Promise<number> {
+	const table = await readFile('/proc/net/tcp', 'utf8');
+	const suffix = `:${port.toString(16).toUpperCase().padStart(4, '0')}`;
+	return table
+		.split('\n')
+		.filter((line) => line.trim().split(/\s+/)[1]?.endsWith(suffix)).length;
+}
+
 /** Takes the port that the kernel chooses for an outgoing connection. The other side closes the connection first, because a port in the state TIME_WAIT stays in use for a minute. */
 async function takeWithConnection(): Promise<TakenPort> {
 	const accepted: Socket[] = [];
 	const server = createServer((socket) => {
 		accepted.push(socket);
 	});
-	const connection = connect(await listenAnywhere(server), '127.0.0.1');
-	connection.resume();
-	await new Promise<void>((resolve) => {
-		connection.once('connect', resolve);
-	});
+	const serverPort = await listenAnywhere(server);
+	const connectOnce = async () => {
+		const socket = connect(serverPort, '127.0.0.1');
+		socket.resume();
+		await new Promise<void>((resolve) => {
+			socket.once('connect', resolve);
+		});
+		return socket;
+	};
+
+	let connection = await connectOnce();
+	// The kernel also gives out ports that connections to other addresses have. They would hold the port longer.
+	for (
+		let attempt = 0;
+		attempt < 50 && (await countSockets(connection.localPort!)) > 1;
+		attempt++
+	) {
+		connection.destroy();
+		connection = await connectOnce();
+	}
+
 	return {
 		port: connection.localPort!,
 		free: async () =>
