End requests that wait behind another one when their caller leaves

A caller that sends several requests on one connection and leaves kept the targets at work for all but the first of them until their time limits. Node.js emits "close" only for the response that has the connection, not for those that wait behind it, so that the host did not notice that their caller had left, and kept the bytes of their answers in its budget.

The server now closes the waiting responses when the connection is closed.

--- a/src/services/forwarding/forwarding-server.ts
+++ b/src/services/forwarding/forwarding-server.ts
@@ -50,8 +50,8 @@
 
 /** What is known of the connection of a caller. */
 type CallerConnection = {
-	/** Requests whose answers have not left the process. */
-	openResponses: number;
+	/** Responses that have not left the process. */
+	readonly openResponses: Set<ServerResponse>;
 	/** Bytes read when the last request was complete, undefined before the first one. */
 	bytesAtRequestEnd: number | undefined;
 	/** The last request, undefined before the first one. */
@@ -143,7 +143,7 @@
 	get openResponses(): number {
 		let count = 0;
 		for (const {openResponses} of this.connections.values()) {
-			count += openResponses;
+			count += openResponses.size;
 		}
 
 		return count;
@@ -158,7 +158,7 @@
 	closeIdleConnections(): void {
 		for (const [socket, connection] of this.connections) {
 			if (
-				connection.openResponses === 0 &&
+				connection.openResponses.size === 0 &&
 				connection.bytesAtRequestEnd === socket.bytesRead
 			) {
 				socket.destroy();
@@ -180,7 +180,7 @@
 
 	private observeConnection(socket: Socket): void {
 		const connection: CallerConnection = {
-			openResponses: 0,
+			openResponses: new Set(),
 			bytesAtRequestEnd: undefined,
 			lastMessage: undefined,
 		};
@@ -198,6 +198,7 @@
 		socket.once('close', () => {
 			this.connections.delete(socket);
 			this.lingering.delete(socket);
+			closeWaitingResponses(connection.openResponses);
 		});
 	}
 
@@ -212,9 +213,9 @@
 		}
 
 		connection.lastMessage = message;
-		connection.openResponses++;
+		connection.openResponses.add(response);
 		response.once('close', () => {
-			connection.openResponses--;
+			connection.openResponses.delete(response);
 		});
 		message.once('end', () => {
 			connection.bytesAtRequestEnd = socket.bytesRead;
@@ -291,6 +292,16 @@
 	}
 }
 
+/** Node.js closes only the response that has the connection when the connection is closed, not those that wait behind it. */
+function closeWaitingResponses(responses: ReadonlySet<ServerResponse>): void {
+	for (const response of responses) {
+		if (!response.socket) {
+			response.destroy();
+			response.emit('close');
+		}
+	}
+}
+
 function headerSizeOf(rawHeaders: readonly string[]): number {
 	let size = 0;
 	for (const text of rawHeaders) {
