Limit the memory for the bodies of requests that are held at once

3,000 connections may send bodies of up to 4 MiB each, and nothing limited their sum: 200 callers that sent 2 MB and did not complete their requests made a host hold 400 MB, and no request was refused within 30 s.

Bodies of requests now take at most a tenth of machine.memoryMegabytes. A large body beyond it is refused with 503 and Retry-After, as not run, at its head if that declares the length, and the rest is not kept. Bodies up to 64 KiB are always taken, as with answers. Requests and answers count through the same HeldBody. Refusals have the event 7091 and a metric of their own.

--- a/src/contracts/events/forwarding-events.ts
+++ b/src/contracts/events/forwarding-events.ts
@@ -427,6 +427,13 @@
 		description:
 			'An answer was given up because the bodies of all answers that this host holds exceed their share of machine.memoryMegabytes. Its request counts as lost at its target. The field heldBytes is the sum, omittedLines the number of such answers since the last line. Look for callers that do not read and for large answers without events.',
 	},
+	requestsExceedMemory: {
+		number: 7091,
+		name: 'requests-exceed-memory',
+		level: 'warn',
+		description:
+			'A request with a large body was refused as not run, because the bodies of all requests that this host holds exceed their share of machine.memoryMegabytes. The field heldBytes is the sum, omittedLines the number of such requests since the last line. Look for callers that send bodies slowly or wait long for their answers.',
+	},
 	logLinesDropped: {
 		number: 7060,
 		name: 'log-lines-dropped',
--- a/src/program/forwarding-root.ts
+++ b/src/program/forwarding-root.ts
@@ -10,7 +10,10 @@
 	Disposable,
 	DisposableStore,
 } from '../base/common/disposable.js';
-import {type EventLogger} from '../base/common/event-logger.js';
+import {
+	type EventLogger,
+	type LogEventDefinition,
+} from '../base/common/event-logger.js';
 import {SeededRandomSource} from '../base/common/random-source.js';
 import {listenOn, type ListenError} from '../base/node/listen.js';
 import {SystemClock} from '../base/node/system-clock.js';
@@ -128,7 +131,9 @@
 const bytesPerMegabyte = 1_000_000;
 /** Share of the memory of the machine for the bodies of answers. A process without requests takes about a third of a small machine, and each body is held up to twice. */
 const answerMemoryShare = 0.2;
-/** Time between log lines about answers that exceed the memory. */
+/** Share of the memory of the machine for the bodies of requests, which are refused as not run without a loss at a target. */
+const requestMemoryShare = 0.1;
+/** Time between log lines about bodies that exceed the memory. */
 const memoryLogIntervalMilliseconds = 10_000;
 
 /** A host that forwards the requests of callers to listed targets, as the operators’ document says. */
@@ -342,7 +347,11 @@
 			brittle,
 			streams,
 			reachability: registry.reachability,
-			budget: this.createBudget(),
+			budget: this.createBudget({
+				memoryShare: answerMemoryShare,
+				metric: 'daisylever_answers_over_memory_total',
+				event: forwardingEvents.answersExceedMemory,
+			}),
 			peers: components.add(
 				new PeerForwarder({
 					host,
@@ -366,7 +375,16 @@
 		components.addCallback(() => {
 			service.dispose();
 		});
-		this.server = components.add(new ForwardingServer(service));
+		this.server = components.add(
+			new ForwardingServer(
+				service,
+				this.createBudget({
+					memoryShare: requestMemoryShare,
+					metric: 'daisylever_requests_over_memory_total',
+					event: forwardingEvents.requestsExceedMemory,
+				}),
+			),
+		);
 		const {processorShare} = settings.machine;
 		this.reportClient = components.add(
 			new ReportClient({
@@ -672,12 +690,20 @@
 		);
 	}
 
-	/** Limits the answers that are held at once, and logs when some exceed the limit. */
-	private createBudget(): ByteBudget {
+	/** Limits the bodies that are held at once, and logs when some exceed the limit. */
+	private createBudget({
+		memoryShare,
+		metric,
+		event,
+	}: {
+		readonly memoryShare: number;
+		readonly metric: string;
+		readonly event: LogEventDefinition;
+	}): ByteBudget {
 		const {memoryMegabytes} = this.settings.machine;
 		const budget = new ByteBudget(
 			memoryMegabytes
-				? memoryMegabytes * bytesPerMegabyte * answerMemoryShare
+				? memoryMegabytes * bytesPerMegabyte * memoryShare
 				: Number.POSITIVE_INFINITY,
 		);
 		const log = new LogLimiter({
@@ -686,10 +712,10 @@
 			maximumLines: 1,
 		});
 		budget.refused.subscribe(() => {
-			this.metrics.count('daisylever_answers_over_memory_total');
-			const omittedLines = log.admit('answers');
+			this.metrics.count(metric);
+			const omittedLines = log.admit(event.name);
 			if (omittedLines !== undefined) {
-				this.events.record(forwardingEvents.answersExceedMemory, {
+				this.events.record(event, {
 					heldBytes: budget.heldBytes,
 					omittedLines,
 				});
--- a/src/services/forwarding/forward-attempt.ts
+++ b/src/services/forwarding/forward-attempt.ts
@@ -5,12 +5,9 @@
 	type ResponseMetadata,
 	type RequestCodec,
 } from '../../contracts/request-codec.js';
-import {type ByteBudget} from '../../core/byte-budget.js';
+import {type ByteBudget, type HeldBody} from '../../core/byte-budget.js';
 import {type TargetConnections} from './target-connections.js';
 
-/** Size up to which a body is taken in any case, so that large ones that nobody reads do not cost all other callers theirs. */
-const smallBodyBytes = 65_536;
-
 /** Why an attempt ended without a usable response. */
 export type AttemptFailure =
 	/** No byte of the request was sent. */
@@ -91,11 +88,12 @@
 	private response: ResponseMetadata | undefined;
 	private readonly chunks: Buffer[] = [];
 	private bodyBytes = 0;
-	/** Bytes that count in the budget. */
-	private heldBytes = 0;
+	/** The part of the budget that the body of the answer has taken. */
+	private readonly held: HeldBody | undefined;
 	private readonly inactivityTimer: ExpiryTimer | undefined;
 
 	constructor(private readonly options: ForwardAttemptOptions) {
+		this.held = options.budget?.hold();
 		this.inactivityTimer =
 			options.inactivityTimeoutMilliseconds === undefined
 				? undefined
@@ -229,10 +227,7 @@
 			return;
 		}
 
-		const {budget} = this.options;
-		if (this.bodyBytes <= smallBodyBytes) {
-			budget?.take(chunk.length);
-		} else if (budget && !budget.tryTake(chunk.length)) {
+		if (this.held?.tryTake(chunk.length) === false) {
 			this.fail(
 				'the answers that wait for their ends exceed the memory of the host',
 				true,
@@ -240,7 +235,6 @@
 			return;
 		}
 
-		this.heldBytes += chunk.length;
 		this.chunks.push(chunk);
 	}
 
@@ -348,8 +342,7 @@
 
 	private finish(): void {
 		this.isDone = true;
-		this.options.budget?.release(this.heldBytes);
-		this.heldBytes = 0;
+		this.held?.release();
 		this.inactivityTimer?.stop();
 	}
 
--- a/src/services/forwarding/forwarding-server.ts
+++ b/src/services/forwarding/forwarding-server.ts
@@ -15,6 +15,7 @@
 	type ListenOptions,
 } from '../../base/node/listen.js';
 import {type RequestLimits} from '../../contracts/forwarding-document.js';
+import {type ByteBudget} from '../../core/byte-budget.js';
 
 /** A request of a caller with its complete body. */
 export type ReceivedRequest = {
@@ -34,6 +35,12 @@
 		response: ServerResponse,
 		status: 400 | 413 | 431,
 	): void;
+
+	/** Responds to a request whose body this host has no memory for at present. */
+	abstract refuseForMemory(
+		message: IncomingMessage,
+		response: ServerResponse,
+	): void;
 }
 
 /** Tells hono that the response is written outside it. */
@@ -75,7 +82,11 @@
 	/** Connections that are read until their callers close them. */
 	private readonly lingering = new Set<Socket>();
 
-	constructor(private readonly handler: ReceivedRequestHandler) {
+	constructor(
+		private readonly handler: ReceivedRequestHandler,
+		/** Limit for the bodies of all requests that are held at once. No limit if absent. */
+		private readonly budget?: ByteBudget,
+	) {
 		super();
 		const app = new Hono<{Bindings: HttpBindings}>();
 		app.all('*', (context) => {
@@ -248,11 +259,21 @@
 			return;
 		}
 
-		if (Number(message.headers['content-length'] ?? 0) > bodyBytes) {
+		const declaredBytes = Number(message.headers['content-length'] ?? 0);
+		if (declaredBytes > bodyBytes) {
 			this.handler.reject(message, response, 413);
 			return;
 		}
 
+		const held = this.budget?.hold();
+		response.once('close', () => {
+			held?.release();
+		});
+		if (held?.admits(declaredBytes) === false) {
+			this.handler.refuseForMemory(message, response);
+			return;
+		}
+
 		const chunks: Buffer[] = [];
 		let size = 0;
 		let isRejected = false;
@@ -275,7 +296,14 @@
 				this.handler.reject(message, response, 413);
 			}
 
-			if (!isRejected) {
+			if (!isRejected && held?.tryTake(chunk.length) === false) {
+				isRejected = true;
+				this.handler.refuseForMemory(message, response);
+			}
+
+			if (isRejected) {
+				chunks.length = 0;
+			} else {
 				chunks.push(chunk);
 			}
 		});
--- a/src/services/forwarding/forwarding-service.ts
+++ b/src/services/forwarding/forwarding-service.ts
@@ -112,6 +112,9 @@
 /** Retry delay sent by a host without a document or one that is stopping. A starting host receives a document within this time, or not before its callers time out. */
 const startRetryMilliseconds = 500;
 
+/** Delay after which a request that finds no memory may come back: the bodies of others are held until their answers. */
+const memoryRetryMilliseconds = 1000;
+
 /** Log lines for the requests that one stop cuts, and as many for its unsent answers. */
 const maximumCutLines = 32;
 
@@ -552,6 +555,25 @@
 		response.end();
 	}
 
+	refuseForMemory(message: IncomingMessage, response: ServerResponse): void {
+		const {codec, metrics} = this.options;
+		metrics.count('daisylever_requests_total');
+		const metadata = codec.decodeRequest(message.rawHeaders);
+		if (metadata.isErr()) {
+			this.reject(message, response, 400);
+			return;
+		}
+
+		// The rest of the body is not read, so the connection can carry no other request.
+		this.sendLocalResponse(
+			response,
+			503,
+			metadata.value.id,
+			memoryRetryMilliseconds,
+			true,
+		);
+	}
+
 	/** Keeps a response until its bytes have left the process or its connection is closed. Node.js closes only the response that has the connection, not those that wait behind it. */
 	private keepOpenResponse(
 		socket: Socket,
@@ -851,12 +873,13 @@
 		status: number,
 		request: RequestId,
 		retryAfterMilliseconds: number | undefined,
+		mustClose = this.isStopping,
 	): void {
 		const headers = this.options.codec.encodeLocalResponse(
 			request,
 			retryAfterMilliseconds,
 		);
-		new HttpCallerResponse(response, () => this.isStopping).send(
+		new HttpCallerResponse(response, () => mustClose).send(
 			status,
 			Object.entries(headers).flat(),
 			Buffer.alloc(0),
--- a/test/process/answer-memory.test.ts
+++ b/test/process/answer-memory.test.ts
@@ -1,10 +1,9 @@
 import assert from 'node:assert/strict';
-import {readFileSync} from 'node:fs';
 import {connect, type Socket} from 'node:net';
 import {after, test} from 'node:test';
 import {request} from 'undici';
 import {OddInputDeployment, usual} from './odd-input.js';
-import {waitUntil} from './processes.js';
+import {peakMegabytes, waitUntil} from './processes.js';
 
 const deployment = new OddInputDeployment();
 const sockets: Socket[] = [];
@@ -24,14 +23,6 @@
 /** Time for which the answers arrive. */
 const arrivalMilliseconds = 4000;
 
-function residentMegabytes(): number {
-	const status = readFileSync(
-		`/proc/${deployment.host.process.child.pid}/status`,
-		'utf8',
-	);
-	return (Number(/VmHWM:\s+(\d+)/.exec(status)?.[1]) * 1024) / 1_000_000;
-}
-
 async function largeAnswer(id: string): Promise<number> {
 	const response = await request(
 		`http://127.0.0.1:${deployment.host.ports.callers}/odd-once/a`,
@@ -80,7 +71,7 @@
 		setTimeout(resolve, arrivalMilliseconds);
 	});
 	await deployment.assertSound();
-	assert.ok(residentMegabytes() < memoryMegabytes);
+	assert.ok(peakMegabytes(deployment.host.process) < memoryMegabytes);
 	assert.ok(
 		deployment.host.process.lines.some((line) =>
 			line.includes('"answers-exceed-memory"'),
@@ -96,5 +87,5 @@
 		answered++;
 		return (await largeAnswer(`later-${answered}`)) === answerBytes;
 	});
-	assert.ok(residentMegabytes() < memoryMegabytes);
+	assert.ok(peakMegabytes(deployment.host.process) < memoryMegabytes);
 });
--- a/test/process/processes.ts
+++ b/test/process/processes.ts
@@ -1,4 +1,5 @@
 import {spawn, type ChildProcess} from 'node:child_process';
+import {readFileSync} from 'node:fs';
 import {mkdtemp, writeFile} from 'node:fs/promises';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
@@ -97,6 +98,12 @@
 	}
 }
 
+/** Returns the largest resident memory that a process has had. */
+export function peakMegabytes({child}: TestProcess): number {
+	const status = readFileSync(`/proc/${child.pid}/status`, 'utf8');
+	return (Number(/VmHWM:\s+(\d+)/.exec(status)?.[1]) * 1024) / 1_000_000;
+}
+
 /** A stand-in that runs in its own process. */
 export type TestStandIn = {
 	readonly process: TestProcess;
