Count bodies that pass between hosts in the memory for bodies

A host that forwards requests for another one held their bodies and the queued answers outside both budgets, and so did the host that receives the answers.

Requests of other hosts now count in the budget of requests: one without room is refused as not run, and the caller's host asks another one. Answers count in the budget of answers at both hosts until they are passed on.

--- a/src/program/forwarding-root.ts
+++ b/src/program/forwarding-root.ts
@@ -286,6 +286,16 @@
 		client.generationChanged.subscribe(() => {
 			this.streamRecorder.handleRestore();
 		});
+		const answerBudget = this.createBudget({
+			memoryShare: answerMemoryShare,
+			metric: 'daisylever_answers_over_memory_total',
+			event: forwardingEvents.answersExceedMemory,
+		});
+		const requestBudget = this.createBudget({
+			memoryShare: requestMemoryShare,
+			metric: 'daisylever_requests_over_memory_total',
+			event: forwardingEvents.requestsExceedMemory,
+		});
 		this.reportServer = components.add(
 			new ReportServer({
 				host,
@@ -321,6 +331,8 @@
 						serve: (request) => {
 							this.service.handlePeerRequest(request);
 						},
+						requestBudget,
+						answerBudget,
 					});
 				},
 			}),
@@ -347,11 +359,7 @@
 			brittle,
 			streams,
 			reachability: registry.reachability,
-			budget: this.createBudget({
-				memoryShare: answerMemoryShare,
-				metric: 'daisylever_answers_over_memory_total',
-				event: forwardingEvents.answersExceedMemory,
-			}),
+			budget: answerBudget,
 			peers: components.add(
 				new PeerForwarder({
 					host,
@@ -375,16 +383,7 @@
 		components.addCallback(() => {
 			service.dispose();
 		});
-		this.server = components.add(
-			new ForwardingServer(
-				service,
-				this.createBudget({
-					memoryShare: requestMemoryShare,
-					metric: 'daisylever_requests_over_memory_total',
-					event: forwardingEvents.requestsExceedMemory,
-				}),
-			),
-		);
+		this.server = components.add(new ForwardingServer(service, requestBudget));
 		const {processorShare} = settings.machine;
 		this.reportClient = components.add(
 			new ReportClient({
--- a/src/services/forwarding/forward-dispatch.ts
+++ b/src/services/forwarding/forward-dispatch.ts
@@ -230,6 +230,11 @@
 		return this.options.maximumBodyBytes;
 	}
 
+	/** Limit for the bodies of all answers that are held at once, undefined without one. */
+	get budget(): ByteBudget | undefined {
+		return this.options.budget;
+	}
+
 	/** Requests that are queued or in flight. */
 	activeRequests(): Iterable<ForwardedRequest> {
 		return this.requests.values();
--- a/src/services/forwarding/peer-call.ts
+++ b/src/services/forwarding/peer-call.ts
@@ -4,6 +4,7 @@
 import {ExpiryTimer} from '../../base/node/expiry-timer.js';
 import {type SoftwareVersion} from '../../contracts/ids.js';
 import {type ResponseMetadata} from '../../contracts/request-codec.js';
+import {type ByteBudget, type HeldBody} from '../../core/byte-budget.js';
 import {EventStreamSplitter} from '../../core/event-stream-splitter.js';
 import {
 	type Data,
@@ -47,6 +48,8 @@
 	readonly message: MessageInitShape<typeof ForwardRequestSchema>;
 	/** Limit for the body of a response that is not a stream. */
 	readonly maximumBodyBytes: number;
+	/** Limit for the bodies of all answers that are held at once. No limit if absent. */
+	readonly budget?: ByteBudget | undefined;
 	/** Called with the software version at which the stream of the request began. */
 	readonly onStreamStart: (version: SoftwareVersion) => void;
 };
@@ -70,7 +73,12 @@
 	private outcome: PeerCallOutcome | undefined;
 	private wakeAfterDrain: (() => void) | undefined;
 
-	constructor(private readonly options: PeerCallOptions) {}
+	/** The part of the budget that the body of the answer has taken. */
+	private readonly held: HeldBody | undefined;
+
+	constructor(private readonly options: PeerCallOptions) {
+		this.held = options.budget?.hold();
+	}
 
 	/** Sends the request and resolves once it has ended at the peer. */
 	async run(): Promise<PeerCallOutcome> {
@@ -88,6 +96,7 @@
 		}
 
 		this.silence.stop();
+		this.held?.release();
 		return (
 			this.outcome ?? {
 				kind: 'lost',
@@ -182,6 +191,15 @@
 				return;
 			}
 
+			if (this.held?.tryTake(bytes.length) === false) {
+				this.end({
+					kind: 'lost',
+					reason:
+						'the answers that wait for their ends exceed the memory of the host',
+				});
+				return;
+			}
+
 			this.chunks.push(bytes);
 			return;
 		}
--- a/src/services/forwarding/peer-forwarder.ts
+++ b/src/services/forwarding/peer-forwarder.ts
@@ -79,6 +79,7 @@
 				request,
 				message: this.createMessage(request, dispatch, allowed),
 				maximumBodyBytes: dispatch.maximumBodyBytes,
+				budget: dispatch.budget,
 				onStreamStart(version) {
 					if (request.softwareVersion === undefined) {
 						request.softwareVersion = version;
--- a/src/services/forwarding/peer-response.ts
+++ b/src/services/forwarding/peer-response.ts
@@ -1,6 +1,7 @@
 import {type MessageInitShape} from '@bufbuild/protobuf';
 import {type SoftwareVersion} from '../../contracts/ids.js';
 import {type ForwardResponseSchema} from '../../generated/daisylever/forwarding/v1/forwarding_pb.js';
+import {type ByteBudget} from '../../core/byte-budget.js';
 import {CallerResponse, type OwnResponse} from './caller-response.js';
 
 /** State of a request that the host from which it came needs to know. */
@@ -17,7 +18,7 @@
 
 /** Bytes that wait for the calling host, above which the target is paused. */
 const highWaterMarkBytes = 65_536;
-/** Interval at which the calling host is told that this one still serves the request. */
+/** Interval of the messages that show the calling host that this one still serves the request. */
 const aliveIntervalMilliseconds = 400;
 
 const unsentState: ServedRequestState = {
@@ -37,6 +38,12 @@
 	private wakeReader: (() => void) | undefined;
 	private readState: (() => ServedRequestState) | undefined;
 	private closedCallback: (() => void) | undefined;
+	/** Bytes of the answer that count in the budget. */
+	private heldBytes = 0;
+
+	constructor(private readonly budget?: ByteBudget) {
+		super();
+	}
 
 	get hasStarted(): boolean {
 		return this.isStreaming || this.isFinished;
@@ -161,6 +168,8 @@
 			}
 		} finally {
 			signal.removeEventListener('abort', wake);
+			this.budget?.release(this.heldBytes);
+			this.heldBytes = 0;
 			this.closedCallback?.();
 		}
 	}
@@ -175,6 +184,8 @@
 			return;
 		}
 
+		this.heldBytes = body.length;
+		this.budget?.take(body.length);
 		this.postHead(status, headers, {isFramed, isStream: false});
 		this.postData(body);
 		this.end();
--- a/src/services/forwarding/peer-routes.ts
+++ b/src/services/forwarding/peer-routes.ts
@@ -1,5 +1,6 @@
 import {type ConnectRouter} from '@connectrpc/connect';
 import {type Clock} from '../../base/common/clock.js';
+import {type ByteBudget} from '../../core/byte-budget.js';
 import {type PoolName, type SoftwareVersion} from '../../contracts/ids.js';
 import {
 	PeerForwardingService,
@@ -13,24 +14,43 @@
 	readonly clock: Clock;
 	/** Serves a request that another host forwarded. */
 	readonly serve: (request: PeerRequest) => void;
+	/** Limit for the bodies of all requests that are held at once. No limit if absent. */
+	readonly requestBudget?: ByteBudget | undefined;
+	/** Limit for the bodies of all answers that are held at once. No limit if absent. */
+	readonly answerBudget?: ByteBudget | undefined;
 };
 
+const memoryReason = 'the host has no memory for the body of the request';
+/** Delay after which a request that finds no memory may come back: the bodies of others are held until their answers. */
+const memoryRetryMilliseconds = 1000;
+
 /** Adds the call by which other hosts forward requests to this one. */
 export function addPeerRoutes(
 	router: ConnectRouter,
-	{clock, serve}: PeerRoutesOptions,
+	{clock, serve, requestBudget, answerBudget}: PeerRoutesOptions,
 ): void {
 	router.service(PeerForwardingService, {
 		async *forward(message, {signal}) {
-			const request = toPeerRequest(message, clock, signal);
-			serve(request);
-			yield* request.response.messages(signal);
+			const response = new PeerResponse(answerBudget);
+			const held = requestBudget?.hold();
+			try {
+				if (held?.tryTake(message.body.length) === false) {
+					response.refuseHost(memoryReason, memoryRetryMilliseconds);
+				} else {
+					serve(toPeerRequest(message, response, clock, signal));
+				}
+
+				yield* response.messages(signal);
+			} finally {
+				held?.release();
+			}
 		},
 	});
 }
 
 function toPeerRequest(
 	message: ForwardRequest,
+	response: PeerResponse,
 	clock: Clock,
 	signal: AbortSignal,
 ): PeerRequest {
@@ -41,7 +61,7 @@
 		rawHeaders: message.rawHeaders,
 		body: Buffer.from(body.buffer, body.byteOffset, body.byteLength),
 		arrivedAt: clock.monotonic() - message.ageMilliseconds,
-		response: new PeerResponse(),
+		response,
 		hasCallerLeft: () => signal.aborted,
 		onCallerLeft(callback) {
 			signal.addEventListener('abort', callback, {once: true});
--- a/test/forwarding/forwarding-harness.ts
+++ b/test/forwarding/forwarding-harness.ts
@@ -30,6 +30,7 @@
 } from '../../src/contracts/ids.js';
 import {type ListedTarget} from '../../src/contracts/listed-target.js';
 import {PoolReachability} from '../../src/contracts/pool-reachability.js';
+import {type ByteBudget} from '../../src/core/byte-budget.js';
 import {CrashCorrelation} from '../../src/core/crash-correlation.js';
 import {NamedRateLimits} from '../../src/core/named-rate-limits.js';
 import {PeerSelection} from '../../src/core/peer-selection.js';
@@ -146,6 +147,12 @@
 	}
 }
 
+/** Limits for the bodies that a harness holds at once. */
+export type BodyBudgets = {
+	readonly requests?: ByteBudget;
+	readonly answers?: ByteBudget;
+};
+
 /** A forwarding server in this process. The test provides the targets. */
 export class ForwardingHarness {
 	readonly clock = new SystemClock();
@@ -174,7 +181,10 @@
 	private callCount = 0;
 
 	/** Other hosts answer with `askOthers` at which software version a stream began. */
-	constructor(askOthers?: Parameters<typeof createSharing>[1]) {
+	constructor(
+		askOthers?: Parameters<typeof createSharing>[1],
+		private readonly budgets: BodyBudgets = {},
+	) {
 		this.streams = createSharing(this.clock, askOthers);
 		const events = this.eventLogger;
 		const random = new SeededRandomSource(5);
@@ -219,12 +229,13 @@
 			streams: this.streams.sharing,
 			reachability: this.reachability,
 			peers: this.peers,
+			budget: budgets.answers,
 			retries: {ratio: 0.2, slack: 56, windowMilliseconds: 10_000, hosts: 8},
 			onAdapterMissing: () => {
 				this.missingAdapterCount++;
 			},
 		});
-		this.server = new ForwardingServer(this.service);
+		this.server = new ForwardingServer(this.service, budgets.requests);
 		this.registry.changed.subscribe(() => {
 			this.service.notifyCandidatesChanged();
 		});
@@ -251,6 +262,8 @@
 						serve: (request) => {
 							this.service.handlePeerRequest(request);
 						},
+						requestBudget: this.budgets.requests,
+						answerBudget: this.budgets.answers,
 					});
 				},
 			}),
