Count only the connection of the request in a test of silent targets

Cause: the test counted all closed connections. The host also opens a connection without a request to find out whether the silent target listens, and closes it. The same for the test of a target that wakes first.

--- a/test/forwarding/silent-targets.test.ts
+++ b/test/forwarding/silent-targets.test.ts
@@ -159,18 +159,16 @@
 	const first = await addWorker(pause(10_000));
 	const call = harness.call('/stream/x', {body: 'b'});
 	await waitUntil('the request', () => first.requests.length === 1);
+	// Connections that only check whether the target listens do not count.
+	const {socket} = first.requests[0]!;
 	const second = await addWorker(finishStream(500));
 	await waitUntil('the rest is asked for', () => second.requests.length === 1);
-	assert.equal(first.closedSocketCount, 0);
+	assert.equal(socket.destroyed, false);
 	const result = await call;
 	assert.equal(result.isComplete, true);
 	assert.equal(result.body, allEvents);
 	assert.equal(second.requests[0]!.headers.get('last-event-id'), '2');
-	await waitUntil(
-		'the silent target is released',
-		() => first.closedSocketCount > 0,
-		400,
-	);
+	await waitUntil('the silent target is released', () => socket.destroyed, 400);
 });
 
 // Guards against events that come twice or are missing when a silent target wakes while another one prepares the rest.
@@ -182,7 +180,7 @@
 	assert.equal(second.requests.length, 1);
 	await waitUntil(
 		'the other target is released',
-		() => second.closedSocketCount > 0,
+		() => second.requests[0]!.socket.destroyed,
 	);
 });
 
