Poll the sockets once more before a request is sent to a target

Cause: Node.js 20 (libuv 1.46) accepts one connection in each turn of the event loop, and reads the end of a connection in a later turn than the request before it. A host with cold code that is slower than its arrivals has a backlog of seconds while no turn is long, so the check after a stall of the event loop did not apply. In a run with a processor share of 0.6 no stall was logged, and requests were sent 2 ms after they were read, up to 2.6 s after their callers had left. Requests that wait for a target or for a connection to one had no check at all, besides the event of the closed connection, which comes a turn or more after its end was read.

Change: PolledQueue runs an action after the event loop has polled the sockets once more, in order, for 5 ms a turn, and polls again after a long turn. It runs what submits a request, what sends an attempt that has waited, what hands a new connection to the HTTP client, and what sends a request to another host. An attempt ends when the connection of its caller has ended, whether or not its closure was reported. The check after a stall is dropped, since each request is checked.

--- a/src/program/forwarding-root.ts
+++ b/src/program/forwarding-root.ts
@@ -13,6 +13,7 @@
 import {type EventLogger} from '../base/common/event-logger.js';
 import {SeededRandomSource} from '../base/common/random-source.js';
 import {listenOn, type ListenError} from '../base/node/listen.js';
+import {PolledQueue} from '../base/node/polled-queue.js';
 import {SystemClock} from '../base/node/system-clock.js';
 import {wait} from '../base/node/wait.js';
 import {forwardingEvents} from '../contracts/events/forwarding-events.js';
@@ -184,7 +185,8 @@
 			events.record(forwardingEvents.storeGenerationChanged, {generation});
 		});
 		const codec = new PlatformRequestCodec();
-		const registry = components.add(new TargetRegistry({clock, events}));
+		const polls = components.add(new PolledQueue(clock));
+		const registry = components.add(new TargetRegistry({clock, events, polls}));
 		this.registry = registry;
 		registry.setHostCount(defaultHostCount);
 		components.add(new ReachabilityProber({clock, events, registry}));
@@ -342,6 +344,7 @@
 			brittle,
 			streams,
 			reachability: registry.reachability,
+			polls,
 			budget: this.createBudget(),
 			peers: components.add(
 				new PeerForwarder({
--- a/src/services/forwarding/forward-attempt.ts
+++ b/src/services/forwarding/forward-attempt.ts
@@ -119,6 +119,11 @@
 		return this.wasSent;
 	}
 
+	/** True once the attempt has reported its outcome or was cancelled. */
+	get isOver(): boolean {
+		return this.isDone;
+	}
+
 	/** True while the target makes no progress. */
 	get hasStalled(): boolean {
 		return this.isStalled && !this.isDone;
@@ -142,7 +147,12 @@
 		}
 
 		// A timer that is due may not have run yet, if the event loop was blocked or the connection opened late.
-		if (!this.options.isNeeded()) {
+		const isNeeded = this.options.isNeeded();
+		if (this.isDone) {
+			return;
+		}
+
+		if (!isNeeded) {
 			this.finish();
 			controller.abort(new Error('the request is not sent any more'));
 			this.options.listener.onFailure({
--- a/src/services/forwarding/forward-dispatch.ts
+++ b/src/services/forwarding/forward-dispatch.ts
@@ -3,6 +3,7 @@
 import {type EventLogger} from '../../base/common/event-logger.js';
 import {type RandomSource} from '../../base/common/random-source.js';
 import {isConnectionRefused} from '../../base/node/connection-probe.js';
+import {type PolledQueue} from '../../base/node/polled-queue.js';
 import {SharedListenerChecks} from '../../base/node/shared-listener-checks.js';
 import {wait} from '../../base/node/wait.js';
 import {forwardingEvents} from '../../contracts/events/forwarding-events.js';
@@ -90,6 +91,8 @@
 	readonly streams: StreamOriginSharing;
 	/** False when this host stops before the answer to a request that is sent now would end. */
 	readonly mayBegin: (request: ForwardedRequest) => boolean;
+	/** Runs actions after the connections of callers have been read. */
+	readonly polls: PolledQueue;
 	/** Delay after which a request that is refused for a stop may come back, to another host. */
 	readonly stopRetryMilliseconds: number;
 	readonly maximumBodyBytes: number;
@@ -271,6 +274,25 @@
 		});
 	}
 
+	/** Ends a request whose caller has left. Returns true when the caller has. */
+	endIfCallerLeft(request: ForwardedRequest): boolean {
+		if (!request.options.hasCallerLeft()) {
+			return false;
+		}
+
+		this.abandon(request);
+		request.handleCallerDisconnect();
+		return true;
+	}
+
+	/** Reads the connections of callers, unless they have just been read. Returns true when the request is finished or its caller has left. */
+	async findWhetherEnded(request: ForwardedRequest): Promise<boolean> {
+		await new Promise<void>((resolve) => {
+			this.options.polls.runPolled(resolve);
+		});
+		return request.isFinished || this.endIfCallerLeft(request);
+	}
+
 	/** Abandons a request whose caller disconnected or whose deadline has passed, and cancels its attempts. */
 	abandon(request: ForwardedRequest): void {
 		this.dispatcher.post({kind: 'abandoned', request: request.key});
@@ -359,7 +381,12 @@
 	startAttempt(binding: Binding): void {
 		const request = this.requests.get(binding.request);
 		const connections = this.options.registry.getConnections(binding.target);
-		if (!request || request.isFinished || !connections) {
+		if (
+			!request ||
+			request.isFinished ||
+			!connections ||
+			this.endIfCallerLeft(request)
+		) {
 			this.dispatcher.post({kind: 'unreached', ...toAttempt(binding)});
 			return;
 		}
@@ -391,7 +418,7 @@
 			this.attempts.get(request.key) ?? new Map<number, ForwardAttempt>();
 		attempts.set(binding.attempt, attempt);
 		this.attempts.set(request.key, attempts);
-		const {metadata, route, options} = request;
+		const {metadata} = request;
 		this.options.events.record(forwardingEvents.attemptSent, {
 			request: metadata.id,
 			attempt: binding.attempt,
@@ -409,29 +436,12 @@
 					(this.options.registry.get(binding.target)?.listedAt ?? 0),
 			),
 		});
-		const outgoing = {
-			method: options.method,
-			path: options.requestTarget,
-			headers: this.options.codec.encodeAttempt(metadata, {
-				target: binding.target,
-				remainingMilliseconds:
-					request.remainingMilliseconds() - targetDeadlineMarginMilliseconds,
-				lastEventId: request.lastEventId,
-				priority: this.priorityAtTarget(request),
-			}),
-			body: options.body.length > 0 ? options.body : null,
-			idempotent: false,
-			blocking: false,
-		};
-		// What still belongs to an earlier attempt has the same id and cannot be told from the response to this one.
-		if (
-			request.refusedBy.has(binding.target) ||
-			binding.kind === 'replacement'
-		) {
-			connections.dispatchAlone(outgoing, attempt);
-		} else {
-			connections.dispatcher.dispatch(outgoing, attempt);
-		}
+		// The end of a connection can be received while its request waits for a target.
+		this.options.polls.runPolled(() => {
+			if (!attempt.isOver && !this.endIfCallerLeft(request)) {
+				this.send(request, binding, connections, attempt);
+			}
+		});
 	}
 
 	/** Refuses the requests with a quarantined fingerprint that are queued, and cancels those that have not started at their target. */
@@ -756,6 +766,38 @@
 		);
 	}
 
+	private send(
+		request: ForwardedRequest,
+		binding: Binding,
+		connections: TargetConnections,
+		attempt: ForwardAttempt,
+	): void {
+		const {metadata, options} = request;
+		const outgoing = {
+			method: options.method,
+			path: options.requestTarget,
+			headers: this.options.codec.encodeAttempt(metadata, {
+				target: binding.target,
+				remainingMilliseconds:
+					request.remainingMilliseconds() - targetDeadlineMarginMilliseconds,
+				lastEventId: request.lastEventId,
+				priority: this.priorityAtTarget(request),
+			}),
+			body: options.body.length > 0 ? options.body : null,
+			idempotent: false,
+			blocking: false,
+		};
+		// What still belongs to an earlier attempt has the same id and cannot be told from the response to this one.
+		if (
+			request.refusedBy.has(binding.target) ||
+			binding.kind === 'replacement'
+		) {
+			connections.dispatchAlone(outgoing, attempt);
+		} else {
+			connections.dispatcher.dispatch(outgoing, attempt);
+		}
+	}
+
 	/** A model request begins to run with its first token, so a replacement without a response has not run. */
 	private discountUnbegun(key: RequestId, attempt: ForwardAttempt): void {
 		const request = this.requests.get(key);
@@ -920,6 +962,7 @@
 			},
 			isNeeded: () =>
 				!request.isFinished &&
+				!this.endIfCallerLeft(request) &&
 				request.remainingMilliseconds() > 0 &&
 				!registry.isHeldBack(binding.target),
 			maximumBodyBytes: this.options.maximumBodyBytes,
--- a/src/services/forwarding/forwarded-request.ts
+++ b/src/services/forwarding/forwarded-request.ts
@@ -36,6 +36,8 @@
 	readonly documentVersion: number;
 	/** Name of the host that forwarded the request to this one, undefined for requests of callers. */
 	readonly forwardedBy: string | undefined;
+	/** True when the connection on which the answer is expected has ended. */
+	readonly hasCallerLeft: () => boolean;
 	/** Monotonic time at which the last byte of the request was received. */
 	readonly arrivedAt: number;
 	readonly codec: RequestCodec;
--- a/src/services/forwarding/forwarding-service.ts
+++ b/src/services/forwarding/forwarding-service.ts
@@ -5,6 +5,7 @@
 import {type EventLogger} from '../../base/common/event-logger.js';
 import {type MetricRegistry} from '../../base/common/metric-registry.js';
 import {type RandomSource} from '../../base/common/random-source.js';
+import {type PolledQueue} from '../../base/node/polled-queue.js';
 import {forwardingEvents} from '../../contracts/events/forwarding-events.js';
 import {
 	type ForwardingDocument,
@@ -73,6 +74,8 @@
 	readonly brittle: BrittleObserver;
 	readonly streams: StreamOriginSharing;
 	readonly reachability: PoolReachability;
+	/** Runs actions after the connections of callers have been read. */
+	readonly polls: PolledQueue;
 	/** Forwards the requests for pools that are cut off. */
 	readonly peers: PeerForwarder;
 	/** Limit for the bodies of all answers that are held at once. No limit if absent. */
@@ -103,10 +106,6 @@
 const tickIntervalMilliseconds = 25;
 /** Delay of a tick that is logged as a stall. Half of the delay that callers notice is far above it. */
 const stallThresholdMilliseconds = 30;
-/** Time after a stall of the event loop for which requests are checked for callers that have left. Longer than the interval at which stalls are detected. */
-const lagMemoryMilliseconds = 600;
-/** Turns of the event loop in which the end of a connection is read that has already been received. */
-const socketReadTurns = 3;
 /** Time for which a host reports the last request for a model to the owner. Longer than any model counts as busy. */
 const lastRequestLifetimeMilliseconds = 20_000;
 /** Retry delay sent by a host without a document or one that is stopping. A starting host receives a document within this time, or not before its callers time out. */
@@ -625,6 +624,7 @@
 			response: arrived.response,
 			documentVersion,
 			forwardedBy: origin?.host,
+			hasCallerLeft: arrived.hasCallerLeft,
 			arrivedAt: arrived.arrivedAt,
 			codec,
 			clock,
@@ -672,7 +672,7 @@
 		if (isTakenUpAgain(request)) {
 			void this.submitResumed(request, pool, arrived);
 		} else {
-			this.submitArrived(request, pool, arrived);
+			this.submitArrived(request, pool);
 		}
 
 		return request;
@@ -757,57 +757,18 @@
 			pool.dispatch.hasTargetOfVersion(request) ||
 			this.options.reachability.isCutOff(pool.dispatch.pool)
 		) {
-			this.submitArrived(request, pool, arrived);
+			this.submitArrived(request, pool);
 		} else {
 			request.refuse(missingVersionReason, undefined);
 		}
 	}
 
-	private submitArrived(
-		request: ForwardedRequest,
-		pool: Pool,
-		arrived: ArrivedRequest,
-	): void {
-		if (this.isLagging) {
-			this.submitUnlessCallerLeft(request, pool, arrived);
-		} else {
-			this.submit(request, pool);
-		}
-	}
-
-	/** True shortly after the event loop was blocked, or while the timer that detects it is overdue. Requests may then have waited in the socket for as long. */
-	private get isLagging(): boolean {
-		const now = this.options.clock.monotonic();
-		return (
-			now - this.stalledAt < lagMemoryMilliseconds ||
-			now - this.lastIntervalAt >=
-				this.intervalMilliseconds + stallThresholdMilliseconds
-		);
-	}
-
-	/** Reads the sockets again before the request is submitted: the end of a connection is read after the request that came before it. */
-	private submitUnlessCallerLeft(
-		request: ForwardedRequest,
-		pool: Pool,
-		arrived: ArrivedRequest,
-		turns = socketReadTurns,
-	): void {
-		if (request.isFinished) {
-			return;
-		}
-
-		if (arrived.hasCallerLeft()) {
-			request.handleCallerDisconnect();
-			return;
-		}
-
-		if (turns === 0) {
-			this.submit(request, pool);
-			return;
-		}
-
-		setImmediate(() => {
-			this.submitUnlessCallerLeft(request, pool, arrived, turns - 1);
+	/** Submits a request once its connection has been read again, and thus its end if the caller has left. */
+	private submitArrived(request: ForwardedRequest, pool: Pool): void {
+		this.options.polls.push(() => {
+			if (!request.isFinished && !pool.dispatch.endIfCallerLeft(request)) {
+				this.submit(request, pool);
+			}
 		});
 	}
 
@@ -993,6 +954,7 @@
 				return mayBegin;
 			},
 			stopRetryMilliseconds: startRetryMilliseconds,
+			polls: this.options.polls,
 			maximumBodyBytes: 4_194_304,
 			budget: this.options.budget,
 			tryOtherHost: (request) => this.tryOtherHost(request, pool),
--- a/src/services/forwarding/peer-forwarder.ts
+++ b/src/services/forwarding/peer-forwarder.ts
@@ -49,7 +49,7 @@
 		const excluded = new Set<string>();
 		let reason = 'no target of the pool and no other host is reached';
 		let retryAfterMilliseconds = noPeerRetryMilliseconds;
-		while (!request.isFinished) {
+		while (!(await dispatch.findWhetherEnded(request))) {
 			if (request.remainingMilliseconds() < minimumRemainingMilliseconds) {
 				request.expire();
 				return;
--- a/test/forwarding/forwarding-harness.ts
+++ b/test/forwarding/forwarding-harness.ts
@@ -14,6 +14,7 @@
 import {SeededRandomSource} from '../../src/base/common/random-source.js';
 import {TypedEvent} from '../../src/base/common/typed-event.js';
 import {listenOn} from '../../src/base/node/listen.js';
+import {PolledQueue} from '../../src/base/node/polled-queue.js';
 import {SystemClock} from '../../src/base/node/system-clock.js';
 import {
 	type ForwardingDocument,
@@ -165,6 +166,7 @@
 	readonly reachability = new StandInReachability();
 	/** Addresses of the hosts to which requests may be forwarded. */
 	knownPeers: readonly string[] = [];
+	private readonly polls = new PolledQueue(this.clock);
 	private readonly eventLogger = new RecordingEventLogger();
 	private readonly peerConnections = new PeerConnections();
 	private readonly peers: PeerForwarder;
@@ -179,7 +181,8 @@
 		const events = this.eventLogger;
 		const random = new SeededRandomSource(5);
 		const rateLimits = new NamedRateLimits({clock: this.clock});
-		this.registry = new TargetRegistry({clock: this.clock, events});
+		const {polls} = this;
+		this.registry = new TargetRegistry({clock: this.clock, events, polls});
 		this.prober = new ReachabilityProber({
 			clock: this.clock,
 			events,
@@ -218,6 +221,7 @@
 			}),
 			streams: this.streams.sharing,
 			reachability: this.reachability,
+			polls,
 			peers: this.peers,
 			retries: {ratio: 0.2, slack: 56, windowMilliseconds: 10_000, hosts: 8},
 			onAdapterMissing: () => {
--- a/test/forwarding/stop-admission.test.ts
+++ b/test/forwarding/stop-admission.test.ts
@@ -70,6 +70,7 @@
 		response: new PeerResponse(),
 		documentVersion: 1,
 		forwardedBy: undefined,
+		hasCallerLeft: () => false,
 		arrivedAt: clock.monotonic(),
 		codec: new PlatformRequestCodec(),
 		clock,
--- a/test/forwarding/unreachable-target.test.ts
+++ b/test/forwarding/unreachable-target.test.ts
@@ -7,6 +7,7 @@
 import {ManualClock} from '../../src/base/common/clock.js';
 import {NullMetricRegistry} from '../../src/base/common/metric-registry.js';
 import {SeededRandomSource} from '../../src/base/common/random-source.js';
+import {PolledQueue} from '../../src/base/node/polled-queue.js';
 import {
 	type FailureDomain,
 	type Fingerprint,
@@ -62,6 +63,7 @@
 		}),
 		streams: createSharing(clock).sharing,
 		mayBegin: () => true,
+		polls: new PolledQueue(clock),
 		stopRetryMilliseconds: 500,
 		maximumBodyBytes: 1000,
 	});
