Run what waits for a poll for as long as the sockets took

The queue now gets as much of the time as the sockets, at most 100 ms a turn, and polls again once after a turn of more than 50 ms; callers that left are noticed within half a second as before.

--- a/src/base/node/polled-queue.ts
+++ b/src/base/node/polled-queue.ts
@@ -7,14 +7,16 @@
 	readonly turn: number;
 };
 
-/** Time for which actions run in one turn of the event loop. Longer runs would let what the sockets have shown grow old. */
-const runMilliseconds = 5;
+/** Least time for which actions run in one turn of the event loop. */
+const minimumRunMilliseconds = 5;
+/** Longest time for which actions run in one turn. Longer runs would let what the sockets have shown grow old. */
+const maximumRunMilliseconds = 100;
 /** Time for which a poll of the sockets counts as recent. Well below the time in which a caller notices a delay. */
 const recentMilliseconds = 10;
 /** Length of a turn after which the sockets are polled again, because their state may have changed since the turn began. */
-const longTurnMilliseconds = 20;
+const longTurnMilliseconds = 50;
 /** Polls of the sockets after long turns in a row. A host all of whose turns are long must still make progress. */
-const maximumRepeatedPolls = 3;
+const maximumRepeatedPolls = 1;
 
 /**
  * Runs actions, in order, after the event loop has polled the sockets once more. Node.js reads the request and the end
@@ -27,6 +29,7 @@
 	private turn = 0;
 	private turnBeganAt = 0;
 	private polledAt = Number.NEGATIVE_INFINITY;
+	private ranAt = Number.NEGATIVE_INFINITY;
 	private repeatedPolls = 0;
 	private immediate: NodeJS.Immediate | undefined;
 
@@ -88,14 +91,18 @@
 		}
 	}
 
+	/** Runs actions for as long as the event loop was busy with the sockets since the last run, so that a busy host also serves what it reads. */
 	private runActions(startedAt: number): void {
+		const runMilliseconds = Math.min(
+			maximumRunMilliseconds,
+			Math.max(minimumRunMilliseconds, startedAt - this.ranAt),
+		);
 		let queue = this.nextQueue();
 		while (queue) {
 			queue.shift()!.run();
+			this.ranAt = this.clock.monotonic();
 			queue =
-				this.clock.monotonic() - startedAt < runMilliseconds
-					? this.nextQueue()
-					: undefined;
+				this.ranAt - startedAt < runMilliseconds ? this.nextQueue() : undefined;
 		}
 	}
 
