End all requests of a connection when its caller leaves

Cause: Node.js closes only the response that has the connection. Requests that a caller sent without waiting for the answers before them (pipelining) stayed at work after it had left, until their deadlines.

Change: the end of the connection is also passed to the requests whose responses wait.

Tests: three requests open on one connection, ended by its closure; fails without the change (the requests stay open) and passes with it.

--- a/src/services/forwarding/forwarding-service.ts
+++ b/src/services/forwarding/forwarding-service.ts
@@ -102,6 +102,13 @@
 	models: ReadonlySet<ModelId> | undefined;
 };
 
+/** A response to a caller whose bytes have not all left the process. */
+type OpenResponse = {
+	readonly request: RequestId;
+	/** Called when the connection is closed. */
+	onCallerLeft: (() => void) | undefined;
+};
+
 /** Interval at which the deadlines of queued requests are checked. */
 const tickIntervalMilliseconds = 25;
 /** Delay of a tick that is logged as a stall. Half of the delay that callers notice is far above it. */
@@ -143,10 +150,10 @@
 	/** Time from the last run of the timer before the last stall to its end. */
 	private stalledMilliseconds = 0;
 	private readonly stopAdmission: StopAdmission;
-	/** Responses to callers whose bytes have not all left the process, with the ids of their requests, by connection. */
+	/** Responses to callers whose bytes have not all left the process, by connection. */
 	private readonly openResponses = new Map<
 		Socket,
-		Map<ServerResponse, RequestId>
+		Map<ServerResponse, OpenResponse>
 	>();
 
 	/** Answers to other hosts that have not taken all of them. */
@@ -420,7 +427,11 @@
 			return;
 		}
 
-		this.keepOpenResponse(message.socket, response, metadata.value.id);
+		const open = this.keepOpenResponse(
+			message.socket,
+			response,
+			metadata.value.id,
+		);
 		if (!this.document || !this.routes || !this.isAcceptingRequests) {
 			this.refusedRequests += this.isStopping ? 1 : 0;
 			this.sendLocalResponse(
@@ -460,6 +471,7 @@
 					message.socket.destroyed || message.socket.readableEnded,
 				onCallerLeft(callback) {
 					response.once('close', callback);
+					open.onCallerLeft = callback;
 				},
 				origin: undefined,
 			},
@@ -556,14 +568,15 @@
 		socket: Socket,
 		response: ServerResponse,
 		request: RequestId,
-	): void {
+	): OpenResponse {
+		const open: OpenResponse = {request, onCallerLeft: undefined};
 		if (socket.destroyed) {
-			return;
+			return open;
 		}
 
 		const known = this.openResponses.get(socket);
-		const responses = known ?? new Map<ServerResponse, RequestId>();
-		responses.set(response, request);
+		const responses = known ?? new Map<ServerResponse, OpenResponse>();
+		responses.set(response, open);
 		response.once('close', () => {
 			responses.delete(response);
 		});
@@ -571,8 +584,13 @@
 			this.openResponses.set(socket, responses);
 			socket.once('close', () => {
 				this.openResponses.delete(socket);
+				for (const {onCallerLeft} of responses.values()) {
+					onCallerLeft?.();
+				}
 			});
 		}
+
+		return open;
 	}
 
 	private recordRequestTime(model: ModelId | undefined): void {
@@ -882,7 +900,7 @@
 	private recordUnsentResponses(): number {
 		let count = 0;
 		const open = [...this.openResponses.values()].flatMap((each) => [...each]);
-		for (const [response, request] of open) {
+		for (const [response, {request}] of open) {
 			const unsentBytes = response.writableLength;
 			if (!response.writableEnded || unsentBytes === 0) {
 				continue;
--- a/test/forwarding/left-callers.test.ts
+++ b/test/forwarding/left-callers.test.ts
@@ -2,7 +2,12 @@
 import {connect} from 'node:net';
 import {after, before, test} from 'node:test';
 import {setTimeout as delay} from 'node:timers/promises';
-import {respondWith, StandInWorker} from '../platform/stand-in-worker.js';
+import {
+	completeResponse,
+	respondWith,
+	StandInWorker,
+	type WorkerBehaviour,
+} from '../platform/stand-in-worker.js';
 import {waitUntil} from '../process/processes.js';
 import {forwardingDocument, ForwardingHarness} from './forwarding-harness.js';
 
@@ -78,3 +83,37 @@
 	await delay(50);
 	assert.equal(worker.requests.length, before);
 });
+
+// Guards against work that goes on for a caller that sent several requests without waiting for the answers and left:
+// Node.js closes only the first of their responses.
+test('all requests of a connection end when their caller leaves', async () => {
+	const {behaviour} = worker;
+	const before = worker.requests.length;
+	const keepOpen: WorkerBehaviour = ({headers, socket}) => {
+		if (headers.get('request-id') === 'first') {
+			socket.write(completeResponse('first', 'served'));
+		}
+	};
+
+	worker.behaviour = keepOpen;
+	const socket = connect(harness.callerPort, '127.0.0.1');
+	for (const id of ['first', 'second', 'third', 'fourth']) {
+		socket.write(
+			`GET /idempotent/x HTTP/1.1\r\nHost: a.example\r\nRequest-Id: ${id}\r\nDeadline-Ms: 30000\r\n\r\n`,
+		);
+	}
+
+	await waitUntil(
+		'three requests are at work',
+		() =>
+			worker.requests.length - before === 4 &&
+			harness.service.openRequests === 3,
+	);
+	socket.destroy();
+	await waitUntil(
+		'the requests end',
+		() => harness.service.openRequests === 0,
+		1000,
+	);
+	worker.behaviour = behaviour;
+});
--- a/test/process/left-callers.test.ts
+++ b/test/process/left-callers.test.ts
@@ -2,6 +2,7 @@
 import {connect} from 'node:net';
 import {after, before, beforeEach, test} from 'node:test';
 import {setTimeout as delay} from 'node:timers/promises';
+import {PeerConnections} from '../../src/services/forwarding/peer-connections.js';
 import {
 	spawnForwarding,
 	startForwardingHost,
@@ -181,3 +182,69 @@
 		await host.process.kill();
 	}
 });
+
+// Guards against the same for requests that another host forwarded and gave up.
+test('a request that another host gave up before this one could read it is not sent on', async () => {
+	const host = await startForwardingHost('peer', {store});
+	const connections = new PeerConnections();
+	const client = connections.get(`127.0.0.1:${host.ports.peers}`);
+	/** Returns the kinds of the messages that were received until the end or until the signal. */
+	const forward = async (id: string, signal?: AbortSignal) => {
+		const message = {
+			host: 'other',
+			method: 'GET',
+			requestTarget: '/x/y',
+			rawHeaders: ['Host', 'a.example', 'Request-Id', id],
+			pool: 's',
+			remainingMilliseconds: 5000,
+			maximumExecutions: 2,
+		};
+		const kinds: Array<string | undefined> = [];
+		try {
+			for await (const response of client.forward(message, {
+				...(signal && {signal}),
+			})) {
+				kinds.push(response.message.case);
+			}
+		} catch (error) {
+			if (!signal?.aborted) {
+				throw error;
+			}
+		}
+
+		return kinds;
+	};
+
+	try {
+		await waitUntil(
+			'the host serves',
+			async () => (await callServed(host.ports.callers!)) === 200,
+		);
+		const calls: Array<Promise<unknown>> = [];
+		for (let round = 0; round < 20; round++) {
+			host.process.signal('SIGSTOP');
+			for (let each = 0; each < 5; each++) {
+				calls.push(
+					forward(`given-up-${calls.length}`, AbortSignal.timeout(10)),
+				);
+			}
+
+			await delay(25);
+			host.process.signal('SIGCONT');
+			await delay(100);
+		}
+
+		await Promise.all(calls);
+		assert.deepEqual(await forward('served'), ['alive', 'head', 'data', 'end']);
+		const taken = host.process.lines.filter(
+			(line) =>
+				line.includes('"request-taken-from-peer"') && line.includes('given-up'),
+		);
+		assert.ok(taken.length > 0, 'the host reads the requests');
+		const sentOn = arrivals.filter(({id}) => id.startsWith('given-up'));
+		assert.deepEqual(sentOn, []);
+	} finally {
+		connections.dispose();
+		await host.process.kill();
+	}
+});
