--- a/src/base/node/polled-queue.ts
+++ b/src/base/node/polled-queue.ts
@@ -29,7 +29,6 @@
 	private turn = 0;
 	private turnBeganAt = 0;
 	private polledAt = Number.NEGATIVE_INFINITY;
-	private ranAt = Number.NEGATIVE_INFINITY;
 	private repeatedPolls = 0;
 	private immediate: NodeJS.Immediate | undefined;
 
@@ -91,18 +90,19 @@
 		}
 	}
 
-	/** Runs actions for as long as the event loop was busy with the sockets since the last run, so that a busy host also serves what it reads. */
+	/** Runs actions for as long as the turn took so far, so that a busy host also serves what it reads. */
 	private runActions(startedAt: number): void {
 		const runMilliseconds = Math.min(
 			maximumRunMilliseconds,
-			Math.max(minimumRunMilliseconds, startedAt - this.ranAt),
+			Math.max(minimumRunMilliseconds, startedAt - this.turnBeganAt),
 		);
 		let queue = this.nextQueue();
 		while (queue) {
 			queue.shift()!.run();
-			this.ranAt = this.clock.monotonic();
 			queue =
-				this.ranAt - startedAt < runMilliseconds ? this.nextQueue() : undefined;
+				this.clock.monotonic() - startedAt < runMilliseconds
+					? this.nextQueue()
+					: undefined;
 		}
 	}
 
