Recognize a reset that libuv reports as an end in order

Cause: when the last bytes of an answer and a reset are received together, libuv reads the bytes and then reports an end in order, because the poll says that the connection is closed and the read was short. The check of the process of the target says nothing, since that runs on.

At the end of a connection the kernel is now asked for the address of the other side, which it doesn't know any more after a reset. Two new tests failed before: 10 of 10 answers, and the first stream, looked whole. They pass now, as do those of answers that end in order.

--- a/src/services/forwarding/target-connections.ts
+++ b/src/services/forwarding/target-connections.ts
@@ -166,6 +166,11 @@
 		socket.once('close', () => {
 			this.openSockets.delete(socket);
 		});
+		socket.once('end', () => {
+			if (isReset(socket)) {
+				this.recordConnectionError();
+			}
+		});
 		let bytesRead = 0;
 		// The end of a connection makes it readable too.
 		socket.on('readable', () => {
@@ -185,3 +190,12 @@
 		});
 	}
 }
+
+/**
+ * True when the connection that has just ended was reset. libuv reports an end in order when the last bytes and a reset
+ * are received together. The kernel knows no other side of a connection that was reset, and Node.js asks it at the first
+ * use of the address.
+ */
+function isReset(socket: Socket): boolean {
+	return socket.remoteAddress === undefined;
+}
--- a/test/forwarding/early-ends.test.ts
+++ b/test/forwarding/early-ends.test.ts
@@ -92,6 +92,25 @@
 	});
 }
 
+// Guards against a reset that looks like an end in order: libuv reports it so when it is received together with the last
+// bytes.
+for (const [name, path, body] of [
+	['a body', '/once/x', 'part'],
+	['a stream', '/fixed/x', formatEvent(1)],
+] as const) {
+	test(`${name} without framing is not passed on as whole when a reset arrives with its bytes`, async () => {
+		setup.worker!.behaviour = (request) => {
+			begin(request, body);
+			reset(request);
+		};
+
+		for (let round = 0; round < 10; round++) {
+			const {status, isComplete} = await setup.harness!.call(path, {body: 'b'});
+			assert.ok(status === 502 || !isComplete, `status ${status}`);
+		}
+	});
+}
+
 test('an unframed answer that its target ends in order looks whole', async () => {
 	setup.worker!.behaviour = beginThen('whole', close);
 	const plain = await setup.harness!.call('/once/x', {body: 'b'});
