Run the queued requests for up to 100 ms a turn

Callers that leave are still noticed within a fraction of the half second that the rule allows; a turn of more than 200 ms is followed by one more poll.

--- a/src/base/node/polled-queue.ts
+++ b/src/base/node/polled-queue.ts
@@ -7,14 +7,12 @@
 	readonly turn: number;
 };
 
-/** Least time for which actions run in one turn of the event loop. */
-const minimumRunMilliseconds = 5;
-/** Longest time for which actions run in one turn. Longer runs would let what the sockets have shown grow old. */
-const maximumRunMilliseconds = 100;
+/** Longest time for which actions run in one turn of the event loop. Longer runs would let what the sockets have shown grow old. */
+const runMilliseconds = 100;
 /** Time for which a poll of the sockets counts as recent. Well below the time in which a caller notices a delay. */
 const recentMilliseconds = 10;
 /** Length of a turn after which the sockets are polled again, because their state may have changed since the turn began. */
-const longTurnMilliseconds = 50;
+const longTurnMilliseconds = 200;
 /** Polls of the sockets after long turns in a row. A host all of whose turns are long must still make progress. */
 const maximumRepeatedPolls = 1;
 
@@ -90,12 +88,7 @@
 		}
 	}
 
-	/** Runs actions for as long as the turn took so far, so that a busy host also serves what it reads. */
 	private runActions(startedAt: number): void {
-		const runMilliseconds = Math.min(
-			maximumRunMilliseconds,
-			Math.max(minimumRunMilliseconds, startedAt - this.turnBeganAt),
-		);
 		let queue = this.nextQueue();
 		while (queue) {
 			queue.shift()!.run();
