Wait in the test of leaving answers until a host has received the answer

The test counted a request that the leaving worker had received as an answer that says that it leaves. When the answer comes after a stall of 1.3 s, another worker has answered instead, the host cancels the attempt, and no host learns that the worker leaves. The test then expected that nothing is sent to it.

The test now repeats the answer until one of them, known by its body, has reached a caller of the first host. Its checks of the time after are unchanged.

--- a/test/process/leaving-answers.test.ts
+++ b/test/process/leaving-answers.test.ts
@@ -18,16 +18,24 @@
 const workers = [new StandInWorker('i-1'), new StandInWorker('i-2')];
 /** Time within which a leaving worker must get no new work. */
 const drainMilliseconds = 2000;
+/** Body of the answers in which the worker says that it leaves. */
+const leavingBody = 'leaving';
 let storeAddress = '';
 let lastRequest = 0;
 
-async function get(host: ForwardingTestHost): Promise<number> {
+async function fetchFrom(
+	host: ForwardingTestHost,
+): Promise<{readonly status: number; readonly body: string}> {
 	lastRequest++;
 	const response = await request(`http://127.0.0.1:${host.ports.callers}/x/y`, {
 		headers: {host: 'a.example', 'request-id': `r${lastRequest}`},
 	});
-	await response.body.dump();
-	return response.statusCode;
+	return {status: response.statusCode, body: await response.body.text()};
+}
+
+async function get(host: ForwardingTestHost): Promise<number> {
+	const {status} = await fetchFrom(host);
+	return status;
 }
 
 before(async () => {
@@ -114,15 +122,15 @@
 				'Request-Id': headers.get('request-id') ?? '',
 				'Response-Sig': 'signed',
 				'Server-Leaving': '1',
-				'Content-Length': '0',
-			}),
+				'Content-Length': String(leavingBody.length),
+			}) + leavingBody,
 		);
 	};
 
-	const before = leaving!.requests.length;
-	await waitUntil('the worker answers one host', async () => {
-		await get(hosts[0]!);
-		return leaving!.requests.length > before;
+	// An answer that comes after a stall, when another worker has answered instead, reaches no host. The worker repeats it.
+	await waitUntil('an answer of the worker reaches one host', async () => {
+		const {body} = await fetchFrom(hosts[0]!);
+		return body === leavingBody;
 	});
 	leaving!.behaviour = respondWith('served');
 	await new Promise((resolve) => {
