--- a/test/process/processes.ts
+++ b/test/process/processes.ts
@@ -134,11 +134,15 @@
 	}
 
 	/** Starts a host with its settings in a temporary file and waits until it has started. */
-	async host(name: string, settings: unknown): Promise<TestHost> {
+	async host(
+		name: string,
+		settings: unknown,
+		programFile = programPath,
+	): Promise<TestHost> {
 		const folder = await mkdtemp(path.join(tmpdir(), 'daisylever-test-'));
 		const file = path.join(folder, 'settings.yaml');
 		await writeFile(file, stringify(settings));
-		const child = this.start(programPath, ['run', '--settings', file]);
+		const child = this.start(programFile, ['run', '--settings', file]);
 		const started = await child.json(
 			`the start of ${name}`,
 			(value) => value.message === 'host-started',
