--- a/test/upgrade/two-builds.ts
+++ b/test/upgrade/two-builds.ts
@@ -12,6 +12,7 @@
 	'owner-killed',
 	'store-down',
 	'two-versions',
+	'workers-killed',
 ] as const;
 /** A disturbance at each step of an upgrade. */
 export type Disturbance = (typeof disturbances)[number];
@@ -55,6 +56,7 @@
 };
 
 const storeDownMilliseconds = 3000;
+const workerDownMilliseconds = 1000;
 /** Time in which a configuration takes effect everywhere (docs/design.md, section 1.8). */
 const configurationMilliseconds = 11_000;
 const ownerTopic = 'daisylever.owner';
@@ -99,7 +101,7 @@
 
 			await fleet.start(hosts);
 			const running = callers.run(callerCount);
-			if (disturbance === 'two-versions') {
+			if (disturbance === 'two-versions' || disturbance === 'workers-killed') {
 				this.addSecondVersion();
 			}
 
@@ -201,6 +203,11 @@
 				break;
 			}
 
+			case 'workers-killed': {
+				this.killWorker();
+				break;
+			}
+
 			case 'configuration': {
 				record.act('configuration');
 				fleet.putConfiguration();
@@ -230,6 +237,33 @@
 		}
 	}
 
+	/** Kills a worker that has requests, and starts it again under its id and address. */
+	private killWorker(): void {
+		const {fleet, record} = this;
+		const worker = fleet.workers
+			.filter(
+				({pool, isServing, isLeaving}) =>
+					pool === pools.streams && isServing && !isLeaving,
+			)
+			.sort((left, right) => right.running - left.running)[0];
+		if (!worker) {
+			return;
+		}
+
+		record.act(`SIGKILL worker ${worker.id}`);
+		record.disturb(workerDownMilliseconds + 2000);
+		const port = Number(worker.address.split(':')[1]);
+		fleet.killWorker(worker);
+		setTimeout(() => {
+			if (!fleet.isStopping) {
+				fleet.addWorker(worker.pool, worker.settings.version, {
+					id: worker.id,
+					port,
+				});
+			}
+		}, workerDownMilliseconds);
+	}
+
 	/** Adds workers of a second software version beside the first ones. */
 	private addSecondVersion(): void {
 		this.fleet.softwareVersion++;
