Count the streams that go on at the other build

The restart test was content with streams that went on at hosts of either build, so a build that can read its own records only might have passed. It now asks for streams that began at one build and ended at the other, both ways. Claims are told apart by host and address: a port that two hosts had one after the other let one run of the test fail.

--- a/test/soak/soak-callers.ts
+++ b/test/soak/soak-callers.ts
@@ -123,7 +123,7 @@
 			const id = `${name}.${index}`;
 			ids.push(id);
 			checker.beginTry();
-			const isTakenUp = firstId !== undefined;
+			const previousId = firstId;
 			const result = await this.try(agent, life, {
 				id,
 				path: `/${route}/x`,
@@ -154,8 +154,12 @@
 			if (result.status === 200 && result.isComplete) {
 				checker.complete();
 				record.count(`${route} whole`);
-				if (isTakenUp) {
+				if (previousId !== undefined) {
 					record.count(`${route} whole after a new try`);
+					this.fleet.takenUp.push({
+						from: this.fleet.receivers.get(previousId),
+						to: life,
+					});
 				}
 
 				return;
--- a/test/soak/soak-fleet.ts
+++ b/test/soak/soak-fleet.ts
@@ -57,6 +57,12 @@
 	readonly programs = new Map<string, string>();
 	/** The process to which each request of a caller was sent. */
 	readonly receivers = new Map<string, HostLife>();
+	/** Streams that were whole after a new try: the process at which each began, and the one at which it ended. */
+	readonly takenUp: Array<{
+		readonly from: HostLife | undefined;
+		readonly to: HostLife;
+	}> = [];
+
 	workers: WorkerProcess[] = [];
 	/** Requests that workers began to run, with the number of times. */
 	readonly runs = new Map<string, number>();
--- a/test/upgrade/restarted-builds.test.ts
+++ b/test/upgrade/restarted-builds.test.ts
@@ -14,7 +14,7 @@
 	const result = await new TwoBuilds({
 		seed,
 		hosts: 3,
-		callers: 12,
+		callers: 20,
 		earlier,
 		manner: 'complete',
 		disturbance: 'two-versions',
@@ -24,7 +24,8 @@
 	// Both builds have to leave streams in the store for the other one.
 	const [forth, back, end] = result.streamRecords;
 	assert.ok(forth! > 0 && back! > forth! && end! > back!);
-	assert.ok(
-		(result.outcomes['stream-resumable whole after a new try'] ?? 0) > 0,
-	);
+	// Streams of each build have to go on at the other one, which knows them from the store only.
+	const {handedOver} = result;
+	assert.ok(handedOver.forth > 0);
+	assert.ok(handedOver.back > 0);
 });
--- a/test/upgrade/run-two-builds.ts
+++ b/test/upgrade/run-two-builds.ts
@@ -84,6 +84,7 @@
 			claims: figures.claims.join(' '),
 			replacementMilliseconds: figures.replacementMilliseconds,
 			streamRecords: figures.streamRecords,
+			handedOver: figures.handedOver,
 			unexpectedErrors: figures.unexpectedErrors.length,
 		}),
 	);
--- a/test/upgrade/two-builds-check.ts
+++ b/test/upgrade/two-builds-check.ts
@@ -11,6 +11,7 @@
 			claims,
 			replacementMilliseconds: result.replacementMilliseconds,
 			streamRecords: result.streamRecords,
+			handedOver: result.handedOver,
 			earlierOnly: earlierOnly.map(({check}) => check),
 		}),
 	);
--- a/test/upgrade/two-builds.ts
+++ b/test/upgrade/two-builds.ts
@@ -51,6 +51,8 @@
 	readonly logs: ReadonlyMap<string, readonly string[]>;
 	/** Time until each host was replaced, or until all were. */
 	readonly replacementMilliseconds: readonly number[];
+	/** Streams that began at hosts of one build and were whole after they were taken up at the other: on the way forth, and back. */
+	readonly handedOver: {readonly forth: number; readonly back: number};
 	/** Records of streams in the store before the way forth, before the way back, and at the end. */
 	readonly streamRecords: readonly number[];
 };
@@ -356,9 +358,10 @@
 		const violations = record.violations.filter(
 			(violation) => !isEarlierOnly(violation),
 		);
-		const addresses = new Map(
-			fleet.lives.map(({host, program}) => [
-				`127.0.0.1:${host.ports.peers}`,
+		// A process can get a port that one of another host had before.
+		const builds = new Map(
+			fleet.lives.map(({name, host, program}) => [
+				`${name} 127.0.0.1:${host.ports.peers}`,
 				program === this.options.earlier
 					? ('earlier' as const)
 					: ('later' as const),
@@ -375,7 +378,7 @@
 			actions: record.actions,
 			claims: this.ownerRecords()
 				.filter(({kind}) => kind === 'claimed')
-				.map(({peerAddress}) => addresses.get(peerAddress)!),
+				.map(({host, peerAddress}) => builds.get(`${host} ${peerAddress}`)!),
 			reports: violations.map((violation) => this.describe(violation)),
 			unexpectedErrors: fleet.lives.flatMap(({name, host}) =>
 				host.process.lines
@@ -384,6 +387,10 @@
 			),
 			replacementMilliseconds: this.replacementMilliseconds,
 			streamRecords: this.streamRecords,
+			handedOver: {
+				forth: this.countHandedOver(true),
+				back: this.countHandedOver(false),
+			},
 			logs: new Map(
 				fleet.lives.map(({name, host}, index) => [
 					`${name}-${index}`,
@@ -393,6 +400,16 @@
 		};
 	}
 
+	private countHandedOver(isForth: boolean): number {
+		const {earlier} = this.options;
+		return this.fleet.takenUp.filter(
+			({from, to}) =>
+				from !== undefined &&
+				(from.program === earlier) === isForth &&
+				(to.program === earlier) !== isForth,
+		).length;
+	}
+
 	/** Hosts that a violation concerns. */
 	private livesOf({check, subject, requests}: Violation): HostLife[] {
 		if (check === 'host ended by itself') {
