Check the owner lease as the store sees it while builds change

A trial with a later build that cannot read the lease records of the earlier one passed the way forth and back: few orders are sent, so that workers saw no two owners. Each record of the lease is now checked as the store takes it: no claim within the renewal interval of a holder, and no renewal or release by another host.

--- a/test/platform/stand-in-store.ts
+++ b/test/platform/stand-in-store.ts
@@ -27,6 +27,8 @@
 	readonly faults: StoreFault[] = [];
 	/** Number in the responses that rises each time the store is restored from a copy. Undefined to leave it out. */
 	generation: number | undefined;
+	/** Called with each record that is appended. */
+	onAppend: ((topic: string, body: Buffer) => void) | undefined;
 	/** True while the store closes all connections without a response. */
 	isAway = false;
 	private topics = new Map<string, Topic>();
@@ -117,6 +119,7 @@
 
 	private append(topic: string, body: Buffer): void {
 		this.topic(topic).records.push(body);
+		this.onAppend?.(topic, body);
 		for (const resume of this.pendingReads.keys()) {
 			resume();
 		}
--- a/test/upgrade/two-builds.ts
+++ b/test/upgrade/two-builds.ts
@@ -4,6 +4,7 @@
 import {SoakCallers} from '../soak/soak-callers.js';
 import {SoakFleet, pools, type HostLife} from '../soak/soak-fleet.js';
 import {SoakRecord, type Violation} from '../soak/soak-record.js';
+import {LeaseChecker} from './lease-checker.js';
 
 /** Disturbances at each step of an upgrade. */
 export const disturbances = [
@@ -77,6 +78,9 @@
 	private readonly callers: SoakCallers;
 	private readonly replacementMilliseconds: number[] = [];
 	private readonly streamRecords: number[] = [];
+	private readonly lease = new LeaseChecker((check, detail) => {
+		this.record.report({check, subject: ownerTopic, detail, requests: []});
+	});
 
 	constructor(private readonly options: TwoBuildsOptions) {
 		this.fleet = new SoakFleet(this.record);
@@ -101,6 +105,12 @@
 				fleet.programs.set(name, earlier);
 			}
 
+			fleet.store.onAppend = (topic, body) => {
+				if (topic === ownerTopic) {
+					this.lease.record(body, record.now());
+				}
+			};
+
 			await fleet.start(hosts);
 			const running = callers.run(callerCount);
 			if (disturbance === 'two-versions' || disturbance === 'workers-killed') {
