Use new connections to targets at once again

Cause: a connection that was handed to the HTTP client after a poll of the sockets could hold data already. The client closes a connection with data and no running request, and opens the next one for the request that waits.

The check of the caller at the start of a request stays. Also, the bytes of a body that is refused in the middle are released at once.

--- a/src/services/forwarding/forwarding-server.ts
+++ b/src/services/forwarding/forwarding-server.ts
@@ -298,6 +298,7 @@
 
 			if (!isRejected && held?.tryTake(chunk.length) === false) {
 				isRejected = true;
+				held.release();
 				this.handler.refuseForMemory(message, response);
 			}
 
--- a/src/services/forwarding/target-connections.ts
+++ b/src/services/forwarding/target-connections.ts
@@ -1,15 +1,12 @@
 import {type Socket} from 'node:net';
 import {buildConnector, Client, Pool, type Dispatcher} from 'undici';
 import {Disposable} from '../../base/common/disposable.js';
-import {type PolledQueue} from '../../base/node/polled-queue.js';
 
 /** Options of the connections to a target. */
 export type TargetConnectionsOptions = {
 	/** `host:port` of the target. */
 	readonly address: string;
 	readonly maximumConnections: number;
-	/** Delays the use of a new connection until the connections of callers have been read, because callers can leave while it opens. No delay if absent. */
-	readonly polls?: PolledQueue | undefined;
 	/** Called when a connection has opened. */
 	readonly onConnected?: () => void;
 	/** Called when bytes were received. */
@@ -123,16 +120,7 @@
 					socket?.prependListener('error', () => {
 						this.recordConnectionError();
 					});
-					if (socket && this.options.polls) {
-						this.options.onConnected?.();
-						this.options.polls.pushFirst(() => {
-							this.useConnection(socket, callback);
-						});
-						return;
-					}
-
 					if (socket) {
-						this.options.onConnected?.();
 						this.observeContact(socket);
 					}
 
@@ -146,22 +134,9 @@
 		};
 	}
 
-	/** Hands an open connection to the HTTP client. Its data and its end are read from then on. */
-	private useConnection(
-		socket: Socket,
-		callback: buildConnector.Callback,
-	): void {
-		if (socket.destroyed) {
-			callback(new Error('the connection was closed as it opened'), null);
-			return;
-		}
-
-		this.observeContact(socket);
-		callback(null, socket);
-	}
-
 	private observeContact(socket: Socket): void {
-		const {onData} = this.options;
+		const {onConnected, onData} = this.options;
+		onConnected?.();
 		this.openSockets.add(socket);
 		socket.once('close', () => {
 			this.openSockets.delete(socket);
