Fail an attempt whose target answers before the request is sent

Cause: since new connections are used only after the sockets have been polled once more, a target that answers as it accepts (a busy target, or one at its limit of connections) can have sent its answer before the HTTP client receives the connection. The client closes a connection with data but without a running request and opens the next one for the request that waits, until the deadline.

Change: a connection that has received data by then is closed and the attempt ends as unreached, because no byte of the request was sent.

--- a/src/services/forwarding/target-connections.ts
+++ b/src/services/forwarding/target-connections.ts
@@ -156,6 +156,16 @@
 			return;
 		}
 
+		// The HTTP client would close such a connection and open the next one, again and again.
+		if (socket.readableLength > 0) {
+			socket.destroy();
+			callback(
+				new Error('the target sent data before the request was sent'),
+				null,
+			);
+			return;
+		}
+
 		this.observeContact(socket);
 		callback(null, socket);
 	}
