Close connections that wait for a poll when their pool is disposed

Cause: a connection that waits in the queue of polls is not known to the HTTP client. When the queue is disposed after the pool, its action is dropped and the connection stays open until the target closes it.

Change: TargetConnections keeps the connections that wait and destroys them on disposal.

Measured: the test, which disposes of the queue one turn after the pool, failed before (connection still open after 2000 ms) and passes now.

--- a/src/services/forwarding/target-connections.ts
+++ b/src/services/forwarding/target-connections.ts
@@ -30,6 +30,8 @@
 	private readonly singleClients = new Set<Client>();
 	/** Connections whose end has not been noticed. */
 	private readonly openSockets = new Set<Socket>();
+	/** Open connections that the HTTP client has not received yet. */
+	private readonly waitingSockets = new Set<Socket>();
 	private isFailing = false;
 
 	constructor(private readonly options: TargetConnectionsOptions) {
@@ -104,6 +106,10 @@
 	}
 
 	async dispose(): Promise<void> {
+		for (const socket of this.waitingSockets) {
+			socket.destroy();
+		}
+
 		await Promise.all(
 			[
 				this.pool,
@@ -124,8 +130,10 @@
 						this.recordConnectionError();
 					});
 					if (socket && this.options.polls) {
+						this.waitingSockets.add(socket);
 						this.options.onConnected?.();
 						this.options.polls.pushFirst(() => {
+							this.waitingSockets.delete(socket);
 							this.useConnection(socket, callback);
 						});
 						return;
--- a/test/forwarding/early-data.test.ts
+++ b/test/forwarding/early-data.test.ts
@@ -77,3 +77,33 @@
 	assert.equal(hasBegun, false);
 	assert.equal(accepted(), 1);
 });
+
+// Guards against connections that stay open after the disposal, because the HTTP client has never received them.
+test('a connection that waits for a poll of the sockets is closed by the disposal', async (context) => {
+	const {address, open, accepted} = await startTarget(context, () => undefined);
+	const polls = new PolledQueue(clock);
+	const connections = new TargetConnections({
+		address,
+		maximumConnections: 1,
+		polls,
+		onConnected() {
+			void connections.dispose();
+			setImmediate(() => {
+				polls.dispose();
+			});
+		},
+	});
+	connections.dispatcher.dispatch(
+		{method: 'GET', path: '/'},
+		{
+			onRequestStart() {
+				assert.fail('the request was sent after the disposal');
+			},
+			onResponseError(_controller, {message}) {
+				assert.equal(message, 'The client is destroyed');
+			},
+		},
+	);
+	await waitUntil('a connection has opened', () => accepted() > 0);
+	await waitUntil('it is closed', () => open.size === 0, 2000);
+});
