Tell missing models and adapters from overloaded ones

A refusal read the same for a model that no target held, an adapter without a slot and a copy without room, and nothing said that a planned model was never loaded.

request-answered has the field missing; the owner logs artifact-unserved (7043) with the obstacle and the planned targets, and artifact-served (7044); the gauge daisylever_unserved_artifacts counts them; daisylever forward-demand shows from the logs of all hosts how often each model and adapter was requested and served. No decision is changed.

--- a/src/contracts/artifact.ts
+++ b/src/contracts/artifact.ts
@@ -55,3 +55,6 @@
 		...(adapter ? [adapterArtifact(adapter).key] : []),
 	];
 }
+
+/** What no target of a pool offers of what a request needs. */
+export type MissingArtifact = 'model' | 'adapter';
--- a/src/contracts/events/forwarding-events.ts
+++ b/src/contracts/events/forwarding-events.ts
@@ -275,6 +275,20 @@
 		description:
 			'The plan of the models to be resident on the targets changed.',
 	},
+	artifactUnserved: {
+		number: 7043,
+		name: 'artifact-unserved',
+		level: 'warn',
+		description:
+			'Requests ask for a model or adapter that no target has offered for the given time. The field obstacle says what holds its load back, planned names the targets on which a model is planned. Logged by the owner after 1 s and each time the wait has doubled.',
+	},
+	artifactServed: {
+		number: 7044,
+		name: 'artifact-served',
+		level: 'info',
+		description:
+			'A target offers a model or adapter for which requests have waited (event 7043).',
+	},
 	attemptSent: {
 		number: 7050,
 		name: 'attempt-sent',
@@ -292,7 +306,7 @@
 		name: 'request-answered',
 		level: 'info',
 		description:
-			'The response to a request is complete, or the connection of its caller ended.',
+			'The response to a request is complete, or the connection of its caller ended. The field missing is model or adapter when this host refused the request while no target offered that, and absent when a target did, but had no room.',
 	},
 	requestRejected: {
 		number: 7053,
--- a/src/program/command-line.ts
+++ b/src/program/command-line.ts
@@ -11,6 +11,7 @@
 import {addHostCommands, type RunHost} from './host-commands.js';
 import {addInspectionCommands} from './inspection-commands.js';
 import {addLogBurnCommand} from './log-burn-command.js';
+import {addLogDemandCommand} from './log-demand-command.js';
 import {programVersion} from './version.js';
 
 /** Creates the command line of the program with all its commands. */
@@ -28,6 +29,7 @@
 	addDocumentCommands(program);
 	addInspectionCommands(program);
 	addLogBurnCommand(program);
+	addLogDemandCommand(program);
 	program
 		.command('version')
 		.description('Print the version.')
--- a/src/program/forwarding-root.ts
+++ b/src/program/forwarding-root.ts
@@ -890,6 +890,10 @@
 			'daisylever_is_owner',
 			this.leaseManager.isHolder ? 1 : 0,
 		);
+		this.metrics.gauge(
+			'daisylever_unserved_artifacts',
+			this.owner.unservedCount,
+		);
 		for (const [state, {ageMilliseconds, currentPosition}] of Object.entries({
 			targets: this.targets,
 			document: this.documents,
--- a/src/program/log-burn-command.ts
+++ b/src/program/log-burn-command.ts
@@ -1,17 +1,15 @@
-import {createReadStream} from 'node:fs';
-import {createInterface} from 'node:readline';
 import {type Command} from 'commander';
-import {err, ok} from 'neverthrow';
+import {err} from 'neverthrow';
 import {z} from 'zod';
 import {forwardingEvents} from '../contracts/events/forwarding-events.js';
 import {type RouteName} from '../contracts/ids.js';
 import {
 	ResponseBurnTracker,
 	formatResponseBurn,
-	type LoggedResponse,
 } from '../core/response-burn.js';
 import {writeResult, type CommandResult} from './command-context.js';
 import {CommandFailure} from './command-failure.js';
+import {readLogLines} from './log-lines.js';
 
 const responseEventSchema = z.object({
 	event: z.literal(forwardingEvents.requestAnswered.number),
@@ -32,30 +30,6 @@
 	readonly json?: boolean;
 };
 
-/** Parses the log line of a response, or returns undefined for any other line. The platform may put a prefix before the JSON. */
-function parseResponseLine(line: string): LoggedResponse | undefined {
-	const start = line.indexOf('{');
-	if (start === -1) {
-		return undefined;
-	}
-
-	let value: unknown;
-	try {
-		value = JSON.parse(line.slice(start));
-	} catch {
-		return undefined;
-	}
-
-	const {success, data} = responseEventSchema.safeParse(value);
-	return success
-		? {
-				...data.fields,
-				route: data.fields.route as RouteName,
-				time: Date.parse(data.timestamp),
-			}
-		: undefined;
-}
-
 async function report(
 	files: readonly string[],
 	options: LogBurnOptions,
@@ -87,32 +61,23 @@
 		},
 		stepSeconds * 1000,
 	);
-	for (const file of files) {
-		try {
-			for await (const line of createInterface({
-				input: createReadStream(file),
-			})) {
-				const response = parseResponseLine(line);
-				if (response) {
-					tracker.add(response);
-				}
-			}
-		} catch (error) {
-			return err(
-				new CommandFailure(
-					'invalid',
-					`the log cannot be read: ${error instanceof Error ? error.message : String(error)}`,
-				),
-			);
-		}
-	}
-
-	const routes = tracker.report();
-	return ok(
-		options.json === true
-			? JSON.stringify({routes}, undefined, '\t')
-			: formatResponseBurn(routes),
+	const read = await readLogLines(
+		files,
+		responseEventSchema,
+		({timestamp, fields}) => {
+			tracker.add({
+				...fields,
+				route: fields.route as RouteName,
+				time: Date.parse(timestamp),
+			});
+		},
 	);
+	return read.map(() => {
+		const routes = tracker.report();
+		return options.json === true
+			? JSON.stringify({routes}, undefined, '\t')
+			: formatResponseBurn(routes);
+	});
 }
 
 /** Adds the command that reports the burn rates of forwarding hosts. It reads the logs that the platform collects, because the counters of a host are lost when its process ends. */
--- a/src/services/forwarding/forwarded-request.ts
+++ b/src/services/forwarding/forwarded-request.ts
@@ -2,6 +2,7 @@
 import {type Clock} from '../../base/common/clock.js';
 import {type EventLogger} from '../../base/common/event-logger.js';
 import {maximumTimerMilliseconds} from '../../base/common/timer-limits.js';
+import {type MissingArtifact} from '../../contracts/artifact.js';
 import {forwardingEvents} from '../../contracts/events/forwarding-events.js';
 import {type RouteRule} from '../../contracts/forwarding-document.js';
 import {
@@ -43,6 +44,8 @@
 	readonly codec: RequestCodec;
 	readonly clock: Clock;
 	readonly events: EventLogger;
+	/** Returns what no target offers of what the request needs, for the log. */
+	readonly findMissing?: () => MissingArtifact | undefined;
 	/** Called once when the request has its final response or its caller has disconnected. */
 	readonly onFinished: (request: ForwardedRequest, outcome: string) => void;
 };
@@ -106,6 +109,7 @@
 	private failureResponse:
 		{metadata: ResponseMetadata; body: Buffer} | undefined;
 
+	private missing: MissingArtifact | undefined;
 	private timer: NodeJS.Timeout | undefined;
 	private hasFinished = false;
 
@@ -383,6 +387,7 @@
 			metadata.id,
 			retryAfterMilliseconds,
 		);
+		this.missing = this.options.findMissing?.();
 		response.sendOwn({
 			status,
 			headers: [
@@ -411,6 +416,7 @@
 			route: route.name,
 			model: metadata.model,
 			adapter: metadata.adapter,
+			missing: this.missing,
 			promptParts: metadata.promptParts.slice(0, maximumLoggedParts),
 			outcome,
 			milliseconds: Math.round(clock.monotonic() - arrivedAt),
--- a/src/services/forwarding/forwarding-service.ts
+++ b/src/services/forwarding/forwarding-service.ts
@@ -651,6 +651,13 @@
 			codec,
 			clock,
 			events,
+			findMissing: () =>
+				pool &&
+				this.options.registry.findMissing(
+					pool.dispatch.pool,
+					metadata.model,
+					metadata.adapter,
+				),
 			onFinished: (finished, outcome) => {
 				this.requests.delete(finished);
 				pool?.dispatch.remove(finished);
--- a/src/services/forwarding/placement-owner.ts
+++ b/src/services/forwarding/placement-owner.ts
@@ -81,6 +81,16 @@
 		return this.knownHostCount;
 	}
 
+	/** Number of models and adapters that have been requested for more than a second while no target offers them, 0 while this host may not send orders. */
+	get unservedCount(): number {
+		let count = 0;
+		for (const pool of this.wasActive ? this.pools.values() : []) {
+			count += pool.unservedCount;
+		}
+
+		return count;
+	}
+
 	/** Starts the periodic placement, which ends when this host may no longer send orders. Does nothing while it runs. */
 	start(): void {
 		this.timer ??= setInterval(() => {
--- a/src/services/forwarding/pool-placement.ts
+++ b/src/services/forwarding/pool-placement.ts
@@ -37,6 +37,7 @@
 } from '../../core/placement-policy.js';
 import {type TargetOrderTask} from './target-order-task.js';
 import {versionOf} from './target-registry.js';
+import {UnservedObserver} from './unserved-observer.js';
 
 /** Demand of all hosts for the models and adapters of one pool. */
 export type PoolDemand = {
@@ -133,6 +134,7 @@
 		secondReplicaRequests,
 	});
 
+	private readonly unserved: UnservedObserver;
 	private readonly pacer: LoadPacer;
 	private readonly desired = new Map<TargetId, ReadonlySet<ArtifactKey>>();
 	private readonly pacedLoads = new Map<
@@ -159,11 +161,26 @@
 			fullShare,
 			options.clock.monotonic(),
 		);
+		this.unserved = new UnservedObserver(engine, {
+			pool: options.pool,
+			clock: options.clock,
+			events: options.events,
+			tasks: () => options.tasks().filter(({listed}) => !listed.isLeaving),
+			isPlanned: (target, model) =>
+				this.desired.get(target)?.has(artifactKeyOf(model)) ?? false,
+			modelBytes: () => this.modelBytes(),
+		});
+	}
+
+	/** Number of models and adapters that have been requested for more than a second while no target offers them. */
+	get unservedCount(): number {
+		return this.unserved.overdueCount;
 	}
 
 	/** Applies a changed document. */
 	configure(engine: EnginePool): void {
 		this.engine = engine;
+		this.unserved.configure(engine);
 		this.pacer.configure(weightStoreLimitsOf(engine), fullShare);
 	}
 
@@ -185,6 +202,7 @@
 		this.adapterSlotPolicy.observe(adapters, now);
 		this.dormancy.observe(idleMilliseconds, observedMilliseconds, now);
 		this.trackUnservedModels(models, now);
+		this.unserved.observe(models, awaitedAdapters);
 		this.finishPacedLoads();
 		if (this.isSettled() && now - this.plannedAt >= this.planInterval(models)) {
 			this.deriveInitialDemand(now);
--- a/src/services/forwarding/target-registry.ts
+++ b/src/services/forwarding/target-registry.ts
@@ -3,6 +3,7 @@
 import {type EventLogger} from '../../base/common/event-logger.js';
 import {TypedEvent} from '../../base/common/typed-event.js';
 import {type PolledQueue} from '../../base/node/polled-queue.js';
+import {type MissingArtifact} from '../../contracts/artifact.js';
 import {forwardingEvents} from '../../contracts/events/forwarding-events.js';
 import {type ForwardingDocument} from '../../contracts/forwarding-document.js';
 import {
@@ -266,6 +267,29 @@
 		);
 	}
 
+	/** Returns what no target of the pool offers of a model and adapter, whether the targets that do can be used now or not. */
+	findMissing(
+		pool: PoolName,
+		model: ModelId | undefined,
+		adapter: AdapterId | undefined,
+	): MissingArtifact | undefined {
+		if (model === undefined) {
+			return undefined;
+		}
+
+		const holders = this.targetsOfPool(pool).filter(
+			({listed, content}) => !listed.isLeaving && content.has(model),
+		);
+		if (holders.length === 0) {
+			return 'model';
+		}
+
+		return adapter === undefined ||
+			holders.some(({content}) => content.get(model)?.has(adapter))
+			? undefined
+			: 'adapter';
+	}
+
 	/** Time until the first of the targets that turned this host away may get a request for the model and adapter. Undefined if another target may get it now, or if there is none at all. */
 	holdMilliseconds(
 		pool: PoolName,
--- a/test/product/command-line.test.ts
+++ b/test/product/command-line.test.ts
@@ -207,3 +207,34 @@
 	const rejected = await runProgram(['forward-burn', logFile, '--step', '0']);
 	assert.equal(rejected.code, 2);
 });
+
+// Guards against requests that are counted twice because two hosts have logged them.
+test('forward-demand counts a request once when it was forwarded to another host', async () => {
+	const lineOf = (fields: Readonly<Record<string, unknown>>) =>
+		JSON.stringify({
+			event: 7052,
+			timestamp: '2026-12-04T08:00:00.000Z',
+			fields: {model: 'm', outcome: 'complete', milliseconds: 100, ...fields},
+		});
+	const logFile = writeTestFile(
+		'hosts.log',
+		`${lineOf({forwardedTo: 'host-2'})}\n 0.1 front-2 ${lineOf({forwardedBy: 'host-1'})}\n`,
+	);
+	const options = ['--requests', '1', '--seconds', '0', '--json'];
+	const reported = await runProgram(['forward-demand', logFile, ...options]);
+	assert.equal(reported.code, 0, reported.stderr);
+	const {artifacts} = JSON.parse(reported.stdout) as {
+		artifacts: Array<{name: string; requests: number}>;
+	};
+	assert.deepEqual(
+		artifacts.map(({name, requests}) => [name, requests]),
+		[['m', 1]],
+	);
+	const rejected = await runProgram([
+		'forward-demand',
+		logFile,
+		'--requests',
+		'0',
+	]);
+	assert.equal(rejected.code, 2);
+});
