--- a/test/forwarding/sequenced-order-ledger.test.ts
+++ b/test/forwarding/sequenced-order-ledger.test.ts
@@ -96,6 +96,31 @@
 	assert.equal(ledger.beginOrder(load(models[1]!)), 6);
 });
 
+// Guards against a target that is ordered to hold more adapters than it has slots: one that requests still use keeps its slot.
+test('an adapter whose unload was accepted stays charged until a state shows that it is gone', () => {
+	const ledger = createLedger();
+	const [model] = models as [ModelId];
+	const adapter = 'a1' as AdapterId;
+	const stateWith = (
+		orderSequence: number,
+		adapters: readonly AdapterId[],
+	) => ({
+		...state(orderSequence, []),
+		models: [{model, adapters}],
+	});
+	ledger.observe(stateWith(0, [adapter]), 0);
+	ledger.beginOrder({action: 'unload', model, adapter});
+	ledger.onOrderAccepted(1000);
+	assert.equal(ledger.chargedAdapters().length, 1);
+	assert.ok(ledger.needsStateRead);
+	ledger.observe(stateWith(1, [adapter]), 1500);
+	assert.equal(ledger.chargedAdapters().length, 1);
+	assert.ok(ledger.needsStateRead);
+	ledger.observe(stateWith(1, []), 2000);
+	assert.equal(ledger.chargedAdapters().length, 0);
+	assert.ok(!ledger.needsStateRead);
+});
+
 /**
  * A target with memory for two models. It fails the test when an order exceeds that, and carries out delayed orders whose
  * sequence number still matches.
--- a/test/placement/placement-planner.test.ts
+++ b/test/placement/placement-planner.test.ts
@@ -433,3 +433,89 @@
 	assert.equal(rareReplicasAfter(1000), 0);
 	assert.equal(rareReplicasAfter(4000), 1);
 });
+
+const modelBytes = 10;
+const modelsPerTarget = 3;
+
+/** Targets with room for three models each, in any mix of states, and plans that fit but are carried out only in part. */
+const partlyPlannedTargets = fc.array(
+	fc
+		.tuple(
+			fc.uniqueArray(fc.nat(11), {maxLength: modelsPerTarget}),
+			fc.uniqueArray(fc.nat(11), {maxLength: modelsPerTarget}),
+			fc.array(
+				fc.constantFrom(
+					'resident' as const,
+					'loading' as const,
+					'unloading' as const,
+				),
+				{minLength: modelsPerTarget, maxLength: modelsPerTarget},
+			),
+		)
+		.map(([held, planned, states]) => ({held, planned, states})),
+	{minLength: 2, maxLength: 6},
+);
+
+// Guards against models that are planned on a target without memory for them, and so count as placed but are never loaded.
+test('the plan fits into the memory of each target, whatever the targets are unloading', () => {
+	fc.assert(
+		fc.property(
+			partlyPlannedTargets,
+			fc.array(fc.nat(40), {minLength: 12, maxLength: 12}),
+			(pool, demand) => {
+				const keyOf = (index: number) => `model/m${index}@1` as ArtifactKey;
+				const targets = pool.map(
+					({held, planned, states}, index): PlacementTarget => ({
+						...simulatedTarget(index, {}),
+						memoryBytes: modelsPerTarget * modelBytes,
+						held: new Map(
+							held.map((each, position) => [
+								keyOf(each),
+								{bytes: modelBytes, state: states[position]!},
+							]),
+						),
+						planned: new Set(planned.map((each) => keyOf(each))),
+					}),
+				);
+				const {desired, unplaced} = new PlacementPlanner({
+					...defaultPlannerOptions,
+					firstReplicaFactor: 4,
+					retainedReplicas: 1,
+					isDemandFirst: true,
+				}).plan({
+					models: demand.map((_, index) => ({
+						...simpleModel(`m${index}`, '1'),
+						minimumReplicas: index % 4 === 3 ? 0 : 1,
+					})),
+					adapters: [],
+					targets,
+					demand: new Map(
+						demand.map((requests, index) => [`m${index}` as ModelId, requests]),
+					),
+					limits,
+				});
+				const placed = new Set<ArtifactKey>();
+				for (const [target, keys] of desired) {
+					assert.ok(
+						keys.size <= modelsPerTarget,
+						`${target} is to hold ${[...keys].join(', ')}`,
+					);
+					for (const key of keys) {
+						placed.add(key);
+					}
+				}
+
+				for (const [index] of demand.entries()) {
+					const isRequired = index % 4 !== 3;
+					assert.ok(
+						!isRequired ||
+							placed.has(keyOf(index)) ||
+							unplaced.some(({artifact}) => artifact.key === keyOf(index)),
+						`m${index} is neither planned nor reported as unplaced`,
+					);
+				}
+			},
+		),
+		{seed, numRuns: 2000},
+	);
+});
