Plan no more artifacts on a target than its memory holds

Cause: an artifact that a target still holds counted as a replica that needs no memory, also while it is being unloaded or waits for that, although its memory is planned for another one. The target then had more models in its plan than it holds; those that did not fit were never loaded, but counted as placed, so the planner did nothing for them. A new owner swaps replicas in its first plan, which made such plans at nearly every start.

Change: what is being unloaded is not held any more; an artifact outside the plan fits only beside all planned ones; planned artifacts that are not in memory and do not fit are removed from the plan.

--- a/src/core/placement-workspace.ts
+++ b/src/core/placement-workspace.ts
@@ -18,6 +18,7 @@
 	type Placement,
 	type PlacementInput,
 	type PlacementMove,
+	type PlacementTarget,
 	type UnplacedArtifact,
 } from './placement-policy.js';
 
@@ -27,8 +28,10 @@
 	readonly failureDomain: FailureDomain;
 	readonly memoryBytes: number;
 	readonly slots: number;
-	/** Bytes in use or reserved after all moves so far. */
+	/** Bytes in use or reserved after all moves so far. Artifacts that are being unloaded no longer count. */
 	usedBytes: number;
+	/** Bytes of `desired`, and those that are reserved. Less than `usedBytes` while artifacts wait for their unload. */
+	desiredBytes: number;
 	/** Bytes in use or reserved after the loads so far if none of the unloads of this pass is done yet. */
 	currentlyUsedBytes: number;
 	/** Sizes of the artifacts that are held or planned after the moves so far. */
@@ -135,12 +138,16 @@
 		return this.modelLoads;
 	}
 
-	/** Returns whether the target holds the artifact or has memory for it after the moves so far. */
-	fits(target: WorkspaceTarget, artifact: Artifact): boolean {
-		return (
-			target.artifactBytes.has(artifact.key) ||
-			target.usedBytes + artifact.bytes <= target.memoryBytes
-		);
+	/** Returns whether the target has memory for the artifact after the moves so far. */
+	fits(target: WorkspaceTarget, {key, bytes}: Artifact): boolean {
+		if (target.desired.has(key)) {
+			return true;
+		}
+
+		// The memory of an artifact that waits for its unload may be planned for another one already.
+		return target.artifactBytes.has(key)
+			? target.desiredBytes + bytes <= target.memoryBytes
+			: target.usedBytes + bytes <= target.memoryBytes;
 	}
 
 	/** Loads a model or adapter on a target. The caller has checked that it fits. */
@@ -160,6 +167,10 @@
 			target.artifactBytes.set(artifact.key, artifact.bytes);
 		}
 
+		if (!target.desired.has(artifact.key)) {
+			target.desiredBytes += artifact.bytes;
+		}
+
 		invalidateUnservedAdapterBytes(state);
 		target.desired.add(artifact.key);
 		target.loads.add(artifact.key);
@@ -412,7 +423,10 @@
 	): boolean {
 		const bytes = target.artifactBytes.get(artifact.key);
 		invalidateUnservedAdapterBytes(state);
-		target.desired.delete(artifact.key);
+		if (target.desired.delete(artifact.key)) {
+			target.desiredBytes -= bytes ?? 0;
+		}
+
 		target.artifactBytes.delete(artifact.key);
 		target.usedBytes -= bytes ?? 0;
 		if (artifact.key === state.artifact.key) {
@@ -492,6 +506,7 @@
 				memoryBytes: source.memoryBytes,
 				slots: source.slots,
 				usedBytes: source.reservedBytes,
+				desiredBytes: source.reservedBytes,
 				currentlyUsedBytes: 0,
 				artifactBytes: new Map(),
 				desired: new Set(source.planned),
@@ -501,35 +516,25 @@
 				cachedModels: source.cachedModels ?? new Set(),
 			};
 			this.targets.push(target);
-			for (const [key, {bytes}] of source.held) {
-				target.artifactBytes.set(key, bytes);
-				target.usedBytes += bytes;
-			}
-
-			const unknown: Artifact[] = [];
-			for (const key of source.planned) {
-				const state = byName.get(unversionedName(key));
-				const heldBytes = source.held.get(key)?.bytes;
-				if (!target.artifactBytes.has(key)) {
-					const bytes = state?.artifact.bytes ?? 0;
-					target.artifactBytes.set(key, bytes);
-					target.usedBytes += bytes;
-				}
-
-				// An obsolete version that is not in memory can no longer be loaded.
-				const isUnrecoverableVersion =
-					heldBytes === undefined && key !== state?.artifact.key;
-				if (!state || isUnrecoverableVersion) {
-					const kind = key.startsWith('model/') ? 'model' : 'adapter';
-					unknown.push({key, kind, bytes: target.artifactBytes.get(key) ?? 0});
+			let unloadingBytes = 0;
+			for (const [key, {bytes, state}] of source.held) {
+				if (state === 'unloading') {
+					unloadingBytes += bytes;
 					continue;
 				}
 
-				recordReplica(target, state, key, source.held.get(key));
+				target.artifactBytes.set(key, bytes);
+				target.usedBytes += bytes;
 			}
 
-			target.currentlyUsedBytes = target.usedBytes;
-			this.unloadUnknown(target, unknown);
+			const {unknown, unfit} = readPlan(target, source, byName);
+			target.currentlyUsedBytes = target.usedBytes + unloadingBytes;
+			this.removeFromPlan(
+				target,
+				unknown,
+				'the document no longer contains this version',
+			);
+			this.removeFromPlan(target, unfit, 'the target has no memory for it');
 		}
 
 		for (const state of this.models) {
@@ -539,9 +544,10 @@
 		}
 	}
 
-	private unloadUnknown(
+	private removeFromPlan(
 		target: WorkspaceTarget,
 		artifacts: readonly Artifact[],
+		reason: string,
 	): void {
 		// Adapters are unloaded before models, so that no adapter remains on a target without its model.
 		const ordered = [...artifacts].sort((left, right) =>
@@ -555,13 +561,56 @@
 				action: 'unload',
 				target: target.id,
 				artifact,
-				reason: 'the document no longer contains this version',
+				reason,
 				isImmediate: true,
 			});
 		}
 	}
 }
 
+/** Reads the artifacts that the current plan assigns to a target. Returns those that are to be removed from it: versions that are not in the document, and artifacts that are not in memory and do not fit. */
+function readPlan(
+	target: WorkspaceTarget,
+	{held, planned}: PlacementTarget,
+	byName: ReadonlyMap<string, ModelState | AdapterState>,
+): {unknown: Artifact[]; unfit: Artifact[]} {
+	const unknown: Artifact[] = [];
+	const unfit: Artifact[] = [];
+	const present = [...planned].filter((key) => target.artifactBytes.has(key));
+	const absent = [...planned].filter((key) => !target.artifactBytes.has(key));
+	for (const key of [...present, ...absent]) {
+		const state = byName.get(unversionedName(key));
+		const heldBytes = held.get(key)?.bytes;
+		const bytes = target.artifactBytes.get(key) ?? state?.artifact.bytes ?? 0;
+		// An obsolete version that is not in memory can no longer be loaded.
+		const isUnrecoverableVersion =
+			heldBytes === undefined && key !== state?.artifact.key;
+		const kind = key.startsWith('model/') ? 'model' : 'adapter';
+		if (!state || isUnrecoverableVersion) {
+			unknown.push({key, kind, bytes});
+			continue;
+		}
+
+		if (
+			!target.artifactBytes.has(key) &&
+			target.desiredBytes + bytes > target.memoryBytes
+		) {
+			unfit.push({key, kind, bytes});
+			continue;
+		}
+
+		if (!target.artifactBytes.has(key)) {
+			target.artifactBytes.set(key, bytes);
+			target.usedBytes += bytes;
+		}
+
+		target.desiredBytes += bytes;
+		recordReplica(target, state, key, held.get(key));
+	}
+
+	return {unknown, unfit};
+}
+
 /** Records a planned artifact of a target in the state of its model or adapter. */
 function recordReplica(
 	target: WorkspaceTarget,
