Count resident replicas in the first plan of an owner

What callers saw: after each start and each change of the owner, models lost their only copy to others, which was then planned twice.

Change: without a plan, resident replicas count.

--- a/src/services/forwarding/pool-placement.ts
+++ b/src/services/forwarding/pool-placement.ts
@@ -528,11 +528,9 @@
 		let largest = 0;
 		for (const [model, requests] of demand) {
 			let replicas = 0;
-			for (const {id, listed} of this.options.tasks()) {
+			for (const task of this.options.tasks()) {
 				replicas +=
-					!listed.isLeaving && this.desired.get(id)?.has(artifactKeyOf(model))
-						? 1
-						: 0;
+					!task.listed.isLeaving && this.hasReplica(task, model) ? 1 : 0;
 			}
 
 			largest = Math.max(
@@ -544,6 +542,14 @@
 		return largest;
 	}
 
+	/** True when the model is planned on the target, or resident there before the first plan. */
+	private hasReplica({id, ledger}: TargetOrderTask, model: ModelId): boolean {
+		return (
+			this.desired.get(id)?.has(artifactKeyOf(model)) ??
+			ledger.residentModels().has(model)
+		);
+	}
+
 	/** True when the model may have no replica. */
 	private canHaveNoReplica(
 		id: ModelId,
