Plan a model elsewhere when its target does not load it in time

What callers saw: a model planned on a target that takes no orders, or that carries out another one for long, was served by nobody.

Nothing compared the plan with what targets load.

Change: OverdueLoads finds planned artifacts that are neither resident nor being loaded after 5 s; they leave the plan of that target, which is avoided for them for 10 s.

--- a/src/core/placement-planner.ts
+++ b/src/core/placement-planner.ts
@@ -580,7 +580,10 @@
 	const bytes = state.artifact.bytes + unservedAdapterBytes(state);
 	const choices: Array<{target: WorkspaceTarget; loss: number}> = [];
 	for (const target of workspace.targets) {
-		if (state.replicas.has(target)) {
+		if (
+			state.replicas.has(target) ||
+			target.avoidedArtifacts.has(state.artifact.key)
+		) {
 			continue;
 		}
 
--- a/src/core/placement-policy.ts
+++ b/src/core/placement-policy.ts
@@ -38,6 +38,8 @@
 	readonly planned: ReadonlySet<ArtifactKey>;
 	/** Models that the target loads from its own memory or disk instead of the weight store. */
 	readonly cachedModels?: ReadonlySet<ArtifactKey>;
+	/** Artifacts that the target has not loaded in time and that are to be placed elsewhere. */
+	readonly avoidedArtifacts?: ReadonlySet<ArtifactKey>;
 };
 
 /** Input of a planning pass. */
--- a/src/core/placement-workspace.ts
+++ b/src/core/placement-workspace.ts
@@ -46,6 +46,8 @@
 	load: number;
 	/** Models that the target loads from its own memory or disk instead of the weight store. */
 	readonly cachedModels: ReadonlySet<ArtifactKey>;
+	/** Artifacts that are not to be planned here. */
+	readonly avoidedArtifacts: ReadonlySet<ArtifactKey>;
 };
 
 /** The targets to which the plan assigns an artifact, and the targets that can serve it. */
@@ -138,12 +140,16 @@
 		return this.modelLoads;
 	}
 
-	/** Returns whether the target has memory for the artifact after the moves so far. */
+	/** Returns whether the artifact may be planned on the target, which has memory for it after the moves so far. */
 	fits(target: WorkspaceTarget, {key, bytes}: Artifact): boolean {
 		if (target.desired.has(key)) {
 			return true;
 		}
 
+		if (target.avoidedArtifacts.has(key)) {
+			return false;
+		}
+
 		// The memory of an artifact that waits for its unload may be planned for another one already.
 		return target.artifactBytes.has(key)
 			? target.desiredBytes + bytes <= target.memoryBytes
@@ -514,6 +520,7 @@
 				models: new Set(),
 				load: 0,
 				cachedModels: source.cachedModels ?? new Set(),
+				avoidedArtifacts: source.avoidedArtifacts ?? new Set(),
 			};
 			this.targets.push(target);
 			let unloadingBytes = 0;
@@ -534,7 +541,11 @@
 				unknown,
 				'the document no longer contains this version',
 			);
-			this.removeFromPlan(target, unfit, 'the target has no memory for it');
+			this.removeFromPlan(
+				target,
+				unfit,
+				'the target has no memory for it or has not loaded it in time',
+			);
 		}
 
 		for (const state of this.models) {
@@ -568,7 +579,7 @@
 	}
 }
 
-/** Reads the artifacts that the current plan assigns to a target. Returns those that are to be removed from it: versions that are not in the document, and artifacts that are not in memory and do not fit. */
+/** Reads the artifacts that the current plan assigns to a target. Returns those that are to be removed from it: versions that are not in the document, and artifacts that are not in memory and do not fit or are overdue. */
 function readPlan(
 	target: WorkspaceTarget,
 	{held, planned}: PlacementTarget,
@@ -593,7 +604,8 @@
 
 		if (
 			!target.artifactBytes.has(key) &&
-			target.desiredBytes + bytes > target.memoryBytes
+			(target.avoidedArtifacts.has(key) ||
+				target.desiredBytes + bytes > target.memoryBytes)
 		) {
 			unfit.push({key, kind, bytes});
 			continue;
--- a/src/services/forwarding/pool-placement.ts
+++ b/src/services/forwarding/pool-placement.ts
@@ -22,6 +22,7 @@
 } from '../../core/adapter-slot-policy.js';
 import {DemandEstimator} from '../../core/demand-estimator.js';
 import {LoadPacer} from '../../core/load-pacer.js';
+import {OverdueLoads} from '../../core/overdue-loads.js';
 import {
 	DormancyPolicy,
 	canEvictLastReplica,
@@ -98,6 +99,10 @@
 const expectedRequestsPerReplica = 8;
 /** Time without a request after which an adapter may be unloaded. Loading it again takes milliseconds. With a longer time, adapters of a busy model get no slot while the others are requested occasionally. */
 const adapterIdleMilliseconds = 100;
+/** Time after which a planned model that its target does not load is planned elsewhere. Most answers end within it, for which an unload on the target may have to wait. */
+const loadTimeoutMilliseconds = 5000;
+/** Time for which the target is then not considered for the model. */
+const loadAvoidanceMilliseconds = 10_000;
 /** Requests for one adapter from which a second replica gets a slot. */
 const secondReplicaRequests = 12;
 
@@ -134,6 +139,11 @@
 		secondReplicaRequests,
 	});
 
+	private readonly overdueLoads = new OverdueLoads({
+		timeoutMilliseconds: loadTimeoutMilliseconds,
+		avoidanceMilliseconds: loadAvoidanceMilliseconds,
+	});
+
 	private readonly unserved: UnservedObserver;
 	private readonly pacer: LoadPacer;
 	private readonly desired = new Map<TargetId, ReadonlySet<ArtifactKey>>();
@@ -298,6 +308,7 @@
 		const tasks = this.options
 			.tasks()
 			.filter(({hasCurrentState}) => hasCurrentState);
+		this.overdueLoads.retain(new Set(tasks.map(({id}) => id)));
 		const demand = this.demand.estimate();
 		const largestGain = this.largestGain(demand);
 		const placement = this.planner.plan({
@@ -378,6 +389,8 @@
 			reservedBytes += held.has(artifactKeyOf(model)) ? 0 : this.bytesOf(model);
 		}
 
+		// The models that a target holds when it is first seen are kept until their memory is needed.
+		const planned = this.desired.get(task.id) ?? new Set(held.keys());
 		return {
 			id: task.id,
 			failureDomain: listed.failureDomain,
@@ -386,8 +399,12 @@
 			state: listed.isLeaving ? 'leaving' : 'live',
 			held,
 			reservedBytes,
-			// The models that a target holds when it is first seen are kept until their memory is needed.
-			planned: this.desired.get(task.id) ?? new Set(held.keys()),
+			planned,
+			avoidedArtifacts: this.overdueLoads.observe(
+				task.id,
+				[...planned].filter((key) => !held.has(key)),
+				this.options.clock.monotonic(),
+			),
 			cachedModels: new Set(
 				[...listed.localWeights.inMemory, ...listed.localWeights.onDisk].map(
 					(id) => artifactKeyOf(id),
