Keep the slot of an adapter until requests no longer use it

What callers could see: a target that is ordered to hold more adapters than it has slots ends, with all requests on it.

The ledger counted its slot as free at once.

Change: the adapter is offered no longer, but stays charged until a state of the target shows that it is gone; states are read until then.

--- a/src/core/sequenced-order-ledger.ts
+++ b/src/core/sequenced-order-ledger.ts
@@ -29,6 +29,8 @@
 	private incarnation: TargetIncarnation | undefined;
 	private sequence = 0;
 	private readonly models = new Map<ModelId, Set<AdapterId>>();
+	/** Adapters whose unload was accepted and has not been observed to be complete, because requests still use them. */
+	private readonly unloadingAdapters = new Map<string, AdapterReference>();
 	/** Orders that were sent and have no response. All expect the same sequence number, so at most one takes effect. */
 	private openOrders: PendingOrder[] = [];
 	/** True while the target carries out an accepted order to load or unload a model. */
@@ -45,7 +47,12 @@
 
 	/** True when the state of the target has to be read before the next order is sent. */
 	get needsStateRead(): boolean {
-		return !this.isStateKnown || this.isBusy || this.openOrders.length > 0;
+		return (
+			!this.isStateKnown ||
+			this.isBusy ||
+			this.openOrders.length > 0 ||
+			this.unloadingAdapters.size > 0
+		);
 	}
 
 	/** True when an order may be sent now. */
@@ -84,9 +91,9 @@
 		return charged;
 	}
 
-	/** Returns the adapters that the target holds, is loading, or may hold if an open order is carried out. */
+	/** Returns the adapters that the target holds, is loading or unloading, or may hold if an open order is carried out. */
 	chargedAdapters(): AdapterReference[] {
-		const references = new Map<string, AdapterReference>();
+		const references = new Map(this.unloadingAdapters);
 		for (const [model, adapters] of this.models) {
 			for (const adapter of adapters) {
 				const reference = {model, adapter};
@@ -150,7 +157,7 @@
 			this.openOrders = [];
 			this.sequence = order.expectedSequence + 1;
 			this.lastAcceptedAt = now;
-			this.applyOrder(order);
+			this.models.get(order.model)?.delete(order.adapter);
 			return;
 		}
 
@@ -182,6 +189,8 @@
 			adapters.add(adapter);
 		} else {
 			adapters.delete(adapter);
+			const reference = {model, adapter};
+			this.unloadingAdapters.set(adapterKey(reference), reference);
 		}
 
 		this.models.set(model, adapters);
@@ -201,6 +210,12 @@
 			this.models.set(model, new Set(adapters));
 		}
 
+		for (const [key, {model, adapter}] of this.unloadingAdapters) {
+			if (!this.models.get(model)?.delete(adapter)) {
+				this.unloadingAdapters.delete(key);
+			}
+		}
+
 		for (const {model, adapter} of state.loadingAdapters) {
 			const adapters = this.models.get(model) ?? new Set();
 			adapters.add(adapter);
@@ -228,6 +243,7 @@
 		this.lastAcceptedAt = Number.NEGATIVE_INFINITY;
 		this.loadingModels.clear();
 		this.unloadingModels.clear();
+		this.unloadingAdapters.clear();
 		this.models.clear();
 	}
 }
