Let adapters that are all in use take turns in their slots

Cause: an adapter lost its slot only after 100 ms without a request, which does not come in a queue, and a slot that was freed went to the adapter with the most waiting requests. How long an adapter had waited decided nothing.

Change: adapters get slots in the order of their waits. One that has waited 300 ms, longer against one with more requests and 4 s at most, makes the adapter that has held its slot longest (1 s at least) retire: it gets no new requests and is unloaded when those that use it have ended.

--- a/src/services/forwarding/pool-placement.ts
+++ b/src/services/forwarding/pool-placement.ts
@@ -18,6 +18,7 @@
 	adapterKey,
 	AdapterSlotPolicy,
 	type AdapterReference,
+	type AdapterRequests,
 	type AdapterTarget,
 } from '../../core/adapter-slot-policy.js';
 import {DemandEstimator} from '../../core/demand-estimator.js';
@@ -49,8 +50,8 @@
 	/** Time since the first request, 0 before it. */
 	readonly observedMilliseconds: number;
 	/** Requests that are queued or in flight, by adapter key. */
-	readonly adapters: ReadonlyMap<string, number>;
-	/** Adapters for which requests wait, the one with the most waiting requests first. */
+	readonly adapters: ReadonlyMap<string, AdapterRequests>;
+	/** Adapters for which requests wait. */
 	readonly awaitedAdapters: readonly AwaitedAdapter[];
 };
 
@@ -103,6 +104,13 @@
 const loadTimeoutMilliseconds = 5000;
 /** Time for which the target is then not considered for the model. */
 const loadAvoidanceMilliseconds = 10_000;
+/** Time for which an adapter keeps its slot while others wait. Most answers end within it. */
+const adapterTenureMilliseconds = 1000;
+/** Time that requests for an adapter wait until another one with as many requests is retired for it. Callers with the shortest objective wait four times as long. */
+const adapterRetirementWaitMilliseconds = 300;
+const maximumAdapterWaitMilliseconds = 4000;
+/** Time after which a retired adapter is unloaded although requests still use it. The target then waits for their end. */
+const adapterDrainMilliseconds = 3000;
 /** Requests for one adapter from which a second replica gets a slot. */
 const secondReplicaRequests = 12;
 
@@ -137,6 +145,9 @@
 	private readonly adapterSlotPolicy = new AdapterSlotPolicy({
 		idleMilliseconds: adapterIdleMilliseconds,
 		secondReplicaRequests,
+		minimumTenureMilliseconds: adapterTenureMilliseconds,
+		retirementWaitMilliseconds: adapterRetirementWaitMilliseconds,
+		maximumWaitMilliseconds: maximumAdapterWaitMilliseconds,
 	});
 
 	private readonly overdueLoads = new OverdueLoads({
@@ -218,7 +229,11 @@
 			this.planMilliseconds = clock.monotonic() - now;
 		}
 
-		for (const {softwareVersion, ...adapter} of awaitedAdapters) {
+		for (const task of all) {
+			this.unloadRetiredAdapter(task);
+		}
+
+		for (const {softwareVersion, ...adapter} of this.byWait(awaitedAdapters)) {
 			const usable =
 				softwareVersion === undefined
 					? all
@@ -441,15 +456,26 @@
 		const targets = [...new Set([...available, ...holders])].map((task) =>
 			this.adapterTarget(task),
 		);
-		const step = this.adapterSlotPolicy.nextStep(adapter, targets, now);
+		const step = this.adapterSlotPolicy.nextStep(
+			adapter,
+			targets,
+			now,
+			this.unserved.adapterWait(adapter),
+		);
 		const task = available.find(({id}) => id === step?.target);
 		if (!step || !task) {
 			return;
 		}
 
+		const {action} = step;
+		if (action === 'retire') {
+			task.retireAdapter(step.adapter);
+			return;
+		}
+
 		void task.sendOrder(
-			{action: step.action, ...step.adapter},
-			step.action === 'load'
+			{action, ...step.adapter},
+			action === 'load'
 				? 'requests wait for the adapter'
 				: `room is needed for ${adapterKey(adapter)}`,
 		);
@@ -461,10 +487,43 @@
 			adapterSlots: this.engine.adapterSlots,
 			models: task.retainedModels(),
 			chargedAdapters: task.ledger.chargedAdapters(),
+			retiringAdapters: new Set(task.retiringAdapters().keys()),
+			heldMilliseconds: (adapter) => task.adapterHeldMilliseconds(adapter),
 			load: 0,
 		};
 	}
 
+	/** Adapters in the order in which they get slots. An order by the number of requests would starve those with few. */
+	private byWait(adapters: readonly AwaitedAdapter[]): AwaitedAdapter[] {
+		const wait = (adapter: AwaitedAdapter) =>
+			this.unserved.adapterWait(adapter);
+		return [...adapters].sort((left, right) => wait(right) - wait(left));
+	}
+
+	/** Unloads an adapter that was retired for another one, once no requests use it any more. */
+	private unloadRetiredAdapter(task: TargetOrderTask): void {
+		const retiring = task.retiringAdapters();
+		if (retiring.size === 0 || !task.canSendOrder) {
+			return;
+		}
+
+		const due = task.ledger.residentAdapters().find((adapter) => {
+			const milliseconds = retiring.get(adapterKey(adapter));
+			return (
+				milliseconds !== undefined &&
+				(milliseconds >= adapterDrainMilliseconds ||
+					(milliseconds >= announcementMilliseconds &&
+						this.adapterSlotPolicy.runningRequests(adapter) === 0))
+			);
+		});
+		if (due) {
+			void task.sendOrder(
+				{action: 'unload', ...due},
+				'its slot is needed for other adapters',
+			);
+		}
+	}
+
 	private orderModels(task: TargetOrderTask): void {
 		if (!task.canSendOrder || task.ledger.hasOpenOrder) {
 			return;
--- a/src/services/forwarding/target-order-task.ts
+++ b/src/services/forwarding/target-order-task.ts
@@ -66,6 +66,7 @@
 	private readonly retiringSince = new Map<ModelId, number>();
 	private readonly residentSince = new Map<ModelId, number>();
 	private readonly adapterReadyAt = new Map<string, number>();
+	private readonly adapterRetiringSince = new Map<string, number>();
 
 	constructor(private readonly options: TargetOrderTaskOptions) {}
 
@@ -153,6 +154,31 @@
 		return undefined;
 	}
 
+	/** Takes an adapter out of the content, so that it gets no new requests. */
+	retireAdapter(adapter: AdapterReference): void {
+		this.adapterRetiringSince.set(
+			adapterKey(adapter),
+			this.options.clock.monotonic(),
+		);
+		this.options.onChanged();
+	}
+
+	/** Time since each retiring adapter was retired, by adapter key. */
+	retiringAdapters(): ReadonlyMap<string, number> {
+		const now = this.options.clock.monotonic();
+		return new Map(
+			[...this.adapterRetiringSince].map(([key, since]) => [key, now - since]),
+		);
+	}
+
+	/** Time since an adapter was loaded, infinite for one that was there before. */
+	adapterHeldMilliseconds(adapter: AdapterReference): number {
+		const readyAt = this.adapterReadyAt.get(adapterKey(adapter));
+		return readyAt === undefined
+			? Number.POSITIVE_INFINITY
+			: this.options.clock.monotonic() - readyAt;
+	}
+
 	/** Resident models that are neither retired nor being unloaded. */
 	retainedModels(): Set<ModelId> {
 		return new Set(
@@ -171,7 +197,7 @@
 			([model, adapters]) => ({
 				model,
 				adapters: [...adapters].filter((adapter) =>
-					this.isReady({model, adapter}, now),
+					this.isOffered({model, adapter}, now),
 				),
 				isRetiring:
 					this.retiringSince.has(model) ||
@@ -240,6 +266,7 @@
 
 		if (outcome === 'already-done') {
 			this.ledger.onOrderAlreadyDone(now);
+			this.forgetAdapters();
 			return;
 		}
 
@@ -266,8 +293,26 @@
 		}, adapterLoadMilliseconds);
 	}
 
-	private isReady(name: AdapterReference, now: number): boolean {
-		return (this.adapterReadyAt.get(adapterKey(name)) ?? 0) <= now;
+	private isOffered(name: AdapterReference, now: number): boolean {
+		const key = adapterKey(name);
+		return (
+			(this.adapterReadyAt.get(key) ?? 0) <= now &&
+			!this.adapterRetiringSince.has(key)
+		);
+	}
+
+	/** Forgets what is known of adapters that the target no longer holds. */
+	private forgetAdapters(): void {
+		const charged = new Set(
+			this.ledger.chargedAdapters().map((held) => adapterKey(held)),
+		);
+		for (const known of [this.adapterReadyAt, this.adapterRetiringSince]) {
+			for (const key of known.keys()) {
+				if (!charged.has(key)) {
+					known.delete(key);
+				}
+			}
+		}
 	}
 
 	private stateReadInterval(): number {
@@ -302,6 +347,7 @@
 			return;
 		}
 
+		this.forgetAdapters();
 		const resident = this.ledger.residentModels();
 		for (const model of this.residentSince.keys()) {
 			if (!resident.has(model)) {
