Count refused requests as demand for the adapter that they lacked

What callers saw: a request for an adapter that no target offers was refused on arrival while its model was overloaded, and so was the next one.

Cause: refused requests counted for their model only. The owner never learned that the adapter was wanted.

Change: refusals count for the adapter as well, for the same time, if no target offered it. Hosts report them as waiting requests, in the fields that reports have.

Evidence: 'an adapter stays requested for a time after its requests were refused' fails without the change in ForwardingService (no adapter instead of one).

--- a/src/services/forwarding/forwarding-service.ts
+++ b/src/services/forwarding/forwarding-service.ts
@@ -363,6 +363,14 @@
 				models.set(model, (models.get(model) ?? 0) + count);
 			}
 
+			for (const {requests, ...refused} of dispatch.refusedAdapters()) {
+				adapters.set(adapterDemandKey(refused), {
+					...refused,
+					requests,
+					waiting: requests,
+				});
+			}
+
 			for (const request of dispatch.activeRequests()) {
 				const {model, adapter} = request.metadata;
 				if (model === undefined || request.isFinished) {
