--- a/test/forwarding/missing-artifacts.test.ts
+++ b/test/forwarding/missing-artifacts.test.ts
@@ -1,5 +1,5 @@
 import assert from 'node:assert/strict';
-import {test} from 'node:test';
+import {test, type TestContext} from 'node:test';
 import {
 	type AdapterId,
 	type TargetIncarnation,
@@ -33,9 +33,11 @@
 
 /** Starts a host with one target that holds the model with the given adapters, or nothing. */
 async function startHost(
+	context: TestContext,
 	adapters: readonly AdapterId[] | undefined,
 ): Promise<ForwardingHarness> {
 	const harness = new ForwardingHarness();
+	context.after(async () => harness.stop());
 	await harness.start(document);
 	harness.list('t', '127.0.0.1:1', {
 		residency: {
@@ -47,8 +49,8 @@
 }
 
 // Guards against an adapter that is never loaded because the requests for it that were refused do not ask for it.
-test('an adapter stays requested for a time after its requests were refused', async () => {
-	const harness = await startHost(['a2' as AdapterId]);
+test('an adapter stays requested for a time after its requests were refused', async (context) => {
+	const harness = await startHost(context, ['a2' as AdapterId]);
 	const headers = {Model: `${model}/a1`, 'Token-Count': '1,1'};
 	const {status} = await harness.call('/stream/x', {headers});
 	assert.equal(status, 503);
@@ -58,17 +60,15 @@
 			.adapters.map(({adapter, waiting}) => [adapter, waiting]),
 		[['a1', 1]],
 	);
-	await harness.stop();
 });
 
 // Guards against refusals that read the same whether a target offers what they need or not.
-test('a refusal says whether the model or the adapter was missing', async () => {
+test('a refusal says whether the model or the adapter was missing', async (context) => {
 	const headers = {Model: `${model}/a1`, 'Token-Count': '1,1'};
 	const missingAt = async (adapters: readonly AdapterId[] | undefined) => {
-		const harness = await startHost(adapters);
+		const harness = await startHost(context, adapters);
 		await harness.call('/stream/x', {headers});
 		const [answered] = harness.logged('request-answered');
-		await harness.stop();
 		return answered?.fields.missing;
 	};
 
