Retire adapters without blocking their target

Cause: a retired adapter was unloaded after 3 s although requests used it. A tenure of 1 s left a slot unused for half of the time.

Change: a retired adapter is unloaded only when no host reports a request that runs with it, and offered again if that takes 3 s; a tenure of 3 s, a wait of 1 s.

--- a/src/services/forwarding/pool-placement.ts
+++ b/src/services/forwarding/pool-placement.ts
@@ -104,12 +104,14 @@
 const loadTimeoutMilliseconds = 5000;
 /** Time for which the target is then not considered for the model. */
 const loadAvoidanceMilliseconds = 10_000;
-/** Time for which an adapter keeps its slot while others wait. Most answers end within it. */
-const adapterTenureMilliseconds = 1000;
-/** Time that requests for an adapter wait until another one with as many requests is retired for it. Callers with the shortest objective wait four times as long. */
-const adapterRetirementWaitMilliseconds = 300;
-const maximumAdapterWaitMilliseconds = 4000;
-/** Time after which a retired adapter is unloaded although requests still use it. The target then waits for their end. */
+/** Time for which an adapter keeps its slot while others wait. A slot serves nobody for up to a second when it changes hands. */
+const adapterTenureMilliseconds = 3000;
+/** Time that requests for an adapter wait until another one with as many requests is retired for it. Until then one may become idle. */
+const adapterRetirementWaitMilliseconds = 1000;
+const maximumAdapterWaitMilliseconds = 6000;
+/** Time in which all hosts report the requests that run with an adapter. */
+const adapterReportMilliseconds = 250;
+/** Time after which a retired adapter is offered again if requests still use it. */
 const adapterDrainMilliseconds = 3000;
 /** Requests for one adapter from which a second replica gets a slot. */
 const secondReplicaRequests = 12;
@@ -500,25 +502,31 @@
 		return [...adapters].sort((left, right) => wait(right) - wait(left));
 	}
 
-	/** Unloads an adapter that was retired for another one, once no requests use it any more. */
+	/** Unloads an adapter that was retired for another one, once no requests use it any more: until then, the unload would keep the target from carrying out other orders. */
 	private unloadRetiredAdapter(task: TargetOrderTask): void {
 		const retiring = task.retiringAdapters();
-		if (retiring.size === 0 || !task.canSendOrder) {
+		if (retiring.size === 0) {
 			return;
 		}
 
-		const due = task.ledger.residentAdapters().find((adapter) => {
+		const minimumMilliseconds =
+			task.retirementMilliseconds + adapterReportMilliseconds;
+		for (const adapter of task.ledger.residentAdapters()) {
 			const milliseconds = retiring.get(adapterKey(adapter));
-			return (
-				milliseconds !== undefined &&
-				(milliseconds >= adapterDrainMilliseconds ||
-					(milliseconds >= announcementMilliseconds &&
-						this.adapterSlotPolicy.runningRequests(adapter) === 0))
-			);
-		});
-		if (due) {
+			if (milliseconds === undefined || milliseconds < minimumMilliseconds) {
+				continue;
+			}
+
+			if (this.adapterSlotPolicy.runningRequests(adapter) > 0) {
+				if (milliseconds >= adapterDrainMilliseconds) {
+					task.offerAdapter(adapter);
+				}
+
+				continue;
+			}
+
 			void task.sendOrder(
-				{action: 'unload', ...due},
+				{action: 'unload', ...adapter},
 				'its slot is needed for other adapters',
 			);
 		}
--- a/src/services/forwarding/target-order-task.ts
+++ b/src/services/forwarding/target-order-task.ts
@@ -163,6 +163,18 @@
 		this.options.onChanged();
 	}
 
+	/** Offers a retired adapter again. */
+	offerAdapter(adapter: AdapterReference): void {
+		if (this.adapterRetiringSince.delete(adapterKey(adapter))) {
+			this.options.onChanged();
+		}
+	}
+
+	/** Time after which all hosts send what is retired no new requests. */
+	get retirementMilliseconds(): number {
+		return this.options.retirementMilliseconds();
+	}
+
 	/** Time since each retiring adapter was retired, by adapter key. */
 	retiringAdapters(): ReadonlyMap<string, number> {
 		const now = this.options.clock.monotonic();
--- a/test/placement/placed-fleet.ts
+++ b/test/placement/placed-fleet.ts
@@ -93,6 +93,8 @@
 	readonly resident = new Map<ModelId, Set<AdapterId>>();
 	readonly cached = new Set<ModelId>();
 	readonly running = new Set<OpenRequest>();
+	/** Adapters whose unload was ordered while requests used them. */
+	readonly unloadedInUse: AdapterReference[] = [];
 	/** Models that were unloaded, in order. */
 	readonly unloaded: ModelId[] = [];
 	sequence = 0;
@@ -205,6 +207,7 @@
 			this.sequence++;
 			if (this.usesAdapter(model, adapter)) {
 				this.unloadingAdapters.push({model, adapter});
+				this.unloadedInUse.push({model, adapter});
 				return 'accepted';
 			}
 
--- a/test/placement/served-adapters.test.ts
+++ b/test/placement/served-adapters.test.ts
@@ -35,6 +35,11 @@
 		}),
 	);
 	assert.deepEqual(fleet.servedLate(20_000), []);
+	// An unload that waits for requests keeps its target from carrying out other orders.
+	assert.deepEqual(
+		[...fleet.targets.values()].flatMap(({unloadedInUse}) => unloadedInUse),
+		[],
+	);
 });
 
 // Guards against a slot that is freed for an adapter that has waited and then goes to one with more requests.
