--- a/test/placement/served-models.test.ts
+++ b/test/placement/served-models.test.ts
@@ -90,3 +90,35 @@
 		assert.deepEqual(fleet.servedLate(boundMilliseconds), []);
 	});
 }
+
+// Guards against waits that begin anew with each owner, when hosts stop one after the other.
+test('each of 17 models is served within 30 s while the owner changes every 8 s and each waits 4 s for its first order', async () => {
+	const fleet = new PlacedFleet({engine, resident: initialModels});
+	await fleet.run(4000);
+	const patterns = [...rareRequests(4000), ...busyRequests(30)];
+	for (let change = 0; change < 8; change++) {
+		fleet.hasOwner = false;
+		await fleet.run(4000, patterns);
+		fleet.changeOwner();
+		fleet.hasOwner = true;
+		await fleet.run(4000, patterns);
+	}
+
+	assert.deepEqual(fleet.servedLate(30_000), []);
+});
+
+// Guards against models that wait while demand moves to another one every few seconds.
+test('each of 17 models is served within 20 s while another one becomes busy every 4 s', async () => {
+	const fleet = new PlacedFleet({engine, resident: initialModels});
+	await fleet.run(4000);
+	const moving = rareModels.map((model, index): RequestPattern => ({
+		model,
+		intervalMilliseconds: 1000 / 60,
+		runMilliseconds: 1000,
+		patienceMilliseconds: 1300,
+		fromMilliseconds: index * 4000,
+		untilMilliseconds: (index + 1) * 4000,
+	}));
+	await fleet.run(60_000, [...rareRequests(4000), ...moving]);
+	assert.deepEqual(fleet.servedLate(20_000), []);
+});
