--- a/src/core/sequenced-order-ledger.ts
+++ b/src/core/sequenced-order-ledger.ts
@@ -91,18 +91,14 @@
 		return charged;
 	}
 
-	/** Returns the resident and loading adapters, without those that are being unloaded. */
-	residentAdapters(): AdapterReference[] {
-		return [...this.models].flatMap(([model, adapters]) =>
-			[...adapters].map((adapter) => ({model, adapter})),
-		);
-	}
-
 	/** Returns the adapters that the target holds, is loading or unloading, or may hold if an open order is carried out. */
 	chargedAdapters(): AdapterReference[] {
 		const references = new Map(this.unloadingAdapters);
-		for (const reference of this.residentAdapters()) {
-			references.set(adapterKey(reference), reference);
+		for (const [model, adapters] of this.models) {
+			for (const adapter of adapters) {
+				const reference = {model, adapter};
+				references.set(adapterKey(reference), reference);
+			}
 		}
 
 		for (const {action, model, adapter} of this.openOrders) {
--- a/src/services/forwarding/forward-dispatch.ts
+++ b/src/services/forwarding/forward-dispatch.ts
@@ -253,11 +253,6 @@
 		return this.refusedDemand.counts();
 	}
 
-	/** Adapters that no target offered to requests that were refused lately. */
-	refusedAdapters(): ReturnType<RefusedDemand['adapterCounts']> {
-		return this.refusedDemand.adapterCounts();
-	}
-
 	/** True while requests are queued for a target. */
 	get hasWaitingRequests(): boolean {
 		return this.dispatcher.queueLength > 0;
@@ -543,16 +538,7 @@
 		countsAsDemand,
 	}: WorkRefusal): void {
 		if (countsAsDemand && item.model !== undefined) {
-			const {model, adapter} = item;
-			const missing = this.options.registry.findMissing(
-				this.pool,
-				model,
-				adapter,
-			);
-			this.refusedDemand.record({
-				model,
-				missingAdapter: missing === undefined ? undefined : adapter,
-			});
+			this.refusedDemand.record(item.model);
 		}
 
 		const request = this.requests.get(item.request);
--- a/src/services/forwarding/forwarding-service.ts
+++ b/src/services/forwarding/forwarding-service.ts
@@ -357,7 +357,7 @@
 	/** Requests that are queued, in flight or were refused lately on this host, by model and adapter. */
 	demand(): HostDemand {
 		const models = new Map<ModelId, number>();
-		const adapters = this.refusedAdapterDemand();
+		const adapters = new Map<string, AdapterDemand>();
 		for (const {dispatch} of this.pools.values()) {
 			for (const [model, count] of dispatch.refusedRequests()) {
 				models.set(model, (models.get(model) ?? 0) + count);
@@ -621,22 +621,6 @@
 		}, tickIntervalMilliseconds);
 	}
 
-	/** Adapters that no target offered to requests that were refused lately. They count as awaited, or they would never be loaded while all requests for them are refused. */
-	private refusedAdapterDemand(): Map<string, AdapterDemand> {
-		const adapters = new Map<string, AdapterDemand>();
-		for (const {dispatch} of this.pools.values()) {
-			for (const {requests, ...refused} of dispatch.refusedAdapters()) {
-				adapters.set(adapterDemandKey(refused), {
-					...refused,
-					requests,
-					waiting: requests,
-				});
-			}
-		}
-
-		return adapters;
-	}
-
 	private forward(
 		arrived: ArrivedRequest,
 		metadata: RequestMetadata,
--- a/src/services/forwarding/placement-owner.ts
+++ b/src/services/forwarding/placement-owner.ts
@@ -10,10 +10,7 @@
 	type TargetId,
 } from '../../contracts/ids.js';
 import {type TargetOrderPort} from '../../contracts/target-orders.js';
-import {
-	adapterKey,
-	type AdapterRequests,
-} from '../../core/adapter-slot-policy.js';
+import {adapterKey} from '../../core/adapter-slot-policy.js';
 import {DemandCollector} from '../../core/demand-collector.js';
 import {type NamedRateLimits} from '../../core/named-rate-limits.js';
 import {maximumDirectHosts} from '../../core/relay-assignment.js';
@@ -260,6 +257,7 @@
 			adapters: sumAdapterRequests(sum.adapters),
 			awaitedAdapters: sum.adapters
 				.filter(({waiting}) => waiting > 0)
+				.sort((left, right) => right.waiting - left.waiting)
 				.map(({model, adapter, softwareVersion}) => ({
 					model,
 					adapter,
@@ -272,15 +270,11 @@
 /** Adds up the requests for each adapter over the software versions at which they may run. */
 function sumAdapterRequests(
 	demands: readonly AdapterDemand[],
-): Map<string, AdapterRequests> {
-	const requests = new Map<string, AdapterRequests>();
+): Map<string, number> {
+	const requests = new Map<string, number>();
 	for (const demand of demands) {
 		const key = adapterKey(demand);
-		const counted = requests.get(key);
-		requests.set(key, {
-			total: (counted?.total ?? 0) + demand.requests,
-			waiting: (counted?.waiting ?? 0) + demand.waiting,
-		});
+		requests.set(key, (requests.get(key) ?? 0) + demand.requests);
 	}
 
 	return requests;
--- a/src/services/forwarding/pool-placement.ts
+++ b/src/services/forwarding/pool-placement.ts
@@ -18,7 +18,6 @@
 	adapterKey,
 	AdapterSlotPolicy,
 	type AdapterReference,
-	type AdapterRequests,
 	type AdapterTarget,
 } from '../../core/adapter-slot-policy.js';
 import {DemandEstimator} from '../../core/demand-estimator.js';
@@ -50,8 +49,8 @@
 	/** Time since the first request, 0 before it. */
 	readonly observedMilliseconds: number;
 	/** Requests that are queued or in flight, by adapter key. */
-	readonly adapters: ReadonlyMap<string, AdapterRequests>;
-	/** Adapters for which requests wait. */
+	readonly adapters: ReadonlyMap<string, number>;
+	/** Adapters for which requests wait, the one with the most waiting requests first. */
 	readonly awaitedAdapters: readonly AwaitedAdapter[];
 };
 
@@ -104,15 +103,6 @@
 const loadTimeoutMilliseconds = 5000;
 /** Time for which the target is then not considered for the model. */
 const loadAvoidanceMilliseconds = 10_000;
-/** Time for which an adapter keeps its slot while others wait. A slot serves nobody for up to a second when it changes hands. */
-const adapterTenureMilliseconds = 3000;
-/** Time that requests for an adapter wait until another one with as many requests is retired for it. Until then one may become idle. */
-const adapterRetirementWaitMilliseconds = 1000;
-const maximumAdapterWaitMilliseconds = 6000;
-/** Time in which all hosts report the requests that run with an adapter. */
-const adapterReportMilliseconds = 250;
-/** Time after which a retired adapter is offered again if requests still use it. */
-const adapterDrainMilliseconds = 3000;
 /** Requests for one adapter from which a second replica gets a slot. */
 const secondReplicaRequests = 12;
 
@@ -147,9 +137,6 @@
 	private readonly adapterSlotPolicy = new AdapterSlotPolicy({
 		idleMilliseconds: adapterIdleMilliseconds,
 		secondReplicaRequests,
-		minimumTenureMilliseconds: adapterTenureMilliseconds,
-		retirementWaitMilliseconds: adapterRetirementWaitMilliseconds,
-		maximumWaitMilliseconds: maximumAdapterWaitMilliseconds,
 	});
 
 	private readonly overdueLoads = new OverdueLoads({
@@ -231,11 +218,7 @@
 			this.planMilliseconds = clock.monotonic() - now;
 		}
 
-		for (const task of all) {
-			this.unloadRetiredAdapter(task);
-		}
-
-		for (const {softwareVersion, ...adapter} of this.byWait(awaitedAdapters)) {
+		for (const {softwareVersion, ...adapter} of awaitedAdapters) {
 			const usable =
 				softwareVersion === undefined
 					? all
@@ -458,26 +441,15 @@
 		const targets = [...new Set([...available, ...holders])].map((task) =>
 			this.adapterTarget(task),
 		);
-		const step = this.adapterSlotPolicy.nextStep(
-			adapter,
-			targets,
-			now,
-			this.unserved.adapterWait(adapter),
-		);
+		const step = this.adapterSlotPolicy.nextStep(adapter, targets, now);
 		const task = available.find(({id}) => id === step?.target);
 		if (!step || !task) {
 			return;
 		}
 
-		const {action} = step;
-		if (action === 'retire') {
-			task.retireAdapter(step.adapter);
-			return;
-		}
-
 		void task.sendOrder(
-			{action, ...step.adapter},
-			action === 'load'
+			{action: step.action, ...step.adapter},
+			step.action === 'load'
 				? 'requests wait for the adapter'
 				: `room is needed for ${adapterKey(adapter)}`,
 		);
@@ -489,49 +461,10 @@
 			adapterSlots: this.engine.adapterSlots,
 			models: task.retainedModels(),
 			chargedAdapters: task.ledger.chargedAdapters(),
-			retiringAdapters: new Set(task.retiringAdapters().keys()),
-			heldMilliseconds: (adapter) => task.adapterHeldMilliseconds(adapter),
 			load: 0,
 		};
 	}
 
-	/** Adapters in the order in which they get slots. An order by the number of requests would starve those with few. */
-	private byWait(adapters: readonly AwaitedAdapter[]): AwaitedAdapter[] {
-		const wait = (adapter: AwaitedAdapter) =>
-			this.unserved.adapterWait(adapter);
-		return [...adapters].sort((left, right) => wait(right) - wait(left));
-	}
-
-	/** Unloads an adapter that was retired for another one, once no requests use it any more: until then, the unload would keep the target from carrying out other orders. */
-	private unloadRetiredAdapter(task: TargetOrderTask): void {
-		const retiring = task.retiringAdapters();
-		if (retiring.size === 0) {
-			return;
-		}
-
-		const minimumMilliseconds =
-			task.retirementMilliseconds + adapterReportMilliseconds;
-		for (const adapter of task.ledger.residentAdapters()) {
-			const milliseconds = retiring.get(adapterKey(adapter));
-			if (milliseconds === undefined || milliseconds < minimumMilliseconds) {
-				continue;
-			}
-
-			if (this.adapterSlotPolicy.runningRequests(adapter) > 0) {
-				if (milliseconds >= adapterDrainMilliseconds) {
-					task.offerAdapter(adapter);
-				}
-
-				continue;
-			}
-
-			void task.sendOrder(
-				{action: 'unload', ...adapter},
-				'its slot is needed for other adapters',
-			);
-		}
-	}
-
 	private orderModels(task: TargetOrderTask): void {
 		if (!task.canSendOrder || task.ledger.hasOpenOrder) {
 			return;
--- a/src/services/forwarding/target-order-task.ts
+++ b/src/services/forwarding/target-order-task.ts
@@ -66,7 +66,6 @@
 	private readonly retiringSince = new Map<ModelId, number>();
 	private readonly residentSince = new Map<ModelId, number>();
 	private readonly adapterReadyAt = new Map<string, number>();
-	private readonly adapterRetiringSince = new Map<string, number>();
 
 	constructor(private readonly options: TargetOrderTaskOptions) {}
 
@@ -154,43 +153,6 @@
 		return undefined;
 	}
 
-	/** Takes an adapter out of the content, so that it gets no new requests. */
-	retireAdapter(adapter: AdapterReference): void {
-		this.adapterRetiringSince.set(
-			adapterKey(adapter),
-			this.options.clock.monotonic(),
-		);
-		this.options.onChanged();
-	}
-
-	/** Offers a retired adapter again. */
-	offerAdapter(adapter: AdapterReference): void {
-		if (this.adapterRetiringSince.delete(adapterKey(adapter))) {
-			this.options.onChanged();
-		}
-	}
-
-	/** Time after which all hosts send what is retired no new requests. */
-	get retirementMilliseconds(): number {
-		return this.options.retirementMilliseconds();
-	}
-
-	/** Time since each retiring adapter was retired, by adapter key. */
-	retiringAdapters(): ReadonlyMap<string, number> {
-		const now = this.options.clock.monotonic();
-		return new Map(
-			[...this.adapterRetiringSince].map(([key, since]) => [key, now - since]),
-		);
-	}
-
-	/** Time since an adapter was loaded, infinite for one that was there before. */
-	adapterHeldMilliseconds(adapter: AdapterReference): number {
-		const readyAt = this.adapterReadyAt.get(adapterKey(adapter));
-		return readyAt === undefined
-			? Number.POSITIVE_INFINITY
-			: this.options.clock.monotonic() - readyAt;
-	}
-
 	/** Resident models that are neither retired nor being unloaded. */
 	retainedModels(): Set<ModelId> {
 		return new Set(
@@ -209,7 +171,7 @@
 			([model, adapters]) => ({
 				model,
 				adapters: [...adapters].filter((adapter) =>
-					this.isOffered({model, adapter}, now),
+					this.isReady({model, adapter}, now),
 				),
 				isRetiring:
 					this.retiringSince.has(model) ||
@@ -278,7 +240,6 @@
 
 		if (outcome === 'already-done') {
 			this.ledger.onOrderAlreadyDone(now);
-			this.forgetAdapters();
 			return;
 		}
 
@@ -305,26 +266,8 @@
 		}, adapterLoadMilliseconds);
 	}
 
-	private isOffered(name: AdapterReference, now: number): boolean {
-		const key = adapterKey(name);
-		return (
-			(this.adapterReadyAt.get(key) ?? 0) <= now &&
-			!this.adapterRetiringSince.has(key)
-		);
-	}
-
-	/** Forgets what is known of adapters that the target no longer holds. */
-	private forgetAdapters(): void {
-		const charged = new Set(
-			this.ledger.chargedAdapters().map((held) => adapterKey(held)),
-		);
-		for (const known of [this.adapterReadyAt, this.adapterRetiringSince]) {
-			for (const key of known.keys()) {
-				if (!charged.has(key)) {
-					known.delete(key);
-				}
-			}
-		}
+	private isReady(name: AdapterReference, now: number): boolean {
+		return (this.adapterReadyAt.get(adapterKey(name)) ?? 0) <= now;
 	}
 
 	private stateReadInterval(): number {
@@ -359,7 +302,6 @@
 			return;
 		}
 
-		this.forgetAdapters();
 		const resident = this.ledger.residentModels();
 		for (const model of this.residentSince.keys()) {
 			if (!resident.has(model)) {
--- a/test/dispatch/refused-demand.test.ts
+++ b/test/dispatch/refused-demand.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {ManualClock} from '../../src/base/common/clock.js';
-import {type AdapterId, type ModelId} from '../../src/contracts/ids.js';
+import {type ModelId} from '../../src/contracts/ids.js';
 import {RefusedDemand} from '../../src/core/refused-demand.js';
 
 // Guards against an overload that hides itself: with every request beyond the capacity refused on arrival, the model
@@ -11,7 +11,7 @@
 	const demand = new RefusedDemand({clock});
 	const model = 'm' as ModelId;
 	for (let count = 0; count < 30; count++) {
-		demand.record({model, missingAdapter: undefined});
+		demand.record(model);
 		clock.advance(100);
 	}
 
@@ -20,19 +20,3 @@
 	clock.advance(2000);
 	assert.equal(demand.counts().size, 0);
 });
-
-// Guards against an adapter that is never loaded because each request for it is refused before it waits.
-test('a refused request counts for its adapter when no target offered that', () => {
-	const clock = new ManualClock();
-	const demand = new RefusedDemand({clock});
-	const model = 'm' as ModelId;
-	const missingAdapter = 'a1' as AdapterId;
-	demand.record({model, missingAdapter});
-	demand.record({model, missingAdapter});
-	demand.record({model, missingAdapter: undefined});
-	assert.deepEqual(demand.adapterCounts(), [
-		{model, adapter: missingAdapter, requests: 2},
-	]);
-	clock.advance(1500);
-	assert.deepEqual(demand.adapterCounts(), []);
-});
--- a/test/placement/placed-fleet.ts
+++ b/test/placement/placed-fleet.ts
@@ -525,7 +525,7 @@
 	private demand(): PoolDemand {
 		const now = this.clock.monotonic();
 		const models = new Map<ModelId, number>();
-		const adapters = new Map<string, {total: number; waiting: number}>();
+		const adapters = new Map<string, number>();
 		const waiting = new Map<
 			string,
 			{model: ModelId; adapter: AdapterId; count: number}
@@ -548,11 +548,8 @@
 			}
 
 			const key = adapterKey({model, adapter});
-			const counted = adapters.get(key) ?? {total: 0, waiting: 0};
-			adapters.set(key, counted);
-			counted.total++;
+			adapters.set(key, (adapters.get(key) ?? 0) + 1);
 			if (!request.target) {
-				counted.waiting++;
 				const entry = waiting.get(key) ?? {model, adapter, count: 0};
 				entry.count++;
 				waiting.set(key, entry);
