--- a/src/services/forwarding/pool-placement.ts
+++ b/src/services/forwarding/pool-placement.ts
@@ -152,6 +152,8 @@
 		{task: TargetOrderTask; model: ModelId}
 	>();
 
+	/** Monotonic time since which requests wait for a model without a replica. */
+	private readonly unservedSince = new Map<ModelId, number>();
 	private plannedAt = Number.NEGATIVE_INFINITY;
 	/** Time that the last plan took. */
 	private planMilliseconds = 0;
@@ -209,6 +211,7 @@
 		);
 		this.adapterSlotPolicy.observe(adapters, now);
 		this.dormancy.observe(idleMilliseconds, observedMilliseconds, now);
+		this.trackUnservedModels(models, now);
 		this.unserved.observe(models, awaitedAdapters);
 		this.finishPacedLoads();
 		if (this.isSettled() && now - this.plannedAt >= this.planInterval(models)) {
@@ -236,6 +239,28 @@
 		return this.engine.models.some(({id}) => id === model);
 	}
 
+	private trackUnservedModels(
+		demand: ReadonlyMap<ModelId, number>,
+		now: number,
+	): void {
+		const held = new Set(
+			this.options.tasks().flatMap((task) => [...task.retainedModels()]),
+		);
+		for (const [model, requests] of demand) {
+			if (requests === 0 || held.has(model)) {
+				this.unservedSince.delete(model);
+			} else if (!this.unservedSince.has(model)) {
+				this.unservedSince.set(model, now);
+			}
+		}
+
+		for (const model of this.unservedSince.keys()) {
+			if (!demand.has(model)) {
+				this.unservedSince.delete(model);
+			}
+		}
+	}
+
 	/** Time between two plans. On a weak machine with many models a plan may take so long that a fixed interval would leave no time for requests. */
 	private planInterval(demand: ReadonlyMap<ModelId, number>): number {
 		return Math.max(
@@ -329,7 +354,10 @@
 			targets: tasks.map((task) => this.placementTarget(task)),
 			demand,
 			unservedMilliseconds: new Map(
-				this.engine.models.map(({id}) => [id, this.unserved.modelWait(id)]),
+				[...this.unservedSince].map(([model, since]) => [
+					model,
+					this.options.clock.monotonic() - since,
+				]),
 			),
 			limits: weightStoreLimitsOf(this.engine),
 		});
