Count how the connections of callers end, and name the unconfirmed ones

Cause: forwarding-stopped counts an answer as whole once the operating system has its bytes. Change: ServedConnections (taken out of ForwardingServer) tells how each connection that carried an answer ended: closed by its client, reset, or unconfirmed. The process logs the sums when it ends (7083) and a short line for each unconfirmed answer of a stop (7084). forwarding-stopped counts the own failures. No decision changes.

--- a/src/contracts/events/forwarding-events.ts
+++ b/src/contracts/events/forwarding-events.ts
@@ -28,7 +28,7 @@
 		name: 'forwarding-stopped',
 		level: 'info',
 		description:
-			'The process completed its planned stop. The fields signalledAt and noticedAfterMilliseconds tell when the signal was noticed and by how much at most it was late; begunRequests and refusedRequests count what arrived or waited during the stop, cutRequests and unsentResponses what its end interrupts. The other counts are of all requests that the process has read completely: readRequests is the sum of wholeResponses, interruptedResponses (ended early by this host), abandonedResponses (closed by the caller) and unfinishedRequests.',
+			'The process completed its planned stop. The fields signalledAt and noticedAfterMilliseconds tell when the signal was noticed and by how much at most it was late; begunRequests and refusedRequests count what arrived or waited during the stop, cutRequests and unsentResponses what its end interrupts. ownFailures counts the responses of this host (502, 504) to requests that a target may have run, since the process started; they count as whole. The other counts are of all requests that the process has read completely: readRequests is the sum of wholeResponses, interruptedResponses (ended early by this host), abandonedResponses (closed by the caller) and unfinishedRequests.',
 	},
 	settingsReloaded: {
 		number: 7004,
@@ -441,6 +441,20 @@
 		description:
 			'An answer that had begun was ended without its rest. The field reason says why, targets lists those with an open attempt, brokenTargets those at which the stream broke off, isStopping is true during a planned stop. At most 32 in ten seconds are logged.',
 	},
+	connectionsEnded: {
+		number: 7083,
+		name: 'connections-ended',
+		level: 'info',
+		description:
+			'The process ends. The fields count the connections of callers that carried an answer since the process started: closedByCaller after the last answer had left this process, so it was read; reset; unconfirmed, which this host closed without the end of the caller, and open, which it has not closed. The last answer of an unconfirmed or open one may not have arrived. At most 32 of these are listed during a stop (7084).',
+	},
+	deliveryUnconfirmed: {
+		number: 7084,
+		name: 'delivery-unconfirmed',
+		level: 'warn',
+		description:
+			'The connection of a caller ended during the planned stop without its end, so the last answer on it may not have arrived. The field milliseconds is the time since that answer left this process.',
+	},
 	answersExceedMemory: {
 		number: 7090,
 		name: 'answers-exceed-memory',
--- a/src/program/forwarding-root.ts
+++ b/src/program/forwarding-root.ts
@@ -16,6 +16,7 @@
 } from '../base/common/event-logger.js';
 import {SeededRandomSource} from '../base/common/random-source.js';
 import {listenOn, type ListenError} from '../base/node/listen.js';
+import {type EndedConnection} from '../base/node/served-connections.js';
 import {PolledQueue} from '../base/node/polled-queue.js';
 import {SystemClock} from '../base/node/system-clock.js';
 import {wait} from '../base/node/wait.js';
@@ -117,6 +118,8 @@
 const maximumLingerMilliseconds = 1000;
 /** The same for a stop that a second signal has cut short. */
 const shortLingerMilliseconds = 200;
+/** Log lines for the connections of one stop that end without the end of their callers. */
+const maximumUnconfirmedLines = 32;
 /** Interval of the checks during a stop. */
 const stopCheckMilliseconds = 50;
 /** Interval at which expired targets are removed, readiness is checked and metrics are updated. */
@@ -162,6 +165,7 @@
 	private readonly targets: StateFollower<TargetListChange>;
 	private hasStarted = false;
 	private isStopping = false;
+	private unconfirmedConnections = 0;
 	private wasReady = false;
 	private readonly listening = new AbortController();
 	/** Time since which another host is known to have a newer document than this one, infinite when none has. */
@@ -595,7 +599,7 @@
 			}
 
 			if (elapsed() >= idleCloseMilliseconds) {
-				this.server.closeIdleConnections();
+				this.server.connections.closeIdle();
 			}
 
 			if (elapsed() >= refuseRequestsMilliseconds) {
@@ -622,6 +626,7 @@
 				this.settings.stopSeconds * 1000 - exitMarginMilliseconds - elapsed(),
 			),
 		);
+		this.recordConnectionEnds();
 	}
 
 	/** Responds to all open requests, ends streams, and refuses what arrives from here on, because the process ends before it could be answered otherwise. Returns once the responses have left the process and their connections have ended in order, at most after the given time. */
@@ -635,8 +640,8 @@
 			await wait(stopCheckMilliseconds);
 		} while (
 			this.clock.monotonic() - startedAt < maximumMilliseconds &&
-			(this.server.openResponses > 0 ||
-				this.server.lingeringConnections > 0 ||
+			(this.server.connections.openResponses > 0 ||
+				this.server.connections.lingeringConnections > 0 ||
 				this.service.hasOpenPeerResponses)
 		);
 	}
@@ -661,12 +666,41 @@
 		await this.components.dispose();
 	}
 
+	/** Logs how the connections of callers have ended, and those that end with the process. */
+	private recordConnectionEnds(): void {
+		const open = this.server.connections.openConnections();
+		for (const connection of open) {
+			this.recordUnconfirmed(connection);
+		}
+
+		const {counts} = this.server.connections;
+		this.events.record(forwardingEvents.connectionsEnded, {
+			closedByCaller: counts['closed-by-client'],
+			reset: counts.reset,
+			unconfirmed: counts.unconfirmed,
+			open: open.length,
+		});
+	}
+
+	private recordUnconfirmed({
+		socket,
+		sinceResponseMilliseconds,
+	}: Omit<EndedConnection, 'end'>): void {
+		this.unconfirmedConnections++;
+		if (this.unconfirmedConnections <= maximumUnconfirmedLines) {
+			this.events.record(forwardingEvents.deliveryUnconfirmed, {
+				request: this.service.lastRequestOf(socket),
+				milliseconds: Math.round(sinceResponseMilliseconds),
+			});
+		}
+	}
+
 	/** True while requests have no whole answer, or bytes of their answers have not left this process. */
 	private get hasOpenRequests(): boolean {
 		return (
 			this.service.openRequests > 0 ||
 			this.server.incompleteRequests > 0 ||
-			this.server.openResponses > 0 ||
+			this.server.connections.openResponses > 0 ||
 			this.service.hasOpenPeerResponses
 		);
 	}
@@ -776,6 +810,11 @@
 				registry.applyContents([content], 0);
 			}
 		});
+		this.server.connections.ended.subscribe((connection) => {
+			if (this.isStopping && connection.end === 'unconfirmed') {
+				this.recordUnconfirmed(connection);
+			}
+		});
 		this.components.add(observeUnexpectedErrors(events));
 	}
 
--- a/src/services/forwarding/forwarding-server.ts
+++ b/src/services/forwarding/forwarding-server.ts
@@ -9,6 +9,8 @@
 import {Hono} from 'hono';
 import {type Result} from 'neverthrow';
 import {Disposable} from '../../base/common/disposable.js';
+import {ServedConnections} from '../../base/node/served-connections.js';
+import {SystemClock} from '../../base/node/system-clock.js';
 import {
 	listenOn,
 	type ListenError,
@@ -56,23 +58,10 @@
 /** Concurrent connections of callers. Less than the limit of file descriptors of a small machine. */
 const maximumConnections = 3000;
 
-/** Time for which a connection is read after its last answer, while its caller still sends. A caller sends the rest of a body within a round trip or two of the answer. */
-const lingerMilliseconds = 1000;
-
-/** What is known of the connection of a caller. */
-type CallerConnection = {
-	/** Responses that have not left the process. */
-	readonly openResponses: Set<ServerResponse>;
-	/** Bytes read when the last request was complete, undefined before the first one. */
-	bytesAtRequestEnd: number | undefined;
-	/** The last request, undefined before the first one. */
-	lastMessage: IncomingMessage | undefined;
-	/** True once the caller has closed its side of the connection or reset it. */
-	isLeft: boolean;
-};
-
 /** HTTP server for callers. It enforces the limits of the document on headers, bodies and connections. */
 export class ForwardingServer extends Disposable {
+	/** The connections of callers. */
+	readonly connections = new ServedConnections(new SystemClock());
 	private readonly server: Server;
 	private limits: RequestLimits = {
 		headerBytes: 16_384,
@@ -85,9 +74,6 @@
 	private readonly incomplete = new Set<() => void>();
 
 	private readonly account = new ResponseAccount();
-	private readonly connections = new Map<Socket, CallerConnection>();
-	/** Connections that are read until their callers close them. */
-	private readonly lingering = new Set<Socket>();
 
 	constructor(
 		private readonly handler: ReceivedRequestHandler,
@@ -111,18 +97,23 @@
 				noDelay: true,
 			},
 			(message, response) => {
-				if (this.lingering.has(message.socket)) {
+				if (this.connections.isLingering(message.socket)) {
 					// The connection can carry no more answers, so the request is neither handled nor passed on.
 					message.resume();
 					return;
 				}
 
-				this.observeResponse(message, response);
+				if (this.connections.addRequest(message, response)) {
+					message.once('end', () => {
+						this.accountFor(message, response);
+					});
+				}
+
 				void listener(message, response);
 			},
 		);
 		this.server.on('connection', (socket: Socket) => {
-			this.observeConnection(socket);
+			this.connections.add(socket);
 		});
 		this.server.maxConnections = maximumConnections;
 		this.server.requestTimeout = 0;
@@ -157,38 +148,11 @@
 		}
 	}
 
-	/** Number of requests whose answers have not completely left this process. */
-	get openResponses(): number {
-		let count = 0;
-		for (const {openResponses} of this.connections.values()) {
-			count += openResponses.size;
-		}
-
-		return count;
-	}
-
 	/** What became of the requests that were read completely. */
 	get responseCounts(): ResponseCounts {
 		return this.account.counts();
 	}
 
-	/** Number of connections that are read until their callers close them. */
-	get lingeringConnections(): number {
-		return this.lingering.size;
-	}
-
-	/** Closes connections that have had a request and have none now. The same function of Node.js also closes those whose last answer has not been written to the network yet. */
-	closeIdleConnections(): void {
-		for (const [socket, connection] of this.connections) {
-			if (
-				connection.openResponses.size === 0 &&
-				connection.bytesAtRequestEnd === socket.bytesRead
-			) {
-				socket.destroy();
-			}
-		}
-	}
-
 	/** Stops accepting connections. Closing the HTTP server itself would also reset connections on which a request is about to arrive. */
 	stopListening(): void {
 		if (this.server.listening) {
@@ -201,61 +165,9 @@
 		this.server.closeAllConnections();
 	}
 
-	private observeConnection(socket: Socket): void {
-		const connection: CallerConnection = {
-			openResponses: new Set(),
-			bytesAtRequestEnd: undefined,
-			lastMessage: undefined,
-			isLeft: false,
-		};
-		for (const event of ['end', 'error']) {
-			socket.once(event, () => {
-				connection.isLeft = true;
-			});
-		}
-
-		this.connections.set(socket, connection);
-		const destroySoon = socket.destroySoon.bind(socket);
-		// The HTTP server calls this after the last answer of a connection. A connection that is closed with unread bytes is reset, and the caller can lose an answer that it has not read yet.
-		socket.destroySoon = () => {
-			if (connection.lastMessage?.complete === false) {
-				this.linger(socket);
-			} else {
-				destroySoon();
-			}
-		};
-
-		socket.once('close', () => {
-			this.connections.delete(socket);
-			this.lingering.delete(socket);
-			closeWaitingResponses(connection.openResponses);
-		});
-	}
-
-	private observeResponse(
-		message: IncomingMessage,
-		response: ServerResponse,
-	): void {
-		const {socket} = message;
-		const connection = this.connections.get(socket);
-		if (!connection) {
-			return;
-		}
-
-		connection.lastMessage = message;
-		connection.openResponses.add(response);
-		response.once('close', () => {
-			connection.openResponses.delete(response);
-		});
-		message.once('end', () => {
-			connection.bytesAtRequestEnd = socket.bytesRead;
-			this.accountFor(response, connection);
-		});
-	}
-
 	private accountFor(
+		{socket}: IncomingMessage,
 		response: ServerResponse,
-		connection: CallerConnection,
 	): void {
 		if (response.closed) {
 			return;
@@ -266,30 +178,13 @@
 			if (response.writableFinished) {
 				this.account.recordEnd('whole');
 			} else {
-				this.account.recordEnd(connection.isLeft ? 'abandoned' : 'interrupted');
+				this.account.recordEnd(
+					this.connections.isLeft(socket) ? 'abandoned' : 'interrupted',
+				);
 			}
 		});
 	}
 
-	/** Ends the sending side of a connection and reads what the caller still sends, until it closes the connection. */
-	private linger(socket: Socket): void {
-		if (this.lingering.has(socket) || socket.destroyed) {
-			return;
-		}
-
-		this.lingering.add(socket);
-		socket.end();
-		socket.once('end', () => {
-			socket.destroy();
-		});
-		const timer = setTimeout(() => {
-			socket.destroy();
-		}, lingerMilliseconds);
-		socket.once('close', () => {
-			clearTimeout(timer);
-		});
-	}
-
 	private receive(message: IncomingMessage, response: ServerResponse): void {
 		const {headerBytes, bodyBytes} = this.limits;
 		if (headerSizeOf(message.rawHeaders) > headerBytes) {
@@ -361,16 +256,6 @@
 	}
 }
 
-/** Node.js closes only the response that has the connection when the connection is closed, not those that wait behind it. */
-function closeWaitingResponses(responses: ReadonlySet<ServerResponse>): void {
-	for (const response of responses) {
-		if (!response.socket) {
-			response.destroy();
-			response.emit('close');
-		}
-	}
-}
-
 function headerSizeOf(rawHeaders: readonly string[]): number {
 	let size = 0;
 	for (const text of rawHeaders) {
--- a/src/services/forwarding/forwarding-service.ts
+++ b/src/services/forwarding/forwarding-service.ts
@@ -97,6 +97,8 @@
 	readonly cutRequests: number;
 	/** Complete answers that their callers had not taken when the stop ended. */
 	readonly unsentResponses: number;
+	/** Responses of this host to requests that may have run, since the process started. */
+	readonly ownFailures: number;
 };
 
 type Pool = {
@@ -162,6 +164,9 @@
 
 	/** Answers to other hosts that have not taken all of them. */
 	private readonly openPeerResponses = new Set<PeerResponse>();
+	/** Id of the last request of each connection of a caller. */
+	private readonly lastRequests = new WeakMap<Socket, RequestId>();
+	private ownFailures = 0;
 	/** Keys of the requests first sent during the stop. */
 	private readonly begunRequests = new Set<RequestId>();
 	private refusedRequests = 0;
@@ -237,6 +242,11 @@
 		return count;
 	}
 
+	/** Id of the last request that was received on a connection. */
+	lastRequestOf(socket: Socket): RequestId | undefined {
+		return this.lastRequests.get(socket);
+	}
+
 	/** Records by how much a timer with this interval was late. Called by it. */
 	recordEventLoopDelay(intervalMilliseconds: number): void {
 		const now = this.options.clock.monotonic();
@@ -315,6 +325,7 @@
 			refusedRequests: this.refusedRequests,
 			cutRequests,
 			unsentResponses,
+			ownFailures: this.ownFailures,
 		};
 	}
 
@@ -435,6 +446,7 @@
 			return;
 		}
 
+		this.lastRequests.set(message.socket, metadata.value.id);
 		this.keepOpenResponse(message.socket, response, metadata.value.id);
 		if (!this.document || !this.routes || !this.isAcceptingRequests) {
 			this.refusedRequests += this.isStopping ? 1 : 0;
@@ -982,6 +994,8 @@
 			this.refusedRequests++;
 		}
 
+		this.ownFailures += /^own 50[24]/.test(outcome) ? 1 : 0;
+
 		const {kind} = request.route;
 		if (request.options.forwardedBy !== undefined) {
 			metrics.count('daisylever_peer_requests_total', {
