Show that a stop loses answers that its host counts as whole

Callers saw a connection closed in the middle of an answer beside a planned stop; the host counted it as whole.

--- a/test/delayed-path.ts
+++ b/test/delayed-path.ts
@@ -6,8 +6,17 @@
 	type Socket,
 } from 'node:net';
 
-/** Bytes on the way in one direction from which the sender is not read. */
-const maximumBytesUnderWay = 65_536;
+/** A path that a connection takes. */
+export type PathQuality = {
+	/** Delay in each direction. */
+	readonly delayMilliseconds: number;
+	/** Rate in each direction. No limit if absent. */
+	readonly bytesPerSecond?: number;
+	/** Bytes on the way in one direction from which the sender is not read. */
+	readonly maximumBytesUnderWay?: number;
+};
+
+const defaultBytesUnderWay = 65_536;
 
 /** A TCP proxy on the loopback interface that passes everything on, also ends and resets, after a delay, and holds few bytes. */
 export class DelayedPath {
@@ -16,7 +25,7 @@
 
 	constructor(
 		private readonly serverPort: number,
-		private readonly drawDelay: () => number,
+		private readonly drawQuality: () => PathQuality,
 	) {
 		this.listener = createServer({allowHalfOpen: true}, (client) => {
 			this.accept(client);
@@ -39,13 +48,21 @@
 		}
 	}
 
+	/** Ends as the network of a machine that is taken away with its process: what is under way is lost. */
+	cut(): void {
+		this.listener.close();
+		for (const socket of this.sockets) {
+			socket.resetAndDestroy();
+		}
+	}
+
 	private accept(client: Socket): void {
 		const server = connect({
 			host: '127.0.0.1',
 			port: this.serverPort,
 			allowHalfOpen: true,
 		});
-		const delay = this.drawDelay();
+		const quality = this.drawQuality();
 		for (const socket of [client, server]) {
 			this.sockets.add(socket);
 			socket.setNoDelay(true);
@@ -54,20 +71,38 @@
 			});
 		}
 
-		passOn(client, server, delay);
-		passOn(server, client, delay);
+		passOn(client, server, quality);
+		passOn(server, client, quality);
 	}
 }
 
-function passOn(from: Socket, to: Socket, delay: number): void {
+function passOn(
+	from: Socket,
+	to: Socket,
+	{
+		delayMilliseconds,
+		bytesPerSecond = Number.POSITIVE_INFINITY,
+		maximumBytesUnderWay = defaultBytesUnderWay,
+	}: PathQuality,
+): void {
 	let bytesUnderWay = 0;
-	// Timers of equal length fire in order, so the bytes keep theirs.
-	const later = (action: () => void) => {
-		setTimeout(() => {
-			if (!to.destroyed) {
-				action();
-			}
-		}, delay);
+	const waiting: Array<() => void> = [];
+	/** Time at which the bytes so far have left the sender's end of the path. */
+	let sentAt = 0;
+	// Timers fire late by different times, so each runs the oldest action.
+	const later = (action: () => void, bytes = 0) => {
+		const now = performance.now();
+		sentAt = Math.max(now, sentAt) + (bytes / bytesPerSecond) * 1000;
+		waiting.push(action);
+		setTimeout(
+			() => {
+				const next = waiting.shift();
+				if (!to.destroyed) {
+					next?.();
+				}
+			},
+			sentAt - now + delayMilliseconds,
+		);
 	};
 
 	const readOn = () => {
@@ -85,7 +120,7 @@
 		later(() => {
 			bytesUnderWay -= bytes.length;
 			to.write(bytes, readOn);
-		});
+		}, bytes.length);
 	});
 	from.on('end', () => {
 		later(() => {
--- a/test/soak/soak-callers.ts
+++ b/test/soak/soak-callers.ts
@@ -342,7 +342,7 @@
 			let timer: NodeJS.Timeout | undefined;
 			const finish = (isComplete: boolean) => {
 				clearTimeout(timer);
-				resolve({
+				const result = {
 					id: options.id,
 					sentAt,
 					endedAt: record.now(),
@@ -350,7 +350,9 @@
 					isComplete,
 					isAbandoned,
 					body,
-				});
+				};
+				this.fleet.answers.recordTry(life, result);
+				resolve(result);
 			};
 
 			const request = httpRequest({
--- a/test/soak/soak-fleet.ts
+++ b/test/soak/soak-fleet.ts
@@ -6,7 +6,8 @@
 	type ForwardingTestHost,
 } from '../process/forwarding-host.js';
 import {waitUntil} from '../process/processes.js';
-import {DelayedPath} from './delayed-path.js';
+import {DelayedPath, type PathQuality} from '../delayed-path.js';
+import {AnswerAccount} from './answer-account.js';
 import {RequestLedger} from './request-ledger.js';
 import {type SoakRecord} from './soak-record.js';
 import {WorkerProcess} from './worker-process.js';
@@ -24,8 +25,19 @@
 const workerMegabytes = 1000;
 /** Failure domains of the hosts and the workers. */
 const failureDomains = ['z1', 'z2', 'z3'] as const;
-/** Longest delay in one direction between a caller and a host, for callers that are far away. */
-const longestPathMilliseconds = 120;
+/** Paths between callers that are far away and hosts, in turn. */
+const farPaths: readonly PathQuality[] = [
+	{delayMilliseconds: 0},
+	{delayMilliseconds: 30},
+	{delayMilliseconds: 80},
+	{delayMilliseconds: 150},
+	{delayMilliseconds: 300},
+	{
+		delayMilliseconds: 20,
+		bytesPerSecond: 875_000,
+		maximumBytesUnderWay: 16_384,
+	},
+];
 const streamWorkers = 3;
 const plainWorkers = 2;
 /** Time from SIGTERM until the platform kills a host. */
@@ -45,6 +57,8 @@
 	readonly host: ForwardingTestHost;
 	/** Port at which callers that are far away reach the host. */
 	readonly farPort: number;
+	/** The paths of these callers, which end with the process. */
+	readonly path: DelayedPath;
 	/** Program that the process runs, undefined for the usual one. */
 	readonly program: string | undefined;
 	/** Time of the SIGTERM, undefined before. */
@@ -77,6 +91,7 @@
 
 	workers: WorkerProcess[] = [];
 	readonly ledger: RequestLedger;
+	readonly answers: AnswerAccount;
 	configurationVersion = 0;
 	/** Version and number of the newest software of the workers. */
 	softwareVersion = 1;
@@ -95,6 +110,7 @@
 		private readonly secondProgram?: string,
 	) {
 		this.ledger = new RequestLedger(record);
+		this.answers = new AnswerAccount(record);
 	}
 
 	/** Starts everything and waits until all hosts are ready. */
@@ -156,13 +172,14 @@
 		);
 		const path = new DelayedPath(host.ports.callers!, () => {
 			this.pathCount++;
-			return (this.pathCount * 37) % longestPathMilliseconds;
+			return farPaths[this.pathCount % farPaths.length]!;
 		});
 		this.paths.push(path);
 		const life: HostLife = {
 			name,
 			host,
 			farPort: await path.start(),
+			path,
 			program,
 			stoppedAt: undefined,
 			readyAt: Number.POSITIVE_INFINITY,
@@ -421,6 +438,7 @@
 			this.hosts.delete(life.name);
 		}
 
+		life.path.cut();
 		if (this.isStopping) {
 			return;
 		}
--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -59,6 +59,7 @@
 	}
 
 	fleet.ledger.check();
+	fleet.answers.check();
 
 	return {
 		violations: record.violations,
