End a stop after the last answers have arrived

Cause: an answer counted as delivered when the operating system had its bytes. The process then ended about 100 ms later, and idle connections were destroyed within 50 ms. What was still under way was lost with the network of the machine, or with a reset for unread bytes. Class: an end, or a handover, is taken for a delivery. Change: ServedConnections ends the sending side of a connection first and reads on until the client has closed it; its next request shows the same. The stop, a second SIGINT (up to 1 s instead of 0.2 s) and a stop that fails wait for that, at most 3 s after the last answer and within the stop period. Other hosts' forward calls are treated alike. A request that crosses the end is read and not passed on; before, it met a reset.

--- a/src/base/node/served-connections.ts
+++ b/src/base/node/served-connections.ts
@@ -29,9 +29,7 @@
 	readonly openResponses: Set<ServerResponse>;
 	/** Bytes read when the last request was complete, undefined before the first one. */
 	bytesAtRequestEnd: number | undefined;
-	/** The last request, undefined before the first one. */
-	lastMessage: IncomingMessage | undefined;
-	/** Monotonic time at which the last response left this process, undefined before the first one. */
+	/** Monotonic time at which the last response left this process, undefined before the first one and for responses that need not arrive. */
 	respondedAt: number | undefined;
 	/** True once the client has closed its side of the connection. */
 	hasClientEnded: boolean;
@@ -39,10 +37,15 @@
 	isReset: boolean;
 };
 
-/** Time for which a connection is read after its last response, while its client still sends. A client sends the rest of a body within a round trip or two of the response. */
-const lingerMilliseconds = 1000;
+/** Time after a response within which it arrives, and the end of its client comes back. Longer than clients wait without receiving anything. */
+const deliveryMilliseconds = 3000;
 
-/** The connections of an HTTP server: their open responses, and how they end. */
+/**
+ * The connections of an HTTP server: their open responses, and how they end. The server ends its side of a connection
+ * first and reads on until the client has closed the other one, which shows that the client has read the last response:
+ * what the operating system has taken is lost if the connection is reset for bytes that were not read, or if the network
+ * ends with the process.
+ */
 export class ServedConnections {
 	/** A connection that carried a response has ended. */
 	readonly ended = new TypedEvent<EndedConnection>();
@@ -50,8 +53,8 @@
 	private readonly connections = new Map<Socket, ServedConnection>();
 	/** The same with those that were closed, whose responses end later. */
 	private readonly known = new WeakMap<Socket, ServedConnection>();
-	/** Connections that are read until their clients close them. */
-	private readonly lingering = new Set<Socket>();
+	/** Connections whose sending side has ended, and that are read until their clients close them. */
+	private readonly ending = new Set<Socket>();
 	private readonly ends: Record<ConnectionEnd, number> = {
 		'closed-by-client': 0,
 		reset: 0,
@@ -70,9 +73,20 @@
 		return count;
 	}
 
-	/** Number of connections that are read until their clients close them. */
-	get lingeringConnections(): number {
-		return this.lingering.size;
+	/** Number of connections whose last response has left this process lately and may not have arrived. */
+	get undeliveredResponses(): number {
+		const now = this.clock.monotonic();
+		let count = 0;
+		for (const {openResponses, respondedAt} of this.connections.values()) {
+			count +=
+				openResponses.size === 0 &&
+				respondedAt !== undefined &&
+				now - respondedAt < deliveryMilliseconds
+					? 1
+					: 0;
+		}
+
+		return count;
 	}
 
 	/** How the connections that carried a response have ended so far. */
@@ -91,8 +105,8 @@
 	}
 
 	/** True once the connection can carry no more responses. */
-	isLingering(socket: Socket): boolean {
-		return this.lingering.has(socket);
+	isEnding(socket: Socket): boolean {
+		return this.ending.has(socket);
 	}
 
 	/** True once the client has closed its side of the connection or reset it. */
@@ -101,14 +115,15 @@
 		return connection?.hasClientEnded === true || connection?.isReset === true;
 	}
 
-	/** Closes connections that have had a request and have none now. The same function of Node.js also closes those whose last response has not been written to the network yet. */
-	closeIdle(): void {
+	/** Ends connections that have carried a response and have no request now. */
+	endIdle(): void {
 		for (const [socket, connection] of this.connections) {
 			if (
 				connection.openResponses.size === 0 &&
+				connection.respondedAt !== undefined &&
 				connection.bytesAtRequestEnd === socket.bytesRead
 			) {
-				socket.destroy();
+				this.end(socket);
 			}
 		}
 	}
@@ -118,7 +133,6 @@
 		const connection: ServedConnection = {
 			openResponses: new Set(),
 			bytesAtRequestEnd: undefined,
-			lastMessage: undefined,
 			respondedAt: undefined,
 			hasClientEnded: false,
 			isReset: false,
@@ -132,36 +146,41 @@
 		this.connections.set(socket, connection);
 		this.known.set(socket, connection);
 		const destroySoon = socket.destroySoon.bind(socket);
-		// The HTTP server calls this after the last response of a connection. A connection that is closed with unread bytes is reset, and the client can lose a response that it has not read yet.
+		// The HTTP server calls this after the last response of a connection.
 		socket.destroySoon = () => {
-			if (connection.lastMessage?.complete === false) {
-				this.linger(socket);
-			} else {
+			if (connection.hasClientEnded) {
 				destroySoon();
+			} else {
+				this.end(socket);
 			}
 		};
 
 		socket.once('close', () => {
 			this.connections.delete(socket);
-			this.lingering.delete(socket);
+			this.ending.delete(socket);
 			closeWaitingResponses(connection.openResponses);
 			this.recordEnd(socket, connection);
 		});
 	}
 
 	/** Observes a request and its response. Returns false for a connection that is not known or has been closed. */
-	addRequest(message: IncomingMessage, response: ServerResponse): boolean {
+	addRequest(
+		message: IncomingMessage,
+		response: ServerResponse,
+		mustArrive = true,
+	): boolean {
 		const {socket} = message;
 		const connection = this.connections.get(socket);
 		if (!connection) {
 			return false;
 		}
 
-		connection.lastMessage = message;
+		// A client that sends its next request has read the last response.
+		connection.respondedAt = undefined;
 		connection.openResponses.add(response);
 		response.once('close', () => {
 			connection.openResponses.delete(response);
-			if (response.writableFinished) {
+			if (response.writableFinished && mustArrive) {
 				connection.respondedAt = this.clock.monotonic();
 			}
 		});
@@ -193,19 +212,19 @@
 	}
 
 	/** Ends the sending side of a connection and reads what the client still sends, until it closes the connection. */
-	private linger(socket: Socket): void {
-		if (this.lingering.has(socket) || socket.destroyed) {
+	private end(socket: Socket): void {
+		if (this.ending.has(socket) || socket.destroyed) {
 			return;
 		}
 
-		this.lingering.add(socket);
+		this.ending.add(socket);
 		socket.end();
 		socket.once('end', () => {
 			socket.destroy();
 		});
 		const timer = setTimeout(() => {
 			socket.destroy();
-		}, lingerMilliseconds);
+		}, deliveryMilliseconds);
 		socket.once('close', () => {
 			clearTimeout(timer);
 		});
--- a/src/program/forwarding-root.ts
+++ b/src/program/forwarding-root.ts
@@ -50,7 +50,10 @@
 import {OwnerLeaseManager} from '../services/forwarding/owner-lease-manager.js';
 import {PeerConnections} from '../services/forwarding/peer-connections.js';
 import {PeerForwarder} from '../services/forwarding/peer-forwarder.js';
-import {addPeerRoutes} from '../services/forwarding/peer-routes.js';
+import {
+	addPeerRoutes,
+	isForwardCall,
+} from '../services/forwarding/peer-routes.js';
 import {PermitClient} from '../services/forwarding/permit-client.js';
 import {PlacementOwner} from '../services/forwarding/placement-owner.js';
 import {ReachabilityProber} from '../services/forwarding/reachability-prober.js';
@@ -114,10 +117,8 @@
 const stopMarginMilliseconds = 250;
 /** Time before the end of the stop period at which connections are no longer waited for. A check that is late and the last log lines take up to as long. */
 const exitMarginMilliseconds = 100;
-/** Time after the last response within which callers close connections on which they were still sending. */
-const maximumLingerMilliseconds = 1000;
-/** The same for a stop that a second signal has cut short. */
-const shortLingerMilliseconds = 200;
+/** Time after the last response of a stop that a second signal has cut short within which callers close their connections. */
+const shortDeliveryMilliseconds = 1000;
 /** Log lines for the connections of one stop that end without the end of their callers. */
 const maximumUnconfirmedLines = 32;
 /** Interval of the checks during a stop. */
@@ -336,6 +337,7 @@
 				onDocumentReceived: (document) => {
 					this.takeDocument(document);
 				},
+				mustArrive: isForwardCall,
 				addRoutes: (router) => {
 					addPeerRoutes(router, {
 						clock,
@@ -564,7 +566,7 @@
 		return ok(undefined);
 	}
 
-	/** Serves new requests until the load balancer has noticed the stop, then lets open requests end. Returns before the stop period of the settings is over. Calls after the first do nothing, as do calls before the host has started, when there is nothing to end. */
+	/** Serves new requests until the load balancer has noticed the stop, then lets open requests end and their answers arrive. Returns before the stop period of the settings is over. Calls after the first do nothing, as do calls before the host has started, when there is nothing to end. */
 	async stop(): Promise<void> {
 		if (this.isStopping || !this.hasStarted) {
 			return;
@@ -591,7 +593,8 @@
 		void this.leaseManager.release();
 		while (
 			elapsed() < stopListeningMilliseconds ||
-			(this.hasOpenRequests && elapsed() < endMilliseconds)
+			((this.hasOpenRequests || this.hasUndeliveredResponses) &&
+				elapsed() < endMilliseconds)
 		) {
 			await wait(stopCheckMilliseconds);
 			if (elapsed() >= stopListeningMilliseconds) {
@@ -599,11 +602,12 @@
 			}
 
 			if (elapsed() >= idleCloseMilliseconds) {
-				this.server.connections.closeIdle();
+				this.server.connections.endIdle();
 			}
 
 			if (elapsed() >= refuseRequestsMilliseconds) {
 				this.service.refuseUnsentRequests();
+				this.reportServer.connections.endIdle();
 			}
 		}
 
@@ -621,28 +625,27 @@
 			milliseconds: Math.round(elapsed()),
 		});
 		await this.sendLastResponses(
-			Math.min(
-				maximumLingerMilliseconds,
-				this.settings.stopSeconds * 1000 - exitMarginMilliseconds - elapsed(),
-			),
+			this.settings.stopSeconds * 1000 - exitMarginMilliseconds - elapsed(),
 		);
 		this.recordConnectionEnds();
 	}
 
-	/** Responds to all open requests, ends streams, and refuses what arrives from here on, because the process ends before it could be answered otherwise. Returns once the responses have left the process and their connections have ended in order, at most after the given time. */
+	/** Responds to all open requests, ends streams, and refuses what arrives from here on, because the process ends before it could be answered otherwise. Returns once the callers have read the responses and closed their connections, at most after the given time. */
 	async sendLastResponses(
-		maximumMilliseconds = shortLingerMilliseconds,
+		maximumMilliseconds = shortDeliveryMilliseconds,
 	): Promise<void> {
 		this.service.endOpenRequests();
 		this.server.endIncompleteRequests();
 		const startedAt = this.clock.monotonic();
 		do {
+			this.server.connections.endIdle();
+			this.reportServer.connections.endIdle();
 			await wait(stopCheckMilliseconds);
 		} while (
 			this.clock.monotonic() - startedAt < maximumMilliseconds &&
 			(this.server.connections.openResponses > 0 ||
-				this.server.connections.lingeringConnections > 0 ||
-				this.service.hasOpenPeerResponses)
+				this.service.hasOpenPeerResponses ||
+				this.hasUndeliveredResponses)
 		);
 	}
 
@@ -705,6 +708,14 @@
 		);
 	}
 
+	/** True while answers that have left this process may not have arrived at callers or at hosts that forwarded requests to this one. */
+	private get hasUndeliveredResponses(): boolean {
+		return (
+			this.server.connections.undeliveredResponses > 0 ||
+			this.reportServer.connections.undeliveredResponses > 0
+		);
+	}
+
 	private get streamWriter(): StreamWriter {
 		if (this.leaseManager.isHolder || this.reportServer.isRelay) {
 			return 'this-host';
--- a/src/program/host-signals.ts
+++ b/src/program/host-signals.ts
@@ -92,6 +92,7 @@
 			await this.options.stop();
 		} catch (error) {
 			// A stop that fails half-way must still end the process.
+			await this.sendLastResponses();
 			await this.exit(1, `stop failed: ${String(error)}`);
 			return;
 		}
@@ -100,10 +101,19 @@
 	}
 
 	private async endAtOnce(signal: HostSignal): Promise<void> {
+		await this.sendLastResponses();
+		await this.exit(1, `${signal} during the stop`);
+	}
+
+	/** Sends the last responses. The process ends even if that fails. */
+	private async sendLastResponses(): Promise<void> {
 		try {
 			await this.options.sendLastResponses?.();
-		} finally {
-			await this.exit(1, `${signal} during the stop`);
+		} catch (error) {
+			this.options.events.record(forwardingEvents.unexpectedError, {
+				origin: 'end of the process',
+				message: String(error),
+			});
 		}
 	}
 }
--- a/src/services/forwarding/forwarding-server.ts
+++ b/src/services/forwarding/forwarding-server.ts
@@ -97,7 +97,7 @@
 				noDelay: true,
 			},
 			(message, response) => {
-				if (this.connections.isLingering(message.socket)) {
+				if (this.connections.isEnding(message.socket)) {
 					// The connection can carry no more answers, so the request is neither handled nor passed on.
 					message.resume();
 					return;
--- a/src/services/forwarding/peer-routes.ts
+++ b/src/services/forwarding/peer-routes.ts
@@ -1,3 +1,4 @@
+import {type IncomingMessage} from 'node:http';
 import {type ConnectRouter} from '@connectrpc/connect';
 import {type Clock} from '../../base/common/clock.js';
 import {type ByteBudget} from '../../core/byte-budget.js';
@@ -24,6 +25,11 @@
 /** Delay after which a request that finds no memory may come back: the bodies of others are held until their answers. */
 const memoryRetryMilliseconds = 1000;
 
+/** True for a call by which another host forwards a request, so that the response is an answer to a caller. */
+export function isForwardCall({url = ''}: IncomingMessage): boolean {
+	return url.startsWith(`/${PeerForwardingService.typeName}/`);
+}
+
 /** Adds the call by which other hosts forward requests to this one. */
 export function addPeerRoutes(
 	router: ConnectRouter,
--- a/src/services/forwarding/report-server.ts
+++ b/src/services/forwarding/report-server.ts
@@ -1,9 +1,10 @@
-import {createServer, type Server} from 'node:http';
+import {createServer, type IncomingMessage, type Server} from 'node:http';
 import {type ConnectRouter} from '@connectrpc/connect';
 import {connectNodeAdapter} from '@connectrpc/connect-node';
 import {type Result} from 'neverthrow';
 import {type Clock} from '../../base/common/clock.js';
 import {Disposable} from '../../base/common/disposable.js';
+import {ServedConnections} from '../../base/node/served-connections.js';
 import {
 	listenOn,
 	type ListenError,
@@ -105,6 +106,8 @@
 	readonly onDocumentReceived: (document: DocumentChange) => void;
 	/** Adds further calls between hosts to the listener. */
 	readonly addRoutes?: (router: ConnectRouter) => void;
+	/** True for calls of these whose responses must have arrived before the process ends. */
+	readonly mustArrive?: (message: IncomingMessage) => boolean;
 };
 
 type Waiter = {readonly isUrgent: boolean; readonly wake: () => void};
@@ -125,6 +128,8 @@
  * that has the current revision is held until a change (long polling).
  */
 export class ReportServer extends Disposable {
+	/** The connections of other hosts. */
+	readonly connections: ServedConnections;
 	private readonly server: Server;
 	private readonly waiters = new Set<Waiter>();
 	private readonly relayedDemand: DemandCollector;
@@ -138,6 +143,7 @@
 		const {clock, host, view, crashes} = options;
 		this.relayedDemand = new DemandCollector({clock});
 		this.relays = new RelayAssignment({clock, owner: host});
+		this.connections = new ServedConnections(clock);
 		this.server = createServer(
 			connectNodeAdapter({
 				routes: (router) => {
@@ -150,6 +156,16 @@
 				},
 			}),
 		);
+		this.server.on('connection', (socket) => {
+			this.connections.add(socket);
+		});
+		this.server.on('request', (message, response) => {
+			this.connections.addRequest(
+				message,
+				response,
+				options.mustArrive?.(message) ?? false,
+			);
+		});
 		view.changed.subscribe((urgency) => {
 			this.scheduleWake(
 				urgency === 'prompt' || this.waiters.size <= maximumPromptWaiters,
--- a/test/process/delivered-answers.test.ts
+++ b/test/process/delivered-answers.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import {connect, type Socket} from 'node:net';
 import {after, afterEach, before, beforeEach, test} from 'node:test';
+import {PeerConnections} from '../../src/services/forwarding/peer-connections.js';
 import {DelayedPath, type PathQuality} from '../delayed-path.js';
 import {StandInStore} from '../platform/stand-in-store.js';
 import {
@@ -178,8 +179,11 @@
 });
 
 /** Starts a path to the host that ends with its process, and returns its port. */
-async function startPath(quality: PathQuality): Promise<number> {
-	const started = new DelayedPath(host.ports.callers!, () => quality);
+async function startPath(
+	quality: PathQuality,
+	port = host.ports.callers!,
+): Promise<number> {
+	const started = new DelayedPath(port, () => quality);
 	path = started;
 	host.process.child.once('exit', () => {
 		started.cut();
@@ -247,6 +251,36 @@
 	assert.equal(await host.process.waitForExit(), 0);
 });
 
+// Guards against the same for an answer to another host, which forwarded the request of its caller.
+test('an answer to another host arrives before the process ends', async () => {
+	const port = await startPath({delayMilliseconds: 300}, host.ports.peers);
+	events = 3400 / gapMilliseconds;
+	const connections = new PeerConnections();
+	const cases: Array<string | undefined> = [];
+	const read = async () => {
+		const messages = connections.get(`127.0.0.1:${port}`).forward({
+			host: 'other',
+			method: 'POST',
+			requestTarget: '/stream/x',
+			rawHeaders: ['Host', 'a.example', 'Request-Id', 'forwarded'],
+			pool: 's',
+			remainingMilliseconds: 15_000,
+			maximumExecutions: 1,
+		});
+		for await (const {message} of messages) {
+			cases.push(message.case);
+		}
+	};
+
+	const reading = read();
+	await hasReachedWorker('forwarded');
+	host.process.signal('SIGTERM');
+	await reading;
+	connections.dispose();
+	assert.equal(cases.at(-1), 'end');
+	assert.equal(await host.process.waitForExit(), 0);
+});
+
 // Guards against a stop that lasts to its limit because callers keep connections that carry nothing any more.
 test('a stopping host does not wait for callers that keep idle connections open', async () => {
 	const idle = Array.from(
