Reserve a rate of log lines for warnings

Change: warnings and errors draw on the common rate first and on 100 lines a second of their own after that.

--- a/src/program/forwarding-root.ts
+++ b/src/program/forwarding-root.ts
@@ -85,7 +85,11 @@
 import {observeUnexpectedErrors} from './unexpected-errors.js';
 
 /** Largest size of the log lines that wait to be read, and highest rate of log lines. Lines beyond either are dropped. */
-const logLimits = {maximumBytes: 1_048_576, linesPerSecond: 400};
+const logLimits = {
+	maximumBytes: 1_048_576,
+	linesPerSecond: 400,
+	importantLinesPerSecond: 100,
+};
 /** Longest wait for the log lines to be written before the process ends. */
 const logFlushMilliseconds = 50;
 /** Longest wait of a long poll for the document. Short, because a dead connection shows only by a missing response. */
--- a/src/services/bounded-output.ts
+++ b/src/services/bounded-output.ts
@@ -10,6 +10,8 @@
 	readonly maximumBytes: number;
 	/** Maximum rate of lines. Lines that exceed it are dropped. */
 	readonly linesPerSecond: number;
+	/** Further rate for important lines, so that they are not lost among the others. */
+	readonly importantLinesPerSecond: number;
 	/** Returns the monotonic time in milliseconds. */
 	readonly now: () => number;
 };
@@ -20,18 +22,31 @@
 /** Interval of the checks whether all lines are written. */
 const drainCheckMilliseconds = 5;
 
-/** Stream that writes lines to a file descriptor without applying backpressure. Lines that exceed a limit are dropped and counted. */
+/** Key under which winston passes the formatted line. */
+const formattedLine = Symbol.for('message');
+
+/** What winston writes to a stream of objects. */
+type LogEntry = {
+	readonly level: string;
+	readonly [formattedLine]: string;
+};
+
+const importantLevels: ReadonlySet<string> = new Set(['warn', 'error']);
+
+/** Stream that writes the lines of a log to a file descriptor without applying backpressure. Lines that exceed a limit are dropped and counted. */
 export class BoundedOutput extends Writable {
 	private readonly bufferedChunks: Buffer[] = [];
 	private bufferedBytes = 0;
 	private isWriting = false;
 	private droppedLineCount = 0;
 	private availableLines: number;
+	private availableImportantLines: number;
 	private refilledAt: number;
 
 	constructor(private readonly options: BoundedOutputOptions) {
-		super({decodeStrings: true});
+		super({objectMode: true});
 		this.availableLines = options.linesPerSecond;
+		this.availableImportantLines = options.importantLinesPerSecond;
 		this.refilledAt = options.now();
 	}
 
@@ -49,33 +64,56 @@
 	}
 
 	override _write(
-		chunk: Buffer,
+		{level, [formattedLine]: line}: LogEntry,
 		_encoding: BufferEncoding,
 		callback: (error?: Error) => void,
 	): void {
-		this.refillAvailableLines();
+		this.writeLine(`${line}\n`, importantLevels.has(level));
+		callback();
+	}
+
+	/** Important lines also draw on the rate that is reserved for them. */
+	private writeLine(line: string, isImportant: boolean): void {
+		const bytes = Buffer.from(line);
 		if (
-			this.availableLines < 1 ||
-			this.bufferedBytes + chunk.length > this.options.maximumBytes
+			this.bufferedBytes + bytes.length > this.options.maximumBytes ||
+			!this.takeLine(isImportant)
 		) {
 			this.droppedLineCount++;
-			callback();
 			return;
 		}
 
-		this.availableLines--;
-		this.bufferedChunks.push(chunk);
-		this.bufferedBytes += chunk.length;
+		this.bufferedChunks.push(bytes);
+		this.bufferedBytes += bytes.length;
 		this.flush();
-		callback();
+	}
+
+	private takeLine(isImportant: boolean): boolean {
+		this.refillAvailableLines();
+		if (this.availableLines >= 1) {
+			this.availableLines--;
+			return true;
+		}
+
+		if (!isImportant || this.availableImportantLines < 1) {
+			return false;
+		}
+
+		this.availableImportantLines--;
+		return true;
 	}
 
 	private refillAvailableLines(): void {
 		const now = this.options.now();
-		const {linesPerSecond} = this.options;
+		const seconds = (now - this.refilledAt) / 1000;
+		const {linesPerSecond, importantLinesPerSecond} = this.options;
 		this.availableLines = Math.min(
 			linesPerSecond,
-			this.availableLines + ((now - this.refilledAt) / 1000) * linesPerSecond,
+			this.availableLines + seconds * linesPerSecond,
+		);
+		this.availableImportantLines = Math.min(
+			importantLinesPerSecond,
+			this.availableImportantLines + seconds * importantLinesPerSecond,
 		);
 		this.refilledAt = now;
 	}
