Call a starting host until some callers leave

Change: more groups, of growing size, follow while no caller has left. The checks are the same; the assumption is asserted as before.

--- a/test/process/left-callers.test.ts
+++ b/test/process/left-callers.test.ts
@@ -125,8 +125,14 @@
 			({message}) => message === 'document-applied',
 		);
 		const delayOfThisProcess = observeDelay();
-		for (let group = 0; group < 200; group++) {
-			for (let each = 0; each < 2; each++) {
+		for (
+			let group = 0;
+			group < 200 || (leftAt.size === 0 && group < 1000);
+			group++
+		) {
+			// A fast machine serves the usual load in time, and then more callers come until some leave.
+			const callers = group < 200 ? 2 : group / 50;
+			for (let each = 0; each < callers; each++) {
 				call(ports.callers!, 200 + 5 * ((lastCall * 37) % 160));
 			}
 
