Begin no stream late in a stop by an estimate

Cause: streams that may be resumed were begun when their largest answer at the present pace and three seconds of silence fitted into the stop. Targets become slower than that. Change: where work must end, a stream is begun only if its deadline lies within the stop. The rule is no longer different for the two kinds.

--- a/src/services/forwarding/stop-admission.ts
+++ b/src/services/forwarding/stop-admission.ts
@@ -67,7 +67,8 @@
 	/**
 	 * True when the answer to a request that is sent now ends in time: at its deadline, or within the time that it takes
 	 * at most at present, a silence of the target included. A stream that may not be resumed is judged by the largest
-	 * answer that it allows, and is not begun where it must end: its target may become many times slower at any moment.
+	 * answer that it allows. No stream is begun by such an estimate where it must end: its target may become many times
+	 * slower at any moment.
 	 */
 	canEnd(
 		request: ForwardedRequest,
@@ -82,12 +83,11 @@
 		const {route, isRepeatable, metadata} = request;
 		const isStream = route.kind === 'stream';
 		const mustEnd = now >= this.stop.mustEndFrom;
-		if (mustEnd && isStream && !isRepeatable) {
+		if (mustEnd && isStream) {
 			return false;
 		}
 
-		const isBounded =
-			isStream && metadata.maximumTokens > 0 && (mustEnd || !isRepeatable);
+		const isBounded = isStream && metadata.maximumTokens > 0 && !isRepeatable;
 		const present = isBounded
 			? this.largestMilliseconds(request, openRequests)
 			: this.usualMilliseconds(request, openRequests);
--- a/test/forwarding/stop-admission.test.ts
+++ b/test/forwarding/stop-admission.test.ts
@@ -124,7 +124,7 @@
 });
 
 // Guards against streams that a target slows down after they have begun where the end of the stop cuts them.
-test('a stream that may not be resumed begins late in a stop only if its deadline ends before', () => {
+test('a stream begins late in a stop only if its deadline ends before, whether it may be resumed or not', () => {
 	const admission = new StopAdmission(clock);
 	for (let count = 0; count < 20; count++) {
 		answer(admission, 5, 1);
@@ -137,6 +137,13 @@
 	assert.equal(admission.canEnd(limited, []), true);
 	assert.equal(
 		admission.canEnd(createRequest(5, {isResumable: true}), []),
+		false,
+	);
+	assert.equal(
+		admission.canEnd(
+			createRequest(5, {isResumable: true, timeoutMilliseconds: 3000}),
+			[],
+		),
 		true,
 	);
 });
--- a/test/process/stop-answers.test.ts
+++ b/test/process/stop-answers.test.ts
@@ -163,7 +163,7 @@
 		silentAt = 0,
 		silentMilliseconds = 0,
 	} = plans.get(id) ?? {events: 5, slowdown: 1};
-	if (!request.path.startsWith('/summary/')) {
+	if (request.path.startsWith('/once/')) {
 		setTimeout(() => {
 			endedAt.set(id, performance.now());
 			socket.write(completeResponse(id, 'done'));
@@ -233,6 +233,7 @@
 		routes: [
 			route('once', {kind: 'non_idempotent'}),
 			route('summary', {kind: 'stream'}),
+			route('guide', {kind: 'stream', attempts: 2, allow_resume: true}),
 		],
 		services: [{name: 's', max_conns: 2000}],
 		limits: {
@@ -397,6 +398,43 @@
 	}
 });
 
+// Guards against a late stream that is judged by the pace before its target became slower. That its caller may take it up elsewhere does not make it whole.
+test('a stream that may be resumed and is sent late in a stop is whole or refused as not run', async () => {
+	for (let count = 0; count < 10; count++) {
+		const caller = createCaller();
+		caller.send('/guide/x', {events: 5});
+		await caller.waitForEnd();
+		assert.ok(caller.isWhole);
+		caller.socket.destroy();
+	}
+
+	const open = createCaller();
+	plans.set(open.id, {events: 100, slowdown: 1});
+	open.send('/guide/x', {events: 100});
+	await waitForWorker(open);
+	const signalledAt = await stopHost();
+	await waitFor(2600 - (performance.now() - signalledAt));
+	const lastCallers = Array.from({length: 8}, () => createCaller());
+	for (const [index, caller] of lastCallers.entries()) {
+		await waitFor(3050 + index * 30 - (performance.now() - signalledAt));
+		plans.set(caller.id, {events: 10, slowdown: 10});
+		caller.send('/guide/x', {events: 10});
+	}
+
+	await host.process.waitForExit();
+	await Promise.all(lastCallers.map(async (caller) => caller.waitForEnd()));
+	assert.ok(open.isWhole);
+	assert.deepEqual(
+		lastCallers
+			.filter((caller) => hasReachedWorker(caller) && !caller.isWhole)
+			.map(({id}) => id),
+		[],
+	);
+	for (const caller of lastCallers.filter((each) => !hasReachedWorker(each))) {
+		assert.equal(caller.status, 503);
+	}
+});
+
 // Guards against an answer whose last bytes have not left the process when its connection is closed as idle, or when the process ends.
 test('an answer that its caller reads slowly is whole', async () => {
 	worker.behaviour = ({headers, socket}) => {
