Do not count reports as contact with a pool

Cause: "an owner that reaches no target hands over the lease" failed because h1 never noticed that it reached no target. In the failing runs a connection of the report client was open, or opened, at the moment of the cut: its first request had not been received, so the test did not close it. The owner's reports went on over it every 100 ms and counted as contact, while every connection for requests was refused; the host answered "no target could be reached" for 24 s instead of sending its requests to the other host. "a worker that says in one answer that it leaves" failed because the store went away before one host had read who the others are; it cannot hear from them then.

Change: bytes of a report show that the process of the target runs (a refused connection is no proof of its end), but are no contact with the pool, because no request is sent on that connection. The first test now keeps a report connection on purpose, and closes all others of the stand-in, also those without a request. The second waits until each host knows the others. Their checks are the same.

--- a/src/core/target-reachability.ts
+++ b/src/core/target-reachability.ts
@@ -179,6 +179,11 @@
 		}
 	}
 
+	/** Records that a byte of a report of a target was received. No request is sent on the connection, so it is no contact with the pool. */
+	recordReportData(target: TargetId): void {
+		this.refusals.refute(target);
+	}
+
 	/** Records that a new connection to a target opened. */
 	recordConnection(target: TargetId): void {
 		const found = this.find(target);
--- a/src/services/forwarding/target-connections.ts
+++ b/src/services/forwarding/target-connections.ts
@@ -12,8 +12,10 @@
 	readonly polls?: PolledQueue | undefined;
 	/** Called when a connection has opened. */
 	readonly onConnected?: () => void;
-	/** Called when bytes were received. */
+	/** Called when bytes were received on a connection for requests. */
 	readonly onData?: () => void;
+	/** Called when bytes of a report were received. */
+	readonly onReportData?: () => void;
 };
 
 /** Connect timeout. A target on the same network accepts within milliseconds, so a longer wait means that it is unavailable. */
@@ -39,7 +41,7 @@
 		this.origin = `http://${options.address}`;
 		this.pool = new Pool(this.origin, {
 			connections: options.maximumConnections,
-			...this.clientOptions(),
+			...this.clientOptions(options.onData),
 		});
 	}
 
@@ -52,7 +54,7 @@
 	get reportDispatcher(): Dispatcher {
 		this.reportPool ??= new Pool(this.origin, {
 			connections: 1,
-			...this.clientOptions(),
+			...this.clientOptions(this.options.onReportData),
 		});
 		return this.reportPool;
 	}
@@ -61,7 +63,10 @@
 	async withOwnConnection<T>(
 		use: (dispatcher: Dispatcher) => Promise<T>,
 	): Promise<T> {
-		const client = new Client(this.origin, this.clientOptions());
+		const client = new Client(
+			this.origin,
+			this.clientOptions(this.options.onData),
+		);
 		this.singleClients.add(client);
 		try {
 			return await use(client);
@@ -76,7 +81,10 @@
 		request: Dispatcher.DispatchOptions,
 		handler: Dispatcher.DispatchHandler,
 	): void {
-		const client = new Client(this.origin, this.clientOptions());
+		const client = new Client(
+			this.origin,
+			this.clientOptions(this.options.onData),
+		);
 		this.singleClients.add(client);
 		client.dispatch({...request, reset: true}, handler);
 		void client.close().then(() => {
@@ -119,7 +127,7 @@
 		);
 	}
 
-	private clientOptions(): Client.Options {
+	private clientOptions(onData: (() => void) | undefined): Client.Options {
 		const connect = buildConnector({timeout: connectTimeoutMilliseconds});
 		return {
 			pipelining: 1,
@@ -134,14 +142,14 @@
 						this.options.onConnected?.();
 						this.options.polls.pushFirst(() => {
 							this.waitingSockets.delete(socket);
-							this.useConnection(socket, callback);
+							this.useConnection(socket, onData, callback);
 						});
 						return;
 					}
 
 					if (socket) {
 						this.options.onConnected?.();
-						this.observeContact(socket);
+						this.observeContact(socket, onData);
 					}
 
 					callback(...result);
@@ -157,6 +165,7 @@
 	/** Hands an open connection to the HTTP client. Its data and its end are read from then on. */
 	private useConnection(
 		socket: Socket,
+		onData: (() => void) | undefined,
 		callback: buildConnector.Callback,
 	): void {
 		if (socket.destroyed) {
@@ -174,12 +183,14 @@
 			return;
 		}
 
-		this.observeContact(socket);
+		this.observeContact(socket, onData);
 		callback(null, socket);
 	}
 
-	private observeContact(socket: Socket): void {
-		const {onData} = this.options;
+	private observeContact(
+		socket: Socket,
+		onData: (() => void) | undefined,
+	): void {
 		this.openSockets.add(socket);
 		socket.once('close', () => {
 			this.openSockets.delete(socket);
--- a/src/services/forwarding/target-registry.ts
+++ b/src/services/forwarding/target-registry.ts
@@ -585,6 +585,9 @@
 			onData: () => {
 				this.reachability.recordData(listed.id);
 			},
+			onReportData: () => {
+				this.reachability.recordReportData(listed.id);
+			},
 			maximumConnections: Math.max(
 				2,
 				Math.floor((limit * connectionShare) / this.hostCount),
--- a/test/forwarding/target-reachability.test.ts
+++ b/test/forwarding/target-reachability.test.ts
@@ -260,6 +260,43 @@
 	}
 });
 
+// Guards against a host that believes to reach a pool whose targets send it reports, but accept no connection for requests.
+test('a pool of which only reports arrive is cut off, and reports do not end that', () => {
+	const targets = targetsOf(2);
+	const {clock, reachability} = new Paths(targets);
+	const pass = () => {
+		clock.advance(100);
+		for (const target of targets) {
+			reachability.recordFailure(target, 'connection-refused');
+			reachability.recordReportData(target);
+		}
+	};
+
+	for (let round = 0; round < 4; round++) {
+		assert.equal(reachability.isCutOff(pool), false);
+		pass();
+	}
+
+	assert.equal(reachability.isCutOff(pool), true);
+	pass();
+	assert.equal(reachability.isCutOff(pool), true);
+	reachability.recordData(targets[0]!);
+	assert.equal(reachability.isCutOff(pool), false);
+});
+
+// Guards against a process that is taken for ended although its reports arrive.
+test('a report refutes that the process of its target has ended', () => {
+	const targets = targetsOf(2);
+	const {reachability} = new Paths(targets);
+	const decisions: boolean[] = [];
+	reachability.judgeRefusal(targets[0]!, (isProof) => {
+		decisions.push(isProof);
+	});
+	reachability.recordReportData(targets[0]!);
+	reachability.recordConnection(targets[1]!);
+	assert.deepEqual(decisions, [false]);
+});
+
 // Guards against failures that began before the last contact, as of a target that hung before the others.
 test('a connect timeout that began before the last contact does not count', () => {
 	const targets = targetsOf(2);
--- a/test/platform/stand-in-worker.ts
+++ b/test/platform/stand-in-worker.ts
@@ -54,10 +54,17 @@
 		this.server.close();
 	}
 
-	stop(): void {
+	/** Closes all connections except some, also those on which no request has been received. */
+	closeConnections(kept: ReadonlySet<Socket> = new Set()): void {
 		for (const socket of this.sockets) {
-			socket.destroy();
+			if (!kept.has(socket)) {
+				socket.destroy();
+			}
 		}
+	}
+
+	stop(): void {
+		this.closeConnections();
 
 		this.server.close();
 	}
--- a/test/process/leaving-answers.test.ts
+++ b/test/process/leaving-answers.test.ts
@@ -98,8 +98,26 @@
 			),
 		);
 	});
+	// Hosts find each other through the store, so a host that has not done so cannot hear from the others while it is away.
+	for (const host of hosts) {
+		await waitUntil('every host knows the others', async () =>
+			knowsFleet(host),
+		);
+	}
 });
 
+/** True when a host knows how many hosts there are and which one is the owner. */
+async function knowsFleet({
+	process: {lines},
+	ports,
+}: ForwardingTestHost): Promise<boolean> {
+	const response = await request(`http://127.0.0.1:${ports.metrics}/metrics`);
+	return (
+		(await response.body.text()).includes('daisylever_hosts 3\n') &&
+		lines.some((line) => /"(owner-changed|ownership-gained)"/.test(line))
+	);
+}
+
 after(() => {
 	for (const {process: host} of hosts) {
 		host.child.kill('SIGKILL');
--- a/test/process/owner-without-targets.test.ts
+++ b/test/process/owner-without-targets.test.ts
@@ -25,7 +25,9 @@
 const forwardedCalls = 20;
 /** Connections that the host which stays connected has at least, so that it needs no new ones. */
 const wantedConnections = 4;
-/** Response time while these connections are opened. */
+/** Path of the reports that the owner asks for. */
+const reportPath = '/report';
+/** Response time to requests while these connections are opened. */
 const slowResponseMilliseconds = 300;
 let isSlow = false;
 let requestCount = 0;
@@ -36,7 +38,7 @@
 }
 
 /** Responds so that idle connections stay open, because a host that can open no others needs them. */
-function respond({headers, socket}: WorkerRequest): void {
+function respond({headers, path, socket}: WorkerRequest): void {
 	setTimeout(
 		() => {
 			socket.write(
@@ -48,7 +50,7 @@
 				}),
 			);
 		},
-		isSlow ? slowResponseMilliseconds : 0,
+		isSlow && path !== reportPath ? slowResponseMilliseconds : 0,
 	);
 }
 
@@ -161,7 +163,8 @@
 	}
 });
 
-// Guards against an owner that keeps the lease for as long as no order of it reaches a target.
+// Guards against an owner that keeps the lease for as long as no order of it reaches a target, also while a connection on
+// which it can send no requests goes on.
 test('an owner that reaches no target hands over the lease, and finds out when it reaches one again', async () => {
 	const [first, second] = hosts as [ForwardingTestHost, ForwardingTestHost];
 	const calls = [callContinually(first, 'h1'), callContinually(second, 'h2')];
@@ -190,7 +193,7 @@
 	});
 	isSlow = false;
 
-	// Only the connections of h2 go on.
+	// Only the connections of h2 go on, and one that the owner uses for reports alone.
 	for (const worker of workers) {
 		worker.stopListening();
 	}
@@ -201,10 +204,13 @@
 		ownOfFirst.every((socket) => !kept.has(socket)),
 		'h1 used connections of h2 before it was cut off',
 	);
-	for (const socket of [...sockets.values()].flatMap((used) => [...used])) {
-		if (!kept.has(socket)) {
-			socket.destroy();
-		}
+	const reports = [...sockets.get(reportPath)!].filter(
+		(socket) =>
+			!socket.destroyed && socket.localPort === ports.get(workers[0]!),
+	);
+	assert.notEqual(reports.length, 0, 'h1 reads reports of i-1');
+	for (const worker of workers) {
+		worker.closeConnections(new Set([...kept, ...reports]));
 	}
 
 	sockets.clear();
