Accept requests of customers by their keys

Cause: a configuration with tenants was served as if it had none.

A request without exactly one known key gets 401 at once, before it counts as demand or load, unless its route needs none. The target learns the customer's name in place of the key and of what the caller claims; a customer's priority precedes that of the route. Through another host the customer travels in a field of the message (a new field, older hosts pass a header on); a request that an older host forwards is accepted by its key alone. A document that an older host has read has no customers and leaves the known keys in force until the store is read.

--- a/src/contracts/forwarding-document.ts
+++ b/src/contracts/forwarding-document.ts
@@ -1,7 +1,13 @@
 import {type Result} from 'neverthrow';
 import {z} from 'zod';
 import {decodeJson, durationSchema} from './bounded-json.js';
-import {type ModelId, type PoolName, type RouteName} from './ids.js';
+import {
+	type CustomerName,
+	type KeyDigest,
+	type ModelId,
+	type PoolName,
+	type RouteName,
+} from './ids.js';
 
 /** Whether requests of a route may be sent again after a failure. A stream may only if its route is resumable. */
 export type RouteKind = 'idempotent' | 'non-idempotent' | 'stream';
@@ -28,6 +34,16 @@
 	/** True when an interrupted stream may continue on another target after its last event. */
 	readonly isResumable: boolean;
 	readonly pools: readonly WeightedPool[];
+	/** True when requests need no key although the document has customers. */
+	readonly isKeyless?: boolean | undefined;
+};
+
+/** A customer, whose requests carry one of its keys. */
+export type Customer = {
+	readonly name: CustomerName;
+	readonly keyDigests: readonly KeyDigest[];
+	/** Priority of the customer's requests, which precedes that of their route. */
+	readonly priority: number | undefined;
 };
 
 /** A model of an engine pool with the memory and time that a load takes. */
@@ -81,6 +97,8 @@
 	readonly routes: readonly RouteRule[];
 	readonly pools: readonly ForwardingPool[];
 	readonly limits: RequestLimits;
+	/** Requests need a key if there are customers. Undefined in a document that a host of an older build has read. */
+	readonly customers?: readonly Customer[] | undefined;
 };
 
 /** Size of a document between hosts. The check of a larger one would block the event loop. */
@@ -102,8 +120,18 @@
 			maximumExecutions: z.number(),
 			isResumable: z.boolean(),
 			pools: z.array(z.looseObject({pool: z.string(), weight: z.number()})),
+			isKeyless: z.boolean().optional(),
 		}),
 	),
+	customers: z
+		.array(
+			z.looseObject({
+				name: z.string(),
+				keyDigests: z.array(z.string()),
+				priority: z.number().optional(),
+			}),
+		)
+		.optional(),
 	pools: z.array(
 		z.looseObject({
 			name: z.string(),
--- a/src/contracts/ids.ts
+++ b/src/contracts/ids.ts
@@ -13,6 +13,22 @@
 export const callerIdSchema = nameSchema.brand<'CallerId'>();
 export type CallerId = z.infer<typeof callerIdSchema>;
 
+/** Name of a customer in the operators' document of forwarding. */
+export const customerNameSchema = z
+	.string()
+	.min(1)
+	.max(256)
+	// A target receives it in a header.
+	.regex(
+		/^[\u0020-\u007E\u00A0-\u00FF]+$/,
+		'must consist of printable characters of Latin-1',
+	)
+	.brand<'CustomerName'>();
+export type CustomerName = z.infer<typeof customerNameSchema>;
+
+/** SHA-256 digest of the key of a customer, in lower-case hexadecimal. */
+export type KeyDigest = string & z.BRAND<'KeyDigest'>;
+
 /** Public name under which callers use a model, with or without an adapter. */
 export const offeringNameSchema = nameSchema.brand<'OfferingName'>();
 export type OfferingName = z.infer<typeof offeringNameSchema>;
--- a/src/contracts/request-codec.ts
+++ b/src/contracts/request-codec.ts
@@ -1,6 +1,8 @@
 import {type Result} from 'neverthrow';
 import {
 	type AdapterId,
+	type CustomerName,
+	type KeyDigest,
 	type ModelId,
 	type PromptPartId,
 	type RequestId,
@@ -10,6 +12,8 @@
 /** What the headers of a caller's request declare. */
 export type RequestMetadata = {
 	readonly id: RequestId;
+	/** Digest of the caller's key, undefined if there is not exactly one that could be valid. */
+	readonly keyDigest: KeyDigest | undefined;
 	readonly model: ModelId | undefined;
 	readonly adapter: AdapterId | undefined;
 	readonly promptTokens: number;
@@ -44,6 +48,8 @@
 	readonly lastEventId: number | undefined;
 	/** Priority among the requests of the target, 0 is the most urgent. */
 	readonly priority: number;
+	/** Customer whose key the request carried, undefined if it needs none. */
+	readonly customer: CustomerName | undefined;
 };
 
 /** Load that a target reports in the headers of its responses. */
@@ -96,6 +102,12 @@
 		rawHeaders: readonly string[],
 	): Result<RequestMetadata, RequestFormatError>;
 
+	/** Returns the headers of a caller's request for another host: without its key, and with the customer that a host of an older build passes on to a target. */
+	abstract encodeForPeer(
+		rawHeaders: readonly string[],
+		customer: CustomerName | undefined,
+	): string[];
+
 	/** Returns the headers with which a request is sent to a target, as alternating names and values. */
 	abstract encodeAttempt(
 		request: RequestMetadata,
--- a/src/platform/document-state.ts
+++ b/src/platform/document-state.ts
@@ -1,12 +1,19 @@
 import {type ResultAsync} from 'neverthrow';
 import {z} from 'zod';
+import {sha256} from '../base/common/digest.js';
 import {toFinite} from '../base/common/finite-number.js';
 import {decodeJson, durationSchema} from '../contracts/bounded-json.js';
 import {
 	type ForwardingDocument,
 	type RouteKind,
 } from '../contracts/forwarding-document.js';
-import {type ModelId, type PoolName, type RouteName} from '../contracts/ids.js';
+import {
+	customerNameSchema,
+	type KeyDigest,
+	type ModelId,
+	type PoolName,
+	type RouteName,
+} from '../contracts/ids.js';
 import {
 	DocumentState,
 	type DocumentChange,
@@ -16,7 +23,7 @@
 } from '../contracts/shared-store.js';
 import {decodeKeyedRecord} from './keyed-record.js';
 import {type StoreClient} from './store-client.js';
-import {configurationKey, topics} from './wire.js';
+import {configurationKey, maximumKeyLength, topics} from './wire.js';
 
 const bytesPerMegabyte = 1_000_000;
 
@@ -33,6 +40,7 @@
 	priority: z.number().default(0),
 	attempts: z.number().default(1),
 	allow_resume: z.boolean().default(false),
+	no_auth: z.boolean().default(false),
 	service: z.string().optional(),
 	split: z
 		.array(z.object({service: z.string(), weight: z.number()}))
@@ -56,6 +64,12 @@
 		.default([]),
 });
 
+const tenantSchema = z.object({
+	name: customerNameSchema,
+	api_keys: z.array(z.string().max(maximumKeyLength)).default([]),
+	priority: z.number().nullish(),
+});
+
 const configurationSchema = z.object({
 	/** Reports between hosts carry it as an integer. */
 	version: z.number().int().nonnegative(),
@@ -73,6 +87,23 @@
 		header_ms: durationSchema,
 		idle_ms: durationSchema,
 	}),
+	tenants: z
+		.array(tenantSchema)
+		.default([])
+		.superRefine((tenants, context) => {
+			const names = new Set<string>();
+			for (const [index, {name}] of tenants.entries()) {
+				if (names.has(name)) {
+					context.addIssue({
+						code: 'custom',
+						path: [index, 'name'],
+						message: 'is the name of another tenant too',
+					});
+				}
+
+				names.add(name);
+			}
+		}),
 });
 
 const routeKinds: Readonly<Record<string, RouteKind>> = {
@@ -149,6 +180,7 @@
 							weight,
 						}))
 					: [{pool: (route.service ?? '') as PoolName, weight: 1}],
+			isKeyless: route.no_auth,
 		})),
 		pools: configuration.services.map((service) => ({
 			name: service.name as PoolName,
@@ -174,5 +206,12 @@
 			headerTimeoutMilliseconds: limits.header_ms,
 			idleTimeoutMilliseconds: limits.idle_ms,
 		},
+		customers: configuration.tenants.map((tenant) => ({
+			name: tenant.name,
+			keyDigests: tenant.api_keys
+				.filter((key) => key !== '')
+				.map((key) => sha256(key) as KeyDigest),
+			priority: tenant.priority ?? undefined,
+		})),
 	};
 }
--- a/src/platform/request-codec.ts
+++ b/src/platform/request-codec.ts
@@ -1,7 +1,10 @@
 import {err, ok, type Result} from 'neverthrow';
+import {sha256} from '../base/common/digest.js';
 import {parseCount, parseDecimals} from '../base/common/header-numbers.js';
 import {
 	type AdapterId,
+	type CustomerName,
+	type KeyDigest,
 	type ModelId,
 	type PromptPartId,
 	type RequestId,
@@ -16,7 +19,7 @@
 	type RequestMetadata,
 	type ReportedLoad,
 } from '../contracts/request-codec.js';
-import {headerNames} from './wire.js';
+import {headerNames, maximumKeyLength} from './wire.js';
 
 const lowerCase = (names: readonly string[]) =>
 	new Set(names.map((name) => name.toLowerCase()));
@@ -35,6 +38,9 @@
 	'Expect',
 ]);
 
+/** Headers by which a caller shows who it is, or by which this program tells a worker. */
+const identityNames = lowerCase([headerNames.apiKey, headerNames.tenant]);
+
 /** Headers that this program sets itself or that callers may not set. They are removed from callers' requests. */
 const reservedNames = lowerCase([
 	'Content-Length',
@@ -48,6 +54,7 @@
 	headerNames.backup,
 	headerNames.resumeFrom,
 	headerNames.fetchFrom,
+	...identityNames,
 ]);
 
 /** Headers of a response that identify the target or describe its state, or that apply to its connection only. They are not forwarded to the caller. */
@@ -115,6 +122,9 @@
 		const promptParts = parsePromptParts(valueOf(headerNames.promptPrefix));
 		return ok({
 			id: id as RequestId,
+			keyDigest: repeatedNames.has(headerNames.apiKey.toLowerCase())
+				? undefined
+				: digestOf(valueOf(headerNames.apiKey)),
 			model: model ? (model as ModelId) : undefined,
 			adapter: adapter ? (adapter as AdapterId) : undefined,
 			promptTokens: promptTokens ?? 0,
@@ -131,6 +141,22 @@
 		});
 	}
 
+	encodeForPeer(
+		rawHeaders: readonly string[],
+		customer: CustomerName | undefined,
+	): string[] {
+		const headers: string[] = [];
+		for (let index = 0; index + 1 < rawHeaders.length; index += 2) {
+			if (!identityNames.has(rawHeaders[index]!.toLowerCase())) {
+				headers.push(rawHeaders[index]!, rawHeaders[index + 1]!);
+			}
+		}
+
+		return customer === undefined
+			? headers
+			: [...headers, headerNames.tenant, customer];
+	}
+
 	encodeAttempt(request: RequestMetadata, attempt: AttemptMetadata): string[] {
 		return [
 			...request.forwardedHeaders,
@@ -140,6 +166,9 @@
 			attempt.target,
 			headerNames.priority,
 			String(Math.min(maximumPriority, Math.max(0, attempt.priority))),
+			...(attempt.customer === undefined
+				? []
+				: [headerNames.tenant, attempt.customer]),
 			...(attempt.lastEventId === undefined
 				? []
 				: [headerNames.lastEventId, String(attempt.lastEventId)]),
@@ -216,6 +245,13 @@
 		: (value as RequestId | undefined);
 }
 
+/** Returns the digest of a key, undefined for one that no tenant can hold. */
+function digestOf(key: string | undefined): KeyDigest | undefined {
+	return key === undefined || key === '' || key.length > maximumKeyLength
+		? undefined
+		: (sha256(key) as KeyDigest);
+}
+
 /** Parses `ID:TOKENS` pairs, separated by commas, and returns the ids. */
 function parsePromptParts(text: string | undefined): PromptPartId[] {
 	return text === undefined
--- a/src/platform/wire.ts
+++ b/src/platform/wire.ts
@@ -29,6 +29,10 @@
 	backup: 'Kv-Backup',
 	resumeFrom: 'Kv-From',
 	fetchFrom: 'Kv-Fetch',
+	/** Key of the caller. It contains nothing else and never reaches a worker. */
+	apiKey: 'Api-Key',
+	/** Name of the tenant that holds the key, for the worker. */
+	tenant: 'Tenant',
 	/** Generation of the store, in all its responses. Rises each time the store was restored from a copy. */
 	storeGeneration: 'Store-Era',
 } as const;
@@ -54,3 +58,6 @@
 
 /** Key of the configuration in the operator's topic. */
 export const configurationKey = 'config';
+
+/** Characters of the longest key of a tenant. */
+export const maximumKeyLength = 1024;
--- a/src/services/forwarding/arrived-request.ts
+++ b/src/services/forwarding/arrived-request.ts
@@ -1,4 +1,8 @@
-import {type PoolName, type SoftwareVersion} from '../../contracts/ids.js';
+import {
+	type CustomerName,
+	type PoolName,
+	type SoftwareVersion,
+} from '../../contracts/ids.js';
 import {type CallerResponse} from './caller-response.js';
 import {type PeerResponse} from './peer-response.js';
 
@@ -32,6 +36,10 @@
 	/** Id of the last event that the caller received. */
 	readonly lastEventId: number | undefined;
 	readonly softwareVersion: SoftwareVersion | undefined;
+	/** True when the host has checked the key of the caller. */
+	readonly isKeyChecked: boolean;
+	/** Customer whose key the host has checked. */
+	readonly customer: CustomerName | undefined;
 };
 
 /** A request that another host forwarded to this one. */
--- a/src/services/forwarding/forward-dispatch.ts
+++ b/src/services/forwarding/forward-dispatch.ts
@@ -794,6 +794,7 @@
 					request.remainingMilliseconds() - targetDeadlineMarginMilliseconds,
 				lastEventId: request.lastEventId,
 				priority: this.priorityAtTarget(request),
+				customer: options.customer,
 			}),
 			body: options.body.length > 0 ? options.body : null,
 			idempotent: false,
--- a/src/services/forwarding/forwarded-request.ts
+++ b/src/services/forwarding/forwarded-request.ts
@@ -6,6 +6,7 @@
 import {forwardingEvents} from '../../contracts/events/forwarding-events.js';
 import {type RouteRule} from '../../contracts/forwarding-document.js';
 import {
+	type CustomerName,
 	type Fingerprint,
 	type RequestId,
 	type SoftwareVersion,
@@ -32,6 +33,8 @@
 	/** Alternating names and values as received from the caller. */
 	readonly rawHeaders: readonly string[];
 	readonly body: Buffer;
+	/** Customer whose key the request carried, undefined if its route needs none. */
+	readonly customer: CustomerName | undefined;
 	readonly fingerprint: Fingerprint;
 	readonly response: CallerResponse;
 	readonly documentVersion: number;
--- a/src/services/forwarding/forwarding-service.ts
+++ b/src/services/forwarding/forwarding-service.ts
@@ -8,10 +8,12 @@
 import {type PolledQueue} from '../../base/node/polled-queue.js';
 import {forwardingEvents} from '../../contracts/events/forwarding-events.js';
 import {
+	type Customer,
 	type ForwardingDocument,
 	type RouteRule,
 } from '../../contracts/forwarding-document.js';
 import {
+	type CustomerName,
 	type FailureDomain,
 	type Fingerprint,
 	type HostId,
@@ -25,6 +27,7 @@
 } from '../../contracts/request-codec.js';
 import {type PoolReachability} from '../../contracts/pool-reachability.js';
 import {type ByteBudget} from '../../core/byte-budget.js';
+import {CustomerKeys} from '../../core/customer-keys.js';
 import {LogLimiter} from '../../core/log-limiter.js';
 import {type NamedRateLimits} from '../../core/named-rate-limits.js';
 import {type PermitBook} from '../../core/permit-book.js';
@@ -101,6 +104,12 @@
 	readonly ownFailures: number;
 };
 
+/** What decided that a request is forwarded. */
+type AcceptedBy = {
+	readonly customer: CustomerName | undefined;
+	readonly documentVersion: number;
+};
+
 type Pool = {
 	readonly dispatch: ForwardDispatch;
 	/** Models of the pool, undefined for a pool without an engine. */
@@ -129,6 +138,7 @@
 /** Reason of the refusals of a stopping host. */
 const stoppingReason = 'the host is stopping';
 const cutOffReason = 'the host reaches no target of the pool';
+const unknownKeyReason = 'the key is unknown';
 const unknownVersionReason =
 	'the software version at which the stream began is not known';
 /** Delay after which a refused rest of a stream may come back. By then the report of the host that forwarded its beginning has arrived. */
@@ -141,6 +151,7 @@
 export class ForwardingService extends ReceivedRequestHandler {
 	private document: ForwardingDocument | undefined;
 	private routes: RouteTable | undefined;
+	private keys = new CustomerKeys({});
 	private readonly pools = new Map<PoolName, Pool>();
 	private readonly requests = new Set<ForwardedRequest>();
 	/** Monotonic time of the last request for each model, including refused requests. */
@@ -331,12 +342,21 @@
 
 	/** Applies a document and returns true, or returns false for a document that is not newer than the current one. */
 	applyDocument(document: ForwardingDocument): boolean {
-		if (this.document && document.version <= this.document.version) {
+		if (
+			this.document &&
+			document.version <= this.document.version &&
+			!this.isCompletion(document)
+		) {
 			return false;
 		}
 
 		this.document = document;
 		this.routes = new RouteTable(document);
+		// Keeps the last known keys if a host of an older build sent the document, which leaves them out.
+		if (document.customers) {
+			this.keys = new CustomerKeys(document);
+		}
+
 		for (const {name, engine} of document.pools) {
 			const models = engine && new Set(engine.models.map(({id}) => id));
 			const existing = this.pools.get(name);
@@ -471,6 +491,14 @@
 			return;
 		}
 
+		const decision = this.keys.check(route, metadata.value.keyDigest);
+		if (!decision.isAccepted) {
+			this.recordUnknownKey(metadata.value.id);
+			this.sendLocalResponse(response, 401, metadata.value.id, undefined);
+			return;
+		}
+
+		const {customer} = decision;
 		this.forward(
 			{
 				method: message.method ?? 'GET',
@@ -491,8 +519,8 @@
 				origin: undefined,
 			},
 			metadata.value,
-			route,
-			this.document.version,
+			withPriorityOf(customer, route),
+			{customer: customer?.name, documentVersion: this.document.version},
 		);
 	}
 
@@ -535,6 +563,24 @@
 			return;
 		}
 
+		const decision = origin.isKeyChecked
+			? {
+					isAccepted: true as const,
+					customer: this.keys.get(origin.customer ?? ''),
+				}
+			: this.keys.check(route, metadata.value.keyDigest);
+		if (!decision.isAccepted) {
+			this.recordUnknownKey(metadata.value.id);
+			response.sendOwn({
+				status: 401,
+				headers: [],
+				execution: 'not-run',
+				reason: unknownKeyReason,
+				retryAfterMilliseconds: undefined,
+			});
+			return;
+		}
+
 		events.record(forwardingEvents.requestTakenFromPeer, {
 			request: metadata.value.id,
 			peer: origin.host,
@@ -550,13 +596,16 @@
 				lastEventId: origin.lastEventId,
 			},
 			{
-				...route,
+				...withPriorityOf(decision.customer, route),
 				maximumExecutions: Math.min(
 					route.maximumExecutions,
 					origin.maximumExecutions,
 				),
 			},
-			this.document.version,
+			{
+				customer: origin.customer ?? decision.customer?.name,
+				documentVersion: this.document.version,
+			},
 		);
 		response.describeWith(() => ({
 			executions: request.executions,
@@ -597,6 +646,25 @@
 		);
 	}
 
+	/** True for the current version with the customers that a host of an older build has left out. */
+	private isCompletion(document: ForwardingDocument): boolean {
+		return (
+			document.version === this.document?.version &&
+			this.document.customers === undefined &&
+			document.customers !== undefined
+		);
+	}
+
+	private recordUnknownKey(request: RequestId): void {
+		this.options.metrics.count('daisylever_unknown_keys_total');
+		this.options.events.record(forwardingEvents.requestRejected, {
+			request,
+			status: 401,
+			reason: unknownKeyReason,
+			documentVersion: this.document?.version,
+		});
+	}
+
 	/** Keeps a response until its bytes have left the process or its connection is closed. Node.js closes only the response that has the connection, not those that wait behind it. */
 	private keepOpenResponse(
 		socket: Socket,
@@ -649,7 +717,7 @@
 		arrived: ArrivedRequest,
 		metadata: RequestMetadata,
 		route: RouteRule,
-		documentVersion: number,
+		{customer, documentVersion}: AcceptedBy,
 	): ForwardedRequest {
 		const {clock, codec, events, peers} = this.options;
 		const {method, requestTarget, rawHeaders, body, origin} = arrived;
@@ -664,6 +732,7 @@
 			requestTarget,
 			rawHeaders,
 			body,
+			customer,
 			fingerprint: sha256(
 				Buffer.concat([Buffer.from(`${method} ${requestTarget}\n`), body]),
 			) as Fingerprint,
@@ -1073,3 +1142,13 @@
 	);
 	return index === -1 ? undefined : rawHeaders[index + 1];
 }
+
+/** The route with the priority of a customer, if it has one. */
+function withPriorityOf(
+	customer: Customer | undefined,
+	route: RouteRule,
+): RouteRule {
+	return customer?.priority === undefined
+		? route
+		: {...route, priority: customer.priority};
+}
--- a/src/services/forwarding/peer-forwarder.ts
+++ b/src/services/forwarding/peer-forwarder.ts
@@ -169,7 +169,10 @@
 			host: this.options.host,
 			method: options.method,
 			requestTarget: options.requestTarget,
-			rawHeaders: [...options.rawHeaders],
+			rawHeaders: options.codec.encodeForPeer(
+				options.rawHeaders,
+				options.customer,
+			),
 			body: options.body,
 			pool,
 			remainingMilliseconds: Math.max(
@@ -184,6 +187,8 @@
 			maximumExecutions,
 			...(lastEventId === undefined ? {} : {lastEventId: BigInt(lastEventId)}),
 			...(softwareVersion === undefined ? {} : {softwareVersion}),
+			isKeyChecked: true,
+			...(options.customer === undefined ? {} : {customer: options.customer}),
 		};
 	}
 
--- a/src/services/forwarding/peer-routes.ts
+++ b/src/services/forwarding/peer-routes.ts
@@ -2,7 +2,11 @@
 import {type ConnectRouter} from '@connectrpc/connect';
 import {type Clock} from '../../base/common/clock.js';
 import {type ByteBudget} from '../../core/byte-budget.js';
-import {type PoolName, type SoftwareVersion} from '../../contracts/ids.js';
+import {
+	type CustomerName,
+	type PoolName,
+	type SoftwareVersion,
+} from '../../contracts/ids.js';
 import {
 	PeerForwardingService,
 	type ForwardRequest,
@@ -82,6 +86,8 @@
 					? undefined
 					: Number(message.lastEventId),
 			softwareVersion: message.softwareVersion as SoftwareVersion | undefined,
+			isKeyChecked: message.isKeyChecked,
+			customer: message.customer as CustomerName | undefined,
 		},
 	};
 }
--- a/test/forwarding/stop-admission.test.ts
+++ b/test/forwarding/stop-admission.test.ts
@@ -37,6 +37,7 @@
 		key: `r#${lastRequest}` as RequestId,
 		metadata: {
 			id: 'r' as RequestId,
+			keyDigest: undefined,
 			model: 'm' as ModelId,
 			adapter: undefined,
 			promptTokens: 10,
@@ -66,6 +67,7 @@
 		requestTarget: '/long/x',
 		rawHeaders: [],
 		body: Buffer.alloc(0),
+		customer: undefined,
 		fingerprint: 'f' as Fingerprint,
 		response: new PeerResponse(),
 		documentVersion: 1,
--- a/test/platform/decoders.test.ts
+++ b/test/platform/decoders.test.ts
@@ -1,7 +1,8 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import fc from 'fast-check';
-import {type TargetId} from '../../src/contracts/ids.js';
+import {type CustomerName, type TargetId} from '../../src/contracts/ids.js';
+import {sha256} from '../../src/base/common/digest.js';
 import {decodeDocument} from '../../src/platform/document-state.js';
 import {
 	decodeAvailability,
@@ -168,6 +169,53 @@
 	}
 });
 
+test('tenants become customers with the digests of their keys, and routes without keys are marked', () => {
+	const change = decodeDocument(
+		bytes({
+			...configuration,
+			routes: [
+				configuration.routes[0],
+				{...configuration.routes[1], no_auth: true},
+			],
+			tenants: [
+				{name: 'north', api_keys: ['secret-1', ''], priority: 2, per_s: 10},
+				{name: 'south', api_keys: []},
+			],
+		}),
+	);
+	assert.equal(change.kind, 'document');
+	const {customers, routes} = change.document;
+	assert.deepEqual(customers, [
+		{name: 'north', keyDigests: [sha256('secret-1')], priority: 2},
+		{name: 'south', keyDigests: [], priority: undefined},
+	]);
+	assert.deepEqual(
+		routes.map(({isKeyless}) => isKeyless),
+		[false, true],
+	);
+	assert.doesNotMatch(JSON.stringify(change.document), /secret/);
+	const plain = decodeDocument(bytes(configuration));
+	assert.ok(plain.kind === 'document');
+	assert.deepEqual(plain.document.customers, []);
+});
+
+test('tenants that share a name, have an odd name or too long a key make a configuration unreadable, and the reason names no key', () => {
+	const secret = `secret-${'x'.repeat(2000)}`;
+	const cases = [
+		[{name: 'a'}, {name: 'a', api_keys: ['secret']}],
+		[{name: 'a\r\nX: 1'}],
+		[{name: ''}],
+		[{name: 'a', api_keys: [secret]}],
+		[{name: 'a', priority: 'high'}],
+	];
+	for (const tenants of cases) {
+		const change = decodeDocument(bytes({...configuration, tenants}));
+		assert.ok(change.kind === 'unreadable');
+		assert.match(change.reason, /tenants/);
+		assert.doesNotMatch(change.reason, /secret/);
+	}
+});
+
 const codec = new PlatformRequestCodec();
 const requestHeaders = [
 	'Host',
@@ -238,6 +286,7 @@
 		remainingMilliseconds: 99.7,
 		lastEventId: 14,
 		priority: 30,
+		customer: undefined,
 	});
 	assert.deepEqual(sent.slice(metadata.forwardedHeaders.length), [
 		'Deadline-Ms',
@@ -251,6 +300,24 @@
 	]);
 });
 
+test('the headers for another host have the customer in place of the key and of what the caller claims', () => {
+	const headers = ['Host', 'a', 'API-KEY', 'secret', 'X', '1', 'tenant', 'b'];
+	assert.deepEqual(codec.encodeForPeer(headers, 'c' as CustomerName), [
+		'Host',
+		'a',
+		'X',
+		'1',
+		'Tenant',
+		'c',
+	]);
+	assert.deepEqual(codec.encodeForPeer(headers, undefined), [
+		'Host',
+		'a',
+		'X',
+		'1',
+	]);
+});
+
 // Such requests could not be distinguished from others.
 test('a request without an id or with two ids is refused', () => {
 	assert.ok(codec.decodeRequest(['Host', 'a']).isErr());
