Refuse keys that may have been taken away

Change: with `keys.isRevocationStrict`, a request with a key is refused with 503 and a time to come back once 0.9 of `keys.revokeMilliseconds` have passed since the start of the last read of the store that confirmed the document. The age comes with the position of the document from host to host, in a new field of the report's response, and grows by the way of each message. Long polls wait for a tenth of the bound; a host reads itself from half of it on. A host that has known for half of the bound that another one has a newer version refuses too. Routes without keys go on. Beside it: a host that caught up by its own read and then became the owner took itself for outdated for ever, because only a message of another host ended that; the applied version ends it now.

--- a/src/program/forwarding-root.ts
+++ b/src/program/forwarding-root.ts
@@ -63,6 +63,10 @@
 } from '../services/forwarding/report-client.js';
 import {ReportServer} from '../services/forwarding/report-server.js';
 import {maximumListAge} from '../core/list-age.js';
+import {
+	revocationLimits,
+	type RevocationLimits,
+} from '../core/revocation-limits.js';
 import {
 	StateFollower,
 	type StateChanges,
@@ -168,6 +172,8 @@
 	private readonly streamRecorder: StreamRecorder;
 	private readonly documents: StateFollower<DocumentChange>;
 	private readonly targets: StateFollower<TargetListChange>;
+	/** Undefined if a key may be accepted for longer after it was taken away. */
+	private readonly revocation: RevocationLimits | undefined;
 	private hasStarted = false;
 	private isStopping = false;
 	private unconfirmedConnections = 0;
@@ -175,11 +181,17 @@
 	private readonly listening = new AbortController();
 	/** Time since which another host is known to have a newer document than this one, infinite when none has. */
 	private behindSince = Number.POSITIVE_INFINITY;
+	/** Version of that document. */
+	private newestVersion = 0;
 
 	constructor(private readonly settings: ForwardingSettings) {
 		super();
 		const {clock, metrics, components} = this;
-		const {host, store, retries, lease, listen, log} = settings;
+		const {host, store, retries, lease, listen, log, keys} = settings;
+		this.revocation =
+			keys.isRevocationStrict && keys.revokeMilliseconds
+				? revocationLimits(keys.revokeMilliseconds)
+				: undefined;
 		this.output = new BoundedOutput({
 			fileDescriptor: process.stdout.fd,
 			now: () => clock.monotonic(),
@@ -332,6 +344,10 @@
 					position: this.targets.currentPosition,
 					ageMilliseconds: this.targets.ageMilliseconds,
 				}),
+				documentConfirmationAge: () =>
+					this.view.documentPosition === this.documents.currentPosition
+						? this.documents.confirmationAgeMilliseconds
+						: Number.POSITIVE_INFINITY,
 				onUrgentReport: () => {
 					this.reportClient.scheduleReport();
 				},
@@ -377,6 +393,7 @@
 			streams,
 			reachability: registry.reachability,
 			polls,
+			mayRelyOnKeys: () => this.mayRelyOnKeys(),
 			targetListAge: () => this.targets.ageMilliseconds,
 			budget: answerBudget,
 			peers: components.add(
@@ -485,9 +502,14 @@
 				state: new PlatformDocumentState(client),
 				clock,
 				events,
-				pollTimeoutMilliseconds: documentPollMilliseconds,
+				pollTimeoutMilliseconds: Math.min(
+					documentPollMilliseconds,
+					this.revocation?.pollMilliseconds ?? documentPollMilliseconds,
+				),
 				readDelayMilliseconds: () => 0,
 				maximumReceivedAgeMilliseconds,
+				maximumConfirmationAgeMilliseconds:
+					this.revocation?.maximumReceivedMilliseconds,
 				repeatMilliseconds: readRepeatMilliseconds,
 				isReader,
 			}),
@@ -793,10 +815,7 @@
 				this.applyDocument(change);
 			}
 
-			this.view.setDocument(
-				this.documents.currentPosition,
-				this.service.currentDocument,
-			);
+			this.showDocument();
 		});
 		this.targets.changed.subscribe(
 			(changes: StateChanges<TargetListChange>) => {
@@ -860,7 +879,12 @@
 	}
 
 	private receiveDocument(
-		{document, documentVersion, documentPosition}: FleetUpdate,
+		{
+			document,
+			documentVersion,
+			documentPosition,
+			documentConfirmationAgeMilliseconds,
+		}: FleetUpdate,
 		ageMilliseconds: number,
 	): void {
 		if (document) {
@@ -873,22 +897,49 @@
 				isSnapshot: false,
 				position: documentPosition,
 				ageMilliseconds,
+				confirmationAgeMilliseconds: documentConfirmationAgeMilliseconds,
 			});
 		} else {
-			this.documents.receivePosition(documentPosition, ageMilliseconds);
+			this.documents.receivePosition(
+				documentPosition,
+				ageMilliseconds,
+				documentConfirmationAgeMilliseconds,
+			);
 		}
 
 		if (documentVersion <= (this.service.documentVersion ?? 0)) {
 			this.behindSince = Number.POSITIVE_INFINITY;
-		} else if (this.behindSince === Number.POSITIVE_INFINITY) {
+			return;
+		}
+
+		this.newestVersion = documentVersion;
+		if (this.behindSince === Number.POSITIVE_INFINITY) {
 			this.behindSince = this.clock.monotonic();
 			this.documents.readSoon();
 		}
 	}
 
+	/** True unless a key that this host knows may have been taken away for too long: the store was not read, or another host knows a newer version. */
+	private mayRelyOnKeys(): boolean {
+		if (!this.revocation) {
+			return true;
+		}
+
+		const {reliedOnMilliseconds, maximumReceivedMilliseconds} = this.revocation;
+		return (
+			this.documents.confirmationAgeMilliseconds < reliedOnMilliseconds &&
+			this.clock.monotonic() - this.behindSince < maximumReceivedMilliseconds
+		);
+	}
+
 	/** Puts a document of another host in force if it is newer than the current one. */
 	private takeDocument(change: DocumentChange): void {
 		this.applyDocument(change);
+		this.showDocument();
+	}
+
+	/** Lets other hosts receive the document in force and its position. */
+	private showDocument(): void {
 		this.view.setDocument(
 			this.documents.currentPosition,
 			this.service.currentDocument,
@@ -910,6 +961,10 @@
 			return;
 		}
 
+		if (document.version >= this.newestVersion) {
+			this.behindSince = Number.POSITIVE_INFINITY;
+		}
+
 		this.owner.applyDocument(document);
 		this.server.applyLimits(document.limits);
 		this.events.record(forwardingEvents.documentApplied, {
@@ -925,6 +980,8 @@
 			this.owner.start();
 		}
 
+		// The position also grows with records that leave the document as it is.
+		this.showDocument();
 		this.targetListManager.removeExpired();
 		this.registry.revertExpiredContents();
 		for (const {listed} of this.registry.all()) {
--- a/src/program/forwarding-settings.ts
+++ b/src/program/forwarding-settings.ts
@@ -51,6 +51,14 @@
 			memoryMegabytes: z.number().nonnegative().nullish(),
 		})
 		.prefault({}),
+	keys: z
+		.strictObject({
+			/** True if no host may accept a key longer than `revokeMilliseconds` after it was taken away. */
+			isRevocationStrict: z.boolean().nullish(),
+			/** Time for which a key may be accepted after the version that takes it away was stored. */
+			revokeMilliseconds: positiveMillisecondsSchema.nullish(),
+		})
+		.prefault({}),
 	/** Longest time from the first SIGTERM to the end of the process. */
 	stopSeconds: z.number().positive(),
 	log: logSettingsSchema.prefault({}),
--- a/src/services/forwarding/forwarding-service.ts
+++ b/src/services/forwarding/forwarding-service.ts
@@ -80,6 +80,8 @@
 	readonly reachability: PoolReachability;
 	/** Runs actions after the connections of callers have been read. */
 	readonly polls: PolledQueue;
+	/** True while this host would know a version that takes keys away. */
+	readonly mayRelyOnKeys: () => boolean;
 	/** Time for which the target list may be out of date, for the log. */
 	readonly targetListAge: () => number;
 	/** Forwards the requests for pools that are cut off. */
@@ -139,6 +141,8 @@
 const stoppingReason = 'the host is stopping';
 const cutOffReason = 'the host reaches no target of the pool';
 const unknownKeyReason = 'the key is unknown';
+const outdatedKeysReason =
+	'the key may have been taken away since the store was read';
 const unknownVersionReason =
 	'the software version at which the stream began is not known';
 /** Delay after which a refused rest of a stream may come back. By then the report of the host that forwarded its beginning has arrived. */
@@ -499,6 +503,23 @@
 		}
 
 		const {customer} = decision;
+		if (customer && !this.options.mayRelyOnKeys()) {
+			metrics.count('daisylever_outdated_key_refusals_total');
+			events.record(forwardingEvents.requestRejected, {
+				request: metadata.value.id,
+				status: 503,
+				reason: outdatedKeysReason,
+				documentVersion: this.document.version,
+			});
+			this.sendLocalResponse(
+				response,
+				503,
+				metadata.value.id,
+				startRetryMilliseconds,
+			);
+			return;
+		}
+
 		this.forward(
 			{
 				method: message.method ?? 'GET',
--- a/src/services/forwarding/report-client.ts
+++ b/src/services/forwarding/report-client.ts
@@ -101,6 +101,8 @@
 		| undefined;
 	/** Position up to which the log of the document was read. */
 	readonly documentPosition: number;
+	/** Time since the start of the read of the store that confirmed the document, undefined if the sender does not tell. */
+	readonly documentConfirmationAgeMilliseconds: number | undefined;
 	/** Version of the document in force on the sender, 0 for none. */
 	readonly documentVersion: number;
 	/** The document in force, sent to a host that cannot read it from the store. */
@@ -381,6 +383,7 @@
 			contents: [],
 			targetList: undefined,
 			documentPosition: 0,
+			documentConfirmationAgeMilliseconds: undefined,
 			documentVersion: 0,
 			document: undefined,
 		});
@@ -535,6 +538,14 @@
 				}),
 			},
 			documentPosition: Number(response.documentPosition),
+			documentConfirmationAgeMilliseconds:
+				response.documentConfirmationAgeMilliseconds === undefined
+					? undefined
+					: receivedAge({
+							ageMilliseconds: response.documentConfirmationAgeMilliseconds,
+							roundTripMilliseconds,
+							heldMilliseconds,
+						}),
 			documentVersion: Number(response.documentVersion),
 			document: fromDocumentField(response.document),
 		});
--- a/src/services/forwarding/report-server.ts
+++ b/src/services/forwarding/report-server.ts
@@ -98,6 +98,8 @@
 		readonly position: number;
 		readonly ageMilliseconds: number;
 	};
+	/** Time since the start of the read of the store that confirmed the document, infinite before the first one. */
+	readonly documentConfirmationAge: () => number;
 	/** Called when a relayed report says that requests wait for an adapter. */
 	readonly onUrgentReport: () => void;
 	/** Called with a target that said that it leaves, in an answer to another host. */
@@ -112,6 +114,8 @@
 
 type Waiter = {readonly isUrgent: boolean; readonly wake: () => void};
 
+/** Age from which a confirmation of the document is not passed on. */
+const maximumConfirmationAgeMilliseconds = 3_600_000;
 /** Time after which a response without changes is sent, so that the reporting host sees that this one is alive. */
 const responseHoldMilliseconds = 250;
 /** Time since its last report, in addition to two intervals, from which a host may have lost this one and keeps its share of a rate for itself. */
@@ -458,6 +462,7 @@
 				...toUnlistedFields(unlisted),
 			},
 			documentPosition: BigInt(view.documentPosition),
+			...toConfirmationField(this.options.documentConfirmationAge()),
 			documentVersion: BigInt(this.documentVersion),
 			wantsDocument: this.isBehind(request),
 			...(request.needsDocument && this.isAhead(request)
@@ -517,3 +522,12 @@
 		}
 	}
 }
+
+/** Leaves the age out that the field cannot hold, which is too old for any use. */
+function toConfirmationField(ageMilliseconds: number): {
+	documentConfirmationAgeMilliseconds?: number;
+} {
+	return ageMilliseconds < maximumConfirmationAgeMilliseconds
+		? {documentConfirmationAgeMilliseconds: Math.ceil(ageMilliseconds)}
+		: {};
+}
--- a/src/services/forwarding/state-follower.ts
+++ b/src/services/forwarding/state-follower.ts
@@ -27,6 +27,8 @@
 	readonly readDelayMilliseconds: () => number;
 	/** Age of the state from which it is read from the store, although another host keeps sending it. */
 	readonly maximumReceivedAgeMilliseconds: number;
+	/** Time since the start of the read that confirmed the state from which it is read from the store. No limit if absent. */
+	readonly maximumConfirmationAgeMilliseconds?: number | undefined;
 	/** Time without an answer after which a read is sent again beside the first one. Reads are not repeated if absent. */
 	readonly repeatMilliseconds?: number;
 	/** True while this host has to read the store, because the others receive the state from it. */
@@ -41,6 +43,8 @@
 	readonly position: StorePosition;
 	/** Time since it read the store. */
 	readonly ageMilliseconds: number;
+	/** Time since the start of the read of the store that confirmed the state, undefined if the other host does not tell. */
+	readonly confirmationAgeMilliseconds?: number | undefined;
 };
 
 /** Changes that one read returned. */
@@ -79,6 +83,8 @@
 	private position: StorePosition | undefined;
 	/** Time at which this host, or the host that sent the state, last read the store. */
 	private lastReadAt: number;
+	/** Start of the last read, of this host or another one, that showed that no newer state was stored before. */
+	private confirmedAt = Number.NEGATIVE_INFINITY;
 	private ownReadAt = Number.NEGATIVE_INFINITY;
 	private receivedAt = Number.NEGATIVE_INFINITY;
 	private isOutdated = false;
@@ -101,6 +107,11 @@
 		return this.options.clock.monotonic() - this.lastReadAt;
 	}
 
+	/** Milliseconds since a read of the store began that confirmed the state. What was stored before that is known. Infinite before the first read. */
+	get confirmationAgeMilliseconds(): number {
+		return this.options.clock.monotonic() - this.confirmedAt;
+	}
+
 	/** Position up to which the state is known, 0 before the first read. */
 	get currentPosition(): StorePosition {
 		return this.position ?? 0;
@@ -133,6 +144,7 @@
 		isSnapshot,
 		position,
 		ageMilliseconds,
+		confirmationAgeMilliseconds,
 	}: ReceivedState<Change>): boolean {
 		const now = this.options.clock.monotonic();
 		this.receivedAt = now;
@@ -144,6 +156,7 @@
 		this.position = position;
 		this.isOutdated = false;
 		this.lastReadAt = Math.max(this.lastReadAt, now - ageMilliseconds);
+		this.confirm(now, confirmationAgeMilliseconds);
 		if (isSnapshot || changes.length > 0) {
 			this.changed.publish({
 				changes,
@@ -165,7 +178,11 @@
 	}
 
 	/** Records up to which position another host has read. A newer state is read from the store. */
-	receivePosition(position: StorePosition, ageMilliseconds: number): void {
+	receivePosition(
+		position: StorePosition,
+		ageMilliseconds: number,
+		confirmationAgeMilliseconds?: number,
+	): void {
 		const now = this.options.clock.monotonic();
 		this.receivedAt = now;
 		if (this.position === undefined || position < this.position) {
@@ -178,6 +195,7 @@
 		}
 
 		this.lastReadAt = Math.max(this.lastReadAt, now - ageMilliseconds);
+		this.confirm(now, confirmationAgeMilliseconds);
 	}
 
 	dispose(): void {
@@ -194,16 +212,36 @@
 		);
 	}
 
+	private confirm(now: number, ageMilliseconds: number | undefined): void {
+		if (ageMilliseconds !== undefined) {
+			this.confirmedAt = Math.max(this.confirmedAt, now - ageMilliseconds);
+		}
+	}
+
+	/** Time for which this host still relies on what another one sends. */
+	private receivedDelay(): number {
+		const {
+			maximumReceivedAgeMilliseconds,
+			maximumConfirmationAgeMilliseconds = Number.POSITIVE_INFINITY,
+		} = this.options;
+		return Math.min(
+			maximumReceivedAgeMilliseconds - this.ageMilliseconds,
+			maximumConfirmationAgeMilliseconds === Number.POSITIVE_INFINITY
+				? Number.POSITIVE_INFINITY
+				: maximumConfirmationAgeMilliseconds - this.confirmationAgeMilliseconds,
+		);
+	}
+
 	/** Time until the next read of the store. */
 	private readDelay(): number {
 		if (this.position === undefined || this.isOutdated) {
 			return 0;
 		}
 
-		const {clock, maximumReceivedAgeMilliseconds} = this.options;
+		const {clock} = this.options;
 		const {isReceiving} = this;
 		const delay = isReceiving
-			? maximumReceivedAgeMilliseconds - this.ageMilliseconds
+			? this.receivedDelay()
 			: this.options.readDelayMilliseconds() -
 				(clock.monotonic() - this.ownReadAt);
 		this.recordSource(isReceiving && delay > 0);
@@ -292,6 +330,7 @@
 		this.position = next;
 		if (!isPartial) {
 			this.lastReadAt = Math.max(this.lastReadAt, this.ownReadAt);
+			this.confirmedAt = Math.max(this.confirmedAt, startedAt);
 		}
 
 		const isRestored = this.hasLostRecords;
--- a/test/forwarding/customer-keys.test.ts
+++ b/test/forwarding/customer-keys.test.ts
@@ -276,6 +276,22 @@
 	assert.deepEqual(new Set(names), new Set(['south']));
 });
 
+// Guards against keys that were taken away while this host could not learn it, and against refusals where none is needed.
+test('while keys may have been taken away, requests with keys are refused with a time to come back and others go on', async () => {
+	host.mayRelyOnKeys = false;
+	const refused = await host.call('/idempotent/x', {
+		headers: {'Api-Key': 'key-s1'},
+	});
+	assert.equal(refused.status, 503);
+	assert.equal(refused.headers['retry-after'], '0.500');
+	assert.equal(await statusOf({'Api-Key': 'other'}), 401);
+	assert.equal(worker.requests.length, 0);
+	worker.behaviour = streamEvents(1, 1, 'whole');
+	assert.equal(await statusOf({}, '/fixed/x'), 200);
+	host.service.applyDocument(createDocument(3, []));
+	assert.equal(await statusOf({}), 200);
+});
+
 test('each of ten thousand keys is found', () => {
 	const digests = Array.from(
 		{length: 10_000},
--- a/test/forwarding/forwarding-harness.ts
+++ b/test/forwarding/forwarding-harness.ts
@@ -168,6 +168,8 @@
 	readonly prober: ReachabilityProber;
 	readonly streams;
 	readonly service: ForwardingService;
+	/** False while a key may have been taken away for too long. */
+	mayRelyOnKeys = true;
 	/** Number of calls of `onAdapterMissing`. */
 	missingAdapterCount = 0;
 	readonly reachability = new StandInReachability();
@@ -232,6 +234,7 @@
 			streams: this.streams.sharing,
 			reachability: this.reachability,
 			polls,
+			mayRelyOnKeys: () => this.mayRelyOnKeys,
 			targetListAge: () => 0,
 			peers: this.peers,
 			budget: budgets.answers,
--- a/test/forwarding/report-server.test.ts
+++ b/test/forwarding/report-server.test.ts
@@ -63,6 +63,7 @@
 		}),
 		lease: () => undefined,
 		targetList: () => ({position: 0, ageMilliseconds: 0}),
+		documentConfirmationAge: () => 0,
 		onUrgentReport: () => undefined,
 		onDocumentReceived: () => undefined,
 		onLeavingTarget: () => undefined,
