Keep quotas of customers over all hosts together

Change: a request of a customer with a quota takes its tokens, or one, as it is accepted, from units that the host holds. What it lacks it asks the issuer of its group for (the owner or its relay, as for permits), in one call for all that waits and a quarter of what the last second took; what is not used within 500 ms lapses. Without units it is refused with 429 at once and the time until they have accrued; until then the host asks for nothing. The issuer gives its group the share of the quota that its hosts are of the fleet, with the burst; while none answers, a host uses its own share. Generic parts of the request codec and of the document's schema moved to base/ and contracts/. A configuration that is not valid JSON is no longer quoted in the log, because it may contain keys.

Open: a customer whose requests all reach one group of a fleet with relays gets the share of that group only; a request that an older host forwards is not charged.

--- a/src/contracts/bounded-json.ts
+++ b/src/contracts/bounded-json.ts
@@ -28,6 +28,26 @@
 	return z.array(z.unknown()).max(maximumListLength).pipe(z.array(item));
 }
 
+/** A list whose items have names of their own. */
+export function uniquelyNamed<Item extends {readonly name: string}>(
+	schema: z.ZodType<Item>,
+) {
+	return z.array(schema).superRefine((items, context) => {
+		const names = new Set<string>();
+		for (const [index, {name}] of items.entries()) {
+			if (names.has(name)) {
+				context.addIssue({
+					code: 'custom',
+					path: [index, 'name'],
+					message: 'another item has the same name',
+				});
+			}
+
+			names.add(name);
+		}
+	});
+}
+
 /** Decodes JSON of other writers, or states in bounded size why it does not match a schema. */
 export function decodeJson<Schema extends z.ZodType>(
 	value: Buffer,
@@ -46,8 +66,10 @@
 		const parsed = schema.safeParse(JSON.parse(value.toString('utf8')));
 		return parsed.success ? ok(parsed.data) : err(reasonOf(parsed.error));
 	} catch (error) {
+		// The message of the error quotes the value, which may contain keys.
+		const [position] = /position \d+/.exec(String(error)) ?? [];
 		return err(
-			`the value is not valid JSON: ${String(error).slice(0, maximumReasonLength)}`,
+			`the value is not valid JSON${position === undefined ? '' : ` at ${position}`}`,
 		);
 	}
 }
--- a/src/platform/document-state.ts
+++ b/src/platform/document-state.ts
@@ -1,15 +1,18 @@
 import {type ResultAsync} from 'neverthrow';
 import {z} from 'zod';
-import {sha256} from '../base/common/digest.js';
 import {toFinite} from '../base/common/finite-number.js';
-import {decodeJson, durationSchema} from '../contracts/bounded-json.js';
+import {
+	decodeJson,
+	durationSchema,
+	uniquelyNamed,
+} from '../contracts/bounded-json.js';
+import {keyDigestsSchema} from '../contracts/key-digest.js';
 import {
 	type ForwardingDocument,
 	type RouteKind,
 } from '../contracts/forwarding-document.js';
 import {
 	customerNameSchema,
-	type KeyDigest,
 	type ModelId,
 	type PoolName,
 	type RouteName,
@@ -23,7 +26,7 @@
 } from '../contracts/shared-store.js';
 import {decodeKeyedRecord} from './keyed-record.js';
 import {type StoreClient} from './store-client.js';
-import {configurationKey, maximumKeyLength, topics} from './wire.js';
+import {configurationKey, topics} from './wire.js';
 
 const bytesPerMegabyte = 1_000_000;
 
@@ -66,8 +69,12 @@
 
 const tenantSchema = z.object({
 	name: customerNameSchema,
-	api_keys: z.array(z.string().max(maximumKeyLength)).default([]),
+	api_keys: keyDigestsSchema.default([]),
 	priority: z.number().nullish(),
+	per_s: z.number().nonnegative().nullish(),
+	burst: z.number().nonnegative().nullish(),
+	unit: z.enum(['requests', 'tokens']).nullish(),
+	plain_tokens: z.number().nonnegative().nullish(),
 });
 
 const configurationSchema = z.object({
@@ -87,23 +94,7 @@
 		header_ms: durationSchema,
 		idle_ms: durationSchema,
 	}),
-	tenants: z
-		.array(tenantSchema)
-		.default([])
-		.superRefine((tenants, context) => {
-			const names = new Set<string>();
-			for (const [index, {name}] of tenants.entries()) {
-				if (names.has(name)) {
-					context.addIssue({
-						code: 'custom',
-						path: [index, 'name'],
-						message: 'is the name of another tenant too',
-					});
-				}
-
-				names.add(name);
-			}
-		}),
+	tenants: uniquelyNamed(tenantSchema).default([]),
 });
 
 const routeKinds: Readonly<Record<string, RouteKind>> = {
@@ -208,10 +199,17 @@
 		},
 		customers: configuration.tenants.map((tenant) => ({
 			name: tenant.name,
-			keyDigests: tenant.api_keys
-				.filter((key) => key !== '')
-				.map((key) => sha256(key) as KeyDigest),
+			keyDigests: tenant.api_keys,
 			priority: tenant.priority ?? undefined,
+			// A rate of 0 is no limit.
+			quota: tenant.per_s
+				? {
+						rate: tenant.per_s,
+						burst: tenant.burst ?? 0,
+						unit: tenant.unit === 'tokens' ? 'token' : 'request',
+						plainTokens: tenant.plain_tokens ?? 1,
+					}
+				: undefined,
 		})),
 	};
 }
--- a/src/platform/request-codec.ts
+++ b/src/platform/request-codec.ts
@@ -1,10 +1,15 @@
 import {err, ok, type Result} from 'neverthrow';
-import {sha256} from '../base/common/digest.js';
+import {
+	connectionHeaderNames,
+	flattenHeaders,
+	hopByHopNames,
+	lowerCaseNames,
+	withoutHeaders,
+} from '../base/common/header-lists.js';
 import {parseCount, parseDecimals} from '../base/common/header-numbers.js';
 import {
 	type AdapterId,
 	type CustomerName,
-	type KeyDigest,
 	type ModelId,
 	type PromptPartId,
 	type RequestId,
@@ -19,30 +24,15 @@
 	type RequestMetadata,
 	type ReportedLoad,
 } from '../contracts/request-codec.js';
-import {headerNames, maximumKeyLength} from './wire.js';
-
-const lowerCase = (names: readonly string[]) =>
-	new Set(names.map((name) => name.toLowerCase()));
-
-/** Hop-by-hop headers, which apply to one connection only and are not forwarded. */
-const hopByHopNames = lowerCase([
-	'Connection',
-	'Keep-Alive',
-	'Proxy-Connection',
-	'Proxy-Authenticate',
-	'Proxy-Authorization',
-	'TE',
-	'Trailer',
-	'Transfer-Encoding',
-	'Upgrade',
-	'Expect',
-]);
+import {digestOfKey} from '../contracts/key-digest.js';
+import {prefixKeysOf} from '../contracts/prefix-keys.js';
+import {headerNames} from './wire.js';
 
 /** Headers by which a caller shows who it is, or by which this program tells a worker. */
-const identityNames = lowerCase([headerNames.apiKey, headerNames.tenant]);
+const identityNames = lowerCaseNames([headerNames.apiKey, headerNames.tenant]);
 
 /** Headers that this program sets itself or that callers may not set. They are removed from callers' requests. */
-const reservedNames = lowerCase([
+const reservedNames = lowerCaseNames([
 	'Content-Length',
 	headerNames.deadline,
 	headerNames.expectInstance,
@@ -58,7 +48,8 @@
 ]);
 
 /** Headers of a response that identify the target or describe its state, or that apply to its connection only. They are not forwarded to the caller. */
-const hiddenResponseNames = lowerCase([
+const hiddenResponseNames = lowerCaseNames([
+	...hopByHopNames,
 	'Content-Length',
 	headerNames.load,
 	headerNames.rateLimit,
@@ -124,7 +115,7 @@
 			id: id as RequestId,
 			keyDigest: repeatedNames.has(headerNames.apiKey.toLowerCase())
 				? undefined
-				: digestOf(valueOf(headerNames.apiKey)),
+				: digestOfKey(valueOf(headerNames.apiKey)),
 			model: model ? (model as ModelId) : undefined,
 			adapter: adapter ? (adapter as AdapterId) : undefined,
 			promptTokens: promptTokens ?? 0,
@@ -145,13 +136,7 @@
 		rawHeaders: readonly string[],
 		customer: CustomerName | undefined,
 	): string[] {
-		const headers: string[] = [];
-		for (let index = 0; index + 1 < rawHeaders.length; index += 2) {
-			if (!identityNames.has(rawHeaders[index]!.toLowerCase())) {
-				headers.push(rawHeaders[index]!, rawHeaders[index + 1]!);
-			}
-		}
-
+		const headers = withoutHeaders(rawHeaders, identityNames);
 		return customer === undefined
 			? headers
 			: [...headers, headerNames.tenant, customer];
@@ -201,7 +186,7 @@
 			respondingTarget: valueOf(headerNames.instance) as TargetId | undefined,
 			load: parseLoad(valueOf(headerNames.load)),
 			requestsPerSecond: parseRate(rates),
-			forwardedHeaders: forwardedResponseHeaders(headers),
+			forwardedHeaders: flattenHeaders(headers, hiddenResponseNames),
 		};
 	}
 
@@ -222,22 +207,6 @@
 	}
 }
 
-/** Returns the lower-case names of the headers that the Connection headers list. */
-function connectionHeaderNames(rawHeaders: readonly string[]): Set<string> {
-	const names = new Set<string>();
-	for (let index = 0; index + 1 < rawHeaders.length; index += 2) {
-		if (rawHeaders[index]!.toLowerCase() !== 'connection') {
-			continue;
-		}
-
-		for (const name of rawHeaders[index + 1]!.split(',')) {
-			names.add(name.trim().toLowerCase());
-		}
-	}
-
-	return names;
-}
-
 /** Returns the id that a header names, unless it is too long. */
 function parseId(value: string | undefined): RequestId | undefined {
 	return value === '' || (value?.length ?? 0) > maximumIdLength
@@ -245,13 +214,6 @@
 		: (value as RequestId | undefined);
 }
 
-/** Returns the digest of a key, undefined for one that no tenant can hold. */
-function digestOf(key: string | undefined): KeyDigest | undefined {
-	return key === undefined || key === '' || key.length > maximumKeyLength
-		? undefined
-		: (sha256(key) as KeyDigest);
-}
-
 /** Parses `ID:TOKENS` pairs, separated by commas, and returns the ids. */
 function parsePromptParts(text: string | undefined): PromptPartId[] {
 	return text === undefined
@@ -261,26 +223,6 @@
 				.map((part) => (part.trim().split(':')[0] ?? '') as PromptPartId);
 }
 
-/**
- * Returns the keys of all prefixes of a prompt, the longest first. A target caches a part for one model and adapter and
- * only together with all parts before it, so the key of a prefix consists of the model, the adapter and the ids of all
- * its parts.
- */
-function prefixKeysOf(
-	parts: readonly PromptPartId[],
-	model: string | undefined,
-	adapter: string | undefined,
-): string[] {
-	const prefixes: string[] = [];
-	let path = `${model ?? ''}/${adapter ?? ''}`;
-	for (const part of parts) {
-		path += `|${part}`;
-		prefixes.unshift(path);
-	}
-
-	return prefixes;
-}
-
 /** Parses `RUNNING,QUEUED,SLOTS[,SLOWDOWN]`. The slowdown is in percent, and 100 is usual. A load without slots has no meaning. */
 function parseLoad(text: string | undefined): ReportedLoad | undefined {
 	const [running, queued, slots, slowdownPercent] = (text ?? '')
@@ -327,25 +269,3 @@
 		? {kind: 'invalid', value: String(value).slice(0, maximumLoggedValue)}
 		: {kind: 'time', milliseconds: Math.max(...seconds) * 1000};
 }
-
-/** Returns the headers that are forwarded to the caller, as alternating names and values. */
-function forwardedResponseHeaders(
-	headers: Readonly<Record<string, string | string[] | undefined>>,
-): string[] {
-	const forwarded: string[] = [];
-	for (const [name, value] of Object.entries(headers)) {
-		if (
-			value === undefined ||
-			hopByHopNames.has(name) ||
-			hiddenResponseNames.has(name)
-		) {
-			continue;
-		}
-
-		for (const single of Array.isArray(value) ? value : [value]) {
-			forwarded.push(name, single);
-		}
-	}
-
-	return forwarded;
-}
--- a/src/platform/store-client.ts
+++ b/src/platform/store-client.ts
@@ -6,6 +6,7 @@
 	frameRecord,
 	splitFramedRecords,
 } from '../base/common/framed-records.js';
+import {parseJson} from '../base/common/parse-json.js';
 import {TypedEvent} from '../base/common/typed-event.js';
 import {readBody} from '../base/node/read-body.js';
 import {
@@ -379,10 +380,6 @@
 		: undefined;
 }
 
-function parseJson(body: Buffer): unknown {
-	return JSON.parse(body.toString('utf8'));
-}
-
 /** Parses the response to a read: the end of the topic, the first retained offset, then each record after its length. All numbers are big-endian. A topic that ends before the position has lost records. */
 function parseRecords(
 	body: Buffer,
--- a/src/platform/wire.ts
+++ b/src/platform/wire.ts
@@ -58,6 +58,3 @@
 
 /** Key of the configuration in the operator's topic. */
 export const configurationKey = 'config';
-
-/** Characters of the longest key of a tenant. */
-export const maximumKeyLength = 1024;
--- a/src/services/forwarding/forwarding-service.ts
+++ b/src/services/forwarding/forwarding-service.ts
@@ -9,6 +9,7 @@
 import {forwardingEvents} from '../../contracts/events/forwarding-events.js';
 import {
 	type Customer,
+	type CustomerQuota,
 	type ForwardingDocument,
 	type RouteRule,
 } from '../../contracts/forwarding-document.js';
@@ -58,6 +59,7 @@
 import {HttpCallerResponse} from './http-caller-response.js';
 import {type PeerResponse} from './peer-response.js';
 import {type PeerForwarder} from './peer-forwarder.js';
+import {type QuotaClient} from './quota-client.js';
 import {type StreamOriginSharing} from './stream-origin-sharing.js';
 import {type TargetRegistry} from './target-registry.js';
 
@@ -80,6 +82,8 @@
 	readonly reachability: PoolReachability;
 	/** Runs actions after the connections of callers have been read. */
 	readonly polls: PolledQueue;
+	/** Decides which requests are within the quotas of their customers. */
+	readonly quotas: QuotaClient;
 	/** True while this host would know a version that takes keys away. */
 	readonly mayRelyOnKeys: () => boolean;
 	/** Time for which the target list may be out of date, for the log. */
@@ -141,6 +145,7 @@
 const stoppingReason = 'the host is stopping';
 const cutOffReason = 'the host reaches no target of the pool';
 const unknownKeyReason = 'the key is unknown';
+const usedQuotaReason = 'the quota of the customer is used up';
 const outdatedKeysReason =
 	'the key may have been taken away since the store was read';
 const unknownVersionReason =
@@ -237,6 +242,11 @@
 		return this.document;
 	}
 
+	/** Quota of a customer by the document in force, undefined without one. */
+	quotaOf(customer: CustomerName): CustomerQuota | undefined {
+		return this.keys.get(customer)?.quota;
+	}
+
 	/** Number of requests without a final response. */
 	get openRequests(): number {
 		return this.requests.size;
@@ -503,6 +513,7 @@
 		}
 
 		const {customer} = decision;
+		const documentVersion = this.document.version;
 		if (customer && !this.options.mayRelyOnKeys()) {
 			metrics.count('daisylever_outdated_key_refusals_total');
 			events.record(forwardingEvents.requestRejected, {
@@ -520,28 +531,61 @@
 			return;
 		}
 
-		this.forward(
-			{
-				method: message.method ?? 'GET',
-				requestTarget,
-				rawHeaders: message.rawHeaders,
-				body,
-				arrivedAt: clock.monotonic(),
-				response: new HttpCallerResponse(
-					response,
-					() => this.isStopping,
-					this.options.budget,
-				),
-				hasCallerLeft: () =>
-					message.socket.destroyed || message.socket.readableEnded,
-				onCallerLeft(callback) {
-					response.once('close', callback);
+		const arrivedAt = clock.monotonic();
+		const forward = () => {
+			this.forward(
+				{
+					method: message.method ?? 'GET',
+					requestTarget,
+					rawHeaders: message.rawHeaders,
+					body,
+					arrivedAt,
+					response: new HttpCallerResponse(
+						response,
+						() => this.isStopping,
+						this.options.budget,
+					),
+					hasCallerLeft: () =>
+						message.socket.destroyed || message.socket.readableEnded,
+					onCallerLeft(callback) {
+						response.once('close', callback);
+					},
+					origin: undefined,
 				},
-				origin: undefined,
+				metadata.value,
+				withPriorityOf(customer, route),
+				{customer: customer?.name, documentVersion},
+			);
+		};
+
+		if (!customer?.quota) {
+			forward();
+			return;
+		}
+
+		this.options.quotas.admit(
+			customer.name,
+			unitsOf(customer.quota, metadata.value),
+			(decision) => {
+				if (decision.isWithin) {
+					forward();
+					return;
+				}
+
+				events.record(forwardingEvents.requestRejected, {
+					request: metadata.value.id,
+					status: 429,
+					reason: usedQuotaReason,
+					customer: customer.name,
+					documentVersion,
+				});
+				this.sendLocalResponse(
+					response,
+					429,
+					metadata.value.id,
+					decision.retryMilliseconds,
+				);
 			},
-			metadata.value,
-			withPriorityOf(customer, route),
-			{customer: customer?.name, documentVersion: this.document.version},
 		);
 	}
 
@@ -1173,3 +1217,16 @@
 		? route
 		: {...route, priority: customer.priority};
 }
+
+/** What a request takes of a quota. */
+function unitsOf(
+	{unit, plainTokens}: CustomerQuota,
+	{promptTokens, maximumTokens}: RequestMetadata,
+): number {
+	if (unit === 'request') {
+		return 1;
+	}
+
+	const tokens = promptTokens + maximumTokens;
+	return tokens > 0 ? tokens : plainTokens;
+}
--- a/test/platform/decoders.test.ts
+++ b/test/platform/decoders.test.ts
@@ -178,7 +178,17 @@
 				{...configuration.routes[1], no_auth: true},
 			],
 			tenants: [
-				{name: 'north', api_keys: ['secret-1', ''], priority: 2, per_s: 10},
+				{
+					name: 'north',
+					api_keys: ['secret-1'],
+					priority: 2,
+					unit: 'tokens',
+					plain_tokens: 200,
+					per_s: 10,
+					burst: 20,
+				},
+				{name: 'west', per_s: 3},
+				{name: 'east', per_s: 0, burst: 5},
 				{name: 'south', api_keys: []},
 			],
 		}),
@@ -186,8 +196,20 @@
 	assert.equal(change.kind, 'document');
 	const {customers, routes} = change.document;
 	assert.deepEqual(customers, [
-		{name: 'north', keyDigests: [sha256('secret-1')], priority: 2},
-		{name: 'south', keyDigests: [], priority: undefined},
+		{
+			name: 'north',
+			keyDigests: [sha256('secret-1')],
+			priority: 2,
+			quota: {rate: 10, burst: 20, unit: 'token', plainTokens: 200},
+		},
+		{
+			name: 'west',
+			keyDigests: [],
+			priority: undefined,
+			quota: {rate: 3, burst: 0, unit: 'request', plainTokens: 1},
+		},
+		{name: 'east', keyDigests: [], priority: undefined, quota: undefined},
+		{name: 'south', keyDigests: [], priority: undefined, quota: undefined},
 	]);
 	assert.deepEqual(
 		routes.map(({isKeyless}) => isKeyless),
@@ -206,7 +228,10 @@
 		[{name: 'a\r\nX: 1'}],
 		[{name: ''}],
 		[{name: 'a', api_keys: [secret]}],
+		[{name: 'a', api_keys: ['']}],
 		[{name: 'a', priority: 'high'}],
+		[{name: 'a', per_s: -1}],
+		[{name: 'a', unit: 'bytes'}],
 	];
 	for (const tenants of cases) {
 		const change = decodeDocument(bytes({...configuration, tenants}));
