Take the quotas back, and rank customers before routes

The priorities of customers precede those of routes, which decide among customers of one priority. Long polls with strict revocation wait for a fifth of the bound, and hosts read themselves from 0.6 of it on.

--- a/src/contracts/forwarding-document.ts
+++ b/src/contracts/forwarding-document.ts
@@ -38,26 +38,12 @@
 	readonly isKeyless?: boolean | undefined;
 };
 
-/** What the requests of a customer may take over all hosts together. */
-export type CustomerQuota = {
-	/** Units a second. */
-	readonly rate: number;
-	/** Units that may be taken at once in addition. */
-	readonly burst: number;
-	/** What a request takes: one, or its tokens. */
-	readonly unit: 'request' | 'token';
-	/** Tokens that count for a request that names none. */
-	readonly plainTokens: number;
-};
-
 /** A customer, whose requests carry one of its keys. */
 export type Customer = {
 	readonly name: CustomerName;
 	readonly keyDigests: readonly KeyDigest[];
-	/** Priority of the customer's requests, which precedes that of their route. */
+	/** Priority of the customer's requests, 0 is the most urgent. It precedes that of their route. 0 if undefined. */
 	readonly priority: number | undefined;
-	/** Undefined without a limit. */
-	readonly quota?: CustomerQuota | undefined;
 };
 
 /** A model of an engine pool with the memory and time that a load takes. */
@@ -143,14 +129,6 @@
 				name: z.string(),
 				keyDigests: z.array(z.string()),
 				priority: z.number().optional(),
-				quota: z
-					.looseObject({
-						rate: z.number(),
-						burst: z.number(),
-						unit: z.enum(['request', 'token']),
-						plainTokens: z.number(),
-					})
-					.optional(),
 			}),
 		)
 		.optional(),
--- a/src/core/customer-keys.ts
+++ b/src/core/customer-keys.ts
@@ -14,9 +14,18 @@
 export class CustomerKeys {
 	private readonly customers = new Map<KeyDigest, Customer>();
 	private readonly names = new Map<string, Customer>();
+	private readonly lowestPriority: number;
+	/** Priorities that the routes of one customer take up. */
+	private readonly routePriorities: number;
 
-	constructor({customers}: Pick<ForwardingDocument, 'customers'>) {
-		for (const customer of customers ?? []) {
+	constructor({
+		customers = [],
+		routes,
+	}: Pick<ForwardingDocument, 'customers' | 'routes'>) {
+		this.lowestPriority = Math.min(...customers.map(priorityOf));
+		this.routePriorities =
+			1 + Math.max(0, ...routes.map(({priority}) => priority));
+		for (const customer of customers) {
 			this.names.set(customer.name, customer);
 			for (const digest of customer.keyDigests) {
 				if (!this.customers.has(digest)) {
@@ -44,8 +53,22 @@
 		return customer ? {isAccepted: true, customer} : {isAccepted: false};
 	}
 
+	/** The route with the priority that it has for a customer: the priorities of customers precede those of routes. */
+	rank(route: RouteRule, customer: Customer | undefined): RouteRule {
+		const preceding = customer
+			? (priorityOf(customer) - this.lowestPriority) * this.routePriorities
+			: 0;
+		return preceding === 0
+			? route
+			: {...route, priority: preceding + route.priority};
+	}
+
 	/** Returns the customer of a name, undefined if the document no longer has it. */
 	get(name: string): Customer | undefined {
 		return this.names.get(name);
 	}
 }
+
+function priorityOf({priority = 0}: Customer): number {
+	return priority;
+}
--- a/src/core/revocation-limits.ts
+++ b/src/core/revocation-limits.ts
@@ -9,7 +9,7 @@
 };
 
 /** Shares of the time within which a key that was taken away may still be accepted. The rest of it allows for the rates of clocks. */
-const limitShares = {reliedOn: 0.9, maximumReceived: 0.5, poll: 0.1} as const;
+const limitShares = {reliedOn: 0.9, maximumReceived: 0.6, poll: 0.2} as const;
 
 /** Derives the limits from the time within which a key that was taken away may still be accepted. */
 export function revocationLimits(revokeMilliseconds: number): RevocationLimits {
--- a/src/platform/document-state.ts
+++ b/src/platform/document-state.ts
@@ -71,10 +71,6 @@
 	name: customerNameSchema,
 	api_keys: keyDigestsSchema.default([]),
 	priority: z.number().nullish(),
-	per_s: z.number().nonnegative().nullish(),
-	burst: z.number().nonnegative().nullish(),
-	unit: z.enum(['requests', 'tokens']).nullish(),
-	plain_tokens: z.number().nonnegative().nullish(),
 });
 
 const configurationSchema = z.object({
@@ -201,15 +197,6 @@
 			name: tenant.name,
 			keyDigests: tenant.api_keys,
 			priority: tenant.priority ?? undefined,
-			// A rate of 0 is no limit.
-			quota: tenant.per_s
-				? {
-						rate: tenant.per_s,
-						burst: tenant.burst ?? 0,
-						unit: tenant.unit === 'tokens' ? 'token' : 'request',
-						plainTokens: tenant.plain_tokens ?? 1,
-					}
-				: undefined,
 		})),
 	};
 }
--- a/src/program/forwarding-root.ts
+++ b/src/program/forwarding-root.ts
@@ -31,8 +31,6 @@
 import {PeerSelection} from '../core/peer-selection.js';
 import {PermitBook} from '../core/permit-book.js';
 import {PermitIssuer} from '../core/permit-issuer.js';
-import {QuotaBook} from '../core/quota-book.js';
-import {QuotaIssuer, type QuotaIssuerOptions} from '../core/quota-issuer.js';
 import {StreamOrigins} from '../core/stream-origins.js';
 import {VersionHistory} from '../core/version-history.js';
 import {PlatformDocumentState} from '../platform/document-state.js';
@@ -57,7 +55,6 @@
 	isForwardCall,
 } from '../services/forwarding/peer-routes.js';
 import {PermitClient} from '../services/forwarding/permit-client.js';
-import {QuotaClient} from '../services/forwarding/quota-client.js';
 import {PlacementOwner} from '../services/forwarding/placement-owner.js';
 import {ReachabilityProber} from '../services/forwarding/reachability-prober.js';
 import {
@@ -235,22 +232,6 @@
 		});
 		const permitIssuer = new PermitIssuer({clock, limits: rateLimits});
 		const fallbackIssuer = new PermitIssuer({clock, limits: rateLimits});
-		const quotaOptions: QuotaIssuerOptions = {
-			clock,
-			quotaOf: (customer) => this.service.quotaOf(customer),
-		};
-		const quotaIssuer = new QuotaIssuer(quotaOptions);
-		const quotas = components.add(
-			new QuotaClient({
-				book: new QuotaBook(clock),
-				metrics,
-				issuer: quotaIssuer,
-				groupShare: () => this.reportServer.permitShare(),
-				ask: async (demands) => this.reportClient.acquireQuota(demands),
-				fallbackIssuer: new QuotaIssuer(quotaOptions),
-				hostCount: () => this.service.hostCount,
-			}),
-		);
 		registry.removed.subscribe(({listed}) => {
 			permitIssuer.forget(listed.id);
 			fallbackIssuer.forget(listed.id);
@@ -354,7 +335,6 @@
 				limits: rateLimits,
 				brittle: brittle.targets,
 				permits: permitIssuer,
-				quotas: quotaIssuer,
 				streams,
 				askUpstream: async (stream) => this.reportClient.askUpstream(stream),
 				isOwner: () => this.leaseManager.isHolder,
@@ -413,7 +393,6 @@
 			streams,
 			reachability: registry.reachability,
 			polls,
-			quotas,
 			mayRelyOnKeys: () => this.mayRelyOnKeys(),
 			targetListAge: () => this.targets.ageMilliseconds,
 			budget: answerBudget,
--- a/src/services/forwarding/forwarding-service.ts
+++ b/src/services/forwarding/forwarding-service.ts
@@ -8,8 +8,6 @@
 import {type PolledQueue} from '../../base/node/polled-queue.js';
 import {forwardingEvents} from '../../contracts/events/forwarding-events.js';
 import {
-	type Customer,
-	type CustomerQuota,
 	type ForwardingDocument,
 	type RouteRule,
 } from '../../contracts/forwarding-document.js';
@@ -59,7 +57,6 @@
 import {HttpCallerResponse} from './http-caller-response.js';
 import {type PeerResponse} from './peer-response.js';
 import {type PeerForwarder} from './peer-forwarder.js';
-import {type QuotaClient} from './quota-client.js';
 import {type StreamOriginSharing} from './stream-origin-sharing.js';
 import {type TargetRegistry} from './target-registry.js';
 
@@ -82,8 +79,6 @@
 	readonly reachability: PoolReachability;
 	/** Runs actions after the connections of callers have been read. */
 	readonly polls: PolledQueue;
-	/** Decides which requests are within the quotas of their customers. */
-	readonly quotas: QuotaClient;
 	/** True while this host would know a version that takes keys away. */
 	readonly mayRelyOnKeys: () => boolean;
 	/** Time for which the target list may be out of date, for the log. */
@@ -145,7 +140,6 @@
 const stoppingReason = 'the host is stopping';
 const cutOffReason = 'the host reaches no target of the pool';
 const unknownKeyReason = 'the key is unknown';
-const usedQuotaReason = 'the quota of the customer is used up';
 const outdatedKeysReason =
 	'the key may have been taken away since the store was read';
 const unknownVersionReason =
@@ -160,7 +154,7 @@
 export class ForwardingService extends ReceivedRequestHandler {
 	private document: ForwardingDocument | undefined;
 	private routes: RouteTable | undefined;
-	private keys = new CustomerKeys({});
+	private keys = new CustomerKeys({routes: []});
 	private readonly pools = new Map<PoolName, Pool>();
 	private readonly requests = new Set<ForwardedRequest>();
 	/** Monotonic time of the last request for each model, including refused requests. */
@@ -242,11 +236,6 @@
 		return this.document;
 	}
 
-	/** Quota of a customer by the document in force, undefined without one. */
-	quotaOf(customer: CustomerName): CustomerQuota | undefined {
-		return this.keys.get(customer)?.quota;
-	}
-
 	/** Number of requests without a final response. */
 	get openRequests(): number {
 		return this.requests.size;
@@ -513,7 +502,6 @@
 		}
 
 		const {customer} = decision;
-		const documentVersion = this.document.version;
 		if (customer && !this.options.mayRelyOnKeys()) {
 			metrics.count('daisylever_outdated_key_refusals_total');
 			events.record(forwardingEvents.requestRejected, {
@@ -531,61 +519,28 @@
 			return;
 		}
 
-		const arrivedAt = clock.monotonic();
-		const forward = () => {
-			this.forward(
-				{
-					method: message.method ?? 'GET',
-					requestTarget,
-					rawHeaders: message.rawHeaders,
-					body,
-					arrivedAt,
-					response: new HttpCallerResponse(
-						response,
-						() => this.isStopping,
-						this.options.budget,
-					),
-					hasCallerLeft: () =>
-						message.socket.destroyed || message.socket.readableEnded,
-					onCallerLeft(callback) {
-						response.once('close', callback);
-					},
-					origin: undefined,
-				},
-				metadata.value,
-				withPriorityOf(customer, route),
-				{customer: customer?.name, documentVersion},
-			);
-		};
-
-		if (!customer?.quota) {
-			forward();
-			return;
-		}
-
-		this.options.quotas.admit(
-			customer.name,
-			unitsOf(customer.quota, metadata.value),
-			(decision) => {
-				if (decision.isWithin) {
-					forward();
-					return;
-				}
-
-				events.record(forwardingEvents.requestRejected, {
-					request: metadata.value.id,
-					status: 429,
-					reason: usedQuotaReason,
-					customer: customer.name,
-					documentVersion,
-				});
-				this.sendLocalResponse(
+		this.forward(
+			{
+				method: message.method ?? 'GET',
+				requestTarget,
+				rawHeaders: message.rawHeaders,
+				body,
+				arrivedAt: clock.monotonic(),
+				response: new HttpCallerResponse(
 					response,
-					429,
-					metadata.value.id,
-					decision.retryMilliseconds,
-				);
+					() => this.isStopping,
+					this.options.budget,
+				),
+				hasCallerLeft: () =>
+					message.socket.destroyed || message.socket.readableEnded,
+				onCallerLeft(callback) {
+					response.once('close', callback);
+				},
+				origin: undefined,
 			},
+			metadata.value,
+			this.keys.rank(route, customer),
+			{customer: customer?.name, documentVersion: this.document.version},
 		);
 	}
 
@@ -661,7 +616,7 @@
 				lastEventId: origin.lastEventId,
 			},
 			{
-				...withPriorityOf(decision.customer, route),
+				...this.keys.rank(route, decision.customer),
 				maximumExecutions: Math.min(
 					route.maximumExecutions,
 					origin.maximumExecutions,
@@ -1207,26 +1162,3 @@
 	);
 	return index === -1 ? undefined : rawHeaders[index + 1];
 }
-
-/** The route with the priority of a customer, if it has one. */
-function withPriorityOf(
-	customer: Customer | undefined,
-	route: RouteRule,
-): RouteRule {
-	return customer?.priority === undefined
-		? route
-		: {...route, priority: customer.priority};
-}
-
-/** What a request takes of a quota. */
-function unitsOf(
-	{unit, plainTokens}: CustomerQuota,
-	{promptTokens, maximumTokens}: RequestMetadata,
-): number {
-	if (unit === 'request') {
-		return 1;
-	}
-
-	const tokens = promptTokens + maximumTokens;
-	return tokens > 0 ? tokens : plainTokens;
-}
--- a/src/services/forwarding/report-client.ts
+++ b/src/services/forwarding/report-client.ts
@@ -11,7 +11,6 @@
 import {type DocumentChange} from '../../contracts/shared-store.js';
 import {isHostAddress} from '../../contracts/target-address.js';
 import {
-	type CustomerName,
 	type FailureDomain,
 	type HostId,
 	type RequestId,
@@ -27,7 +26,6 @@
 import {type NamedRateLimits} from '../../core/named-rate-limits.js';
 import {type PermitDemand} from '../../core/permit-book.js';
 import {type PermitGrant} from '../../core/permit-issuer.js';
-import {type QuotaDemand, type QuotaGrant} from '../../core/quota-issuer.js';
 import {receivedAge} from '../../core/received-age.js';
 import {ReportRoute, type ReportDestination} from '../../core/report-route.js';
 import {streamLifetimeMilliseconds} from '../../core/stream-origins.js';
@@ -259,31 +257,6 @@
 		}));
 	}
 
-	/** Asks the host to which this one reports for units of quotas. Undefined when it did not respond or issues none. */
-	async acquireQuota(
-		demands: readonly QuotaDemand[],
-	): Promise<readonly QuotaGrant[] | undefined> {
-		const destination = this.destination();
-		if (!destination) {
-			return undefined;
-		}
-
-		const response = await ResultAsync.fromPromise(
-			this.getClient(destination.address).acquireQuota(
-				{demands: [...demands]},
-				{timeoutMs: permitTimeoutMilliseconds},
-			),
-			(cause) => new ReportCallError('the host did not respond', {cause}),
-		);
-		return response.isErr() || !response.value.isIssuer
-			? undefined
-			: response.value.grants.map(({customer, amount, retryMilliseconds}) => ({
-					customer: customer as CustomerName,
-					amount,
-					retryMilliseconds,
-				}));
-	}
-
 	/** Asks the host to which this one reports, and then all other known hosts at once, at which software version a stream began. */
 	async findStream(stream: RequestId): Promise<SoftwareVersion | undefined> {
 		const upstream = this.destination()?.address;
--- a/src/services/forwarding/report-server.ts
+++ b/src/services/forwarding/report-server.ts
@@ -11,7 +11,6 @@
 	type ListenOptions,
 } from '../../base/node/listen.js';
 import {
-	type CustomerName,
 	type HostId,
 	type RequestId,
 	type SoftwareVersion,
@@ -25,7 +24,6 @@
 import {type LeaseStatus} from '../../core/owner-lease.js';
 import {type NamedRateLimits} from '../../core/named-rate-limits.js';
 import {type PermitIssuer} from '../../core/permit-issuer.js';
-import {type QuotaIssuer} from '../../core/quota-issuer.js';
 import {
 	maximumHostsOfRelay,
 	RelayAssignment,
@@ -34,7 +32,6 @@
 import {
 	OwnerService,
 	type AcquirePermitsRequest,
-	type AcquireQuotaRequest,
 	type FindStreamRequest,
 	type ReportRequest,
 } from '../../generated/daisylever/owner/v1/owner_pb.js';
@@ -85,7 +82,6 @@
 	readonly limits: NamedRateLimits;
 	readonly brittle: BrittleTargets;
 	readonly permits: PermitIssuer;
-	readonly quotas: QuotaIssuer;
 	readonly streams: StreamOriginSharing;
 	/** Asks the host to which this one reports at which software version a stream began. */
 	readonly askUpstream: (
@@ -158,7 +154,6 @@
 					router.service(OwnerService, {
 						report: async (request) => this.report(request),
 						acquirePermits: (request) => this.issuePermits(request),
-						acquireQuota: (request) => this.issueQuotas(request),
 						findStream: async (request) => this.findStream(request),
 					});
 					options.addRoutes?.(router);
@@ -309,21 +304,6 @@
 		};
 	}
 
-	private issueQuotas({demands}: AcquireQuotaRequest) {
-		const share = this.permitShare();
-		return share === undefined
-			? {isIssuer: false}
-			: {
-					isIssuer: true,
-					grants: demands.map(({customer, amount}) =>
-						this.options.quotas.issue(
-							{customer: customer as CustomerName, amount},
-							share,
-						),
-					),
-				};
-	}
-
 	/** Answers from what this host knows, or passes the question on to the host to which this one reports. */
 	private async findStream({stream, isForwarded}: FindStreamRequest) {
 		const {streams, askUpstream} = this.options;
--- a/test/forwarding/customer-keys.test.ts
+++ b/test/forwarding/customer-keys.test.ts
@@ -150,6 +150,26 @@
 	assert.equal(lastHeaders().get('request-priority'), '0');
 });
 
+// Guards against customers of one priority whose urgent requests are no longer ahead of their others.
+test('the priorities of customers precede those of routes, which decide among customers of one priority', () => {
+	const [first] = forwardingDocument.routes;
+	const routes = [0, 1, 2].map((priority) => ({...first!, priority}));
+	const prioritiesWith = (...priorities: readonly number[]) => {
+		const customers = priorities.map((priority, index) =>
+			createCustomer(`c${index}`, [], priority),
+		);
+		const keys = new CustomerKeys({routes, customers});
+		return customers.flatMap((customer) =>
+			routes.map((route) => keys.rank(route, customer).priority),
+		);
+	};
+
+	assert.deepEqual(prioritiesWith(1, 1), [0, 1, 2, 0, 1, 2]);
+	assert.deepEqual(prioritiesWith(2, 0), [6, 7, 8, 0, 1, 2]);
+	const keys = new CustomerKeys({routes, customers: []});
+	assert.equal(keys.rank(routes[1]!, undefined).priority, 1);
+});
+
 test('a route without keys serves any request, for no customer', async () => {
 	worker.behaviour = streamEvents(1, 1, 'whole');
 	const headers = {'Api-Key': 'other', Tenant: 'north'};
@@ -298,6 +318,7 @@
 		(_, index) => sha256(`key-${index}`) as KeyDigest,
 	);
 	const keys = new CustomerKeys({
+		routes: [],
 		customers: [0, 1, 2, 3].map((remainder) => ({
 			...createCustomer(`c${remainder}`, []),
 			keyDigests: digests.filter((_, index) => index % 4 === remainder),
