Read customers that an older host left out, and take keys away in the soak

Cause: a document that a host of an older build had read moved the position of a newer host forward without its customers, so that host would not have read the record itself, and would have confirmed its older keys until the next version.

Change: such a document is put in force, and the newest state is read from the store at once. The soak has a key that each version takes away, and sends requests with it to every host, also to those that stand still; none may run that was sent 3 s later.

--- a/src/program/forwarding-root.ts
+++ b/src/program/forwarding-root.ts
@@ -899,6 +899,10 @@
 				ageMilliseconds,
 				confirmationAgeMilliseconds: documentConfirmationAgeMilliseconds,
 			});
+			// A host of an older build has read it, which leaves the customers out.
+			if (document.document.customers === undefined) {
+				this.documents.readAgain();
+			}
 		} else {
 			this.documents.receivePosition(
 				documentPosition,
--- a/src/services/forwarding/state-follower.ts
+++ b/src/services/forwarding/state-follower.ts
@@ -177,6 +177,12 @@
 		this.wake?.();
 	}
 
+	/** Reads the complete state from the store without delay, because what another host sent lacks a part of it. */
+	readAgain(): void {
+		this.position = undefined;
+		this.wake?.();
+	}
+
 	/** Records up to which position another host has read. A newer state is read from the store. */
 	receivePosition(
 		position: StorePosition,
--- a/test/forwarding/state-follower.test.ts
+++ b/test/forwarding/state-follower.test.ts
@@ -99,6 +99,20 @@
 	follower.dispose();
 });
 
+// Guards against a host that never reads what a host of an older build has left out of the state.
+test('a state that lacks a part is read from the store at once, although another host sends it', async () => {
+	const {state, follower, receive} = await start();
+	receive(10, 0);
+	const before = state.reads;
+	follower.readAgain();
+	await waitUntil('a read', () => state.reads > before);
+	receive(10, 0);
+	await setTimeout(100);
+	assert.ok(state.reads - before <= 2, `${state.reads - before} reads`);
+	assert.ok(follower.currentPosition > 0);
+	follower.dispose();
+});
+
 // Guards against a relay that keeps sending what it has known for long, because it is cut off from the store.
 test('a host that receives an old state reads the store itself', async () => {
 	const {state, follower, receive} = await start();
--- a/test/soak/soak-callers.ts
+++ b/test/soak/soak-callers.ts
@@ -1,6 +1,13 @@
 import {Agent, request as httpRequest, type IncomingMessage} from 'node:http';
 import {type RandomSource} from '../../src/base/common/random-source.js';
-import {type HostLife, models, type SoakFleet} from './soak-fleet.js';
+import {
+	keyOfVersion,
+	models,
+	revokeMilliseconds,
+	steadyKey,
+	type HostLife,
+	type SoakFleet,
+} from './soak-fleet.js';
 import {deadlineMilliseconds, type TryResult} from './request-ledger.js';
 import {framings, soakHeaders} from './soak-messages.js';
 import {StreamChecker} from './stream-checker.js';
@@ -44,6 +51,8 @@
 	pauseMilliseconds: 120,
 	totalMilliseconds: 2000,
 } as const;
+/** Interval at which each host gets a request with a key that was taken away. */
+const revokedKeyMilliseconds = 250;
 /** Interval at which a prober asks each host for the newest version of the configuration. */
 const probeMilliseconds = 200;
 
@@ -52,6 +61,8 @@
 	private requestCount = 0;
 	/** Ids of single requests that were refused as not run. */
 	private readonly refused: Array<{id: string; name: string}> = [];
+	/** Requests with keys that had been taken away for too long when they were sent. */
+	private readonly revoked: string[] = [];
 	private isEnding = false;
 
 	constructor(
@@ -62,12 +73,13 @@
 
 	/** Runs callers until `end` is called, and resolves when their last requests have ended. */
 	async run(count: number): Promise<void> {
-		const probers = this.probeVersions();
+		const probers = Promise.all([this.probeVersions(), this.useRevokedKeys()]);
 		await Promise.all(
 			Array.from({length: count}, async (_, index) => this.call(index)),
 		);
 		await probers;
 		this.checkRefused();
+		this.checkRevoked();
 	}
 
 	/** Lets the callers begin nothing new. */
@@ -276,6 +288,79 @@
 		}
 	}
 
+	/** Sends requests with a key that was taken away, also to hosts that stand still. */
+	private async useRevokedKeys(): Promise<void> {
+		const agent = new Agent();
+		const caller: Caller = {
+			name: 'revoked',
+			agent,
+			isFar: false,
+			isSlowReader: false,
+			pauseMilliseconds: 0,
+		};
+		const open: Array<Promise<void>> = [];
+		while (!this.isEnding) {
+			const version = this.fleet.configurationVersion;
+			const key = keyOfVersion(
+				Math.max(1, version - 1 - this.random.integer(3)),
+			);
+			if (this.fleet.revokedAt.has(key)) {
+				for (const life of this.fleet.hostsInRotation()) {
+					open.push(this.useRevokedKey(caller, life, key));
+				}
+			}
+
+			await pause(revokedKeyMilliseconds);
+		}
+
+		await Promise.all(open);
+		agent.destroy();
+	}
+
+	private async useRevokedKey(
+		caller: Caller,
+		life: HostLife,
+		key: string,
+	): Promise<void> {
+		const {record, revokedAt} = this.fleet;
+		const id = `revoked-${this.nextId()}`;
+		const isLate =
+			record.now() - (revokedAt.get(key) ?? Number.POSITIVE_INFINITY) >
+			revokeMilliseconds;
+		// Another build may not check keys.
+		if (isLate && life.program === undefined) {
+			this.revoked.push(id);
+		}
+
+		const {status} = await this.try(caller, life, {
+			id,
+			path: '/again/x',
+			method: 'POST',
+			headers: {
+				'api-key': key,
+				[soakHeaders.name]: id,
+				[soakHeaders.framing]: 'length',
+			},
+			patienceMilliseconds: patience.repeatable,
+		});
+		record.count(
+			`revoked key ${isLate ? 'late' : 'early'}: ${status ?? 'no answer'}`,
+		);
+	}
+
+	private checkRevoked(): void {
+		for (const id of this.revoked) {
+			if (this.fleet.ledger.runCount(id) > 0) {
+				this.fleet.record.report({
+					check: 'ran with a key that was taken away',
+					subject: id,
+					detail: '',
+					requests: [id],
+				});
+			}
+		}
+	}
+
 	/** Asks each host for the newest version that it may know. One that it has seen must not be unknown again. */
 	private async probeVersions(): Promise<void> {
 		const agent = new Agent({keepAlive: true, maxSockets: 4});
@@ -365,6 +450,7 @@
 					host: 'a.example',
 					'request-id': options.id,
 					'deadline-ms': String(deadlineMilliseconds),
+					'api-key': steadyKey,
 					...options.headers,
 				},
 			});
--- a/test/soak/soak-fleet.ts
+++ b/test/soak/soak-fleet.ts
@@ -42,6 +42,10 @@
 const plainWorkers = 2;
 /** Time from SIGTERM until the platform kills a host. */
 const graceMilliseconds = 8000;
+/** Key that every version of the configuration has. */
+export const steadyKey = 'steady-key';
+/** Time from which a key runs nowhere after the version that takes it away was stored. */
+export const revokeMilliseconds = 3000;
 /** Interval at which workers write their entries, and the time after which the entry of a silent one is removed. */
 const beatMilliseconds = 1000;
 const missedBeatsMilliseconds = 3000;
@@ -89,6 +93,8 @@
 		readonly to: HostLife;
 	}> = [];
 
+	/** Time at which each key was taken away. */
+	readonly revokedAt = new Map<string, number>();
 	workers: WorkerProcess[] = [];
 	readonly ledger: RequestLedger;
 	readonly answers: AnswerAccount;
@@ -167,6 +173,10 @@
 				store: this.storeAddress,
 				targets: {drainMilliseconds: 2000},
 				failureDomain: failureDomainOf(Number(name.slice(1))),
+				// Another build may not know the setting.
+				...(program === undefined
+					? {keys: {isRevocationStrict: true, revokeMilliseconds}}
+					: {}),
 			},
 			program,
 		);
@@ -318,6 +328,10 @@
 	putConfiguration(): void {
 		this.configurationVersion++;
 		this.writeConfiguration();
+		this.revokedAt.set(
+			keyOfVersion(this.configurationVersion - 1),
+			this.record.now(),
+		);
 	}
 
 	/** Restores the store from the oldest copy. The operator and the workers write again what they wrote. */
@@ -382,6 +396,7 @@
 		});
 		this.store.put('keyed.op', 'config', {
 			version,
+			tenants: [{name: 'n', api_keys: [steadyKey, keyOfVersion(version)]}],
 			routes: [
 				route('stream-resumable', pools.streams, {
 					kind: 'stream',
@@ -465,3 +480,8 @@
 function failureDomainOf(index: number): string {
 	return failureDomains[index % failureDomains.length]!;
 }
+
+/** The key that only one version of the configuration has. */
+export function keyOfVersion(version: number): string {
+	return `key-${version}`;
+}
