Let the host of the left callers run less until some leave

Change: from the 200th group on the host runs for half as long between the same pauses, every hundred groups, down to 5 ms. The pauses, the checks and the asserted assumption are the same.

--- a/test/process/left-callers.test.ts
+++ b/test/process/left-callers.test.ts
@@ -68,23 +68,20 @@
 	}, patienceMilliseconds);
 }
 
-/** Lets a process run for a part of each period only, as a small machine does. Returns a function that ends this. */
+/** Lets a process run for a part of each period only, as a small machine does. The parts may change. Returns a function that ends this. */
 function slowDown(
 	host: TestProcess,
-	{
-		runMilliseconds,
-		pauseMilliseconds,
-	}: {readonly runMilliseconds: number; readonly pauseMilliseconds: number},
+	pace: {runMilliseconds: number; readonly pauseMilliseconds: number},
 ): () => void {
 	let timer: NodeJS.Timeout;
 	const pause = () => {
 		host.signal('SIGSTOP');
-		timer = setTimeout(run, pauseMilliseconds);
+		timer = setTimeout(run, pace.pauseMilliseconds);
 	};
 
 	const run = () => {
 		host.signal('SIGCONT');
-		timer = setTimeout(pause, runMilliseconds);
+		timer = setTimeout(pause, pace.runMilliseconds);
 	};
 
 	pause();
@@ -115,10 +112,8 @@
 test('a host that has just started sends on no requests of callers that have left', async () => {
 	const {file, ports} = await writeForwardingSettings('starting', {store});
 	const host = new TestProcess(spawnForwarding(file));
-	const endSlowness = slowDown(host, {
-		runMilliseconds: 60,
-		pauseMilliseconds: 40,
-	});
+	const pace = {runMilliseconds: 60, pauseMilliseconds: 40};
+	const endSlowness = slowDown(host, pace);
 	try {
 		await host.json(
 			'the document is in force',
@@ -130,8 +125,12 @@
 			group < 200 || (leftAt.size === 0 && group < 1000);
 			group++
 		) {
-			// A fast machine serves the usual load in time, and then more callers come until some leave.
+			// A fast machine serves the usual load in time, and then more callers come, and it runs less, until some leave.
 			const callers = group < 200 ? 2 : group / 50;
+			if (group >= 200 && group % 100 === 0) {
+				pace.runMilliseconds = Math.max(5, pace.runMilliseconds / 2);
+			}
+
 			for (let each = 0; each < callers; each++) {
 				call(ports.callers!, 200 + 5 * ((lastCall * 37) % 160));
 			}
