--- a/scripts/write-golden-records.mjs
+++ b/scripts/write-golden-records.mjs
@@ -124,9 +124,9 @@
 
 async function writeControlRecords() {
 	const {controlRecordSchema} = await load('src/contracts/control-record.ts');
-	const {ControlState} = await load('src/core/control-state.ts');
+	const {ControlState} = await load('src/core/documents/control-state.ts');
 	const {SchemaOnlyDocumentValidator} = await load(
-		'src/core/document-validator.ts',
+		'src/core/documents/document-validator.ts',
 	);
 	const group = 'group/engines/north';
 	const plan = 'plan/engines';
@@ -246,7 +246,7 @@
 
 async function writeClaimRecords() {
 	const {claimRecordSchema} = await load('src/contracts/claim-record.ts');
-	const {ClaimIndex} = await load('src/core/claim-index.ts');
+	const {ClaimIndex} = await load('src/core/claims/claim-index.ts');
 	const key = (name) => ({caller: 'shed-1', key: `key-${name}`});
 	const claim = (name) => ({
 		kind: 'key-claimed',
--- a/src/core/admission-policy.ts
+++ b/src/core/admission/admission-policy.ts
@@ -1,6 +1,6 @@
 import {err, ok, type Result} from 'neverthrow';
-import {type Clock} from '../base/common/clock.js';
-import {type CallerId} from '../contracts/ids.js';
+import {type Clock} from '../../base/common/clock.js';
+import {type CallerId} from '../../contracts/ids.js';
 import {type CallerLimiter} from './caller-limiter.js';
 
 /** Why a request was refused. */
--- a/src/core/backlog-estimator.ts
+++ b/src/core/admission/backlog-estimator.ts
@@ -1,4 +1,4 @@
-import {type Clock} from '../base/common/clock.js';
+import {type Clock} from '../../base/common/clock.js';
 
 /** Collaborators of the estimator. */
 export type BacklogEstimatorOptions = {
--- a/src/core/caller-limiter.ts
+++ b/src/core/admission/caller-limiter.ts
@@ -1,6 +1,6 @@
-import {type Clock} from '../base/common/clock.js';
-import {type AdmissionSettings} from '../contracts/fleet-document.js';
-import {type CallerId, type HostId} from '../contracts/ids.js';
+import {type Clock} from '../../base/common/clock.js';
+import {type AdmissionSettings} from '../../contracts/fleet-document.js';
+import {type CallerId, type HostId} from '../../contracts/ids.js';
 
 /** Result of checking one more request against the limit of its caller. */
 export type LimitDecision = {
--- a/src/core/start-limiter.ts
+++ b/src/core/admission/start-limiter.ts
@@ -1,5 +1,5 @@
-import {type Clock} from '../base/common/clock.js';
-import {type RequestId, type TargetId} from '../contracts/ids.js';
+import {type Clock} from '../../base/common/clock.js';
+import {type RequestId, type TargetId} from '../../contracts/ids.js';
 
 /** Collaborators and settings of the limiter. */
 export type StartLimiterOptions = {
--- a/src/core/burn-rate.ts
+++ b/src/core/burn/burn-rate.ts
@@ -1,6 +1,6 @@
-import {type Clock} from '../base/common/clock.js';
-import {type Objectives} from '../contracts/fleet-document.js';
-import {type CallerClassName} from '../contracts/ids.js';
+import {type Clock} from '../../base/common/clock.js';
+import {type Objectives} from '../../contracts/fleet-document.js';
+import {type CallerClassName} from '../../contracts/ids.js';
 
 /** How a request counts against the objectives of its caller class. */
 export type Judgement = 'good' | 'bad' | 'excluded';
--- a/src/core/burn-report.ts
+++ b/src/core/burn/burn-report.ts
@@ -1,8 +1,8 @@
 import {
 	type CallerClass,
 	type Objectives,
-} from '../contracts/fleet-document.js';
-import {type CallerClassName} from '../contracts/ids.js';
+} from '../../contracts/fleet-document.js';
+import {type CallerClassName} from '../../contracts/ids.js';
 import {formatTable} from './text-table.js';
 import {
 	burnRate,
--- a/src/core/response-burn.ts
+++ b/src/core/burn/response-burn.ts
@@ -1,4 +1,4 @@
-import {type RouteName} from '../contracts/ids.js';
+import {type RouteName} from '../../contracts/ids.js';
 import {burnRate, type Judgement, type JudgementCounts} from './burn-rate.js';
 import {formatTable} from './text-table.js';
 
--- a/src/core/windowed-quantile.ts
+++ b/src/core/burn/windowed-quantile.ts
@@ -1,5 +1,5 @@
 import {build, type Histogram} from 'hdr-histogram-js';
-import {type Clock} from '../base/common/clock.js';
+import {type Clock} from '../../base/common/clock.js';
 
 /** Approximate quantiles over the last one to two periods, from two histograms used in rotation. */
 export class WindowedQuantile {
--- a/src/core/claim-index.ts
+++ b/src/core/claims/claim-index.ts
@@ -2,15 +2,15 @@
 	claimRecordSchema,
 	type ClaimRecord,
 	type RecordedOutcome,
-} from '../contracts/claim-record.js';
+} from '../../contracts/claim-record.js';
 import {
 	type CallerId,
 	type IdempotencyKey,
 	type IncarnationId,
 	type LogOffset,
 	type RequestId,
-} from '../contracts/ids.js';
-import {type StoredRecord} from '../contracts/log-service.js';
+} from '../../contracts/ids.js';
+import {type StoredRecord} from '../../contracts/log-service.js';
 
 /** State of an idempotency key, identical on all hosts that have read the same records. */
 export type ClaimEntry = {
--- a/src/core/record-time-index.ts
+++ b/src/core/claims/record-time-index.ts
@@ -1,4 +1,4 @@
-import {type LogOffset} from '../contracts/ids.js';
+import {type LogOffset} from '../../contracts/ids.js';
 
 type TimeMark = {readonly offset: LogOffset; readonly time: number};
 
--- a/src/core/time-ordered-key.ts
+++ b/src/core/claims/time-ordered-key.ts
@@ -1,5 +1,5 @@
 import {parse, validate, version} from 'uuid';
-import {type IdempotencyKey} from '../contracts/ids.js';
+import {type IdempotencyKey} from '../../contracts/ids.js';
 
 /** Length of the big-endian timestamp at the start of a version 7 UUID. */
 const timestampBytes = 6;
--- a/src/core/crash-correlation.ts
+++ b/src/core/crashes/crash-correlation.ts
@@ -1,12 +1,12 @@
-import {type Clock} from '../base/common/clock.js';
+import {type Clock} from '../../base/common/clock.js';
 import {
 	type Fingerprint,
 	type PromptPartId,
 	type RequestId,
 	type TargetId,
 	type TargetIncarnation,
-} from '../contracts/ids.js';
-import {type SuspicionReport} from '../contracts/suspicion-report.js';
+} from '../../contracts/ids.js';
+import {type SuspicionReport} from '../../contracts/suspicion-report.js';
 import {QuarantinePolicy} from './quarantine-policy.js';
 
 /** Collaborators of the correlation. */
--- a/src/core/quarantine-policy.ts
+++ b/src/core/crashes/quarantine-policy.ts
@@ -2,8 +2,8 @@
 	type Fingerprint,
 	type TargetId,
 	type TargetIncarnation,
-} from '../contracts/ids.js';
-import {type SuspicionReport} from '../contracts/suspicion-report.js';
+} from '../../contracts/ids.js';
+import {type SuspicionReport} from '../../contracts/suspicion-report.js';
 
 /** Status of a fingerprint: `clear` may run anywhere, `suspect` only in isolation, `quarantined` not at all. */
 export type QuarantineStatus = 'clear' | 'suspect' | 'quarantined';
--- a/src/core/control-state.ts
+++ b/src/core/documents/control-state.ts
@@ -4,17 +4,17 @@
 	type ApplyOutcome,
 	type EditConflict,
 	type IgnoreCode,
-} from '../contracts/control-log.js';
+} from '../../contracts/control-log.js';
 import {
 	controlRecordSchema,
 	type ControlRecord,
 	type OrderIntent,
 	type PlanChange,
-} from '../contracts/control-record.js';
+} from '../../contracts/control-record.js';
 import {
 	fleetDocumentSchema,
 	type FleetDocument,
-} from '../contracts/fleet-document.js';
+} from '../../contracts/fleet-document.js';
 import {
 	type ArtifactKey,
 	type FailureDomain,
@@ -30,10 +30,10 @@
 	type Revision,
 	type TargetId,
 	type TargetIncarnation,
-} from '../contracts/ids.js';
-import {type StoredRecord} from '../contracts/log-service.js';
+} from '../../contracts/ids.js';
+import {type StoredRecord} from '../../contracts/log-service.js';
+import {groupLeaseName, planLeaseName} from '../leases/lease-names.js';
 import {type DocumentValidator} from './document-validator.js';
-import {groupLeaseName, planLeaseName} from './lease-names.js';
 
 // All limits count records or entries, never time, so that every host removes the same entries.
 // An appender repeats a record for at most 30 s, which is 3000 records at 100 records per second.
--- a/src/core/document-difference.ts
+++ b/src/core/documents/document-difference.ts
@@ -1,5 +1,5 @@
-import {canonicalJson} from '../base/common/digest.js';
-import {type FleetDocument} from '../contracts/fleet-document.js';
+import {canonicalJson} from '../../base/common/digest.js';
+import {type FleetDocument} from '../../contracts/fleet-document.js';
 
 /** A difference between two documents. */
 export type DocumentDifference = {
--- a/src/core/document-validator.ts
+++ b/src/core/documents/document-validator.ts
@@ -4,8 +4,8 @@
 	type FleetDocument,
 	type Model,
 	type Pool,
-} from '../contracts/fleet-document.js';
-import {packMemory} from './memory-packing.js';
+} from '../../contracts/fleet-document.js';
+import {packMemory} from '../placement/memory-packing.js';
 import {nearestName} from './nearest-name.js';
 import {
 	formatPath,
--- a/src/core/customer-keys.ts
+++ b/src/core/fairness/customer-keys.ts
@@ -2,8 +2,8 @@
 	type Customer,
 	type ForwardingDocument,
 	type RouteRule,
-} from '../contracts/forwarding-document.js';
-import {type KeyDigest} from '../contracts/ids.js';
+} from '../../contracts/forwarding-document.js';
+import {type KeyDigest} from '../../contracts/ids.js';
 
 /** Outcome of the check of a request's key. The customer is undefined if the request needs no key. */
 export type KeyDecision =
--- a/src/core/dispatch-queue.ts
+++ b/src/core/fairness/dispatch-queue.ts
@@ -1,10 +1,10 @@
 import {err, ok, type Result} from 'neverthrow';
-import {type Clock} from '../base/common/clock.js';
+import {type Clock} from '../../base/common/clock.js';
 import {
 	type CallerId,
 	type RequestId,
 	type TargetId,
-} from '../contracts/ids.js';
+} from '../../contracts/ids.js';
 
 /** Urgency class of a caller, as configured in the document. */
 export type Urgency = 'urgent' | 'standard' | 'deferred';
--- a/src/core/lease-names.ts
+++ b/src/core/leases/lease-names.ts
@@ -2,7 +2,7 @@
 	type FailureDomain,
 	type LeaseName,
 	type PoolName,
-} from '../contracts/ids.js';
+} from '../../contracts/ids.js';
 
 /** Name of the lease of the host that plans the placement of a pool. */
 export function planLeaseName(pool: PoolName): LeaseName {
--- a/src/core/lease-policy.ts
+++ b/src/core/leases/lease-policy.ts
@@ -1,13 +1,13 @@
-import {rendezvousOrder} from '../base/common/rendezvous-hash.js';
-import {type FleetDocument} from '../contracts/fleet-document.js';
+import {rendezvousOrder} from '../../base/common/rendezvous-hash.js';
+import {type FleetDocument} from '../../contracts/fleet-document.js';
 import {
 	type FencingToken,
 	type HostId,
 	type IncarnationId,
 	type LeaseName,
 	type LogOffset,
-} from '../contracts/ids.js';
-import {type HostRecord, type LeaseState} from './control-state.js';
+} from '../../contracts/ids.js';
+import {type HostRecord, type LeaseState} from '../documents/control-state.js';
 import {
 	claimsLeaseName,
 	groupLeaseName,
--- a/src/core/owner-lease.ts
+++ b/src/core/leases/owner-lease.ts
@@ -1,11 +1,11 @@
-import {type FencingToken, type HostId} from '../contracts/ids.js';
+import {type FencingToken, type HostId} from '../../contracts/ids.js';
 import {
 	type ConditionalAppendOutcome,
 	type OwnerRecord,
 	type OwnerRecords,
 	type PositionedOwnerRecord,
 	type StorePosition,
-} from '../contracts/shared-store.js';
+} from '../../contracts/shared-store.js';
 
 /** Durations and intervals of the owner lease. */
 export type OwnerLeaseTiming = {
--- a/src/core/brittle-targets.ts
+++ b/src/core/limits/brittle-targets.ts
@@ -1,6 +1,6 @@
-import {type Clock} from '../base/common/clock.js';
-import {TypedEvent} from '../base/common/typed-event.js';
-import {type TargetId} from '../contracts/ids.js';
+import {type Clock} from '../../base/common/clock.js';
+import {TypedEvent} from '../../base/common/typed-event.js';
+import {type TargetId} from '../../contracts/ids.js';
 
 /** What a target said of being brittle, for other hosts. Hosts have no common clock, so the time is an age. */
 export type BrittleNews = {
--- a/src/core/byte-budget.ts
+++ b/src/core/limits/byte-budget.ts
@@ -1,4 +1,4 @@
-import {TypedEvent} from '../base/common/typed-event.js';
+import {TypedEvent} from '../../base/common/typed-event.js';
 
 /** Bodies up to this size are taken in any case, so that large ones that nobody reads do not cost all other callers theirs. */
 const smallBodyBytes = 65_536;
--- a/src/core/named-rate-limits.ts
+++ b/src/core/limits/named-rate-limits.ts
@@ -1,6 +1,6 @@
-import {type Clock} from '../base/common/clock.js';
-import {TypedEvent} from '../base/common/typed-event.js';
-import {type TargetId} from '../contracts/ids.js';
+import {type Clock} from '../../base/common/clock.js';
+import {TypedEvent} from '../../base/common/typed-event.js';
+import {type TargetId} from '../../contracts/ids.js';
 
 /** The rate that a target named in an answer. */
 export type NamedRateLimit = {
--- a/src/core/permit-book.ts
+++ b/src/core/limits/permit-book.ts
@@ -1,6 +1,6 @@
-import {type Clock} from '../base/common/clock.js';
-import {TypedEvent} from '../base/common/typed-event.js';
-import {type TargetId} from '../contracts/ids.js';
+import {type Clock} from '../../base/common/clock.js';
+import {TypedEvent} from '../../base/common/typed-event.js';
+import {type TargetId} from '../../contracts/ids.js';
 import {type NamedRateLimits} from './named-rate-limits.js';
 import {type PermitGrant} from './permit-issuer.js';
 
--- a/src/core/permit-issuer.ts
+++ b/src/core/limits/permit-issuer.ts
@@ -1,5 +1,5 @@
-import {type Clock} from '../base/common/clock.js';
-import {type TargetId} from '../contracts/ids.js';
+import {type Clock} from '../../base/common/clock.js';
+import {type TargetId} from '../../contracts/ids.js';
 import {type NamedRateLimits} from './named-rate-limits.js';
 
 /** Permits for requests to a target that names a rate. */
--- a/src/core/refusal-limits.ts
+++ b/src/core/limits/refusal-limits.ts
@@ -1,10 +1,10 @@
-import {type Clock} from '../base/common/clock.js';
-import {type RandomSource} from '../base/common/random-source.js';
-import {TypedEvent} from '../base/common/typed-event.js';
-import {type TargetId} from '../contracts/ids.js';
-import {type ReportedLoad} from '../contracts/request-codec.js';
+import {type Clock} from '../../base/common/clock.js';
+import {type RandomSource} from '../../base/common/random-source.js';
+import {TypedEvent} from '../../base/common/typed-event.js';
+import {type TargetId} from '../../contracts/ids.js';
+import {type ReportedLoad} from '../../contracts/request-codec.js';
+import {type TargetLoad} from '../routing/target-load-tracker.js';
 import {type BrittleTargets} from './brittle-targets.js';
-import {type TargetLoad} from './target-load-tracker.js';
 
 /** Collaborators of the limits. */
 export type RefusalLimitsOptions = {
--- a/src/core/entry-revisions.ts
+++ b/src/core/membership/entry-revisions.ts
@@ -1,6 +1,6 @@
-import {type Clock} from '../base/common/clock.js';
-import {type TargetId} from '../contracts/ids.js';
-import {type EntryRevision} from '../contracts/listed-target.js';
+import {type Clock} from '../../base/common/clock.js';
+import {type TargetId} from '../../contracts/ids.js';
+import {type EntryRevision} from '../../contracts/listed-target.js';
 
 type KnownEntry = {
 	readonly revision: EntryRevision | undefined;
--- a/src/core/membership.ts
+++ b/src/core/membership/membership.ts
@@ -1,11 +1,11 @@
-import {rendezvousOrder} from '../base/common/rendezvous-hash.js';
-import {type HostListEntry} from '../contracts/host-list.js';
+import {rendezvousOrder} from '../../base/common/rendezvous-hash.js';
+import {type HostListEntry} from '../../contracts/host-list.js';
 import {
 	type FailureDomain,
 	type HostId,
 	type IncarnationId,
-} from '../contracts/ids.js';
-import {type HostRecord} from './control-state.js';
+} from '../../contracts/ids.js';
+import {type HostRecord} from '../documents/control-state.js';
 
 /** Timeouts that determine the status of hosts. */
 export type MembershipTimeouts = {
--- a/src/core/relay-assignment.ts
+++ b/src/core/membership/relay-assignment.ts
@@ -1,6 +1,6 @@
-import {type Clock} from '../base/common/clock.js';
-import {rendezvousOrder} from '../base/common/rendezvous-hash.js';
-import {type FailureDomain, type HostId} from '../contracts/ids.js';
+import {type Clock} from '../../base/common/clock.js';
+import {rendezvousOrder} from '../../base/common/rendezvous-hash.js';
+import {type FailureDomain, type HostId} from '../../contracts/ids.js';
 
 /** A host that reports to the owner itself, as a candidate for a relay. */
 export type RelayCandidate = {
--- a/src/core/report-route.ts
+++ b/src/core/membership/report-route.ts
@@ -1,4 +1,4 @@
-import {type Clock} from '../base/common/clock.js';
+import {type Clock} from '../../base/common/clock.js';
 
 /** The host to which the next report goes. */
 export type ReportDestination = {
--- a/src/core/order-ledger.ts
+++ b/src/core/orders/order-ledger.ts
@@ -1,13 +1,13 @@
 import {type Result} from 'neverthrow';
-import {type Artifact} from '../contracts/artifact.js';
-import {type EngineOrder, type TargetReport} from '../contracts/engine.js';
+import {type Artifact} from '../../contracts/artifact.js';
+import {type EngineOrder, type TargetReport} from '../../contracts/engine.js';
 import {
 	type ArtifactKey,
 	type FencingToken,
 	type OrderId,
 	type TargetId,
 	type TargetIncarnation,
-} from '../contracts/ids.js';
+} from '../../contracts/ids.js';
 
 /** An order cannot be prepared for a target at present. */
 export class OrderLedgerError extends Error {
--- a/src/core/recorded-order-ledger.ts
+++ b/src/core/orders/recorded-order-ledger.ts
@@ -1,12 +1,12 @@
 import {err, ok, type Result} from 'neverthrow';
-import {type Artifact} from '../contracts/artifact.js';
-import {type OrderIntent} from '../contracts/control-record.js';
-import {type EngineOrder, type TargetReport} from '../contracts/engine.js';
+import {type Artifact} from '../../contracts/artifact.js';
+import {type OrderIntent} from '../../contracts/control-record.js';
+import {type EngineOrder, type TargetReport} from '../../contracts/engine.js';
 import {
 	type ArtifactKey,
 	type FencingToken,
 	type OrderId,
-} from '../contracts/ids.js';
+} from '../../contracts/ids.js';
 import {
 	OrderLedger,
 	OrderLedgerError,
--- a/src/core/sequenced-order-ledger.ts
+++ b/src/core/orders/sequenced-order-ledger.ts
@@ -2,9 +2,12 @@
 	type AdapterId,
 	type ModelId,
 	type TargetIncarnation,
-} from '../contracts/ids.js';
-import {type TargetOrderState} from '../contracts/target-orders.js';
-import {adapterKey, type AdapterReference} from './adapter-slot-policy.js';
+} from '../../contracts/ids.js';
+import {type TargetOrderState} from '../../contracts/target-orders.js';
+import {
+	adapterKey,
+	type AdapterReference,
+} from '../placement/adapter-slot-policy.js';
 
 /** The operation of an order, without the fields that identify its sender. */
 export type OrderSubject = {
--- a/src/core/adapter-slot-policy.ts
+++ b/src/core/placement/adapter-slot-policy.ts
@@ -1,4 +1,8 @@
-import {type AdapterId, type ModelId, type TargetId} from '../contracts/ids.js';
+import {
+	type AdapterId,
+	type ModelId,
+	type TargetId,
+} from '../../contracts/ids.js';
 
 /** An adapter together with the model that it extends. */
 export type AdapterReference = {
--- a/src/core/demand-collector.ts
+++ b/src/core/placement/demand-collector.ts
@@ -1,5 +1,5 @@
-import {type Clock} from '../base/common/clock.js';
-import {type HostId} from '../contracts/ids.js';
+import {type Clock} from '../../base/common/clock.js';
+import {type HostId} from '../../contracts/ids.js';
 import {sumDemand, type DemandSum, type HostDemand} from './host-demand.js';
 
 /** Collaborators of the collector. */
--- a/src/core/dormancy-policy.ts
+++ b/src/core/placement/dormancy-policy.ts
@@ -1,4 +1,4 @@
-import {type ModelId} from '../contracts/ids.js';
+import {type ModelId} from '../../contracts/ids.js';
 
 /** Options of a {@link DormancyPolicy}. */
 export type DormancyPolicyOptions = {
--- a/src/core/host-demand.ts
+++ b/src/core/placement/host-demand.ts
@@ -3,7 +3,7 @@
 	type HostId,
 	type ModelId,
 	type SoftwareVersion,
-} from '../contracts/ids.js';
+} from '../../contracts/ids.js';
 
 /** Recent demand of one host, or of several together, for a model. */
 export type ModelDemand = {
--- a/src/core/load-pacer.ts
+++ b/src/core/placement/load-pacer.ts
@@ -1,5 +1,5 @@
-import {type ArtifactKind} from '../contracts/artifact.js';
-import {type WeightStoreLimits} from '../contracts/fleet-document.js';
+import {type ArtifactKind} from '../../contracts/artifact.js';
+import {type WeightStoreLimits} from '../../contracts/fleet-document.js';
 
 /** The share of the weight store's load budget that belongs to one of several owners. */
 export type BudgetShare = {
--- a/src/core/overdue-loads.ts
+++ b/src/core/placement/overdue-loads.ts
@@ -1,4 +1,4 @@
-import {type ArtifactKey, type TargetId} from '../contracts/ids.js';
+import {type ArtifactKey, type TargetId} from '../../contracts/ids.js';
 
 /** Options of an {@link OverdueLoads}. */
 export type OverdueLoadsOptions = {
--- a/src/core/placement-planner.ts
+++ b/src/core/placement/placement-planner.ts
@@ -1,4 +1,4 @@
-import {type Artifact} from '../contracts/artifact.js';
+import {type Artifact} from '../../contracts/artifact.js';
 import {
 	type Placement,
 	type PlacementInput,
--- a/src/core/placement-policy.ts
+++ b/src/core/placement/placement-policy.ts
@@ -1,15 +1,15 @@
-import {type Artifact} from '../contracts/artifact.js';
+import {type Artifact} from '../../contracts/artifact.js';
 import {
 	type Adapter,
 	type Model,
 	type WeightStoreLimits,
-} from '../contracts/fleet-document.js';
+} from '../../contracts/fleet-document.js';
 import {
 	type ArtifactKey,
 	type FailureDomain,
 	type ModelId,
 	type TargetId,
-} from '../contracts/ids.js';
+} from '../../contracts/ids.js';
 
 /** An artifact in the memory of a target, according to the newest state that is known of the target. */
 export type HeldArtifact = {
--- a/src/core/placement-workspace.ts
+++ b/src/core/placement/placement-workspace.ts
@@ -2,17 +2,17 @@
 	adapterArtifact,
 	modelArtifact,
 	type Artifact,
-} from '../contracts/artifact.js';
+} from '../../contracts/artifact.js';
 import {
 	type Adapter,
 	type Model,
 	type WeightStoreLimits,
-} from '../contracts/fleet-document.js';
+} from '../../contracts/fleet-document.js';
 import {
 	type ArtifactKey,
 	type FailureDomain,
 	type TargetId,
-} from '../contracts/ids.js';
+} from '../../contracts/ids.js';
 import {
 	type HeldArtifact,
 	type Placement,
--- a/src/core/refused-demand.ts
+++ b/src/core/placement/refused-demand.ts
@@ -1,5 +1,5 @@
-import {type Clock} from '../base/common/clock.js';
-import {type ModelId} from '../contracts/ids.js';
+import {type Clock} from '../../base/common/clock.js';
+import {type ModelId} from '../../contracts/ids.js';
 
 /** Collaborators of the count. */
 export type RefusedDemandOptions = {
--- a/src/core/residency-tracker.ts
+++ b/src/core/placement/residency-tracker.ts
@@ -1,5 +1,5 @@
-import {type TargetReport} from '../contracts/engine.js';
-import {type ArtifactKey, type TargetIncarnation} from '../contracts/ids.js';
+import {type TargetReport} from '../../contracts/engine.js';
+import {type ArtifactKey, type TargetIncarnation} from '../../contracts/ids.js';
 
 type Residency = {
 	readonly incarnation: TargetIncarnation;
--- a/src/core/served-demand.ts
+++ b/src/core/placement/served-demand.ts
@@ -1,6 +1,6 @@
-import {type AdapterId, type ModelId} from '../contracts/ids.js';
+import {type AdapterId, type ModelId} from '../../contracts/ids.js';
+import {formatTable} from '../burn/text-table.js';
 import {adapterKey} from './adapter-slot-policy.js';
-import {formatTable} from './text-table.js';
 
 /** A model request as the log of a forwarding host records it. */
 export type LoggedModelRequest = {
--- a/src/core/hedging-policy.ts
+++ b/src/core/routing/hedging-policy.ts
@@ -1,6 +1,6 @@
-import {type Clock} from '../base/common/clock.js';
-import {type RetryBudget} from './retry-budget.js';
-import {WindowedQuantile} from './windowed-quantile.js';
+import {type Clock} from '../../base/common/clock.js';
+import {type RetryBudget} from '../limits/retry-budget.js';
+import {WindowedQuantile} from '../burn/windowed-quantile.js';
 
 /** Collaborators and settings of hedging. */
 export type HedgingPolicyOptions = {
--- a/src/core/hold-backs.ts
+++ b/src/core/routing/hold-backs.ts
@@ -1,5 +1,5 @@
-import {type Clock} from '../base/common/clock.js';
-import {type TargetId} from '../contracts/ids.js';
+import {type Clock} from '../../base/common/clock.js';
+import {type TargetId} from '../../contracts/ids.js';
 
 /** Longest time for which a target is held back by one answer. One that names more is asked again after it, because nothing else tells that it wants requests earlier. */
 export const maximumHoldMilliseconds = 60_000;
--- a/src/core/isolation-policy.ts
+++ b/src/core/routing/isolation-policy.ts
@@ -1,4 +1,4 @@
-import {type RequestId, type TargetId} from '../contracts/ids.js';
+import {type RequestId, type TargetId} from '../../contracts/ids.js';
 import {type TargetLoad} from './target-load-tracker.js';
 
 /** Isolates suspect requests, which may have crashed a target: runs one at a time, on a target that receives no other work meanwhile. */
--- a/src/core/leaving-targets.ts
+++ b/src/core/routing/leaving-targets.ts
@@ -1,5 +1,5 @@
-import {type Clock} from '../base/common/clock.js';
-import {type TargetId, type TargetIncarnation} from '../contracts/ids.js';
+import {type Clock} from '../../base/common/clock.js';
+import {type TargetId, type TargetIncarnation} from '../../contracts/ids.js';
 
 /** A target that said that it leaves. */
 export type LeavingTarget = {
--- a/src/core/peer-selection.ts
+++ b/src/core/routing/peer-selection.ts
@@ -1,5 +1,5 @@
-import {type Clock} from '../base/common/clock.js';
-import {type RandomSource} from '../base/common/random-source.js';
+import {type Clock} from '../../base/common/clock.js';
+import {type RandomSource} from '../../base/common/random-source.js';
 
 /** Collaborators of the selection. */
 export type PeerSelectionOptions = {
--- a/src/core/prefix-affinity.ts
+++ b/src/core/routing/prefix-affinity.ts
@@ -1,6 +1,6 @@
-import {type Clock} from '../base/common/clock.js';
-import {type CacheEvent} from '../contracts/engine.js';
-import {type AdapterId, type TargetId} from '../contracts/ids.js';
+import {type Clock} from '../../base/common/clock.js';
+import {type CacheEvent} from '../../contracts/engine.js';
+import {type AdapterId, type TargetId} from '../../contracts/ids.js';
 
 /** Collaborators and settings of the affinity. */
 export type PrefixAffinityOptions = {
--- a/src/core/route-table.ts
+++ b/src/core/routing/route-table.ts
@@ -1,9 +1,9 @@
-import {type RandomSource} from '../base/common/random-source.js';
+import {type RandomSource} from '../../base/common/random-source.js';
 import {
 	type ForwardingDocument,
 	type RouteRule,
-} from '../contracts/forwarding-document.js';
-import {type PoolName} from '../contracts/ids.js';
+} from '../../contracts/forwarding-document.js';
+import {type PoolName} from '../../contracts/ids.js';
 
 /** Finds the route of a request by host name and longest matching path prefix. */
 export class RouteTable {
--- a/src/core/routing-policy.ts
+++ b/src/core/routing/routing-policy.ts
@@ -1,5 +1,5 @@
-import {type RandomSource} from '../base/common/random-source.js';
-import {type TargetId} from '../contracts/ids.js';
+import {type RandomSource} from '../../base/common/random-source.js';
+import {type TargetId} from '../../contracts/ids.js';
 
 /** State of a target that routing compares. */
 export type RoutingCandidate = {
--- a/src/core/slot-policy.ts
+++ b/src/core/routing/slot-policy.ts
@@ -1,4 +1,4 @@
-import {type HostId, type TargetId} from '../contracts/ids.js';
+import {type HostId, type TargetId} from '../../contracts/ids.js';
 import {type TargetLoad} from './target-load-tracker.js';
 
 /** Settings of the slot policy. */
--- a/src/core/target-load-tracker.ts
+++ b/src/core/routing/target-load-tracker.ts
@@ -1,6 +1,6 @@
-import {type Clock} from '../base/common/clock.js';
-import {type TargetReport} from '../contracts/engine.js';
-import {type RequestId, type TargetId} from '../contracts/ids.js';
+import {type Clock} from '../../base/common/clock.js';
+import {type TargetReport} from '../../contracts/engine.js';
+import {type RequestId, type TargetId} from '../../contracts/ids.js';
 
 /** The fields of a target report that concern its load. */
 export type LoadReport = Pick<
--- a/src/core/target-reachability.ts
+++ b/src/core/routing/target-reachability.ts
@@ -1,8 +1,8 @@
-import {type Clock} from '../base/common/clock.js';
-import {TypedEvent} from '../base/common/typed-event.js';
-import {type PoolName, type TargetId} from '../contracts/ids.js';
-import {PoolReachability} from '../contracts/pool-reachability.js';
-import {HeldRefusals, type RefusalDecision} from './held-refusals.js';
+import {type Clock} from '../../base/common/clock.js';
+import {TypedEvent} from '../../base/common/typed-event.js';
+import {type PoolName, type TargetId} from '../../contracts/ids.js';
+import {PoolReachability} from '../../contracts/pool-reachability.js';
+import {HeldRefusals, type RefusalDecision} from '../streams/held-refusals.js';
 
 /** Kind of an observation that a target does not answer this host. */
 export type ReachabilityFailure =
--- a/src/core/held-refusals.ts
+++ b/src/core/streams/held-refusals.ts
@@ -1,5 +1,5 @@
-import {type Clock} from '../base/common/clock.js';
-import {type PoolName, type TargetId} from '../contracts/ids.js';
+import {type Clock} from '../../base/common/clock.js';
+import {type PoolName, type TargetId} from '../../contracts/ids.js';
 
 /** Receives whether a refused connection proves that the process of its target has ended. */
 export type RefusalDecision = (isProof: boolean) => void;
--- a/src/core/stream-assembler.ts
+++ b/src/core/streams/stream-assembler.ts
@@ -1,5 +1,5 @@
-import {type GenerationEvent} from '../contracts/engine.js';
-import {type RequestId} from '../contracts/ids.js';
+import {type GenerationEvent} from '../../contracts/engine.js';
+import {type RequestId} from '../../contracts/ids.js';
 
 /** Effect of a stream event on the response. */
 export type AssemblyResult =
--- a/src/core/stream-origins.ts
+++ b/src/core/streams/stream-origins.ts
@@ -1,6 +1,6 @@
-import {type Clock} from '../base/common/clock.js';
-import {type RequestId, type SoftwareVersion} from '../contracts/ids.js';
-import {type StreamOrigin} from '../contracts/stream-origin.js';
+import {type Clock} from '../../base/common/clock.js';
+import {type RequestId, type SoftwareVersion} from '../../contracts/ids.js';
+import {type StreamOrigin} from '../../contracts/stream-origin.js';
 
 /** Streams that one read returned, and the revision up to which the reader has them. */
 export type StreamOriginChanges = {
--- a/src/core/stream-times.ts
+++ b/src/core/streams/stream-times.ts
@@ -1,4 +1,4 @@
-import {AnswerTimes} from './answer-times.js';
+import {AnswerTimes} from '../burn/answer-times.js';
 
 /** One complete stream of events. */
 export type CompleteStream = {
--- a/src/core/version-history.ts
+++ b/src/core/streams/version-history.ts
@@ -1,9 +1,9 @@
-import {type Clock} from '../base/common/clock.js';
-import {type PoolName, type SoftwareVersion} from '../contracts/ids.js';
+import {type Clock} from '../../base/common/clock.js';
+import {type PoolName, type SoftwareVersion} from '../../contracts/ids.js';
 import {
 	type SeenVersion,
 	type VersionReport,
-} from '../contracts/version-report.js';
+} from '../../contracts/version-report.js';
 import {streamLifetimeMilliseconds} from './stream-origins.js';
 
 /** Options of the version history. */
--- a/src/core/length-estimator.ts
+++ b/src/core/work/length-estimator.ts
@@ -1,4 +1,4 @@
-import {type CallerId, type OfferingName} from '../contracts/ids.js';
+import {type CallerId, type OfferingName} from '../../contracts/ids.js';
 
 /** Features of a request that are known before it runs. */
 export type LengthFeatures = {
--- a/src/measure/capacity/duty-states.ts
+++ b/src/measure/capacity/duty-states.ts
@@ -12,12 +12,12 @@
 	type RecordId,
 	type TargetId,
 } from '../../contracts/ids.js';
-import {ClaimIndex} from '../../core/claim-index.js';
-import {PlacementPlanner} from '../../core/placement-planner.js';
+import {ClaimIndex} from '../../core/claims/claim-index.js';
+import {PlacementPlanner} from '../../core/placement/placement-planner.js';
 import {
 	type HeldArtifact,
 	type PlacementTarget,
-} from '../../core/placement-policy.js';
+} from '../../core/placement/placement-policy.js';
 import {buildFleetDocument} from './fleet-document.js';
 
 setFlagsFromString('--expose-gc');
--- a/src/measure/capacity/fleet-shape.ts
+++ b/src/measure/capacity/fleet-shape.ts
@@ -8,7 +8,7 @@
 	groupLeaseName,
 	planLeaseName,
 	snapshotLeaseName,
-} from '../../core/lease-names.js';
+} from '../../core/leases/lease-names.js';
 
 /** Extra duty of the measured node. Every node serves as an entry. */
 export type NodeRole = 'entry' | 'owner' | 'planner' | 'snapshots';
--- a/src/measure/capacity/simulated-peers.ts
+++ b/src/measure/capacity/simulated-peers.ts
@@ -4,7 +4,7 @@
 import {Disposable} from '../../base/common/disposable.js';
 import {listenOn} from '../../base/node/listen.js';
 import {type HostId, type LeaseName} from '../../contracts/ids.js';
-import {selectHeartbeatPeers} from '../../core/membership.js';
+import {selectHeartbeatPeers} from '../../core/membership/membership.js';
 import {
 	PeerService,
 	type HostStateSchema,
--- a/src/measure/head-of-line.ts
+++ b/src/measure/head-of-line.ts
@@ -5,7 +5,7 @@
 import {
 	LeastOutstandingPolicy,
 	TwoChoicesPolicy,
-} from '../core/routing-policy.js';
+} from '../core/routing/routing-policy.js';
 import {formatTable, quantiles} from './result-table.js';
 import {
 	capacity,
--- a/src/measure/measure-placement.ts
+++ b/src/measure/measure-placement.ts
@@ -14,18 +14,18 @@
 	type PoolName,
 	type TargetId,
 } from '../contracts/ids.js';
-import {DemandEstimator} from '../core/demand-estimator.js';
+import {DemandEstimator} from '../core/placement/demand-estimator.js';
 import {
 	GreedyPlacementPolicy,
 	PlacementPlanner,
 	StaticPlacementPolicy,
-} from '../core/placement-planner.js';
+} from '../core/placement/placement-planner.js';
 import {
 	type HeldArtifact,
 	type Placement,
 	type PlacementPolicy,
 	type PlacementTarget,
-} from '../core/placement-policy.js';
+} from '../core/placement/placement-policy.js';
 
 // Compares placement policies on simulated deployments and prints a Markdown table.
 
--- a/src/measure/routing.ts
+++ b/src/measure/routing.ts
@@ -3,7 +3,7 @@
 	LeastOutstandingPolicy,
 	RoundRobinPolicy,
 	TwoChoicesPolicy,
-} from '../core/routing-policy.js';
+} from '../core/routing/routing-policy.js';
 import {formatTable, quantiles} from './result-table.js';
 import {
 	capacity,
--- a/src/measure/serving-model.ts
+++ b/src/measure/serving-model.ts
@@ -13,7 +13,7 @@
 import {
 	type RoutingCandidate,
 	type RoutingPolicy,
-} from '../core/routing-policy.js';
+} from '../core/routing/routing-policy.js';
 import {
 	DispatchPort,
 	CandidateDirectory,
--- a/src/measure/target-model.ts
+++ b/src/measure/target-model.ts
@@ -1,5 +1,5 @@
 import {type TargetId} from '../contracts/ids.js';
-import {type LoadReport} from '../core/target-load-tracker.js';
+import {type LoadReport} from '../core/routing/target-load-tracker.js';
 import {type VirtualTimeline} from './virtual-timeline.js';
 
 /** A period, in milliseconds of the virtual clock, in which a target is slower by a factor. */
--- a/src/measure/workload.ts
+++ b/src/measure/workload.ts
@@ -1,6 +1,6 @@
 import {type RandomSource} from '../base/common/random-source.js';
 import {type CallerId, type OfferingName} from '../contracts/ids.js';
-import {type Urgency} from '../core/dispatch-queue.js';
+import {type Urgency} from '../core/fairness/dispatch-queue.js';
 
 /** A simulated request. Its arrival is in milliseconds of the virtual clock. */
 export type WorkloadRequest = {
--- a/src/program/command-line.ts
+++ b/src/program/command-line.ts
@@ -8,7 +8,8 @@
 	addForwardingCommands,
 	type RunForwardingHost,
 } from './forwarding-commands.js';
-import {addHostCommands, type RunHost} from './host-commands.js';
+import {addHostCommands} from './host-commands.js';
+import {type RunHost} from './running-host.js';
 import {addInspectionCommands} from './inspection-commands.js';
 import {addLogBurnCommand} from './log-burn-command.js';
 import {addLogDemandCommand} from './log-demand-command.js';
--- a/src/program/composition-root.ts
+++ b/src/program/composition-root.ts
@@ -20,10 +20,13 @@
 	type Revision,
 } from '../contracts/ids.js';
 import {type StreamName} from '../contracts/log-service.js';
-import {BurnRateTracker} from '../core/burn-rate.js';
-import {CallerLimiter} from '../core/caller-limiter.js';
-import {SemanticDocumentValidator} from '../core/document-validator.js';
-import {claimsLeaseName, snapshotLeaseName} from '../core/lease-names.js';
+import {BurnRateTracker} from '../core/burn/burn-rate.js';
+import {CallerLimiter} from '../core/admission/caller-limiter.js';
+import {SemanticDocumentValidator} from '../core/documents/document-validator.js';
+import {
+	claimsLeaseName,
+	snapshotLeaseName,
+} from '../core/leases/lease-names.js';
 import {DecisionJournal} from '../services/decision-journal.js';
 import {DispatchRegistry} from '../services/dispatch/dispatch-registry.js';
 import {ClaimCarryForwardTask} from '../services/entry/claim-carry-forward-task.js';
--- a/src/program/demo-command.ts
+++ b/src/program/demo-command.ts
@@ -3,8 +3,7 @@
 import {request} from 'undici';
 import {type CommandResult} from './command-context.js';
 import {CommandFailure} from './command-failure.js';
-import {type RunHost} from './host-commands.js';
-import {type HostPorts} from './running-host.js';
+import {type HostPorts, type RunHost} from './running-host.js';
 
 const prompt = 'Hem two curtains.';
 const offering = 'drafts';
--- a/src/program/document-commands.ts
+++ b/src/program/document-commands.ts
@@ -6,8 +6,8 @@
 	compareDocuments,
 	formatDifferences,
 	type DocumentDifference,
-} from '../core/document-difference.js';
-import {formatTable} from '../core/text-table.js';
+} from '../core/documents/document-difference.js';
+import {formatTable} from '../core/burn/text-table.js';
 import {
 	type DocumentInForce,
 	type HistoryEntry,
--- a/src/program/document-loader.ts
+++ b/src/program/document-loader.ts
@@ -1,6 +1,6 @@
 import {type Result} from 'neverthrow';
 import {type FleetDocument} from '../contracts/fleet-document.js';
-import {validateDocument} from '../core/document-validator.js';
+import {validateDocument} from '../core/documents/document-validator.js';
 import {readTextFile} from './settings-loader.js';
 import {YamlSource, type YamlValidationError} from './yaml-validation.js';
 
--- a/src/program/forwarding-root.ts
+++ b/src/program/forwarding-root.ts
@@ -23,16 +23,16 @@
 import {forwardingEvents} from '../contracts/events/forwarding-events.js';
 import {type TargetListChange} from '../contracts/listed-target.js';
 import {type DocumentChange} from '../contracts/shared-store.js';
-import {ByteBudget} from '../core/byte-budget.js';
-import {CrashCorrelation} from '../core/crash-correlation.js';
-import {LogLimiter} from '../core/log-limiter.js';
-import {NamedRateLimits} from '../core/named-rate-limits.js';
-import {OwnerLease} from '../core/owner-lease.js';
-import {PeerSelection} from '../core/peer-selection.js';
-import {PermitBook} from '../core/permit-book.js';
-import {PermitIssuer} from '../core/permit-issuer.js';
-import {StreamOrigins} from '../core/stream-origins.js';
-import {VersionHistory} from '../core/version-history.js';
+import {ByteBudget} from '../core/limits/byte-budget.js';
+import {CrashCorrelation} from '../core/crashes/crash-correlation.js';
+import {LogLimiter} from '../core/limits/log-limiter.js';
+import {NamedRateLimits} from '../core/limits/named-rate-limits.js';
+import {OwnerLease} from '../core/leases/owner-lease.js';
+import {PeerSelection} from '../core/routing/peer-selection.js';
+import {PermitBook} from '../core/limits/permit-book.js';
+import {PermitIssuer} from '../core/limits/permit-issuer.js';
+import {StreamOrigins} from '../core/streams/stream-origins.js';
+import {VersionHistory} from '../core/streams/version-history.js';
 import {PlatformDocumentState} from '../platform/document-state.js';
 import {PlatformOrderPort} from '../platform/order-port.js';
 import {PlatformOwnerLog} from '../platform/owner-log.js';
@@ -41,46 +41,46 @@
 import {PlatformStreamLog} from '../platform/stream-log.js';
 import {PlatformTargetListState} from '../platform/target-list-state.js';
 import {BoundedOutput} from '../services/bounded-output.js';
-import {BrittleObserver} from '../services/forwarding/brittle-observer.js';
-import {ChargedOrderPort} from '../services/forwarding/charged-order-port.js';
-import {CrashObserver} from '../services/forwarding/crash-observer.js';
+import {BrittleObserver} from '../services/forwarding/targets/brittle-observer.js';
+import {ChargedOrderPort} from '../services/forwarding/limits/charged-order-port.js';
+import {CrashObserver} from '../services/forwarding/targets/crash-observer.js';
 import {ForwardingServer} from '../services/forwarding/forwarding-server.js';
 import {ForwardingService} from '../services/forwarding/forwarding-service.js';
-import {FleetView} from '../services/forwarding/fleet-view.js';
-import {OwnerLeaseManager} from '../services/forwarding/owner-lease-manager.js';
-import {PeerConnections} from '../services/forwarding/peer-connections.js';
-import {PeerForwarder} from '../services/forwarding/peer-forwarder.js';
+import {FleetView} from '../services/forwarding/reports/fleet-view.js';
+import {OwnerLeaseManager} from '../services/forwarding/owner/owner-lease-manager.js';
+import {PeerConnections} from '../services/forwarding/peers/peer-connections.js';
+import {PeerForwarder} from '../services/forwarding/peers/peer-forwarder.js';
 import {
 	addPeerRoutes,
 	isForwardCall,
-} from '../services/forwarding/peer-routes.js';
-import {PermitClient} from '../services/forwarding/permit-client.js';
-import {PlacementOwner} from '../services/forwarding/placement-owner.js';
-import {ReachabilityProber} from '../services/forwarding/reachability-prober.js';
+} from '../services/forwarding/peers/peer-routes.js';
+import {PermitClient} from '../services/forwarding/limits/permit-client.js';
+import {PlacementOwner} from '../services/forwarding/owner/placement-owner.js';
+import {ReachabilityProber} from '../services/forwarding/targets/reachability-prober.js';
 import {
 	ReportClient,
 	type FleetUpdate,
-} from '../services/forwarding/report-client.js';
-import {ReportServer} from '../services/forwarding/report-server.js';
-import {maximumListAge} from '../core/list-age.js';
+} from '../services/forwarding/reports/report-client.js';
+import {ReportServer} from '../services/forwarding/reports/report-server.js';
+import {maximumListAge} from '../core/membership/list-age.js';
 import {
 	revocationLimits,
 	type RevocationLimits,
-} from '../core/revocation-limits.js';
+} from '../core/limits/revocation-limits.js';
 import {
 	StateFollower,
 	type StateChanges,
-} from '../services/forwarding/state-follower.js';
-import {TargetListManager} from '../services/forwarding/target-list-manager.js';
-import {StreamOriginSharing} from '../services/forwarding/stream-origin-sharing.js';
+} from '../services/forwarding/state/state-follower.js';
+import {TargetListManager} from '../services/forwarding/targets/target-list-manager.js';
+import {StreamOriginSharing} from '../services/forwarding/state/stream-origin-sharing.js';
 import {
 	StreamRecorder,
 	type StreamWriter,
-} from '../services/forwarding/stream-recorder.js';
+} from '../services/forwarding/state/stream-recorder.js';
 import {
 	TargetRegistry,
 	versionOf,
-} from '../services/forwarding/target-registry.js';
+} from '../services/forwarding/targets/target-registry.js';
 import {HistogramMetricRegistry} from '../services/histogram-metric-registry.js';
 import {WinstonEventLogger} from '../services/winston-event-logger.js';
 import {type ForwardingSettings} from './forwarding-settings.js';
--- a/src/program/host-commands.ts
+++ b/src/program/host-commands.ts
@@ -8,13 +8,10 @@
 } from './command-context.js';
 import {CommandFailure} from './command-failure.js';
 import {runDemonstration} from './demo-command.js';
-import {type HostPorts} from './running-host.js';
+import {type HostPorts, type RunHost} from './running-host.js';
 import {loadSettings, loadUntilValid} from './settings-loader.js';
 import {type Settings} from './settings.js';
 
-/** Starts a host that stops on SIGTERM or SIGINT. Resolves with its ports when it listens, or with the failure to start. */
-export type RunHost = (settings: Settings) => Promise<Result<HostPorts, Error>>;
-
 type SettingsOptions = {readonly settings: string; readonly json?: boolean};
 
 function checkSettings({settings: file, json}: SettingsOptions): CommandResult {
--- a/src/program/inspection-commands.ts
+++ b/src/program/inspection-commands.ts
@@ -1,6 +1,6 @@
 import {type Command} from 'commander';
 import {ok} from 'neverthrow';
-import {formatTable} from '../core/text-table.js';
+import {formatTable} from '../core/burn/text-table.js';
 import {type JournalEntry} from '../services/decision-journal.js';
 import {
 	type FleetStatus,
--- a/src/program/log-burn-command.ts
+++ b/src/program/log-burn-command.ts
@@ -6,7 +6,7 @@
 import {
 	ResponseBurnTracker,
 	formatResponseBurn,
-} from '../core/response-burn.js';
+} from '../core/burn/response-burn.js';
 import {writeResult, type CommandResult} from './command-context.js';
 import {CommandFailure} from './command-failure.js';
 import {readLogLines} from './log-lines.js';
--- a/src/program/log-demand-command.ts
+++ b/src/program/log-demand-command.ts
@@ -6,7 +6,7 @@
 import {
 	formatServedDemand,
 	ServedDemandCounter,
-} from '../core/served-demand.js';
+} from '../core/placement/served-demand.js';
 import {writeResult, type CommandResult} from './command-context.js';
 import {CommandFailure} from './command-failure.js';
 import {readLogLines} from './log-lines.js';
--- a/src/program/main.ts
+++ b/src/program/main.ts
@@ -1,6 +1,6 @@
 import process from 'node:process';
 import {type RunForwardingHost} from './forwarding-commands.js';
-import {type RunHost} from './host-commands.js';
+import {type RunHost} from './running-host.js';
 import {processSignals} from './process-signals.js';
 
 // A signal that arrives before its handler is installed ends the process. All other modules are therefore loaded later.
--- a/src/program/running-host.ts
+++ b/src/program/running-host.ts
@@ -1,10 +1,12 @@
 import {setTimeout as delay} from 'node:timers/promises';
+import {type Result} from 'neverthrow';
 import {type DisposableStore} from '../base/common/disposable.js';
 import {type EventLogger} from '../base/common/event-logger.js';
 import {operatorEvents} from '../contracts/events/operator-events.js';
 import {type HostAdmissionGate} from '../services/entry/host-admission-gate.js';
 import {type LeaseManager} from '../services/lease-manager.js';
 import {type MembershipTask} from '../services/membership-task.js';
+import {type Settings} from './settings.js';
 
 /** Shortest drain. Load balancers keep sending for about one health check after readiness goes off. Until then a request on an open connection receives a response that closes the connection; closing the connection at once would abort the request. */
 const minimumDrainMilliseconds = 2000;
@@ -21,6 +23,9 @@
 	readonly peers: number;
 };
 
+/** Starts a host that stops on SIGTERM or SIGINT. Resolves with its ports when it listens, or with the failure to start. */
+export type RunHost = (settings: Settings) => Promise<Result<HostPorts, Error>>;
+
 /** Components that take part in a planned stop. */
 export type RunningHostOptions = {
 	readonly disposables: DisposableStore;
--- a/src/program/yaml-validation.ts
+++ b/src/program/yaml-validation.ts
@@ -6,7 +6,7 @@
 	toSchemaProblems,
 	type SchemaProblem,
 	type ValuePath,
-} from '../core/schema-problems.js';
+} from '../core/documents/schema-problems.js';
 
 /** One error in a YAML file, with its line and column counted from 1. */
 export type YamlProblem = {
--- a/src/services/dispatch/dispatch-contracts.ts
+++ b/src/services/dispatch/dispatch-contracts.ts
@@ -12,8 +12,8 @@
 	type SoftwareVersion,
 } from '../../contracts/ids.js';
 import {type RefusalReason} from '../../contracts/target-error.js';
-import {type Urgency} from '../../core/dispatch-queue.js';
-import {type LoadReport} from '../../core/target-load-tracker.js';
+import {type Urgency} from '../../core/fairness/dispatch-queue.js';
+import {type LoadReport} from '../../core/routing/target-load-tracker.js';
 
 /** A unit of work submitted by a caller: a model request or a call to a plain service. */
 export type WorkItem = {
--- a/src/services/dispatch/dispatcher.ts
+++ b/src/services/dispatch/dispatcher.ts
@@ -12,40 +12,40 @@
 	type SoftwareVersion,
 } from '../../contracts/ids.js';
 import {type RefusalReason} from '../../contracts/target-error.js';
-import {AdmissionPolicy} from '../../core/admission-policy.js';
-import {BacklogEstimator} from '../../core/backlog-estimator.js';
-import {CallerLimiter} from '../../core/caller-limiter.js';
+import {AdmissionPolicy} from '../../core/admission/admission-policy.js';
+import {BacklogEstimator} from '../../core/admission/backlog-estimator.js';
+import {CallerLimiter} from '../../core/admission/caller-limiter.js';
 import {
 	DispatchQueue,
 	type BoundWork,
 	type QueuedWork,
 	type Urgency,
-} from '../../core/dispatch-queue.js';
-import {HedgingPolicy} from '../../core/hedging-policy.js';
-import {SlowdownEstimator} from '../../core/slowdown-estimator.js';
-import {IsolationPolicy} from '../../core/isolation-policy.js';
-import {LengthEstimator} from '../../core/length-estimator.js';
+} from '../../core/fairness/dispatch-queue.js';
+import {HedgingPolicy} from '../../core/routing/hedging-policy.js';
+import {SlowdownEstimator} from '../../core/routing/slowdown-estimator.js';
+import {IsolationPolicy} from '../../core/routing/isolation-policy.js';
+import {LengthEstimator} from '../../core/work/length-estimator.js';
 import {
 	OutlierDetector,
 	type LatencyKind,
 	type TargetHealth,
-} from '../../core/outlier-detector.js';
-import {type PermitBook} from '../../core/permit-book.js';
-import {type RefusalLimits} from '../../core/refusal-limits.js';
-import {PrefixAffinity} from '../../core/prefix-affinity.js';
-import {RetryBudget} from '../../core/retry-budget.js';
+} from '../../core/routing/outlier-detector.js';
+import {type PermitBook} from '../../core/limits/permit-book.js';
+import {type RefusalLimits} from '../../core/limits/refusal-limits.js';
+import {PrefixAffinity} from '../../core/routing/prefix-affinity.js';
+import {RetryBudget} from '../../core/limits/retry-budget.js';
 import {
 	LoadAwarePolicy,
 	type RoutingCandidate,
 	type RoutingPolicy,
-} from '../../core/routing-policy.js';
-import {ServiceTimeEstimator} from '../../core/service-time-estimator.js';
-import {SlotPolicy} from '../../core/slot-policy.js';
-import {type StartLimiter} from '../../core/start-limiter.js';
+} from '../../core/routing/routing-policy.js';
+import {ServiceTimeEstimator} from '../../core/work/service-time-estimator.js';
+import {SlotPolicy} from '../../core/routing/slot-policy.js';
+import {type StartLimiter} from '../../core/admission/start-limiter.js';
 import {
 	TargetLoadTracker,
 	type TargetLoad,
-} from '../../core/target-load-tracker.js';
+} from '../../core/routing/target-load-tracker.js';
 import {
 	type WorkItem,
 	type Attempt,
--- a/src/services/dispatch/engine-pool-dispatch.ts
+++ b/src/services/dispatch/engine-pool-dispatch.ts
@@ -22,7 +22,7 @@
 	TargetRefusedError,
 	TargetUnreachableError,
 } from '../../contracts/target-error.js';
-import {type CallerLimiter} from '../../core/caller-limiter.js';
+import {type CallerLimiter} from '../../core/admission/caller-limiter.js';
 import {type QuarantineManager} from '../entry/quarantine-manager.js';
 import {
 	GenerationSession,
--- a/src/services/dispatch/service-pool-dispatch.ts
+++ b/src/services/dispatch/service-pool-dispatch.ts
@@ -17,7 +17,7 @@
 	TargetRefusedError,
 	type TargetError,
 } from '../../contracts/target-error.js';
-import {type Urgency} from '../../core/dispatch-queue.js';
+import {type Urgency} from '../../core/fairness/dispatch-queue.js';
 import {type TargetDirectory} from '../targets/target-directory.js';
 import {
 	DispatchPort,
--- a/src/services/entry/claim-manager.ts
+++ b/src/services/entry/claim-manager.ts
@@ -24,9 +24,9 @@
 	type LogService,
 	type StoredRecord,
 } from '../../contracts/log-service.js';
-import {ClaimIndex, type ClaimEntry} from '../../core/claim-index.js';
-import {RecordTimeIndex} from '../../core/record-time-index.js';
-import {creationTimeOf} from '../../core/time-ordered-key.js';
+import {ClaimIndex, type ClaimEntry} from '../../core/claims/claim-index.js';
+import {RecordTimeIndex} from '../../core/claims/record-time-index.js';
+import {creationTimeOf} from '../../core/claims/time-ordered-key.js';
 
 /** The request of a caller for a call that may run at most once. */
 export type ClaimRequest = {
--- a/src/services/entry/limited-service-gateway.ts
+++ b/src/services/entry/limited-service-gateway.ts
@@ -3,7 +3,7 @@
 import {dispatchEvents} from '../../contracts/events/dispatch-events.js';
 import {type ServiceResponse} from '../../contracts/plain-service.js';
 import {RequestProblem} from '../../contracts/request-problem.js';
-import {type CallerLimiter} from '../../core/caller-limiter.js';
+import {type CallerLimiter} from '../../core/admission/caller-limiter.js';
 import {ServiceGateway, type ServiceCall} from './service-gateway.js';
 
 const retryAfterSeconds = 1;
--- a/src/services/entry/membership-incarnation-directory.ts
+++ b/src/services/entry/membership-incarnation-directory.ts
@@ -1,6 +1,6 @@
 import {type Clock} from '../../base/common/clock.js';
 import {type IncarnationId} from '../../contracts/ids.js';
-import {defaultMembershipTimeouts} from '../../core/membership.js';
+import {defaultMembershipTimeouts} from '../../core/membership/membership.js';
 import {type MembershipTask} from '../membership-task.js';
 import {IncarnationDirectory} from './claim-manager.js';
 
--- a/src/services/entry/quarantine-manager.ts
+++ b/src/services/entry/quarantine-manager.ts
@@ -15,7 +15,7 @@
 	QuarantinePolicy,
 	type QuarantineStatus,
 	type TargetDeath,
-} from '../../core/quarantine-policy.js';
+} from '../../core/crashes/quarantine-policy.js';
 
 /** Collaborators of the quarantine manager. */
 export type QuarantineManagerOptions = {
--- a/src/services/entry/request-observer.ts
+++ b/src/services/entry/request-observer.ts
@@ -8,7 +8,7 @@
 	judgeRequest,
 	type BurnRateTracker,
 	type RequestOutcome,
-} from '../../core/burn-rate.js';
+} from '../../core/burn/burn-rate.js';
 import {type DecisionJournal} from '../decision-journal.js';
 import {
 	ModelGateway,
--- a/src/services/forwarding/arrived-request.ts
+++ b/src/services/forwarding/attempts/arrived-request.ts
@@ -2,9 +2,9 @@
 	type CustomerName,
 	type PoolName,
 	type SoftwareVersion,
-} from '../../contracts/ids.js';
+} from '../../../contracts/ids.js';
+import {type PeerResponse} from '../peers/peer-response.js';
 import {type CallerResponse} from './caller-response.js';
-import {type PeerResponse} from './peer-response.js';
 
 /** A request as this host received it, from its caller or from another host. */
 export type ArrivedRequest = {
--- a/src/services/forwarding/caller-response.ts
+++ b/src/services/forwarding/attempts/caller-response.ts
@@ -1,4 +1,4 @@
-import {type Execution} from '../../contracts/execution.js';
+import {type Execution} from '../../../contracts/execution.js';
 
 /** A response that this host generates itself, because no target has answered the request. */
 export type OwnResponse = {
--- a/src/services/forwarding/forward-attempt.ts
+++ b/src/services/forwarding/attempts/forward-attempt.ts
@@ -1,12 +1,15 @@
 import {type Dispatcher} from 'undici';
-import {ExpiryTimer} from '../../base/node/expiry-timer.js';
-import {type RequestId, type TargetId} from '../../contracts/ids.js';
+import {ExpiryTimer} from '../../../base/node/expiry-timer.js';
+import {type RequestId, type TargetId} from '../../../contracts/ids.js';
 import {
 	type ResponseMetadata,
 	type RequestCodec,
-} from '../../contracts/request-codec.js';
-import {type ByteBudget, type HeldBody} from '../../core/byte-budget.js';
-import {type TargetConnections} from './target-connections.js';
+} from '../../../contracts/request-codec.js';
+import {
+	type ByteBudget,
+	type HeldBody,
+} from '../../../core/limits/byte-budget.js';
+import {type TargetConnections} from '../targets/target-connections.js';
 
 /** Why an attempt ended without a usable response. */
 export type AttemptFailure =
--- a/src/services/forwarding/forward-dispatch.ts
+++ b/src/services/forwarding/attempts/forward-dispatch.ts
@@ -1,13 +1,13 @@
-import {type Clock} from '../../base/common/clock.js';
-import {Disposable} from '../../base/common/disposable.js';
-import {type EventLogger} from '../../base/common/event-logger.js';
-import {type RandomSource} from '../../base/common/random-source.js';
-import {isConnectionRefused} from '../../base/node/connection-probe.js';
-import {type PolledQueue} from '../../base/node/polled-queue.js';
-import {SharedListenerChecks} from '../../base/node/shared-listener-checks.js';
-import {wait} from '../../base/node/wait.js';
-import {forwardingEvents} from '../../contracts/events/forwarding-events.js';
-import {type Execution} from '../../contracts/execution.js';
+import {type Clock} from '../../../base/common/clock.js';
+import {type Disposable} from '../../../base/common/disposable.js';
+import {type EventLogger} from '../../../base/common/event-logger.js';
+import {type RandomSource} from '../../../base/common/random-source.js';
+import {isConnectionRefused} from '../../../base/node/connection-probe.js';
+import {type PolledQueue} from '../../../base/node/polled-queue.js';
+import {SharedListenerChecks} from '../../../base/node/shared-listener-checks.js';
+import {wait} from '../../../base/node/wait.js';
+import {forwardingEvents} from '../../../contracts/events/forwarding-events.js';
+import {type Execution} from '../../../contracts/execution.js';
 import {
 	type CallerId,
 	type FailureDomain,
@@ -18,27 +18,30 @@
 	type RequestId,
 	type SoftwareVersion,
 	type TargetId,
-} from '../../contracts/ids.js';
+} from '../../../contracts/ids.js';
 import {
 	type ResponseMetadata,
 	type RequestCodec,
 	type ReportedLoad,
-} from '../../contracts/request-codec.js';
-import {type ListedTarget} from '../../contracts/listed-target.js';
-import {type RefusalReason} from '../../contracts/target-error.js';
-import {type ByteBudget} from '../../core/byte-budget.js';
-import {AdmissionPolicy} from '../../core/admission-policy.js';
-import {AgingShare} from '../../core/aging-share.js';
-import {CallerLimiter} from '../../core/caller-limiter.js';
-import {type Urgency} from '../../core/dispatch-queue.js';
-import {LengthEstimator} from '../../core/length-estimator.js';
-import {type NamedRateLimits} from '../../core/named-rate-limits.js';
-import {type PermitBook} from '../../core/permit-book.js';
-import {OutlierDetector} from '../../core/outlier-detector.js';
-import {RetryBudget, type RetryBudgetLimits} from '../../core/retry-budget.js';
-import {RefusedDemand} from '../../core/refused-demand.js';
-import {SlotPolicy} from '../../core/slot-policy.js';
-import {StartLimiter} from '../../core/start-limiter.js';
+} from '../../../contracts/request-codec.js';
+import {type ListedTarget} from '../../../contracts/listed-target.js';
+import {type RefusalReason} from '../../../contracts/target-error.js';
+import {type ByteBudget} from '../../../core/limits/byte-budget.js';
+import {AdmissionPolicy} from '../../../core/admission/admission-policy.js';
+import {AgingShare} from '../../../core/fairness/aging-share.js';
+import {CallerLimiter} from '../../../core/admission/caller-limiter.js';
+import {type Urgency} from '../../../core/fairness/dispatch-queue.js';
+import {LengthEstimator} from '../../../core/work/length-estimator.js';
+import {type NamedRateLimits} from '../../../core/limits/named-rate-limits.js';
+import {type PermitBook} from '../../../core/limits/permit-book.js';
+import {OutlierDetector} from '../../../core/routing/outlier-detector.js';
+import {
+	RetryBudget,
+	type RetryBudgetLimits,
+} from '../../../core/limits/retry-budget.js';
+import {RefusedDemand} from '../../../core/placement/refused-demand.js';
+import {SlotPolicy} from '../../../core/routing/slot-policy.js';
+import {StartLimiter} from '../../../core/admission/start-limiter.js';
 import {
 	DispatchPort,
 	CandidateDirectory,
@@ -46,20 +49,21 @@
 	type Binding,
 	type WorkItem,
 	type WorkRefusal,
-} from '../dispatch/dispatch-contracts.js';
-import {Dispatcher, startLevel} from '../dispatch/dispatcher.js';
-import {type BrittleObserver} from './brittle-observer.js';
-import {ForwardAttempt, type AttemptFailure} from './forward-attempt.js';
-import {type CrashObserver} from './crash-observer.js';
-import {type ForwardedRequest} from './forwarded-request.js';
-import {RequestAttempt} from './request-attempt.js';
-import {type StreamOriginSharing} from './stream-origin-sharing.js';
-import {type TargetConnections} from './target-connections.js';
+} from '../../dispatch/dispatch-contracts.js';
+import {Dispatcher, startLevel} from '../../dispatch/dispatcher.js';
+import {type BrittleObserver} from '../targets/brittle-observer.js';
+import {type CrashObserver} from '../targets/crash-observer.js';
+import {type StreamOriginSharing} from '../state/stream-origin-sharing.js';
+import {type TargetConnections} from '../targets/target-connections.js';
 import {
 	versionOf,
 	type RegisteredTarget,
 	type TargetRegistry,
-} from './target-registry.js';
+} from '../targets/target-registry.js';
+import {AttemptOwner, type AttemptOutcome} from './attempt-owner.js';
+import {ForwardAttempt, type AttemptFailure} from './forward-attempt.js';
+import {type ForwardedRequest} from './forwarded-request.js';
+import {RequestAttempt} from './request-attempt.js';
 
 /** Limits on retries that apply to all hosts together. */
 export type RetryLimits = {
@@ -147,7 +151,7 @@
 const targetDeadlineMarginMilliseconds = 20;
 
 /** Forwards requests to one pool: the dispatcher selects the targets, this class sends the requests. */
-export class ForwardDispatch extends Disposable {
+export class ForwardDispatch extends AttemptOwner {
 	readonly dispatcher: Dispatcher;
 	private readonly retryBudget: RetryBudget;
 	private readonly startLimiter: StartLimiter;
@@ -584,19 +588,13 @@
 		this.dispatcher.dispose();
 	}
 
+	/** Records how many events an attempt has received. */
+	recordProgress(attempt: Attempt, events: number): void {
+		this.dispatcher.post({kind: 'progressed', tokens: events, ...attempt});
+	}
+
 	/** Ends an attempt and reports its outcome to the dispatcher. */
-	endAttempt(
-		attempt: Attempt,
-		outcome:
-			| {readonly kind: 'completed'; readonly tokens: number}
-			| {readonly kind: 'refused'; readonly reason: RefusalReason}
-			| {
-					readonly kind: 'lost';
-					readonly execution: Execution;
-					readonly mayRepeat?: boolean;
-			  }
-			| {readonly kind: 'unreached'},
-	): void {
+	endAttempt(attempt: Attempt, outcome: AttemptOutcome): void {
 		this.attempts.get(attempt.request)?.delete(attempt.attempt);
 		this.dispatcher.post({...attempt, ...outcome});
 	}
--- a/src/services/forwarding/forwarded-request.ts
+++ b/src/services/forwarding/attempts/forwarded-request.ts
@@ -1,24 +1,24 @@
 import {err, ok, type Result} from 'neverthrow';
-import {type Clock} from '../../base/common/clock.js';
-import {type EventLogger} from '../../base/common/event-logger.js';
-import {maximumTimerMilliseconds} from '../../base/common/timer-limits.js';
-import {type MissingArtifact} from '../../contracts/artifact.js';
-import {forwardingEvents} from '../../contracts/events/forwarding-events.js';
-import {type RouteRule} from '../../contracts/forwarding-document.js';
+import {type Clock} from '../../../base/common/clock.js';
+import {type EventLogger} from '../../../base/common/event-logger.js';
+import {maximumTimerMilliseconds} from '../../../base/common/timer-limits.js';
+import {type MissingArtifact} from '../../../contracts/artifact.js';
+import {forwardingEvents} from '../../../contracts/events/forwarding-events.js';
+import {type RouteRule} from '../../../contracts/forwarding-document.js';
 import {
 	type CustomerName,
 	type Fingerprint,
 	type RequestId,
 	type SoftwareVersion,
 	type TargetId,
-} from '../../contracts/ids.js';
+} from '../../../contracts/ids.js';
 import {
 	type ResponseMetadata,
 	type RequestCodec,
 	type RequestMetadata,
-} from '../../contracts/request-codec.js';
-import {type ObservedRequest} from '../../core/crash-correlation.js';
-import {type StreamEvent} from '../../core/event-stream-splitter.js';
+} from '../../../contracts/request-codec.js';
+import {type ObservedRequest} from '../../../core/crashes/crash-correlation.js';
+import {type StreamEvent} from '../../../core/streams/event-stream-splitter.js';
 import {type CallerResponse} from './caller-response.js';
 
 /** Options of a forwarded request. */
--- a/src/services/forwarding/http-caller-response.ts
+++ b/src/services/forwarding/attempts/http-caller-response.ts
@@ -1,6 +1,6 @@
 import {type ServerResponse} from 'node:http';
 import {Socket} from 'node:net';
-import {type ByteBudget} from '../../core/byte-budget.js';
+import {type ByteBudget} from '../../../core/limits/byte-budget.js';
 import {CallerResponse, type OwnResponse} from './caller-response.js';
 
 /** The HTTP response to one request of a caller. */
--- a/src/services/forwarding/request-attempt.ts
+++ b/src/services/forwarding/attempts/request-attempt.ts
@@ -1,17 +1,17 @@
-import {type ListedTarget} from '../../contracts/listed-target.js';
-import {type ResponseMetadata} from '../../contracts/request-codec.js';
+import {type ListedTarget} from '../../../contracts/listed-target.js';
+import {type ResponseMetadata} from '../../../contracts/request-codec.js';
 import {
 	EventStreamSplitter,
 	type StreamEvent,
-} from '../../core/event-stream-splitter.js';
-import {type Attempt} from '../dispatch/dispatch-contracts.js';
+} from '../../../core/streams/event-stream-splitter.js';
+import {type Attempt} from '../../dispatch/dispatch-contracts.js';
+import {versionOf} from '../targets/target-registry.js';
+import {type AttemptOwner} from './attempt-owner.js';
 import {AttemptListener, type AttemptFailure} from './forward-attempt.js';
-import {type ForwardDispatch} from './forward-dispatch.js';
 import {
 	type ForwardedRequest,
 	repeatedEventReason,
 } from './forwarded-request.js';
-import {versionOf} from './target-registry.js';
 
 /** Time for which two targets may work on a stream after the second has begun to respond. */
 const maximumOverlapMilliseconds = 300;
@@ -28,7 +28,7 @@
 	private isFramed = true;
 
 	constructor(
-		private readonly poolDispatch: ForwardDispatch,
+		private readonly owner: AttemptOwner,
 		private readonly request: ForwardedRequest,
 		private readonly attempt: Attempt,
 		/** The entry of the target when the attempt was sent, undefined when it was gone. */
@@ -48,10 +48,10 @@
 			return;
 		}
 
-		if (this.poolDispatch.hasOtherAttempts(this.attempt)) {
+		if (this.owner.hasOtherAttempts(this.attempt)) {
 			this.overlapTimer = setTimeout(() => {
 				if (this.isOpen()) {
-					this.poolDispatch.giveUpOtherAttempts(this.attempt);
+					this.owner.giveUpOtherAttempts(this.attempt);
 				}
 			}, maximumOverlapMilliseconds);
 		}
@@ -66,7 +66,7 @@
 		}
 
 		const firstId = events.find(({id}) => id !== undefined)?.id;
-		if (this.poolDispatch.hasOtherAttempts(this.attempt)) {
+		if (this.owner.hasOtherAttempts(this.attempt)) {
 			if (firstId === undefined) {
 				this.heldEvents = events;
 				return false;
@@ -77,7 +77,7 @@
 				return false;
 			}
 
-			this.poolDispatch.cancelOtherAttempts(this.attempt);
+			this.owner.cancelOtherAttempts(this.attempt);
 		}
 
 		const before = this.request.eventCount;
@@ -90,15 +90,11 @@
 		this.events += this.request.eventCount - before;
 		if (this.request.eventCount > 0 && !this.request.softwareVersion) {
 			this.request.softwareVersion = this.listed && versionOf(this.listed);
-			this.poolDispatch.recordStreamStart(this.request);
+			this.owner.recordStreamStart(this.request);
 		}
 
 		if (forwarded.value) {
-			this.poolDispatch.dispatcher.post({
-				kind: 'progressed',
-				tokens: this.events,
-				...this.attempt,
-			});
+			this.owner.recordProgress(this.attempt, this.events);
 		}
 
 		return forwarded.value;
@@ -117,7 +113,7 @@
 		if (
 			!this.isFramed &&
 			this.events === 0 &&
-			this.poolDispatch.hasOtherAttempts(this.attempt)
+			this.owner.hasOtherAttempts(this.attempt)
 		) {
 			this.abortStream('the connection ended before the first event');
 			return;
@@ -142,15 +138,15 @@
 			return;
 		}
 
-		this.poolDispatch.recordHoldBack(this.attempt.target, response);
+		this.owner.recordHoldBack(this.attempt.target, response);
 		const isFailure = response.status >= 500;
 		const isSuccess = response.status < 300;
 		if (
 			isFailure ||
-			(!isSuccess && this.poolDispatch.hasOtherAttempts(this.attempt))
+			(!isSuccess && this.owner.hasOtherAttempts(this.attempt))
 		) {
 			this.request.recordFailureResponse(response, body);
-			this.poolDispatch.endAttempt(this.attempt, {
+			this.owner.endAttempt(this.attempt, {
 				kind: 'lost',
 				execution: 'unknown',
 			});
@@ -168,16 +164,16 @@
 	}
 
 	onStall(reason: string): number | undefined {
-		return this.poolDispatch.handleStall(this.request, this.attempt, reason);
+		return this.owner.handleStall(this.request, this.attempt, reason);
 	}
 
 	onRecovery(): void {
-		this.poolDispatch.handleRecovery(this.request, this.attempt);
+		this.owner.handleRecovery(this.request, this.attempt);
 	}
 
 	onFailure(failure: AttemptFailure): void {
 		this.stopOverlapTimer();
-		this.poolDispatch.recordFailure(this.request, this.attempt, failure);
+		this.owner.recordFailure(this.request, this.attempt, failure);
 		if (failure.kind !== 'lost') {
 			this.request.executions--;
 		}
@@ -186,32 +182,32 @@
 			failure.kind !== 'lost' &&
 			this.isReplacement &&
 			this.request.hasStarted &&
-			!this.poolDispatch.hasOtherAttempts(this.attempt)
+			!this.owner.hasOtherAttempts(this.attempt)
 		) {
 			// The attempt that it was to replace has ended meanwhile.
-			this.poolDispatch.continueStream(this.request, this.attempt);
+			this.owner.continueStream(this.request, this.attempt);
 			return;
 		}
 
 		if (failure.kind === 'unreached' || failure.kind === 'expired') {
-			this.poolDispatch.endAttempt(this.attempt, {kind: 'unreached'});
+			this.owner.endAttempt(this.attempt, {kind: 'unreached'});
 			return;
 		}
 
 		if (failure.kind === 'refused') {
-			this.poolDispatch.endAttempt(this.attempt, {
+			this.owner.endAttempt(this.attempt, {
 				kind: 'refused',
 				reason: failure.response.isMisdirected ? 'not-resident' : 'busy',
 			});
 			return;
 		}
 
-		if (!this.poolDispatch.mayHaveCrashedTarget(this.request)) {
+		if (!this.owner.mayHaveCrashedTarget(this.request)) {
 			this.repeat();
 			return;
 		}
 
-		void this.poolDispatch.probe(this.attempt.target).then(() => {
+		void this.owner.probe(this.attempt.target).then(() => {
 			this.repeat();
 		});
 	}
@@ -222,18 +218,15 @@
 			return;
 		}
 
-		if (
-			this.request.hasStarted &&
-			!this.poolDispatch.hasOtherAttempts(this.attempt)
-		) {
-			this.poolDispatch.continueStream(this.request, this.attempt);
+		if (this.request.hasStarted && !this.owner.hasOtherAttempts(this.attempt)) {
+			this.owner.continueStream(this.request, this.attempt);
 			return;
 		}
 
-		this.poolDispatch.endAttempt(this.attempt, {
+		this.owner.endAttempt(this.attempt, {
 			kind: 'lost',
 			execution: 'unknown',
-			mayRepeat: this.poolDispatch.mayRepeat(this.request),
+			mayRepeat: this.owner.mayRepeat(this.request),
 		});
 	}
 
@@ -244,13 +237,13 @@
 	private async endUnlessTargetEnded(complete: () => void): Promise<void> {
 		const hasEnded =
 			this.listed !== undefined &&
-			(await this.poolDispatch.hasTargetEnded(this.listed));
+			(await this.owner.hasTargetEnded(this.listed));
 		if (!this.isOpen()) {
 			return;
 		}
 
 		if (hasEnded) {
-			this.poolDispatch.cancelAttempt(this.attempt);
+			this.owner.cancelAttempt(this.attempt);
 			this.onFailure({
 				kind: 'lost',
 				reason: 'the process of the target ended with the connection',
@@ -264,10 +257,10 @@
 	private completeStream(): void {
 		this.stopOverlapTimer();
 		this.request.forwardEvents(this.heldEvents);
-		this.poolDispatch.cancelOtherAttempts(this.attempt);
+		this.owner.cancelOtherAttempts(this.attempt);
 		this.request.endStream();
 		this.recordEnd(this.isFramed && this.events > 0);
-		this.poolDispatch.endAttempt(this.attempt, {
+		this.owner.endAttempt(this.attempt, {
 			kind: 'completed',
 			tokens: this.events,
 		});
@@ -278,21 +271,21 @@
 			this.recordEnd(response.isFramed);
 		}
 
-		this.poolDispatch.cancelOtherAttempts(this.attempt);
+		this.owner.cancelOtherAttempts(this.attempt);
 		this.request.forwardResponse(response, body);
-		this.poolDispatch.endAttempt(this.attempt, {kind: 'completed', tokens: 1});
+		this.owner.endAttempt(this.attempt, {kind: 'completed', tokens: 1});
 	}
 
 	/** Records the end of an answer. One that only the end of its connection marks may have been cut short by the end of its target. */
 	private recordEnd(isComplete: boolean): void {
 		if (isComplete) {
-			this.poolDispatch.recordAnswer(this.request);
+			this.owner.recordAnswer(this.request);
 			return;
 		}
 
-		if (this.poolDispatch.mayHaveCrashedTarget(this.request)) {
-			this.poolDispatch.recordLostRequest(this.request, this.attempt.target);
-			void this.poolDispatch.probe(this.attempt.target);
+		if (this.owner.mayHaveCrashedTarget(this.request)) {
+			this.owner.recordLostRequest(this.request, this.attempt.target);
+			void this.owner.probe(this.attempt.target);
 		}
 	}
 
@@ -300,7 +293,7 @@
 	private isOpen(): boolean {
 		return (
 			this.request.continuations === this.generation &&
-			this.poolDispatch.hasAttempt(this.attempt)
+			this.owner.hasAttempt(this.attempt)
 		);
 	}
 
@@ -309,7 +302,7 @@
 	}
 
 	private abortStream(reason: string): void {
-		this.poolDispatch.cancelAttempt(this.attempt);
+		this.owner.cancelAttempt(this.attempt);
 		this.onFailure({kind: 'lost', reason});
 	}
 }
--- a/src/services/forwarding/forwarding-server.ts
+++ b/src/services/forwarding/forwarding-server.ts
@@ -17,11 +17,11 @@
 	type ListenOptions,
 } from '../../base/node/listen.js';
 import {type RequestLimits} from '../../contracts/forwarding-document.js';
-import {type ByteBudget} from '../../core/byte-budget.js';
+import {type ByteBudget} from '../../core/limits/byte-budget.js';
 import {
 	ResponseAccount,
 	type ResponseCounts,
-} from '../../core/response-account.js';
+} from '../../core/streams/response-account.js';
 
 /** A request of a caller with its complete body. */
 export type ReceivedRequest = {
--- a/src/services/forwarding/forwarding-service.ts
+++ b/src/services/forwarding/forwarding-service.ts
@@ -25,40 +25,40 @@
 	type RequestMetadata,
 } from '../../contracts/request-codec.js';
 import {type PoolReachability} from '../../contracts/pool-reachability.js';
-import {type ByteBudget} from '../../core/byte-budget.js';
-import {CustomerKeys} from '../../core/customer-keys.js';
-import {LogLimiter} from '../../core/log-limiter.js';
-import {type NamedRateLimits} from '../../core/named-rate-limits.js';
-import {type PermitBook} from '../../core/permit-book.js';
-import {pickPoolByWeight, RouteTable} from '../../core/route-table.js';
+import {type ByteBudget} from '../../core/limits/byte-budget.js';
+import {CustomerKeys} from '../../core/fairness/customer-keys.js';
+import {LogLimiter} from '../../core/limits/log-limiter.js';
+import {type NamedRateLimits} from '../../core/limits/named-rate-limits.js';
+import {type PermitBook} from '../../core/limits/permit-book.js';
+import {pickPoolByWeight, RouteTable} from '../../core/routing/route-table.js';
 import {
 	adapterDemandKey,
 	type AdapterDemand,
 	type HostDemand,
-} from '../../core/host-demand.js';
+} from '../../core/placement/host-demand.js';
 import {
 	type ArrivedRequest,
 	type PeerOrigin,
 	type PeerRequest,
-} from './arrived-request.js';
-import {type BrittleObserver} from './brittle-observer.js';
-import {type CrashObserver} from './crash-observer.js';
+} from './attempts/arrived-request.js';
+import {type BrittleObserver} from './targets/brittle-observer.js';
+import {type CrashObserver} from './targets/crash-observer.js';
 import {
 	ForwardDispatch,
 	missingVersionReason,
 	type RetryLimits,
-} from './forward-dispatch.js';
-import {ForwardedRequest} from './forwarded-request.js';
+} from './attempts/forward-dispatch.js';
+import {ForwardedRequest} from './attempts/forwarded-request.js';
 import {
 	ReceivedRequestHandler,
 	type ReceivedRequest,
 } from './forwarding-server.js';
-import {StopAdmission} from './stop-admission.js';
-import {HttpCallerResponse} from './http-caller-response.js';
-import {type PeerResponse} from './peer-response.js';
-import {type PeerForwarder} from './peer-forwarder.js';
-import {type StreamOriginSharing} from './stream-origin-sharing.js';
-import {type TargetRegistry} from './target-registry.js';
+import {StopAdmission} from './limits/stop-admission.js';
+import {HttpCallerResponse} from './attempts/http-caller-response.js';
+import {type PeerResponse} from './peers/peer-response.js';
+import {type PeerForwarder} from './peers/peer-forwarder.js';
+import {type StreamOriginSharing} from './state/stream-origin-sharing.js';
+import {type TargetRegistry} from './targets/target-registry.js';
 
 /** Options of the forwarding service. */
 export type ForwardingServiceOptions = {
--- a/src/services/forwarding/charged-order-port.ts
+++ b/src/services/forwarding/limits/charged-order-port.ts
@@ -1,13 +1,13 @@
 import {type ResultAsync} from 'neverthrow';
-import {type ListedTarget} from '../../contracts/listed-target.js';
+import {type ListedTarget} from '../../../contracts/listed-target.js';
 import {
 	TargetOrderPort,
 	type NoResponseError,
 	type OrderOutcome,
 	type TargetOrder,
 	type TargetOrderState,
-} from '../../contracts/target-orders.js';
-import {type PermitIssuer} from '../../core/permit-issuer.js';
+} from '../../../contracts/target-orders.js';
+import {type PermitIssuer} from '../../../core/limits/permit-issuer.js';
 
 /** Counts the calls of the owner among the requests that a target with a named rate gets. They wait for no permit. */
 export class ChargedOrderPort extends TargetOrderPort {
--- a/src/services/forwarding/permit-client.ts
+++ b/src/services/forwarding/limits/permit-client.ts
@@ -1,8 +1,14 @@
-import {Disposable} from '../../base/common/disposable.js';
-import {type MetricRegistry} from '../../base/common/metric-registry.js';
-import {TypedEvent} from '../../base/common/typed-event.js';
-import {type PermitBook, type PermitDemand} from '../../core/permit-book.js';
-import {type PermitGrant, type PermitIssuer} from '../../core/permit-issuer.js';
+import {Disposable} from '../../../base/common/disposable.js';
+import {type MetricRegistry} from '../../../base/common/metric-registry.js';
+import {TypedEvent} from '../../../base/common/typed-event.js';
+import {
+	type PermitBook,
+	type PermitDemand,
+} from '../../../core/limits/permit-book.js';
+import {
+	type PermitGrant,
+	type PermitIssuer,
+} from '../../../core/limits/permit-issuer.js';
 
 /** Options of the permit client. */
 export type PermitClientOptions = {
--- a/src/services/forwarding/stop-admission.ts
+++ b/src/services/forwarding/limits/stop-admission.ts
@@ -1,10 +1,13 @@
-import {type Clock} from '../../base/common/clock.js';
-import {AnswerTimes} from '../../core/answer-times.js';
-import {type PresentStreams, StreamTimes} from '../../core/stream-times.js';
+import {type Clock} from '../../../base/common/clock.js';
+import {AnswerTimes} from '../../../core/burn/answer-times.js';
+import {
+	type PresentStreams,
+	StreamTimes,
+} from '../../../core/streams/stream-times.js';
 import {
 	deadlineGraceMilliseconds,
 	type ForwardedRequest,
-} from './forwarded-request.js';
+} from '../attempts/forwarded-request.js';
 
 /** Monotonic times of a planned stop. */
 export type StopTimes = {
--- a/src/services/forwarding/owner-lease-manager.ts
+++ b/src/services/forwarding/owner/owner-lease-manager.ts
@@ -1,22 +1,22 @@
-import {type Clock} from '../../base/common/clock.js';
-import {Disposable} from '../../base/common/disposable.js';
-import {type EventLogger} from '../../base/common/event-logger.js';
-import {type RandomSource} from '../../base/common/random-source.js';
-import {wait} from '../../base/node/wait.js';
-import {forwardingEvents} from '../../contracts/events/forwarding-events.js';
-import {type FencingToken} from '../../contracts/ids.js';
+import {type Clock} from '../../../base/common/clock.js';
+import {Disposable} from '../../../base/common/disposable.js';
+import {type EventLogger} from '../../../base/common/event-logger.js';
+import {type RandomSource} from '../../../base/common/random-source.js';
+import {wait} from '../../../base/node/wait.js';
+import {forwardingEvents} from '../../../contracts/events/forwarding-events.js';
+import {type FencingToken} from '../../../contracts/ids.js';
 import {
 	type OwnerLog,
 	type OwnerRecords,
-} from '../../contracts/shared-store.js';
-import {type SuspicionReport} from '../../contracts/suspicion-report.js';
-import {type VersionReport} from '../../contracts/version-report.js';
+} from '../../../contracts/shared-store.js';
+import {type SuspicionReport} from '../../../contracts/suspicion-report.js';
+import {type VersionReport} from '../../../contracts/version-report.js';
 import {
 	type LeaseStatus,
 	type LeaseAppend,
 	type LeaseHolder,
 	type OwnerLease,
-} from '../../core/owner-lease.js';
+} from '../../../core/leases/owner-lease.js';
 
 /** Options of the lease manager. */
 export type OwnerLeaseManagerOptions = {
--- a/src/services/forwarding/placement-owner.ts
+++ b/src/services/forwarding/owner/placement-owner.ts
@@ -1,27 +1,30 @@
-import {type Clock} from '../../base/common/clock.js';
-import {Disposable} from '../../base/common/disposable.js';
-import {type EventLogger} from '../../base/common/event-logger.js';
-import {TypedEvent} from '../../base/common/typed-event.js';
-import {type ForwardingDocument} from '../../contracts/forwarding-document.js';
+import {type Clock} from '../../../base/common/clock.js';
+import {Disposable} from '../../../base/common/disposable.js';
+import {type EventLogger} from '../../../base/common/event-logger.js';
+import {TypedEvent} from '../../../base/common/typed-event.js';
+import {type ForwardingDocument} from '../../../contracts/forwarding-document.js';
 import {
 	type FencingToken,
 	type HostId,
 	type PoolName,
 	type TargetId,
-} from '../../contracts/ids.js';
-import {type TargetOrderPort} from '../../contracts/target-orders.js';
-import {adapterKey} from '../../core/adapter-slot-policy.js';
-import {DemandCollector} from '../../core/demand-collector.js';
-import {type NamedRateLimits} from '../../core/named-rate-limits.js';
-import {maximumDirectHosts} from '../../core/relay-assignment.js';
+} from '../../../contracts/ids.js';
+import {type TargetOrderPort} from '../../../contracts/target-orders.js';
+import {adapterKey} from '../../../core/placement/adapter-slot-policy.js';
+import {DemandCollector} from '../../../core/placement/demand-collector.js';
+import {type NamedRateLimits} from '../../../core/limits/named-rate-limits.js';
+import {maximumDirectHosts} from '../../../core/membership/relay-assignment.js';
 import {
 	type AdapterDemand,
 	type DemandSum,
 	type HostDemand,
-} from '../../core/host-demand.js';
+} from '../../../core/placement/host-demand.js';
+import {TargetOrderTask} from '../targets/target-order-task.js';
+import {
+	type PlacedContent,
+	type TargetRegistry,
+} from '../targets/target-registry.js';
 import {PoolPlacement, type PoolDemand} from './pool-placement.js';
-import {TargetOrderTask} from './target-order-task.js';
-import {type PlacedContent, type TargetRegistry} from './target-registry.js';
 
 /** Options of the placement owner. */
 export type PlacementOwnerOptions = {
--- a/src/services/forwarding/pool-placement.ts
+++ b/src/services/forwarding/owner/pool-placement.ts
@@ -1,44 +1,44 @@
-import {type Clock} from '../../base/common/clock.js';
-import {type EventLogger} from '../../base/common/event-logger.js';
-import {modelArtifact} from '../../contracts/artifact.js';
-import {forwardingEvents} from '../../contracts/events/forwarding-events.js';
+import {type Clock} from '../../../base/common/clock.js';
+import {type EventLogger} from '../../../base/common/event-logger.js';
+import {modelArtifact} from '../../../contracts/artifact.js';
+import {forwardingEvents} from '../../../contracts/events/forwarding-events.js';
 import {
 	type Model,
 	type WeightStoreLimits,
-} from '../../contracts/fleet-document.js';
-import {type EnginePool} from '../../contracts/forwarding-document.js';
+} from '../../../contracts/fleet-document.js';
+import {type EnginePool} from '../../../contracts/forwarding-document.js';
 import {
 	type ArtifactKey,
 	type ModelId,
 	type PoolName,
 	type TargetId,
 	type SoftwareVersion,
-} from '../../contracts/ids.js';
+} from '../../../contracts/ids.js';
 import {
 	adapterKey,
 	AdapterSlotPolicy,
 	type AdapterReference,
 	type AdapterTarget,
-} from '../../core/adapter-slot-policy.js';
-import {DemandEstimator} from '../../core/demand-estimator.js';
-import {LoadPacer} from '../../core/load-pacer.js';
-import {OverdueLoads} from '../../core/overdue-loads.js';
+} from '../../../core/placement/adapter-slot-policy.js';
+import {DemandEstimator} from '../../../core/placement/demand-estimator.js';
+import {LoadPacer} from '../../../core/placement/load-pacer.js';
+import {OverdueLoads} from '../../../core/placement/overdue-loads.js';
 import {
 	DormancyPolicy,
 	canEvictLastReplica,
-} from '../../core/dormancy-policy.js';
+} from '../../../core/placement/dormancy-policy.js';
 import {
 	defaultPlannerOptions,
 	PlacementPlanner,
-} from '../../core/placement-planner.js';
+} from '../../../core/placement/placement-planner.js';
 import {
 	type HeldArtifact,
 	type PlacementPolicy,
 	type PlacementTarget,
-} from '../../core/placement-policy.js';
-import {type TargetOrderTask} from './target-order-task.js';
-import {versionOf} from './target-registry.js';
-import {UnservedObserver} from './unserved-observer.js';
+} from '../../../core/placement/placement-policy.js';
+import {type TargetOrderTask} from '../targets/target-order-task.js';
+import {versionOf} from '../targets/target-registry.js';
+import {UnservedObserver} from '../targets/unserved-observer.js';
 
 /** Demand of all hosts for the models and adapters of one pool. */
 export type PoolDemand = {
--- a/src/services/forwarding/peer-call.ts
+++ b/src/services/forwarding/peers/peer-call.ts
@@ -1,11 +1,14 @@
 import {validateHeaderName, validateHeaderValue} from 'node:http';
 import {type MessageInitShape} from '@bufbuild/protobuf';
 import {Code, ConnectError, type Client} from '@connectrpc/connect';
-import {ExpiryTimer} from '../../base/node/expiry-timer.js';
-import {type SoftwareVersion} from '../../contracts/ids.js';
-import {type ResponseMetadata} from '../../contracts/request-codec.js';
-import {type ByteBudget, type HeldBody} from '../../core/byte-budget.js';
-import {EventStreamSplitter} from '../../core/event-stream-splitter.js';
+import {ExpiryTimer} from '../../../base/node/expiry-timer.js';
+import {type SoftwareVersion} from '../../../contracts/ids.js';
+import {type ResponseMetadata} from '../../../contracts/request-codec.js';
+import {
+	type ByteBudget,
+	type HeldBody,
+} from '../../../core/limits/byte-budget.js';
+import {EventStreamSplitter} from '../../../core/streams/event-stream-splitter.js';
 import {
 	type Data,
 	type Failure,
@@ -13,8 +16,8 @@
 	type ForwardResponse,
 	type Head,
 	type PeerForwardingService,
-} from '../../generated/daisylever/forwarding/v1/forwarding_pb.js';
-import {type ForwardedRequest} from './forwarded-request.js';
+} from '../../../generated/daisylever/forwarding/v1/forwarding_pb.js';
+import {type ForwardedRequest} from '../attempts/forwarded-request.js';
 import {isConnectFailure} from './peer-connections.js';
 
 /** How a call to a peer has ended. */
--- a/src/services/forwarding/peer-connections.ts
+++ b/src/services/forwarding/peers/peer-connections.ts
@@ -2,8 +2,8 @@
 import {type Socket} from 'node:net';
 import {createClient, type Client} from '@connectrpc/connect';
 import {createConnectTransport} from '@connectrpc/connect-node';
-import {Disposable} from '../../base/common/disposable.js';
-import {PeerForwardingService} from '../../generated/daisylever/forwarding/v1/forwarding_pb.js';
+import {Disposable} from '../../../base/common/disposable.js';
+import {PeerForwardingService} from '../../../generated/daisylever/forwarding/v1/forwarding_pb.js';
 
 /** Connections to one peer. Each carries one request at a time, and all requests of a pool may go to one peer. */
 const maximumConnectionsPerPeer = 500;
--- a/src/services/forwarding/peer-forwarder.ts
+++ b/src/services/forwarding/peers/peer-forwarder.ts
@@ -1,12 +1,12 @@
-import {type Clock} from '../../base/common/clock.js';
-import {Disposable} from '../../base/common/disposable.js';
-import {type EventLogger} from '../../base/common/event-logger.js';
-import {type MetricRegistry} from '../../base/common/metric-registry.js';
-import {forwardingEvents} from '../../contracts/events/forwarding-events.js';
-import {type HostId} from '../../contracts/ids.js';
-import {type PeerSelection} from '../../core/peer-selection.js';
-import {type ForwardDispatch} from './forward-dispatch.js';
-import {type ForwardedRequest} from './forwarded-request.js';
+import {type Clock} from '../../../base/common/clock.js';
+import {Disposable} from '../../../base/common/disposable.js';
+import {type EventLogger} from '../../../base/common/event-logger.js';
+import {type MetricRegistry} from '../../../base/common/metric-registry.js';
+import {forwardingEvents} from '../../../contracts/events/forwarding-events.js';
+import {type HostId} from '../../../contracts/ids.js';
+import {type PeerSelection} from '../../../core/routing/peer-selection.js';
+import {type ForwardDispatch} from '../attempts/forward-dispatch.js';
+import {type ForwardedRequest} from '../attempts/forwarded-request.js';
 import {PeerCall, type PeerCallOutcome} from './peer-call.js';
 import {type PeerConnections} from './peer-connections.js';
 
--- a/src/services/forwarding/peer-response.ts
+++ b/src/services/forwarding/peers/peer-response.ts
@@ -1,8 +1,8 @@
 import {type MessageInitShape} from '@bufbuild/protobuf';
-import {type SoftwareVersion} from '../../contracts/ids.js';
-import {type ForwardResponseSchema} from '../../generated/daisylever/forwarding/v1/forwarding_pb.js';
-import {type ByteBudget} from '../../core/byte-budget.js';
-import {CallerResponse, type OwnResponse} from './caller-response.js';
+import {type SoftwareVersion} from '../../../contracts/ids.js';
+import {type ForwardResponseSchema} from '../../../generated/daisylever/forwarding/v1/forwarding_pb.js';
+import {type ByteBudget} from '../../../core/limits/byte-budget.js';
+import {CallerResponse, type OwnResponse} from '../attempts/caller-response.js';
 
 /** State of a request that the host from which it came needs to know. */
 export type ServedRequestState = {
--- a/src/services/forwarding/peer-routes.ts
+++ b/src/services/forwarding/peers/peer-routes.ts
@@ -1,17 +1,17 @@
 import {type IncomingMessage} from 'node:http';
 import {type ConnectRouter} from '@connectrpc/connect';
-import {type Clock} from '../../base/common/clock.js';
-import {type ByteBudget} from '../../core/byte-budget.js';
+import {type Clock} from '../../../base/common/clock.js';
+import {type ByteBudget} from '../../../core/limits/byte-budget.js';
 import {
 	type CustomerName,
 	type PoolName,
 	type SoftwareVersion,
-} from '../../contracts/ids.js';
+} from '../../../contracts/ids.js';
 import {
 	PeerForwardingService,
 	type ForwardRequest,
-} from '../../generated/daisylever/forwarding/v1/forwarding_pb.js';
-import {type PeerRequest} from './arrived-request.js';
+} from '../../../generated/daisylever/forwarding/v1/forwarding_pb.js';
+import {type PeerRequest} from '../attempts/arrived-request.js';
 import {PeerResponse} from './peer-response.js';
 
 /** Collaborators of the routes for other hosts. */
--- a/src/services/forwarding/fleet-view.ts
+++ b/src/services/forwarding/reports/fleet-view.ts
@@ -1,17 +1,17 @@
-import {Disposable} from '../../base/common/disposable.js';
-import {TypedEvent} from '../../base/common/typed-event.js';
-import {type ForwardingDocument} from '../../contracts/forwarding-document.js';
-import {type TargetId} from '../../contracts/ids.js';
+import {Disposable} from '../../../base/common/disposable.js';
+import {TypedEvent} from '../../../base/common/typed-event.js';
+import {type ForwardingDocument} from '../../../contracts/forwarding-document.js';
+import {type TargetId} from '../../../contracts/ids.js';
 import {
 	type EntryRevision,
 	type ListedTarget,
-} from '../../contracts/listed-target.js';
-import {RevisionedMap} from '../../core/revisioned-map.js';
+} from '../../../contracts/listed-target.js';
+import {RevisionedMap} from '../../../core/membership/revisioned-map.js';
 import {
 	type PlacedContent,
 	type RegisteredTarget,
 	type TargetRegistry,
-} from './target-registry.js';
+} from '../targets/target-registry.js';
 
 /** Options of the fleet view. */
 export type FleetViewOptions = {
--- a/src/services/forwarding/observation-exchange.ts
+++ b/src/services/forwarding/reports/observation-exchange.ts
@@ -1,7 +1,8 @@
-import {type BrittleTargets} from '../../core/brittle-targets.js';
-import {type NamedRateLimits} from '../../core/named-rate-limits.js';
-import {type ReportResponse} from '../../generated/daisylever/owner/v1/owner_pb.js';
-import {type CrashObserver} from './crash-observer.js';
+import {type BrittleTargets} from '../../../core/limits/brittle-targets.js';
+import {type NamedRateLimits} from '../../../core/limits/named-rate-limits.js';
+import {type ReportResponse} from '../../../generated/daisylever/owner/v1/owner_pb.js';
+import {type CrashObserver} from '../targets/crash-observer.js';
+import {type StreamOriginSharing} from '../state/stream-origin-sharing.js';
 import {
 	fromBrittleTarget,
 	fromRateChange,
@@ -10,7 +11,6 @@
 	fromVersionedStreams,
 	type ReporterState,
 } from './report-messages.js';
-import {type StreamOriginSharing} from './stream-origin-sharing.js';
 
 /** State of the exchange with one other process. */
 type Peer = {
--- a/src/services/forwarding/report-client.ts
+++ b/src/services/forwarding/reports/report-client.ts
@@ -2,39 +2,47 @@
 import {createClient, type Client} from '@connectrpc/connect';
 import {createConnectTransport} from '@connectrpc/connect-node';
 import {ResultAsync, type Result} from 'neverthrow';
-import {type Clock} from '../../base/common/clock.js';
-import {Disposable} from '../../base/common/disposable.js';
-import {type EventLogger} from '../../base/common/event-logger.js';
-import {wait} from '../../base/node/wait.js';
-import {forwardingEvents} from '../../contracts/events/forwarding-events.js';
-import {type ForwardingDocument} from '../../contracts/forwarding-document.js';
-import {type DocumentChange} from '../../contracts/shared-store.js';
-import {isHostAddress} from '../../contracts/target-address.js';
+import {type Clock} from '../../../base/common/clock.js';
+import {Disposable} from '../../../base/common/disposable.js';
+import {type EventLogger} from '../../../base/common/event-logger.js';
+import {wait} from '../../../base/node/wait.js';
+import {forwardingEvents} from '../../../contracts/events/forwarding-events.js';
+import {type ForwardingDocument} from '../../../contracts/forwarding-document.js';
+import {type DocumentChange} from '../../../contracts/shared-store.js';
+import {isHostAddress} from '../../../contracts/target-address.js';
 import {
 	type FailureDomain,
 	type HostId,
 	type RequestId,
 	type SoftwareVersion,
 	type TargetId,
-} from '../../contracts/ids.js';
-import {type TargetListChange} from '../../contracts/listed-target.js';
-import {type BrittleTargets} from '../../core/brittle-targets.js';
-import {type HostDemand} from '../../core/host-demand.js';
-import {LogLimiter} from '../../core/log-limiter.js';
-import {type LeavingTarget} from '../../core/leaving-targets.js';
-import {type LeaseStatus, type LeaseHolder} from '../../core/owner-lease.js';
-import {type NamedRateLimits} from '../../core/named-rate-limits.js';
-import {type PermitDemand} from '../../core/permit-book.js';
-import {type PermitGrant} from '../../core/permit-issuer.js';
-import {receivedAge} from '../../core/received-age.js';
-import {ReportRoute, type ReportDestination} from '../../core/report-route.js';
-import {streamLifetimeMilliseconds} from '../../core/stream-origins.js';
+} from '../../../contracts/ids.js';
+import {type TargetListChange} from '../../../contracts/listed-target.js';
+import {type BrittleTargets} from '../../../core/limits/brittle-targets.js';
+import {type HostDemand} from '../../../core/placement/host-demand.js';
+import {LogLimiter} from '../../../core/limits/log-limiter.js';
+import {type LeavingTarget} from '../../../core/routing/leaving-targets.js';
+import {
+	type LeaseStatus,
+	type LeaseHolder,
+} from '../../../core/leases/owner-lease.js';
+import {type NamedRateLimits} from '../../../core/limits/named-rate-limits.js';
+import {type PermitDemand} from '../../../core/limits/permit-book.js';
+import {type PermitGrant} from '../../../core/limits/permit-issuer.js';
+import {receivedAge} from '../../../core/membership/received-age.js';
+import {
+	ReportRoute,
+	type ReportDestination,
+} from '../../../core/membership/report-route.js';
+import {streamLifetimeMilliseconds} from '../../../core/streams/stream-origins.js';
 import {
 	OwnerService,
 	type ReportResponse,
-} from '../../generated/daisylever/owner/v1/owner_pb.js';
-import {type CrashObserver} from './crash-observer.js';
-import {type PlacementOwner} from './placement-owner.js';
+} from '../../../generated/daisylever/owner/v1/owner_pb.js';
+import {type CrashObserver} from '../targets/crash-observer.js';
+import {type PlacementOwner} from '../owner/placement-owner.js';
+import {type StreamOriginSharing} from '../state/stream-origin-sharing.js';
+import {type PlacedContent} from '../targets/target-registry.js';
 import {
 	fromDocumentField,
 	fromPeerAddresses,
@@ -47,8 +55,6 @@
 } from './report-messages.js';
 import {type RelayedState} from './report-server.js';
 import {ObservationExchange} from './observation-exchange.js';
-import {type StreamOriginSharing} from './stream-origin-sharing.js';
-import {type PlacedContent} from './target-registry.js';
 
 /** Options of the report client. */
 export type ReportClientOptions = {
--- a/src/services/forwarding/report-messages.ts
+++ b/src/services/forwarding/reports/report-messages.ts
@@ -2,8 +2,8 @@
 import {
 	decodeForwardingDocument,
 	type ForwardingDocument,
-} from '../../contracts/forwarding-document.js';
-import {type DocumentChange} from '../../contracts/shared-store.js';
+} from '../../../contracts/forwarding-document.js';
+import {type DocumentChange} from '../../../contracts/shared-store.js';
 import {
 	type AdapterId,
 	type FailureDomain,
@@ -15,25 +15,25 @@
 	type SoftwareVersion,
 	type TargetId,
 	type TargetIncarnation,
-} from '../../contracts/ids.js';
+} from '../../../contracts/ids.js';
 import {
 	type EntryRevision,
 	type ListedTarget,
 	type TargetListChange,
-} from '../../contracts/listed-target.js';
+} from '../../../contracts/listed-target.js';
 import {
 	isHostAddress,
 	isTargetAddress,
-} from '../../contracts/target-address.js';
-import {type SuspicionReport} from '../../contracts/suspicion-report.js';
-import {type BrittleNews} from '../../core/brittle-targets.js';
-import {type HostDemand} from '../../core/host-demand.js';
-import {type LeavingTarget} from '../../core/leaving-targets.js';
-import {type RateChange} from '../../core/named-rate-limits.js';
-import {type LeaseStatus} from '../../core/owner-lease.js';
-import {type RelayCandidate} from '../../core/relay-assignment.js';
-import {type StreamOrigin} from '../../contracts/stream-origin.js';
-import {type SeenVersion} from '../../contracts/version-report.js';
+} from '../../../contracts/target-address.js';
+import {type SuspicionReport} from '../../../contracts/suspicion-report.js';
+import {type BrittleNews} from '../../../core/limits/brittle-targets.js';
+import {type HostDemand} from '../../../core/placement/host-demand.js';
+import {type LeavingTarget} from '../../../core/routing/leaving-targets.js';
+import {type RateChange} from '../../../core/limits/named-rate-limits.js';
+import {type LeaseStatus} from '../../../core/leases/owner-lease.js';
+import {type RelayCandidate} from '../../../core/membership/relay-assignment.js';
+import {type StreamOrigin} from '../../../contracts/stream-origin.js';
+import {type SeenVersion} from '../../../contracts/version-report.js';
 import {
 	type BrittleTarget,
 	type BrittleTargetSchema,
@@ -57,9 +57,9 @@
 	type TargetRateSchema,
 	type VersionedStreams,
 	type VersionedStreamsSchema,
-} from '../../generated/daisylever/owner/v1/owner_pb.js';
+} from '../../../generated/daisylever/owner/v1/owner_pb.js';
+import {type PlacedContent} from '../targets/target-registry.js';
 import {type UnlistedTarget} from './fleet-view.js';
-import {type PlacedContent} from './target-registry.js';
 
 /** What a report says of the reporting host besides its demand. */
 export type ReporterState = {
--- a/src/services/forwarding/report-server.ts
+++ b/src/services/forwarding/reports/report-server.ts
@@ -2,40 +2,42 @@
 import {type ConnectRouter} from '@connectrpc/connect';
 import {connectNodeAdapter} from '@connectrpc/connect-node';
 import {type Result} from 'neverthrow';
-import {type Clock} from '../../base/common/clock.js';
-import {Disposable} from '../../base/common/disposable.js';
-import {ServedConnections} from '../../base/node/served-connections.js';
+import {type Clock} from '../../../base/common/clock.js';
+import {Disposable} from '../../../base/common/disposable.js';
+import {ServedConnections} from '../../../base/node/served-connections.js';
 import {
 	listenOn,
 	type ListenError,
 	type ListenOptions,
-} from '../../base/node/listen.js';
+} from '../../../base/node/listen.js';
 import {
 	type HostId,
 	type RequestId,
 	type SoftwareVersion,
 	type TargetId,
-} from '../../contracts/ids.js';
-import {type DocumentChange} from '../../contracts/shared-store.js';
-import {DemandCollector} from '../../core/demand-collector.js';
-import {type BrittleTargets} from '../../core/brittle-targets.js';
-import {type HostDemand} from '../../core/host-demand.js';
-import {type LeavingTarget} from '../../core/leaving-targets.js';
-import {type LeaseStatus} from '../../core/owner-lease.js';
-import {type NamedRateLimits} from '../../core/named-rate-limits.js';
-import {type PermitIssuer} from '../../core/permit-issuer.js';
+} from '../../../contracts/ids.js';
+import {type DocumentChange} from '../../../contracts/shared-store.js';
+import {DemandCollector} from '../../../core/placement/demand-collector.js';
+import {type BrittleTargets} from '../../../core/limits/brittle-targets.js';
+import {type HostDemand} from '../../../core/placement/host-demand.js';
+import {type LeavingTarget} from '../../../core/routing/leaving-targets.js';
+import {type LeaseStatus} from '../../../core/leases/owner-lease.js';
+import {type NamedRateLimits} from '../../../core/limits/named-rate-limits.js';
+import {type PermitIssuer} from '../../../core/limits/permit-issuer.js';
 import {
 	maximumHostsOfRelay,
 	RelayAssignment,
 	reportInterval,
-} from '../../core/relay-assignment.js';
+} from '../../../core/membership/relay-assignment.js';
 import {
 	OwnerService,
 	type AcquirePermitsRequest,
 	type FindStreamRequest,
 	type ReportRequest,
-} from '../../generated/daisylever/owner/v1/owner_pb.js';
-import {type CrashObserver} from './crash-observer.js';
+} from '../../../generated/daisylever/owner/v1/owner_pb.js';
+import {type CrashObserver} from '../targets/crash-observer.js';
+import {type PlacementOwner} from '../owner/placement-owner.js';
+import {type StreamOriginSharing} from '../state/stream-origin-sharing.js';
 import {type FleetView} from './fleet-view.js';
 import {
 	fromBrittleTarget,
@@ -57,8 +59,6 @@
 	toUnlistedFields,
 	toVersionedStreams,
 } from './report-messages.js';
-import {type PlacementOwner} from './placement-owner.js';
-import {type StreamOriginSharing} from './stream-origin-sharing.js';
 
 /** State that a relay passes on from the owner. */
 export type RelayedState = {
--- a/src/services/forwarding/state-follower.ts
+++ b/src/services/forwarding/state/state-follower.ts
@@ -1,10 +1,10 @@
 import {ResultAsync, type Result} from 'neverthrow';
-import {type Clock} from '../../base/common/clock.js';
-import {Disposable} from '../../base/common/disposable.js';
-import {type EventLogger} from '../../base/common/event-logger.js';
-import {repeatWhenLate} from '../../base/common/repeat-when-late.js';
-import {TypedEvent} from '../../base/common/typed-event.js';
-import {forwardingEvents} from '../../contracts/events/forwarding-events.js';
+import {type Clock} from '../../../base/common/clock.js';
+import {Disposable} from '../../../base/common/disposable.js';
+import {type EventLogger} from '../../../base/common/event-logger.js';
+import {repeatWhenLate} from '../../../base/common/repeat-when-late.js';
+import {TypedEvent} from '../../../base/common/typed-event.js';
+import {forwardingEvents} from '../../../contracts/events/forwarding-events.js';
 import {
 	HistoryTruncatedError,
 	StoreRestoredError,
@@ -12,7 +12,7 @@
 	type SharedStoreError,
 	type StoreChanges,
 	type StorePosition,
-} from '../../contracts/shared-store.js';
+} from '../../../contracts/shared-store.js';
 
 /** Options of a state follower. */
 export type StateFollowerOptions<Change> = {
--- a/src/services/forwarding/stream-origin-sharing.ts
+++ b/src/services/forwarding/state/stream-origin-sharing.ts
@@ -2,18 +2,18 @@
 	type PoolName,
 	type RequestId,
 	type SoftwareVersion,
-} from '../../contracts/ids.js';
+} from '../../../contracts/ids.js';
 import {
 	type OriginSource,
 	type StreamOriginChanges,
 	type StreamOrigins,
-} from '../../core/stream-origins.js';
-import {type StreamOrigin} from '../../contracts/stream-origin.js';
+} from '../../../core/streams/stream-origins.js';
+import {type StreamOrigin} from '../../../contracts/stream-origin.js';
 import {
 	type SeenVersion,
 	type VersionReport,
-} from '../../contracts/version-report.js';
-import {type VersionHistory} from '../../core/version-history.js';
+} from '../../../contracts/version-report.js';
+import {type VersionHistory} from '../../../core/streams/version-history.js';
 
 /** Collaborators of the sharing of stream origins. */
 export type StreamOriginSharingOptions = {
--- a/src/services/forwarding/stream-recorder.ts
+++ b/src/services/forwarding/state/stream-recorder.ts
@@ -1,17 +1,17 @@
-import {type Clock} from '../../base/common/clock.js';
-import {Disposable} from '../../base/common/disposable.js';
-import {type EventLogger} from '../../base/common/event-logger.js';
-import {type MetricRegistry} from '../../base/common/metric-registry.js';
-import {type RandomSource} from '../../base/common/random-source.js';
-import {wait} from '../../base/node/wait.js';
-import {forwardingEvents} from '../../contracts/events/forwarding-events.js';
+import {type Clock} from '../../../base/common/clock.js';
+import {Disposable} from '../../../base/common/disposable.js';
+import {type EventLogger} from '../../../base/common/event-logger.js';
+import {type MetricRegistry} from '../../../base/common/metric-registry.js';
+import {type RandomSource} from '../../../base/common/random-source.js';
+import {wait} from '../../../base/node/wait.js';
+import {forwardingEvents} from '../../../contracts/events/forwarding-events.js';
 import {
 	StoreRestoredError,
 	type SharedStoreError,
 	type StorePosition,
 	type StreamLog,
-} from '../../contracts/shared-store.js';
-import {LogLimiter} from '../../core/log-limiter.js';
+} from '../../../contracts/shared-store.js';
+import {LogLimiter} from '../../../core/limits/log-limiter.js';
 import {type StreamOriginSharing} from './stream-origin-sharing.js';
 
 /** Options of the stream recorder. */
--- a/src/services/forwarding/brittle-observer.ts
+++ b/src/services/forwarding/targets/brittle-observer.ts
@@ -1,11 +1,11 @@
-import {type Clock} from '../../base/common/clock.js';
-import {type EventLogger} from '../../base/common/event-logger.js';
-import {type RandomSource} from '../../base/common/random-source.js';
-import {forwardingEvents} from '../../contracts/events/forwarding-events.js';
-import {type TargetId} from '../../contracts/ids.js';
-import {type ResponseMetadata} from '../../contracts/request-codec.js';
-import {BrittleTargets} from '../../core/brittle-targets.js';
-import {RefusalLimits} from '../../core/refusal-limits.js';
+import {type Clock} from '../../../base/common/clock.js';
+import {type EventLogger} from '../../../base/common/event-logger.js';
+import {type RandomSource} from '../../../base/common/random-source.js';
+import {forwardingEvents} from '../../../contracts/events/forwarding-events.js';
+import {type TargetId} from '../../../contracts/ids.js';
+import {type ResponseMetadata} from '../../../contracts/request-codec.js';
+import {BrittleTargets} from '../../../core/limits/brittle-targets.js';
+import {RefusalLimits} from '../../../core/limits/refusal-limits.js';
 
 /** Collaborators of the observer. */
 export type BrittleObserverOptions = {
--- a/src/services/forwarding/crash-observer.ts
+++ b/src/services/forwarding/targets/crash-observer.ts
@@ -1,19 +1,19 @@
-import {type EventLogger} from '../../base/common/event-logger.js';
-import {type MetricRegistry} from '../../base/common/metric-registry.js';
-import {TypedEvent} from '../../base/common/typed-event.js';
-import {forwardingEvents} from '../../contracts/events/forwarding-events.js';
+import {type EventLogger} from '../../../base/common/event-logger.js';
+import {type MetricRegistry} from '../../../base/common/metric-registry.js';
+import {TypedEvent} from '../../../base/common/typed-event.js';
+import {forwardingEvents} from '../../../contracts/events/forwarding-events.js';
 import {
 	type Fingerprint,
 	type PromptPartId,
 	type RequestId,
 	type TargetId,
 	type TargetIncarnation,
-} from '../../contracts/ids.js';
-import {type SuspicionReport} from '../../contracts/suspicion-report.js';
+} from '../../../contracts/ids.js';
+import {type SuspicionReport} from '../../../contracts/suspicion-report.js';
 import {
 	type CrashCorrelation,
 	type ObservedRequest,
-} from '../../core/crash-correlation.js';
+} from '../../../core/crashes/crash-correlation.js';
 
 /** What proves that the process of a target has ended. A target that does not respond may be frozen or cut off. */
 export type DeathEvidence = 'connection-refused' | 'unlisted' | 'restarted';
--- a/src/services/forwarding/reachability-prober.ts
+++ b/src/services/forwarding/targets/reachability-prober.ts
@@ -1,13 +1,13 @@
-import {Disposable} from '../../base/common/disposable.js';
-import {type Clock} from '../../base/common/clock.js';
-import {type EventLogger} from '../../base/common/event-logger.js';
+import {Disposable} from '../../../base/common/disposable.js';
+import {type Clock} from '../../../base/common/clock.js';
+import {type EventLogger} from '../../../base/common/event-logger.js';
 import {
 	probeConnection,
 	type ConnectionOutcome,
-} from '../../base/node/connection-probe.js';
-import {forwardingEvents} from '../../contracts/events/forwarding-events.js';
-import {type PoolName, type TargetId} from '../../contracts/ids.js';
-import {type ReachabilityFailure} from '../../core/target-reachability.js';
+} from '../../../base/node/connection-probe.js';
+import {forwardingEvents} from '../../../contracts/events/forwarding-events.js';
+import {type PoolName, type TargetId} from '../../../contracts/ids.js';
+import {type ReachabilityFailure} from '../../../core/routing/target-reachability.js';
 import {type TargetRegistry} from './target-registry.js';
 
 /** Collaborators of the prober. */
--- a/src/services/forwarding/target-connections.ts
+++ b/src/services/forwarding/targets/target-connections.ts
@@ -1,7 +1,7 @@
 import {type Socket} from 'node:net';
 import {buildConnector, Client, Pool, type Dispatcher} from 'undici';
-import {Disposable} from '../../base/common/disposable.js';
-import {type PolledQueue} from '../../base/node/polled-queue.js';
+import {Disposable} from '../../../base/common/disposable.js';
+import {type PolledQueue} from '../../../base/node/polled-queue.js';
 
 /** Options of the connections to a target. */
 export type TargetConnectionsOptions = {
--- a/src/services/forwarding/target-list-manager.ts
+++ b/src/services/forwarding/targets/target-list-manager.ts
@@ -1,7 +1,7 @@
-import {type Clock} from '../../base/common/clock.js';
-import {type TargetId} from '../../contracts/ids.js';
-import {type TargetListChange} from '../../contracts/listed-target.js';
-import {type StateChanges} from './state-follower.js';
+import {type Clock} from '../../../base/common/clock.js';
+import {type TargetId} from '../../../contracts/ids.js';
+import {type TargetListChange} from '../../../contracts/listed-target.js';
+import {type StateChanges} from '../state/state-follower.js';
 import {type TargetRegistry} from './target-registry.js';
 
 /** Gap between reads from which the store counts as having been unavailable. Entries may then have expired although their targets are alive. */
--- a/src/services/forwarding/target-order-task.ts
+++ b/src/services/forwarding/targets/target-order-task.ts
@@ -1,26 +1,26 @@
-import {type Clock} from '../../base/common/clock.js';
-import {type EventLogger} from '../../base/common/event-logger.js';
-import {forwardingEvents} from '../../contracts/events/forwarding-events.js';
+import {type Clock} from '../../../base/common/clock.js';
+import {type EventLogger} from '../../../base/common/event-logger.js';
+import {forwardingEvents} from '../../../contracts/events/forwarding-events.js';
 import {
 	type AdapterId,
 	type FencingToken,
 	type HostId,
 	type ModelId,
 	type TargetId,
-} from '../../contracts/ids.js';
-import {type ListedTarget} from '../../contracts/listed-target.js';
+} from '../../../contracts/ids.js';
+import {type ListedTarget} from '../../../contracts/listed-target.js';
 import {
 	type OrderOutcome,
 	type TargetOrderPort,
-} from '../../contracts/target-orders.js';
+} from '../../../contracts/target-orders.js';
 import {
 	adapterKey,
 	type AdapterReference,
-} from '../../core/adapter-slot-policy.js';
+} from '../../../core/placement/adapter-slot-policy.js';
 import {
 	SequencedOrderLedger,
 	type OrderSubject,
-} from '../../core/sequenced-order-ledger.js';
+} from '../../../core/orders/sequenced-order-ledger.js';
 import {type PlacedContent, type RegisteredTarget} from './target-registry.js';
 
 /** Options of the order task of one target. */
--- a/src/services/forwarding/target-registry.ts
+++ b/src/services/forwarding/targets/target-registry.ts
@@ -1,11 +1,11 @@
-import {type Clock} from '../../base/common/clock.js';
-import {Disposable} from '../../base/common/disposable.js';
-import {type EventLogger} from '../../base/common/event-logger.js';
-import {TypedEvent} from '../../base/common/typed-event.js';
-import {type PolledQueue} from '../../base/node/polled-queue.js';
-import {type MissingArtifact} from '../../contracts/artifact.js';
-import {forwardingEvents} from '../../contracts/events/forwarding-events.js';
-import {type ForwardingDocument} from '../../contracts/forwarding-document.js';
+import {type Clock} from '../../../base/common/clock.js';
+import {Disposable} from '../../../base/common/disposable.js';
+import {type EventLogger} from '../../../base/common/event-logger.js';
+import {TypedEvent} from '../../../base/common/typed-event.js';
+import {type PolledQueue} from '../../../base/node/polled-queue.js';
+import {type MissingArtifact} from '../../../contracts/artifact.js';
+import {forwardingEvents} from '../../../contracts/events/forwarding-events.js';
+import {type ForwardingDocument} from '../../../contracts/forwarding-document.js';
 import {
 	type AdapterId,
 	type ModelId,
@@ -13,21 +13,21 @@
 	type SoftwareVersion,
 	type TargetId,
 	type TargetIncarnation,
-} from '../../contracts/ids.js';
+} from '../../../contracts/ids.js';
 import {
 	type EntryRevision,
 	type ListedTarget,
 	type TargetListChange,
-} from '../../contracts/listed-target.js';
-import {type HoldBackRequest} from '../../contracts/request-codec.js';
-import {EntryRevisions} from '../../core/entry-revisions.js';
-import {HoldBacks} from '../../core/hold-backs.js';
-import {LogLimiter} from '../../core/log-limiter.js';
+} from '../../../contracts/listed-target.js';
+import {type HoldBackRequest} from '../../../contracts/request-codec.js';
+import {EntryRevisions} from '../../../core/membership/entry-revisions.js';
+import {HoldBacks} from '../../../core/routing/hold-backs.js';
+import {LogLimiter} from '../../../core/limits/log-limiter.js';
 import {
 	LeavingTargets,
 	type LeavingTarget,
-} from '../../core/leaving-targets.js';
-import {TargetReachability} from '../../core/target-reachability.js';
+} from '../../../core/routing/leaving-targets.js';
+import {TargetReachability} from '../../../core/routing/target-reachability.js';
 import {TargetConnections} from './target-connections.js';
 
 /** Content of a target as sent by the placement owner. */
--- a/src/services/forwarding/unserved-observer.ts
+++ b/src/services/forwarding/targets/unserved-observer.ts
@@ -1,17 +1,17 @@
-import {type Clock} from '../../base/common/clock.js';
-import {type EventLogger} from '../../base/common/event-logger.js';
-import {forwardingEvents} from '../../contracts/events/forwarding-events.js';
-import {type EnginePool} from '../../contracts/forwarding-document.js';
+import {type Clock} from '../../../base/common/clock.js';
+import {type EventLogger} from '../../../base/common/event-logger.js';
+import {forwardingEvents} from '../../../contracts/events/forwarding-events.js';
+import {type EnginePool} from '../../../contracts/forwarding-document.js';
 import {
 	type ModelId,
 	type PoolName,
 	type TargetId,
-} from '../../contracts/ids.js';
+} from '../../../contracts/ids.js';
 import {
 	adapterKey,
 	type AdapterReference,
-} from '../../core/adapter-slot-policy.js';
-import {UnservedDemand} from '../../core/unserved-demand.js';
+} from '../../../core/placement/adapter-slot-policy.js';
+import {UnservedDemand} from '../../../core/placement/unserved-demand.js';
 import {type TargetOrderTask} from './target-order-task.js';
 
 /** Collaborators of the observer of one pool. */
--- a/src/services/generation-session.ts
+++ b/src/services/generation-session.ts
@@ -23,7 +23,7 @@
 	StreamAssembler,
 	StreamRecovery,
 	type StreamInterruption,
-} from '../core/stream-assembler.js';
+} from '../core/streams/stream-assembler.js';
 import {isSilence} from './targets/failure-detector.js';
 
 /** An event of a generation for its caller. `completed` is the last event of a complete response. */
--- a/src/services/host-operator-backend.ts
+++ b/src/services/host-operator-backend.ts
@@ -7,8 +7,8 @@
 	type OrderId,
 	type Revision,
 } from '../contracts/ids.js';
-import {type BurnRateTracker} from '../core/burn-rate.js';
-import {createBurnReport, type BurnReport} from '../core/burn-report.js';
+import {type BurnRateTracker} from '../core/burn/burn-rate.js';
+import {createBurnReport, type BurnReport} from '../core/burn/burn-report.js';
 import {
 	type DecisionJournal,
 	type DecisionQuery,
--- a/src/services/lease-manager.ts
+++ b/src/services/lease-manager.ts
@@ -16,7 +16,7 @@
 	type HeldLease,
 	type LeaseClaim,
 	type LeaseTiming,
-} from '../core/lease-policy.js';
+} from '../core/leases/lease-policy.js';
 import {type LogFollower} from './log-follower.js';
 import {type ServiceOptions} from './service-options.js';
 
--- a/src/services/log-follower.ts
+++ b/src/services/log-follower.ts
@@ -18,8 +18,11 @@
 	type LogService,
 	type StoredRecord,
 } from '../contracts/log-service.js';
-import {ControlState, type ControlSnapshot} from '../core/control-state.js';
-import {type DocumentValidator} from '../core/document-validator.js';
+import {
+	ControlState,
+	type ControlSnapshot,
+} from '../core/documents/control-state.js';
+import {type DocumentValidator} from '../core/documents/document-validator.js';
 import {type PeerRecordSource} from './peer-record-source.js';
 import {type RecordAppender} from './record-appender.js';
 import {type ServiceOptions} from './service-options.js';
--- a/src/services/membership-task.ts
+++ b/src/services/membership-task.ts
@@ -18,7 +18,7 @@
 	selectHeartbeatPeers,
 	type Member,
 	type MembershipTimeouts,
-} from '../core/membership.js';
+} from '../core/membership/membership.js';
 import {type LogFollower} from './log-follower.js';
 import {type PeerDirectory} from './peer-directory.js';
 import {type ServiceOptions} from './service-options.js';
--- a/src/services/operator-backend.ts
+++ b/src/services/operator-backend.ts
@@ -1,7 +1,7 @@
 import {type ResultAsync} from 'neverthrow';
 import {type FleetDocument} from '../contracts/fleet-document.js';
 import {type OrderId, type Revision, type TargetId} from '../contracts/ids.js';
-import {type BurnReport} from '../core/burn-report.js';
+import {type BurnReport} from '../core/burn/burn-report.js';
 import {type DecisionQuery, type JournalEntry} from './decision-journal.js';
 
 /** An accepted document in the history. */
--- a/src/services/operator-server.ts
+++ b/src/services/operator-server.ts
@@ -20,13 +20,16 @@
 import {operatorEvents} from '../contracts/events/operator-events.js';
 import {type FleetDocument} from '../contracts/fleet-document.js';
 import {orderIdSchema, revisionSchema} from '../contracts/ids.js';
-import {formatBurnPlot, formatBurnTable} from '../core/burn-report.js';
+import {formatBurnPlot, formatBurnTable} from '../core/burn/burn-report.js';
 import {
 	compareDocuments,
 	formatDifferences,
-} from '../core/document-difference.js';
-import {validateDocument} from '../core/document-validator.js';
-import {formatPath, toSchemaProblems} from '../core/schema-problems.js';
+} from '../core/documents/document-difference.js';
+import {validateDocument} from '../core/documents/document-validator.js';
+import {
+	formatPath,
+	toSchemaProblems,
+} from '../core/documents/schema-problems.js';
 import {
 	NotRecordedError,
 	RevisionConflictError,
--- a/src/services/placement/fleet-placement.ts
+++ b/src/services/placement/fleet-placement.ts
@@ -23,13 +23,13 @@
 	type TargetId,
 } from '../../contracts/ids.js';
 import {type LogError} from '../../contracts/log-service.js';
-import {groupLeaseName, planLeaseName} from '../../core/lease-names.js';
-import {PlacementPlanner} from '../../core/placement-planner.js';
+import {groupLeaseName, planLeaseName} from '../../core/leases/lease-names.js';
+import {PlacementPlanner} from '../../core/placement/placement-planner.js';
 import {
 	type PlacementInput,
 	type PlacementTarget,
-} from '../../core/placement-policy.js';
-import {ResidencyTracker} from '../../core/residency-tracker.js';
+} from '../../core/placement/placement-policy.js';
+import {ResidencyTracker} from '../../core/placement/residency-tracker.js';
 import {type LeaseManager} from '../lease-manager.js';
 import {type LogFollower} from '../log-follower.js';
 import {type ServiceOptions} from '../service-options.js';
--- a/src/services/placement/group-reconciler.ts
+++ b/src/services/placement/group-reconciler.ts
@@ -10,9 +10,9 @@
 	type OrderId,
 	type TargetId,
 } from '../../contracts/ids.js';
-import {FencedOrderLedger} from '../../core/fenced-order-ledger.js';
-import {LoadPacer, type BudgetShare} from '../../core/load-pacer.js';
-import {RecordedOrderLedger} from '../../core/recorded-order-ledger.js';
+import {FencedOrderLedger} from '../../core/orders/fenced-order-ledger.js';
+import {LoadPacer, type BudgetShare} from '../../core/placement/load-pacer.js';
+import {RecordedOrderLedger} from '../../core/orders/recorded-order-ledger.js';
 import {
 	TargetReconciler,
 	TargetPlanView,
--- a/src/services/placement/placement-task.ts
+++ b/src/services/placement/placement-task.ts
@@ -8,12 +8,12 @@
 	type ModelId,
 	type PoolName,
 } from '../../contracts/ids.js';
-import {DemandEstimator} from '../../core/demand-estimator.js';
+import {DemandEstimator} from '../../core/placement/demand-estimator.js';
 import {
 	type Placement,
 	type PlacementInput,
 	type PlacementPolicy,
-} from '../../core/placement-policy.js';
+} from '../../core/placement/placement-policy.js';
 
 /** Access to the plan lease of a pool. */
 export abstract class PlanLease {
--- a/src/services/placement/target-reconciler.ts
+++ b/src/services/placement/target-reconciler.ts
@@ -29,13 +29,13 @@
 	TargetRefusedError,
 	type TargetError,
 } from '../../contracts/target-error.js';
-import {FencedOrderLedger} from '../../core/fenced-order-ledger.js';
-import {type LoadPacer} from '../../core/load-pacer.js';
-import {RecordedOrderLedger} from '../../core/recorded-order-ledger.js';
+import {FencedOrderLedger} from '../../core/orders/fenced-order-ledger.js';
+import {type LoadPacer} from '../../core/placement/load-pacer.js';
+import {RecordedOrderLedger} from '../../core/orders/recorded-order-ledger.js';
 import {
 	type OrderLedger,
 	type OrderLedgerError,
-} from '../../core/order-ledger.js';
+} from '../../core/orders/order-ledger.js';
 
 /** Access to the lease of a group. */
 export abstract class GroupLease {
--- a/test/agreement/control-state.test.ts
+++ b/test/agreement/control-state.test.ts
@@ -1,9 +1,9 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {type LogOffset, type RecordId} from '../../src/contracts/ids.js';
-import {ControlState} from '../../src/core/control-state.js';
-import {SchemaOnlyDocumentValidator} from '../../src/core/document-validator.js';
-import {Membership} from '../../src/core/membership.js';
+import {ControlState} from '../../src/core/documents/control-state.js';
+import {SchemaOnlyDocumentValidator} from '../../src/core/documents/document-validator.js';
+import {Membership} from '../../src/core/membership/membership.js';
 import {groupLease, planLease, sampleDocument} from './harness.js';
 
 const submit = (document: unknown, expectedRevision = 0) => ({
--- a/test/agreement/harness.ts
+++ b/test/agreement/harness.ts
@@ -18,7 +18,7 @@
 	type LogBatch,
 	type StreamName,
 } from '../../src/contracts/log-service.js';
-import {SchemaOnlyDocumentValidator} from '../../src/core/document-validator.js';
+import {SchemaOnlyDocumentValidator} from '../../src/core/documents/document-validator.js';
 import {LogFollower} from '../../src/services/log-follower.js';
 import {
 	PeerError,
--- a/test/dispatch/admission-policy.test.ts
+++ b/test/dispatch/admission-policy.test.ts
@@ -3,8 +3,8 @@
 import fc from 'fast-check';
 import {ManualClock} from '../../src/base/common/clock.js';
 import {type CallerId, type HostId} from '../../src/contracts/ids.js';
-import {AdmissionPolicy} from '../../src/core/admission-policy.js';
-import {CallerLimiter} from '../../src/core/caller-limiter.js';
+import {AdmissionPolicy} from '../../src/core/admission/admission-policy.js';
+import {CallerLimiter} from '../../src/core/admission/caller-limiter.js';
 
 const step = fc.oneof(
 	fc.record({kind: fc.constant('admit' as const), caller: fc.nat(2)}),
--- a/test/dispatch/caller-limits.test.ts
+++ b/test/dispatch/caller-limits.test.ts
@@ -16,7 +16,7 @@
 } from '../../src/contracts/ids.js';
 import {type ServiceResponse} from '../../src/contracts/plain-service.js';
 import {type RequestProblem} from '../../src/contracts/request-problem.js';
-import {CallerLimiter} from '../../src/core/caller-limiter.js';
+import {CallerLimiter} from '../../src/core/admission/caller-limiter.js';
 import {
 	DispatchPort,
 	CandidateDirectory,
--- a/test/dispatch/dispatch-queue.test.ts
+++ b/test/dispatch/dispatch-queue.test.ts
@@ -13,10 +13,10 @@
 	DispatchQueue,
 	type QueuedWork,
 	type Urgency,
-} from '../../src/core/dispatch-queue.js';
-import {LengthEstimator} from '../../src/core/length-estimator.js';
-import {SlotPolicy} from '../../src/core/slot-policy.js';
-import {type TargetLoad} from '../../src/core/target-load-tracker.js';
+} from '../../src/core/fairness/dispatch-queue.js';
+import {LengthEstimator} from '../../src/core/work/length-estimator.js';
+import {SlotPolicy} from '../../src/core/routing/slot-policy.js';
+import {type TargetLoad} from '../../src/core/routing/target-load-tracker.js';
 
 const findAnyTarget = () => 'a' as TargetId;
 
--- a/test/dispatch/dispatcher.test.ts
+++ b/test/dispatch/dispatcher.test.ts
@@ -13,9 +13,9 @@
 	type RequestId,
 	type TargetId,
 } from '../../src/contracts/ids.js';
-import {CallerLimiter} from '../../src/core/caller-limiter.js';
-import {SlotPolicy} from '../../src/core/slot-policy.js';
-import {RetryBudget} from '../../src/core/retry-budget.js';
+import {CallerLimiter} from '../../src/core/admission/caller-limiter.js';
+import {SlotPolicy} from '../../src/core/routing/slot-policy.js';
+import {RetryBudget} from '../../src/core/limits/retry-budget.js';
 import {
 	DispatchPort,
 	CandidateDirectory,
--- a/test/dispatch/isolation-policy.test.ts
+++ b/test/dispatch/isolation-policy.test.ts
@@ -1,8 +1,8 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {IsolationPolicy} from '../../src/core/isolation-policy.js';
+import {IsolationPolicy} from '../../src/core/routing/isolation-policy.js';
 import {type RequestId, type TargetId} from '../../src/contracts/ids.js';
-import {type TargetLoad} from '../../src/core/target-load-tracker.js';
+import {type TargetLoad} from '../../src/core/routing/target-load-tracker.js';
 
 const first = 'first' as RequestId;
 const second = 'second' as RequestId;
--- a/test/dispatch/refused-demand.test.ts
+++ b/test/dispatch/refused-demand.test.ts
@@ -2,7 +2,7 @@
 import {test} from 'node:test';
 import {ManualClock} from '../../src/base/common/clock.js';
 import {type ModelId} from '../../src/contracts/ids.js';
-import {RefusedDemand} from '../../src/core/refused-demand.js';
+import {RefusedDemand} from '../../src/core/placement/refused-demand.js';
 
 // Guards against an overload that hides itself: with every request beyond the capacity refused on arrival, the model
 // that needs another replica would show no more demand than its replicas can serve.
--- a/test/dispatch/retry-budget.test.ts
+++ b/test/dispatch/retry-budget.test.ts
@@ -2,7 +2,7 @@
 import {test} from 'node:test';
 import fc from 'fast-check';
 import {ManualClock} from '../../src/base/common/clock.js';
-import {RetryBudget} from '../../src/core/retry-budget.js';
+import {RetryBudget} from '../../src/core/limits/retry-budget.js';
 
 const step = fc.oneof(
 	fc.constant({kind: 'first'} as const),
--- a/test/dispatch/routing.test.ts
+++ b/test/dispatch/routing.test.ts
@@ -7,18 +7,18 @@
 	type RequestId,
 	type TargetId,
 } from '../../src/contracts/ids.js';
-import {HedgingPolicy} from '../../src/core/hedging-policy.js';
-import {OutlierDetector} from '../../src/core/outlier-detector.js';
-import {PrefixAffinity} from '../../src/core/prefix-affinity.js';
-import {RetryBudget} from '../../src/core/retry-budget.js';
+import {HedgingPolicy} from '../../src/core/routing/hedging-policy.js';
+import {OutlierDetector} from '../../src/core/routing/outlier-detector.js';
+import {PrefixAffinity} from '../../src/core/routing/prefix-affinity.js';
+import {RetryBudget} from '../../src/core/limits/retry-budget.js';
 import {
 	LeastOutstandingPolicy,
 	LoadAwarePolicy,
 	RoundRobinPolicy,
 	TwoChoicesPolicy,
 	type RoutingCandidate,
-} from '../../src/core/routing-policy.js';
-import {TargetLoadTracker} from '../../src/core/target-load-tracker.js';
+} from '../../src/core/routing/routing-policy.js';
+import {TargetLoadTracker} from '../../src/core/routing/target-load-tracker.js';
 
 const id = (name: string) => name as TargetId;
 
--- a/test/dispatch/silent-target.test.ts
+++ b/test/dispatch/silent-target.test.ts
@@ -16,7 +16,7 @@
 	type RequestId,
 } from '../../src/contracts/ids.js';
 import {LogUnavailableError} from '../../src/contracts/log-service.js';
-import {CallerLimiter} from '../../src/core/caller-limiter.js';
+import {CallerLimiter} from '../../src/core/admission/caller-limiter.js';
 import {DispatchRegistry} from '../../src/services/dispatch/dispatch-registry.js';
 import {type EnginePoolDispatch} from '../../src/services/dispatch/engine-pool-dispatch.js';
 import {GenerationRun} from '../../src/services/dispatch/generation-run.js';
--- a/test/dispatch/start-limiter.test.ts
+++ b/test/dispatch/start-limiter.test.ts
@@ -12,13 +12,13 @@
 	type RequestId,
 	type TargetId,
 } from '../../src/contracts/ids.js';
-import {AdmissionPolicy} from '../../src/core/admission-policy.js';
-import {AgingShare} from '../../src/core/aging-share.js';
-import {CallerLimiter} from '../../src/core/caller-limiter.js';
-import {type Urgency} from '../../src/core/dispatch-queue.js';
-import {LengthEstimator} from '../../src/core/length-estimator.js';
-import {SlotPolicy} from '../../src/core/slot-policy.js';
-import {StartLimiter} from '../../src/core/start-limiter.js';
+import {AdmissionPolicy} from '../../src/core/admission/admission-policy.js';
+import {AgingShare} from '../../src/core/fairness/aging-share.js';
+import {CallerLimiter} from '../../src/core/admission/caller-limiter.js';
+import {type Urgency} from '../../src/core/fairness/dispatch-queue.js';
+import {LengthEstimator} from '../../src/core/work/length-estimator.js';
+import {SlotPolicy} from '../../src/core/routing/slot-policy.js';
+import {StartLimiter} from '../../src/core/admission/start-limiter.js';
 import {
 	CandidateDirectory,
 	DispatchPort,
--- a/test/entry/claim-index.test.ts
+++ b/test/entry/claim-index.test.ts
@@ -14,7 +14,7 @@
 	type RecordId,
 	type RequestId,
 } from '../../src/contracts/ids.js';
-import {ClaimIndex} from '../../src/core/claim-index.js';
+import {ClaimIndex} from '../../src/core/claims/claim-index.js';
 
 const caller = 'workshop-7' as CallerId;
 const claimWindowMilliseconds = 1000;
--- a/test/entry/quarantine-policy.test.ts
+++ b/test/entry/quarantine-policy.test.ts
@@ -6,7 +6,7 @@
 	type TargetId,
 	type TargetIncarnation,
 } from '../../src/contracts/ids.js';
-import {QuarantinePolicy} from '../../src/core/quarantine-policy.js';
+import {QuarantinePolicy} from '../../src/core/crashes/quarantine-policy.js';
 
 const options = {
 	deathsToQuarantine: 2,
--- a/test/forwarding/adapter-slot-policy.test.ts
+++ b/test/forwarding/adapter-slot-policy.test.ts
@@ -10,7 +10,7 @@
 	AdapterSlotPolicy,
 	type AdapterReference,
 	type AdapterTarget,
-} from '../../src/core/adapter-slot-policy.js';
+} from '../../src/core/placement/adapter-slot-policy.js';
 
 const model = 'm' as ModelId;
 
--- a/test/forwarding/answer-times.test.ts
+++ b/test/forwarding/answer-times.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {AnswerTimes} from '../../src/core/answer-times.js';
+import {AnswerTimes} from '../../src/core/burn/answer-times.js';
 
 // Guards against an estimate that is made up before there is an answer, or that does not follow a slowdown.
 test('the usual time follows the answers of its key', () => {
--- a/test/forwarding/byte-budget.test.ts
+++ b/test/forwarding/byte-budget.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import fc from 'fast-check';
-import {ByteBudget} from '../../src/core/byte-budget.js';
+import {ByteBudget} from '../../src/core/limits/byte-budget.js';
 import {forwardingSettingsSchema} from '../../src/program/forwarding-settings.js';
 
 const seed = 20_261_205;
--- a/test/forwarding/crash-correlation.test.ts
+++ b/test/forwarding/crash-correlation.test.ts
@@ -12,7 +12,7 @@
 import {
 	CrashCorrelation,
 	type ObservedRequest,
-} from '../../src/core/crash-correlation.js';
+} from '../../src/core/crashes/crash-correlation.js';
 
 let requestCount = 0;
 
--- a/test/forwarding/customer-keys.test.ts
+++ b/test/forwarding/customer-keys.test.ts
@@ -7,8 +7,8 @@
 	type ForwardingDocument,
 } from '../../src/contracts/forwarding-document.js';
 import {type CustomerName, type KeyDigest} from '../../src/contracts/ids.js';
-import {CustomerKeys} from '../../src/core/customer-keys.js';
-import {PeerConnections} from '../../src/services/forwarding/peer-connections.js';
+import {CustomerKeys} from '../../src/core/fairness/customer-keys.js';
+import {PeerConnections} from '../../src/services/forwarding/peers/peer-connections.js';
 import {
 	respondWith,
 	StandInWorker,
--- a/test/forwarding/early-data.test.ts
+++ b/test/forwarding/early-data.test.ts
@@ -3,7 +3,7 @@
 import {test, type TestContext} from 'node:test';
 import {PolledQueue} from '../../src/base/node/polled-queue.js';
 import {SystemClock} from '../../src/base/node/system-clock.js';
-import {TargetConnections} from '../../src/services/forwarding/target-connections.js';
+import {TargetConnections} from '../../src/services/forwarding/targets/target-connections.js';
 import {waitUntil} from '../process/processes.js';
 
 const clock = new SystemClock();
--- a/test/forwarding/event-stream-splitter.test.ts
+++ b/test/forwarding/event-stream-splitter.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import fc from 'fast-check';
-import {EventStreamSplitter} from '../../src/core/event-stream-splitter.js';
+import {EventStreamSplitter} from '../../src/core/streams/event-stream-splitter.js';
 
 const events = [
 	'id: 1\ndata: a\n\n',
--- a/test/forwarding/fleet-view.test.ts
+++ b/test/forwarding/fleet-view.test.ts
@@ -10,9 +10,9 @@
 	type TargetId,
 	type TargetIncarnation,
 } from '../../src/contracts/ids.js';
-import {RevisionedMap} from '../../src/core/revisioned-map.js';
-import {FleetView} from '../../src/services/forwarding/fleet-view.js';
-import {TargetRegistry} from '../../src/services/forwarding/target-registry.js';
+import {RevisionedMap} from '../../src/core/membership/revisioned-map.js';
+import {FleetView} from '../../src/services/forwarding/reports/fleet-view.js';
+import {TargetRegistry} from '../../src/services/forwarding/targets/target-registry.js';
 
 const model = 'm' as ModelId;
 
--- a/test/forwarding/forward-attempt.test.ts
+++ b/test/forwarding/forward-attempt.test.ts
@@ -2,14 +2,14 @@
 import {test} from 'node:test';
 import {type Dispatcher} from 'undici';
 import {type RequestId, type TargetId} from '../../src/contracts/ids.js';
-import {ByteBudget} from '../../src/core/byte-budget.js';
+import {ByteBudget} from '../../src/core/limits/byte-budget.js';
 import {type ResponseMetadata} from '../../src/contracts/request-codec.js';
 import {PlatformRequestCodec} from '../../src/platform/request-codec.js';
 import {
 	AttemptListener,
 	ForwardAttempt,
 	type AttemptFailure,
-} from '../../src/services/forwarding/forward-attempt.js';
+} from '../../src/services/forwarding/attempts/forward-attempt.js';
 
 class RecordingListener extends AttemptListener {
 	readonly failures: AttemptFailure[] = [];
--- a/test/forwarding/forwarding-harness.ts
+++ b/test/forwarding/forwarding-harness.ts
@@ -31,21 +31,21 @@
 } from '../../src/contracts/ids.js';
 import {type ListedTarget} from '../../src/contracts/listed-target.js';
 import {PoolReachability} from '../../src/contracts/pool-reachability.js';
-import {type ByteBudget} from '../../src/core/byte-budget.js';
-import {CrashCorrelation} from '../../src/core/crash-correlation.js';
-import {NamedRateLimits} from '../../src/core/named-rate-limits.js';
-import {PeerSelection} from '../../src/core/peer-selection.js';
-import {PermitBook} from '../../src/core/permit-book.js';
+import {type ByteBudget} from '../../src/core/limits/byte-budget.js';
+import {CrashCorrelation} from '../../src/core/crashes/crash-correlation.js';
+import {NamedRateLimits} from '../../src/core/limits/named-rate-limits.js';
+import {PeerSelection} from '../../src/core/routing/peer-selection.js';
+import {PermitBook} from '../../src/core/limits/permit-book.js';
 import {PlatformRequestCodec} from '../../src/platform/request-codec.js';
-import {BrittleObserver} from '../../src/services/forwarding/brittle-observer.js';
-import {CrashObserver} from '../../src/services/forwarding/crash-observer.js';
+import {BrittleObserver} from '../../src/services/forwarding/targets/brittle-observer.js';
+import {CrashObserver} from '../../src/services/forwarding/targets/crash-observer.js';
 import {ForwardingServer} from '../../src/services/forwarding/forwarding-server.js';
 import {ForwardingService} from '../../src/services/forwarding/forwarding-service.js';
-import {PeerConnections} from '../../src/services/forwarding/peer-connections.js';
-import {PeerForwarder} from '../../src/services/forwarding/peer-forwarder.js';
-import {addPeerRoutes} from '../../src/services/forwarding/peer-routes.js';
-import {ReachabilityProber} from '../../src/services/forwarding/reachability-prober.js';
-import {TargetRegistry} from '../../src/services/forwarding/target-registry.js';
+import {PeerConnections} from '../../src/services/forwarding/peers/peer-connections.js';
+import {PeerForwarder} from '../../src/services/forwarding/peers/peer-forwarder.js';
+import {addPeerRoutes} from '../../src/services/forwarding/peers/peer-routes.js';
+import {ReachabilityProber} from '../../src/services/forwarding/targets/reachability-prober.js';
+import {TargetRegistry} from '../../src/services/forwarding/targets/target-registry.js';
 import {createSharing} from './stream-sharing.js';
 
 /** Name of the only pool. */
--- a/test/forwarding/held-back-targets.test.ts
+++ b/test/forwarding/held-back-targets.test.ts
@@ -4,7 +4,10 @@
 import fc from 'fast-check';
 import {ManualClock} from '../../src/base/common/clock.js';
 import {type TargetId} from '../../src/contracts/ids.js';
-import {HoldBacks, maximumHoldMilliseconds} from '../../src/core/hold-backs.js';
+import {
+	HoldBacks,
+	maximumHoldMilliseconds,
+} from '../../src/core/routing/hold-backs.js';
 import {parseHoldBack} from '../../src/platform/request-codec.js';
 import {
 	responseHead,
--- a/test/forwarding/late-work.test.ts
+++ b/test/forwarding/late-work.test.ts
@@ -6,7 +6,10 @@
 	type RequestId,
 	type TargetId,
 } from '../../src/contracts/ids.js';
-import {DispatchQueue, type QueuedWork} from '../../src/core/dispatch-queue.js';
+import {
+	DispatchQueue,
+	type QueuedWork,
+} from '../../src/core/fairness/dispatch-queue.js';
 
 const clock = new ManualClock();
 const target = 't' as TargetId;
--- a/test/forwarding/leaving-targets.test.ts
+++ b/test/forwarding/leaving-targets.test.ts
@@ -6,7 +6,7 @@
 	type TargetId,
 	type TargetIncarnation,
 } from '../../src/contracts/ids.js';
-import {LeavingTargets} from '../../src/core/leaving-targets.js';
+import {LeavingTargets} from '../../src/core/routing/leaving-targets.js';
 import {
 	completeResponse,
 	responseHead,
--- a/test/forwarding/list-delay.test.ts
+++ b/test/forwarding/list-delay.test.ts
@@ -9,9 +9,9 @@
 	SharedStoreError,
 	type StoreChanges,
 } from '../../src/contracts/shared-store.js';
-import {maximumListAge} from '../../src/core/list-age.js';
-import {receivedAge} from '../../src/core/received-age.js';
-import {StateFollower} from '../../src/services/forwarding/state-follower.js';
+import {maximumListAge} from '../../src/core/membership/list-age.js';
+import {receivedAge} from '../../src/core/membership/received-age.js';
+import {StateFollower} from '../../src/services/forwarding/state/state-follower.js';
 
 const stepMilliseconds = 10;
 /** Beats of targets, each of which is a record. */
--- a/test/forwarding/odd-peer-answers.test.ts
+++ b/test/forwarding/odd-peer-answers.test.ts
@@ -14,7 +14,7 @@
 import {
 	fromPeerAddresses,
 	toRelayCandidate,
-} from '../../src/services/forwarding/report-messages.js';
+} from '../../src/services/forwarding/reports/report-messages.js';
 import {forwardingDocument, ForwardingHarness} from './forwarding-harness.js';
 
 let host: ForwardingHarness;
--- a/test/forwarding/owner-lease-manager.test.ts
+++ b/test/forwarding/owner-lease-manager.test.ts
@@ -15,8 +15,8 @@
 	type PositionedOwnerRecord,
 } from '../../src/contracts/shared-store.js';
 import {type VersionReport} from '../../src/contracts/version-report.js';
-import {OwnerLease} from '../../src/core/owner-lease.js';
-import {OwnerLeaseManager} from '../../src/services/forwarding/owner-lease-manager.js';
+import {OwnerLease} from '../../src/core/leases/owner-lease.js';
+import {OwnerLeaseManager} from '../../src/services/forwarding/owner/owner-lease-manager.js';
 import {waitUntil} from '../process/processes.js';
 
 const timing = {
--- a/test/forwarding/owner-lease.test.ts
+++ b/test/forwarding/owner-lease.test.ts
@@ -6,7 +6,10 @@
 	type OwnerRecord,
 	type PositionedOwnerRecord,
 } from '../../src/contracts/shared-store.js';
-import {OwnerLease, type LeaseAppend} from '../../src/core/owner-lease.js';
+import {
+	OwnerLease,
+	type LeaseAppend,
+} from '../../src/core/leases/owner-lease.js';
 
 const times = {
 	renewalMilliseconds: 800,
--- a/test/forwarding/peer-memory.test.ts
+++ b/test/forwarding/peer-memory.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import {afterEach, beforeEach, test} from 'node:test';
-import {ByteBudget} from '../../src/core/byte-budget.js';
+import {ByteBudget} from '../../src/core/limits/byte-budget.js';
 import {respondWith, StandInWorker} from '../platform/stand-in-worker.js';
 import {waitUntil} from '../process/processes.js';
 import {
--- a/test/forwarding/peer-selection.test.ts
+++ b/test/forwarding/peer-selection.test.ts
@@ -2,7 +2,7 @@
 import {test} from 'node:test';
 import {ManualClock} from '../../src/base/common/clock.js';
 import {SeededRandomSource} from '../../src/base/common/random-source.js';
-import {PeerSelection} from '../../src/core/peer-selection.js';
+import {PeerSelection} from '../../src/core/routing/peer-selection.js';
 
 const none = new Set<string>();
 
--- a/test/forwarding/permits.test.ts
+++ b/test/forwarding/permits.test.ts
@@ -4,10 +4,10 @@
 import {NullMetricRegistry} from '../../src/base/common/metric-registry.js';
 import {SeededRandomSource} from '../../src/base/common/random-source.js';
 import {type TargetId} from '../../src/contracts/ids.js';
-import {NamedRateLimits} from '../../src/core/named-rate-limits.js';
-import {PermitBook} from '../../src/core/permit-book.js';
-import {PermitIssuer} from '../../src/core/permit-issuer.js';
-import {PermitClient} from '../../src/services/forwarding/permit-client.js';
+import {NamedRateLimits} from '../../src/core/limits/named-rate-limits.js';
+import {PermitBook} from '../../src/core/limits/permit-book.js';
+import {PermitIssuer} from '../../src/core/limits/permit-issuer.js';
+import {PermitClient} from '../../src/services/forwarding/limits/permit-client.js';
 import {waitUntil} from '../process/processes.js';
 
 const target = 't' as TargetId;
--- a/test/forwarding/received-age.test.ts
+++ b/test/forwarding/received-age.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {receivedAge} from '../../src/core/received-age.js';
+import {receivedAge} from '../../src/core/membership/received-age.js';
 
 // Guards against a target list that a host takes for younger than it is (DRAIN): its message was under way for long.
 test('the age of received state includes the time that its message may have been under way', () => {
--- a/test/forwarding/refusal-fleet.ts
+++ b/test/forwarding/refusal-fleet.ts
@@ -6,10 +6,10 @@
 	type TargetId,
 	type TargetIncarnation,
 } from '../../src/contracts/ids.js';
-import {BrittleTargets} from '../../src/core/brittle-targets.js';
-import {RefusalLimits} from '../../src/core/refusal-limits.js';
-import {SlotPolicy} from '../../src/core/slot-policy.js';
-import {TargetLoadTracker} from '../../src/core/target-load-tracker.js';
+import {BrittleTargets} from '../../src/core/limits/brittle-targets.js';
+import {RefusalLimits} from '../../src/core/limits/refusal-limits.js';
+import {SlotPolicy} from '../../src/core/routing/slot-policy.js';
+import {TargetLoadTracker} from '../../src/core/routing/target-load-tracker.js';
 
 /** Sizes and times of a simulated fleet. */
 export type RefusalFleetOptions = {
--- a/test/forwarding/refusal-limits.test.ts
+++ b/test/forwarding/refusal-limits.test.ts
@@ -3,8 +3,8 @@
 import {ManualClock} from '../../src/base/common/clock.js';
 import {SeededRandomSource} from '../../src/base/common/random-source.js';
 import {type TargetId} from '../../src/contracts/ids.js';
-import {BrittleTargets} from '../../src/core/brittle-targets.js';
-import {RefusalLimits} from '../../src/core/refusal-limits.js';
+import {BrittleTargets} from '../../src/core/limits/brittle-targets.js';
+import {RefusalLimits} from '../../src/core/limits/refusal-limits.js';
 import {RefusalFleet, type RefusalFleetOptions} from './refusal-fleet.js';
 
 const target = 't' as TargetId;
--- a/test/forwarding/relay-tree.test.ts
+++ b/test/forwarding/relay-tree.test.ts
@@ -3,13 +3,13 @@
 import fc from 'fast-check';
 import {ManualClock} from '../../src/base/common/clock.js';
 import {type FailureDomain, type HostId} from '../../src/contracts/ids.js';
-import {DemandCollector} from '../../src/core/demand-collector.js';
-import {type HostDemand} from '../../src/core/host-demand.js';
+import {DemandCollector} from '../../src/core/placement/demand-collector.js';
+import {type HostDemand} from '../../src/core/placement/host-demand.js';
 import {
 	maximumHostsOfRelay,
 	RelayAssignment,
-} from '../../src/core/relay-assignment.js';
-import {ReportRoute} from '../../src/core/report-route.js';
+} from '../../src/core/membership/relay-assignment.js';
+import {ReportRoute} from '../../src/core/membership/report-route.js';
 
 const intervalMilliseconds = 250;
 const domainCount = 5;
--- a/test/forwarding/report-server.test.ts
+++ b/test/forwarding/report-server.test.ts
@@ -12,19 +12,19 @@
 	type SoftwareVersion,
 	type TargetId,
 } from '../../src/contracts/ids.js';
-import {BrittleTargets} from '../../src/core/brittle-targets.js';
-import {CrashCorrelation} from '../../src/core/crash-correlation.js';
-import {NamedRateLimits} from '../../src/core/named-rate-limits.js';
-import {PermitIssuer} from '../../src/core/permit-issuer.js';
+import {BrittleTargets} from '../../src/core/limits/brittle-targets.js';
+import {CrashCorrelation} from '../../src/core/crashes/crash-correlation.js';
+import {NamedRateLimits} from '../../src/core/limits/named-rate-limits.js';
+import {PermitIssuer} from '../../src/core/limits/permit-issuer.js';
 import {
 	OwnerService,
 	ReportResponseSchema,
 } from '../../src/generated/daisylever/owner/v1/owner_pb.js';
-import {CrashObserver} from '../../src/services/forwarding/crash-observer.js';
-import {FleetView} from '../../src/services/forwarding/fleet-view.js';
-import {type PlacementOwner} from '../../src/services/forwarding/placement-owner.js';
-import {ReportServer} from '../../src/services/forwarding/report-server.js';
-import {TargetRegistry} from '../../src/services/forwarding/target-registry.js';
+import {CrashObserver} from '../../src/services/forwarding/targets/crash-observer.js';
+import {FleetView} from '../../src/services/forwarding/reports/fleet-view.js';
+import {type PlacementOwner} from '../../src/services/forwarding/owner/placement-owner.js';
+import {ReportServer} from '../../src/services/forwarding/reports/report-server.js';
+import {TargetRegistry} from '../../src/services/forwarding/targets/target-registry.js';
 import {createSharing} from './stream-sharing.js';
 
 const target = 't' as TargetId;
--- a/test/forwarding/restored-targets.test.ts
+++ b/test/forwarding/restored-targets.test.ts
@@ -5,9 +5,9 @@
 import {type PoolName, type TargetId} from '../../src/contracts/ids.js';
 import {PlatformTargetListState} from '../../src/platform/target-list-state.js';
 import {StoreClient} from '../../src/platform/store-client.js';
-import {StateFollower} from '../../src/services/forwarding/state-follower.js';
-import {TargetListManager} from '../../src/services/forwarding/target-list-manager.js';
-import {TargetRegistry} from '../../src/services/forwarding/target-registry.js';
+import {StateFollower} from '../../src/services/forwarding/state/state-follower.js';
+import {TargetListManager} from '../../src/services/forwarding/targets/target-list-manager.js';
+import {TargetRegistry} from '../../src/services/forwarding/targets/target-registry.js';
 import {StandInStore} from '../platform/stand-in-store.js';
 import {waitUntil} from '../process/processes.js';
 
--- a/test/forwarding/revocation.test.ts
+++ b/test/forwarding/revocation.test.ts
@@ -9,10 +9,10 @@
 	SharedStoreError,
 	type StoreChanges,
 } from '../../src/contracts/shared-store.js';
-import {maximumListAge} from '../../src/core/list-age.js';
-import {receivedAge} from '../../src/core/received-age.js';
-import {revocationLimits} from '../../src/core/revocation-limits.js';
-import {StateFollower} from '../../src/services/forwarding/state-follower.js';
+import {maximumListAge} from '../../src/core/membership/list-age.js';
+import {receivedAge} from '../../src/core/membership/received-age.js';
+import {revocationLimits} from '../../src/core/limits/revocation-limits.js';
+import {StateFollower} from '../../src/services/forwarding/state/state-follower.js';
 
 const stepMilliseconds = 10;
 const seconds = 40;
--- a/test/forwarding/route-table.test.ts
+++ b/test/forwarding/route-table.test.ts
@@ -3,7 +3,10 @@
 import {SeededRandomSource} from '../../src/base/common/random-source.js';
 import {type RouteRule} from '../../src/contracts/forwarding-document.js';
 import {type PoolName, type RouteName} from '../../src/contracts/ids.js';
-import {pickPoolByWeight, RouteTable} from '../../src/core/route-table.js';
+import {
+	pickPoolByWeight,
+	RouteTable,
+} from '../../src/core/routing/route-table.js';
 
 function route(name: string, hostName: string, pathPrefix: string): RouteRule {
 	return {
--- a/test/forwarding/sequenced-order-ledger.test.ts
+++ b/test/forwarding/sequenced-order-ledger.test.ts
@@ -10,7 +10,7 @@
 import {
 	SequencedOrderLedger,
 	type OrderSubject,
-} from '../../src/core/sequenced-order-ledger.js';
+} from '../../src/core/orders/sequenced-order-ledger.js';
 
 const incarnation = 'w@1' as TargetIncarnation;
 const models = ['a', 'b', 'c', 'd'] as ModelId[];
--- a/test/forwarding/slowdown-estimator.test.ts
+++ b/test/forwarding/slowdown-estimator.test.ts
@@ -2,7 +2,7 @@
 import {test} from 'node:test';
 import {ManualClock} from '../../src/base/common/clock.js';
 import {type ModelId, type TargetId} from '../../src/contracts/ids.js';
-import {SlowdownEstimator} from '../../src/core/slowdown-estimator.js';
+import {SlowdownEstimator} from '../../src/core/routing/slowdown-estimator.js';
 
 const fast = 'fast-model' as ModelId;
 const slow = 'slow-model' as ModelId;
--- a/test/forwarding/state-follower.test.ts
+++ b/test/forwarding/state-follower.test.ts
@@ -9,7 +9,7 @@
 	type SharedStoreError,
 	type StoreChanges,
 } from '../../src/contracts/shared-store.js';
-import {StateFollower} from '../../src/services/forwarding/state-follower.js';
+import {StateFollower} from '../../src/services/forwarding/state/state-follower.js';
 import {waitUntil} from '../process/processes.js';
 
 /** A state whose position a test sets. */
--- a/test/forwarding/state-read-rate.test.ts
+++ b/test/forwarding/state-read-rate.test.ts
@@ -14,8 +14,8 @@
 	type OrderOutcome,
 	type TargetOrderState,
 } from '../../src/contracts/target-orders.js';
-import {TargetOrderTask} from '../../src/services/forwarding/target-order-task.js';
-import {type RegisteredTarget} from '../../src/services/forwarding/target-registry.js';
+import {TargetOrderTask} from '../../src/services/forwarding/targets/target-order-task.js';
+import {type RegisteredTarget} from '../../src/services/forwarding/targets/target-registry.js';
 
 /** Counts the reads of the state, none of which is answered. */
 class SilentPort extends TargetOrderPort {
--- a/test/forwarding/stop-admission.test.ts
+++ b/test/forwarding/stop-admission.test.ts
@@ -12,9 +12,9 @@
 	type RouteName,
 } from '../../src/contracts/ids.js';
 import {PlatformRequestCodec} from '../../src/platform/request-codec.js';
-import {ForwardedRequest} from '../../src/services/forwarding/forwarded-request.js';
-import {PeerResponse} from '../../src/services/forwarding/peer-response.js';
-import {StopAdmission} from '../../src/services/forwarding/stop-admission.js';
+import {ForwardedRequest} from '../../src/services/forwarding/attempts/forwarded-request.js';
+import {PeerResponse} from '../../src/services/forwarding/peers/peer-response.js';
+import {StopAdmission} from '../../src/services/forwarding/limits/stop-admission.js';
 
 /** Times of a stop of 8 s. */
 const mustEndFromMilliseconds = 2700;
--- a/test/forwarding/stream-origins.test.ts
+++ b/test/forwarding/stream-origins.test.ts
@@ -10,7 +10,7 @@
 import {
 	streamLifetimeMilliseconds,
 	StreamOrigins,
-} from '../../src/core/stream-origins.js';
+} from '../../src/core/streams/stream-origins.js';
 import {createSharing} from './stream-sharing.js';
 
 const pool = 'p' as PoolName;
--- a/test/forwarding/stream-recorder.test.ts
+++ b/test/forwarding/stream-recorder.test.ts
@@ -15,7 +15,7 @@
 import {
 	StreamRecorder,
 	type StreamWriter,
-} from '../../src/services/forwarding/stream-recorder.js';
+} from '../../src/services/forwarding/state/stream-recorder.js';
 import {waitUntil} from '../process/processes.js';
 import {createSharing} from './stream-sharing.js';
 
--- a/test/forwarding/stream-sharing.ts
+++ b/test/forwarding/stream-sharing.ts
@@ -1,8 +1,8 @@
 import {type Clock} from '../../src/base/common/clock.js';
 import {type RequestId, type SoftwareVersion} from '../../src/contracts/ids.js';
-import {StreamOrigins} from '../../src/core/stream-origins.js';
-import {VersionHistory} from '../../src/core/version-history.js';
-import {StreamOriginSharing} from '../../src/services/forwarding/stream-origin-sharing.js';
+import {StreamOrigins} from '../../src/core/streams/stream-origins.js';
+import {VersionHistory} from '../../src/core/streams/version-history.js';
+import {StreamOriginSharing} from '../../src/services/forwarding/state/stream-origin-sharing.js';
 
 /** Creates the sharing of a host. Without a function for other hosts, none of them knows any stream. */
 export function createSharing(
--- a/test/forwarding/target-list-manager.test.ts
+++ b/test/forwarding/target-list-manager.test.ts
@@ -9,8 +9,8 @@
 	type TargetIncarnation,
 } from '../../src/contracts/ids.js';
 import {type TargetListChange} from '../../src/contracts/listed-target.js';
-import {TargetListManager} from '../../src/services/forwarding/target-list-manager.js';
-import {TargetRegistry} from '../../src/services/forwarding/target-registry.js';
+import {TargetListManager} from '../../src/services/forwarding/targets/target-list-manager.js';
+import {TargetRegistry} from '../../src/services/forwarding/targets/target-registry.js';
 
 const pool = 'p' as PoolName;
 
--- a/test/forwarding/target-reachability.test.ts
+++ b/test/forwarding/target-reachability.test.ts
@@ -6,7 +6,7 @@
 import {
 	TargetReachability,
 	type ReachabilityFailure,
-} from '../../src/core/target-reachability.js';
+} from '../../src/core/routing/target-reachability.js';
 
 const pool = 'p' as PoolName;
 const otherPool = 'q' as PoolName;
--- a/test/forwarding/target-registry.test.ts
+++ b/test/forwarding/target-registry.test.ts
@@ -10,7 +10,7 @@
 	type TargetId,
 	type TargetIncarnation,
 } from '../../src/contracts/ids.js';
-import {TargetRegistry} from '../../src/services/forwarding/target-registry.js';
+import {TargetRegistry} from '../../src/services/forwarding/targets/target-registry.js';
 
 const pool = 'p' as PoolName;
 const target = 'a' as TargetId;
--- a/test/forwarding/unreachable-target.test.ts
+++ b/test/forwarding/unreachable-target.test.ts
@@ -20,15 +20,15 @@
 import {
 	CrashCorrelation,
 	type ObservedRequest,
-} from '../../src/core/crash-correlation.js';
-import {NamedRateLimits} from '../../src/core/named-rate-limits.js';
-import {PermitBook} from '../../src/core/permit-book.js';
+} from '../../src/core/crashes/crash-correlation.js';
+import {NamedRateLimits} from '../../src/core/limits/named-rate-limits.js';
+import {PermitBook} from '../../src/core/limits/permit-book.js';
 import {PlatformRequestCodec} from '../../src/platform/request-codec.js';
-import {BrittleObserver} from '../../src/services/forwarding/brittle-observer.js';
-import {CrashObserver} from '../../src/services/forwarding/crash-observer.js';
-import {ForwardDispatch} from '../../src/services/forwarding/forward-dispatch.js';
-import {type ForwardedRequest} from '../../src/services/forwarding/forwarded-request.js';
-import {TargetRegistry} from '../../src/services/forwarding/target-registry.js';
+import {BrittleObserver} from '../../src/services/forwarding/targets/brittle-observer.js';
+import {CrashObserver} from '../../src/services/forwarding/targets/crash-observer.js';
+import {ForwardDispatch} from '../../src/services/forwarding/attempts/forward-dispatch.js';
+import {type ForwardedRequest} from '../../src/services/forwarding/attempts/forwarded-request.js';
+import {TargetRegistry} from '../../src/services/forwarding/targets/target-registry.js';
 import {createSharing} from './stream-sharing.js';
 
 const pool = 'p' as PoolName;
--- a/test/placement/dormancy-policy.test.ts
+++ b/test/placement/dormancy-policy.test.ts
@@ -4,7 +4,7 @@
 import {
 	DormancyPolicy,
 	canEvictLastReplica,
-} from '../../src/core/dormancy-policy.js';
+} from '../../src/core/placement/dormancy-policy.js';
 
 const requested = 'requested' as ModelId;
 const unrequested = 'unrequested' as ModelId;
--- a/test/placement/group-reconciler.test.ts
+++ b/test/placement/group-reconciler.test.ts
@@ -48,11 +48,14 @@
 	TargetRefusedError,
 	type TargetError,
 } from '../../src/contracts/target-error.js';
-import {ControlState} from '../../src/core/control-state.js';
-import {SchemaOnlyDocumentValidator} from '../../src/core/document-validator.js';
-import {groupLeaseName, planLeaseName} from '../../src/core/lease-names.js';
-import {PlacementPlanner} from '../../src/core/placement-planner.js';
-import {type PlacementTarget} from '../../src/core/placement-policy.js';
+import {ControlState} from '../../src/core/documents/control-state.js';
+import {SchemaOnlyDocumentValidator} from '../../src/core/documents/document-validator.js';
+import {
+	groupLeaseName,
+	planLeaseName,
+} from '../../src/core/leases/lease-names.js';
+import {PlacementPlanner} from '../../src/core/placement/placement-planner.js';
+import {type PlacementTarget} from '../../src/core/placement/placement-policy.js';
 import {
 	GroupReconciler,
 	GroupView,
--- a/test/placement/load-pacer.test.ts
+++ b/test/placement/load-pacer.test.ts
@@ -1,11 +1,11 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import fc from 'fast-check';
-import {DemandEstimator} from '../../src/core/demand-estimator.js';
+import {DemandEstimator} from '../../src/core/placement/demand-estimator.js';
 import {
 	LoadPacer,
 	shareRotationMilliseconds,
-} from '../../src/core/load-pacer.js';
+} from '../../src/core/placement/load-pacer.js';
 
 const seed = 20_261_204;
 
--- a/test/placement/order-ledger.test.ts
+++ b/test/placement/order-ledger.test.ts
@@ -14,9 +14,9 @@
 	type TargetId,
 	type TargetIncarnation,
 } from '../../src/contracts/ids.js';
-import {FencedOrderLedger} from '../../src/core/fenced-order-ledger.js';
-import {RecordedOrderLedger} from '../../src/core/recorded-order-ledger.js';
-import {type OrderLedger} from '../../src/core/order-ledger.js';
+import {FencedOrderLedger} from '../../src/core/orders/fenced-order-ledger.js';
+import {RecordedOrderLedger} from '../../src/core/orders/recorded-order-ledger.js';
+import {type OrderLedger} from '../../src/core/orders/order-ledger.js';
 
 const seed = 20_261_204;
 const target = 't1' as TargetId;
--- a/test/placement/placed-fleet.ts
+++ b/test/placement/placed-fleet.ts
@@ -25,13 +25,13 @@
 import {
 	adapterKey,
 	type AdapterReference,
-} from '../../src/core/adapter-slot-policy.js';
+} from '../../src/core/placement/adapter-slot-policy.js';
 import {
 	PoolPlacement,
 	type PoolDemand,
-} from '../../src/services/forwarding/pool-placement.js';
-import {TargetOrderTask} from '../../src/services/forwarding/target-order-task.js';
-import {type RegisteredTarget} from '../../src/services/forwarding/target-registry.js';
+} from '../../src/services/forwarding/owner/pool-placement.js';
+import {TargetOrderTask} from '../../src/services/forwarding/targets/target-order-task.js';
+import {type RegisteredTarget} from '../../src/services/forwarding/targets/target-registry.js';
 
 const poolName = 'pool' as PoolName;
 const stepMilliseconds = 20;
--- a/test/placement/placement-planner.test.ts
+++ b/test/placement/placement-planner.test.ts
@@ -17,12 +17,12 @@
 	GreedyPlacementPolicy,
 	PlacementPlanner,
 	StaticPlacementPolicy,
-} from '../../src/core/placement-planner.js';
+} from '../../src/core/placement/placement-planner.js';
 import {
 	type HeldArtifact,
 	type PlacementMove,
 	type PlacementTarget,
-} from '../../src/core/placement-policy.js';
+} from '../../src/core/placement/placement-policy.js';
 
 const seed = 20_261_204;
 const limits = {
--- a/test/placement/unserved-demand.test.ts
+++ b/test/placement/unserved-demand.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {UnservedDemand} from '../../src/core/unserved-demand.js';
+import {UnservedDemand} from '../../src/core/placement/unserved-demand.js';
 
 function createDemand(): UnservedDemand<string> {
 	return new UnservedDemand({
--- a/test/platform/odd-entries.test.ts
+++ b/test/platform/odd-entries.test.ts
@@ -17,14 +17,14 @@
 	decodeEntry,
 	PlatformTargetListState,
 } from '../../src/platform/target-list-state.js';
-import {FleetView} from '../../src/services/forwarding/fleet-view.js';
+import {FleetView} from '../../src/services/forwarding/reports/fleet-view.js';
 import {
 	fromTargetListUpdate,
 	toListedTarget,
 	toUnlistedFields,
-} from '../../src/services/forwarding/report-messages.js';
-import {TargetListManager} from '../../src/services/forwarding/target-list-manager.js';
-import {TargetRegistry} from '../../src/services/forwarding/target-registry.js';
+} from '../../src/services/forwarding/reports/report-messages.js';
+import {TargetListManager} from '../../src/services/forwarding/targets/target-list-manager.js';
+import {TargetRegistry} from '../../src/services/forwarding/targets/target-registry.js';
 import {oddEntries, soundEntry} from './odd-values.js';
 import {StandInStore} from './stand-in-store.js';
 
--- a/test/platform/order-connections.test.ts
+++ b/test/platform/order-connections.test.ts
@@ -12,7 +12,7 @@
 } from '../../src/contracts/ids.js';
 import {type ListedTarget} from '../../src/contracts/listed-target.js';
 import {PlatformOrderPort} from '../../src/platform/order-port.js';
-import {TargetConnections} from '../../src/services/forwarding/target-connections.js';
+import {TargetConnections} from '../../src/services/forwarding/targets/target-connections.js';
 import {completeResponse, StandInWorker} from './stand-in-worker.js';
 
 /** Calls of each kind, so that a shared connection would be used again. */
--- a/test/process/delivered-answers.test.ts
+++ b/test/process/delivered-answers.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {connect, type Socket} from 'node:net';
 import {after, afterEach, before, beforeEach, test} from 'node:test';
-import {PeerConnections} from '../../src/services/forwarding/peer-connections.js';
+import {PeerConnections} from '../../src/services/forwarding/peers/peer-connections.js';
 import {DelayedPath, type PathQuality} from '../delayed-path.js';
 import {StandInStore} from '../platform/stand-in-store.js';
 import {
--- a/test/process/left-callers.test.ts
+++ b/test/process/left-callers.test.ts
@@ -2,7 +2,7 @@
 import {connect} from 'node:net';
 import {after, before, beforeEach, test} from 'node:test';
 import {setTimeout as delay} from 'node:timers/promises';
-import {PeerConnections} from '../../src/services/forwarding/peer-connections.js';
+import {PeerConnections} from '../../src/services/forwarding/peers/peer-connections.js';
 import {
 	spawnForwarding,
 	startForwardingHost,
--- a/test/product/burn-rate.test.ts
+++ b/test/product/burn-rate.test.ts
@@ -11,12 +11,12 @@
 	mergeClassCounts,
 	type Judgement,
 	type RequestOutcome,
-} from '../../src/core/burn-rate.js';
+} from '../../src/core/burn/burn-rate.js';
 import {
 	formatBurnPlot,
 	formatBurnTable,
 	createBurnReport,
-} from '../../src/core/burn-report.js';
+} from '../../src/core/burn/burn-report.js';
 
 const schoolsClass = callerClassSchema.parse({
 	name: 'schools',
--- a/test/product/document.test.ts
+++ b/test/product/document.test.ts
@@ -4,9 +4,9 @@
 import {
 	compareDocuments,
 	formatDifferences,
-} from '../../src/core/document-difference.js';
-import {validateDocument} from '../../src/core/document-validator.js';
-import {packMemory} from '../../src/core/memory-packing.js';
+} from '../../src/core/documents/document-difference.js';
+import {validateDocument} from '../../src/core/documents/document-validator.js';
+import {packMemory} from '../../src/core/placement/memory-packing.js';
 
 const digest = (character: string): string => character.repeat(64);
 
--- a/test/product/fake-operator-backend.ts
+++ b/test/product/fake-operator-backend.ts
@@ -3,7 +3,10 @@
 import {NullEventLogger} from '../../src/base/common/event-logger.js';
 import {sha256} from '../../src/base/common/digest.js';
 import {type OrderId, type Revision} from '../../src/contracts/ids.js';
-import {type BurnReport, createBurnReport} from '../../src/core/burn-report.js';
+import {
+	type BurnReport,
+	createBurnReport,
+} from '../../src/core/burn/burn-report.js';
 import {DecisionJournal} from '../../src/services/decision-journal.js';
 import {
 	NotRecordedError,
--- a/test/product/response-burn.test.ts
+++ b/test/product/response-burn.test.ts
@@ -6,7 +6,7 @@
 	formatResponseBurn,
 	judgeResponse,
 	type LoggedResponse,
-} from '../../src/core/response-burn.js';
+} from '../../src/core/burn/response-burn.js';
 
 const objectives = {
 	attainment: 0.9,
--- a/test/product/served-demand.test.ts
+++ b/test/product/served-demand.test.ts
@@ -5,7 +5,7 @@
 	formatServedDemand,
 	ServedDemandCounter,
 	type LoggedModelRequest,
-} from '../../src/core/served-demand.js';
+} from '../../src/core/placement/served-demand.js';
 
 function request(change: Partial<LoggedModelRequest>): LoggedModelRequest {
 	return {
--- a/test/targets/stream-assembler.test.ts
+++ b/test/targets/stream-assembler.test.ts
@@ -7,7 +7,7 @@
 	StreamAssembler,
 	StreamRecovery,
 	type StreamInterruption,
-} from '../../src/core/stream-assembler.js';
+} from '../../src/core/streams/stream-assembler.js';
 
 const own = 'own' as RequestId;
 const foreign = 'foreign' as RequestId;
--- a/test/upgrade/message-form.test.ts
+++ b/test/upgrade/message-form.test.ts
@@ -37,7 +37,7 @@
 	fromTargetContent,
 	fromTargetListUpdate,
 	fromVersionedStreams,
-} from '../../src/services/forwarding/report-messages.js';
+} from '../../src/services/forwarding/reports/report-messages.js';
 import {goldenBuilds, readGolden} from './golden-records.js';
 
 const seed = 20_261_205;
--- a/test/upgrade/record-form.test.ts
+++ b/test/upgrade/record-form.test.ts
@@ -7,13 +7,16 @@
 import {type StoredRecord} from '../../src/contracts/log-service.js';
 import {parseOwnerRecord} from '../../src/contracts/owner-record.js';
 import {decodeStreamRecord} from '../../src/contracts/stream-origin.js';
-import {ClaimIndex, type ClaimEntry} from '../../src/core/claim-index.js';
+import {
+	ClaimIndex,
+	type ClaimEntry,
+} from '../../src/core/claims/claim-index.js';
 import {
 	ControlState,
 	type ControlSnapshot,
-} from '../../src/core/control-state.js';
-import {SchemaOnlyDocumentValidator} from '../../src/core/document-validator.js';
-import {OwnerLease} from '../../src/core/owner-lease.js';
+} from '../../src/core/documents/control-state.js';
+import {SchemaOnlyDocumentValidator} from '../../src/core/documents/document-validator.js';
+import {OwnerLease} from '../../src/core/leases/owner-lease.js';
 import {decodeDocument} from '../../src/platform/document-state.js';
 import {PlatformOwnerLog} from '../../src/platform/owner-log.js';
 import {type StoreClient} from '../../src/platform/store-client.js';
