--- a/src/contracts/forwarding-document.ts
+++ b/src/contracts/forwarding-document.ts
@@ -34,16 +34,32 @@
 	/** True when an interrupted stream may continue on another target after its last event. */
 	readonly isResumable: boolean;
 	readonly pools: readonly WeightedPool[];
+	/** Longest pause between two events of a stream that meets the objective, undefined if the document states none. */
+	readonly pauseObjectiveMilliseconds?: number | undefined;
 	/** True when requests need no key although the document has customers. */
 	readonly isKeyless?: boolean | undefined;
 };
 
+/** Limit on the rate at which all hosts together send the requests of a customer to targets. */
+export type CustomerQuota = {
+	/** What the quota counts. The tokens of a request are those of its prompt and the largest number that its response may have. */
+	readonly unit: 'requests' | 'tokens';
+	/** Units per second. */
+	readonly perSecond: number;
+	/** Units that may be sent in addition after a time without requests. */
+	readonly burst: number;
+	/** Units that a request counts that declares no tokens. 1 if the unit is requests. */
+	readonly plainUnits: number;
+};
+
 /** A customer, whose requests carry one of its keys. */
 export type Customer = {
 	readonly name: CustomerName;
 	readonly keyDigests: readonly KeyDigest[];
 	/** Priority of the customer's requests, 0 is the most urgent. It precedes that of their route. 0 if undefined. */
 	readonly priority: number | undefined;
+	/** Undefined for a customer without a limit. */
+	readonly quota?: CustomerQuota | undefined;
 };
 
 /** A model of an engine pool with the memory and time that a load takes. */
@@ -53,6 +69,10 @@
 	readonly bytes: number;
 	/** Time that a load from the weight store takes. */
 	readonly loadMilliseconds: number;
+	/** Time that a load takes while the weights are in the memory of the target's machine, undefined if not stated. */
+	readonly memoryLoadMilliseconds?: number | undefined;
+	/** Time that a load takes while the weights are on the disk of the target's machine, undefined if not stated. */
+	readonly diskLoadMilliseconds?: number | undefined;
 	/** Number of adapters of the model. */
 	readonly adapterCount: number;
 	/** Memory that one of the adapters takes. */
@@ -68,6 +88,12 @@
 	/** Limit on the rate of loads from the weight store. */
 	readonly loadsPerSecond: number;
 	readonly models: readonly PoolModel[];
+	/** Requests that one target runs at once, undefined if not stated. */
+	readonly slots?: number | undefined;
+	/** Tokens that the requests and cached prompts of one target may hold together, undefined if not stated. */
+	readonly memoryTokens?: number | undefined;
+	/** Tokens that one event of a stream holds at most, undefined if not stated. */
+	readonly tokensPerEvent?: number | undefined;
 };
 
 /** A set of interchangeable targets. The targets themselves come from the list of targets. */
@@ -121,6 +147,7 @@
 			isResumable: z.boolean(),
 			pools: z.array(z.looseObject({pool: z.string(), weight: z.number()})),
 			isKeyless: z.boolean().optional(),
+			pauseObjectiveMilliseconds: durationSchema.optional(),
 		}),
 	),
 	customers: z
@@ -129,6 +156,14 @@
 				name: z.string(),
 				keyDigests: z.array(z.string()),
 				priority: z.number().optional(),
+				quota: z
+					.looseObject({
+						unit: z.enum(['requests', 'tokens']),
+						perSecond: z.number().positive(),
+						burst: z.number().nonnegative(),
+						plainUnits: z.number().nonnegative(),
+					})
+					.optional(),
 			}),
 		)
 		.optional(),
@@ -148,8 +183,13 @@
 							loadMilliseconds: z.number(),
 							adapterCount: z.number(),
 							adapterBytes: z.number(),
+							memoryLoadMilliseconds: durationSchema.optional(),
+							diskLoadMilliseconds: durationSchema.optional(),
 						}),
 					),
+					slots: z.number().optional(),
+					memoryTokens: z.number().optional(),
+					tokensPerEvent: z.number().optional(),
 				})
 				.optional(),
 		}),
--- a/src/platform/document-state.ts
+++ b/src/platform/document-state.ts
@@ -8,6 +8,7 @@
 } from '../contracts/bounded-json.js';
 import {keyDigestsSchema} from '../contracts/key-digest.js';
 import {
+	type CustomerQuota,
 	type ForwardingDocument,
 	type RouteKind,
 } from '../contracts/forwarding-document.js';
@@ -44,6 +45,7 @@
 	attempts: z.number().default(1),
 	allow_resume: z.boolean().default(false),
 	no_auth: z.boolean().default(false),
+	gap_aim_ms: durationSchema.optional(),
 	service: z.string().optional(),
 	split: z
 		.array(z.object({service: z.string(), weight: z.number()}))
@@ -54,12 +56,17 @@
 	weights_mb: z.number(),
 	lora_slots: z.number().default(0),
 	loads_per_s: z.number().default(1),
+	slots: z.number().positive().optional(),
+	kv_cap: z.number().positive().optional(),
+	stride: z.number().positive().optional(),
 	models: z
 		.array(
 			z.object({
 				name: z.string(),
 				weights_mb: z.number(),
 				load_s: z.number().default(0),
+				warm_s: z.number().optional(),
+				disk_s: z.number().optional(),
 				adapters: z.number().default(0),
 				adapter_mb: z.number().default(0),
 			}),
@@ -71,6 +78,10 @@
 	name: customerNameSchema,
 	api_keys: keyDigestsSchema.default([]),
 	priority: z.number().nullish(),
+	per_s: z.number().nonnegative().nullish(),
+	burst: z.number().nonnegative().nullish(),
+	unit: z.enum(['requests', 'tokens']).nullish(),
+	plain_tokens: z.number().nonnegative().nullish(),
 });
 
 const configurationSchema = z.object({
@@ -168,6 +179,7 @@
 						}))
 					: [{pool: (route.service ?? '') as PoolName, weight: 1}],
 			isKeyless: route.no_auth,
+			pauseObjectiveMilliseconds: route.gap_aim_ms,
 		})),
 		pools: configuration.services.map((service) => ({
 			name: service.name as PoolName,
@@ -176,10 +188,15 @@
 				memoryBytes: toFinite(service.engine.weights_mb * bytesPerMegabyte),
 				adapterSlots: service.engine.lora_slots,
 				loadsPerSecond: service.engine.loads_per_s,
+				slots: service.engine.slots,
+				memoryTokens: service.engine.kv_cap,
+				tokensPerEvent: service.engine.stride,
 				models: service.engine.models.map((model) => ({
 					id: model.name as ModelId,
 					bytes: toFinite(Math.ceil(model.weights_mb * bytesPerMegabyte)),
 					loadMilliseconds: toFinite(model.load_s * 1000),
+					memoryLoadMilliseconds: toMilliseconds(model.warm_s),
+					diskLoadMilliseconds: toMilliseconds(model.disk_s),
 					adapterCount: model.adapters,
 					adapterBytes: toFinite(
 						Math.ceil(model.adapter_mb * bytesPerMegabyte),
@@ -197,6 +214,28 @@
 			name: tenant.name,
 			keyDigests: tenant.api_keys,
 			priority: tenant.priority ?? undefined,
+			quota: toQuota(tenant),
 		})),
 	};
 }
+
+/** A limit of 0, like an absent one, is none. */
+function toQuota({
+	unit,
+	per_s: perSecond,
+	burst,
+	plain_tokens: plainTokens,
+}: z.infer<typeof tenantSchema>): CustomerQuota | undefined {
+	return perSecond
+		? {
+				unit: unit ?? 'requests',
+				perSecond: toFinite(perSecond),
+				burst: toFinite(burst ?? 0),
+				plainUnits: unit === 'tokens' ? toFinite(plainTokens ?? 0) : 1,
+			}
+		: undefined;
+}
+
+function toMilliseconds(seconds: number | undefined): number | undefined {
+	return seconds === undefined ? undefined : toFinite(seconds * 1000);
+}
--- a/src/program/forwarding-settings.ts
+++ b/src/program/forwarding-settings.ts
@@ -59,6 +59,25 @@
 			revokeMilliseconds: positiveMillisecondsSchema.nullish(),
 		})
 		.prefault({}),
+	scheduling: z
+		.strictObject({
+			/**
+			 * Engine pools whose targets run at most this many requests at once are scheduled by the expected work of each
+			 * request. On a target that runs more of them at once, their differences even out. 0 for none.
+			 */
+			workAwareSlots: z.number().int().nonnegative().default(0),
+		})
+		.prefault({}),
+	quotas: z
+		.strictObject({
+			/** Length of the window in which the hosts together keep to the quota of a customer. Quotas are not enforced if it is absent. */
+			windowSeconds: z.number().positive().nullish(),
+			/** Share of a quota that the hosts together may exceed it by in a window. */
+			excessShare: z.number().min(0).max(1).nullish(),
+			/** Units that the hosts together may exceed a quota by in addition. */
+			slackUnits: z.number().nonnegative().nullish(),
+		})
+		.prefault({}),
 	/** Longest time from the first SIGTERM to the end of the process. */
 	stopSeconds: z.number().positive(),
 	log: logSettingsSchema.prefault({}),
--- a/src/services/forwarding/reports/report-client.ts
+++ b/src/services/forwarding/reports/report-client.ts
@@ -53,6 +53,7 @@
 	toReportRequest,
 	toTargetRate,
 } from './report-messages.js';
+import {type ReportFields, type ReportPart} from './report-part.js';
 import {type RelayedState} from './report-server.js';
 import {ObservationExchange} from './observation-exchange.js';
 
@@ -88,6 +89,8 @@
 	readonly peerAddresses: () => readonly string[];
 	/** Called with the lease status that a response of the owner contains. */
 	readonly onLeaseStatusReceived: (lease: LeaseStatus) => void;
+	/** Further subjects of the reports. */
+	readonly parts?: readonly ReportPart[];
 	/** Applies the shared state in a response. Returns false for a state that is older than the one of this host. */
 	readonly applyUpdate: (update: FleetUpdate) => boolean;
 };
@@ -381,6 +384,10 @@
 	private reportLocally(): void {
 		const {localOwner, demand} = this.options;
 		localOwner.applyDemand(demand());
+		for (const part of this.options.parts ?? []) {
+			part.reportLocally();
+		}
+
 		this.wasReachable = true;
 		this.applyUpdate({
 			hostCount: localOwner.hostCount,
@@ -447,9 +454,30 @@
 		}
 
 		this.applyResponse(response.value, roundTripMilliseconds);
+		for (const part of this.options.parts ?? []) {
+			part.handleResponse(response.value, {
+				address: destination.address,
+				ageMilliseconds: receivedAge({
+					ageMilliseconds: 0,
+					roundTripMilliseconds,
+					heldMilliseconds: response.value.heldMilliseconds,
+				}),
+			});
+		}
+
 		return true;
 	}
 
+	/** A host that takes observations only is neither the owner nor the relay of this one. */
+	private partFields(observationsOnly: boolean): ReportFields {
+		return observationsOnly
+			? {}
+			: (Object.assign(
+					{},
+					...(this.options.parts ?? []).map((part) => part.requestFields()),
+				) as ReportFields);
+	}
+
 	/** Calls a host, and exchanges suspicions with it. */
 	private async call(
 		address: string,
@@ -460,20 +488,23 @@
 		const document = this.options.document();
 		const response = await ResultAsync.fromPromise(
 			this.getClient(address).report(
-				toReportRequest(demand(), {
-					failureDomain,
-					peerAddress,
-					capacity,
-					failedRelay: this.route.failedRelay,
-					knownSource: this.knownSource,
-					knownRevision: this.knownRevision,
-					documentVersion: document?.version ?? 0,
-					needsDocument: this.options.needsDocument(),
-					document: this.documentWantedBy === address ? document : undefined,
-					observationsOnly,
-					leaving: this.options.leavingTargets(),
-					...fields,
-				}),
+				{
+					...this.partFields(observationsOnly),
+					...toReportRequest(demand(), {
+						failureDomain,
+						peerAddress,
+						capacity,
+						failedRelay: this.route.failedRelay,
+						knownSource: this.knownSource,
+						knownRevision: this.knownRevision,
+						documentVersion: document?.version ?? 0,
+						needsDocument: this.options.needsDocument(),
+						document: this.documentWantedBy === address ? document : undefined,
+						observationsOnly,
+						leaving: this.options.leavingTargets(),
+						...fields,
+					}),
+				},
 				{timeoutMs: callTimeoutMilliseconds + this.reportIntervalMilliseconds},
 			),
 			(cause) => new ReportCallError('the host did not respond', {cause}),
--- /dev/null
+++ b/src/services/forwarding/reports/report-part.ts
@@ -0,0 +1,51 @@
+import {type MessageInitShape} from '@bufbuild/protobuf';
+import {
+	type ReportRequest,
+	type ReportRequestSchema,
+	type ReportResponse,
+	type ReportResponseSchema,
+} from '../../../generated/daisylever/owner/v1/owner_pb.js';
+
+/** Fields of a report that one part sets. */
+export type ReportFields = Omit<
+	MessageInitShape<typeof ReportRequestSchema>,
+	'$typeName' | '$unknown'
+>;
+
+/** Fields of the response to a report that one part sets. */
+export type ReportResponseFields = Omit<
+	MessageInitShape<typeof ReportResponseSchema>,
+	'$typeName' | '$unknown'
+>;
+
+/** What is known of the sender of a response. */
+export type ResponseSender = {
+	/** `host:port` of the host that answered. */
+	readonly address: string;
+	/** Longest time since the host that answered read its state. */
+	readonly ageMilliseconds: number;
+};
+
+/**
+ * One subject of the reports between hosts, with its own fields and state. A host of an earlier build sends and reads
+ * none of them: absent fields mean that the sender does not tell, never that there is nothing.
+ */
+export abstract class ReportPart {
+	/** Fields for the report of this host to the owner or a relay, those of the hosts that report to this one included. */
+	abstract requestFields(): ReportFields;
+
+	/** Takes the fields of a report that this host accepts as the owner or as a relay. */
+	abstract handleRequest(request: ReportRequest): void;
+
+	/** Fields for the response of this host, as the owner or as a relay. */
+	abstract responseFields(request: ReportRequest): ReportResponseFields;
+
+	/** Takes the fields of a response of the owner or a relay. */
+	abstract handleResponse(
+		response: ReportResponse,
+		sender: ResponseSender,
+	): void;
+
+	/** Called instead of a report while this host is the owner. */
+	abstract reportLocally(): void;
+}
--- a/src/services/forwarding/reports/report-server.ts
+++ b/src/services/forwarding/reports/report-server.ts
@@ -39,6 +39,7 @@
 import {type PlacementOwner} from '../owner/placement-owner.js';
 import {type StreamOriginSharing} from '../state/stream-origin-sharing.js';
 import {type FleetView} from './fleet-view.js';
+import {type ReportPart, type ReportResponseFields} from './report-part.js';
 import {
 	fromBrittleTarget,
 	fromDocumentField,
@@ -106,6 +107,8 @@
 	readonly onLeavingTarget: (target: LeavingTarget) => void;
 	/** Called with a document that is newer than the one of this host, in the report of another one. */
 	readonly onDocumentReceived: (document: DocumentChange) => void;
+	/** Further subjects of the reports. */
+	readonly parts?: readonly ReportPart[];
 	/** Adds further calls between hosts to the listener. */
 	readonly addRoutes?: (router: ConnectRouter) => void;
 	/** True for calls of these whose responses must have arrived before the process ends. */
@@ -250,6 +253,10 @@
 			this.options.onDocumentReceived(document);
 		}
 
+		for (const part of this.options.parts ?? []) {
+			part.handleRequest(request);
+		}
+
 		const arrivedAt = this.options.clock.monotonic();
 		if (
 			!this.isBehind(request) &&
@@ -472,9 +479,17 @@
 				this.reportInterval(relayed.hostCount),
 			),
 			...(holdsLease ? toLeaseField(lease()) : {}),
+			...this.partFields(request),
 		};
 	}
 
+	private partFields(request: ReportRequest): ReportResponseFields {
+		return Object.assign(
+			{},
+			...(this.options.parts ?? []).map((part) => part.responseFields(request)),
+		) as ReportResponseFields;
+	}
+
 	/** Minimum time between the reports of a host that reports to this one. */
 	private reportInterval(hostCount: number): number {
 		return reportInterval(
