Place rarely requested models beside busy ones in pools with few slots

All models of a target share its slots.

SlotSharing counts the requests that no longer run on a target as a loss of an eviction, and moves rarely requested models from targets with idle slots to full ones. It applies to engine pools whose targets run at most scheduling.workAwareSlots requests at once; the thresholds of the planner, which stood for targets of 64 slots, are shares of the slots there. Other pools are planned as before. StartLimiter gets an option, not used yet, to raise limits per round of requests.

--- a/src/core/admission/start-limiter.ts
+++ b/src/core/admission/start-limiter.ts
@@ -6,6 +6,12 @@
 	readonly clock: Clock;
 	/** Requests of one level that may wait at a target before any of them has started there. */
 	readonly initialLimit?: number;
+	/**
+	 * True to raise a limit by the same amount for each round of requests at the target instead of for each start. With
+	 * an increase for each start, the hosts with the highest limits gain most, until a few hosts have a busy target to
+	 * themselves and the others refuse most of their requests.
+	 */
+	readonly isIncreasePerRound?: boolean;
 };
 
 /** A request that was sent to a target. */
@@ -65,11 +71,13 @@
 export class StartLimiter {
 	private readonly clock: Clock;
 	private readonly initialLimit: number;
+	private readonly isIncreasePerRound: boolean;
 	private readonly targets = new Map<TargetId, Target>();
 
 	constructor(options: StartLimiterOptions) {
 		this.clock = options.clock;
 		this.initialLimit = options.initialLimit ?? 4;
+		this.isIncreasePerRound = options.isIncreasePerRound ?? false;
 	}
 
 	/** True when another request of a level may be sent to the target. */
@@ -129,7 +137,7 @@
 		) {
 			level.limit = Math.min(
 				maximumLimit,
-				level.limit + Math.min(increase, level.limit),
+				level.limit + this.increaseOf(level),
 			);
 		}
 
@@ -156,6 +164,13 @@
 		return this.targets.get(target)?.levels.get(level)?.startMilliseconds;
 	}
 
+	private increaseOf({limit}: Level): number {
+		const step = this.isIncreasePerRound
+			? increase / Math.max(1, limit)
+			: increase;
+		return Math.min(step, limit);
+	}
+
 	/** Lowers the limits of levels whose requests have waited for too long and still do. */
 	private applyOverdue(state: Target): void {
 		const now = this.clock.monotonic();
--- a/src/core/placement/placement-planner.ts
+++ b/src/core/placement/placement-planner.ts
@@ -4,6 +4,7 @@
 	type PlacementInput,
 	PlacementPolicy,
 } from './placement-policy.js';
+import {type SlotSharing} from './slot-sharing.js';
 import {
 	PlacementWorkspace,
 	unservedAdapterBytes,
@@ -36,6 +37,8 @@
 	 * requests. The limit grows while requests for the model wait.
 	 */
 	readonly firstReplicaFactor: number;
+	/** Lets rarely requested models share targets with busy ones. Without it, first replicas are placed where the evicted replicas are missed least. */
+	readonly slotSharing?: SlotSharing | undefined;
 };
 
 /** Default options of the planner. */
@@ -67,6 +70,8 @@
 	readonly floor: ReplicaFloor;
 	/** Maximum loss of the evicted replicas, in running requests. Unlimited by default. */
 	readonly maximumLoss?: number;
+	/** Counts the requests that no longer run on the target as a loss. */
+	readonly slotSharing?: SlotSharing | undefined;
 };
 
 /** Returns the number of replicas that a model keeps when memory is freed for another model. */
@@ -78,6 +83,7 @@
 		/** True when demand is served before replicas are added in a second failure domain. */
 		private readonly isDemandFirst = false,
 		private readonly firstReplicaFactor = Number.POSITIVE_INFINITY,
+		private readonly slotSharing?: SlotSharing,
 	) {
 		super();
 	}
@@ -204,6 +210,7 @@
 					evictForReplica(workspace, state, {
 						floor: minimum,
 						maximumLoss: maximumLossOf(state),
+						slotSharing: this.slotSharing,
 						isForDemand: false,
 					});
 				// A model without its adapters is better than no model, so no memory is reserved for them here.
@@ -301,7 +308,11 @@
 	constructor(
 		private readonly options: PlannerOptions = defaultPlannerOptions,
 	) {
-		super(options.isDemandFirst, options.firstReplicaFactor);
+		super(
+			options.isDemandFirst,
+			options.firstReplicaFactor,
+			options.slotSharing,
+		);
 	}
 
 	protected serveDemand(workspace: PlacementWorkspace): void {
@@ -324,6 +335,8 @@
 				}
 			}
 		}
+
+		this.options.slotSharing?.relieveOverload(workspace, budget);
 	}
 
 	/** Adds replicas in spare memory. Returns the models that lack memory for more, the largest gain per byte first. */
@@ -575,13 +588,13 @@
 	{
 		isForDemand,
 		...bounds
-	}: Pick<EvictionOptions, 'floor' | 'maximumLoss'> & {
+	}: Pick<EvictionOptions, 'floor' | 'maximumLoss' | 'slotSharing'> & {
 		/** True when the replica serves demand in addition to others. It then gains nothing on a target that is already busy. */
 		readonly isForDemand: boolean;
 	},
 ): WorkspaceTarget | undefined {
 	const options = {beneficiary: state, ...bounds};
-	const {maximumLoss = Number.POSITIVE_INFINITY} = bounds;
+	const {maximumLoss = Number.POSITIVE_INFINITY, slotSharing} = bounds;
 	const bytes = state.artifact.bytes + unservedAdapterBytes(state);
 	const choices: Array<{target: WorkspaceTarget; loss: number}> = [];
 	for (const target of workspace.targets) {
@@ -594,6 +607,7 @@
 
 		let available = spareBytes(target);
 		let loss = 0;
+		const evicted: ModelState[] = [];
 		for (const candidate of evictable(workspace, target, options)) {
 			if (available >= bytes) {
 				break;
@@ -601,8 +615,11 @@
 
 			available += candidate.artifact.bytes;
 			loss += replicaLoss(candidate);
+			evicted.push(candidate);
 		}
 
+		loss += slotSharing?.idledRequests(target, evicted, state.demand) ?? 0;
+
 		if (available >= bytes && loss <= maximumLoss) {
 			choices.push({target, loss});
 		}
--- a/src/program/forwarding-root.ts
+++ b/src/program/forwarding-root.ts
@@ -242,6 +242,7 @@
 				clock,
 				events,
 				registry,
+				workAwareSlots: settings.scheduling.workAwareSlots,
 				limits: rateLimits,
 				port: new ChargedOrderPort(
 					new PlatformOrderPort(
--- a/src/services/forwarding/owner/placement-owner.ts
+++ b/src/services/forwarding/owner/placement-owner.ts
@@ -36,6 +36,8 @@
 	readonly port: TargetOrderPort;
 	/** Rates that targets name. */
 	readonly limits: NamedRateLimits;
+	/** Pools whose targets run at most this many requests at once are scheduled by work. 0 for none. */
+	readonly workAwareSlots?: number | undefined;
 	/** True while this host holds the owner lease. It may send orders only some time after it gained the lease. */
 	readonly isHolder: () => boolean;
 	/** The token with which orders may be sent now, undefined when this host may not send any. */
@@ -130,6 +132,7 @@
 					pool: name,
 					clock,
 					events,
+					workAwareSlots: this.options.workAwareSlots,
 					sinceLastNewTarget: () => registry.sinceLastNewTarget(),
 					tasks: () =>
 						registry
--- a/src/services/forwarding/owner/pool-placement.ts
+++ b/src/services/forwarding/owner/pool-placement.ts
@@ -31,6 +31,7 @@
 	defaultPlannerOptions,
 	PlacementPlanner,
 } from '../../../core/placement/placement-planner.js';
+import {SlotSharing} from '../../../core/placement/slot-sharing.js';
 import {
 	type HeldArtifact,
 	type PlacementPolicy,
@@ -69,6 +70,8 @@
 	readonly tasks: () => readonly TargetOrderTask[];
 	/** Returns the milliseconds since the last new target was listed. */
 	readonly sinceLastNewTarget: () => number;
+	/** Pools whose targets run at most this many requests at once are scheduled by work. 0 for none. */
+	readonly workAwareSlots?: number | undefined;
 };
 
 /** Interval between two plans. */
@@ -83,6 +86,10 @@
 const minimumRequestsPerReplica = 6;
 /** Active requests per replica from which a replica of another model is replaced. This is an eighth of the slots of a target. Below it, a replacement costs more than it gains. */
 const replacementRequestsPerReplica = 8;
+/** The same limits as shares of the slots of a target, for pools that are scheduled by work: the targets of these have few slots. */
+const spareSlotShare = 0.15;
+const replacementSlotShare = 0.25;
+const dormantSlotShare = 0.5;
 /** Factor by which the requests of a busy replica must exceed those of a model without a replica for the busy replica to stay. A replacement occupies a target for about a second, and rarely requested models can take turns on the same target. */
 const firstReplicaFactor = 4;
 /** Time without a new target after which the first plan is made, provided that the state of all targets is known. Two heartbeat intervals of targets. */
@@ -113,16 +120,7 @@
 
 /** Plans which models and adapters the targets of one engine pool hold, and sends the orders that are currently possible. */
 export class PoolPlacement {
-	private readonly planner: PlacementPolicy = new PlacementPlanner({
-		...defaultPlannerOptions,
-		// Loads take about a second and memory is scarce, so a replica of a model that is no longer busy is worth less
-		// than one of a busy model.
-		retainedReplicas: 1,
-		minimumRequestsPerReplica,
-		replacementRequestsPerReplica,
-		isDemandFirst: true,
-		firstReplicaFactor,
-	});
+	private planner: PlacementPolicy;
 
 	private readonly dormancy = new DormancyPolicy({
 		idleMilliseconds: modelIdleMilliseconds,
@@ -166,6 +164,7 @@
 		private engine: EnginePool,
 		private readonly options: PoolPlacementOptions,
 	) {
+		this.planner = createPlanner(engine, options);
 		this.pacer = new LoadPacer(
 			weightStoreLimitsOf(engine),
 			fullShare,
@@ -190,6 +189,7 @@
 	/** Applies a changed document. */
 	configure(engine: EnginePool): void {
 		this.engine = engine;
+		this.planner = createPlanner(engine, this.options);
 		this.unserved.configure(engine);
 		this.pacer.configure(weightStoreLimitsOf(engine), fullShare);
 	}
@@ -634,6 +634,33 @@
 	}
 }
 
+function createPlanner(
+	{slots}: EnginePool,
+	{workAwareSlots = 0}: PoolPlacementOptions,
+): PlacementPolicy {
+	const options = {
+		...defaultPlannerOptions,
+		// Loads take about a second and memory is scarce, so a replica of a model that is no longer busy is worth less
+		// than one of a busy model.
+		retainedReplicas: 1,
+		minimumRequestsPerReplica,
+		replacementRequestsPerReplica,
+		isDemandFirst: true,
+		firstReplicaFactor,
+	};
+	return new PlacementPlanner(
+		slots !== undefined && slots <= workAwareSlots
+			? {
+					...options,
+					minimumRequestsPerReplica: slots * spareSlotShare,
+					replacementRequestsPerReplica: slots * replacementSlotShare,
+					dormantRequestsPerReplica: slots * dormantSlotShare,
+					slotSharing: new SlotSharing(),
+				}
+			: options,
+	);
+}
+
 function artifactKeyOf(id: ModelId): ArtifactKey {
 	return modelArtifact({id, version: onlyVersion} as Model).key;
 }
--- a/test/placement/placed-fleet.ts
+++ b/test/placement/placed-fleet.ts
@@ -92,6 +92,8 @@
 class StandInTarget {
 	readonly resident = new Map<ModelId, Set<AdapterId>>();
 	readonly cached = new Set<ModelId>();
+	/** The same models, as the target lists them. */
+	readonly cachedModels: ModelId[] = [];
 	readonly running = new Set<OpenRequest>();
 	/** Adapters whose unload was ordered while requests used them. */
 	readonly unloadedInUse: AdapterReference[] = [];
@@ -111,6 +113,13 @@
 		private readonly clock: ManualClock,
 	) {}
 
+	addCached(model: ModelId): void {
+		if (!this.cached.has(model)) {
+			this.cached.add(model);
+			this.cachedModels.push(model);
+		}
+	}
+
 	get state(): TargetOrderState {
 		return {
 			incarnation: `${this.id}-1` as TargetIncarnation,
@@ -182,7 +191,7 @@
 		this.order = undefined;
 		if (order.action === 'load') {
 			this.resident.set(order.model, new Set());
-			this.cached.add(order.model);
+			this.addCached(order.model);
 		} else {
 			this.resident.delete(order.model);
 			this.unloaded.push(order.model);
@@ -288,6 +297,10 @@
 	readonly engine: EnginePool;
 	/** Models that each target holds at the beginning. */
 	readonly resident: ReadonlyArray<readonly ModelId[]>;
+	/** Requests that a target runs at once. No limit if absent. */
+	readonly slots?: number;
+	/** Pools with at most this many slots are scheduled by work. */
+	readonly workAwareSlots?: number;
 };
 
 /**
@@ -317,7 +330,7 @@
 			const target = new StandInTarget(id, engine, clock);
 			for (const model of models) {
 				target.resident.set(model, new Set());
-				target.cached.add(model);
+				target.addCached(model);
 			}
 
 			this.targets.set(id, target);
@@ -327,7 +340,7 @@
 		this.tasks = [...this.targets.values()].map(
 			(target, index) =>
 				new TargetOrderTask({
-					target: registeredTarget(target, index),
+					target: registeredTarget(target, index, options.slots),
 					host: 'h' as HostId,
 					port,
 					clock,
@@ -437,6 +450,7 @@
 			pool: poolName,
 			clock: this.clock,
 			events: new NullEventLogger(),
+			workAwareSlots: this.options.workAwareSlots,
 			tasks: () => this.tasks,
 			sinceLastNewTarget: () =>
 				this.clock.monotonic() - this.startedAt - listingMilliseconds,
@@ -494,6 +508,7 @@
 			.map(({id}) => this.targets.get(id)!)
 			.filter(
 				(target) =>
+					target.running.size < (this.options.slots ?? Infinity) &&
 					target.resident.get(model) !== undefined &&
 					(adapter === undefined || target.resident.get(model)!.has(adapter)),
 			);
@@ -590,6 +605,7 @@
 function registeredTarget(
 	target: StandInTarget,
 	index: number,
+	slots: number | undefined,
 ): RegisteredTarget {
 	return {
 		listed: {
@@ -597,10 +613,13 @@
 			pool: poolName,
 			address: '127.0.0.1:1',
 			failureDomain: `d${index % 3}` as FailureDomain,
-			slots: 64,
+			slots: slots ?? 64,
 			isLeaving: false,
 			residency: target.state,
-			localWeights: {inMemory: [], onDisk: []},
+			localWeights: {
+				inMemory: [],
+				onDisk: slots === undefined ? [] : target.cachedModels,
+			},
 		},
 		listedAt: 0,
 		content: new Map(),
