Schedule engine pools with few slots by the expected work of requests

Routing, queue and admission counted requests, although one may take fifty times as long as another, and the load tracker smoothed reports so slowly that a host of 24 saw little more than the mean of a pool of 78 targets.

Adds a learned work estimator (lengths by route, model, adapter and size class, a hint corrected by regression, pace and prompt time by model), the remaining work of targets, reports weighted by their age instead of smoothed, and a policy that compares the expected time to the first event and the effect on running streams. Pools whose targets have at most scheduling.workAwareSlots slots use them; the default of 0 leaves all pools as they were. Gates of targets are consulted there. Types, the target sample, the replacement targets, the retry limits and the candidates move out of the large files.

The effect on latency is not measured yet.

--- a/src/contracts/events/dispatch-events.ts
+++ b/src/contracts/events/dispatch-events.ts
@@ -98,4 +98,11 @@
 		description:
 			'A request that may have crashed a target was dispatched to a target on which no other request runs.',
 	},
+	workSchedulingChanged: {
+		number: 3040,
+		name: 'work-scheduling-changed',
+		level: 'info',
+		description:
+			'A pool is scheduled by the expected work of its requests from now on, or no longer is. Depends on slots of the pool in the document and on scheduling.workAwareSlots in the settings.',
+	},
 } as const satisfies Record<string, LogEventDefinition>;
--- a/src/core/routing/prefix-affinity.ts
+++ b/src/core/routing/prefix-affinity.ts
@@ -144,6 +144,12 @@
 		);
 	}
 
+	/** Returns the share of the prefixes that a target may hold, in [0, 1]. The prefixes are ordered from the longest. */
+	heldShare(target: TargetId, prefixes: readonly string[]): number {
+		const cache = this.caches.get(target);
+		return cache ? this.prefixShare(cache, prefixes) : 0;
+	}
+
 	private prefixShare(cache: TargetCache, prefixes: readonly string[]): number {
 		const now = this.options.clock.monotonic();
 		for (const [index, prefix] of prefixes.entries()) {
--- a/src/core/routing/routing-policy.ts
+++ b/src/core/routing/routing-policy.ts
@@ -17,6 +17,22 @@
 	readonly isProbeDue: boolean;
 	/** Share of the prefix and adapter of the request that the target holds, in [0, 1]. */
 	readonly affinity: number;
+	/** What is known of the work at the target, in pools that are scheduled by work. */
+	readonly work?: CandidateWork;
+};
+
+/** Work at a target, and of the request there. */
+export type CandidateWork = {
+	/** Standard deviation of the estimated number of requests of other hosts. */
+	readonly remoteSpread: number;
+	/** Mean further time in a slot of the requests at the target. */
+	readonly remainingMilliseconds: number;
+	/** Current duration of work relative to the usual one. */
+	readonly slowdown: number;
+	/** Time that the target needs for the part of the prompt that it does not hold, at usual speed. */
+	readonly promptMilliseconds: number;
+	/** Expected time of the request in a slot, at usual speed. */
+	readonly milliseconds: number;
 };
 
 /** Properties of a request that routing depends on. */
@@ -162,7 +178,8 @@
 	);
 }
 
-function leastBy<T>(
+/** Returns the item with the lowest value, the first of equal ones. */
+export function leastBy<T>(
 	items: readonly T[],
 	valueOf: (item: T) => number,
 ): T | undefined {
@@ -180,7 +197,7 @@
 }
 
 /** Returns up to `count` distinct items in random order. */
-function sample<T>(
+export function sample<T>(
 	items: readonly T[],
 	count: number,
 	random: RandomSource,
--- a/src/core/routing/target-load-tracker.ts
+++ b/src/core/routing/target-load-tracker.ts
@@ -25,6 +25,8 @@
 	readonly localLong: number;
 	/** Estimated number of requests of other hosts in flight. Not an integer in general. */
 	readonly remoteOutstanding: number;
+	/** Share of the last report in that number, in [0, 1]. The rest is the mean of the pool. */
+	readonly remoteConfidence?: number;
 };
 
 /** Collaborators and settings of the tracker. */
@@ -38,6 +40,9 @@
 	readonly smoothingFactor?: number;
 };
 
+/** Share of the requests at a target that are still there after a time. */
+export type ReportAging = (ageMilliseconds: number) => number;
+
 type TargetState = {
 	slots: number;
 	leaving: boolean;
@@ -62,6 +67,7 @@
 	private readonly reportHalfLifeMilliseconds: number;
 	private readonly maximumLoadPerSlot: number;
 	private readonly smoothingFactor: number;
+	private aging: ReportAging | undefined;
 	private readonly states = new Map<TargetId, TargetState>();
 	/** Targets in the iteration order of `loadsFrom`. */
 	private order: TargetId[] = [];
@@ -74,6 +80,15 @@
 		this.smoothingFactor = options.smoothingFactor ?? 0.1;
 	}
 
+	/**
+	 * Weights reports by their age instead of smoothing them: a new one counts in full, and then as the share of the
+	 * requests that are still there. The smoothing is meant for a host that sees many reports of each target while a
+	 * request runs; one that sees a report every few seconds would mostly know the mean of the pool. Undefined restores it.
+	 */
+	setAging(aging: ReportAging | undefined): void {
+		this.aging = aging;
+	}
+
 	/** Adds a target or changes its number of slots. */
 	setTarget(target: TargetId, slots: number): void {
 		const state = this.states.get(target);
@@ -172,7 +187,7 @@
 			total - localCountAt(state, state.measuredAt),
 		);
 		state.remoteOutstanding +=
-			(isSameIncarnation ? this.smoothingFactor : 1) *
+			(isSameIncarnation && !this.aging ? this.smoothingFactor : 1) *
 			(remoteOutstanding - state.remoteOutstanding);
 		return true;
 	}
@@ -200,8 +215,7 @@
 		const mean = fresh.length === 0 ? 0 : sum / fresh.length;
 		return chosen.map(([target, state]) => {
 			// For an old report the mean of the pool is the better estimate.
-			const confidence =
-				0.5 ** ((now - state.measuredAt) / this.reportHalfLifeMilliseconds);
+			const confidence = this.confidence(now - state.measuredAt);
 			return {
 				target,
 				slots: state.slots,
@@ -211,6 +225,7 @@
 				remoteOutstanding:
 					confidence * state.remoteOutstanding +
 					(1 - confidence) * mean * state.slots,
+				remoteConfidence: confidence,
 			};
 		});
 	}
@@ -226,6 +241,13 @@
 		);
 	}
 
+	/** Share of a report of an age in the estimate. */
+	private confidence(ageMilliseconds: number): number {
+		return this.aging
+			? this.aging(ageMilliseconds)
+			: 0.5 ** (ageMilliseconds / this.reportHalfLifeMilliseconds);
+	}
+
 	private recordHistory(state: TargetState): void {
 		const time = this.clock.monotonic();
 		state.history.push({time, count: state.localRequests.size});
--- a/src/program/forwarding-root.ts
+++ b/src/program/forwarding-root.ts
@@ -414,6 +414,7 @@
 			onAdapterMissing: () => {
 				this.reportClient.scheduleReport();
 			},
+			workAwareSlots: settings.scheduling.workAwareSlots,
 		});
 		const {service} = this;
 		components.addCallback(() => {
--- a/src/services/dispatch/dispatch-contracts.ts
+++ b/src/services/dispatch/dispatch-contracts.ts
@@ -28,6 +28,10 @@
 	/** Software version of the targets at which the stream may go on. Any if absent. */
 	readonly softwareVersion?: SoftwareVersion;
 	readonly promptCharacters: number;
+	/** The caller's estimate of the tokens of the response. It is often far off. */
+	readonly hintedTokens?: number | undefined;
+	/** Events of the stream that earlier attempts have produced. */
+	readonly producedEvents?: number;
 	/** Zero for calls to a plain service. */
 	readonly maximumTokens: number;
 	/** Digests of the prompt's prefixes, longest first. */
@@ -54,6 +58,18 @@
 	readonly avoidedTargets?: readonly TargetId[];
 };
 
+/** Classes of urgency, the most urgent first. */
+export const urgencyOrder: readonly Urgency[] = [
+	'urgent',
+	'standard',
+	'deferred',
+];
+
+/** Rank of work in the queue of a target, lower first. */
+export function startLevel({urgency}: Pick<WorkItem, 'urgency'>): number {
+	return urgencyOrder.indexOf(urgency);
+}
+
 /** Identifies one attempt: one send of a request to one target. */
 export type Attempt = {
 	readonly request: RequestId;
@@ -148,6 +164,8 @@
 			readonly kind: 'target-reported';
 			readonly report: LoadReport;
 			readonly ageMilliseconds: number;
+			/** Duration of work at the target relative to the usual one, undefined if not reported. */
+			readonly slowdown?: number;
 			readonly adapters: readonly AdapterId[];
 	  }
 	| {
--- a/src/services/dispatch/dispatcher.ts
+++ b/src/services/dispatch/dispatcher.ts
@@ -18,13 +18,12 @@
 import {
 	DispatchQueue,
 	type BoundWork,
-	type QueuedWork,
-	type Urgency,
 } from '../../core/fairness/dispatch-queue.js';
 import {HedgingPolicy} from '../../core/routing/hedging-policy.js';
 import {SlowdownEstimator} from '../../core/routing/slowdown-estimator.js';
 import {IsolationPolicy} from '../../core/routing/isolation-policy.js';
 import {LengthEstimator} from '../../core/work/length-estimator.js';
+import {type WorkEstimate} from '../../core/work/work-estimator.js';
 import {
 	OutlierDetector,
 	type LatencyKind,
@@ -46,6 +45,7 @@
 	TargetLoadTracker,
 	type TargetLoad,
 } from '../../core/routing/target-load-tracker.js';
+import {WorkAwarePolicy} from '../../core/routing/work-aware-policy.js';
 import {
 	type WorkItem,
 	type Attempt,
@@ -56,7 +56,18 @@
 	type DispatcherMessage,
 	type PoolMessage,
 	isPoolMessage,
+	startLevel,
+	urgencyOrder,
 } from './dispatch-contracts.js';
+import {replacementLoads} from './replacement-loads.js';
+import {TargetSample} from './target-sample.js';
+import {
+	toAttemptIdentity,
+	type DispatchWork,
+	type RunningAttempt,
+	type TrackedRequest,
+} from './tracked-request.js';
+import {type WorkScheduling} from './work-scheduling.js';
 
 /** Dependencies and settings of the dispatcher. Omitted policies use their default settings. */
 export type DispatcherOptions = {
@@ -82,6 +93,8 @@
 	readonly permits?: PermitBook;
 	/** Limits requests to targets that fall over when they turn away too many. No such limit if absent. */
 	readonly refusalLimits?: RefusalLimits;
+	/** Schedules the pool by the expected work of the requests. By their number if absent. */
+	readonly work?: WorkScheduling | undefined;
 	/** False to disable hedging. */
 	readonly hedging?: boolean;
 	/** Maximum number of attempts per request, including hedges. 3 by default. */
@@ -100,39 +113,6 @@
 	readonly lostAttemptLatencyMilliseconds?: number;
 };
 
-/** A work item in the queue. */
-export type DispatchWork = QueuedWork & {readonly item: WorkItem};
-
-type RunningAttempt = Attempt & {
-	readonly startedAt: number;
-	firstTokenAt: number | undefined;
-	lastTokenAt: number;
-	tokens: number;
-	/** Time since which the attempt makes no progress, undefined while it does. */
-	stalledAt: number | undefined;
-	readonly isReplacement: boolean;
-};
-
-type TrackedRequest = {
-	readonly work: DispatchWork;
-	readonly attempts: Map<number, RunningAttempt>;
-	readonly triedTargets: Set<TargetId>;
-	attemptCount: number;
-	/** Number of attempts that a target may have executed. */
-	executionCount: number;
-	isLong: boolean;
-	isHedged: boolean;
-	/** True once an attempt has ended without proof that it was not executed. */
-	mayHaveRun: boolean;
-	/** False once the request must not be sent again. */
-	mayRepeat: boolean;
-	/** Software version of the targets at which a stalled stream may go on. */
-	softwareVersion: SoftwareVersion | undefined;
-};
-
-/** Time after a stall from which the connection of an attempt may be dead, so that its target is asked again if no other one can be. */
-const deadConnectionMilliseconds = 350;
-const urgencyOrder: readonly Urgency[] = ['urgent', 'standard', 'deferred'];
 /** Time from send to start that the objective of work items already allows for. */
 const expectedStartMilliseconds = 60;
 /** Largest share of the objective by which work is considered late before its objective ends. */
@@ -143,12 +123,6 @@
 const overloadRetryMilliseconds = 3000;
 /** Queued requests for a model from which their drain rate is judged. */
 const minimumBacklog = 3;
-/** Largest pool size at which all targets are compared. */
-const maximumFullComparison = 16;
-/** Number of random targets compared in a larger pool. Routing samples six of them; the rest replace targets that are full. */
-const randomSampleSize = 12;
-/** Maximum number of targets added to the random sample for each other reason. */
-const maximumTargetsPerReason = 4;
 /** Maximum number of targets examined in one search for free capacity. */
 const capacitySearchLength = 64;
 
@@ -188,11 +162,10 @@
 	private capacitySearchPosition = 0;
 	/** The target found by the last search for free capacity, or the one on which an attempt has ended since. */
 	private targetWithCapacity: TargetId | undefined;
-	/** Candidate lists as sets, for membership tests on long lists. */
-	private readonly candidateSets = new WeakMap<
-		readonly TargetId[],
-		ReadonlySet<TargetId>
-	>();
+	private readonly targetSample: TargetSample;
+	/** Defined in a pool that is scheduled by work. */
+	private work: WorkScheduling | undefined;
+	private readonly workAwarePolicy: WorkAwarePolicy;
 
 	constructor(private readonly options: DispatcherOptions) {
 		super();
@@ -226,6 +199,13 @@
 		this.hedgingPolicy = new HedgingPolicy({clock, budget: this.retryBudget});
 		this.prefixAffinity = new PrefixAffinity({clock});
 		this.slowdownEstimator = new SlowdownEstimator({clock});
+		this.workAwarePolicy = new WorkAwarePolicy({random});
+		this.targetSample = new TargetSample({
+			random,
+			prefixAffinity: this.prefixAffinity,
+			outlierDetector: this.outlierDetector,
+		});
+		this.scheduleByWork(options.work);
 	}
 
 	/** Number of waiting requests. */
@@ -253,6 +233,12 @@
 		return this.prefixAffinity.nextSequence(target);
 	}
 
+	/** Schedules by the expected work of the requests, or by their number if undefined. */
+	scheduleByWork(work: WorkScheduling | undefined): void {
+		this.work = work;
+		this.loadTracker.setAging(work?.aging);
+	}
+
 	/** Queues a message, to be handled by `run`. */
 	post(message: DispatcherMessage): void {
 		this.mailbox.post(message);
@@ -380,6 +366,7 @@
 				this.prefixAffinity.removeTarget(message.target);
 				this.slowdownEstimator.removeTarget(message.target);
 				this.startLimiter?.removeTarget(message.target);
+				this.work?.removeTarget(message.target);
 				break;
 			}
 
@@ -389,7 +376,7 @@
 			}
 
 			case 'target-reported': {
-				this.loadTracker.applyReport(message.report, message.ageMilliseconds);
+				this.applyReport(message);
 				this.prefixAffinity.setAdapters(
 					message.report.target,
 					message.adapters,
@@ -430,6 +417,19 @@
 		}
 	}
 
+	private applyReport({
+		report,
+		slowdown,
+		ageMilliseconds,
+	}: Extract<PoolMessage, {kind: 'target-reported'}>): void {
+		if (
+			this.loadTracker.applyReport(report, ageMilliseconds) &&
+			slowdown !== undefined
+		) {
+			this.work?.recordSlowdown(report.target, slowdown, ageMilliseconds);
+		}
+	}
+
 	private submit(item: WorkItem): void {
 		if (this.trackedRequests.has(item.request)) {
 			return;
@@ -456,7 +456,8 @@
 			expectedMilliseconds:
 				item.isContinuation === true
 					? 0
-					: this.serviceTimeEstimator.estimate(estimate.tokens),
+					: (this.work?.expectedMilliseconds(item) ??
+						this.serviceTimeEstimator.estimate(estimate.tokens)),
 			deadline: this.clock.monotonic() + item.remainingMilliseconds,
 			startObjectiveDeadline:
 				this.clock.monotonic() + (item.startObjectiveMilliseconds ?? Infinity),
@@ -683,7 +684,7 @@
 	private findCapacity(): boolean {
 		if (this.targetWithCapacity !== undefined) {
 			const [load] = this.loadTracker.loads([this.targetWithCapacity]);
-			if (load && this.slotPolicy.hasCapacity(load, false)) {
+			if (load && this.hasFreeSlot(load, false)) {
 				return true;
 			}
 		}
@@ -692,14 +693,19 @@
 			this.capacitySearchPosition,
 			capacitySearchLength,
 		);
-		const index = loads.findIndex((load) =>
-			this.slotPolicy.hasCapacity(load, false),
-		);
+		const index = loads.findIndex((load) => this.hasFreeSlot(load, false));
 		this.targetWithCapacity = loads[index]?.target;
 		this.capacitySearchPosition += index === -1 ? loads.length : index;
 		return index !== -1;
 	}
 
+	private hasFreeSlot(load: TargetLoad, countsAsLong: boolean): boolean {
+		return (
+			this.work?.hasCapacity(load) ??
+			this.slotPolicy.hasCapacity(load, countsAsLong)
+		);
+	}
+
 	private dispatch(bound: BoundWork<DispatchWork>): void {
 		const {work, target, byAge, waitedMilliseconds} = bound;
 		const tracked = this.trackedRequests.get(work.request);
@@ -763,6 +769,11 @@
 		tracked.attempts.set(attempt.attempt, attempt);
 		tracked.triedTargets.add(target);
 		this.runningCount++;
+		const [load] = this.work ? this.loadTracker.loads([target]) : [];
+		if (load) {
+			this.work?.recordSent(load, item, this.heldShare(load, item));
+		}
+
 		this.loadTracker.startRequest(target, item.request, tracked.isLong);
 		this.options.permits?.recordSent(target);
 		this.options.refusalLimits?.recordSent(target);
@@ -821,47 +832,15 @@
 		return this.chooseTarget(work, usable, isAged);
 	}
 
-	/**
-	 * Returns the targets to compare for one dispatch: all targets of a small pool, or a random sample of a large one.
-	 * The sample is extended by targets that it would rarely include: those that hold prefixes of the prompt, ejected
-	 * and recovering targets, which otherwise would receive no probes, and the last target found with free capacity.
-	 */
 	private targetsToCompare(
 		item: WorkItem,
 		targets: readonly TargetId[],
 	): Iterable<TargetId> {
-		if (targets.length <= maximumFullComparison) {
-			return targets;
-		}
-
-		let candidates = this.candidateSets.get(targets);
-		if (!candidates) {
-			candidates = new Set(targets);
-			this.candidateSets.set(targets, candidates);
-		}
-
-		const compared = new Set<TargetId>();
-		const additional = [
-			...this.prefixAffinity.holdersOf(item.prefixes, maximumTargetsPerReason),
-			...this.outlierDetector
-				.reducedTargets()
-				.slice(0, maximumTargetsPerReason),
-			...(this.targetWithCapacity === undefined
-				? []
-				: [this.targetWithCapacity]),
-		];
-		for (const target of additional) {
-			if (candidates.has(target)) {
-				compared.add(target);
-			}
-		}
-
-		const {random} = this.options;
-		for (let index = 0; index < randomSampleSize; index += 1) {
-			compared.add(targets[random.integer(targets.length)]!);
-		}
-
-		return compared;
+		return this.targetSample.targetsToCompare(
+			targets,
+			item.prefixes,
+			this.targetWithCapacity,
+		);
 	}
 
 	private chooseTarget(
@@ -882,6 +861,7 @@
 		);
 		// Waiting for a healthy target is faster than using a slow one with free capacity.
 		const hasHealthy = [...healths.values()].some(({weight}) => weight > 0);
+		const estimate = this.estimate(work.item);
 		const candidates: RoutingCandidate[] = [];
 		for (const load of available) {
 			const health = healths.get(load.target)!;
@@ -901,10 +881,12 @@
 				continue;
 			}
 
-			candidates.push(this.toRoutingCandidate(load, health, work.item));
+			candidates.push(
+				this.toRoutingCandidate(load, health, work.item, estimate),
+			);
 		}
 
-		const chosen = this.routingPolicy.choose(candidates, work.item);
+		const chosen = this.policy.choose(candidates, work.item);
 		// If no healthy target has free capacity, an ejected target may receive probes only.
 		return chosen &&
 			hasHealthy &&
@@ -914,6 +896,20 @@
 			: chosen?.target;
 	}
 
+	private get policy(): RoutingPolicy {
+		return this.work ? this.workAwarePolicy : this.routingPolicy;
+	}
+
+	/** Expected work of a request, undefined unless the pool is scheduled by work. */
+	private estimate(item: WorkItem): WorkEstimate | undefined {
+		return this.work?.estimate(item);
+	}
+
+	/** Share of the prompt that a target may hold. */
+	private heldShare({target}: TargetLoad, {prefixes}: WorkItem): number {
+		return this.prefixAffinity.heldShare(target, prefixes);
+	}
+
 	/** True while more urgent work for the same model waits for a target: sent now, this work would only wait behind it at the target. */
 	private yieldsToUrgentWork({item}: DispatchWork): boolean {
 		const moreUrgent = urgencyOrder[startLevel(item) - 1];
@@ -936,10 +932,11 @@
 	): boolean {
 		return (
 			this.isolationPolicy.isAvailable(load.target) &&
-			this.slotPolicy.hasCapacity(load, countsAsLong) &&
+			this.hasFreeSlot(load, countsAsLong) &&
 			(!this.startLimiter ||
 				!isStartLimited(item) ||
 				this.startLimiter.hasCapacity(load.target, startLevel(item))) &&
+			(this.work?.mayReceive(load, item, this.heldShare(load, item)) ?? true) &&
 			(this.options.refusalLimits?.mayReceive(load) ?? true) &&
 			// Last, because it asks for a permit.
 			(this.options.permits?.hasPermit(load.target) ?? true)
@@ -949,9 +946,11 @@
 	private toRoutingCandidate(
 		load: TargetLoad,
 		health: TargetHealth,
-		{prefixes, adapter}: WorkItem,
+		item: WorkItem,
+		estimate: WorkEstimate | undefined,
 	): RoutingCandidate {
 		const {target} = load;
+		const {prefixes, adapter} = item;
 		const speedFactor = this.options.speedFactor?.(target) ?? 1;
 		return {
 			...load,
@@ -959,6 +958,16 @@
 			speed:
 				(health.speed * speedFactor) / this.slowdownEstimator.slowdown(target),
 			affinity: this.prefixAffinity.affinity(target, prefixes, adapter),
+			...(this.work && estimate
+				? {
+						work: this.work.describe(
+							load,
+							item,
+							estimate,
+							this.heldShare(load, item),
+						),
+					}
+				: {}),
 		};
 	}
 
@@ -996,6 +1005,7 @@
 
 		attempt.lastTokenAt = now;
 		attempt.tokens = Math.max(attempt.tokens, tokens);
+		this.work?.recordProgress(attempt.target, tracked.work.item, tokens);
 		if (!tracked.isLong && tokens >= this.lengthEstimator.longThresholdTokens) {
 			tracked.isLong = true;
 			this.loadTracker.markLong(attempt.target, message.request);
@@ -1025,6 +1035,7 @@
 		const {item} = tracked.work;
 		if (item.maximumTokens > 0) {
 			this.lengthEstimator.observe(item, tokens);
+			this.work?.observe(item, attempt);
 		}
 
 		this.endAttempt(tracked, attempt);
@@ -1107,7 +1118,7 @@
 		);
 		const target = this.chooseTarget(
 			{...tracked.work, item: replacement},
-			this.replacementLoads(tracked, attempt, loads),
+			replacementLoads(tracked, attempt, loads, this.clock.monotonic()),
 			false,
 		);
 		if (target !== undefined && this.retryBudget.tryAcquire()) {
@@ -1115,25 +1126,6 @@
 		}
 	}
 
-	/** Prefers targets that the request was not sent to. If there is none, its connection may be dead while its target accepts new ones. */
-	private replacementLoads(
-		tracked: TrackedRequest,
-		{target, stalledAt}: RunningAttempt,
-		loads: readonly TargetLoad[],
-	): readonly TargetLoad[] {
-		const untried = loads.filter(
-			(load) => !tracked.triedTargets.has(load.target),
-		);
-		const isSilentForLong =
-			this.clock.monotonic() - (stalledAt ?? Infinity) >=
-			deadConnectionMilliseconds;
-		return untried.length > 0 ||
-			!isSilentForLong ||
-			loads.some((load) => load.target !== target)
-			? untried
-			: loads;
-	}
-
 	private handleRefusal(message: Attempt, reason: RefusalReason): void {
 		const tracked = this.trackedRequests.get(message.request);
 		const attempt = tracked?.attempts.get(message.attempt);
@@ -1437,6 +1429,7 @@
 		this.loadTracker.endRequest(attempt.target, attempt.request);
 		this.options.refusalLimits?.recordEnded(attempt.target);
 		this.startLimiter?.recordEnded(attempt.target, attempt.request);
+		this.work?.recordEnded(attempt.target, attempt.request);
 		this.targetWithCapacity = attempt.target;
 		if (tracked.attempts.size === 0) {
 			this.awaitingFirstToken.delete(attempt.request);
@@ -1461,16 +1454,7 @@
 	}
 }
 
-/** Rank of work in the queue of a target, lower first. */
-export function startLevel({urgency}: Pick<WorkItem, 'urgency'>): number {
-	return urgencyOrder.indexOf(urgency);
-}
-
 /** True for model requests that have not begun. The rest of an interrupted stream is sent without delay. */
 function isStartLimited({model, isContinuation}: WorkItem): boolean {
 	return model !== undefined && isContinuation !== true;
 }
-
-function toAttemptIdentity({request, attempt, target}: Attempt): Attempt {
-	return {request, attempt, target};
-}
--- a/src/services/forwarding/attempts/forward-dispatch.ts
+++ b/src/services/forwarding/attempts/forward-dispatch.ts
@@ -35,22 +35,20 @@
 import {type NamedRateLimits} from '../../../core/limits/named-rate-limits.js';
 import {type PermitBook} from '../../../core/limits/permit-book.js';
 import {OutlierDetector} from '../../../core/routing/outlier-detector.js';
-import {
-	RetryBudget,
-	type RetryBudgetLimits,
-} from '../../../core/limits/retry-budget.js';
+import {RetryBudget} from '../../../core/limits/retry-budget.js';
 import {RefusedDemand} from '../../../core/placement/refused-demand.js';
+import {type TargetGate} from '../../../core/routing/target-gate.js';
 import {SlotPolicy} from '../../../core/routing/slot-policy.js';
 import {StartLimiter} from '../../../core/admission/start-limiter.js';
 import {
 	DispatchPort,
-	CandidateDirectory,
+	startLevel,
 	type Attempt,
 	type Binding,
 	type WorkItem,
 	type WorkRefusal,
 } from '../../dispatch/dispatch-contracts.js';
-import {Dispatcher, startLevel} from '../../dispatch/dispatcher.js';
+import {Dispatcher} from '../../dispatch/dispatcher.js';
 import {type BrittleObserver} from '../targets/brittle-observer.js';
 import {type CrashObserver} from '../targets/crash-observer.js';
 import {type StreamOriginSharing} from '../state/stream-origin-sharing.js';
@@ -61,21 +59,12 @@
 	type TargetRegistry,
 } from '../targets/target-registry.js';
 import {AttemptOwner, type AttemptOutcome} from './attempt-owner.js';
+import {PoolWork} from './pool-work.js';
 import {ForwardAttempt, type AttemptFailure} from './forward-attempt.js';
 import {type ForwardedRequest} from './forwarded-request.js';
+import {RegisteredCandidates} from './registered-candidates.js';
 import {RequestAttempt} from './request-attempt.js';
-
-/** Limits on retries that apply to all hosts together. */
-export type RetryLimits = {
-	/** Retries allowed per request. */
-	readonly ratio: number;
-	/** Retries allowed in each window in addition to those of the ratio, for all hosts together. */
-	readonly slack: number;
-	/** Length of the window to which the limits apply. */
-	readonly windowMilliseconds: number;
-	/** Number of hosts that share the slack. */
-	readonly hosts: number;
-};
+import {retryBudgetLimits, type RetryLimits} from './retry-limits.js';
 
 /** Collaborators of the dispatch of one pool. */
 export type ForwardDispatchOptions = {
@@ -106,18 +95,16 @@
 	readonly budget?: ByteBudget | undefined;
 	/** Gives a request that has not run and that this host cannot serve to another host. Returns false when it is to be refused. */
 	readonly tryOtherHost?: (request: ForwardedRequest) => boolean;
+	/** Pools whose targets have at most this many slots are scheduled by work. None by default. */
+	readonly workAwareSlots?: number | undefined;
+	/** Decide which targets may receive a request, in addition to the dispatcher, in a pool that is scheduled by work. */
+	readonly gates?: readonly TargetGate[] | undefined;
 };
 
-/** Retries that a host may have saved up although its share of the slack is smaller. */
-const minimumRetryCapacity = 2;
-/** Share of the slack that may be spent at once, when a target fails with many requests in flight. */
-const burstSlackShare = 0.7;
 /** All consumers connect through one load balancer, which does not identify them. */
 const sharedCaller = 'any' as CallerId;
 /** Attempts of one request, including those that no target received or executed. */
 const maximumAttempts = 5;
-/** Share of the ratio that is used, so that a window that contains only a part of a burst stays below the limit. */
-const usedRatioShare = 0.7;
 /** Speed factor of targets in other failure domains, because traffic between domains is charged. */
 const remoteSpeedFactor = 0.8;
 /** Latency that a lost attempt counts with in the outlier detection. */
@@ -153,6 +140,8 @@
 /** Forwards requests to one pool: the dispatcher selects the targets, this class sends the requests. */
 export class ForwardDispatch extends AttemptOwner {
 	readonly dispatcher: Dispatcher;
+	/** Scheduling by work of this pool. */
+	readonly work: PoolWork;
 	private readonly retryBudget: RetryBudget;
 	private readonly startLimiter: StartLimiter;
 	private readonly refusedDemand: RefusedDemand;
@@ -204,6 +193,10 @@
 			chargesEveryRefusal: true,
 			lostAttemptLatencyMilliseconds,
 		});
+		this.work = new PoolWork({
+			...options,
+			dispatcher: this.dispatcher,
+		});
 		this.subscriptions = [
 			registry.heldBack.subscribe(({listed}) => {
 				if (listed.pool === options.pool) {
@@ -1044,6 +1037,8 @@
 				? {}
 				: {softwareVersion: request.softwareVersion}),
 			promptCharacters: metadata.promptTokens,
+			hintedTokens: metadata.expectedTokens,
+			producedEvents: request.eventCount,
 			maximumTokens: metadata.maximumTokens,
 			prefixes: metadata.prefixKeys,
 			remainingMilliseconds: request.remainingMilliseconds(),
@@ -1147,6 +1142,7 @@
 				slots: load.slots,
 			},
 			ageMilliseconds: 0,
+			slowdown: load.slowdown,
 			adapters: [],
 		});
 	}
@@ -1179,39 +1175,6 @@
 	}
 }
 
-/** Looks up candidates in the target registry. */
-class RegisteredCandidates extends CandidateDirectory {
-	constructor(
-		private readonly registry: TargetRegistry,
-		private readonly pool: PoolName,
-	) {
-		super();
-	}
-
-	targetsFor(item: WorkItem): readonly TargetId[] {
-		return this.registry.candidates(
-			this.pool,
-			item.model,
-			item.adapter,
-			item.softwareVersion,
-		);
-	}
-}
-
-/** A window that begins with a full bucket allows the capacity and the refill, which together are this host's share of the slack. */
-function retryBudgetLimits(retries: RetryLimits): RetryBudgetLimits {
-	const slack = retries.slack / retries.hosts;
-	return {
-		ratio: retries.ratio * usedRatioShare,
-		minimumPerSecond:
-			(slack * (1 - burstSlackShare)) / (retries.windowMilliseconds / 1000),
-		capacity: Math.max(
-			minimumRetryCapacity,
-			Math.floor(slack * burstSlackShare),
-		),
-	};
-}
-
 function toAttempt({request, attempt, target}: Attempt): Attempt {
 	return {request, attempt, target};
 }
--- /dev/null
+++ b/src/services/forwarding/attempts/pool-work.ts
@@ -0,0 +1,72 @@
+import {type Clock} from '../../../base/common/clock.js';
+import {type EventLogger} from '../../../base/common/event-logger.js';
+import {dispatchEvents} from '../../../contracts/events/dispatch-events.js';
+import {
+	type EnginePool,
+	type PoolModel,
+} from '../../../contracts/forwarding-document.js';
+import {type ModelId, type PoolName} from '../../../contracts/ids.js';
+import {type TargetGate} from '../../../core/routing/target-gate.js';
+import {type Dispatcher} from '../../dispatch/dispatcher.js';
+import {
+	WorkScheduling,
+	type WorkFigures,
+} from '../../dispatch/work-scheduling.js';
+
+/** Collaborators and settings. */
+export type PoolWorkOptions = {
+	readonly pool: PoolName;
+	readonly clock: Clock;
+	readonly events: EventLogger;
+	readonly dispatcher: Dispatcher;
+	/** Pools whose targets have at most this many slots are scheduled by work. None by default. */
+	readonly workAwareSlots?: number | undefined;
+	readonly gates?: readonly TargetGate[] | undefined;
+};
+
+/** Switches the scheduling by work of one pool with the document. */
+export class PoolWork {
+	private scheduling: WorkScheduling | undefined;
+	private models: ReadonlyMap<ModelId, PoolModel> = new Map();
+
+	constructor(private readonly options: PoolWorkOptions) {}
+
+	/** Figures of the estimates, undefined unless the pool is scheduled by work. */
+	get figures(): WorkFigures | undefined {
+		return this.scheduling?.figures;
+	}
+
+	/** Applies the fields of the pool in a new version of the document. */
+	applyEngine(engine: EnginePool | undefined): void {
+		const {clock, events, dispatcher, pool, gates, workAwareSlots} =
+			this.options;
+		const slots = engine?.slots ?? Infinity;
+		const isEnabled = slots <= (workAwareSlots ?? 0);
+		if (isEnabled !== (this.scheduling !== undefined)) {
+			this.scheduling = isEnabled
+				? new WorkScheduling({clock, gates})
+				: undefined;
+			dispatcher.scheduleByWork(this.scheduling);
+			events.record(dispatchEvents.workSchedulingChanged, {
+				pool,
+				isEnabled,
+				slots: engine?.slots,
+			});
+		}
+
+		this.scheduling?.setTokensPerEvent(engine?.tokensPerEvent);
+		this.resetChangedModels(engine?.models ?? []);
+	}
+
+	/** The document does not name the version of the weights. A model whose size changes has other weights. */
+	private resetChangedModels(models: readonly PoolModel[]): void {
+		for (const {id, bytes} of models) {
+			const before = this.models.get(id);
+			if (before && before.bytes !== bytes) {
+				this.scheduling?.resetModel(id);
+			}
+		}
+
+		this.models = new Map(models.map((model) => [model.id, model]));
+	}
+}
--- a/src/services/forwarding/forwarding-service.ts
+++ b/src/services/forwarding/forwarding-service.ts
@@ -46,13 +46,14 @@
 import {
 	ForwardDispatch,
 	missingVersionReason,
-	type RetryLimits,
 } from './attempts/forward-dispatch.js';
 import {ForwardedRequest} from './attempts/forwarded-request.js';
+import {type RetryLimits} from './attempts/retry-limits.js';
 import {
 	ReceivedRequestHandler,
 	type ReceivedRequest,
 } from './forwarding-server.js';
+import {headerValue} from './header-value.js';
 import {StopAdmission} from './limits/stop-admission.js';
 import {HttpCallerResponse} from './attempts/http-caller-response.js';
 import {type PeerResponse} from './peers/peer-response.js';
@@ -89,6 +90,8 @@
 	readonly budget?: ByteBudget | undefined;
 	/** Called when a request arrives for an adapter that no target holds. */
 	readonly onAdapterMissing: () => void;
+	/** Pools whose targets have at most this many slots are scheduled by work. None by default. */
+	readonly workAwareSlots?: number | undefined;
 };
 
 /** What a planned stop did to the requests of callers. */
@@ -365,10 +368,13 @@
 			const existing = this.pools.get(name);
 			if (existing) {
 				existing.models = models;
+				existing.dispatch.work.applyEngine(engine);
 				continue;
 			}
 
-			this.pools.set(name, {dispatch: this.createDispatch(name), models});
+			const dispatch = this.createDispatch(name);
+			dispatch.work.applyEngine(engine);
+			this.pools.set(name, {dispatch, models});
 		}
 
 		return true;
@@ -1138,6 +1144,7 @@
 			maximumBodyBytes: 4_194_304,
 			budget: this.options.budget,
 			tryOtherHost: (request) => this.tryOtherHost(request, pool),
+			workAwareSlots: this.options.workAwareSlots,
 		});
 	}
 }
@@ -1151,14 +1158,3 @@
 function isCompleteAnswer(outcome: string): boolean {
 	return outcome === 'complete' || outcome.startsWith('status ');
 }
-
-/** Returns the first value of a header, given the lower-case name. */
-function headerValue(
-	rawHeaders: readonly string[],
-	name: string,
-): string | undefined {
-	const index = rawHeaders.findIndex(
-		(header, position) => position % 2 === 0 && header.toLowerCase() === name,
-	);
-	return index === -1 ? undefined : rawHeaders[index + 1];
-}
--- a/test/dispatch/start-limiter.test.ts
+++ b/test/dispatch/start-limiter.test.ts
@@ -22,15 +22,13 @@
 import {
 	CandidateDirectory,
 	DispatchPort,
+	startLevel,
 	type Attempt,
 	type Binding,
 	type WorkItem,
 	type WorkRefusal,
 } from '../../src/services/dispatch/dispatch-contracts.js';
-import {
-	Dispatcher,
-	startLevel,
-} from '../../src/services/dispatch/dispatcher.js';
+import {Dispatcher} from '../../src/services/dispatch/dispatcher.js';
 
 const model = 'busy' as ModelId;
 const target = 'only-copy' as TargetId;
