--- a/src/measure/serving-model.ts
+++ b/src/measure/serving-model.ts
@@ -18,14 +18,21 @@
 	DispatchPort,
 	CandidateDirectory,
 	type Attempt,
+	startLevel,
 	type Binding,
+	type WorkItem,
 	type WorkRefusal,
 } from '../services/dispatch/dispatch-contracts.js';
 import {
 	Dispatcher,
 	type DispatcherOptions,
 } from '../services/dispatch/dispatcher.js';
-import {TargetModel, type ModelWork, type Slowdown} from './target-model.js';
+import {
+	TargetModel,
+	type ModelWork,
+	type Slowdown,
+	type TargetModelOptions,
+} from './target-model.js';
 import {VirtualTimeline} from './virtual-timeline.js';
 import {serviceTime, type WorkloadRequest} from './workload.js';
 
@@ -39,6 +46,11 @@
 	readonly seed: number;
 	readonly reportIntervalMilliseconds: number;
 	readonly reportDelayMilliseconds: readonly [number, number];
+	/** Share of the reports in responses that are lost. Targets report their load with the first event of each response if present. */
+	readonly lostResponseReports?: number;
+	readonly targetOptions?: TargetModelOptions;
+	/** Indices of the targets that hold a model. All by default. */
+	readonly targetsOf?: (model: ModelId) => readonly number[];
 };
 
 /** Creates the dispatcher options of one host. */
@@ -46,6 +58,7 @@
 	timeline: VirtualTimeline,
 	random: RandomSource,
 	host: HostId,
+	targets: readonly TargetModel[],
 ) => Partial<DispatcherOptions>;
 
 /** How the entry hosts distribute requests: with a routing policy only, or with the dispatcher. */
@@ -61,14 +74,22 @@
 	readonly request: WorkloadRequest;
 	readonly latency: number;
 	readonly outcome: 'completed' | 'refused';
+	/** Time to the first event, undefined if there was none. */
+	readonly firstMilliseconds?: number | undefined;
+	/** Longest time between two events. */
+	readonly pauseMilliseconds?: number;
 };
 
+/** Times of the events of a request. */
+type EventTimes = {first: number; last: number; pause: number};
+
 /** Results of a simulation. */
 export type RunResult = {
 	readonly outcomes: readonly Outcome[];
 	/** Slot time used on each target, in milliseconds at normal speed. */
 	readonly used: readonly number[];
 	readonly hedges: number;
+	readonly preemptions: number;
 };
 
 /** Entry of a simulated host. */
@@ -132,6 +153,8 @@
 	private readonly dispatcher: Dispatcher;
 	private readonly requests = new Map<RequestId, WorkloadRequest>();
 	private readonly workByAttempt = new Map<string, ModelWork>();
+	private readonly ids: readonly TargetId[];
+	private readonly idsByModel = new Map<ModelId, readonly TargetId[]>();
 
 	constructor(
 		options: Omit<DispatcherOptions, 'port' | 'directory' | 'logger'>,
@@ -141,17 +164,20 @@
 			index: number,
 			outcome: Outcome['outcome'],
 		) => void,
+		private readonly progressed: (
+			entry: DispatcherEntry,
+			index: number,
+			target: TargetModel,
+			isFirst: boolean,
+		) => void,
+		private readonly targetsOf: FleetShape['targetsOf'],
 	) {
 		super();
-		const ids = targets.map(({id}) => id);
+		this.ids = targets.map(({id}) => id);
 		this.dispatcher = new Dispatcher({
 			...options,
 			port: new ModelPort(this),
-			directory: new (class extends CandidateDirectory {
-				targetsFor(): readonly TargetId[] {
-					return ids;
-				}
-			})(),
+			directory: new ModelDirectory((model) => this.holdersOf(model)),
 			logger: new NullEventLogger(),
 		});
 		this.dispatcher.handle({kind: 'hosts-changed', hosts});
@@ -163,6 +189,7 @@
 	submit(index: number, request: WorkloadRequest): void {
 		const id = `${index}` as RequestId;
 		this.requests.set(id, request);
+		const {stream} = request;
 		this.dispatcher.handle({
 			kind: 'submitted',
 			item: {
@@ -170,10 +197,17 @@
 				caller: request.caller,
 				urgency: request.urgency,
 				offering: request.offering,
-				model: 'model' as ModelId,
-				promptCharacters: request.promptCharacters,
-				maximumTokens: 1024,
-				prefixes: [],
+				model: stream?.model ?? ('model' as ModelId),
+				promptCharacters: stream?.promptTokens ?? request.promptCharacters,
+				maximumTokens: stream?.maximumTokens ?? 1024,
+				hintedTokens: stream?.hintedTokens,
+				prefixes: stream?.prefixes ?? [],
+				...(stream
+					? {
+							startObjectiveMilliseconds: stream.objectiveMilliseconds,
+							startTimeoutMilliseconds: stream.startTimeoutMilliseconds,
+						}
+					: {}),
 				remainingMilliseconds: request.deadlineMilliseconds,
 				idempotent: true,
 				fingerprint: id as string as Fingerprint,
@@ -184,11 +218,13 @@
 
 	report(target: TargetModel, delay: number): void {
 		const report = target.report();
+		const slowdown = target.slowdown();
 		this.schedule(delay, () => {
 			this.dispatcher.handle({
 				kind: 'target-reported',
 				report,
 				ageMilliseconds: delay,
+				slowdown,
 				adapters: [],
 			});
 		});
@@ -202,9 +238,15 @@
 		const {request, attempt, target} = binding;
 		const source = this.requests.get(request)!;
 		this.hedges += binding.kind === 'hedge' ? 1 : 0;
+		const model = this.targets.find(({id}) => id === target)!;
+		let isFirst = true;
 		const work: ModelWork = {
 			...source,
+			level: startLevel(binding.item),
+			promptMilliseconds: source.stream?.promptMilliseconds ?? 0,
 			progressed: (tokens) => {
+				this.progressed(this, Number(request), model, isFirst);
+				isFirst = false;
 				this.dispatcher.handle({
 					kind: 'progressed',
 					request,
@@ -228,7 +270,22 @@
 			isCancelled: false,
 		};
 		this.workByAttempt.set(`${request}#${attempt}`, work);
-		this.targets.find(({id}) => id === target)!.accept(work);
+		model.accept(work);
+	}
+
+	/** Targets that hold a model. */
+	private holdersOf(model: ModelId | undefined): readonly TargetId[] {
+		if (!this.targetsOf || model === undefined) {
+			return this.ids;
+		}
+
+		let holders = this.idsByModel.get(model);
+		if (!holders) {
+			holders = this.targetsOf(model).map((index) => this.ids[index]!);
+			this.idsByModel.set(model, holders);
+		}
+
+		return holders;
 	}
 
 	refuse(refusal: WorkRefusal): void {
@@ -248,6 +305,20 @@
 	schedule: (delay: number, action: () => void) => void = () => undefined;
 }
 
+class ModelDirectory extends CandidateDirectory {
+	constructor(
+		private readonly holdersOf: (
+			model: ModelId | undefined,
+		) => readonly TargetId[],
+	) {
+		super();
+	}
+
+	targetsFor({model}: WorkItem): readonly TargetId[] {
+		return this.holdersOf(model);
+	}
+}
+
 class ModelPort extends DispatchPort {
 	constructor(private readonly entry: DispatcherEntry) {
 		super();
@@ -290,6 +361,7 @@
 				`target-${index}` as TargetId,
 				shape.slots,
 				shape.slowdowns.get(index) ?? [],
+				shape.targetOptions,
 			),
 	);
 	const hostIds = Array.from(
@@ -297,15 +369,43 @@
 		(_, index) => `host-${index}` as HostId,
 	);
 	const outcomes: Outcome[] = [];
+	const eventTimes = new Map<number, EventTimes>();
 	const finish = (index: number, outcome: Outcome['outcome']) => {
 		const request = workload[index]!;
+		const times = eventTimes.get(index);
+		eventTimes.delete(index);
 		outcomes.push({
 			request,
 			latency: timeline.monotonic() - request.arrival,
 			outcome,
+			firstMilliseconds: times && times.first - request.arrival,
+			pauseMilliseconds: times?.pause ?? 0,
 		});
 	};
 
+	const progressed = (
+		entry: DispatcherEntry,
+		index: number,
+		target: TargetModel,
+		isFirst: boolean,
+	) => {
+		const now = timeline.monotonic();
+		const times = eventTimes.get(index) ?? {first: now, last: now, pause: 0};
+		times.pause = Math.max(times.pause, now - times.last);
+		times.last = now;
+		eventTimes.set(index, times);
+		if (
+			isFirst &&
+			shape.lostResponseReports !== undefined &&
+			random.next() >= shape.lostResponseReports
+		) {
+			entry.report(target, minimumDelay + random.next() * delayRange);
+		}
+	};
+
+	const [minimumDelay, maximumDelay] = shape.reportDelayMilliseconds;
+	const delayRange = maximumDelay - minimumDelay;
+
 	const entries = hostIds.map((host): EntryModel => {
 		if ('routing' in strategy) {
 			return new BindOnArrivalEntry(
@@ -322,11 +422,13 @@
 				clock: timeline,
 				random,
 				host,
-				...strategy.dispatcher(timeline, random, host),
+				...strategy.dispatcher(timeline, random, host, targets),
 			},
 			hostIds,
 			targets,
 			finish,
+			progressed,
+			shape.targetsOf,
 		);
 		entry.schedule = (delay, action) => {
 			timeline.at(timeline.monotonic() + delay, action);
@@ -341,14 +443,10 @@
 		});
 	}
 
-	const [minimumDelay, maximumDelay] = shape.reportDelayMilliseconds;
 	timeline.every(shape.reportIntervalMilliseconds, shape.until, () => {
 		for (const target of targets) {
 			for (const entry of entries) {
-				entry.report(
-					target,
-					minimumDelay + random.next() * (maximumDelay - minimumDelay),
-				);
+				entry.report(target, minimumDelay + random.next() * delayRange);
 			}
 		}
 	});
@@ -361,6 +459,7 @@
 	return {
 		outcomes,
 		used: targets.map(({used}) => used),
+		preemptions: targets.reduce((sum, each) => sum + each.preemptions, 0),
 		hedges: entries.reduce(
 			(sum, entry) =>
 				sum + (entry instanceof DispatcherEntry ? entry.hedges : 0),
--- a/src/measure/workload.ts
+++ b/src/measure/workload.ts
@@ -1,5 +1,9 @@
 import {type RandomSource} from '../base/common/random-source.js';
-import {type CallerId, type OfferingName} from '../contracts/ids.js';
+import {
+	type CallerId,
+	type ModelId,
+	type OfferingName,
+} from '../contracts/ids.js';
 import {type Urgency} from '../core/fairness/dispatch-queue.js';
 
 /** A simulated request. Its arrival is in milliseconds of the virtual clock. */
@@ -17,6 +21,22 @@
 	readonly label: string;
 	/** Index of the entry host that receives the request. */
 	readonly host: number;
+	/** What a workload of streams declares in addition. */
+	readonly stream?: StreamFeatures;
+};
+
+/** Features of a request for a stream. Its tokens count events. */
+export type StreamFeatures = {
+	readonly model: ModelId;
+	readonly promptTokens: number;
+	readonly maximumTokens: number;
+	readonly hintedTokens: number | undefined;
+	/** Keys of the prompt's prefixes, the longest first. */
+	readonly prefixes: readonly string[];
+	/** Part of the time to the first event in which the target reads the prompt. */
+	readonly promptMilliseconds: number;
+	readonly objectiveMilliseconds: number;
+	readonly startTimeoutMilliseconds: number;
 };
 
 /** Draws a value from the log-normal distribution with a median and a standard deviation of the logarithm. */
