Share busy targets evenly between hosts on pools scheduled by work

Two causes: start limits rose with each start, so that the highest limits rose fastest, and a host whose share of a target is below one request waited until the reported load was below the slots, which hosts with requests there see first. On pools scheduled by work, limits rise per round of requests, and a host without a request at a target may send one within its start limit.

--- a/src/core/admission/start-limiter.ts
+++ b/src/core/admission/start-limiter.ts
@@ -6,12 +6,6 @@
 	readonly clock: Clock;
 	/** Requests of one level that may wait at a target before any of them has started there. */
 	readonly initialLimit?: number;
-	/**
-	 * True to raise a limit by the same amount for each round of requests at the target instead of for each start. With
-	 * an increase for each start, the hosts with the highest limits gain most, until a few hosts have a busy target to
-	 * themselves and the others refuse most of their requests.
-	 */
-	readonly isIncreasePerRound?: boolean;
 };
 
 /** A request that was sent to a target. */
@@ -71,13 +65,21 @@
 export class StartLimiter {
 	private readonly clock: Clock;
 	private readonly initialLimit: number;
-	private readonly isIncreasePerRound: boolean;
+	private isIncreasePerRound = false;
 	private readonly targets = new Map<TargetId, Target>();
 
 	constructor(options: StartLimiterOptions) {
 		this.clock = options.clock;
 		this.initialLimit = options.initialLimit ?? 4;
-		this.isIncreasePerRound = options.isIncreasePerRound ?? false;
+	}
+
+	/**
+	 * Raises a limit by the same amount for each round of requests at the target instead of for each start. With an
+	 * increase for each start, the hosts with the highest limits gain most, until a few hosts have a busy target to
+	 * themselves and the others refuse most of their requests.
+	 */
+	setIncreasePerRound(isIncreasePerRound: boolean): void {
+		this.isIncreasePerRound = isIncreasePerRound;
 	}
 
 	/** True when another request of a level may be sent to the target. */
--- a/src/services/dispatch/dispatcher.ts
+++ b/src/services/dispatch/dispatcher.ts
@@ -237,6 +237,7 @@
 	scheduleByWork(work: WorkScheduling | undefined): void {
 		this.work = work;
 		this.loadTracker.setAging(work?.aging);
+		this.startLimiter?.setIncreasePerRound(work !== undefined);
 	}
 
 	/** Queues a message, to be handled by `run`. */
--- a/src/services/dispatch/work-scheduling.ts
+++ b/src/services/dispatch/work-scheduling.ts
@@ -100,12 +100,17 @@
 		return remainingMilliseconds(this.estimate(item), this.producedOf(item));
 	}
 
-	/** True when a target may receive another request: it has a slot, or few requests wait there. */
+	/**
+	 * True when a target may receive another request: it has a slot, or few requests wait there. A host without a request
+	 * at the target may always send one, within its limit of starts: hosts that are there see a slot become free first,
+	 * and would keep a full target to themselves.
+	 */
 	hasCapacity(load: TargetLoad): boolean {
 		return (
 			!load.leaving &&
-			load.localOutstanding + load.remoteOutstanding + 1 <=
-				load.slots * (this.options.maximumLoadPerSlot ?? 1.5)
+			(load.localOutstanding === 0 ||
+				load.localOutstanding + load.remoteOutstanding + 1 <=
+					load.slots * (this.options.maximumLoadPerSlot ?? 1.5))
 		);
 	}
 
