Reserve slots of targets for more urgent requests and even start limits out

On pools scheduled by work, standard requests are sent up to the slots of a target and deferred ones up to 0.8 of them, and a host that is not at a target allows for the age of its report. The same allowance holds for plain services whose hosts have less than half a request of a target each.

Other pools keep their limits.

--- a/src/core/admission/start-limiter.ts
+++ b/src/core/admission/start-limiter.ts
@@ -76,7 +76,8 @@
 	/**
 	 * Raises a limit by the same amount for each round of requests at the target instead of for each start. With an
 	 * increase for each start, the hosts with the highest limits gain most, until a few hosts have a busy target to
-	 * themselves and the others refuse most of their requests.
+	 * themselves and the others refuse most of their requests. Each start that is not late raises the limit, because the
+	 * limits of hosts only come together while they rise and fall.
 	 */
 	setIncreasePerRound(isIncreasePerRound: boolean): void {
 		this.isIncreasePerRound = isIncreasePerRound;
@@ -134,7 +135,7 @@
 		if (elapsed > allowed) {
 			this.decrease(state, started, elapsed);
 		} else if (
-			elapsed <= allowed * spareShare &&
+			elapsed <= allowed * (this.isIncreasePerRound ? 1 : spareShare) &&
 			countUntil(state, started.level) >= Math.floor(level.limit) - 1
 		) {
 			level.limit = Math.min(
@@ -166,6 +167,13 @@
 		return this.targets.get(target)?.levels.get(level)?.startMilliseconds;
 	}
 
+	/** A limit of 1.5 with one request is in use as a whole. Cut to one request, low limits would fall far more than high ones. */
+	private usedLimit({limit}: Level, count: number): number {
+		return this.isIncreasePerRound && count >= Math.floor(limit)
+			? limit
+			: Math.min(limit, count);
+	}
+
 	private increaseOf({limit}: Level): number {
 		const step = this.isIncreasePerRound
 			? increase / Math.max(1, limit)
@@ -197,7 +205,7 @@
 		const allowed = allowedWait(waiting);
 		level.pauseMilliseconds = allowed;
 		level.decreasedAt = this.clock.monotonic();
-		const inUse = Math.min(level.limit, countUntil(state, waiting.level));
+		const inUse = this.usedLimit(level, countUntil(state, waiting.level));
 		level.limit = Math.max(
 			minimumLimit,
 			inUse * Math.max(minimumDecreaseFactor, allowed / elapsed),
--- a/src/core/routing/slot-policy.ts
+++ b/src/core/routing/slot-policy.ts
@@ -1,4 +1,5 @@
 import {type HostId, type TargetId} from '../../contracts/ids.js';
+import {remoteSpread} from './slot-reservation.js';
 import {type TargetLoad} from './target-load-tracker.js';
 
 /** Settings of the slot policy. */
@@ -11,6 +12,9 @@
 	readonly overcommitShare?: number;
 };
 
+/** Equal share of a target, in requests, below which a host cannot rely on it. */
+const minimumShare = 0.5;
+
 /**
  * Decides whether a target has capacity for another request of this host. The long slots of each target are divided
  * among the hosts, because hosts do not see each other's long work and together could fill all slots with it.
@@ -75,7 +79,11 @@
 			return false;
 		}
 
-		const outstanding = load.localOutstanding + load.remoteOutstanding;
+		const outstanding =
+			load.localOutstanding +
+			(this.isShareNegligible(limit) && load.localOutstanding === 0
+				? Math.max(0, load.remoteOutstanding - remoteSpread(load))
+				: load.remoteOutstanding);
 		// Within its equal share of the limit a host ignores the remote load, which is reported late; the shares add up to the limit.
 		const isWithinHostShare =
 			load.localOutstanding + 1 <= limit / this.hostCount;
@@ -86,6 +94,15 @@
 		return !isLong || load.localLong < this.localLongSlots(load.target);
 	}
 
+	/**
+	 * True when a host's equal share of a target is far below one request. The host then depends on the reported load, and
+	 * hosts that have requests at the target see free slots first, so without an allowance for the age of the report the
+	 * others would refuse most of their requests.
+	 */
+	private isShareNegligible(limit: number): boolean {
+		return limit / this.hostCount < minimumShare;
+	}
+
 	/**
 	 * Returns whether long work past the aging threshold may run without a long slot of this host. It may only if this
 	 * host has no long slot on any of the given targets and runs no long work there, because then it would never run.
--- a/src/services/dispatch/dispatcher.ts
+++ b/src/services/dispatch/dispatcher.ts
@@ -685,7 +685,7 @@
 	private findCapacity(): boolean {
 		if (this.targetWithCapacity !== undefined) {
 			const [load] = this.loadTracker.loads([this.targetWithCapacity]);
-			if (load && this.hasFreeSlot(load, false)) {
+			if (load && this.hasFreeSlot(load, 0, false)) {
 				return true;
 			}
 		}
@@ -694,15 +694,19 @@
 			this.capacitySearchPosition,
 			capacitySearchLength,
 		);
-		const index = loads.findIndex((load) => this.hasFreeSlot(load, false));
+		const index = loads.findIndex((load) => this.hasFreeSlot(load, 0, false));
 		this.targetWithCapacity = loads[index]?.target;
 		this.capacitySearchPosition += index === -1 ? loads.length : index;
 		return index !== -1;
 	}
 
-	private hasFreeSlot(load: TargetLoad, countsAsLong: boolean): boolean {
+	private hasFreeSlot(
+		load: TargetLoad,
+		level: number,
+		countsAsLong: boolean,
+	): boolean {
 		return (
-			this.work?.hasCapacity(load) ??
+			this.work?.hasCapacity(load, level) ??
 			this.slotPolicy.hasCapacity(load, countsAsLong)
 		);
 	}
@@ -933,7 +937,7 @@
 	): boolean {
 		return (
 			this.isolationPolicy.isAvailable(load.target) &&
-			this.hasFreeSlot(load, countsAsLong) &&
+			this.hasFreeSlot(load, levelAtTarget(item), countsAsLong) &&
 			(!this.startLimiter ||
 				!isStartLimited(item) ||
 				this.startLimiter.hasCapacity(load.target, startLevel(item))) &&
@@ -1459,3 +1463,8 @@
 function isStartLimited({model, isContinuation}: WorkItem): boolean {
 	return model !== undefined && isContinuation !== true;
 }
+
+/** Rank for the slots of a target. The rest of an interrupted stream has a caller that reads it. */
+function levelAtTarget(item: WorkItem): number {
+	return item.isContinuation === true ? 0 : startLevel(item);
+}
--- a/src/services/dispatch/work-scheduling.ts
+++ b/src/services/dispatch/work-scheduling.ts
@@ -6,6 +6,10 @@
 } from '../../contracts/ids.js';
 import {RemainingWork} from '../../core/routing/remaining-work.js';
 import {type CandidateWork} from '../../core/routing/routing-policy.js';
+import {
+	remoteSpread,
+	SlotReservation,
+} from '../../core/routing/slot-reservation.js';
 import {
 	type GatedRequest,
 	type TargetGate,
@@ -29,8 +33,7 @@
 	readonly tokensPerEvent?: number | undefined;
 	/** Decide which targets may receive a request, in addition to the dispatcher. */
 	readonly gates?: readonly TargetGate[] | undefined;
-	/** Requests at a target, per slot, up to which more may be sent. Those beyond the slots wait there. */
-	readonly maximumLoadPerSlot?: number;
+	readonly reservation?: SlotReservation;
 };
 
 /** Figures for operators. */
@@ -56,6 +59,7 @@
 	readonly estimator: WorkEstimator;
 	private readonly remaining: RemainingWork;
 	private readonly gates: readonly TargetGate[];
+	private readonly reservation: SlotReservation;
 	private readonly sent = new Map<RequestId, Map<TargetId, SentRequest>>();
 	private tokensPerEvent: number;
 	private lengthRatio = 1;
@@ -66,6 +70,7 @@
 		this.estimator = options.estimator ?? new LearnedWorkEstimator();
 		this.remaining = new RemainingWork({clock, estimator: this.estimator});
 		this.gates = options.gates ?? [];
+		this.reservation = options.reservation ?? new SlotReservation();
 		this.tokensPerEvent = options.tokensPerEvent ?? 1;
 	}
 
@@ -100,18 +105,9 @@
 		return remainingMilliseconds(this.estimate(item), this.producedOf(item));
 	}
 
-	/**
-	 * True when a target may receive another request: it has a slot, or few requests wait there. A host without a request
-	 * at the target may always send one, within its limit of starts: hosts that are there see a slot become free first,
-	 * and would keep a full target to themselves.
-	 */
-	hasCapacity(load: TargetLoad): boolean {
-		return (
-			!load.leaving &&
-			(load.localOutstanding === 0 ||
-				load.localOutstanding + load.remoteOutstanding + 1 <=
-					load.slots * (this.options.maximumLoadPerSlot ?? 1.5))
-		);
+	/** True when a target may receive another request of a level. */
+	hasCapacity(load: TargetLoad, level: number): boolean {
+		return this.reservation.hasCapacity(load, level);
 	}
 
 	/** True when the gates let a target receive a request. */
@@ -131,12 +127,8 @@
 		estimate: WorkEstimate,
 		heldShare: number,
 	): CandidateWork {
-		const {remoteOutstanding, remoteConfidence = 1} = load;
 		return {
-			// The requests that have come since the report vary as arrivals do.
-			remoteSpread: Math.sqrt(
-				Math.max(0, remoteOutstanding * (1 - remoteConfidence ** 2)),
-			),
+			remoteSpread: remoteSpread(load),
 			remainingMilliseconds: this.remaining.meanMillisecondsAt(load),
 			slowdown: this.remaining.slowdown(load.target),
 			promptMilliseconds: estimate.promptMilliseconds * (1 - heldShare),
