--- a/src/core/routing/slot-policy.ts
+++ b/src/core/routing/slot-policy.ts
@@ -94,15 +94,6 @@
 		return !isLong || load.localLong < this.localLongSlots(load.target);
 	}
 
-	/**
-	 * True when a host's equal share of a target is far below one request. The host then depends on the reported load, and
-	 * hosts that have requests at the target see free slots first, so without an allowance for the age of the report the
-	 * others would refuse most of their requests.
-	 */
-	private isShareNegligible(limit: number): boolean {
-		return limit / this.hostCount < minimumShare;
-	}
-
 	/**
 	 * Returns whether long work past the aging threshold may run without a long slot of this host. It may only if this
 	 * host has no long slot on any of the given targets and runs no long work there, because then it would never run.
@@ -115,6 +106,15 @@
 		);
 	}
 
+	/**
+	 * True when a host's equal share of a target is far below one request. The host then depends on the reported load, and
+	 * hosts that have requests at the target see free slots first, so without an allowance for the age of the report the
+	 * others would refuse most of their requests.
+	 */
+	private isShareNegligible(limit: number): boolean {
+		return limit / this.hostCount < minimumShare;
+	}
+
 	/**
 	 * Assigns the long slots of all targets to the hosts in round-robin order. Assignment by a hash per target left some
 	 * hosts with a third of the slots of others, so that their long work queued up while slots of others stayed empty.
--- a/src/services/dispatch/work-scheduling.ts
+++ b/src/services/dispatch/work-scheduling.ts
@@ -65,7 +65,7 @@
 	private lengthRatio = 1;
 	private aboveUpperShare = 0;
 
-	constructor(private readonly options: WorkSchedulingOptions) {
+	constructor(options: WorkSchedulingOptions) {
 		const {clock} = options;
 		this.estimator = options.estimator ?? new LearnedWorkEstimator();
 		this.remaining = new RemainingWork({clock, estimator: this.estimator});
