--- a/src/services/forwarding/owner/pool-placement.ts
+++ b/src/services/forwarding/owner/pool-placement.ts
@@ -86,10 +86,6 @@
 const minimumRequestsPerReplica = 6;
 /** Active requests per replica from which a replica of another model is replaced. This is an eighth of the slots of a target. Below it, a replacement costs more than it gains. */
 const replacementRequestsPerReplica = 8;
-/** The same limits as shares of the slots of a target, for pools that are scheduled by work: the targets of these have few slots. */
-const spareSlotShare = 0.15;
-const replacementSlotShare = 0.25;
-const dormantSlotShare = 0.5;
 /** Factor by which the requests of a busy replica must exceed those of a model without a replica for the busy replica to stay. A replacement occupies a target for about a second, and rarely requested models can take turns on the same target. */
 const firstReplicaFactor = 4;
 /** Time without a new target after which the first plan is made, provided that the state of all targets is known. Two heartbeat intervals of targets. */
@@ -650,13 +646,7 @@
 	};
 	return new PlacementPlanner(
 		slots !== undefined && slots <= workAwareSlots
-			? {
-					...options,
-					minimumRequestsPerReplica: slots * spareSlotShare,
-					replacementRequestsPerReplica: slots * replacementSlotShare,
-					dormantRequestsPerReplica: slots * dormantSlotShare,
-					slotSharing: new SlotSharing(),
-				}
+			? {...options, slotSharing: new SlotSharing()}
 			: options,
 	);
 }
