--- /dev/null
+++ b/src/core/quotas/quota-allocator.ts
@@ -0,0 +1,156 @@
+import {type CustomerQuota} from '../../contracts/forwarding-document.js';
+import {type QuotaKey} from './quota-messages.js';
+import {type QuotaOptions} from './quota-options.js';
+import {allowedExcess, quotaMargins} from './quota-policy.js';
+import {UseMeter} from './use-meter.js';
+
+/** What the owner decides for one customer. */
+export type QuotaAllocation = {
+	/** Share of the demand that is admitted, 1 while the customer is far from its limit. */
+	readonly admittedShare: number;
+	/** Use of the fleet as a share of the quota. */
+	readonly usedShare: number;
+};
+
+type Bucket = {
+	quota: CustomerQuota;
+	/** Units left. Negative while more was used than the quota allows. */
+	level: number;
+	levelAt: number;
+	readonly use: UseMeter;
+};
+
+/** Largest fleet whose hosts all report to the owner, about four times a second. */
+const maximumDirectHosts = 12;
+/** Time from the use of units until the hosts know what the owner decides of it: a report and its response, through a relay in a large fleet. A shorter time in the rule of the allocation would let the admitted share oscillate. */
+const feedbackMilliseconds = {direct: 600, relayed: 1500};
+/** Time constant of the use that operators see. */
+const useTimeConstantMilliseconds = 3000;
+/** Time for which a host that no longer reports may go on with its part of the quota. */
+const absenceMilliseconds = 30_000;
+/** Share of the allowed excess in which the parts of absent hosts need no reserve. */
+const absentExcessShare = 0.75;
+
+/** The owner's account of the quotas of the fleet: one bucket for each customer, which carries debt. */
+export class QuotaAllocator {
+	private readonly buckets = new Map<QuotaKey, Bucket>();
+	private fullHostCount = 0;
+	private fullHostCountAt = 0;
+
+	constructor(private readonly options: QuotaOptions) {}
+
+	/** Sets the quota of a customer. A new customer begins with a full bucket. */
+	setQuota(key: QuotaKey, quota: CustomerQuota): void {
+		const bucket = this.buckets.get(key);
+		if (!bucket) {
+			const now = this.options.clock.monotonic();
+			this.buckets.set(key, {
+				quota,
+				level: quota.burst,
+				levelAt: now,
+				use: new UseMeter(now, useTimeConstantMilliseconds),
+			});
+			return;
+		}
+
+		this.refill(bucket);
+		bucket.quota = quota;
+		bucket.level = Math.min(bucket.level, quota.burst);
+	}
+
+	/** Forgets a customer that the document no longer contains. */
+	forget(key: QuotaKey): void {
+		this.buckets.delete(key);
+	}
+
+	/** Takes units that hosts have used, or returns them if the number is negative. */
+	use(key: QuotaKey, units: number): void {
+		const bucket = this.buckets.get(key);
+		if (bucket) {
+			this.refill(bucket);
+			bucket.level = Math.min(bucket.quota.burst, bucket.level - units);
+			bucket.use.add(units, bucket.levelAt);
+		}
+	}
+
+	/** Takes the units that a customer is assumed to have used before this process became the owner, from the demand of a host. */
+	assumeUse(key: QuotaKey, demand: number): void {
+		const bucket = this.buckets.get(key);
+		if (bucket) {
+			const {burst, perSecond} = bucket.quota;
+			this.refill(bucket);
+			bucket.level = Math.max(
+				Math.min(0, bucket.level),
+				bucket.level - (burst * demand) / perSecond,
+			);
+		}
+	}
+
+	/** Decides which share of the demand of all hosts is admitted. */
+	allocate(key: QuotaKey, demand: number): QuotaAllocation {
+		const bucket = this.buckets.get(key);
+		if (!bucket) {
+			return {admittedShare: 1, usedShare: 0};
+		}
+
+		this.refill(bucket);
+		const {quota, level} = bucket;
+		const hostCount = this.options.hostCount();
+		const {reserveUnits} = quotaMargins(
+			quota,
+			this.options.tolerance,
+			hostCount,
+		);
+		const feedback =
+			hostCount <= maximumDirectHosts
+				? feedbackMilliseconds.direct
+				: feedbackMilliseconds.relayed;
+		const admitted = Math.max(
+			0,
+			quota.perSecond -
+				this.absentPerSecond(quota) +
+				((level + reserveUnits) * 1000) / feedback,
+		);
+		return {
+			admittedShare: demand <= admitted ? 1 : admitted / demand,
+			usedShare:
+				bucket.use.perSecond(this.options.clock.monotonic()) / quota.perSecond,
+		};
+	}
+
+	/** Use of a customer in units per second, for operators. */
+	usePerSecond(key: QuotaKey): number {
+		return (
+			this.buckets.get(key)?.use.perSecond(this.options.clock.monotonic()) ?? 0
+		);
+	}
+
+	/** Units per second that hosts which no longer report may use as their parts, beyond what the allowed excess covers. */
+	private absentPerSecond(quota: CustomerQuota): number {
+		const now = this.options.clock.monotonic();
+		const hostCount = this.options.hostCount();
+		if (
+			hostCount >= this.fullHostCount ||
+			now - this.fullHostCountAt >= absenceMilliseconds
+		) {
+			this.fullHostCount = hostCount;
+			this.fullHostCountAt = now;
+		}
+
+		const absentShare = 1 - hostCount / Math.max(1, this.fullHostCount);
+		const {tolerance} = this.options;
+		const covered =
+			(allowedExcess(quota, tolerance) * absentExcessShare) /
+			tolerance.windowSeconds;
+		return Math.max(0, absentShare * quota.perSecond - covered);
+	}
+
+	private refill(bucket: Bucket): void {
+		const now = this.options.clock.monotonic();
+		bucket.level = Math.min(
+			bucket.quota.burst,
+			bucket.level + (bucket.quota.perSecond * (now - bucket.levelAt)) / 1000,
+		);
+		bucket.levelAt = now;
+	}
+}
--- /dev/null
+++ b/src/core/quotas/quota-policy.ts
@@ -0,0 +1,120 @@
+import {type CustomerQuota} from '../../contracts/forwarding-document.js';
+import {unitsSince, type ReportedUse} from './quota-messages.js';
+
+/** What all hosts together may exceed a quota by in a window. */
+export type QuotaTolerance = {
+	readonly windowSeconds: number;
+	/** Share of the units that a window allows. */
+	readonly excessShare: number;
+	/** Units in addition. */
+	readonly slackUnits: number;
+};
+
+/** How far hosts may go without word of the owner. */
+export type QuotaMargins = {
+	/** Units that the owner admits beyond the bucket, which covers the uneven arrival of requests. */
+	readonly reserveUnits: number;
+	/** Age up to which a host uses the word of the owner. */
+	readonly maximumWordAgeMilliseconds: number;
+	/** Units by which a host may exceed the use that it has reported, besides the rest of one request. */
+	readonly growthUnits: number;
+};
+
+/** Share of the excess that the owner admits beyond the bucket. */
+const reserveShare = 0.25;
+/** Share of the excess and of the burst that hosts may use before the owner knows of it. */
+const growthShare = 0.25;
+/** The growth of a host and that of its relay are unknown to the owner at the same time. */
+const growthHops = 2;
+/** Share of the excess for the use of hosts that are cut off and go on with the last word. */
+const staleShare = 0.5;
+/** Part of a customer's use that may be cut off from the owner at once. */
+const cutOffShare = 0.25;
+/** A report takes two hops of up to 0.5 s and the response as many, mostly less. With a shorter age the hosts of a large fleet would have no usable word between two reports. */
+const minimumWordAgeMilliseconds = 2000;
+/** Use above the reported demand that counts as chance: requests do not arrive evenly. Without it, hosts with few requests a second would ask for word at every second one. */
+const unevenRequests = 2;
+const unevenFactor = 2;
+/** Longest time for which the demand of a host that was killed takes a part of the rate. */
+export const maximumWordAgeMilliseconds = 4000;
+
+/** Returns the excess that is allowed in one window. */
+export function allowedExcess(
+	{perSecond, burst}: CustomerQuota,
+	{windowSeconds, excessShare, slackUnits}: QuotaTolerance,
+): number {
+	return (perSecond * windowSeconds + burst) * excessShare + slackUnits;
+}
+
+/**
+ * Divides the allowed excess E of a quota with rate R and burst B among its causes:
+ *
+ * - The owner's reserve is E / 4.
+ * - Each of N hosts, and each relay for its hosts, may grow by g beyond what it has reported: 2 N g = (E + B) / 4.
+ * - Hosts that are cut off go on with at most a quarter of R in sum while their word is usable: R / 4 * T = E / 2.
+ */
+export function quotaMargins(
+	quota: CustomerQuota,
+	tolerance: QuotaTolerance,
+	hostCount: number,
+): QuotaMargins {
+	const excess = allowedExcess(quota, tolerance);
+	return {
+		reserveUnits: excess * reserveShare,
+		maximumWordAgeMilliseconds: Math.min(
+			maximumWordAgeMilliseconds,
+			Math.max(
+				minimumWordAgeMilliseconds,
+				(1000 * staleShare * excess) / (cutOffShare * quota.perSecond),
+			),
+		),
+		growthUnits:
+			((excess + quota.burst) * growthShare) /
+			(growthHops * Math.max(1, hostCount)),
+	};
+}
+
+/** Use of a customer by a host, or by a relay and its hosts. */
+export type GrowingUse = {
+	readonly units: number;
+	/** State that the receiver of the reports knows. */
+	readonly confirmed: ReportedUse;
+	/** Share of the demand that the owner admits. */
+	readonly admittedShare: number;
+	/** Usual size of a request, or of what one host reports at once. */
+	readonly usualUnits: number;
+	/** Hosts whose growth the units contain. */
+	readonly hosts: number;
+};
+
+/** True while the units that the receiver of the reports does not know are explained by chance or covered by the growth that is allowed without word. */
+export function isWithinGrowth(
+	{units, confirmed, admittedShare, usualUnits, hosts}: GrowingUse,
+	{growthUnits, maximumWordAgeMilliseconds}: QuotaMargins,
+	now: number,
+): boolean {
+	const elapsed = Math.min(maximumWordAgeMilliseconds, now - confirmed.at);
+	const expected = (admittedShare * confirmed.demand * elapsed) / 1000;
+	return (
+		unitsSince(units, confirmed.units) <=
+		growthUnits * hosts + unevenRequests * usualUnits + unevenFactor * expected
+	);
+}
+
+/** Returns the units that a request counts. At least 1, so that no limit is without effect. */
+export function requestUnits(
+	{unit, plainUnits}: CustomerQuota,
+	{
+		model,
+		promptTokens,
+		maximumTokens,
+	}: {
+		readonly model: string | undefined;
+		readonly promptTokens: number;
+		readonly maximumTokens: number;
+	},
+): number {
+	const tokens =
+		model === undefined ? plainUnits : promptTokens + maximumTokens;
+	return unit === 'requests' ? 1 : Math.max(1, Math.ceil(tokens));
+}
