--- a/src/core/quotas/quota-account.ts
+++ b/src/core/quotas/quota-account.ts
@@ -1,16 +1,6 @@
 import {type CustomerQuota} from '../../contracts/forwarding-document.js';
-import {
-	addUnits,
-	unitsSince,
-	type QuotaWord,
-	type ReportedUse,
-} from './quota-messages.js';
+import {addUnits} from './quota-messages.js';
 import {type QuotaOptions} from './quota-options.js';
-import {
-	isWithinGrowth,
-	quotaMargins,
-	type QuotaMargins,
-} from './quota-policy.js';
 import {UseMeter} from './use-meter.js';
 
 /** What limits a customer on a host. */
@@ -22,19 +12,34 @@
 	/** The host has no usable word of the owner and keeps to its part of the quota. */
 	| 'part';
 
+/** What a host knows of the quota of a customer. */
+export type QuotaOutlook = {
+	readonly mode: QuotaMode;
+	/** Share of the demand that is admitted. */
+	readonly admittedShare: number;
+	/** Use of the fleet as a share of the quota, 0 while the customer is far from its limit. */
+	readonly usedShare: number;
+	/** Time since the owner computed it. */
+	readonly ageMilliseconds: number;
+	/** True while the use of this host may not grow before the owner knows of it. */
+	readonly isPending: boolean;
+};
+
+/** What an account is told by the quotas of its host. */
+export type QuotaSource = {
+	/** Units that an earlier account of the customer has taken, modulo 2^32. */
+	readonly takenUnits: number;
+	readonly outlook: () => QuotaOutlook;
+};
+
 /** Decision on one request. */
 export type QuotaDecision =
 	| {readonly kind: 'admitted'}
-	| {
+	| ({
 			readonly kind: 'refused';
-			readonly mode: QuotaMode;
 			/** Time after which a request of this size has units. */
 			readonly retryMilliseconds: number;
-			/** Use of the fleet as a share of the quota, as far as this host knows. */
-			readonly usedShare: number;
-			/** Time since the owner computed what decided. */
-			readonly ageMilliseconds: number;
-	  };
+	  } & QuotaOutlook);
 
 type Waiting = {
 	readonly units: number;
@@ -51,7 +56,7 @@
 const minimumRetryMilliseconds = 250;
 /** Spread of the retry delay, so that callers do not return at once. */
 const retrySpread = 0.25;
-const decided = {kind: 'admitted'} as const;
+const admitted = {kind: 'admitted'} as const;
 
 /**
  * The use of one customer's quota by this host, for a customer that exceeds its quota or grows quickly. Requests take
@@ -59,8 +64,7 @@
  */
 export class QuotaAccount {
 	/** Units taken since the process started, modulo 2^32. */
-	private taken = 0;
-	private confirmed: ReportedUse;
+	private taken: number;
 	private readonly demandMeter: UseMeter;
 	private usualUnits = 0;
 	/** Units that the admitted share of the demand has left over. A request is admitted above 0 and may cause a debt. */
@@ -68,19 +72,18 @@
 	/** Units of the part that are left, likewise. */
 	private partCredit = 0;
 	private partCreditAt = 0;
+	/** Units per second that this host used while it last had word, if the customer was far from its limit then. */
+	private knownUse = 0;
 	private lastMode: QuotaMode = 'free';
-	private word: QuotaWord | undefined;
-	/** Monotonic time at which the owner computed what it said last. */
-	private wordAt = Number.NEGATIVE_INFINITY;
-	private waiting: Waiting[] = [];
+	private readonly waiting: Waiting[] = [];
 
 	constructor(
 		private readonly options: QuotaOptions,
 		private quota: CustomerQuota,
+		private readonly source: QuotaSource,
 	) {
-		const now = options.clock.monotonic();
-		this.demandMeter = new UseMeter(now);
-		this.confirmed = {units: 0, demand: 0, at: now};
+		this.taken = source.takenUnits;
+		this.demandMeter = new UseMeter(this.now);
 	}
 
 	/** True while requests wait for word or units. */
@@ -93,22 +96,18 @@
 		return this.quota;
 	}
 
-	/** Use of the fleet as a share of the quota, 0 while the customer is far from its limit. */
-	get usedShare(): number {
-		return this.word?.usedShare ?? 0;
+	/** Units taken since the process started, modulo 2^32. */
+	get takenUnits(): number {
+		return this.taken;
 	}
 
-	/** Applies the quota of a new version. A lower limit applies to the last word at once. */
-	setQuota(quota: CustomerQuota): void {
-		if (this.word) {
-			const {admittedShare} = this.word;
-			const factor = quota.perSecond / this.quota.perSecond;
-			this.word = {
-				...this.word,
-				admittedShare: admittedShare * Math.min(1, factor),
-			};
-		}
+	/** Units per second of the arriving requests. */
+	get demand(): number {
+		return Math.round(this.demandMeter.perSecond(this.now));
+	}
 
+	/** Applies the quota of a new version. */
+	setQuota(quota: CustomerQuota): void {
 		this.quota = quota;
 	}
 
@@ -118,28 +117,21 @@
 		this.demandMeter.add(units, now);
 		this.usualUnits +=
 			(this.usualUnits === 0 ? 1 : sizeWeight) * (units - this.usualUnits);
-		const mode = this.updateMode();
-		if (mode === 'share' && !this.tryShare(units)) {
-			decide(this.refusal(units));
+		const outlook = this.follow(this.source.outlook());
+		if (outlook.mode === 'share' && !this.tryShare(units, outlook)) {
+			decide(this.refusal(units, outlook));
 			return;
 		}
 
-		if (this.waiting.length === 0 && this.mayTake(mode)) {
+		if (this.waiting.length === 0 && this.mayTake(outlook)) {
 			this.take(units);
-			decide(decided);
-			return;
-		}
-
-		if (this.mayGainByWaiting(mode)) {
-			this.waiting.push({
-				units,
-				waitsUntil: now + maximumQuotaWaitMilliseconds,
-				decide,
-			});
-			return;
+			decide(admitted);
+		} else if (this.mayGainByWaiting(outlook)) {
+			const waitsUntil = now + maximumQuotaWaitMilliseconds;
+			this.waiting.push({units, waitsUntil, decide});
+		} else {
+			decide(this.refusal(units, outlook));
 		}
-
-		decide(this.refusal(units));
 	}
 
 	/** Takes units that need no admission: a request that was admitted is sent once more. */
@@ -156,11 +148,11 @@
 
 	/** Admits waiting requests for which there are units, and refuses those that have waited for too long. */
 	decideWaiting(): void {
-		const mode = this.updateMode();
 		const {now} = this;
 		while (this.waiting.length > 0) {
+			const outlook = this.follow(this.source.outlook());
 			const {units, waitsUntil, decide} = this.waiting[0]!;
-			const isAdmitted = this.mayTake(mode);
+			const isAdmitted = this.mayTake(outlook);
 			if (!isAdmitted && now < waitsUntil) {
 				return;
 			}
@@ -168,76 +160,36 @@
 			this.waiting.shift();
 			if (isAdmitted) {
 				this.take(units);
-				decide(decided);
+				decide(admitted);
 			} else {
-				decide(this.refusal(units));
+				decide(this.refusal(units, outlook));
 			}
 		}
 	}
 
-	/** State for a report. */
-	snapshot(): ReportedUse {
-		return {
-			units: this.taken,
-			demand: Math.round(this.demandMeter.perSecond(this.now)),
-			at: this.now,
-		};
-	}
-
-	/** Units since the last confirmed report. */
-	get unconfirmedUnits(): number {
-		return unitsSince(this.taken, this.confirmed.units);
-	}
-
-	/** Applies word of the owner, undefined while the customer is far from its limit. `reported` is what the sender of the word and the owner know of this host. */
-	applyWord(
-		word: QuotaWord | undefined,
-		wordAt: number,
-		reported: ReportedUse | undefined,
-	): void {
-		if (reported && reported.at > this.confirmed.at) {
-			this.confirmed = reported;
-		}
-
-		if (wordAt >= this.wordAt) {
-			this.wordAt = wordAt;
-			this.word = word;
-		}
-	}
-
-	/** Mode that applies now. */
-	mode(): QuotaMode {
-		if (this.now - this.wordAt > this.margins().maximumWordAgeMilliseconds) {
-			return 'part';
+	/** Admits all waiting requests, because the customer no longer has a quota. */
+	admitWaiting(): void {
+		for (const {decide} of this.waiting.splice(0)) {
+			decide(admitted);
 		}
-
-		return this.admittedShare < 1 ? 'share' : 'free';
 	}
 
 	private get now(): number {
 		return this.options.clock.monotonic();
 	}
 
-	private get admittedShare(): number {
-		return this.word?.admittedShare ?? 1;
-	}
-
-	private margins(): QuotaMargins {
-		return quotaMargins(
-			this.quota,
-			this.options.tolerance,
-			this.options.hostCount(),
-		);
-	}
-
+	/** An even part of the quota, or the use of this host while it last had word if the customer was far from its limit then. */
 	private get partPerSecond(): number {
-		return this.quota.perSecond / Math.max(1, this.options.hostCount());
+		return Math.max(
+			this.quota.perSecond / Math.max(1, this.options.hostCount()),
+			this.knownUse,
+		);
 	}
 
 	/** Follows changes of the mode. The credits begin with a random debt, because the hosts would otherwise all admit a request at once. */
-	private updateMode(): QuotaMode {
+	private follow(outlook: QuotaOutlook): QuotaOutlook {
 		const {now} = this;
-		const mode = this.mode();
+		const {mode, isPending} = outlook;
 		if (mode !== this.lastMode) {
 			const debt = this.options.random.next() * this.usualUnits;
 			this.shareCredit = -debt;
@@ -255,14 +207,18 @@
 				(this.partPerSecond * savedPartMilliseconds) / 1000,
 			);
 			this.partCreditAt = now;
+		} else if (mode === 'share') {
+			this.knownUse = 0;
+		} else if (!isPending) {
+			this.knownUse = this.demand;
 		}
 
-		return mode;
+		return outlook;
 	}
 
 	/** Admits the share of the demand, in an even order. */
-	private tryShare(units: number): boolean {
-		this.shareCredit += units * this.admittedShare;
+	private tryShare(units: number, {admittedShare}: QuotaOutlook): boolean {
+		this.shareCredit += units * admittedShare;
 		if (this.shareCredit <= 0) {
 			return false;
 		}
@@ -271,27 +227,13 @@
 		return true;
 	}
 
-	private mayTake(mode: QuotaMode): boolean {
-		if (mode === 'part') {
-			return this.partCredit > 0;
-		}
-
-		return isWithinGrowth(
-			{
-				units: this.taken,
-				confirmed: this.confirmed,
-				admittedShare: this.admittedShare,
-				usualUnits: this.usualUnits,
-				hosts: 1,
-			},
-			this.margins(),
-			this.now,
-		);
+	private mayTake({mode, isPending}: QuotaOutlook): boolean {
+		return mode === 'part' ? this.partCredit > 0 : !isPending;
 	}
 
 	/** True when word of the owner, or the units of a short time, may admit a request. */
-	private mayGainByWaiting(mode: QuotaMode): boolean {
-		if (mode !== 'part' || this.wordAt === Number.NEGATIVE_INFINITY) {
+	private mayGainByWaiting({mode, ageMilliseconds}: QuotaOutlook): boolean {
+		if (mode !== 'part' || !Number.isFinite(ageMilliseconds)) {
 			return true;
 		}
 
@@ -306,27 +248,21 @@
 		);
 	}
 
-	private refusal(units: number): QuotaDecision {
-		const {now} = this;
-		const rate =
-			this.lastMode === 'part'
-				? this.partPerSecond
-				: Math.max(
-						this.partPerSecond,
-						this.admittedShare * this.demandMeter.perSecond(now),
-					);
-		const debt = this.lastMode === 'part' ? -this.partCredit : units;
+	private refusal(units: number, outlook: QuotaOutlook): QuotaDecision {
+		const isPart = outlook.mode === 'part';
+		const rate = isPart
+			? this.partPerSecond
+			: Math.max(this.partPerSecond, outlook.admittedShare * this.demand);
+		const missing = isPart ? -this.partCredit : units;
 		const retryMilliseconds = Math.min(
 			this.options.tolerance.windowSeconds * 1000,
-			Math.max(minimumRetryMilliseconds, (1000 * debt) / rate),
+			Math.max(minimumRetryMilliseconds, (1000 * missing) / rate),
 		);
 		return {
 			kind: 'refused',
-			mode: this.lastMode,
+			...outlook,
 			retryMilliseconds:
 				retryMilliseconds * (1 + retrySpread * this.options.random.next()),
-			usedShare: this.usedShare,
-			ageMilliseconds: now - this.wordAt,
 		};
 	}
 }
--- a/src/core/quotas/quota-allocator.ts
+++ b/src/core/quotas/quota-allocator.ts
@@ -1,13 +1,19 @@
 import {type CustomerQuota} from '../../contracts/forwarding-document.js';
 import {type QuotaKey} from './quota-messages.js';
 import {type QuotaOptions} from './quota-options.js';
-import {allowedExcess, quotaMargins} from './quota-policy.js';
+import {
+	allowedExcess,
+	feedbackMilliseconds,
+	quotaMargins,
+} from './quota-policy.js';
 import {UseMeter} from './use-meter.js';
 
 /** What the owner decides for one customer. */
 export type QuotaAllocation = {
 	/** Share of the demand that is admitted, 1 while the customer is far from its limit. */
 	readonly admittedShare: number;
+	/** The same without the units that the bucket has saved up. */
+	readonly sustainedShare: number;
 	/** Use of the fleet as a share of the quota. */
 	readonly usedShare: number;
 };
@@ -20,10 +26,6 @@
 	readonly use: UseMeter;
 };
 
-/** Largest fleet whose hosts all report to the owner, about four times a second. */
-const maximumDirectHosts = 12;
-/** Time from the use of units until the hosts know what the owner decides of it: a report and its response, through a relay in a large fleet. A shorter time in the rule of the allocation would let the admitted share oscillate. */
-const feedbackMilliseconds = {direct: 600, relayed: 1500};
 /** Time constant of the use that operators see. */
 const useTimeConstantMilliseconds = 3000;
 /** Time for which a host that no longer reports may go on with its part of the quota. */
@@ -90,7 +92,7 @@
 	allocate(key: QuotaKey, demand: number): QuotaAllocation {
 		const bucket = this.buckets.get(key);
 		if (!bucket) {
-			return {admittedShare: 1, usedShare: 0};
+			return {admittedShare: 1, sustainedShare: 1, usedShare: 0};
 		}
 
 		this.refill(bucket);
@@ -101,18 +103,13 @@
 			this.options.tolerance,
 			hostCount,
 		);
-		const feedback =
-			hostCount <= maximumDirectHosts
-				? feedbackMilliseconds.direct
-				: feedbackMilliseconds.relayed;
-		const admitted = Math.max(
-			0,
-			quota.perSecond -
-				this.absentPerSecond(quota) +
-				((level + reserveUnits) * 1000) / feedback,
-		);
+		const sustained = quota.perSecond - this.absentPerSecond(quota);
+		const admitted =
+			sustained +
+			((level + reserveUnits) * 1000) / feedbackMilliseconds(hostCount);
 		return {
-			admittedShare: demand <= admitted ? 1 : admitted / demand,
+			admittedShare: shareOf(admitted, demand),
+			sustainedShare: shareOf(sustained, demand),
 			usedShare:
 				bucket.use.perSecond(this.options.clock.monotonic()) / quota.perSecond,
 		};
@@ -154,3 +151,7 @@
 		bucket.levelAt = now;
 	}
 }
+
+function shareOf(admitted: number, demand: number): number {
+	return demand <= admitted ? 1 : Math.max(0, admitted) / demand;
+}
--- a/src/core/quotas/quota-exchange.ts
+++ b/src/core/quotas/quota-exchange.ts
@@ -1,17 +1,24 @@
-import {type Customer} from '../../contracts/forwarding-document.js';
+import {
+	type Customer,
+	type CustomerQuota,
+} from '../../contracts/forwarding-document.js';
 import {type CustomerName} from '../../contracts/ids.js';
-import {QuotaAccount} from './quota-account.js';
+import {QuotaAccount, type QuotaOutlook} from './quota-account.js';
 import {QuotaAllocator, type QuotaAllocation} from './quota-allocator.js';
 import {quotaKeys} from './quota-keys.js';
 import {
+	unitsSince,
 	type QuotaKey,
 	type QuotaReport,
 	type QuotaResponse,
 	type QuotaWord,
-	type ReportedUse,
 } from './quota-messages.js';
 import {type QuotaOptions} from './quota-options.js';
-import {isWithinGrowth, quotaMargins} from './quota-policy.js';
+import {
+	feedbackMilliseconds,
+	isWithinGrowth,
+	quotaMargins,
+} from './quota-policy.js';
 import {UseCollector} from './use-collector.js';
 
 /** Collaborators of the exchange. */
@@ -36,8 +43,8 @@
 	readonly name: CustomerName;
 	readonly key: QuotaKey;
 	readonly account: QuotaAccount;
-	/** State of the account in its last report to the collector. */
-	reported: ReportedUse;
+	/** Units of the account that the collector has counted, modulo 2^32. */
+	collected: number;
 };
 
 /** Name of this host among the hosts that report to it. */
@@ -57,11 +64,12 @@
 	private readonly customersByKey = new Map<QuotaKey, LimitedCustomer>();
 	private readonly collector: UseCollector;
 	private allocator: QuotaAllocator | undefined;
+	/** Units that customers had taken when they were removed. Their sums go on if they are added again. */
+	private readonly formerUnits = new Map<QuotaKey, number>();
 	private ownerSince = 0;
 	private words = new Map<QuotaKey, QuotaWord>();
 	private wordAt = Number.NEGATIVE_INFINITY;
 	private urgentAt = Number.NEGATIVE_INFINITY;
-	private ownSequence = 0;
 
 	constructor(private readonly options: QuotaExchangeOptions) {
 		this.collector = new UseCollector(
@@ -96,17 +104,23 @@
 				this.customers.delete(name);
 				this.customersByKey.delete(customer.key);
 				this.allocator?.forget(customer.key);
+				this.formerUnits.set(customer.key, customer.account.takenUnits);
+				customer.account.admitWaiting();
 			}
 		}
 
 		for (const [name, {key, quota}] of limited) {
 			const known = this.customers.get(name);
+			this.lowerWord(key, quota, known?.account.currentQuota);
 			known?.account.setQuota(quota);
 			this.allocator?.setQuota(key, quota);
 			if (!known) {
-				const account = new QuotaAccount(this.options, quota);
-				account.applyWord(undefined, this.wordAt, undefined);
-				const customer = {name, key, account, reported: account.snapshot()};
+				const collected = this.formerUnits.get(key) ?? 0;
+				const account = new QuotaAccount(this.options, quota, {
+					takenUnits: collected,
+					outlook: () => this.outlook(customer),
+				});
+				const customer: LimitedCustomer = {name, key, account, collected};
 				this.customers.set(name, customer);
 				this.customersByKey.set(key, customer);
 			}
@@ -130,8 +144,6 @@
 
 	/** Decides on requests that wait, with word of the owner if it has to be asked for. To be called at short intervals while requests wait. Returns whether some still wait. */
 	update(): boolean {
-		this.reportOwnUse();
-		this.applyOwnWords();
 		const isWaiting = this.decideWaiting();
 		if (isWaiting) {
 			this.wantWord();
@@ -161,7 +173,11 @@
 
 	/** The response to the report of a host, undefined while this host has no usable word of the owner. */
 	respond(sequence: number): QuotaResponse | undefined {
-		const allocator = this.updateRole();
+		const allocator = this.decidingAllocator();
+		if (this.allocator && !allocator) {
+			return undefined;
+		}
+
 		const ageMilliseconds = allocator ? 0 : this.now - this.wordAt;
 		return Number.isFinite(ageMilliseconds)
 			? {sequence, ageMilliseconds, words: this.currentWords(allocator)}
@@ -179,12 +195,7 @@
 		this.collector.confirm(sequence, pending);
 		const wordAt = this.now - ageMilliseconds - ageAtSender;
 		if (wordAt >= this.wordAt) {
-			this.wordAt = wordAt;
-			this.words = new Map(
-				words
-					.filter(({admittedShare}) => admittedShare < 1)
-					.map((word) => [word.key, word]),
-			);
+			this.setWords(words, wordAt);
 		}
 
 		this.update();
@@ -192,7 +203,14 @@
 
 	/** Called repeatedly while this host is the owner. */
 	runAsOwner(): void {
-		this.updateRole();
+		this.reportOwnUse();
+		const allocator = this.decidingAllocator();
+		if (allocator) {
+			this.collector.confirmAll();
+			// The host keeps to them for a time when another one becomes the owner.
+			this.setWords(this.currentWords(allocator), this.now);
+		}
+
 		this.update();
 	}
 
@@ -200,10 +218,32 @@
 		return this.options.clock.monotonic();
 	}
 
+	private setWords(words: readonly QuotaWord[], wordAt: number): void {
+		this.wordAt = wordAt;
+		this.words = new Map(
+			words
+				.filter(({sustainedShare}) => sustainedShare < 1)
+				.map((word) => [word.key, word]),
+		);
+	}
+
+	/** The allocator if it decides. A new owner first listens to all hosts, which go on with the last word of its predecessor. */
+	private decidingAllocator(): QuotaAllocator | undefined {
+		const allocator = this.updateRole();
+		return this.now - this.ownerSince >=
+			feedbackMilliseconds(this.options.hostCount())
+			? allocator
+			: undefined;
+	}
+
 	/** The allocator while this host is the owner. It begins with full buckets, less the use that the first reports tell. */
 	private updateRole(): QuotaAllocator | undefined {
 		if (!this.options.isOwner()) {
-			this.allocator = undefined;
+			if (this.allocator) {
+				this.allocator = undefined;
+				this.collector.removeReporters(ownHost);
+			}
+
 			return undefined;
 		}
 
@@ -216,49 +256,77 @@
 			}
 		}
 
-		this.collector.confirmAll();
 		return this.allocator;
 	}
 
 	private reportOwnUse(): void {
 		this.updateRole();
 		this.collector.removeExpired();
-		this.ownSequence++;
-		let isWaiting = false;
-		const uses = [];
 		for (const customer of this.customers.values()) {
-			const {key, account} = customer;
-			isWaiting ||= account.hasWaiting;
-			const use = account.snapshot();
-			const {units, demand} = customer.reported;
-			if (use.units !== units || use.demand !== demand) {
-				uses.push({key, ...use, unconfirmedUnits: account.unconfirmedUnits});
-			}
-
-			customer.reported = use;
+			this.collectOwnUse(customer);
 		}
 
-		this.collector.apply(ownHost, {
-			process: this.options.process,
-			sequence: this.ownSequence,
-			uses,
-			isWaiting,
+		const isWaiting = [...this.customers.values()].some(
+			({account}) => account.hasWaiting,
+		);
+		this.collector.keep(ownHost, this.options.process, isWaiting);
+	}
+
+	private collectOwnUse(customer: LimitedCustomer): void {
+		const {key, account} = customer;
+		const units = account.takenUnits;
+		this.collector.applyUse(ownHost, this.options.process, {
+			key,
+			units,
+			unconfirmedUnits: unitsSince(units, customer.collected),
+			demand: account.demand,
 		});
-		if (this.allocator) {
-			this.collector.confirmAll();
-		}
+		customer.collected = units;
 	}
 
-	private applyOwnWords(): void {
-		const allocator = this.updateRole();
-		const wordAt = allocator ? this.now : this.wordAt;
-		for (const {key, account, reported} of this.customers.values()) {
-			const word = this.wordOf(key, allocator);
-			account.applyWord(
-				word.admittedShare < 1 ? word : undefined,
-				wordAt,
-				word.isPending || !Number.isFinite(wordAt) ? undefined : reported,
-			);
+	/** What this host knows of a customer's quota. */
+	private outlook(customer: LimitedCustomer): QuotaOutlook {
+		const {key} = customer;
+		const allocator = this.decidingAllocator();
+		this.collectOwnUse(customer);
+		const {admittedShare, sustainedShare, usedShare, isPending} = this.wordOf(
+			key,
+			allocator,
+		);
+		const ageMilliseconds = allocator ? 0 : this.now - this.wordAt;
+		const {maximumWordAgeMilliseconds} = quotaMargins(
+			customer.account.currentQuota,
+			this.options.tolerance,
+			this.options.hostCount(),
+		);
+		return {
+			mode:
+				ageMilliseconds > maximumWordAgeMilliseconds
+					? 'part'
+					: sustainedShare < 1
+						? 'share'
+						: 'free',
+			admittedShare,
+			usedShare,
+			ageMilliseconds,
+			isPending,
+		};
+	}
+
+	/** Lets a lower limit apply to the last word of the owner, which may not have the version yet. */
+	private lowerWord(
+		key: QuotaKey,
+		quota: CustomerQuota,
+		former: CustomerQuota | undefined,
+	): void {
+		const word = this.words.get(key);
+		if (word && former && quota.perSecond < former.perSecond) {
+			const factor = quota.perSecond / former.perSecond;
+			this.words.set(key, {
+				...word,
+				admittedShare: word.admittedShare * factor,
+				sustainedShare: word.sustainedShare * factor,
+			});
 		}
 	}
 
@@ -298,12 +366,23 @@
 			return {key, ...allocation, isPending: false};
 		}
 
-		const word = this.words.get(key);
+		const {
+			admittedShare = 1,
+			sustainedShare = 1,
+			usedShare = 0,
+		} = this.words.get(key) ?? {};
+		// Without newer word, what the bucket had saved up is used up, and half of the rate is left to pay a debt.
+		const isOutdated =
+			this.now - this.wordAt > feedbackMilliseconds(this.options.hostCount());
+		const share = isOutdated
+			? Math.min(sustainedShare, (admittedShare + sustainedShare) / 2)
+			: admittedShare;
 		return {
 			key,
-			admittedShare: word?.admittedShare ?? 1,
-			usedShare: word?.usedShare ?? 0,
-			isPending: this.isPending(key, word?.admittedShare ?? 1),
+			admittedShare: share,
+			sustainedShare,
+			usedShare,
+			isPending: this.isPending(key, share),
 		};
 	}
 
--- a/src/core/quotas/quota-messages.ts
+++ b/src/core/quotas/quota-messages.ts
@@ -27,6 +27,8 @@
 	readonly key: QuotaKey;
 	/** Share of the demand that is admitted. The admitted rate of a host is this share of the demand that it reported. */
 	readonly admittedShare: number;
+	/** The same without what the bucket had saved up, for a word that no newer one follows. */
+	readonly sustainedShare: number;
 	/** Use of the fleet as a share of the quota, for operators. */
 	readonly usedShare: number;
 	/** True when the sender has not told the owner of the use yet, so that the host must not grow further. */
--- a/src/core/quotas/quota-policy.ts
+++ b/src/core/quotas/quota-policy.ts
@@ -21,7 +21,7 @@
 };
 
 /** Share of the excess that the owner admits beyond the bucket. */
-const reserveShare = 0.25;
+const reserveShare = 0.15;
 /** Share of the excess and of the burst that hosts may use before the owner knows of it. */
 const growthShare = 0.25;
 /** The growth of a host and that of its relay are unknown to the owner at the same time. */
@@ -29,15 +29,28 @@
 /** Share of the excess for the use of hosts that are cut off and go on with the last word. */
 const staleShare = 0.5;
 /** Part of a customer's use that may be cut off from the owner at once. */
-const cutOffShare = 0.25;
+const cutOffShare = 0.125;
 /** A report takes two hops of up to 0.5 s and the response as many, mostly less. With a shorter age the hosts of a large fleet would have no usable word between two reports. */
 const minimumWordAgeMilliseconds = 2000;
-/** Use above the reported demand that counts as chance: requests do not arrive evenly. Without it, hosts with few requests a second would ask for word at every second one. */
+/** Requests, and standard deviations of the use in the time since the report, by which the use may exceed the reported demand by chance. With fewer, hosts with few requests a second would ask for word at every second one. */
 const unevenRequests = 2;
-const unevenFactor = 2;
+const unevenDeviations = 1;
 /** Longest time for which the demand of a host that was killed takes a part of the rate. */
 export const maximumWordAgeMilliseconds = 4000;
 
+/** Largest fleet whose hosts all report to the owner. */
+const maximumDirectHosts = 12;
+/** Time from the use of units until the hosts have word of what the owner decides of it: a report and its response, through a relay in a large fleet. With a shorter time in the rule of the allocation, the admitted share would oscillate. */
+const directFeedbackMilliseconds = 600;
+const relayedFeedbackMilliseconds = 1500;
+
+/** Returns the time from the use of units until the hosts have word of what the owner decides of it. */
+export function feedbackMilliseconds(hostCount: number): number {
+	return hostCount <= maximumDirectHosts
+		? directFeedbackMilliseconds
+		: relayedFeedbackMilliseconds;
+}
+
 /** Returns the excess that is allowed in one window. */
 export function allowedExcess(
 	{perSecond, burst}: CustomerQuota,
@@ -51,7 +64,7 @@
  *
  * - The owner's reserve is E / 4.
  * - Each of N hosts, and each relay for its hosts, may grow by g beyond what it has reported: 2 N g = (E + B) / 4.
- * - Hosts that are cut off go on with at most a quarter of R in sum while their word is usable: R / 4 * T = E / 2.
+ * - Hosts that are cut off go on with up to an eighth of R in sum while their word is usable: R / 8 * T = E / 2.
  */
 export function quotaMargins(
 	quota: CustomerQuota,
@@ -97,7 +110,10 @@
 	const expected = (admittedShare * confirmed.demand * elapsed) / 1000;
 	return (
 		unitsSince(units, confirmed.units) <=
-		growthUnits * hosts + unevenRequests * usualUnits + unevenFactor * expected
+		growthUnits * hosts +
+			unevenRequests * usualUnits +
+			expected +
+			unevenDeviations * Math.sqrt(expected * usualUnits)
 	);
 }
 
--- a/src/core/quotas/use-collector.ts
+++ b/src/core/quotas/use-collector.ts
@@ -8,6 +8,7 @@
 	type ReportedUse,
 } from './quota-messages.js';
 import {maximumWordAgeMilliseconds} from './quota-policy.js';
+import {UseMeter} from './use-meter.js';
 
 /** Use of one customer by the hosts that report to this one. */
 type CollectedUse = {
@@ -20,11 +21,21 @@
 	usualUnits: number;
 };
 
+type ReporterUse = {
+	units: number;
+	demand: number;
+	readonly use: UseMeter;
+	/** Use in units per second at the last report. */
+	perSecond: number;
+	/** Units that the host is assumed to have used since. */
+	assumed: number;
+};
+
 type Reporter = {
 	process: number;
 	reportedAt: number;
 	isWaiting: boolean;
-	readonly uses: Map<QuotaKey, {units: number; demand: number}>;
+	readonly uses: Map<QuotaKey, ReporterUse>;
 };
 
 /** Called with units that a host has used since its last report. */
@@ -35,6 +46,8 @@
 
 /** Time for which the sums of a silent host are kept, so that the units that it used meanwhile count once when it returns. */
 const reporterLifetimeMilliseconds = 60_000;
+/** Time between two reports that does not count as silence. */
+const usualSilenceMilliseconds = 1200;
 /** Number of reports whose responses may still arrive. */
 const maximumOpenReports = 8;
 /** Weight of the latest report in the usual units of a report. */
@@ -66,12 +79,19 @@
 
 	/** Takes the report of a host. */
 	apply(host: string, {process, uses, isWaiting}: QuotaReport): void {
+		this.keep(host, process, isWaiting);
+		for (const use of uses) {
+			this.applyUse(host, process, use);
+		}
+
+		this.returnAssumed(this.reporterOf(host, process));
+	}
+
+	/** Records that a host reports. */
+	keep(host: string, process: number, isWaiting: boolean): void {
 		const reporter = this.reporterOf(host, process);
 		reporter.reportedAt = this.clock.monotonic();
 		reporter.isWaiting = isWaiting;
-		for (const use of uses) {
-			this.applyUse(reporter, use);
-		}
 	}
 
 	/** Use of a customer, as the next report would contain it. */
@@ -89,9 +109,12 @@
 		const now = this.clock.monotonic();
 		for (const [host, reporter] of this.reporters) {
 			const silence = now - reporter.reportedAt;
+			this.assumeUse(reporter, silence);
 			if (silence > maximumWordAgeMilliseconds) {
 				reporter.isWaiting = false;
 				this.dropDemand(reporter);
+				// The host has ended, reports to another one, or keeps to its part.
+				this.returnAssumed(reporter);
 			}
 
 			if (silence > reporterLifetimeMilliseconds) {
@@ -100,6 +123,19 @@
 		}
 	}
 
+	/** Forgets the hosts that reported to this one while it was the owner. */
+	removeReporters(exceptHost: string): void {
+		for (const [host, reporter] of this.reporters) {
+			if (host !== exceptHost) {
+				this.returnAssumed(reporter);
+				this.dropDemand(reporter);
+				this.reporters.delete(host);
+			}
+		}
+
+		this.confirmAll();
+	}
+
 	/** The sums that have changed since they were confirmed, with a number under which the response confirms them. */
 	report(): {readonly sequence: number; readonly uses: QuotaUse[]} {
 		const at = this.clock.monotonic();
@@ -162,25 +198,41 @@
 
 		const reporter = {
 			process,
-			reportedAt: 0,
+			reportedAt: this.clock.monotonic(),
 			isWaiting: false,
-			uses: new Map<QuotaKey, {units: number; demand: number}>(),
+			uses: new Map<QuotaKey, ReporterUse>(),
 		};
 		this.reporters.set(host, reporter);
 		return reporter;
 	}
 
-	private applyUse(
-		reporter: Reporter,
+	/** Takes the use of one customer by a host. */
+	applyUse(
+		host: string,
+		process: number,
 		{key, units, unconfirmedUnits, demand}: QuotaUse,
 	): void {
+		const reporter = this.reporterOf(host, process);
 		const known = reporter.uses.get(key);
-		const change = known ? unitsSince(units, known.units) : unconfirmedUnits;
-		reporter.uses.set(key, {units, demand});
+		// A host that has reported elsewhere in between was confirmed there.
+		const used = known
+			? Math.min(unitsSince(units, known.units), unconfirmedUnits)
+			: unconfirmedUnits;
+		const now = this.clock.monotonic();
+		const use = known?.use ?? new UseMeter(now);
+		use.add(used, now);
+		reporter.uses.set(key, {
+			units,
+			demand,
+			use,
+			perSecond: use.perSecond(now),
+			assumed: 0,
+		});
+		const change = used - (known?.assumed ?? 0);
 		const collected = this.uses.get(key) ?? {
 			units: 0,
 			demand: 0,
-			confirmed: {units: 0, demand: 0, at: this.clock.monotonic()},
+			confirmed: {units: 0, demand: 0, at: now},
 			usualUnits: 0,
 		};
 		if (change > 0) {
@@ -195,6 +247,39 @@
 		this.onUse(key, change, {firstDemand: known ? undefined : demand});
 	}
 
+	/** Counts the use that a silent host may go on with. Its next report corrects it. */
+	private assumeUse({uses}: Reporter, silence: number): void {
+		if (
+			silence <= usualSilenceMilliseconds ||
+			silence > maximumWordAgeMilliseconds
+		) {
+			return;
+		}
+
+		for (const [key, use] of uses) {
+			const assumed = Math.floor((use.perSecond * silence) / 1000);
+			const change = assumed - use.assumed;
+			const collected = this.uses.get(key);
+			if (change > 0 && collected) {
+				use.assumed = assumed;
+				collected.units = addUnits(collected.units, change);
+				this.onUse(key, change, {firstDemand: undefined});
+			}
+		}
+	}
+
+	/** Returns what a host was assumed to have used of the customers that its report leaves out. */
+	private returnAssumed({uses}: Reporter): void {
+		for (const [key, use] of uses) {
+			const collected = this.uses.get(key);
+			if (use.assumed > 0 && collected) {
+				collected.units = addUnits(collected.units, -use.assumed);
+				this.onUse(key, -use.assumed, {firstDemand: undefined});
+				use.assumed = 0;
+			}
+		}
+	}
+
 	private dropDemand({uses}: Reporter): void {
 		for (const [key, use] of uses) {
 			const collected = this.uses.get(key);
--- a/src/core/quotas/use-meter.ts
+++ b/src/core/quotas/use-meter.ts
@@ -1,5 +1,5 @@
 /** Time constant of the measured rate. Above the interval of the reports, so that it does not follow single requests. */
-const defaultTimeConstantMilliseconds = 1000;
+const defaultTimeConstantMilliseconds = 500;
 
 /** Exponentially weighted rate of units. */
 export class UseMeter {
--- a/test/quotas/quota-fleet.ts
+++ b/test/quotas/quota-fleet.ts
@@ -117,8 +117,6 @@
 	needsUpdate: boolean;
 };
 
-type Message = {readonly at: number; readonly deliver: () => void};
-
 export type FleetOptions = {
 	readonly seed: number;
 	readonly hosts: number;
@@ -140,7 +138,8 @@
 	urgentReports = 0;
 	namedCustomers = 0;
 	private ownerLostAt = Number.POSITIVE_INFINITY;
-	private readonly messages: Message[] = [];
+	/** Deliveries by the step in which they are due. */
+	private readonly deliveries = new Map<number, Array<() => void>>();
 	private readonly next = new Map<CustomerName, number>();
 	private processes = 0;
 
@@ -190,7 +189,8 @@
 			random: this.random,
 			tolerance,
 			process: this.processes,
-			hostCount: () => (this.isOwner(host) ? this.countHosts() : host.hostCount),
+			hostCount: () =>
+				this.isOwner(host) ? this.countHosts() : host.hostCount,
 			isOwner: () => this.isOwner(host),
 			onWordWanted() {
 				host.isUrgent = true;
@@ -248,13 +248,10 @@
 
 	private step(): void {
 		this.electOwner();
-		const due = this.messages.filter(({at}) => at <= this.now);
-		if (due.length > 0) {
-			const rest = this.messages.filter(({at}) => at > this.now);
-			this.messages.splice(0, this.messages.length, ...rest);
-			for (const {deliver} of due) {
-				deliver();
-			}
+		const due = this.deliveries.get(this.now) ?? [];
+		this.deliveries.delete(this.now);
+		for (const deliver of due) {
+			deliver();
 		}
 
 		for (const host of this.hosts) {
@@ -268,6 +265,17 @@
 		}
 	}
 
+	/** Runs an action in the step in which it is due. */
+	schedule(at: number, deliver: () => void): void {
+		const step = Math.max(
+			this.now + stepMilliseconds,
+			Math.ceil(at / stepMilliseconds) * stepMilliseconds,
+		);
+		const due = this.deliveries.get(step) ?? [];
+		due.push(deliver);
+		this.deliveries.set(step, due);
+	}
+
 	/** The lease of an owner that is lost passes to another host after 2.5 s. */
 	private electOwner(): void {
 		const owner = this.hosts[this.owner]!;
@@ -288,9 +296,8 @@
 	}
 
 	private runHost(host: Host): void {
-		if (host.needsUpdate || this.now % 20 === 0) {
-			host.needsUpdate = false;
-			host.exchange.update();
+		if (host.needsUpdate && this.now % 20 === 0) {
+			host.needsUpdate = host.exchange.update();
 		}
 
 		if (this.isOwner(host)) {
@@ -340,45 +347,41 @@
 		const sentAt = this.now;
 		let isAnswered = false;
 		this.send(host, receiver, () => {
-			receiver.exchange.applyReport(host.id, report);
 			const isOwner = this.isOwner(receiver);
 			if (!isOwner && this.now - receiver.heardAt > 2000) {
 				return;
 			}
 
+			receiver.exchange.applyReport(host.id, report);
+
 			const held = report.isWaiting ? 0 : 250;
-			this.messages.push({
-				at: this.now + held,
-				deliver: () => {
-					const response = receiver.exchange.respond(report.sequence);
-					const {hostCount} = receiver;
-					const count = isOwner ? this.countHosts() : hostCount;
-					this.send(receiver, host, () => {
-						isAnswered = true;
-						host.heardAt = this.now;
-						host.hostCount = count;
-						if (response && host.exchange === exchange) {
-							this.namedCustomers += response.words.length;
-							exchange.applyResponse(response, this.now - sentAt - held);
-						}
-					});
-				},
+			this.schedule(this.now + held, () => {
+				const response = receiver.exchange.respond(report.sequence);
+				const {hostCount} = receiver;
+				const count = isOwner ? this.countHosts() : hostCount;
+				this.send(receiver, host, () => {
+					isAnswered = true;
+					host.heardAt = this.now;
+					host.hostCount = count;
+					if (response && host.exchange === exchange) {
+						this.namedCustomers += response.words.length;
+						exchange.applyResponse(response, this.now - sentAt - held);
+					}
+				});
 			});
 		});
-		this.messages.push({
-			at: sentAt + 1000,
-			deliver: () => {
-				if (!isAnswered && !this.isOwner(receiver)) {
-					host.avoidsRelayUntil = this.now + 5000;
-				}
-			},
+		this.schedule(sentAt + 1000, () => {
+			if (!isAnswered && !this.isOwner(receiver)) {
+				host.avoidsRelayUntil = this.now + 5000;
+			}
 		});
 	}
 
 	/** Delivers a message after a short time, never or twice. A frozen receiver handles it later. */
 	private send(from: Host, to: Host, deliver: () => void): void {
-		const {loss = 0.01} = this.options;
-		const copies = this.random.next() < loss ? 0 : this.random.next() < 0.02 ? 2 : 1;
+		const {loss = 0.003} = this.options;
+		const copies =
+			this.random.next() < loss ? 0 : this.random.next() < 0.02 ? 2 : 1;
 		for (let copy = 0; copy < copies; copy++) {
 			const attempt = () => {
 				if (!this.isConnected(from, to)) {
@@ -386,16 +389,13 @@
 				}
 
 				if (this.now < to.frozenUntil) {
-					this.messages.push({at: to.frozenUntil, deliver: attempt});
+					this.schedule(to.frozenUntil, attempt);
 				} else {
 					deliver();
 				}
 			};
 			const tail = this.random.next() < 0.02 ? 100 : 0;
-			this.messages.push({
-				at: this.now + 1 + this.random.next() * 8 + tail,
-				deliver: attempt,
-			});
+			this.schedule(this.now + 1 + this.random.next() * 8 + tail, attempt);
 		}
 	}
 
@@ -439,11 +439,8 @@
 		const result = this.results.get(name)!;
 		const repeat = (milliseconds: number) => {
 			if (tries < 3) {
-				this.messages.push({
-					at: this.now + milliseconds,
-					deliver: () => {
-						this.call(name, units, tries + 1);
-					},
+				this.schedule(this.now + milliseconds, () => {
+					this.call(name, units, tries + 1);
 				});
 			}
 		};
@@ -462,11 +459,8 @@
 
 			if (this.random.next() < 0.03) {
 				// The target turns the request away.
-				this.messages.push({
-					at: this.now + 30,
-					deliver: () => {
-						account.giveBack(units);
-					},
+				this.schedule(this.now + 30, () => {
+					account.giveBack(units);
 				});
 				repeat(100);
 				return;
@@ -477,3 +471,92 @@
 		host.needsUpdate ||= account.hasWaiting;
 	}
 }
+
+/** Fewest units that a quota of a customer in the scenarios admits in a second, by the index of the customer: a few large ones. */
+const quotaSizes = [326_556, 326_556, 60_000, 20_000, 20_000, 5000, 2000];
+
+/** Customers as in deployment B, three of which send six times their usual rate for 12 s. */
+export function createCustomers(
+	count: number,
+	usualShare = 0.3,
+): LoadedCustomer[] {
+	return Array.from({length: count}, (_, index) => {
+		const perSecond = quotaSizes[Math.min(index, quotaSizes.length - 1)]!;
+		const isHot = index % 3 === 0 && index < 9;
+		return {
+			name: `c${index}` as CustomerName,
+			quota: {unit: 'tokens', perSecond, burst: perSecond, plainUnits: 500},
+			load: (now) =>
+				perSecond * usualShare * (isHot && now >= 9000 && now < 21_000 ? 6 : 1),
+		};
+	});
+}
+
+/** Runs a fleet for 25 s, with a fault every 1.5 s if wanted. */
+export function runScenario(
+	seed: number,
+	hosts: number,
+	{hasFaults}: {readonly hasFaults: boolean},
+): QuotaFleet {
+	const fleet = new QuotaFleet({seed, hosts, customers: createCustomers(16)});
+	const {random} = fleet;
+	const pick = () => fleet.hosts[random.integer(fleet.hosts.length)]!;
+	const kill = (host: Host) => {
+		host.isAlive = false;
+		fleet.schedule(fleet.now + 1000 + random.next() * 4000, () => {
+			fleet.restart(host);
+		});
+	};
+	const faults = [
+		() => {
+			kill(pick());
+		},
+		() => {
+			kill(fleet.hosts[fleet.owner]!);
+		},
+		() => {
+			pick().frozenUntil = fleet.now + 500 + random.next() * 3000;
+		},
+		() => {
+			fleet.hosts[fleet.owner]!.frozenUntil =
+				fleet.now + 500 + random.next() * 3000;
+		},
+		() => {
+			const share = random.next() * 0.25;
+			for (const host of fleet.hosts) {
+				if (random.next() < share) {
+					host.group = 1;
+					fleet.schedule(fleet.now + 2000 + random.next() * 4000, () => {
+						host.group = 0;
+					});
+				}
+			}
+		},
+		() => {
+			fleet.addHost();
+		},
+		() => {
+			fleet.spreadLoad();
+		},
+	];
+	fleet.run(4000);
+	for (let fault = 0; fault < 14; fault++) {
+		if (hasFaults) {
+			faults[random.integer(faults.length)]!();
+		}
+
+		if (hasFaults && fault === 7) {
+			const [customer] = fleet.options.customers;
+			const {quota} = customer!;
+			fleet.setQuota(customer!.name, {
+				...quota,
+				perSecond: quota.perSecond * 0.6,
+				burst: quota.burst * 0.6,
+			});
+		}
+
+		fleet.run(1500);
+	}
+
+	return fleet;
+}
