--- a/src/core/quotas/quota-account.ts
+++ b/src/core/quotas/quota-account.ts
@@ -51,6 +51,12 @@
 export const maximumQuotaWaitMilliseconds = 200;
 /** Time at its part that a host without word saves up. A smaller part admits one request and carries the debt. */
 const savedPartMilliseconds = 1000;
+/** Time over which demand is averaged: in which the quota admits a number of requests, so that two that arrive together are no sign of a high demand. At least the time between two reports. */
+const demandTime = {
+	requests: 8,
+	minimumMilliseconds: 500,
+	maximumMilliseconds: 5000,
+};
 /** Weight of the latest request in the usual size of a request. */
 const sizeWeight = 0.1;
 const minimumRetryMilliseconds = 250;
@@ -83,7 +89,7 @@
 		private readonly source: QuotaSource,
 	) {
 		this.taken = source.takenUnits;
-		this.demandMeter = new UseMeter(this.now);
+		this.demandMeter = new UseMeter(this.now, demandTime.minimumMilliseconds);
 	}
 
 	/** True while requests wait for word or units. */
@@ -114,9 +120,10 @@
 	/** Decides on a request, at once or after a wait of at most `maximumQuotaWaitMilliseconds`. The units of an admitted one are taken. */
 	request(units: number, decide: (decision: QuotaDecision) => void): void {
 		const {now} = this;
-		this.demandMeter.add(units, now);
 		this.usualUnits +=
 			(this.usualUnits === 0 ? 1 : sizeWeight) * (units - this.usualUnits);
+		this.demandMeter.setTimeConstant(this.demandTimeConstant(), now);
+		this.demandMeter.add(units, now);
 		const outlook = this.follow(this.source.outlook());
 		if (outlook.mode === 'share' && !this.tryShare(units, outlook)) {
 			decide(this.refusal(units, outlook));
@@ -178,6 +185,16 @@
 		return this.options.clock.monotonic();
 	}
 
+	private demandTimeConstant(): number {
+		return Math.min(
+			demandTime.maximumMilliseconds,
+			Math.max(
+				demandTime.minimumMilliseconds,
+				(1000 * demandTime.requests * this.usualUnits) / this.quota.perSecond,
+			),
+		);
+	}
+
 	/** An even part of the quota, or the use of this host while it last had word if the customer was far from its limit then. */
 	private get partPerSecond(): number {
 		return Math.max(
--- a/src/core/quotas/quota-allocator.ts
+++ b/src/core/quotas/quota-allocator.ts
@@ -24,8 +24,13 @@
 	level: number;
 	levelAt: number;
 	readonly use: UseMeter;
+	/** Share of the demand that the hosts admit now: the decisions of the last moments reach them later. */
+	effectiveShare: number;
+	effectiveShareAt: number;
 };
 
+/** Part of the feedback time in which hosts still follow earlier decisions. The level expected at its end decides, so that the share does not oscillate. */
+const lagShare = 0.6;
 /** Time constant of the use that operators see. */
 const useTimeConstantMilliseconds = 3000;
 /** Time for which a host that no longer reports may go on with its part of the quota. */
@@ -51,6 +56,8 @@
 				level: quota.burst,
 				levelAt: now,
 				use: new UseMeter(now, useTimeConstantMilliseconds),
+				effectiveShare: 1,
+				effectiveShareAt: now,
 			});
 			return;
 		}
@@ -104,14 +111,23 @@
 			hostCount,
 		);
 		const sustained = quota.perSecond - this.absentPerSecond(quota);
+		const feedback = feedbackMilliseconds(hostCount);
+		const lag = feedback * lagShare;
+		const change =
+			quota.perSecond - Math.max(0, demand) * bucket.effectiveShare;
+		const expectedLevel = Math.min(quota.burst, level + (change * lag) / 1000);
 		const admitted =
-			sustained +
-			((level + reserveUnits) * 1000) / feedbackMilliseconds(hostCount);
+			sustained + ((expectedLevel + reserveUnits) * 1000) / feedback;
+		const admittedShare = shareOf(admitted, demand);
+		const now = this.options.clock.monotonic();
+		bucket.effectiveShare +=
+			(admittedShare - bucket.effectiveShare) *
+			(1 - Math.exp((bucket.effectiveShareAt - now) / lag));
+		bucket.effectiveShareAt = now;
 		return {
-			admittedShare: shareOf(admitted, demand),
+			admittedShare,
 			sustainedShare: shareOf(sustained, demand),
-			usedShare:
-				bucket.use.perSecond(this.options.clock.monotonic()) / quota.perSecond,
+			usedShare: bucket.use.perSecond(now) / quota.perSecond,
 		};
 	}
 
--- a/src/core/quotas/use-collector.ts
+++ b/src/core/quotas/use-collector.ts
@@ -47,7 +47,9 @@
 /** Time for which the sums of a silent host are kept, so that the units that it used meanwhile count once when it returns. */
 const reporterLifetimeMilliseconds = 60_000;
 /** Time between two reports that does not count as silence. */
-const usualSilenceMilliseconds = 1200;
+const usualSilenceMilliseconds = 1500;
+/** Time constant of the use that a silent host is assumed to go on with. */
+const useTimeConstantMilliseconds = 3000;
 /** Number of reports whose responses may still arrive. */
 const maximumOpenReports = 8;
 /** Weight of the latest report in the usual units of a report. */
@@ -219,7 +221,7 @@
 			? Math.min(unitsSince(units, known.units), unconfirmedUnits)
 			: unconfirmedUnits;
 		const now = this.clock.monotonic();
-		const use = known?.use ?? new UseMeter(now);
+		const use = known?.use ?? new UseMeter(now, useTimeConstantMilliseconds);
 		use.add(used, now);
 		reporter.uses.set(key, {
 			units,
--- a/src/core/quotas/use-meter.ts
+++ b/src/core/quotas/use-meter.ts
@@ -1,16 +1,17 @@
-/** Time constant of the measured rate. Above the interval of the reports, so that it does not follow single requests. */
-const defaultTimeConstantMilliseconds = 500;
-
 /** Exponentially weighted rate of units. */
 export class UseMeter {
 	private value = 0;
-	private at: number;
 
 	constructor(
-		now: number,
-		private readonly timeConstantMilliseconds = defaultTimeConstantMilliseconds,
-	) {
+		private at: number,
+		private timeConstantMilliseconds: number,
+	) {}
+
+	/** Sets the time over which the rate is averaged from now on. */
+	setTimeConstant(milliseconds: number, now: number): void {
+		this.value = this.perSecond(now);
 		this.at = now;
+		this.timeConstantMilliseconds = milliseconds;
 	}
 
 	/** Counts units. */
