--- a/src/core/quotas/quota-account.ts
+++ b/src/core/quotas/quota-account.ts
@@ -117,6 +117,11 @@
 		this.quota = quota;
 	}
 
+	/** Records the use of this host that the owner knows. 0 for a customer near its limit. */
+	setKnownUse(unitsPerSecond: number): void {
+		this.knownUse = unitsPerSecond;
+	}
+
 	/** Decides on a request, at once or after a wait of at most `maximumQuotaWaitMilliseconds`. The units of an admitted one are taken. */
 	request(units: number, decide: (decision: QuotaDecision) => void): void {
 		const {now} = this;
@@ -198,7 +203,7 @@
 	/** An even part of the quota, or the use of this host while it last had word if the customer was far from its limit then. */
 	private get partPerSecond(): number {
 		return Math.max(
-			this.quota.perSecond / Math.max(1, this.options.hostCount()),
+			this.quota.perSecond / this.options.fullHostCount(),
 			this.knownUse,
 		);
 	}
@@ -206,7 +211,7 @@
 	/** Follows changes of the mode. The credits begin with a random debt, because the hosts would otherwise all admit a request at once. */
 	private follow(outlook: QuotaOutlook): QuotaOutlook {
 		const {now} = this;
-		const {mode, isPending} = outlook;
+		const {mode} = outlook;
 		if (mode !== this.lastMode) {
 			const debt = this.options.random.next() * this.usualUnits;
 			this.shareCredit = -debt;
@@ -224,10 +229,6 @@
 				(this.partPerSecond * savedPartMilliseconds) / 1000,
 			);
 			this.partCreditAt = now;
-		} else if (mode === 'share') {
-			this.knownUse = 0;
-		} else if (!isPending) {
-			this.knownUse = this.demand;
 		}
 
 		return outlook;
--- a/src/core/quotas/quota-allocator.ts
+++ b/src/core/quotas/quota-allocator.ts
@@ -27,24 +27,31 @@
 	/** Share of the demand that the hosts admit now: the decisions of the last moments reach them later. */
 	effectiveShare: number;
 	effectiveShareAt: number;
+	/** Units that came in while there was no owner, for the use of that time. */
+	earlierUnits: number;
 };
 
+/** Time after a change of the owner in which the first reports of hosts tell what they used before. */
+const takeoverMilliseconds = 2500;
 /** Part of the feedback time in which hosts still follow earlier decisions. The level expected at its end decides, so that the share does not oscillate. */
 const lagShare = 0.6;
 /** Time constant of the use that operators see. */
 const useTimeConstantMilliseconds = 3000;
-/** Time for which a host that no longer reports may go on with its part of the quota. */
-const absenceMilliseconds = 30_000;
 /** Share of the allowed excess in which the parts of absent hosts need no reserve. */
 const absentExcessShare = 0.75;
 
 /** The owner's account of the quotas of the fleet: one bucket for each customer, which carries debt. */
 export class QuotaAllocator {
 	private readonly buckets = new Map<QuotaKey, Bucket>();
-	private fullHostCount = 0;
-	private fullHostCountAt = 0;
-
-	constructor(private readonly options: QuotaOptions) {}
+	private readonly since: number;
+
+	/** The first reports tell of the use since the last word of the former owner, the given time ago. */
+	constructor(
+		private readonly options: QuotaOptions,
+		private readonly ownerlessMilliseconds: number,
+	) {
+		this.since = options.clock.monotonic();
+	}
 
 	/** Sets the quota of a customer. A new customer begins with a full bucket. */
 	setQuota(key: QuotaKey, quota: CustomerQuota): void {
@@ -58,6 +65,10 @@
 				use: new UseMeter(now, useTimeConstantMilliseconds),
 				effectiveShare: 1,
 				effectiveShareAt: now,
+				earlierUnits:
+					now === this.since
+						? (quota.perSecond * this.ownerlessMilliseconds) / 1000
+						: 0,
 			});
 			return;
 		}
@@ -77,15 +88,23 @@
 		const bucket = this.buckets.get(key);
 		if (bucket) {
 			this.refill(bucket);
-			bucket.level = Math.min(bucket.quota.burst, bucket.level - units);
+			const isFirstUse = bucket.levelAt - this.since < takeoverMilliseconds;
+			const earlier =
+				isFirstUse && units > 0 ? Math.min(units, bucket.earlierUnits) : 0;
+			bucket.earlierUnits -= earlier;
+			bucket.level = Math.min(
+				bucket.quota.burst,
+				bucket.level - units + earlier,
+			);
 			bucket.use.add(units, bucket.levelAt);
 		}
 	}
 
-	/** Takes the units that a customer is assumed to have used before this process became the owner, from the demand of a host. */
+	/** Takes the units that a customer is assumed to have used before this process became the owner, from the demand in the first report of a host. */
 	assumeUse(key: QuotaKey, demand: number): void {
 		const bucket = this.buckets.get(key);
-		if (bucket) {
+		const now = this.options.clock.monotonic();
+		if (bucket && now - this.since < takeoverMilliseconds) {
 			const {burst, perSecond} = bucket.quota;
 			this.refill(bucket);
 			bucket.level = Math.max(
@@ -140,17 +159,8 @@
 
 	/** Units per second that hosts which no longer report may use as their parts, beyond what the allowed excess covers. */
 	private absentPerSecond(quota: CustomerQuota): number {
-		const now = this.options.clock.monotonic();
-		const hostCount = this.options.hostCount();
-		if (
-			hostCount >= this.fullHostCount ||
-			now - this.fullHostCountAt >= absenceMilliseconds
-		) {
-			this.fullHostCount = hostCount;
-			this.fullHostCountAt = now;
-		}
-
-		const absentShare = 1 - hostCount / Math.max(1, this.fullHostCount);
+		const absentShare =
+			1 - this.options.hostCount() / this.options.fullHostCount();
 		const {tolerance} = this.options;
 		const covered =
 			(allowedExcess(quota, tolerance) * absentExcessShare) /
--- a/src/core/quotas/quota-exchange.ts
+++ b/src/core/quotas/quota-exchange.ts
@@ -3,6 +3,7 @@
 	type CustomerQuota,
 } from '../../contracts/forwarding-document.js';
 import {type CustomerName} from '../../contracts/ids.js';
+import {FullHostCount} from './full-host-count.js';
 import {QuotaAccount, type QuotaOutlook} from './quota-account.js';
 import {QuotaAllocator, type QuotaAllocation} from './quota-allocator.js';
 import {quotaKeys} from './quota-keys.js';
@@ -22,7 +23,7 @@
 import {UseCollector} from './use-collector.js';
 
 /** Collaborators of the exchange. */
-export type QuotaExchangeOptions = QuotaOptions & {
+export type QuotaExchangeOptions = Omit<QuotaOptions, 'fullHostCount'> & {
 	/** Number of this process. */
 	readonly process: number;
 	/** True while this host holds the owner lease. */
@@ -52,8 +53,12 @@
 /** Time between reports outside the regular sequence, in a small fleet and in one with relays. */
 const urgentIntervalMilliseconds = {direct: 50, relayed: 80};
 const maximumDirectHosts = 12;
-/** Time after a change of the owner in which the first report of a host tells what it used before. */
-const takeoverMilliseconds = 5000;
+/** Time without an own report, which a host sends at least every 1.5 s, from which the process counts as stalled. */
+const stallMilliseconds = 2000;
+/** Time in which the reports are handled that have waited. */
+const stallEndMilliseconds = 300;
+/** Longest time without an owner whose use the first reports may still tell. */
+const maximumOwnerlessMilliseconds = 8000;
 
 /**
  * The quotas of one host, which may be a relay or the owner as well. All roles follow the same rule: whoever sends word
@@ -63,23 +68,27 @@
 	private readonly customers = new Map<CustomerName, LimitedCustomer>();
 	private readonly customersByKey = new Map<QuotaKey, LimitedCustomer>();
 	private readonly collector: UseCollector;
+	private readonly quotaOptions: QuotaOptions;
 	private allocator: QuotaAllocator | undefined;
 	/** Units that customers had taken when they were removed. Their sums go on if they are added again. */
 	private readonly formerUnits = new Map<QuotaKey, number>();
 	private ownerSince = 0;
 	private words = new Map<QuotaKey, QuotaWord>();
 	private wordAt = Number.NEGATIVE_INFINITY;
+	/** Monotonic time of the last own report. */
+	private activeAt: number;
+	private stalledAt = Number.NEGATIVE_INFINITY;
 	private urgentAt = Number.NEGATIVE_INFINITY;
 
 	constructor(private readonly options: QuotaExchangeOptions) {
+		const full = new FullHostCount(options.clock, options.hostCount);
+		this.quotaOptions = {...options, fullHostCount: () => full.current()};
+		this.activeAt = options.clock.monotonic();
 		this.collector = new UseCollector(
 			options.clock,
 			(key, units, {firstDemand}) => {
 				this.allocator?.use(key, units);
-				if (
-					firstDemand !== undefined &&
-					this.now - this.ownerSince < takeoverMilliseconds
-				) {
+				if (firstDemand !== undefined) {
 					this.allocator?.assumeUse(key, firstDemand);
 				}
 			},
@@ -116,7 +125,7 @@
 			this.allocator?.setQuota(key, quota);
 			if (!known) {
 				const collected = this.formerUnits.get(key) ?? 0;
-				const account = new QuotaAccount(this.options, quota, {
+				const account = new QuotaAccount(this.quotaOptions, quota, {
 					takenUnits: collected,
 					outlook: () => this.outlook(customer),
 				});
@@ -164,6 +173,10 @@
 
 	/** Takes the report of a host that reports to this one. */
 	applyReport(host: string, report: QuotaReport): void {
+		if (this.hasStalled()) {
+			return;
+		}
+
 		const allocator = this.updateRole();
 		this.collector.apply(host, report);
 		if (!allocator && this.hasPending(report)) {
@@ -174,7 +187,7 @@
 	/** The response to the report of a host, undefined while this host has no usable word of the owner. */
 	respond(sequence: number): QuotaResponse | undefined {
 		const allocator = this.decidingAllocator();
-		if (this.allocator && !allocator) {
+		if ((this.allocator && !allocator) || this.hasStalled()) {
 			return undefined;
 		}
 
@@ -220,6 +233,11 @@
 
 	private setWords(words: readonly QuotaWord[], wordAt: number): void {
 		this.wordAt = wordAt;
+		const limited = new Set(words.map(({key}) => key));
+		for (const {key, account} of this.customers.values()) {
+			account.setKnownUse(limited.has(key) ? 0 : account.demand);
+		}
+
 		this.words = new Map(
 			words
 				.filter(({sustainedShare}) => sustainedShare < 1)
@@ -249,7 +267,13 @@
 
 		if (!this.allocator) {
 			this.ownerSince = this.now;
-			this.allocator = new QuotaAllocator(this.options);
+			const wordAge = this.now - this.wordAt;
+			this.allocator = new QuotaAllocator(
+				this.quotaOptions,
+				Number.isFinite(wordAge)
+					? Math.min(maximumOwnerlessMilliseconds, wordAge)
+					: 0,
+			);
 			for (const {key, account} of this.customers.values()) {
 				this.allocator.setQuota(key, account.currentQuota);
 				this.allocator.assumeUse(key, this.collector.get(key)?.demand ?? 0);
@@ -259,7 +283,18 @@
 		return this.allocator;
 	}
 
+	/** True shortly after this process did not run for a time. The reports that have waited meanwhile may have been repeated to other hosts. */
+	private hasStalled(): boolean {
+		if (this.now - this.activeAt > stallMilliseconds) {
+			this.stalledAt = this.now;
+		}
+
+		return this.now - this.stalledAt < stallEndMilliseconds;
+	}
+
 	private reportOwnUse(): void {
+		this.hasStalled();
+		this.activeAt = this.now;
 		this.updateRole();
 		this.collector.removeExpired();
 		for (const customer of this.customers.values()) {
--- a/src/core/quotas/quota-options.ts
+++ b/src/core/quotas/quota-options.ts
@@ -9,4 +9,6 @@
 	readonly tolerance: QuotaTolerance;
 	/** Hosts of the fleet. */
 	readonly hostCount: () => number;
+	/** The same with those that may have been cut off lately. */
+	readonly fullHostCount: () => number;
 };
--- a/test/quotas/quota-fleet.ts
+++ b/test/quotas/quota-fleet.ts
@@ -494,8 +494,12 @@
 		return {
 			name: `c${index}` as CustomerName,
 			quota: {unit: 'tokens', perSecond, burst: perSecond, plainUnits: 500},
-			load: (now) =>
-				perSecond * usualShare * (isHot && now >= 9000 && now < 21_000 ? 6 : 1),
+			load(now) {
+				const isBurst = isHot && now >= 9000 && now < 21_000;
+				return now < loadStartMilliseconds
+					? 0
+					: perSecond * usualShare * (isBurst ? 6 : 1);
+			},
 		};
 	});
 }
