Enforce the quotas of customers over all hosts

A fixed part of a quota for each host is less than one request for a small customer, and a call for each request kept the owner busy. Hosts now report sums of the units that they sent, and the owner answers with the share of the demand that it admits for customers near their limit.

Settings without quotas.windowSeconds construct none of it.

--- a/src/contracts/events/forwarding-events.ts
+++ b/src/contracts/events/forwarding-events.ts
@@ -469,6 +469,13 @@
 		description:
 			'A request with a large body was refused as not run, because the bodies of all requests that this host holds exceed their share of machine.memoryMegabytes. The field heldBytes is the sum, omittedLines the number of such requests since the last line. Look for callers that send bodies slowly or wait long for their answers.',
 	},
+	quotaExceeded: {
+		number: 7100,
+		name: 'quota-exceeded',
+		level: 'warn',
+		description:
+			'A request was refused as not run (429) because its customer exceeds its quota. With the reason quota, the owner admits only admittedShare of what arrives; usedShare is the use of all hosts as a share of the quota, ageMilliseconds the time since the owner computed both. With quota-without-word, this host has heard nothing of the owner for that time, or nothing yet if the field is absent, and keeps to its part: look for events 7033 and 7035. One line for each customer and reason in ten seconds; omittedLines counts the others.',
+	},
 	logLinesDropped: {
 		number: 7060,
 		name: 'log-lines-dropped',
--- a/src/core/quotas/quota-account.ts
+++ b/src/core/quotas/quota-account.ts
@@ -97,6 +97,11 @@
 		return this.waiting.length > 0;
 	}
 
+	/** What limits the customer on this host now. */
+	get state(): QuotaOutlook {
+		return this.source.outlook();
+	}
+
 	/** Limit that applies now. */
 	get currentQuota(): CustomerQuota {
 		return this.quota;
--- a/src/core/quotas/quota-exchange.ts
+++ b/src/core/quotas/quota-exchange.ts
@@ -187,7 +187,8 @@
 	/** The response to the report of a host, undefined while this host has no usable word of the owner. */
 	respond(sequence: number): QuotaResponse | undefined {
 		const allocator = this.decidingAllocator();
-		if ((this.allocator && !allocator) || this.hasStalled()) {
+		const isListening = this.allocator !== undefined && !allocator;
+		if (isListening || this.hasStalled()) {
 			return undefined;
 		}
 
@@ -366,27 +367,25 @@
 	}
 
 	private decideWaiting(): boolean {
-		let isWaiting = false;
-		for (const {account} of this.customers.values()) {
-			if (account.hasWaiting) {
-				account.decideWaiting();
-				isWaiting ||= account.hasWaiting;
-			}
+		const waiting = [...this.customers.values()].filter(
+			({account}) => account.hasWaiting,
+		);
+		for (const {account} of waiting) {
+			account.decideWaiting();
 		}
 
-		return isWaiting;
+		return waiting.some(({account}) => account.hasWaiting);
 	}
 
 	/** Words about the customers near their limits, and those whose growth the owner does not know yet. */
 	private currentWords(allocator: QuotaAllocator | undefined): QuotaWord[] {
-		return [...this.collector.keys()]
+		const keys = new Set([
+			...this.collector.keys(),
+			...(allocator ? [] : this.words.keys()),
+		]);
+		return [...keys]
 			.map((key) => this.wordOf(key, allocator))
-			.concat(
-				[...this.words.values()].filter(
-					({key}) => !allocator && !this.collector.get(key),
-				),
-			)
-			.filter(({admittedShare, isPending}) => admittedShare < 1 || isPending);
+			.filter(({sustainedShare, isPending}) => sustainedShare < 1 || isPending);
 	}
 
 	private wordOf(
--- a/src/core/quotas/quota-messages.ts
+++ b/src/core/quotas/quota-messages.ts
@@ -52,13 +52,15 @@
 	readonly at: number;
 };
 
+const modulus = 2 ** 32;
+
 /** Difference of two sums modulo 2^32, negative if units were returned. */
 export function unitsSince(current: number, earlier: number): number {
-	// Converts to a signed integer of 32 bits.
-	return (current - earlier) | 0; // eslint-disable-line no-bitwise
+	const difference = addUnits(current, -earlier);
+	return difference < modulus / 2 ? difference : difference - modulus;
 }
 
 /** A sum modulo 2^32. */
 export function addUnits(sum: number, units: number): number {
-	return (sum + units) >>> 0; // eslint-disable-line no-bitwise
+	return (((sum + units) % modulus) + modulus) % modulus;
 }
--- a/src/core/quotas/quota-policy.ts
+++ b/src/core/quotas/quota-policy.ts
@@ -121,16 +121,14 @@
 export function requestUnits(
 	{unit, plainUnits}: CustomerQuota,
 	{
-		model,
 		promptTokens,
 		maximumTokens,
-	}: {
-		readonly model: string | undefined;
-		readonly promptTokens: number;
-		readonly maximumTokens: number;
-	},
+	}: {readonly promptTokens: number; readonly maximumTokens: number},
 ): number {
-	const tokens =
-		model === undefined ? plainUnits : promptTokens + maximumTokens;
-	return unit === 'requests' ? 1 : Math.max(1, Math.ceil(tokens));
+	if (unit === 'requests') {
+		return 1;
+	}
+
+	const tokens = promptTokens + maximumTokens;
+	return Math.max(1, Math.ceil(tokens > 0 ? tokens : plainUnits));
 }
--- a/src/core/quotas/use-collector.ts
+++ b/src/core/quotas/use-collector.ts
@@ -89,6 +89,47 @@
 		this.returnAssumed(this.reporterOf(host, process));
 	}
 
+	/** Takes the use of one customer by a host. */
+	applyUse(
+		host: string,
+		process: number,
+		{key, units, unconfirmedUnits, demand}: QuotaUse,
+	): void {
+		const reporter = this.reporterOf(host, process);
+		const known = reporter.uses.get(key);
+		// A host that has reported elsewhere in between was confirmed there.
+		const used = known
+			? Math.min(unitsSince(units, known.units), unconfirmedUnits)
+			: unconfirmedUnits;
+		const now = this.clock.monotonic();
+		const use = known?.use ?? new UseMeter(now, useTimeConstantMilliseconds);
+		use.add(used, now);
+		reporter.uses.set(key, {
+			units,
+			demand,
+			use,
+			perSecond: use.perSecond(now),
+			assumed: 0,
+		});
+		const change = used - (known?.assumed ?? 0);
+		const collected = this.uses.get(key) ?? {
+			units: 0,
+			demand: 0,
+			confirmed: {units: 0, demand: 0, at: now},
+			usualUnits: 0,
+		};
+		if (change > 0) {
+			collected.usualUnits +=
+				(collected.usualUnits === 0 ? 1 : changeWeight) *
+				(change - collected.usualUnits);
+		}
+
+		collected.units = addUnits(collected.units, change);
+		collected.demand += demand - (known?.demand ?? 0);
+		this.uses.set(key, collected);
+		this.onUse(key, change, {firstDemand: known ? undefined : demand});
+	}
+
 	/** Records that a host reports. */
 	keep(host: string, process: number, isWaiting: boolean): void {
 		const reporter = this.reporterOf(host, process);
@@ -208,47 +249,6 @@
 		return reporter;
 	}
 
-	/** Takes the use of one customer by a host. */
-	applyUse(
-		host: string,
-		process: number,
-		{key, units, unconfirmedUnits, demand}: QuotaUse,
-	): void {
-		const reporter = this.reporterOf(host, process);
-		const known = reporter.uses.get(key);
-		// A host that has reported elsewhere in between was confirmed there.
-		const used = known
-			? Math.min(unitsSince(units, known.units), unconfirmedUnits)
-			: unconfirmedUnits;
-		const now = this.clock.monotonic();
-		const use = known?.use ?? new UseMeter(now, useTimeConstantMilliseconds);
-		use.add(used, now);
-		reporter.uses.set(key, {
-			units,
-			demand,
-			use,
-			perSecond: use.perSecond(now),
-			assumed: 0,
-		});
-		const change = used - (known?.assumed ?? 0);
-		const collected = this.uses.get(key) ?? {
-			units: 0,
-			demand: 0,
-			confirmed: {units: 0, demand: 0, at: now},
-			usualUnits: 0,
-		};
-		if (change > 0) {
-			collected.usualUnits +=
-				(collected.usualUnits === 0 ? 1 : changeWeight) *
-				(change - collected.usualUnits);
-		}
-
-		collected.units = addUnits(collected.units, change);
-		collected.demand += demand - (known?.demand ?? 0);
-		this.uses.set(key, collected);
-		this.onUse(key, change, {firstDemand: known ? undefined : demand});
-	}
-
 	/** Counts the use that a silent host may go on with. Its next report corrects it. */
 	private assumeUse({uses}: Reporter, silence: number): void {
 		if (
--- a/src/program/forwarding-root.ts
+++ b/src/program/forwarding-root.ts
@@ -83,6 +83,7 @@
 } from '../services/forwarding/targets/target-registry.js';
 import {HistogramMetricRegistry} from '../services/histogram-metric-registry.js';
 import {WinstonEventLogger} from '../services/winston-event-logger.js';
+import {createQuotas, type HostQuotas} from './forwarding-quotas.js';
 import {type ForwardingSettings} from './forwarding-settings.js';
 import {createListenOptions} from './listen-events.js';
 import {type ListenAddress} from './settings.js';
@@ -164,6 +165,8 @@
 	private readonly server: ForwardingServer;
 	private readonly owner: PlacementOwner;
 	private readonly view: FleetView;
+	/** Undefined if the settings name no window of quotas. */
+	private readonly quotas: HostQuotas | undefined;
 	private readonly reportServer: ReportServer;
 	private readonly reportClient: ReportClient;
 	private readonly leaseManager: OwnerLeaseManager;
@@ -324,6 +327,18 @@
 			metric: 'daisylever_requests_over_memory_total',
 			event: forwardingEvents.requestsExceedMemory,
 		});
+		this.quotas = createQuotas(settings.quotas, {
+			clock,
+			random,
+			events,
+			metrics,
+			hostCount: () => this.service.hostCount,
+			isOwner: () => this.leaseManager.isHolder,
+			onWordWanted: () => {
+				this.reportClient.scheduleReport();
+			},
+		});
+		const parts = this.quotas ? [this.quotas.part] : [];
 		this.reportServer = components.add(
 			new ReportServer({
 				host,
@@ -357,6 +372,7 @@
 				onDocumentReceived: (document) => {
 					this.takeDocument(document);
 				},
+				parts,
 				mustArrive: isForwardCall,
 				addRoutes: (router) => {
 					addPeerRoutes(router, {
@@ -386,6 +402,7 @@
 				windowMilliseconds: retries.windowSeconds * 1000,
 				hosts: defaultHostCount,
 			},
+			quotas: this.quotas?.enforcement,
 			crashes,
 			rateLimits,
 			permits,
@@ -445,6 +462,7 @@
 				onLeaseStatusReceived: (status) => {
 					this.leaseManager.applyHolderStatus(status);
 				},
+				parts,
 				applyUpdate: (update) => this.applyUpdate(update),
 			}),
 		);
@@ -1007,6 +1025,7 @@
 	}
 
 	private updateGauges(): void {
+		this.quotas?.enforcement.updateMetrics();
 		this.metrics.gauge('daisylever_open_requests', this.service.openRequests);
 		this.metrics.gauge(
 			'daisylever_log_lines_dropped',
--- a/src/services/forwarding/attempts/forward-dispatch.ts
+++ b/src/services/forwarding/attempts/forward-dispatch.ts
@@ -35,10 +35,7 @@
 import {type NamedRateLimits} from '../../../core/limits/named-rate-limits.js';
 import {type PermitBook} from '../../../core/limits/permit-book.js';
 import {OutlierDetector} from '../../../core/routing/outlier-detector.js';
-import {
-	RetryBudget,
-	type RetryBudgetLimits,
-} from '../../../core/limits/retry-budget.js';
+import {RetryBudget} from '../../../core/limits/retry-budget.js';
 import {RefusedDemand} from '../../../core/placement/refused-demand.js';
 import {SlotPolicy} from '../../../core/routing/slot-policy.js';
 import {StartLimiter} from '../../../core/admission/start-limiter.js';
@@ -53,6 +50,7 @@
 import {Dispatcher, startLevel} from '../../dispatch/dispatcher.js';
 import {type BrittleObserver} from '../targets/brittle-observer.js';
 import {type CrashObserver} from '../targets/crash-observer.js';
+import {retryBudgetLimits, type RetryLimits} from '../limits/retry-limits.js';
 import {type StreamOriginSharing} from '../state/stream-origin-sharing.js';
 import {type TargetConnections} from '../targets/target-connections.js';
 import {
@@ -65,18 +63,6 @@
 import {type ForwardedRequest} from './forwarded-request.js';
 import {RequestAttempt} from './request-attempt.js';
 
-/** Limits on retries that apply to all hosts together. */
-export type RetryLimits = {
-	/** Retries allowed per request. */
-	readonly ratio: number;
-	/** Retries allowed in each window in addition to those of the ratio, for all hosts together. */
-	readonly slack: number;
-	/** Length of the window to which the limits apply. */
-	readonly windowMilliseconds: number;
-	/** Number of hosts that share the slack. */
-	readonly hosts: number;
-};
-
 /** Collaborators of the dispatch of one pool. */
 export type ForwardDispatchOptions = {
 	readonly pool: PoolName;
@@ -108,16 +94,10 @@
 	readonly tryOtherHost?: (request: ForwardedRequest) => boolean;
 };
 
-/** Retries that a host may have saved up although its share of the slack is smaller. */
-const minimumRetryCapacity = 2;
-/** Share of the slack that may be spent at once, when a target fails with many requests in flight. */
-const burstSlackShare = 0.7;
 /** All consumers connect through one load balancer, which does not identify them. */
 const sharedCaller = 'any' as CallerId;
 /** Attempts of one request, including those that no target received or executed. */
 const maximumAttempts = 5;
-/** Share of the ratio that is used, so that a window that contains only a part of a burst stays below the limit. */
-const usedRatioShare = 0.7;
 /** Speed factor of targets in other failure domains, because traffic between domains is charged. */
 const remoteSpeedFactor = 0.8;
 /** Latency that a lost attempt counts with in the outlier detection. */
@@ -320,7 +300,9 @@
 		retryAfterMilliseconds: number,
 	): void {
 		for (const attempt of this.attempts.get(request.key)?.values() ?? []) {
-			request.executions -= attempt.isSent ? 0 : 1;
+			if (!attempt.isSent) {
+				request.recordNotRun();
+			}
 		}
 
 		this.abandon(request);
@@ -358,7 +340,10 @@
 			// The attempts whose connections are not open yet are cancelled and do not run.
 			this.abandon(request);
 			this.remove(request);
-			request.executions = executions;
+			for (const _attempt of attempts) {
+				request.recordNotRun();
+			}
+
 			taken.push(request);
 		}
 
@@ -427,7 +412,7 @@
 
 		this.options.registry.reachability.recordSent(binding.target);
 		request.waitedMilliseconds ??= binding.waitedMilliseconds;
-		request.executions++;
+		request.recordSent();
 		const attempt = this.createAttempt(request, binding, connections);
 		const attempts =
 			this.attempts.get(request.key) ?? new Map<number, ForwardAttempt>();
@@ -813,7 +798,7 @@
 	private discountUnbegun(key: RequestId, attempt: ForwardAttempt): void {
 		const request = this.requests.get(key);
 		if (request?.route.kind === 'stream' && !attempt.hasResponse) {
-			request.executions--;
+			request.recordNotRun();
 		}
 	}
 
@@ -1198,20 +1183,6 @@
 	}
 }
 
-/** A window that begins with a full bucket allows the capacity and the refill, which together are this host's share of the slack. */
-function retryBudgetLimits(retries: RetryLimits): RetryBudgetLimits {
-	const slack = retries.slack / retries.hosts;
-	return {
-		ratio: retries.ratio * usedRatioShare,
-		minimumPerSecond:
-			(slack * (1 - burstSlackShare)) / (retries.windowMilliseconds / 1000),
-		capacity: Math.max(
-			minimumRetryCapacity,
-			Math.floor(slack * burstSlackShare),
-		),
-	};
-}
-
 function toAttempt({request, attempt, target}: Attempt): Attempt {
 	return {request, attempt, target};
 }
--- a/src/services/forwarding/attempts/forwarded-request.ts
+++ b/src/services/forwarding/attempts/forwarded-request.ts
@@ -18,6 +18,7 @@
 	type RequestMetadata,
 } from '../../../contracts/request-codec.js';
 import {type ObservedRequest} from '../../../core/crashes/crash-correlation.js';
+import {type QuotaCharge} from '../../../core/quotas/quota-charge.js';
 import {type StreamEvent} from '../../../core/streams/event-stream-splitter.js';
 import {type CallerResponse} from './caller-response.js';
 
@@ -88,6 +89,8 @@
 	lastEventId: number | undefined;
 	/** Attempts that may have been executed, including those in flight. */
 	executions = 0;
+	/** Units that the request takes of its customer's quota, undefined without one. */
+	quotaCharge: QuotaCharge | undefined;
 	/** Targets at which a stream was interrupted. */
 	readonly brokenStreamTargets: TargetId[] = [];
 	/** Targets that refused the request. */
@@ -147,6 +150,13 @@
 		return this.options.response.hasStarted;
 	}
 
+	/** True when the caller has received events of the stream before. */
+	get isTakenUpAgain(): boolean {
+		return (
+			this.route.kind === 'stream' && this.metadata.lastEventId !== undefined
+		);
+	}
+
 	/** True when the request may be executed more than once. */
 	get isRepeatable(): boolean {
 		const {kind, isResumable} = this.route;
@@ -218,6 +228,18 @@
 		);
 	}
 
+	/** Counts an attempt that this host sends to a target. */
+	recordSent(): void {
+		this.executions++;
+		this.quotaCharge?.recordSent();
+	}
+
+	/** Withdraws an attempt that has not run. */
+	recordNotRun(): void {
+		this.executions--;
+		this.quotaCharge?.recordNotRun();
+	}
+
 	/** Starts the timer of the deadline. */
 	start(onExpired: () => void): void {
 		this.timer = setTimeout(
@@ -325,6 +347,11 @@
 		this.sendLocalResponse(503, reason, retryAfterMilliseconds);
 	}
 
+	/** Responds that the request was not executed, because its customer exceeds its quota. */
+	refuseForQuota(reason: string, retryAfterMilliseconds: number): void {
+		this.sendLocalResponse(429, reason, retryAfterMilliseconds);
+	}
+
 	/** Responds that requests like this one crash targets. */
 	refuseQuarantined(): void {
 		this.refuse(
@@ -398,7 +425,7 @@
 				'Content-Type',
 				'text/plain',
 			],
-			execution: status === 503 ? 'not-run' : 'unknown',
+			execution: status === 503 || status === 429 ? 'not-run' : 'unknown',
 			reason,
 			retryAfterMilliseconds,
 		});
@@ -411,6 +438,7 @@
 		}
 
 		this.hasFinished = true;
+		this.quotaCharge?.release();
 		clearTimeout(this.timer);
 		const {events, clock, arrivedAt, route, metadata, documentVersion} =
 			this.options;
--- a/src/services/forwarding/attempts/request-attempt.ts
+++ b/src/services/forwarding/attempts/request-attempt.ts
@@ -175,7 +175,7 @@
 		this.stopOverlapTimer();
 		this.owner.recordFailure(this.request, this.attempt, failure);
 		if (failure.kind !== 'lost') {
-			this.request.executions--;
+			this.request.recordNotRun();
 		}
 
 		if (
--- a/src/services/forwarding/forwarding-service.ts
+++ b/src/services/forwarding/forwarding-service.ts
@@ -46,14 +46,16 @@
 import {
 	ForwardDispatch,
 	missingVersionReason,
-	type RetryLimits,
 } from './attempts/forward-dispatch.js';
 import {ForwardedRequest} from './attempts/forwarded-request.js';
 import {
 	ReceivedRequestHandler,
 	type ReceivedRequest,
 } from './forwarding-server.js';
+import {type QuotaEnforcement} from './limits/quota-enforcement.js';
+import {type RetryLimits} from './limits/retry-limits.js';
 import {StopAdmission} from './limits/stop-admission.js';
+import {headerValue} from './attempts/raw-headers.js';
 import {HttpCallerResponse} from './attempts/http-caller-response.js';
 import {type PeerResponse} from './peers/peer-response.js';
 import {type PeerForwarder} from './peers/peer-forwarder.js';
@@ -71,6 +73,8 @@
 	readonly codec: RequestCodec;
 	readonly registry: TargetRegistry;
 	readonly retries: RetryLimits;
+	/** Enforces the quotas of customers. Absent if they are not enforced. */
+	readonly quotas?: QuotaEnforcement | undefined;
 	readonly crashes: CrashObserver;
 	readonly rateLimits: NamedRateLimits;
 	readonly permits: PermitBook;
@@ -354,6 +358,7 @@
 		}
 
 		this.document = document;
+		this.options.quotas?.applyDocument(document);
 		this.routes = new RouteTable(document);
 		// Keeps the last known keys if a host of an older build sent the document, which leaves them out.
 		if (document.customers) {
@@ -811,10 +816,18 @@
 			request.expire();
 		});
 		this.startTicking();
-		if (isTakenUpAgain(request)) {
-			void this.submitResumed(request, pool, arrived);
+		const submit = () => {
+			if (request.isTakenUpAgain) {
+				void this.submitResumed(request, pool, arrived);
+			} else {
+				this.submitArrived(request, pool);
+			}
+		};
+
+		if (this.options.quotas) {
+			this.options.quotas.admit(request, submit);
 		} else {
-			this.submitArrived(request, pool);
+			submit();
 		}
 
 		return request;
@@ -864,6 +877,8 @@
 		dispatch: ForwardDispatch,
 	): void {
 		if (request.options.forwardedBy === undefined) {
+			// The other host counts it.
+			request.quotaCharge?.release();
 			void this.options.peers.forward(request, dispatch);
 		} else {
 			request.refuse(cutOffReason, startRetryMilliseconds);
@@ -1142,23 +1157,7 @@
 	}
 }
 
-/** True when the caller has received events of the stream before. */
-function isTakenUpAgain({route, metadata}: ForwardedRequest): boolean {
-	return route.kind === 'stream' && metadata.lastEventId !== undefined;
-}
-
 /** True for an answer of a target that is neither an own response nor broken. */
 function isCompleteAnswer(outcome: string): boolean {
 	return outcome === 'complete' || outcome.startsWith('status ');
 }
-
-/** Returns the first value of a header, given the lower-case name. */
-function headerValue(
-	rawHeaders: readonly string[],
-	name: string,
-): string | undefined {
-	const index = rawHeaders.findIndex(
-		(header, position) => position % 2 === 0 && header.toLowerCase() === name,
-	);
-	return index === -1 ? undefined : rawHeaders[index + 1];
-}
--- a/src/services/forwarding/reports/report-part.ts
+++ b/src/services/forwarding/reports/report-part.ts
@@ -1,15 +1,13 @@
 import {type MessageInitShape} from '@bufbuild/protobuf';
 import {
 	type ReportRequest,
-	type ReportRequestSchema,
 	type ReportResponse,
 	type ReportResponseSchema,
 } from '../../../generated/daisylever/owner/v1/owner_pb.js';
 
-/** Fields of a report that one part sets. */
-export type ReportFields = Omit<
-	MessageInitShape<typeof ReportRequestSchema>,
-	'$typeName' | '$unknown'
+/** Fields of a report that one part sets. Their messages are complete, because the report is sent as it is. */
+export type ReportFields = Partial<
+	Omit<ReportRequest, '$typeName' | '$unknown'>
 >;
 
 /** Fields of the response to a report that one part sets. */
@@ -31,6 +29,11 @@
  * none of them: absent fields mean that the sender does not tell, never that there is nothing.
  */
 export abstract class ReportPart {
+	/** True when the response must not be held for a change. */
+	needsPromptResponse(_request: ReportRequest): boolean {
+		return false;
+	}
+
 	/** Fields for the report of this host to the owner or a relay, those of the hosts that report to this one included. */
 	abstract requestFields(): ReportFields;
 
--- a/src/services/forwarding/reports/report-server.ts
+++ b/src/services/forwarding/reports/report-server.ts
@@ -259,6 +259,7 @@
 
 		const arrivedAt = this.options.clock.monotonic();
 		if (
+			!this.needsPromptResponse(request) &&
 			!this.isBehind(request) &&
 			!(request.needsDocument && this.isAhead(request)) &&
 			request.knownSource === view.name &&
@@ -483,6 +484,12 @@
 		};
 	}
 
+	private needsPromptResponse(request: ReportRequest): boolean {
+		return (this.options.parts ?? []).some((part) =>
+			part.needsPromptResponse(request),
+		);
+	}
+
 	private partFields(request: ReportRequest): ReportResponseFields {
 		return Object.assign(
 			{},
