--- a/src/services/forwarding/attempts/forward-dispatch.ts
+++ b/src/services/forwarding/attempts/forward-dispatch.ts
@@ -51,6 +51,7 @@
 import {Dispatcher} from '../../dispatch/dispatcher.js';
 import {type BrittleObserver} from '../targets/brittle-observer.js';
 import {type CrashObserver} from '../targets/crash-observer.js';
+import {retryBudgetLimits, type RetryLimits} from '../limits/retry-limits.js';
 import {type StreamOriginSharing} from '../state/stream-origin-sharing.js';
 import {type TargetConnections} from '../targets/target-connections.js';
 import {
@@ -64,7 +65,6 @@
 import {type ForwardedRequest} from './forwarded-request.js';
 import {RegisteredCandidates} from './registered-candidates.js';
 import {RequestAttempt} from './request-attempt.js';
-import {retryBudgetLimits, type RetryLimits} from './retry-limits.js';
 
 /** Collaborators of the dispatch of one pool. */
 export type ForwardDispatchOptions = {
@@ -313,7 +313,9 @@
 		retryAfterMilliseconds: number,
 	): void {
 		for (const attempt of this.attempts.get(request.key)?.values() ?? []) {
-			request.executions -= attempt.isSent ? 0 : 1;
+			if (!attempt.isSent) {
+				request.recordNotRun();
+			}
 		}
 
 		this.abandon(request);
@@ -351,7 +353,10 @@
 			// The attempts whose connections are not open yet are cancelled and do not run.
 			this.abandon(request);
 			this.remove(request);
-			request.executions = executions;
+			for (const _attempt of attempts) {
+				request.recordNotRun();
+			}
+
 			taken.push(request);
 		}
 
@@ -420,7 +425,7 @@
 
 		this.options.registry.reachability.recordSent(binding.target);
 		request.waitedMilliseconds ??= binding.waitedMilliseconds;
-		request.executions++;
+		request.recordSent();
 		const attempt = this.createAttempt(request, binding, connections);
 		const attempts =
 			this.attempts.get(request.key) ?? new Map<number, ForwardAttempt>();
@@ -806,7 +811,7 @@
 	private discountUnbegun(key: RequestId, attempt: ForwardAttempt): void {
 		const request = this.requests.get(key);
 		if (request?.route.kind === 'stream' && !attempt.hasResponse) {
-			request.executions--;
+			request.recordNotRun();
 		}
 	}
 
