Share targets fairly between the customers of all hosts

Cause: all callers share one key in the fair queue, so a customer that floods the hosts delays and displaces the requests of all others. Keyed by customer alone, each host would share by its own work only, and a customer whose callers reach one host would get a fraction of the share of one whose callers reach all.

Change: the customer is the caller of the fair queue. The queue orders callers by the work that was dispatched for them lately on all hosts (CallerUsage, half-life 2 s). Hosts report that work in a ReportPart (ShareReports, field 40); relays and the owner add it up and answer each host with the work of all others. A host that stops reporting, or an owner that stalls, counts for 3 s. The count of requests ahead, by which requests are refused, counts other customers only as far as they take turns. A document without customers keeps its one caller, and a property test compares the decisions.

The types of tracked requests, the retry limits and the header lookup move to modules of their own, so that the large files shrink.

--- a/src/core/fairness/dispatch-queue.ts
+++ b/src/core/fairness/dispatch-queue.ts
@@ -5,6 +5,7 @@
 	type RequestId,
 	type TargetId,
 } from '../../contracts/ids.js';
+import {type CallerUsage} from './caller-usage.js';
 
 /** Urgency class of a caller, as configured in the document. */
 export type Urgency = 'urgent' | 'standard' | 'deferred';
@@ -69,6 +70,8 @@
 	readonly maximumLength?: number;
 	/** Time by which work has to leave the queue before the end of its objective, beyond the usual one. None by default. */
 	readonly startMarginMilliseconds?: (work: QueuedWork) => number;
+	/** Work of the callers on all hosts, by which they share the slot time. By default, callers share what this queue dispatches. */
+	readonly usage?: CallerUsage | undefined;
 };
 
 type Item<T> = {readonly work: T; readonly enqueuedAt: number};
@@ -94,18 +97,22 @@
 		readonly priority: number,
 		/** True for work that can no longer meet its objective. */
 		readonly isLate: boolean,
+		private readonly usage: CallerUsage | undefined,
 	) {}
 
 	oldest(): Item<T> | undefined {
 		return this.itemsByArrival.values().next().value;
 	}
 
-	/** Returns the first item of the caller with the smallest start tag. */
+	/** Returns the first item of the caller with the smallest start tag, or with the least work on all hosts. */
 	next(): Item<T> | undefined {
 		let best: CallerQueue<T> | undefined;
-		for (const queue of this.callers.values()) {
-			if (!best || queue.startTag < best.startTag) {
+		let smallest = Number.POSITIVE_INFINITY;
+		for (const [caller, queue] of this.callers) {
+			const tag = this.usage?.get(caller) ?? queue.startTag;
+			if (tag < smallest) {
 				best = queue;
+				smallest = tag;
 			}
 		}
 
@@ -161,7 +168,9 @@
 
 /** The queue of one pool in the entry host. Work is assigned to a target only when one has capacity for it. */
 export class DispatchQueue<T extends QueuedWork = QueuedWork> {
-	private readonly options: Required<DispatchQueueOptions>;
+	private readonly options: Required<Omit<DispatchQueueOptions, 'usage'>> &
+		Pick<DispatchQueueOptions, 'usage'>;
+
 	private readonly lanes = new Map<string, Lane<T>>();
 	private readonly laneOf = new Map<RequestId, Lane<T>>();
 	/** Expected service time of the queued work in milliseconds, by priority and caller. */
@@ -240,13 +249,14 @@
 				continue;
 			}
 
-			let ahead = 0;
+			const ahead = new Map<CallerId, number>();
 			for (const {work} of lane.itemsByArrival.values()) {
-				if (isHopeless(work, ahead)) {
+				const {caller} = work;
+				if (isHopeless(work, countInTurns(ahead, caller))) {
 					this.remove(lane, work, false);
 					removed.push(work);
 				} else {
-					ahead++;
+					ahead.set(caller, (ahead.get(caller) ?? 0) + 1);
 				}
 			}
 		}
@@ -327,25 +337,41 @@
 		return sum;
 	}
 
-	/** Number of queued requests that match, can or cannot still meet their objective, and are dispatched before new work of the given urgency. */
+	/**
+	 * Number of queued requests that match, can or cannot still meet their objective, and are dispatched before new work
+	 * of the given urgency. With a caller, requests of other callers with the same priority count only as far as the
+	 * callers take turns: up to one more than this caller has queued.
+	 */
 	countAhead(
-		work: Pick<QueuedWork, 'urgency' | 'isLong'>,
+		work: Pick<QueuedWork, 'urgency' | 'isLong'> &
+			Partial<Pick<QueuedWork, 'caller'>>,
 		isLate: boolean,
 		matches: (queued: T) => boolean,
 	): number {
 		const priority = priorityOf(work);
+		const counts = new Map<CallerId, number>();
 		let count = 0;
 		for (const lane of this.lanes.values()) {
 			if (lane.isLate !== isLate || lane.priority > priority) {
 				continue;
 			}
 
+			const isShared = work.caller !== undefined && lane.priority === priority;
 			for (const item of lane.itemsByArrival.values()) {
-				count += matches(item.work) ? 1 : 0;
+				if (!matches(item.work)) {
+					continue;
+				}
+
+				if (isShared) {
+					const {caller} = item.work;
+					counts.set(caller, (counts.get(caller) ?? 0) + 1);
+				} else {
+					count++;
+				}
 			}
 		}
 
-		return count;
+		return count + countInTurns(counts, work.caller);
 	}
 
 	private takeOldest(findTarget: FindTarget<T>): BoundWork<T> | undefined {
@@ -424,6 +450,10 @@
 		byAge: boolean,
 	): BoundWork<T> {
 		this.remove(lane, item.work, true);
+		this.options.usage?.record(
+			item.work.caller,
+			Math.max(1, item.work.expectedMilliseconds),
+		);
 		this.dispatches++;
 		return {
 			work: item.work,
@@ -460,7 +490,7 @@
 		const key = `${isLate ? 'late' : 'prompt'}|${priority}|${work.routingKey}`;
 		let lane = this.lanes.get(key);
 		if (!lane) {
-			lane = new Lane(key, priority, isLate);
+			lane = new Lane(key, priority, isLate, this.options.usage);
 			this.lanes.set(key, lane);
 		}
 
@@ -476,6 +506,20 @@
 	}
 }
 
+/** Requests that are dispatched before the next one of a caller, when the callers take turns. */
+function countInTurns(
+	counts: ReadonlyMap<CallerId, number>,
+	caller: CallerId | undefined,
+): number {
+	const own = (caller === undefined ? undefined : counts.get(caller)) ?? 0;
+	let sum = own;
+	for (const [other, count] of counts) {
+		sum += other === caller ? 0 : Math.min(count, own + 1);
+	}
+
+	return sum;
+}
+
 /** Priority of a lane, lower first: by urgency, then short before long. */
 function priorityOf(work: Pick<QueuedWork, 'urgency' | 'isLong'>): number {
 	return urgencies.indexOf(work.urgency) * 2 + (work.isLong ? 1 : 0);
--- a/src/measure/serving-model.ts
+++ b/src/measure/serving-model.ts
@@ -175,6 +175,12 @@
 				maximumTokens: 1024,
 				prefixes: [],
 				remainingMilliseconds: request.deadlineMilliseconds,
+				...(request.startObjectiveMilliseconds === undefined
+					? {}
+					: {startObjectiveMilliseconds: request.startObjectiveMilliseconds}),
+				...(request.startTimeoutMilliseconds === undefined
+					? {}
+					: {startTimeoutMilliseconds: request.startTimeoutMilliseconds}),
 				idempotent: true,
 				fingerprint: id as string as Fingerprint,
 				suspect: false,
--- a/src/measure/workload.ts
+++ b/src/measure/workload.ts
@@ -13,6 +13,10 @@
 	readonly firstTokenMilliseconds: number;
 	readonly betweenTokensMilliseconds: number;
 	readonly deadlineMilliseconds: number;
+	/** Time within which the first token meets the objective. None if absent. */
+	readonly startObjectiveMilliseconds?: number;
+	/** Time for which the caller waits for the first token. Until the deadline if absent. */
+	readonly startTimeoutMilliseconds?: number;
 	/** Label by which latencies are grouped. */
 	readonly label: string;
 	/** Index of the entry host that receives the request. */
--- a/src/program/forwarding-root.ts
+++ b/src/program/forwarding-root.ts
@@ -62,6 +62,7 @@
 	type FleetUpdate,
 } from '../services/forwarding/reports/report-client.js';
 import {ReportServer} from '../services/forwarding/reports/report-server.js';
+import {ShareReports} from '../services/forwarding/reports/share-reports.js';
 import {maximumListAge} from '../core/membership/list-age.js';
 import {
 	revocationLimits,
@@ -324,6 +325,8 @@
 			metric: 'daisylever_requests_over_memory_total',
 			event: forwardingEvents.requestsExceedMemory,
 		});
+		const shares = new ShareReports({clock});
+		const parts = [shares];
 		this.reportServer = components.add(
 			new ReportServer({
 				host,
@@ -348,6 +351,7 @@
 					this.view.documentPosition === this.documents.currentPosition
 						? this.documents.confirmationAgeMilliseconds
 						: Number.POSITIVE_INFINITY,
+				parts,
 				onUrgentReport: () => {
 					this.reportClient.scheduleReport();
 				},
@@ -386,6 +390,7 @@
 				windowMilliseconds: retries.windowSeconds * 1000,
 				hosts: defaultHostCount,
 			},
+			customerUsage: (pool) => shares.usage(pool),
 			crashes,
 			rateLimits,
 			permits,
@@ -445,6 +450,7 @@
 				onLeaseStatusReceived: (status) => {
 					this.leaseManager.applyHolderStatus(status);
 				},
+				parts,
 				applyUpdate: (update) => this.applyUpdate(update),
 			}),
 		);
--- a/src/services/dispatch/dispatcher.ts
+++ b/src/services/dispatch/dispatcher.ts
@@ -15,6 +15,7 @@
 import {AdmissionPolicy} from '../../core/admission/admission-policy.js';
 import {BacklogEstimator} from '../../core/admission/backlog-estimator.js';
 import {CallerLimiter} from '../../core/admission/caller-limiter.js';
+import {type CallerUsage} from '../../core/fairness/caller-usage.js';
 import {
 	DispatchQueue,
 	type BoundWork,
@@ -57,6 +58,11 @@
 	type PoolMessage,
 	isPoolMessage,
 } from './dispatch-contracts.js';
+import {
+	type DispatchWork,
+	type RunningAttempt,
+	type TrackedRequest,
+} from './tracked-request.js';
 
 /** Dependencies and settings of the dispatcher. Omitted policies use their default settings. */
 export type DispatcherOptions = {
@@ -70,6 +76,8 @@
 	/** Counts the requests of each caller over all pools of the host. By default, a limiter that covers this pool only. */
 	readonly callerLimiter?: CallerLimiter;
 	readonly queue?: DispatchQueue<DispatchWork>;
+	/** Work of the callers on all hosts, by which they share the targets. */
+	readonly callerUsage?: CallerUsage | undefined;
 	readonly routingPolicy?: RoutingPolicy;
 	readonly slotPolicy?: SlotPolicy;
 	readonly loadTracker?: TargetLoadTracker;
@@ -100,36 +108,6 @@
 	readonly lostAttemptLatencyMilliseconds?: number;
 };
 
-/** A work item in the queue. */
-export type DispatchWork = QueuedWork & {readonly item: WorkItem};
-
-type RunningAttempt = Attempt & {
-	readonly startedAt: number;
-	firstTokenAt: number | undefined;
-	lastTokenAt: number;
-	tokens: number;
-	/** Time since which the attempt makes no progress, undefined while it does. */
-	stalledAt: number | undefined;
-	readonly isReplacement: boolean;
-};
-
-type TrackedRequest = {
-	readonly work: DispatchWork;
-	readonly attempts: Map<number, RunningAttempt>;
-	readonly triedTargets: Set<TargetId>;
-	attemptCount: number;
-	/** Number of attempts that a target may have executed. */
-	executionCount: number;
-	isLong: boolean;
-	isHedged: boolean;
-	/** True once an attempt has ended without proof that it was not executed. */
-	mayHaveRun: boolean;
-	/** False once the request must not be sent again. */
-	mayRepeat: boolean;
-	/** Software version of the targets at which a stalled stream may go on. */
-	softwareVersion: SoftwareVersion | undefined;
-};
-
 /** Time after a stall from which the connection of an attempt may be dead, so that its target is asked again if no other one can be. */
 const deadConnectionMilliseconds = 350;
 const urgencyOrder: readonly Urgency[] = ['urgent', 'standard', 'deferred'];
@@ -213,6 +191,7 @@
 				clock,
 				startMarginMilliseconds: (work) =>
 					this.startMargin(work as DispatchWork),
+				usage: options.callerUsage,
 			});
 		this.routingPolicy = options.routingPolicy ?? new LoadAwarePolicy({random});
 		this.slotPolicy = options.slotPolicy ?? new SlotPolicy({host});
@@ -610,13 +589,13 @@
 	}
 
 	/** Time after which the queued requests for the model of a refused request have been dispatched. */
-	private retryDelay({model, urgency}: WorkItem): number {
+	private retryDelay({model, urgency, caller}: WorkItem): number {
 		if (model === undefined) {
 			return 0;
 		}
 
 		const ahead = this.queue.countAhead(
-			{urgency, isLong: false},
+			{urgency, isLong: false, caller},
 			false,
 			(queued) => queued.item.model === model,
 		);
--- a/src/services/forwarding/attempts/forward-dispatch.ts
+++ b/src/services/forwarding/attempts/forward-dispatch.ts
@@ -9,7 +9,6 @@
 import {forwardingEvents} from '../../../contracts/events/forwarding-events.js';
 import {type Execution} from '../../../contracts/execution.js';
 import {
-	type CallerId,
 	type FailureDomain,
 	type HostId,
 	type ModelId,
@@ -29,16 +28,19 @@
 import {type ByteBudget} from '../../../core/limits/byte-budget.js';
 import {AdmissionPolicy} from '../../../core/admission/admission-policy.js';
 import {AgingShare} from '../../../core/fairness/aging-share.js';
+import {type CallerUsage} from '../../../core/fairness/caller-usage.js';
+import {callerOf} from '../../../core/fairness/customer-callers.js';
 import {CallerLimiter} from '../../../core/admission/caller-limiter.js';
 import {type Urgency} from '../../../core/fairness/dispatch-queue.js';
 import {LengthEstimator} from '../../../core/work/length-estimator.js';
 import {type NamedRateLimits} from '../../../core/limits/named-rate-limits.js';
 import {type PermitBook} from '../../../core/limits/permit-book.js';
 import {OutlierDetector} from '../../../core/routing/outlier-detector.js';
+import {RetryBudget} from '../../../core/limits/retry-budget.js';
 import {
-	RetryBudget,
-	type RetryBudgetLimits,
-} from '../../../core/limits/retry-budget.js';
+	retryBudgetLimits,
+	type RetryLimits,
+} from '../../../core/limits/retry-limits.js';
 import {RefusedDemand} from '../../../core/placement/refused-demand.js';
 import {SlotPolicy} from '../../../core/routing/slot-policy.js';
 import {StartLimiter} from '../../../core/admission/start-limiter.js';
@@ -65,18 +67,6 @@
 import {type ForwardedRequest} from './forwarded-request.js';
 import {RequestAttempt} from './request-attempt.js';
 
-/** Limits on retries that apply to all hosts together. */
-export type RetryLimits = {
-	/** Retries allowed per request. */
-	readonly ratio: number;
-	/** Retries allowed in each window in addition to those of the ratio, for all hosts together. */
-	readonly slack: number;
-	/** Length of the window to which the limits apply. */
-	readonly windowMilliseconds: number;
-	/** Number of hosts that share the slack. */
-	readonly hosts: number;
-};
-
 /** Collaborators of the dispatch of one pool. */
 export type ForwardDispatchOptions = {
 	readonly pool: PoolName;
@@ -88,6 +78,8 @@
 	readonly codec: RequestCodec;
 	readonly registry: TargetRegistry;
 	readonly retries: RetryLimits;
+	/** Work of the customers in this pool on all hosts. By default, customers share what this host sends. */
+	readonly customerUsage?: CallerUsage | undefined;
 	readonly crashes: CrashObserver;
 	readonly rateLimits: NamedRateLimits;
 	readonly permits: PermitBook;
@@ -108,16 +100,8 @@
 	readonly tryOtherHost?: (request: ForwardedRequest) => boolean;
 };
 
-/** Retries that a host may have saved up although its share of the slack is smaller. */
-const minimumRetryCapacity = 2;
-/** Share of the slack that may be spent at once, when a target fails with many requests in flight. */
-const burstSlackShare = 0.7;
-/** All consumers connect through one load balancer, which does not identify them. */
-const sharedCaller = 'any' as CallerId;
 /** Attempts of one request, including those that no target received or executed. */
 const maximumAttempts = 5;
-/** Share of the ratio that is used, so that a window that contains only a part of a burst stays below the limit. */
-const usedRatioShare = 0.7;
 /** Speed factor of targets in other failure domains, because traffic between domains is charged. */
 const remoteSpeedFactor = 0.8;
 /** Latency that a lost attempt counts with in the outlier detection. */
@@ -193,6 +177,7 @@
 			outlierDetector: new OutlierDetector({clock, ejectionRatio}),
 			retryBudget: this.retryBudget,
 			startLimiter: this.startLimiter,
+			callerUsage: options.customerUsage,
 			permits: options.permits,
 			refusalLimits: options.brittle.limits,
 			hedging: false,
@@ -1035,7 +1020,7 @@
 		const {metadata, route} = request;
 		return {
 			request: request.key,
-			caller: sharedCaller,
+			caller: callerOf(request.options.customer),
 			urgency: urgencyOf(route.priority),
 			offering: route.name as string as OfferingName,
 			...(metadata.model === undefined ? {} : {model: metadata.model}),
@@ -1198,20 +1183,6 @@
 	}
 }
 
-/** A window that begins with a full bucket allows the capacity and the refill, which together are this host's share of the slack. */
-function retryBudgetLimits(retries: RetryLimits): RetryBudgetLimits {
-	const slack = retries.slack / retries.hosts;
-	return {
-		ratio: retries.ratio * usedRatioShare,
-		minimumPerSecond:
-			(slack * (1 - burstSlackShare)) / (retries.windowMilliseconds / 1000),
-		capacity: Math.max(
-			minimumRetryCapacity,
-			Math.floor(slack * burstSlackShare),
-		),
-	};
-}
-
 function toAttempt({request, attempt, target}: Attempt): Attempt {
 	return {request, attempt, target};
 }
--- a/src/services/forwarding/forwarding-service.ts
+++ b/src/services/forwarding/forwarding-service.ts
@@ -26,7 +26,9 @@
 } from '../../contracts/request-codec.js';
 import {type PoolReachability} from '../../contracts/pool-reachability.js';
 import {type ByteBudget} from '../../core/limits/byte-budget.js';
+import {type CallerUsage} from '../../core/fairness/caller-usage.js';
 import {CustomerKeys} from '../../core/fairness/customer-keys.js';
+import {type RetryLimits} from '../../core/limits/retry-limits.js';
 import {LogLimiter} from '../../core/limits/log-limiter.js';
 import {type NamedRateLimits} from '../../core/limits/named-rate-limits.js';
 import {type PermitBook} from '../../core/limits/permit-book.js';
@@ -46,9 +48,9 @@
 import {
 	ForwardDispatch,
 	missingVersionReason,
-	type RetryLimits,
 } from './attempts/forward-dispatch.js';
 import {ForwardedRequest} from './attempts/forwarded-request.js';
+import {headerValue} from './attempts/header-value.js';
 import {
 	ReceivedRequestHandler,
 	type ReceivedRequest,
@@ -71,6 +73,8 @@
 	readonly codec: RequestCodec;
 	readonly registry: TargetRegistry;
 	readonly retries: RetryLimits;
+	/** Work of the customers in a pool on all hosts. */
+	readonly customerUsage?: (pool: PoolName) => CallerUsage;
 	readonly crashes: CrashObserver;
 	readonly rateLimits: NamedRateLimits;
 	readonly permits: PermitBook;
@@ -1119,6 +1123,7 @@
 			codec,
 			registry,
 			retries: {...retries, hosts: this.currentHostCount},
+			customerUsage: this.options.customerUsage?.(pool),
 			crashes: this.options.crashes,
 			rateLimits: this.options.rateLimits,
 			permits: this.options.permits,
@@ -1151,14 +1156,3 @@
 function isCompleteAnswer(outcome: string): boolean {
 	return outcome === 'complete' || outcome.startsWith('status ');
 }
-
-/** Returns the first value of a header, given the lower-case name. */
-function headerValue(
-	rawHeaders: readonly string[],
-	name: string,
-): string | undefined {
-	const index = rawHeaders.findIndex(
-		(header, position) => position % 2 === 0 && header.toLowerCase() === name,
-	);
-	return index === -1 ? undefined : rawHeaders[index + 1];
-}
--- a/src/services/forwarding/reports/report-messages.ts
+++ b/src/services/forwarding/reports/report-messages.ts
@@ -43,7 +43,6 @@
 	type ListedTarget as ListedTargetMessage,
 	type ListedTargetSchema,
 	type ReportRequest,
-	type ReportRequestSchema,
 	type ReportResponseSchema,
 	type SeenVersion as SeenVersionMessage,
 	type SeenVersionSchema,
@@ -60,6 +59,7 @@
 } from '../../../generated/daisylever/owner/v1/owner_pb.js';
 import {type PlacedContent} from '../targets/target-registry.js';
 import {type UnlistedTarget} from './fleet-view.js';
+import {type ReportFields} from './report-part.js';
 
 /** What a report says of the reporting host besides its demand. */
 export type ReporterState = {
@@ -106,7 +106,7 @@
 export function toReportRequest(
 	demand: HostDemand,
 	state: ReporterState,
-): MessageInitShape<typeof ReportRequestSchema> {
+): ReportFields {
 	return {
 		host: demand.host,
 		members: [...demand.members],
--- a/src/services/forwarding/reports/report-part.ts
+++ b/src/services/forwarding/reports/report-part.ts
@@ -1,4 +1,4 @@
-import {type MessageInitShape} from '@bufbuild/protobuf';
+import {type DescMessage, type MessageInitShape} from '@bufbuild/protobuf';
 import {
 	type ReportRequest,
 	type ReportRequestSchema,
@@ -6,17 +6,17 @@
 	type ReportResponseSchema,
 } from '../../../generated/daisylever/owner/v1/owner_pb.js';
 
-/** Fields of a report that one part sets. */
-export type ReportFields = Omit<
-	MessageInitShape<typeof ReportRequestSchema>,
+/** Fields of a message that has not been created. A message among them would give the result its type. */
+type Fields<Schema extends DescMessage> = Omit<
+	Exclude<MessageInitShape<Schema>, {readonly $typeName: string}>,
 	'$typeName' | '$unknown'
 >;
 
+/** Fields of a report that one part sets. */
+export type ReportFields = Fields<typeof ReportRequestSchema>;
+
 /** Fields of the response to a report that one part sets. */
-export type ReportResponseFields = Omit<
-	MessageInitShape<typeof ReportResponseSchema>,
-	'$typeName' | '$unknown'
->;
+export type ReportResponseFields = Fields<typeof ReportResponseSchema>;
 
 /** What is known of the sender of a response. */
 export type ResponseSender = {
--- /dev/null
+++ b/test/dispatch/shared-fleet.ts
@@ -0,0 +1,253 @@
+import {create} from '@bufbuild/protobuf';
+import {
+	SeededRandomSource,
+	type RandomSource,
+} from '../../src/base/common/random-source.js';
+import {
+	type CallerId,
+	type CustomerName,
+	type HostId,
+	type OfferingName,
+	type PoolName,
+} from '../../src/contracts/ids.js';
+import {AdmissionPolicy} from '../../src/core/admission/admission-policy.js';
+import {CallerLimiter} from '../../src/core/admission/caller-limiter.js';
+import {StartLimiter} from '../../src/core/admission/start-limiter.js';
+import {callerOf} from '../../src/core/fairness/customer-callers.js';
+import {SlotPolicy} from '../../src/core/routing/slot-policy.js';
+import {LengthEstimator} from '../../src/core/work/length-estimator.js';
+import {
+	ReportRequestSchema,
+	ReportResponseSchema,
+} from '../../src/generated/daisylever/owner/v1/owner_pb.js';
+import {
+	capacity,
+	runFleet,
+	type DispatcherChoice,
+	type Outcome,
+} from '../../src/measure/serving-model.js';
+import {type VirtualTimeline} from '../../src/measure/virtual-timeline.js';
+import {
+	arrivals,
+	logNormal,
+	type WorkloadRequest,
+} from '../../src/measure/workload.js';
+import {ShareReports} from '../../src/services/forwarding/reports/share-reports.js';
+
+const pool = 'p' as PoolName;
+const slots = 24;
+const customerCount = 16;
+
+/** What happens to the reports and how a simulated fleet is loaded. */
+export type SharedFleetOptions = {
+	readonly hosts: number;
+	readonly seed: number;
+	/** Customers, by number, at six times their usual rate in the middle of the run. */
+	readonly bursting: readonly number[];
+	/** Share of the reports that are lost. */
+	readonly lostReports?: number;
+	/** Longest extra delay of a report or response, which changes their order. */
+	readonly reportDelay?: number;
+	/** Time in which the owner answers nothing. */
+	readonly ownerStall?: readonly [number, number];
+	/** False to let each host share by its own work only. */
+	readonly isReporting?: boolean;
+	/** Usual load as a share of the capacity. */
+	readonly load?: number;
+};
+
+export const burst: readonly [number, number] = [4000, 12_000];
+const until = 14_000;
+const hostsOfRelay = 23;
+
+/** Hosts that exchange their shares as reports to the owner, through relays in a larger fleet. */
+class Exchange {
+	private readonly parts = new Map<HostId, ShareReports>();
+
+	constructor(
+		private readonly timeline: VirtualTimeline,
+		private readonly random: RandomSource,
+		private readonly options: SharedFleetOptions,
+	) {}
+
+	add(host: HostId): ShareReports {
+		const part = new ShareReports({clock: this.timeline});
+		const index = this.parts.size;
+		this.parts.set(host, part);
+		if (index > 0) {
+			const interval = this.options.hosts > 12 ? 500 : 250;
+			this.timeline.at(this.random.next() * interval, () => {
+				this.timeline.every(interval, until + 5000, () => {
+					this.report(host, part, this.receiverOf(index));
+				});
+			});
+		}
+
+		return part;
+	}
+
+	/** The owner is the first host; the first ones after it relay for the others in a larger fleet. */
+	private receiverOf(index: number): number {
+		const relays =
+			this.options.hosts > hostsOfRelay + 1
+				? Math.ceil(this.options.hosts / hostsOfRelay)
+				: 0;
+		return index <= relays || relays === 0 ? 0 : 1 + (index % relays);
+	}
+
+	private report(host: HostId, part: ShareReports, receiver: number): void {
+		const request = create(ReportRequestSchema, {
+			host,
+			...part.requestFields(),
+		});
+		const sentAt = this.timeline.monotonic();
+		this.deliver(() => {
+			const answering = [...this.parts.values()][receiver]!;
+			if (receiver === 0 && this.isStalled()) {
+				return;
+			}
+
+			answering.handleRequest(request);
+			const response = create(ReportResponseSchema, {
+				...answering.responseFields(request),
+			});
+			this.deliver(() => {
+				part.handleResponse(response, {
+					address: '',
+					ageMilliseconds: this.timeline.monotonic() - sentAt,
+				});
+			});
+		});
+	}
+
+	private isStalled(): boolean {
+		const [from, to] = this.options.ownerStall ?? [0, 0];
+		const now = this.timeline.monotonic();
+		return now >= from && now < to;
+	}
+
+	private deliver(action: () => void): void {
+		if (this.random.next() < (this.options.lostReports ?? 0)) {
+			return;
+		}
+
+		const delay = 2 + this.random.next() * (this.options.reportDelay ?? 10);
+		this.timeline.at(this.timeline.monotonic() + delay, action);
+	}
+}
+
+export function customer(index: number): CallerId {
+	return callerOf(`customer-${index}` as CustomerName);
+}
+
+/** A short live stream as in deployment B. Each fourth customer reaches one host only, the others all hosts. */
+function request(
+	random: RandomSource,
+	arrival: number,
+	index: number,
+	hosts: number,
+): WorkloadRequest {
+	return {
+		arrival,
+		caller: customer(index),
+		offering: 'draft' as OfferingName,
+		urgency: 'standard',
+		promptCharacters: 700,
+		tokens: Math.round(Math.min(106, Math.max(1, logNormal(random, 20, 0.9)))),
+		firstTokenMilliseconds: 20,
+		betweenTokensMilliseconds: 5,
+		deadlineMilliseconds: 10_000,
+		startObjectiveMilliseconds: 400,
+		startTimeoutMilliseconds: 2000,
+		label: 'draft',
+		host: index % 4 === 3 ? index % hosts : random.integer(hosts),
+	};
+}
+
+/** Served requests of each customer that arrived in the burst, and all of them. */
+export type ServedCounts = {
+	readonly served: readonly number[];
+	readonly arrived: readonly number[];
+	/** Share of the slot time of the targets that was used in the run. */
+	readonly utilization: number;
+};
+
+/** Runs the dispatchers of the program with 16 customers, of which the first three are four times as large as the rest. */
+export function runSharedFleet(options: SharedFleetOptions): ServedCounts {
+	const {hosts, seed, bursting, load = 0.7} = options;
+	const shape = {
+		hosts,
+		targets: Math.max(4, Math.round(hosts / 8)),
+		slots,
+		slowdowns: new Map(),
+		until: until + 5000,
+		seed,
+		reportIntervalMilliseconds: 100,
+		reportDelayMilliseconds: [20, 60] as [number, number],
+	};
+	const random = new SeededRandomSource(seed);
+	const sample = Array.from({length: 5000}, () => request(random, 0, 0, hosts));
+	const usual = load * capacity(shape, sample);
+	const weights = Array.from({length: customerCount}, (_, index) =>
+		index < 3 ? 4 : 1,
+	);
+	const total = weights.reduce((sum, weight) => sum + weight, 0);
+	const workload = weights
+		.flatMap((weight, index) => {
+			const own = new SeededRandomSource(seed * 100 + index);
+			const rate = (usual * weight) / total;
+			const factor = bursting.includes(index) ? 6 : 1;
+			return arrivals(
+				own,
+				until,
+				(time) => (time >= burst[0] && time < burst[1] ? rate * factor : rate),
+				rate * factor,
+			).map((arrival) => request(own, arrival, index, hosts));
+		})
+		.sort((left, right) => left.arrival - right.arrival);
+	let exchange: Exchange | undefined;
+	const dispatcher: DispatcherChoice = (timeline, source, host) => {
+		exchange ??= new Exchange(timeline, source, options);
+		const reports =
+			options.isReporting === false
+				? new ShareReports({clock: timeline})
+				: exchange.add(host);
+		return {
+			callerUsage: reports.usage(pool),
+			admissionPolicy: new AdmissionPolicy({
+				clock: timeline,
+				limiter: new CallerLimiter({clock: timeline}),
+				maximumWaitShare: 1,
+			}),
+			lengthEstimator: new LengthEstimator({
+				longThresholdTokens: Number.MAX_SAFE_INTEGER,
+			}),
+			slotPolicy: new SlotPolicy({host, longShare: 1, overcommitShare: 0}),
+			startLimiter: new StartLimiter({clock: timeline}),
+			hedging: false,
+		};
+	};
+
+	const {outcomes, used} = runFleet(shape, workload, {
+		name: 'shares',
+		dispatcher,
+	});
+	const inBurst = outcomes.filter(
+		(each) =>
+			each.request.arrival >= burst[0] && each.request.arrival < burst[1],
+	);
+	const count = (isCounted: (outcome: Outcome) => boolean) =>
+		weights.map(
+			(_, index) =>
+				inBurst.filter(
+					(each) => each.request.caller === customer(index) && isCounted(each),
+				).length,
+		);
+	return {
+		served: count(({outcome}) => outcome === 'completed'),
+		arrived: count(() => true),
+		utilization:
+			used.reduce((sum, each) => sum + each, 0) /
+			(shape.targets * slots * until),
+	};
+}
