--- /dev/null
+++ b/src/core/admission/fleet-queue.ts
@@ -0,0 +1,237 @@
+import {type Clock} from '../../base/common/clock.js';
+import {type CallerId, type ModelId} from '../../contracts/ids.js';
+import {type CallerUsage} from '../fairness/caller-usage.js';
+import {ReportedSums} from '../membership/reported-sums.js';
+
+/** Work that waits for a model, in milliseconds of a slot. */
+export type WaitingWork = {
+	readonly model: ModelId;
+	/** Rank by urgency, lower first. */
+	readonly level: number;
+	readonly caller: CallerId;
+	readonly milliseconds: number;
+};
+
+/** What one host, or several together, say of their queues. */
+export type QueueReport = {
+	readonly waiting: readonly WaitingWork[];
+	/** Work that was dispatched lately for each model, of which that in the past counts less. */
+	readonly dispatched: ReadonlyMap<ModelId, number>;
+};
+
+/** Collaborators of the fleet queue. */
+export type FleetQueueOptions = {
+	readonly clock: Clock;
+};
+
+type Level = ReadonlyMap<CallerId, number>;
+
+/** Age from which the data of the other hosts is not used: twice the time that a report takes through a relay. */
+export const maximumQueueAgeMilliseconds = 2000;
+/** Time after which dispatched work counts half in the drain rate of the fleet. */
+export const drainHalfLifeMilliseconds = 2000;
+/** Time after which what a host said expires, as for its demand. */
+const lifetimeMilliseconds = 3000;
+/** Key of what the owner or relay says of the hosts that do not report to this one. Not a valid name of a host. */
+const upstream = '(upstream)';
+/** Not part of the name of a model or customer. */
+const separator = '\n';
+/** Share of the work of another caller below which a caller is behind it. Less difference than this comes from the lag of the reports. */
+const behindShare = 0.8;
+
+/** The work that waits on all other hosts for each model, from their reports. */
+export class FleetQueue {
+	private readonly waiting: ReportedSums<string>;
+	private readonly dispatched: ReportedSums<ModelId>;
+	private readAt = Number.NEGATIVE_INFINITY;
+	/** Waiting work by model, level and caller, undefined when it has to be built from the sums. */
+	private index: Map<ModelId, Map<number, Level>> | undefined;
+	private indexedVersion = -1;
+
+	constructor(private readonly options: FleetQueueOptions) {
+		this.waiting = new ReportedSums({...options, lifetimeMilliseconds});
+		this.dispatched = new ReportedSums({...options, lifetimeMilliseconds});
+	}
+
+	/** Longest time since the hosts that do not report to this one were asked for their queues. */
+	get ageMilliseconds(): number {
+		return this.options.clock.monotonic() - this.readAt;
+	}
+
+	/** True while the data is recent enough to decide by. */
+	get isCurrent(): boolean {
+		return this.ageMilliseconds <= maximumQueueAgeMilliseconds;
+	}
+
+	/** Replaces what a host said that reports to this one, undefined when it says nothing. */
+	applyReport(host: string, report: QueueReport | undefined): void {
+		if (report) {
+			this.apply(host, report, 0);
+		} else {
+			this.forget(host);
+		}
+	}
+
+	/** Replaces what the owner or relay says of all hosts that do not report to this one. */
+	applyUpstream(report: QueueReport, ageMilliseconds: number): void {
+		this.apply(upstream, report, ageMilliseconds);
+		this.readAt = Math.max(
+			this.readAt,
+			this.options.clock.monotonic() - ageMilliseconds,
+		);
+	}
+
+	/** Called while this host is the owner, to which all others report. */
+	becomeOwner(): void {
+		this.forget(upstream);
+		this.readAt = this.options.clock.monotonic();
+	}
+
+	/** The queues of this host and those that report to it. */
+	reportUpstream(own: QueueReport): QueueReport {
+		return this.sumWithout(upstream, own);
+	}
+
+	/** The queues of all hosts but one that reports to this one. */
+	reportTo(host: string, own: QueueReport): QueueReport {
+		return this.sumWithout(host, own);
+	}
+
+	/**
+	 * Work on other hosts that a single queue would dispatch before new work of a caller: all more urgent work, and of
+	 * each caller with the same urgency as much as is dispatched while the callers take turns.
+	 */
+	workAhead(
+		model: ModelId,
+		level: number,
+		caller: CallerId,
+		ownMilliseconds: number,
+		usage?: CallerUsage,
+	): number {
+		const levels = this.levels(model);
+		const ofCaller = levels?.get(level)?.get(caller) ?? 0;
+		let sum = 0;
+		for (const [each, callers] of levels ?? []) {
+			if (each > level) {
+				continue;
+			}
+
+			for (const [other, milliseconds] of callers) {
+				if (each < level || other === caller) {
+					sum += milliseconds;
+				} else if (!usage || usage.get(other) <= usage.get(caller)) {
+					sum += Math.min(milliseconds, ofCaller + ownMilliseconds);
+				}
+			}
+		}
+
+		return sum;
+	}
+
+	/** Slots that the other hosts keep busy with a model. */
+	busySlots(model: ModelId): number {
+		return slotsOf(this.dispatched.get(model));
+	}
+
+	/** Work that the other hosts have dispatched lately for a model. */
+	dispatchedWork(model: ModelId): number {
+		return this.dispatched.get(model);
+	}
+
+	/** Work that waits on other hosts and that a single queue would dispatch before that of a caller: more urgent work, and that of callers with less work lately, once this one has as much as any. */
+	precedingWork(
+		model: ModelId,
+		level: number,
+		caller: CallerId,
+		usage: CallerUsage,
+	): number {
+		const levels = this.isCurrent ? this.levels(model) : undefined;
+		if (!levels) {
+			return 0;
+		}
+
+		const limit = usage.isLargest(caller) ? usage.get(caller) * behindShare : 0;
+		let sum = 0;
+		for (const [each, callers] of levels) {
+			if (each > level) {
+				continue;
+			}
+
+			for (const [other, milliseconds] of callers) {
+				sum +=
+					each < level || (other !== caller && usage.get(other) < limit)
+						? milliseconds
+						: 0;
+			}
+		}
+
+		return sum;
+	}
+
+	private apply(
+		host: string,
+		{waiting, dispatched}: QueueReport,
+		ageMilliseconds: number,
+	): void {
+		const work = new Map(
+			waiting.map(({model, level, caller, milliseconds}) => [
+				[model, level, caller].join(separator),
+				milliseconds,
+			]),
+		);
+		this.waiting.apply(host, work, ageMilliseconds);
+		this.dispatched.apply(host, dispatched, ageMilliseconds);
+	}
+
+	private forget(host: string): void {
+		this.waiting.forget(host);
+		this.dispatched.forget(host);
+	}
+
+	private sumWithout(host: string, own: QueueReport): QueueReport {
+		const work = new Map(
+			own.waiting.map(({model, level, caller, milliseconds}) => [
+				[model, level, caller].join(separator),
+				milliseconds,
+			]),
+		);
+		return {
+			waiting: [...this.waiting.sumWithout(host, work)].map(
+				([key, milliseconds]) => fromKey(key, milliseconds),
+			),
+			dispatched: this.dispatched.sumWithout(host, own.dispatched),
+		};
+	}
+
+	private levels(model: ModelId): ReadonlyMap<number, Level> | undefined {
+		const sums = this.waiting.entries();
+		if (!this.index || this.indexedVersion !== this.waiting.version) {
+			this.indexedVersion = this.waiting.version;
+			this.index = new Map();
+			for (const [key, milliseconds] of sums) {
+				const entry = fromKey(key, milliseconds);
+				const levels = this.index.get(entry.model) ?? new Map<number, Level>();
+				const callers = new Map(levels.get(entry.level));
+				callers.set(entry.caller, milliseconds);
+				levels.set(entry.level, callers);
+				this.index.set(entry.model, levels);
+			}
+		}
+
+		return this.index.get(model);
+	}
+}
+
+/** Slots that are kept busy by work that was dispatched lately: its sum settles at the rate times the integral of the decay. */
+export function slotsOf(dispatchedMilliseconds: number): number {
+	return dispatchedMilliseconds / (drainHalfLifeMilliseconds / Math.LN2);
+}
+
+function fromKey(key: string, milliseconds: number): WaitingWork {
+	const [model, level, caller] = key.split(separator) as [
+		ModelId,
+		string,
+		CallerId,
+	];
+	return {model, level: Number(level), caller, milliseconds};
+}
--- a/src/core/fairness/caller-usage.ts
+++ b/src/core/fairness/caller-usage.ts
@@ -1,22 +1,22 @@
 import {type Clock} from '../../base/common/clock.js';
 import {type CallerId} from '../../contracts/ids.js';
+import {DecayingSums} from './decaying-sums.js';
 
-/** Collaborators and settings of the usage. */
+/** Collaborators of the usage. */
 export type CallerUsageOptions = {
 	readonly clock: Clock;
 	/** Usage of a caller on the other hosts. */
 	readonly others: (caller: CallerId) => number;
-	readonly halfLifeMilliseconds?: number;
+	/** Callers with work on the other hosts. */
+	readonly callers: () => Iterable<CallerId>;
 };
 
-type Usage = {milliseconds: number; updatedAt: number};
-
 /** Time after which dispatched work counts half. Twice the time that a report takes through a relay, so that hosts do not react to work that they have already reacted to. */
-const defaultHalfLifeMilliseconds = 2000;
-/** Work below which a caller is forgotten. */
-const minimumMilliseconds = 1;
-/** Number of callers from which forgotten ones are looked for. */
-const evictionSize = 1024;
+const halfLifeMilliseconds = 2000;
+/** Share of the largest usage from which a caller counts among the largest. Less difference than this comes from the lag of the reports. */
+const largestShare = 0.8;
+/** Time for which the largest usage is kept, which takes a pass over all callers to find. */
+const largestLifetimeMilliseconds = 50;
 
 /**
  * Work that was dispatched lately for each caller on all hosts, in milliseconds of a slot. Past work counts less and
@@ -24,55 +24,47 @@
  * idle comes first when it returns.
  */
 export class CallerUsage {
-	private readonly callers = new Map<CallerId, Usage>();
-	private readonly halfLifeMilliseconds: number;
+	private readonly own: DecayingSums<CallerId>;
+	private largest = 0;
+	private largestAt = Number.NEGATIVE_INFINITY;
 
 	constructor(private readonly options: CallerUsageOptions) {
-		this.halfLifeMilliseconds =
-			options.halfLifeMilliseconds ?? defaultHalfLifeMilliseconds;
+		this.own = new DecayingSums(options.clock, halfLifeMilliseconds);
 	}
 
 	/** Records work that this host has dispatched. */
 	record(caller: CallerId, milliseconds: number): void {
-		const own = this.own(caller) + milliseconds;
-		const updatedAt = this.options.clock.monotonic();
-		this.callers.set(caller, {milliseconds: own, updatedAt});
-		if (this.callers.size > evictionSize) {
-			this.evict();
-		}
+		this.own.add(caller, milliseconds);
 	}
 
 	/** Work of a caller on this host and the others. */
 	get(caller: CallerId): number {
-		return this.own(caller) + this.options.others(caller);
+		return this.own.get(caller) + this.options.others(caller);
 	}
 
-	/** Whole milliseconds of the work on this host, by caller. */
-	ownByCaller(): Map<CallerId, number> {
-		const result = new Map<CallerId, number>();
-		for (const caller of this.callers.keys()) {
-			const milliseconds = Math.round(this.own(caller));
-			if (milliseconds >= minimumMilliseconds) {
-				result.set(caller, milliseconds);
+	/**
+	 * True for callers with about as much work as any other. Only these get less than they ask for: shares are equal up to
+	 * what a caller asks for.
+	 */
+	isLargest(caller: CallerId): boolean {
+		const now = this.options.clock.monotonic();
+		if (now - this.largestAt >= largestLifetimeMilliseconds) {
+			this.largestAt = now;
+			this.largest = 0;
+			const callers = new Set([
+				...this.own.rounded().keys(),
+				...this.options.callers(),
+			]);
+			for (const each of callers) {
+				this.largest = Math.max(this.largest, this.get(each));
 			}
 		}
 
-		return result;
-	}
-
-	private own(caller: CallerId): number {
-		const usage = this.callers.get(caller);
-		const elapsed = this.options.clock.monotonic() - (usage?.updatedAt ?? 0);
-		return usage
-			? usage.milliseconds * 0.5 ** (elapsed / this.halfLifeMilliseconds)
-			: 0;
+		return this.get(caller) >= largestShare * this.largest;
 	}
 
-	private evict(): void {
-		for (const caller of this.callers.keys()) {
-			if (this.own(caller) < minimumMilliseconds) {
-				this.callers.delete(caller);
-			}
-		}
+	/** Whole milliseconds of the work on this host, by caller. */
+	ownByCaller(): Map<CallerId, number> {
+		return this.own.rounded();
 	}
 }
--- a/src/core/fairness/dispatch-queue.ts
+++ b/src/core/fairness/dispatch-queue.ts
@@ -252,7 +252,7 @@
 			const ahead = new Map<CallerId, number>();
 			for (const {work} of lane.itemsByArrival.values()) {
 				const {caller} = work;
-				if (isHopeless(work, countInTurns(ahead, caller))) {
+				if (isHopeless(work, this.countInTurns(ahead, caller, 1))) {
 					this.remove(lane, work, false);
 					removed.push(work);
 				} else {
@@ -324,29 +324,46 @@
 			for (const [caller, queuedMilliseconds] of this.queuedMilliseconds[
 				level
 			]!) {
-				const isOtherCaller = level === priority && caller !== work.caller;
-				sum += isOtherCaller
-					? Math.min(
-							queuedMilliseconds,
-							queuedByCaller + work.expectedMilliseconds,
-						)
-					: queuedMilliseconds;
+				if (level < priority || caller === work.caller) {
+					sum += queuedMilliseconds;
+				} else if (this.takesTurnBefore(caller, work.caller)) {
+					sum += Math.min(
+						queuedMilliseconds,
+						queuedByCaller + work.expectedMilliseconds,
+					);
+				}
 			}
 		}
 
 		return sum;
 	}
 
+	/** The queued work that can still meet its objective. */
+	*promptWork(): Iterable<T> {
+		for (const lane of this.lanes.values()) {
+			if (!lane.isLate) {
+				for (const {work} of lane.itemsByArrival.values()) {
+					yield work;
+				}
+			}
+		}
+	}
+
 	/**
 	 * Number of queued requests that match, can or cannot still meet their objective, and are dispatched before new work
 	 * of the given urgency. With a caller, requests of other callers with the same priority count only as far as the
-	 * callers take turns: up to one more than this caller has queued.
+	 * callers take turns: up to one more than this caller has queued. Counts what `weigh` returns for a request, with
+	 * `turn` as that of the new work.
 	 */
 	countAhead(
 		work: Pick<QueuedWork, 'urgency' | 'isLong'> &
 			Partial<Pick<QueuedWork, 'caller'>>,
 		isLate: boolean,
 		matches: (queued: T) => boolean,
+		{weigh, turn}: {weigh: (queued: T) => number; turn: number} = {
+			weigh: () => 1,
+			turn: 1,
+		},
 	): number {
 		const priority = priorityOf(work);
 		const counts = new Map<CallerId, number>();
@@ -364,14 +381,41 @@
 
 				if (isShared) {
 					const {caller} = item.work;
-					counts.set(caller, (counts.get(caller) ?? 0) + 1);
+					counts.set(caller, (counts.get(caller) ?? 0) + weigh(item.work));
 				} else {
-					count++;
+					count += weigh(item.work);
 				}
 			}
 		}
 
-		return count + countInTurns(counts, work.caller);
+		return count + this.countInTurns(counts, work.caller, turn);
+	}
+
+	/** What is dispatched before the next work of a caller, when the callers take turns. A caller with more work lately takes none before it. */
+	private countInTurns(
+		counts: ReadonlyMap<CallerId, number>,
+		caller: CallerId | undefined,
+		turn: number,
+	): number {
+		const own = (caller === undefined ? undefined : counts.get(caller)) ?? 0;
+		let sum = own;
+		for (const [other, count] of counts) {
+			if (other !== caller && this.takesTurnBefore(other, caller)) {
+				sum += Math.min(count, own + turn);
+			}
+		}
+
+		return sum;
+	}
+
+	private takesTurnBefore(
+		other: CallerId,
+		caller: CallerId | undefined,
+	): boolean {
+		const {usage} = this.options;
+		return (
+			!usage || caller === undefined || usage.get(other) <= usage.get(caller)
+		);
 	}
 
 	private takeOldest(findTarget: FindTarget<T>): BoundWork<T> | undefined {
@@ -506,20 +550,6 @@
 	}
 }
 
-/** Requests that are dispatched before the next one of a caller, when the callers take turns. */
-function countInTurns(
-	counts: ReadonlyMap<CallerId, number>,
-	caller: CallerId | undefined,
-): number {
-	const own = (caller === undefined ? undefined : counts.get(caller)) ?? 0;
-	let sum = own;
-	for (const [other, count] of counts) {
-		sum += other === caller ? 0 : Math.min(count, own + 1);
-	}
-
-	return sum;
-}
-
 /** Priority of a lane, lower first: by urgency, then short before long. */
 function priorityOf(work: Pick<QueuedWork, 'urgency' | 'isLong'>): number {
 	return urgencies.indexOf(work.urgency) * 2 + (work.isLong ? 1 : 0);
--- a/src/core/membership/reported-sums.ts
+++ b/src/core/membership/reported-sums.ts
@@ -19,11 +19,17 @@
 export class ReportedSums<Key> {
 	private readonly reports = new Map<string, Report<Key>>();
 	private readonly sums = new Map<Key, number>();
+	private changes = 0;
 	/** No report expires before this time. */
 	private nextExpiry = Number.POSITIVE_INFINITY;
 
 	constructor(private readonly options: ReportedSumsOptions) {}
 
+	/** Changes whenever a sum may have changed. */
+	get version(): number {
+		return this.changes;
+	}
+
 	/** Number of hosts whose values have not expired. */
 	get reporterCount(): number {
 		this.expire();
@@ -91,6 +97,7 @@
 	}
 
 	private add(key: Key, value: number): void {
+		this.changes++;
 		const sum = (this.sums.get(key) ?? 0) + value;
 		if (sum > 0) {
 			this.sums.set(key, sum);
--- a/src/measure/serving-model.ts
+++ b/src/measure/serving-model.ts
@@ -53,7 +53,11 @@
 	readonly name: string;
 } & (
 	| {readonly routing: (random: RandomSource) => RoutingPolicy}
-	| {readonly dispatcher: DispatcherChoice}
+	| {
+			readonly dispatcher: DispatcherChoice;
+			/** Called with the dispatcher of each host. */
+			readonly created?: (host: HostId, dispatcher: Dispatcher) => void;
+	  }
 );
 
 /** Result of a request. The latency runs from its arrival to its completion or refusal, in milliseconds. */
@@ -129,7 +133,7 @@
 /** Runs the dispatcher of the program on the virtual clock. */
 class DispatcherEntry extends EntryModel {
 	hedges = 0;
-	private readonly dispatcher: Dispatcher;
+	readonly dispatcher: Dispatcher;
 	private readonly requests = new Map<RequestId, WorkloadRequest>();
 	private readonly workByAttempt = new Map<string, ModelWork>();
 
@@ -334,6 +338,7 @@
 			targets,
 			finish,
 		);
+		strategy.created?.(host, entry.dispatcher);
 		entry.schedule = (delay, action) => {
 			timeline.at(timeline.monotonic() + delay, action);
 		};
--- a/src/services/dispatch/dispatcher.ts
+++ b/src/services/dispatch/dispatcher.ts
@@ -13,8 +13,15 @@
 } from '../../contracts/ids.js';
 import {type RefusalReason} from '../../contracts/target-error.js';
 import {AdmissionPolicy} from '../../core/admission/admission-policy.js';
-import {BacklogEstimator} from '../../core/admission/backlog-estimator.js';
 import {CallerLimiter} from '../../core/admission/caller-limiter.js';
+import {
+	type FleetQueue,
+	type QueueReport,
+} from '../../core/admission/fleet-queue.js';
+import {
+	ModelBacklog,
+	type ArrivingWork,
+} from '../../core/admission/model-backlog.js';
 import {type CallerUsage} from '../../core/fairness/caller-usage.js';
 import {
 	DispatchQueue,
@@ -58,6 +65,12 @@
 	type PoolMessage,
 	isPoolMessage,
 } from './dispatch-contracts.js';
+import {
+	leaveHeadroom,
+	startLevel,
+	sumWaiting,
+	urgencyOrder,
+} from './fleet-order.js';
 import {
 	type DispatchWork,
 	type RunningAttempt,
@@ -78,6 +91,10 @@
 	readonly queue?: DispatchQueue<DispatchWork>;
 	/** Work of the callers on all hosts, by which they share the targets. */
 	readonly callerUsage?: CallerUsage | undefined;
+	/** The work that waits on the other hosts. */
+	readonly fleetQueue?: FleetQueue | undefined;
+	/** True to refuse what a single queue of all hosts would not start in time, instead of judging by the queue of this host. */
+	readonly admitsByFleetQueue?: boolean;
 	readonly routingPolicy?: RoutingPolicy;
 	readonly slotPolicy?: SlotPolicy;
 	readonly loadTracker?: TargetLoadTracker;
@@ -110,17 +127,6 @@
 
 /** Time after a stall from which the connection of an attempt may be dead, so that its target is asked again if no other one can be. */
 const deadConnectionMilliseconds = 350;
-const urgencyOrder: readonly Urgency[] = ['urgent', 'standard', 'deferred'];
-/** Time from send to start that the objective of work items already allows for. */
-const expectedStartMilliseconds = 60;
-/** Largest share of the objective by which work is considered late before its objective ends. */
-const maximumMarginShare = 0.7;
-/** Time after such a refusal for which new work that would miss its objective is refused on arrival. */
-const overloadMilliseconds = 1000;
-/** Shortest delay until a request refused under overload should come back: the time in which placement adds a replica. Sooner it would meet the same overload. */
-const overloadRetryMilliseconds = 3000;
-/** Queued requests for a model from which their drain rate is judged. */
-const minimumBacklog = 3;
 /** Largest pool size at which all targets are compared. */
 const maximumFullComparison = 16;
 /** Number of random targets compared in a larger pool. Routing samples six of them; the rest replace targets that are full. */
@@ -145,11 +151,7 @@
 	private readonly lengthEstimator: LengthEstimator;
 	private readonly retryBudget: RetryBudget;
 	private readonly startLimiter: StartLimiter | undefined;
-	private readonly backlogEstimator: BacklogEstimator<ModelId>;
-	/** Estimates of the work that can no longer meet its objective, which is dispatched after the other work of its model. */
-	private readonly lateBacklogEstimator: BacklogEstimator<ModelId>;
-	/** Time at which work for a model was last refused because it could not start in time. */
-	private readonly overloadedAt = new Map<ModelId, number>();
+	private readonly backlog: ModelBacklog;
 	private readonly hedgingPolicy: HedgingPolicy;
 	private readonly serviceTimeEstimator = new ServiceTimeEstimator();
 	private readonly isolationPolicy = new IsolationPolicy();
@@ -200,8 +202,12 @@
 			options.outlierDetector ?? new OutlierDetector({clock});
 		this.lengthEstimator = options.lengthEstimator ?? new LengthEstimator();
 		this.retryBudget = options.retryBudget ?? new RetryBudget({clock});
-		this.backlogEstimator = new BacklogEstimator({clock});
-		this.lateBacklogEstimator = new BacklogEstimator({clock});
+		this.backlog = new ModelBacklog({
+			clock,
+			random,
+			fleetQueue: options.admitsByFleetQueue ? options.fleetQueue : undefined,
+			usage: options.callerUsage,
+		});
 		this.hedgingPolicy = new HedgingPolicy({clock, budget: this.retryBudget});
 		this.prefixAffinity = new PrefixAffinity({clock});
 		this.slowdownEstimator = new SlowdownEstimator({clock});
@@ -232,6 +238,14 @@
 		return this.prefixAffinity.nextSequence(target);
 	}
 
+	/** The waiting and dispatched work of model requests. */
+	queueReport(): QueueReport {
+		return {
+			waiting: sumWaiting(this.queue.promptWork()),
+			dispatched: this.backlog.dispatchedWork(),
+		};
+	}
+
 	/** Queues a message, to be handled by `run`. */
 	post(message: DispatcherMessage): void {
 		this.mailbox.post(message);
@@ -471,8 +485,9 @@
 			return;
 		}
 
-		const backlogMilliseconds = this.hopelessWait(work);
-		if (backlogMilliseconds !== undefined) {
+		const hopeless = this.hopelessWait(work);
+		if (hopeless) {
+			const {waitMilliseconds, retryAfterMilliseconds} = hopeless;
 			this.admissionPolicy.release(item.caller);
 			this.logger.record(dispatchEvents.overloadRefused, {
 				caller: item.caller,
@@ -482,11 +497,8 @@
 				item,
 				code: 'overload',
 				countsAsDemand: true,
-				retryAfterMilliseconds: Math.max(
-					Math.ceil(backlogMilliseconds),
-					overloadRetryMilliseconds,
-				),
-				message: `the requests for the model that wait already take about ${Math.round(backlogMilliseconds)} ms`,
+				retryAfterMilliseconds,
+				message: `the requests for the model that wait already take about ${Math.round(waitMilliseconds)} ms`,
 			});
 			return;
 		}
@@ -517,39 +529,51 @@
 		this.enqueue(tracked);
 	}
 
-	/**
-	 * Expected wait behind the queued requests for the same model, if new work would not start in time: it exceeds the
-	 * time for which the caller waits, or the objective while work that missed its own is being refused.
-	 */
-	private hopelessWait(work: DispatchWork): number | undefined {
-		const {model, startTimeoutMilliseconds} = work.item;
+	/** The wait of new work that would not start in time. */
+	private hopelessWait(work: DispatchWork) {
 		// A stream that has begun is not refused.
-		if (
-			!this.startLimiter ||
-			model === undefined ||
-			work.item.isContinuation === true
-		) {
+		if (!this.startLimiter || work.item.isContinuation === true) {
 			return undefined;
 		}
 
-		const ahead = this.queue.countAhead(
-			work,
-			false,
-			(queued) => queued.item.model === model,
-		);
 		const now = this.clock.monotonic();
-		const isOverloaded =
-			now - (this.overloadedAt.get(model) ?? Number.NEGATIVE_INFINITY) <
-			overloadMilliseconds;
-		if (ahead < (isOverloaded ? 1 : minimumBacklog)) {
-			return undefined;
-		}
+		const arriving = this.arriving(work);
+		return (
+			arriving &&
+			this.backlog.hopelessWait({
+				...arriving,
+				objectiveMilliseconds:
+					(work.startObjectiveDeadline ?? Infinity) -
+					now -
+					this.startMargin(work),
+				timeoutMilliseconds: work.item.startTimeoutMilliseconds ?? Infinity,
+			})
+		);
+	}
 
-		const wait = this.backlogEstimator.waitMilliseconds(model, ahead);
-		const limit = isOverloaded
-			? (work.startObjectiveDeadline ?? Infinity) - now - this.startMargin(work)
-			: (startTimeoutMilliseconds ?? Infinity);
-		return wait > limit ? wait : undefined;
+	/** What is queued ahead of work, undefined for calls to plain services. */
+	private arriving(work: DispatchWork) {
+		const {
+			item: {model},
+			urgency,
+			caller,
+			expectedMilliseconds,
+		} = work;
+		const matches = (queued: DispatchWork) => queued.item.model === model;
+		return model === undefined
+			? undefined
+			: ({
+					model,
+					level: startLevel({urgency}),
+					caller,
+					expectedMilliseconds,
+					requestsAhead: this.queue.countAhead(work, false, matches),
+					workAhead: () =>
+						this.queue.countAhead(work, false, matches, {
+							weigh: (queued) => queued.expectedMilliseconds,
+							turn: expectedMilliseconds,
+						}),
+				} satisfies Partial<ArrivingWork>);
 	}
 
 	/** Refuses work that has missed its objective and is not dispatched before its caller gives up, because there is too much other work for its model. */
@@ -564,7 +588,7 @@
 				const wait =
 					item.model === undefined
 						? 0
-						: this.lateBacklogEstimator.waitMilliseconds(item.model, ahead + 1);
+						: this.backlog.lateWait(item.model, ahead + 1);
 				return now + wait > (startDeadline ?? Infinity);
 			},
 		);
@@ -575,46 +599,33 @@
 			}
 
 			if (item.model !== undefined) {
-				this.overloadedAt.set(item.model, now);
+				this.backlog.recordOverload(item.model);
 			}
 
 			this.logger.record(dispatchEvents.deadlineRefused, {request});
 			this.refuseOrFail(tracked, {
 				code: 'overload',
 				countsAsDemand: true,
-				retryAfterMilliseconds: this.retryDelay(item),
+				retryAfterMilliseconds: this.retryDelay(tracked.work),
 				message: 'the request cannot start before its caller gives up',
 			});
 		}
 	}
 
 	/** Time after which the queued requests for the model of a refused request have been dispatched. */
-	private retryDelay({model, urgency, caller}: WorkItem): number {
-		if (model === undefined) {
-			return 0;
-		}
-
-		const ahead = this.queue.countAhead(
-			{urgency, isLong: false, caller},
-			false,
-			(queued) => queued.item.model === model,
-		);
-		return Math.max(
-			overloadRetryMilliseconds,
-			Math.ceil(this.backlogEstimator.waitMilliseconds(model, ahead)),
-		);
+	private retryDelay(work: DispatchWork): number {
+		const arriving = this.arriving({...work, isLong: false});
+		return arriving ? this.backlog.retryDelay(arriving) : 0;
 	}
 
 	/** Time by which work has to be sent earlier than usual to start within its objective. */
 	private startMargin({item}: DispatchWork): number {
-		const usual =
-			this.startLimiter && item.model !== undefined
-				? (this.backlogEstimator.usualStartMilliseconds(item.model) ?? 0)
-				: 0;
-		return Math.min(
-			Math.max(0, usual - expectedStartMilliseconds),
-			(item.startObjectiveMilliseconds ?? 0) * maximumMarginShare,
-		);
+		return this.startLimiter && item.model !== undefined
+			? this.backlog.startMargin(
+					item.model,
+					item.startObjectiveMilliseconds ?? 0,
+				)
+			: 0;
 	}
 
 	private enqueue(tracked: TrackedRequest): void {
@@ -691,10 +702,11 @@
 			const isLate =
 				this.clock.monotonic() + this.startMargin(work) >
 				(work.startObjectiveDeadline ?? Infinity);
-			(isLate
-				? this.lateBacklogEstimator
-				: this.backlogEstimator
-			).recordDispatch(work.item.model);
+			this.backlog.recordDispatch(
+				work.item.model,
+				work.expectedMilliseconds,
+				isLate,
+			);
 		}
 
 		if (byAge) {
@@ -797,7 +809,11 @@
 		);
 		// If all targets have been tried, as in a pool of one target, a retry may reuse them.
 		const usable = untried.length > 0 ? untried : loads;
-		return this.chooseTarget(work, usable, isAged);
+		return this.chooseTarget(
+			work,
+			leaveHeadroom(usable, work, this.options),
+			isAged,
+		);
 	}
 
 	/**
@@ -989,7 +1005,7 @@
 
 	private recordStart({model}: WorkItem, milliseconds: number): void {
 		if (model !== undefined) {
-			this.backlogEstimator.recordStart(model, milliseconds);
+			this.backlog.recordStart(model, milliseconds);
 		}
 	}
 
@@ -1440,11 +1456,6 @@
 	}
 }
 
-/** Rank of work in the queue of a target, lower first. */
-export function startLevel({urgency}: Pick<WorkItem, 'urgency'>): number {
-	return urgencyOrder.indexOf(urgency);
-}
-
 /** True for model requests that have not begun. The rest of an interrupted stream is sent without delay. */
 function isStartLimited({model, isContinuation}: WorkItem): boolean {
 	return model !== undefined && isContinuation !== true;
--- /dev/null
+++ b/src/services/dispatch/fleet-order.ts
@@ -0,0 +1,88 @@
+import {type CallerId, type ModelId} from '../../contracts/ids.js';
+import {
+	type FleetQueue,
+	type WaitingWork,
+} from '../../core/admission/fleet-queue.js';
+import {type CallerUsage} from '../../core/fairness/caller-usage.js';
+import {type Urgency} from '../../core/fairness/dispatch-queue.js';
+import {type TargetLoad} from '../../core/routing/target-load-tracker.js';
+import {type WorkItem} from './dispatch-contracts.js';
+import {type DispatchWork} from './tracked-request.js';
+
+/** The urgency classes, the most urgent first. */
+export const urgencyOrder: readonly Urgency[] = [
+	'urgent',
+	'standard',
+	'deferred',
+];
+/** Largest share of the slots of a target that work leaves free for work on other hosts. A larger one left slots idle that these could not fill. */
+const maximumHeadroomShare = 0.15;
+
+/** Rank of work in the queue of a target, lower first. */
+export function startLevel({urgency}: Pick<WorkItem, 'urgency'>): number {
+	return urgencyOrder.indexOf(urgency);
+}
+
+/** Adds up waiting model requests by model, level and caller. */
+export function sumWaiting(queued: Iterable<DispatchWork>): WaitingWork[] {
+	const sums = new Map<
+		string,
+		{model: ModelId; level: number; caller: CallerId; milliseconds: number}
+	>();
+	for (const {item, caller, expectedMilliseconds} of queued) {
+		const {model} = item;
+		if (model === undefined) {
+			continue;
+		}
+
+		const level = startLevel(item);
+		const key = `${level} ${model} ${caller}`;
+		const sum = sums.get(key) ?? {model, level, caller, milliseconds: 0};
+		sum.milliseconds += Math.max(1, Math.round(expectedMilliseconds));
+		sums.set(key, sum);
+	}
+
+	return [...sums.values()];
+}
+
+/** Returns the targets that keep slots free for the requests that wait on other hosts and that a single queue of all hosts would dispatch before this one, about as many slots as these need. */
+export function leaveHeadroom(
+	loads: readonly TargetLoad[],
+	{item, caller, expectedMilliseconds}: DispatchWork,
+	{
+		fleetQueue,
+		callerUsage,
+	}: {
+		readonly fleetQueue?: FleetQueue | undefined;
+		readonly callerUsage?: CallerUsage | undefined;
+	},
+): readonly TargetLoad[] {
+	if (
+		item.model === undefined ||
+		item.isContinuation === true ||
+		!fleetQueue ||
+		!callerUsage
+	) {
+		return loads;
+	}
+
+	const preceding = fleetQueue.precedingWork(
+		item.model,
+		startLevel(item),
+		caller,
+		callerUsage,
+	);
+	if (preceding === 0) {
+		return loads;
+	}
+
+	const neededSlots = preceding / Math.max(1, expectedMilliseconds);
+	const share = Math.min(
+		maximumHeadroomShare,
+		neededSlots / Math.max(1, fleetQueue.busySlots(item.model)),
+	);
+	return loads.filter(
+		({localOutstanding, remoteOutstanding, slots}) =>
+			localOutstanding + remoteOutstanding + 1 <= slots * (1 - share),
+	);
+}
--- a/src/services/forwarding/attempts/forward-dispatch.ts
+++ b/src/services/forwarding/attempts/forward-dispatch.ts
@@ -52,7 +52,8 @@
 	type WorkItem,
 	type WorkRefusal,
 } from '../../dispatch/dispatch-contracts.js';
-import {Dispatcher, startLevel} from '../../dispatch/dispatcher.js';
+import {Dispatcher} from '../../dispatch/dispatcher.js';
+import {startLevel} from '../../dispatch/fleet-order.js';
 import {type BrittleObserver} from '../targets/brittle-observer.js';
 import {type CrashObserver} from '../targets/crash-observer.js';
 import {type StreamOriginSharing} from '../state/stream-origin-sharing.js';
--- a/src/services/forwarding/reports/share-reports.ts
+++ b/src/services/forwarding/reports/share-reports.ts
@@ -125,6 +125,7 @@
 				usage: new CallerUsage({
 					clock,
 					others: (caller) => others.get(caller),
+					callers: () => others.entries().keys(),
 				}),
 			};
 			this.pools.set(pool, entry);
