Show each host the queue of the fleet, and leave headroom for work that precedes

Cause: each host refuses by its own queue and drain rate, so that a refusal depends on the host that a caller reached. A host whose queue holds only a customer beyond its share keeps every slot busy, so that a customer within its share that reaches one other host finds none.

Change: hosts report the waiting work by model, level and customer and the dispatched work by model and level (field 41, QueueReports, FleetQueue). Admission of pools with at most scheduling.workAwareSlots slots refuses what one queue of all hosts would not start within its objective (ModelBacklog, moved out of the dispatcher), counting more urgent work that keeps coming. Retry-After is the wait, later by up to as much again. Data older than 2 s is not used; the host then judges by its own queue (event 7092). Work of the customers with the most work leaves up to 4% of the slots of a target free while work of others waits elsewhere for the model. Refusals are observed in daisylever_refusal_milliseconds. npm run measure:shares runs the dispatchers in virtual time.

--- a/src/contracts/events/forwarding-events.ts
+++ b/src/contracts/events/forwarding-events.ts
@@ -469,6 +469,13 @@
 		description:
 			'A request with a large body was refused as not run, because the bodies of all requests that this host holds exceed their share of machine.memoryMegabytes. The field heldBytes is the sum, omittedLines the number of such requests since the last line. Look for callers that send bodies slowly or wait long for their answers.',
 	},
+	fleetQueueOutdated: {
+		number: 7092,
+		name: 'fleet-queue-outdated',
+		level: 'warn',
+		description:
+			'This host has not heard of the queues of the other hosts for longer than it may rely on them, and decides by its own queue which requests it refuses. The field ageMilliseconds is the age of what it knows. Look for an owner or relay that does not respond.',
+	},
 	logLinesDropped: {
 		number: 7060,
 		name: 'log-lines-dropped',
--- a/src/core/admission/fleet-queue.ts
+++ b/src/core/admission/fleet-queue.ts
@@ -15,10 +15,16 @@
 /** What one host, or several together, say of their queues. */
 export type QueueReport = {
 	readonly waiting: readonly WaitingWork[];
-	/** Work that was dispatched lately for each model, of which that in the past counts less. */
-	readonly dispatched: ReadonlyMap<ModelId, number>;
+	/** Work that was dispatched lately for each model and level, of which that in the past counts less. */
+	readonly dispatched: ReadonlyMap<LevelKey, number>;
 };
 
+/** A model and a level. */
+export type LevelKey = string & {readonly levelKey: unique symbol};
+
+/** Number of levels. */
+export const levelCount = 3;
+
 /** Collaborators of the fleet queue. */
 export type FleetQueueOptions = {
 	readonly clock: Clock;
@@ -42,7 +48,7 @@
 /** The work that waits on all other hosts for each model, from their reports. */
 export class FleetQueue {
 	private readonly waiting: ReportedSums<string>;
-	private readonly dispatched: ReportedSums<ModelId>;
+	private readonly dispatched: ReportedSums<LevelKey>;
 	private readAt = Number.NEGATIVE_INFINITY;
 	/** Waiting work by model, level and caller, undefined when it has to be built from the sums. */
 	private index: Map<ModelId, Map<number, Level>> | undefined;
@@ -72,13 +78,13 @@
 		}
 	}
 
-	/** Replaces what the owner or relay says of all hosts that do not report to this one. */
+	/** Replaces what the owner or relay says of all hosts that do not report to this one, unless it is older than what is known. */
 	applyUpstream(report: QueueReport, ageMilliseconds: number): void {
-		this.apply(upstream, report, ageMilliseconds);
-		this.readAt = Math.max(
-			this.readAt,
-			this.options.clock.monotonic() - ageMilliseconds,
-		);
+		const readAt = this.options.clock.monotonic() - ageMilliseconds;
+		if (readAt >= this.readAt) {
+			this.readAt = readAt;
+			this.apply(upstream, report, ageMilliseconds);
+		}
 	}
 
 	/** Called while this host is the owner, to which all others report. */
@@ -130,12 +136,16 @@
 
 	/** Slots that the other hosts keep busy with a model. */
 	busySlots(model: ModelId): number {
-		return slotsOf(this.dispatched.get(model));
+		return slotsOf(
+			this.dispatchedWork(model).reduce((sum, each) => sum + each, 0),
+		);
 	}
 
-	/** Work that the other hosts have dispatched lately for a model. */
-	dispatchedWork(model: ModelId): number {
-		return this.dispatched.get(model);
+	/** Work that the other hosts have dispatched lately for a model, by level. */
+	dispatchedWork(model: ModelId): number[] {
+		return Array.from({length: levelCount}, (_, level) =>
+			this.dispatched.get(toLevelKey(model, level)),
+		);
 	}
 
 	/** Work that waits on other hosts and that a single queue would dispatch before that of a caller: more urgent work, and that of callers with less work lately, once this one has as much as any. */
@@ -227,6 +237,17 @@
 	return dispatchedMilliseconds / (drainHalfLifeMilliseconds / Math.LN2);
 }
 
+/** The key of a model and a level. */
+export function toLevelKey(model: ModelId, level: number): LevelKey {
+	return [model, level].join(separator) as LevelKey;
+}
+
+/** The model and the level of a key. */
+export function fromLevelKey(key: LevelKey): [ModelId, number] {
+	const [model, level] = key.split(separator) as [ModelId, string];
+	return [model, Number(level)];
+}
+
 function fromKey(key: string, milliseconds: number): WaitingWork {
 	const [model, level, caller] = key.split(separator) as [
 		ModelId,
--- a/src/core/admission/model-backlog.ts
+++ b/src/core/admission/model-backlog.ts
@@ -2,20 +2,22 @@
 import {type RandomSource} from '../../base/common/random-source.js';
 import {type CallerId, type ModelId} from '../../contracts/ids.js';
 import {DecayingSums} from '../fairness/decaying-sums.js';
+import {type CallerUsage} from '../fairness/caller-usage.js';
 import {BacklogEstimator} from './backlog-estimator.js';
 import {
 	drainHalfLifeMilliseconds,
 	slotsOf,
+	toLevelKey,
 	type FleetQueue,
+	type LevelKey,
 } from './fleet-queue.js';
-import {type CallerUsage} from '../fairness/caller-usage.js';
 
 /** Collaborators of the backlog. */
 export type ModelBacklogOptions = {
 	readonly clock: Clock;
 	readonly random: RandomSource;
-	/** The work that waits on the other hosts. Requests are admitted by the queue of this host alone if absent. */
-	readonly fleetQueue?: FleetQueue | undefined;
+	/** The work that waits on the other hosts. Undefined while requests are admitted by the queue of this host alone. */
+	readonly fleetQueue: () => FleetQueue | undefined;
 	/** Work of the callers on all hosts, by which they share the targets. */
 	readonly usage?: CallerUsage | undefined;
 };
@@ -56,6 +58,9 @@
 /** Requests whose work the fleet must have dispatched lately for a model for its drain rate to be known. */
 const minimumDrainedRequests = 3;
 
+/** Share of the drain rate that a level is taken to have at least, so that its wait stays finite. */
+const minimumLevelShare = 0.02;
+
 /**
  * Decides under overload of the targets of a model which new work cannot start in time, and when its caller should
  * return. By default it judges by the queue of this host. With the queue of the fleet, all hosts refuse the same work:
@@ -65,7 +70,7 @@
 	private readonly estimator: BacklogEstimator<ModelId>;
 	/** Estimates of the work that can no longer meet its objective, which is dispatched after the other work of its model. */
 	private readonly lateEstimator: BacklogEstimator<ModelId>;
-	private readonly dispatched: DecayingSums<ModelId>;
+	private readonly dispatched: DecayingSums<LevelKey>;
 	/** Time at which work for a model was last refused because it could not start in time. */
 	private readonly overloadedAt = new Map<ModelId, number>();
 
@@ -79,11 +84,12 @@
 	/** Records that work left the queue for a target. */
 	recordDispatch(
 		model: ModelId,
+		level: number,
 		expectedMilliseconds: number,
 		isLate: boolean,
 	): void {
 		(isLate ? this.lateEstimator : this.estimator).recordDispatch(model);
-		this.dispatched.add(model, expectedMilliseconds);
+		this.dispatched.add(toLevelKey(model, level), expectedMilliseconds);
 	}
 
 	/** Records the time from send to start of a request. */
@@ -96,8 +102,8 @@
 		this.overloadedAt.set(model, this.options.clock.monotonic());
 	}
 
-	/** Whole milliseconds of the work that this host has dispatched lately, by model. */
-	dispatchedWork(): Map<ModelId, number> {
+	/** Whole milliseconds of the work that this host has dispatched lately, by model and level. */
+	dispatchedWork(): Map<LevelKey, number> {
 		return this.dispatched.rounded();
 	}
 
@@ -192,13 +198,17 @@
 		ArrivingWork,
 		'objectiveMilliseconds' | 'timeoutMilliseconds' | 'requestsAhead'
 	>): number | undefined {
-		const {fleetQueue} = this.options;
+		const fleetQueue = this.options.fleetQueue();
 		if (!fleetQueue?.isCurrent) {
 			return undefined;
 		}
 
-		const drained =
-			this.dispatched.get(model) + fleetQueue.dispatchedWork(model);
+		const drainedByLevel = fleetQueue
+			.dispatchedWork(model)
+			.map(
+				(others, each) => others + this.dispatched.get(toLevelKey(model, each)),
+			);
+		const drained = sum(drainedByLevel);
 		if (drained < minimumDrainedRequests * Math.max(1, expectedMilliseconds)) {
 			return undefined;
 		}
@@ -212,7 +222,9 @@
 				expectedMilliseconds,
 				this.options.usage,
 			);
-		return ahead / slotsOf(drained);
+		// More urgent work that arrives later goes first as well, at the rate at which it does now.
+		const left = drained - sum(drainedByLevel.slice(0, level));
+		return ahead / slotsOf(Math.max(left, drained * minimumLevelShare));
 	}
 
 	/** The time at which the queue has room, later by up to as much again, so that refused callers do not return together. */
@@ -223,3 +235,7 @@
 		);
 	}
 }
+
+function sum(values: readonly number[]): number {
+	return values.reduce((total, each) => total + each, 0);
+}
--- a/test/dispatch/shared-fleet.ts
+++ b/src/measure/shared-fleet.ts
@@ -2,42 +2,42 @@
 import {
 	SeededRandomSource,
 	type RandomSource,
-} from '../../src/base/common/random-source.js';
+} from '../base/common/random-source.js';
 import {
 	type CallerId,
 	type CustomerName,
 	type HostId,
 	type OfferingName,
 	type PoolName,
-} from '../../src/contracts/ids.js';
-import {type Clock} from '../../src/base/common/clock.js';
-import {AdmissionPolicy} from '../../src/core/admission/admission-policy.js';
-import {CallerLimiter} from '../../src/core/admission/caller-limiter.js';
-import {FleetQueue} from '../../src/core/admission/fleet-queue.js';
-import {StartLimiter} from '../../src/core/admission/start-limiter.js';
-import {callerOf} from '../../src/core/fairness/customer-callers.js';
-import {SlotPolicy} from '../../src/core/routing/slot-policy.js';
-import {LengthEstimator} from '../../src/core/work/length-estimator.js';
+} from '../contracts/ids.js';
+import {type Clock} from '../base/common/clock.js';
+import {AdmissionPolicy} from '../core/admission/admission-policy.js';
+import {CallerLimiter} from '../core/admission/caller-limiter.js';
+import {FleetQueue} from '../core/admission/fleet-queue.js';
+import {StartLimiter} from '../core/admission/start-limiter.js';
+import {callerOf} from '../core/fairness/customer-callers.js';
+import {SlotPolicy} from '../core/routing/slot-policy.js';
+import {LengthEstimator} from '../core/work/length-estimator.js';
 import {
 	ReportRequestSchema,
 	ReportResponseSchema,
-} from '../../src/generated/daisylever/owner/v1/owner_pb.js';
+} from '../generated/daisylever/owner/v1/owner_pb.js';
+import {type Dispatcher} from '../services/dispatch/dispatcher.js';
+import {QueueReports} from '../services/forwarding/reports/queue-reports.js';
+import {
+	type ReportFields,
+	type ReportPart,
+	type ReportResponseFields,
+} from '../services/forwarding/reports/report-part.js';
+import {ShareReports} from '../services/forwarding/reports/share-reports.js';
+import {arrivals, logNormal, type WorkloadRequest} from './workload.js';
+import {type VirtualTimeline} from './virtual-timeline.js';
 import {
 	capacity,
 	runFleet,
 	type DispatcherChoice,
 	type Outcome,
-} from '../../src/measure/serving-model.js';
-import {type VirtualTimeline} from '../../src/measure/virtual-timeline.js';
-import {
-	arrivals,
-	logNormal,
-	type WorkloadRequest,
-} from '../../src/measure/workload.js';
-import {type Dispatcher} from '../../src/services/dispatch/dispatcher.js';
-import {QueueReports} from '../../src/services/forwarding/reports/queue-reports.js';
-import {type ReportPart} from '../../src/services/forwarding/reports/report-part.js';
-import {ShareReports} from '../../src/services/forwarding/reports/share-reports.js';
+} from './serving-model.js';
 
 const pool = 'p' as PoolName;
 const slots = 24;
@@ -59,6 +59,12 @@
 	readonly isReporting?: boolean;
 	/** True to refuse by the queue of the fleet. */
 	readonly admitsByFleetQueue?: boolean;
+	/** Factor of the rate of the bursting customers. */
+	readonly factor?: number;
+	/** Targets, if not in the proportion of deployment B to the hosts. */
+	readonly targets?: number;
+	/** True for requests of three urgencies without customers, of which the first third of the hosts gets three times as many. */
+	readonly isMixed?: boolean;
 	/** Usual load as a share of the capacity. */
 	readonly load?: number;
 };
@@ -80,7 +86,8 @@
 			this.shares,
 			new QueueReports({
 				queue: this.queue,
-				own: () => this.dispatcher?.queueReport(),
+				isActive: () => true,
+				own: () => this.dispatcher!.queueReport(),
 			}),
 		];
 	}
@@ -155,7 +162,7 @@
 				Object.assign(
 					{},
 					...answering.parts.map((part) => part.responseFields(request)),
-				),
+				) as ReportResponseFields,
 			);
 			this.deliver(() => {
 				for (const part of sender.parts) {
@@ -212,20 +219,42 @@
 	};
 }
 
-/** Served requests of each customer that arrived in the burst, and all of them. */
-export type ServedCounts = {
+/** A request without a customer, on a host that it reaches more or less often. */
+function mixedRequest(
+	random: RandomSource,
+	arrival: number,
+	hosts: number,
+): WorkloadRequest {
+	const kind = random.next();
+	const isBusyHost = random.next() < 0.6;
+	return {
+		...request(random, arrival, 0, hosts),
+		caller: callerOf(undefined),
+		urgency: kind < 0.45 ? 'urgent' : kind < 0.8 ? 'standard' : 'deferred',
+		startObjectiveMilliseconds: kind < 0.8 ? 400 : 3000,
+		startTimeoutMilliseconds: kind < 0.8 ? 2000 : 4000,
+		host: isBusyHost
+			? random.integer(Math.ceil(hosts / 3))
+			: random.integer(hosts),
+	};
+}
+
+/** Requests of each customer that arrived in the burst. */
+export type SharedFleetResult = {
 	readonly served: readonly number[];
 	readonly arrived: readonly number[];
 	/** Share of the slot time of the targets that was used in the run. */
 	readonly utilization: number;
+	/** Outcomes of the requests that arrived in the burst. */
+	readonly outcomes: readonly Outcome[];
 };
 
 /** Runs the dispatchers of the program with 16 customers, of which the first three are four times as large as the rest. */
-export function runSharedFleet(options: SharedFleetOptions): ServedCounts {
+export function runSharedFleet(options: SharedFleetOptions): SharedFleetResult {
 	const {hosts, seed, bursting, load = 0.7} = options;
 	const shape = {
 		hosts,
-		targets: Math.round(hosts * 0.63),
+		targets: options.targets ?? Math.round(hosts * 0.63),
 		slots,
 		slowdowns: new Map(),
 		until: until + 3000,
@@ -244,13 +273,17 @@
 		.flatMap((weight, index) => {
 			const own = new SeededRandomSource(seed * 100 + index);
 			const rate = (usual * weight) / total;
-			const factor = bursting.includes(index) ? 6 : 1;
+			const factor = bursting.includes(index) ? (options.factor ?? 6) : 1;
 			return arrivals(
 				own,
 				until,
 				(time) => (time >= burst[0] && time < burst[1] ? rate * factor : rate),
 				rate * factor,
-			).map((arrival) => request(own, arrival, index, hosts));
+			).map((arrival) =>
+				options.isMixed
+					? mixedRequest(own, arrival, hosts)
+					: request(own, arrival, index, hosts),
+			);
 		})
 		.sort((left, right) => left.arrival - right.arrival);
 	let exchange: Exchange | undefined;
@@ -260,7 +293,7 @@
 		return {
 			callerUsage: reporting.shares.usage(pool),
 			fleetQueue: reporting.queue,
-			admitsByFleetQueue: options.admitsByFleetQueue ?? false,
+			admitsByFleetQueue: () => options.admitsByFleetQueue ?? false,
 			admissionPolicy: new AdmissionPolicy({
 				clock: timeline,
 				limiter: new CallerLimiter({clock: timeline}),
@@ -296,6 +329,7 @@
 	return {
 		served: count(({outcome}) => outcome === 'completed'),
 		arrived: count(() => true),
+		outcomes: inBurst,
 		utilization:
 			used.reduce((sum, each) => sum + each, 0) /
 			(shape.targets * slots * until),
--- a/src/program/forwarding-root.ts
+++ b/src/program/forwarding-root.ts
@@ -62,7 +62,7 @@
 	type FleetUpdate,
 } from '../services/forwarding/reports/report-client.js';
 import {ReportServer} from '../services/forwarding/reports/report-server.js';
-import {ShareReports} from '../services/forwarding/reports/share-reports.js';
+import {FleetSharing} from '../services/forwarding/reports/fleet-sharing.js';
 import {maximumListAge} from '../core/membership/list-age.js';
 import {
 	revocationLimits,
@@ -325,8 +325,8 @@
 			metric: 'daisylever_requests_over_memory_total',
 			event: forwardingEvents.requestsExceedMemory,
 		});
-		const shares = new ShareReports({clock});
-		const parts = [shares];
+		const sharing = new FleetSharing({clock, events, ...settings.scheduling});
+		const {parts} = sharing;
 		this.reportServer = components.add(
 			new ReportServer({
 				host,
@@ -390,7 +390,7 @@
 				windowMilliseconds: retries.windowSeconds * 1000,
 				hosts: defaultHostCount,
 			},
-			customerUsage: (pool) => shares.usage(pool),
+			sharing,
 			crashes,
 			rateLimits,
 			permits,
--- a/src/services/dispatch/dispatcher.ts
+++ b/src/services/dispatch/dispatcher.ts
@@ -94,7 +94,7 @@
 	/** The work that waits on the other hosts. */
 	readonly fleetQueue?: FleetQueue | undefined;
 	/** True to refuse what a single queue of all hosts would not start in time, instead of judging by the queue of this host. */
-	readonly admitsByFleetQueue?: boolean;
+	readonly admitsByFleetQueue?: () => boolean;
 	readonly routingPolicy?: RoutingPolicy;
 	readonly slotPolicy?: SlotPolicy;
 	readonly loadTracker?: TargetLoadTracker;
@@ -205,7 +205,8 @@
 		this.backlog = new ModelBacklog({
 			clock,
 			random,
-			fleetQueue: options.admitsByFleetQueue ? options.fleetQueue : undefined,
+			fleetQueue: () =>
+				options.admitsByFleetQueue?.() ? options.fleetQueue : undefined,
 			usage: options.callerUsage,
 		});
 		this.hedgingPolicy = new HedgingPolicy({clock, budget: this.retryBudget});
@@ -704,6 +705,7 @@
 				(work.startObjectiveDeadline ?? Infinity);
 			this.backlog.recordDispatch(
 				work.item.model,
+				startLevel(work),
 				work.expectedMilliseconds,
 				isLate,
 			);
--- a/src/services/dispatch/fleet-order.ts
+++ b/src/services/dispatch/fleet-order.ts
@@ -15,8 +15,8 @@
 	'standard',
 	'deferred',
 ];
-/** Largest share of the slots of a target that work leaves free for work on other hosts. A larger one left slots idle that these could not fill. */
-const maximumHeadroomShare = 0.15;
+/** Largest share of the slots of a target that work leaves free for work on other hosts: one of 24 slots. With 0.08, customers were served as well and 3% less of the slots was used. */
+const maximumHeadroomShare = 0.04;
 
 /** Rank of work in the queue of a target, lower first. */
 export function startLevel({urgency}: Pick<WorkItem, 'urgency'>): number {
--- a/src/services/forwarding/attempts/forward-dispatch.ts
+++ b/src/services/forwarding/attempts/forward-dispatch.ts
@@ -28,7 +28,6 @@
 import {type ByteBudget} from '../../../core/limits/byte-budget.js';
 import {AdmissionPolicy} from '../../../core/admission/admission-policy.js';
 import {AgingShare} from '../../../core/fairness/aging-share.js';
-import {type CallerUsage} from '../../../core/fairness/caller-usage.js';
 import {callerOf} from '../../../core/fairness/customer-callers.js';
 import {CallerLimiter} from '../../../core/admission/caller-limiter.js';
 import {type Urgency} from '../../../core/fairness/dispatch-queue.js';
@@ -54,6 +53,7 @@
 } from '../../dispatch/dispatch-contracts.js';
 import {Dispatcher} from '../../dispatch/dispatcher.js';
 import {startLevel} from '../../dispatch/fleet-order.js';
+import {type FleetSharing} from '../reports/fleet-sharing.js';
 import {type BrittleObserver} from '../targets/brittle-observer.js';
 import {type CrashObserver} from '../targets/crash-observer.js';
 import {type StreamOriginSharing} from '../state/stream-origin-sharing.js';
@@ -79,8 +79,8 @@
 	readonly codec: RequestCodec;
 	readonly registry: TargetRegistry;
 	readonly retries: RetryLimits;
-	/** Work of the customers in this pool on all hosts. By default, customers share what this host sends. */
-	readonly customerUsage?: CallerUsage | undefined;
+	/** What the other hosts tell of their customers and queues. By default, this host shares and admits by itself. */
+	readonly sharing?: FleetSharing | undefined;
 	readonly crashes: CrashObserver;
 	readonly rateLimits: NamedRateLimits;
 	readonly permits: PermitBook;
@@ -178,7 +178,10 @@
 			outlierDetector: new OutlierDetector({clock, ejectionRatio}),
 			retryBudget: this.retryBudget,
 			startLimiter: this.startLimiter,
-			callerUsage: options.customerUsage,
+			callerUsage: options.sharing?.usage(options.pool),
+			fleetQueue: options.sharing?.queue,
+			admitsByFleetQueue: () =>
+				options.sharing?.admitsByQueue(options.pool) ?? false,
 			permits: options.permits,
 			refusalLimits: options.brittle.limits,
 			hedging: false,
@@ -190,6 +193,7 @@
 			chargesEveryRefusal: true,
 			lostAttemptLatencyMilliseconds,
 		});
+		options.sharing?.add(this.dispatcher);
 		this.subscriptions = [
 			registry.heldBack.subscribe(({listed}) => {
 				if (listed.pool === options.pool) {
--- a/src/services/forwarding/forwarding-service.ts
+++ b/src/services/forwarding/forwarding-service.ts
@@ -26,7 +26,6 @@
 } from '../../contracts/request-codec.js';
 import {type PoolReachability} from '../../contracts/pool-reachability.js';
 import {type ByteBudget} from '../../core/limits/byte-budget.js';
-import {type CallerUsage} from '../../core/fairness/caller-usage.js';
 import {CustomerKeys} from '../../core/fairness/customer-keys.js';
 import {type RetryLimits} from '../../core/limits/retry-limits.js';
 import {LogLimiter} from '../../core/limits/log-limiter.js';
@@ -55,6 +54,7 @@
 	ReceivedRequestHandler,
 	type ReceivedRequest,
 } from './forwarding-server.js';
+import {type FleetSharing} from './reports/fleet-sharing.js';
 import {StopAdmission} from './limits/stop-admission.js';
 import {HttpCallerResponse} from './attempts/http-caller-response.js';
 import {type PeerResponse} from './peers/peer-response.js';
@@ -73,8 +73,8 @@
 	readonly codec: RequestCodec;
 	readonly registry: TargetRegistry;
 	readonly retries: RetryLimits;
-	/** Work of the customers in a pool on all hosts. */
-	readonly customerUsage?: (pool: PoolName) => CallerUsage;
+	/** What the other hosts tell of their customers and queues. By default, each host shares and admits by itself. */
+	readonly sharing?: FleetSharing | undefined;
 	readonly crashes: CrashObserver;
 	readonly rateLimits: NamedRateLimits;
 	readonly permits: PermitBook;
@@ -358,6 +358,7 @@
 		}
 
 		this.document = document;
+		this.options.sharing?.applyDocument(document);
 		this.routes = new RouteTable(document);
 		// Keeps the last known keys if a host of an older build sent the document, which leaves them out.
 		if (document.customers) {
@@ -1102,12 +1103,12 @@
 			this.stopAdmission.recordAnswer(request);
 		}
 
+		const milliseconds = clock.monotonic() - request.options.arrivedAt;
 		metrics.count('daisylever_answers_total', {kind, result: result!});
-		metrics.observe(
-			'daisylever_answer_milliseconds',
-			clock.monotonic() - request.options.arrivedAt,
-			{kind},
-		);
+		metrics.observe('daisylever_answer_milliseconds', milliseconds, {kind});
+		if (result === 'own 503') {
+			metrics.observe('daisylever_refusal_milliseconds', milliseconds, {kind});
+		}
 	}
 
 	private createDispatch(pool: PoolName): ForwardDispatch {
@@ -1123,7 +1124,7 @@
 			codec,
 			registry,
 			retries: {...retries, hosts: this.currentHostCount},
-			customerUsage: this.options.customerUsage?.(pool),
+			sharing: this.options.sharing,
 			crashes: this.options.crashes,
 			rateLimits: this.options.rateLimits,
 			permits: this.options.permits,
--- a/src/services/forwarding/reports/queue-reports.ts
+++ b/src/services/forwarding/reports/queue-reports.ts
@@ -1,5 +1,8 @@
 import {type CustomerName, type ModelId} from '../../../contracts/ids.js';
 import {
+	fromLevelKey,
+	levelCount,
+	toLevelKey,
 	type FleetQueue,
 	type QueueReport,
 } from '../../../core/admission/fleet-queue.js';
@@ -19,8 +22,10 @@
 /** Collaborators of the part. */
 export type QueueReportsOptions = {
 	readonly queue: FleetQueue;
-	/** What waits on this host, undefined when it neither shares nor admits by the queue of the fleet. */
-	readonly own: () => QueueReport | undefined;
+	/** True while this host shares or admits by the queue of the fleet. Otherwise it neither tells nor learns of any queue. */
+	readonly isActive: () => boolean;
+	/** What waits on this host. */
+	readonly own: () => QueueReport;
 };
 
 /** Entries of waiting work in a report, those with the most work. Without the others a host admits more than can start, as with its own queue alone. */
@@ -33,23 +38,27 @@
 	}
 
 	requestFields(): ReportFields {
-		const own = this.options.own();
-		return own
-			? {fleetQueue: toMessage(this.options.queue.reportUpstream(own), 0)}
+		const {queue, isActive, own} = this.options;
+		return isActive()
+			? {fleetQueue: toMessage(queue.reportUpstream(own()), 0)}
 			: {};
 	}
 
 	handleRequest({host, fleetQueue}: ReportRequest): void {
-		this.options.queue.applyReport(host, fleetQueue && fromMessage(fleetQueue));
+		this.options.queue.applyReport(
+			host,
+			fleetQueue && this.options.isActive()
+				? fromMessage(fleetQueue)
+				: undefined,
+		);
 	}
 
 	responseFields({host}: ReportRequest): ReportResponseFields {
-		const {queue, own} = this.options;
-		const report = own();
-		return report
+		const {queue, isActive, own} = this.options;
+		return isActive()
 			? {
 					fleetQueue: toMessage(
-						queue.reportTo(host, report),
+						queue.reportTo(host, own()),
 						Math.min(queue.ageMilliseconds, maximumAge),
 					),
 				}
@@ -60,7 +69,7 @@
 		{fleetQueue}: ReportResponse,
 		{ageMilliseconds}: ResponseSender,
 	): void {
-		if (fleetQueue) {
+		if (fleetQueue && this.options.isActive()) {
 			this.options.queue.applyUpstream(
 				fromMessage(fleetQueue),
 				ageMilliseconds + fleetQueue.ageMilliseconds,
@@ -76,24 +85,36 @@
 /** Largest age that the field holds. */
 const maximumAge = 3_600_000;
 
+type ModelFields = {
+	readonly model: string;
+	readonly dispatchedMilliseconds: number[];
+	readonly waiting: Array<{
+		level: number;
+		customer: string;
+		milliseconds: number;
+	}>;
+};
+
 function toMessage(
 	{waiting, dispatched}: QueueReport,
 	ageMilliseconds: number,
 ): NonNullable<ReportFields['fleetQueue']> {
-	const models = new Map(
-		[...dispatched].map(([model, milliseconds]) => [
+	const models = new Map<ModelId, ModelFields>();
+	const fieldsOf = (model: ModelId) => {
+		const fields = models.get(model) ?? {
 			model,
-			{
-				model: model as string,
-				dispatchedMilliseconds: milliseconds,
-				waiting: [] as Array<{
-					level: number;
-					customer: string;
-					milliseconds: number;
-				}>,
-			},
-		]),
-	);
+			dispatchedMilliseconds: Array.from({length: levelCount}, () => 0),
+			waiting: [],
+		};
+		models.set(model, fields);
+		return fields;
+	};
+
+	for (const [key, milliseconds] of dispatched) {
+		const [model, level] = fromLevelKey(key);
+		fieldsOf(model).dispatchedMilliseconds[level] = milliseconds;
+	}
+
 	const named =
 		waiting.length <= maximumEntries
 			? waiting
@@ -101,17 +122,8 @@
 					.sort((left, right) => right.milliseconds - left.milliseconds)
 					.slice(0, maximumEntries);
 	for (const {model, level, caller, milliseconds} of named) {
-		const entry = models.get(model) ?? {
-			model,
-			dispatchedMilliseconds: 0,
-			waiting: [],
-		};
-		entry.waiting.push({
-			level,
-			customer: customerOf(caller) ?? '',
-			milliseconds,
-		});
-		models.set(model, entry);
+		const customer = customerOf(caller) ?? '';
+		fieldsOf(model).waiting.push({level, customer, milliseconds});
 	}
 
 	return {
@@ -133,10 +145,14 @@
 			})),
 		),
 		dispatched: new Map(
-			models.map(({model, dispatchedMilliseconds}) => [
-				model as ModelId,
-				dispatchedMilliseconds,
-			]),
+			models.flatMap(({model, dispatchedMilliseconds}) =>
+				dispatchedMilliseconds
+					.slice(0, levelCount)
+					.map(
+						(milliseconds, level) =>
+							[toLevelKey(model as ModelId, level), milliseconds] as const,
+					),
+			),
 		),
 	};
 }
