Bound the cost of the reports of shares and queues

Change: a response names the customers and the waiting work with the largest sums, found once in 100 ms, and what was dispatched only for the models for which work waits. The refusal by objective after an overload is kept by model and customer.

--- a/src/core/admission/fleet-queue.ts
+++ b/src/core/admission/fleet-queue.ts
@@ -53,6 +53,9 @@
 	/** Waiting work by model, level and caller, undefined when it has to be built from the sums. */
 	private index: Map<ModelId, Map<number, Level>> | undefined;
 	private indexedVersion = -1;
+	private keyed:
+		| {readonly report: QueueReport; readonly work: ReadonlyMap<string, number>}
+		| undefined;
 
 	constructor(private readonly options: FleetQueueOptions) {
 		this.waiting = new ReportedSums({...options, lifetimeMilliseconds});
@@ -95,12 +98,32 @@
 
 	/** The queues of this host and those that report to it. */
 	reportUpstream(own: QueueReport): QueueReport {
-		return this.sumWithout(upstream, own);
+		return {
+			waiting: [...this.waiting.sumWithout(upstream, this.ownWork(own))].map(
+				([key, milliseconds]) => fromKey(key, milliseconds),
+			),
+			dispatched: this.dispatched.sumWithout(upstream, own.dispatched),
+		};
 	}
 
-	/** The queues of all hosts but one that reports to this one. */
-	reportTo(host: string, own: QueueReport): QueueReport {
-		return this.sumWithout(host, own);
+	/** The queues of all hosts but one that reports to this one: a number of entries with the most work, and what was dispatched for their models. */
+	reportTo(host: string, own: QueueReport, count: number): QueueReport {
+		const waiting = [
+			...this.waiting.largestWithout(host, this.ownWork(own), count),
+		].map(([key, milliseconds]) => fromKey(key, milliseconds));
+		const dispatched = new Map<LevelKey, number>();
+		for (const model of new Set(waiting.map((each) => each.model))) {
+			for (let level = 0; level < levelCount; level++) {
+				const key = toLevelKey(model, level);
+				const sum =
+					(own.dispatched.get(key) ?? 0) + this.dispatched.without(host, key);
+				if (sum > 0) {
+					dispatched.set(key, sum);
+				}
+			}
+		}
+
+		return {waiting, dispatched};
 	}
 
 	/**
@@ -180,17 +203,11 @@
 
 	private apply(
 		host: string,
-		{waiting, dispatched}: QueueReport,
+		report: QueueReport,
 		ageMilliseconds: number,
 	): void {
-		const work = new Map(
-			waiting.map(({model, level, caller, milliseconds}) => [
-				[model, level, caller].join(separator),
-				milliseconds,
-			]),
-		);
-		this.waiting.apply(host, work, ageMilliseconds);
-		this.dispatched.apply(host, dispatched, ageMilliseconds);
+		this.waiting.apply(host, toWork(report), ageMilliseconds);
+		this.dispatched.apply(host, report.dispatched, ageMilliseconds);
 	}
 
 	private forget(host: string): void {
@@ -198,19 +215,13 @@
 		this.dispatched.forget(host);
 	}
 
-	private sumWithout(host: string, own: QueueReport): QueueReport {
-		const work = new Map(
-			own.waiting.map(({model, level, caller, milliseconds}) => [
-				[model, level, caller].join(separator),
-				milliseconds,
-			]),
-		);
-		return {
-			waiting: [...this.waiting.sumWithout(host, work)].map(
-				([key, milliseconds]) => fromKey(key, milliseconds),
-			),
-			dispatched: this.dispatched.sumWithout(host, own.dispatched),
-		};
+	/** The waiting work of this host by key, kept while the report is the same. */
+	private ownWork(own: QueueReport): ReadonlyMap<string, number> {
+		if (this.keyed?.report !== own) {
+			this.keyed = {report: own, work: toWork(own)};
+		}
+
+		return this.keyed.work;
 	}
 
 	private levels(model: ModelId): ReadonlyMap<number, Level> | undefined {
@@ -248,6 +259,15 @@
 	return [model, Number(level)];
 }
 
+function toWork({waiting}: QueueReport): Map<string, number> {
+	return new Map(
+		waiting.map(({model, level, caller, milliseconds}) => [
+			[model, level, caller].join(separator),
+			milliseconds,
+		]),
+	);
+}
+
 function fromKey(key: string, milliseconds: number): WaitingWork {
 	const [model, level, caller] = key.split(separator) as [
 		ModelId,
--- a/src/core/admission/model-backlog.ts
+++ b/src/core/admission/model-backlog.ts
@@ -71,8 +71,8 @@
 	/** Estimates of the work that can no longer meet its objective, which is dispatched after the other work of its model. */
 	private readonly lateEstimator: BacklogEstimator<ModelId>;
 	private readonly dispatched: DecayingSums<LevelKey>;
-	/** Time at which work for a model was last refused because it could not start in time. */
-	private readonly overloadedAt = new Map<ModelId, number>();
+	/** Times at which work of a caller for a model was last refused because it could not start in time, the latest last. A caller within its share is not judged by the overload of another. */
+	private readonly overloadedAt = new Map<string, number>();
 
 	constructor(private readonly options: ModelBacklogOptions) {
 		const {clock} = options;
@@ -98,8 +98,18 @@
 	}
 
 	/** Records that queued work was refused because it could not start in time. */
-	recordOverload(model: ModelId): void {
-		this.overloadedAt.set(model, this.options.clock.monotonic());
+	recordOverload(model: ModelId, caller: CallerId): void {
+		const now = this.options.clock.monotonic();
+		const key = overloadKey(model, caller);
+		this.overloadedAt.delete(key);
+		this.overloadedAt.set(key, now);
+		for (const [each, overloadedAt] of this.overloadedAt) {
+			if (now - overloadedAt <= overloadMilliseconds) {
+				break;
+			}
+
+			this.overloadedAt.delete(each);
+		}
 	}
 
 	/** Whole milliseconds of the work that this host has dispatched lately, by model and level. */
@@ -137,10 +147,12 @@
 				: undefined;
 		}
 
-		const {model, requestsAhead} = work;
+		const {model, caller, requestsAhead} = work;
 		const now = this.options.clock.monotonic();
 		const isOverloaded =
-			now - (this.overloadedAt.get(model) ?? Number.NEGATIVE_INFINITY) <
+			now -
+				(this.overloadedAt.get(overloadKey(model, caller)) ??
+					Number.NEGATIVE_INFINITY) <
 			overloadMilliseconds;
 		if (requestsAhead < (isOverloaded ? 1 : minimumBacklog)) {
 			return undefined;
@@ -239,3 +251,7 @@
 function sum(values: readonly number[]): number {
 	return values.reduce((total, each) => total + each, 0);
 }
+
+function overloadKey(model: ModelId, caller: CallerId): string {
+	return `${model} ${caller}`;
+}
--- a/src/core/fairness/caller-usage.ts
+++ b/src/core/fairness/caller-usage.ts
@@ -15,8 +15,8 @@
 const halfLifeMilliseconds = 2000;
 /** Share of the largest usage from which a caller counts among the largest. Less difference than this comes from the lag of the reports. */
 const largestShare = 0.8;
-/** Time for which the largest usage is kept, which takes a pass over all callers to find. */
-const largestLifetimeMilliseconds = 50;
+/** Time for which what takes a pass over all callers is kept. */
+const lifetimeMilliseconds = 50;
 
 /**
  * Work that was dispatched lately for each caller on all hosts, in milliseconds of a slot. Past work counts less and
@@ -25,6 +25,8 @@
  */
 export class CallerUsage {
 	private readonly own: DecayingSums<CallerId>;
+	private ownWork: ReadonlyMap<CallerId, number> = new Map();
+	private ownReadAt = Number.NEGATIVE_INFINITY;
 	private largest = 0;
 	private largestAt = Number.NEGATIVE_INFINITY;
 
@@ -48,11 +50,11 @@
 	 */
 	isLargest(caller: CallerId): boolean {
 		const now = this.options.clock.monotonic();
-		if (now - this.largestAt >= largestLifetimeMilliseconds) {
+		if (now - this.largestAt >= lifetimeMilliseconds) {
 			this.largestAt = now;
 			this.largest = 0;
 			const callers = new Set([
-				...this.own.rounded().keys(),
+				...this.ownByCaller().keys(),
 				...this.options.callers(),
 			]);
 			for (const each of callers) {
@@ -63,8 +65,14 @@
 		return this.get(caller) >= largestShare * this.largest;
 	}
 
-	/** Whole milliseconds of the work on this host, by caller. */
-	ownByCaller(): Map<CallerId, number> {
-		return this.own.rounded();
+	/** Whole milliseconds of the work on this host, by caller. A host that answers many reports reads them once for several. */
+	ownByCaller(): ReadonlyMap<CallerId, number> {
+		const now = this.options.clock.monotonic();
+		if (now - this.ownReadAt >= lifetimeMilliseconds) {
+			this.ownReadAt = now;
+			this.ownWork = this.own.rounded();
+		}
+
+		return this.ownWork;
 	}
 }
--- a/src/core/membership/reported-sums.ts
+++ b/src/core/membership/reported-sums.ts
@@ -12,6 +12,9 @@
 	readonly expiresAt: number;
 };
 
+/** Time for which the order of the sums is kept. A quarter of the time between two reports of a host. */
+const rankingLifetimeMilliseconds = 100;
+
 /**
  * Adds up, by key, the current values that hosts report. A report replaces the one before it, so that a lost or repeated
  * one changes nothing for longer than until the next. The values are integers, so that the sums do not drift.
@@ -19,6 +22,8 @@
 export class ReportedSums<Key> {
 	private readonly reports = new Map<string, Report<Key>>();
 	private readonly sums = new Map<Key, number>();
+	private ranking: readonly Key[] = [];
+	private rankedAt = Number.NEGATIVE_INFINITY;
 	private changes = 0;
 	/** No report expires before this time. */
 	private nextExpiry = Number.POSITIVE_INFINITY;
@@ -72,6 +77,11 @@
 		return this.sums.get(key) ?? 0;
 	}
 
+	/** The sum for a key without the value of one host. */
+	without(reporter: string, key: Key): number {
+		return this.get(key) - (this.reports.get(reporter)?.values.get(key) ?? 0);
+	}
+
 	/** All sums. */
 	entries(): ReadonlyMap<Key, number> {
 		this.expire();
@@ -96,6 +106,39 @@
 		return result;
 	}
 
+	/**
+	 * The largest sums without the values of one host, with those of this one. Which ones are the largest is found
+	 * once for several hosts.
+	 */
+	largestWithout(
+		reporter: string,
+		own: ReadonlyMap<Key, number>,
+		count: number,
+	): Map<Key, number> {
+		this.expire();
+		const now = this.options.clock.monotonic();
+		const total = (key: Key) => (own.get(key) ?? 0) + (this.sums.get(key) ?? 0);
+		if (now - this.rankedAt >= rankingLifetimeMilliseconds) {
+			this.rankedAt = now;
+			this.ranking = [...new Set([...own.keys(), ...this.sums.keys()])]
+				.map((key) => ({key, sum: total(key)}))
+				.sort((left, right) => right.sum - left.sum)
+				.slice(0, count)
+				.map(({key}) => key);
+		}
+
+		const left = this.reports.get(reporter)?.values;
+		const result = new Map<Key, number>();
+		for (const key of this.ranking) {
+			const rest = total(key) - (left?.get(key) ?? 0);
+			if (rest > 0) {
+				result.set(key, rest);
+			}
+		}
+
+		return result;
+	}
+
 	private add(key: Key, value: number): void {
 		this.changes++;
 		const sum = (this.sums.get(key) ?? 0) + value;
--- a/src/measure/shared-fleet.ts
+++ b/src/measure/shared-fleet.ts
@@ -144,7 +144,7 @@
 			Object.assign(
 				{host},
 				...sender.parts.map((part) => part.requestFields()),
-			),
+			) as ReportFields,
 		);
 		const sentAt = this.timeline.monotonic();
 		this.deliver(() => {
--- a/src/services/dispatch/dispatcher.ts
+++ b/src/services/dispatch/dispatcher.ts
@@ -600,7 +600,7 @@
 			}
 
 			if (item.model !== undefined) {
-				this.backlog.recordOverload(item.model);
+				this.backlog.recordOverload(item.model, item.caller);
 			}
 
 			this.logger.record(dispatchEvents.deadlineRefused, {request});
--- a/src/services/forwarding/reports/queue-reports.ts
+++ b/src/services/forwarding/reports/queue-reports.ts
@@ -29,7 +29,7 @@
 };
 
 /** Entries of waiting work in a report, those with the most work. Without the others a host admits more than can start, as with its own queue alone. */
-const maximumEntries = 128;
+const maximumEntries = 64;
 
 /** Reports what waits for each model, by which all hosts see one queue. */
 export class QueueReports extends ReportPart {
@@ -58,7 +58,7 @@
 		return isActive()
 			? {
 					fleetQueue: toMessage(
-						queue.reportTo(host, own()),
+						queue.reportTo(host, own(), maximumEntries),
 						Math.min(queue.ageMilliseconds, maximumAge),
 					),
 				}
--- a/src/services/forwarding/reports/share-reports.ts
+++ b/src/services/forwarding/reports/share-reports.ts
@@ -46,7 +46,7 @@
 	}
 
 	requestFields(): ReportFields {
-		return this.fields(upstream);
+		return this.fields((others, own) => others.sumWithout(upstream, own));
 	}
 
 	handleRequest({host, customerShares}: ReportRequest): void {
@@ -54,7 +54,9 @@
 	}
 
 	responseFields({host}: ReportRequest): ReportResponseFields {
-		return this.fields(host);
+		return this.fields((others, own) =>
+			others.largestWithout(host, own, maximumCustomers),
+		);
 	}
 
 	handleResponse(
@@ -68,12 +70,17 @@
 		this.apply(upstream, undefined, 0);
 	}
 
-	/** The work on this host and all others but one, absent without any. */
-	private fields(exceptHost: string): {
+	/** The work on this host and some of the others, absent without any. */
+	private fields(
+		add: (
+			others: ReportedSums<CallerId>,
+			own: ReadonlyMap<CallerId, number>,
+		) => ReadonlyMap<CallerId, number>,
+	): {
 		customerShares?: NonNullable<ReportFields['customerShares']>;
 	} {
 		const pools = [...this.pools].flatMap(([pool, {usage, others}]) => {
-			const work = others.sumWithout(exceptHost, usage.ownByCaller());
+			const work = add(others, usage.ownByCaller());
 			const customers = [...work].flatMap(([caller, milliseconds]) => {
 				const customer = customerOf(caller);
 				return customer === undefined
