--- a/src/measure/shared-fleet.ts
+++ b/src/measure/shared-fleet.ts
@@ -55,6 +55,8 @@
 	readonly reportDelay?: number;
 	/** Time in which the owner answers nothing. */
 	readonly ownerStall?: readonly [number, number];
+	/** Time in which a half of the hosts reports nothing, as if they had left and come back. */
+	readonly silentHosts?: readonly [number, number];
 	/** False to let each host share by its own work only. */
 	readonly isReporting?: boolean;
 	/** True to refuse by the queue of the fleet. */
@@ -121,7 +123,9 @@
 			const interval = this.options.hosts > 12 ? 500 : 250;
 			this.timeline.at(this.random.next() * interval, () => {
 				this.timeline.every(interval, until + 5000, () => {
-					this.report(host, part, this.receiverOf(index));
+					if (index % 2 === 0 || !this.isWithin(this.options.silentHosts)) {
+						this.report(host, part, this.receiverOf(index));
+					}
 				});
 			});
 		}
@@ -149,7 +153,7 @@
 		const sentAt = this.timeline.monotonic();
 		this.deliver(() => {
 			const answering = [...this.hosts.values()][receiver]!;
-			if (receiver === 0 && this.isStalled()) {
+			if (receiver === 0 && this.isWithin(this.options.ownerStall)) {
 				return;
 			}
 
@@ -175,8 +179,7 @@
 		});
 	}
 
-	private isStalled(): boolean {
-		const [from, to] = this.options.ownerStall ?? [0, 0];
+	private isWithin([from, to]: readonly [number, number] = [0, 0]): boolean {
 		const now = this.timeline.monotonic();
 		return now >= from && now < to;
 	}
--- a/test/dispatch/fair-shares.test.ts
+++ b/test/dispatch/fair-shares.test.ts
@@ -25,6 +25,7 @@
 	['on time', {}],
 	['lost, late and out of order', {lostReports: 0.1, reportDelay: 600}],
 	['not answered for a part of the burst', {ownerStall: [4000, 6500]}],
+	['of half of the hosts missing for seconds', {silentHosts: [3500, 7000]}],
 ] as const) {
 	test(`customers at their usual rate are served in a burst of another one, with reports ${name}`, () => {
 		const bursting = [0];
--- a/test/dispatch/fleet-queue.test.ts
+++ b/test/dispatch/fleet-queue.test.ts
@@ -1,9 +1,15 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
 import {create} from '@bufbuild/protobuf';
+import {NullEventLogger} from '../../src/base/common/event-logger.js';
 import {ManualClock} from '../../src/base/common/clock.js';
 import {SeededRandomSource} from '../../src/base/common/random-source.js';
-import {type CustomerName, type ModelId} from '../../src/contracts/ids.js';
+import {type ForwardingDocument} from '../../src/contracts/forwarding-document.js';
+import {
+	type CustomerName,
+	type ModelId,
+	type PoolName,
+} from '../../src/contracts/ids.js';
 import {
 	FleetQueue,
 	toLevelKey,
@@ -19,7 +25,9 @@
 	ReportRequestSchema,
 	ReportResponseSchema,
 } from '../../src/generated/daisylever/owner/v1/owner_pb.js';
+import {FleetSharing} from '../../src/services/forwarding/reports/fleet-sharing.js';
 import {QueueReports} from '../../src/services/forwarding/reports/queue-reports.js';
+import {type ReportFields} from '../../src/services/forwarding/reports/report-part.js';
 
 const model = 'm' as ModelId;
 const shared = callerOf(undefined);
@@ -197,3 +205,35 @@
 	clock.advance(2001);
 	assert.equal(preceding('c'), 0);
 });
+
+// Guards against other decisions in deployments without the setting, without customers, or in pools with more slots.
+test('only pools with few enough slots are admitted by the queue of the fleet, and without them and customers nothing is reported', () => {
+	const create_ = (workAwareSlots: number, customers: readonly unknown[]) => {
+		const sharing = new FleetSharing({
+			clock: new ManualClock(),
+			events: new NullEventLogger(),
+			workAwareSlots,
+		});
+		const pools = [12, 24, undefined].map((slots) => ({
+			name: `p${slots}`,
+			engine: {slots},
+		}));
+		sharing.applyDocument({customers, pools} as unknown as ForwardingDocument);
+		return {
+			admitted: pools
+				.filter(({name}) => sharing.admitsByQueue(name as PoolName))
+				.map(({name}) => name),
+			fields: Object.assign(
+				{},
+				...sharing.parts.map((part) => part.requestFields()),
+			) as ReportFields,
+		};
+	};
+
+	assert.deepEqual(create_(0, []), {admitted: [], fields: {}});
+	assert.deepEqual(create_(12, []).admitted, ['p12']);
+	assert.deepEqual(create_(24, []).admitted, ['p12', 'p24']);
+	assert.ok(create_(24, []).fields.fleetQueue);
+	assert.deepEqual(create_(0, [{}]).admitted, []);
+	assert.ok(create_(0, [{}]).fields.fleetQueue);
+});
