Merge the shares of customers and the queue of the fleet

The allowance for the age of reports in SlotPolicy is an option now, because the new test of unchanged decisions found that it changed pools that are not scheduled by work. The test of unknown fields knows sint32.

--- a/src/services/forwarding/limits/retry-limits.ts
+++ b/src/core/limits/retry-limits.ts
@@ -1,4 +1,4 @@
-import {type RetryBudgetLimits} from '../../../core/limits/retry-budget.js';
+import {type RetryBudgetLimits} from './retry-budget.js';
 
 /** Limits on retries that apply to all hosts together. */
 export type RetryLimits = {
@@ -19,7 +19,7 @@
 /** Share of the ratio that is used, so that a window that contains only a part of a burst stays below the limit. */
 const usedRatioShare = 0.7;
 
-/** Returns the limits of one host. A window that begins with a full bucket allows the capacity and the refill, which together are this host's share of the slack. */
+/** A window that begins with a full bucket allows the capacity and the refill, which together are this host's share of the slack. */
 export function retryBudgetLimits(retries: RetryLimits): RetryBudgetLimits {
 	const slack = retries.slack / retries.hosts;
 	return {
--- a/src/core/routing/slot-policy.ts
+++ b/src/core/routing/slot-policy.ts
@@ -10,6 +10,8 @@
 	readonly longShare?: number;
 	/** Requests sent in excess of the slots of a target, as a share of the slots. Without it slots stay empty at high load, because hosts see each other's requests late. */
 	readonly overcommitShare?: number;
+	/** True to allow for the age of reported loads where the share of this host is far below one request. */
+	readonly allowsForReportAge?: boolean;
 };
 
 /** Equal share of a target, in requests, below which a host cannot rely on it. */
@@ -23,6 +25,7 @@
 	private readonly host: HostId;
 	private readonly longShare: number;
 	private readonly overcommitShare: number;
+	private readonly allowsForReportAge: boolean;
 	private hosts: readonly HostId[];
 	/** Number of hosts that share the targets. Without their names, all long slots count as those of this host. */
 	private hostCount = 1;
@@ -33,6 +36,7 @@
 		this.host = options.host;
 		this.longShare = options.longShare ?? 0.5;
 		this.overcommitShare = options.overcommitShare ?? 1;
+		this.allowsForReportAge = options.allowsForReportAge ?? false;
 		this.hosts = [options.host];
 	}
 
@@ -112,7 +116,7 @@
 	 * others would refuse most of their requests.
 	 */
 	private isShareNegligible(limit: number): boolean {
-		return limit / this.hostCount < minimumShare;
+		return this.allowsForReportAge && limit / this.hostCount < minimumShare;
 	}
 
 	/**
--- a/src/measure/serving-model.ts
+++ b/src/measure/serving-model.ts
@@ -66,7 +66,11 @@
 	readonly name: string;
 } & (
 	| {readonly routing: (random: RandomSource) => RoutingPolicy}
-	| {readonly dispatcher: DispatcherChoice}
+	| {
+			readonly dispatcher: DispatcherChoice;
+			/** Called with the dispatcher of each host. */
+			readonly created?: (host: HostId, dispatcher: Dispatcher) => void;
+	  }
 );
 
 /** Result of a request. The latency runs from its arrival to its completion or refusal, in milliseconds. */
@@ -150,7 +154,7 @@
 /** Runs the dispatcher of the program on the virtual clock. */
 class DispatcherEntry extends EntryModel {
 	hedges = 0;
-	private readonly dispatcher: Dispatcher;
+	readonly dispatcher: Dispatcher;
 	private readonly requests = new Map<RequestId, WorkloadRequest>();
 	private readonly workByAttempt = new Map<string, ModelWork>();
 	private readonly ids: readonly TargetId[];
@@ -209,6 +213,12 @@
 						}
 					: {}),
 				remainingMilliseconds: request.deadlineMilliseconds,
+				...(request.startObjectiveMilliseconds === undefined
+					? {}
+					: {startObjectiveMilliseconds: request.startObjectiveMilliseconds}),
+				...(request.startTimeoutMilliseconds === undefined
+					? {}
+					: {startTimeoutMilliseconds: request.startTimeoutMilliseconds}),
 				idempotent: true,
 				fingerprint: id as string as Fingerprint,
 				suspect: false,
@@ -430,6 +440,7 @@
 			progressed,
 			shape.targetsOf,
 		);
+		strategy.created?.(host, entry.dispatcher);
 		entry.schedule = (delay, action) => {
 			timeline.at(timeline.monotonic() + delay, action);
 		};
--- a/src/program/forwarding-root.ts
+++ b/src/program/forwarding-root.ts
@@ -62,6 +62,7 @@
 	type FleetUpdate,
 } from '../services/forwarding/reports/report-client.js';
 import {ReportServer} from '../services/forwarding/reports/report-server.js';
+import {FleetSharing} from '../services/forwarding/reports/fleet-sharing.js';
 import {maximumListAge} from '../core/membership/list-age.js';
 import {
 	revocationLimits,
@@ -339,7 +340,11 @@
 				this.reportClient.scheduleReport();
 			},
 		});
-		const parts = this.quotas ? [this.quotas.part] : [];
+		const sharing = new FleetSharing({clock, events, ...settings.scheduling});
+		const parts = [
+			...sharing.parts,
+			...(this.quotas ? [this.quotas.part] : []),
+		];
 		this.reportServer = components.add(
 			new ReportServer({
 				host,
@@ -404,6 +409,7 @@
 				hosts: defaultHostCount,
 			},
 			quotas: this.quotas?.enforcement,
+			sharing,
 			crashes,
 			rateLimits,
 			permits,
--- a/src/services/dispatch/dispatcher.ts
+++ b/src/services/dispatch/dispatcher.ts
@@ -13,8 +13,16 @@
 } from '../../contracts/ids.js';
 import {type RefusalReason} from '../../contracts/target-error.js';
 import {AdmissionPolicy} from '../../core/admission/admission-policy.js';
-import {BacklogEstimator} from '../../core/admission/backlog-estimator.js';
 import {CallerLimiter} from '../../core/admission/caller-limiter.js';
+import {
+	type FleetQueue,
+	type QueueReport,
+} from '../../core/admission/fleet-queue.js';
+import {
+	ModelBacklog,
+	type ArrivingWork,
+} from '../../core/admission/model-backlog.js';
+import {type CallerUsage} from '../../core/fairness/caller-usage.js';
 import {
 	DispatchQueue,
 	type BoundWork,
@@ -59,6 +67,7 @@
 	startLevel,
 	urgencyOrder,
 } from './dispatch-contracts.js';
+import {leaveHeadroom, sumWaiting} from './fleet-order.js';
 import {replacementLoads} from './replacement-loads.js';
 import {TargetSample} from './target-sample.js';
 import {
@@ -81,6 +90,12 @@
 	/** Counts the requests of each caller over all pools of the host. By default, a limiter that covers this pool only. */
 	readonly callerLimiter?: CallerLimiter;
 	readonly queue?: DispatchQueue<DispatchWork>;
+	/** Work of the callers on all hosts, by which they share the targets. */
+	readonly callerUsage?: CallerUsage | undefined;
+	/** The work that waits on the other hosts. */
+	readonly fleetQueue?: FleetQueue | undefined;
+	/** True to refuse what a single queue of all hosts would not start in time, instead of judging by the queue of this host. */
+	readonly admitsByFleetQueue?: () => boolean;
 	readonly routingPolicy?: RoutingPolicy;
 	readonly slotPolicy?: SlotPolicy;
 	readonly loadTracker?: TargetLoadTracker;
@@ -113,16 +128,6 @@
 	readonly lostAttemptLatencyMilliseconds?: number;
 };
 
-/** Time from send to start that the objective of work items already allows for. */
-const expectedStartMilliseconds = 60;
-/** Largest share of the objective by which work is considered late before its objective ends. */
-const maximumMarginShare = 0.7;
-/** Time after such a refusal for which new work that would miss its objective is refused on arrival. */
-const overloadMilliseconds = 1000;
-/** Shortest delay until a request refused under overload should come back: the time in which placement adds a replica. Sooner it would meet the same overload. */
-const overloadRetryMilliseconds = 3000;
-/** Queued requests for a model from which their drain rate is judged. */
-const minimumBacklog = 3;
 /** Maximum number of targets examined in one search for free capacity. */
 const capacitySearchLength = 64;
 
@@ -141,11 +146,7 @@
 	private readonly lengthEstimator: LengthEstimator;
 	private readonly retryBudget: RetryBudget;
 	private readonly startLimiter: StartLimiter | undefined;
-	private readonly backlogEstimator: BacklogEstimator<ModelId>;
-	/** Estimates of the work that can no longer meet its objective, which is dispatched after the other work of its model. */
-	private readonly lateBacklogEstimator: BacklogEstimator<ModelId>;
-	/** Time at which work for a model was last refused because it could not start in time. */
-	private readonly overloadedAt = new Map<ModelId, number>();
+	private readonly backlog: ModelBacklog;
 	private readonly hedgingPolicy: HedgingPolicy;
 	private readonly serviceTimeEstimator = new ServiceTimeEstimator();
 	private readonly isolationPolicy = new IsolationPolicy();
@@ -186,6 +187,7 @@
 				clock,
 				startMarginMilliseconds: (work) =>
 					this.startMargin(work as DispatchWork),
+				usage: options.callerUsage,
 			});
 		this.routingPolicy = options.routingPolicy ?? new LoadAwarePolicy({random});
 		this.slotPolicy = options.slotPolicy ?? new SlotPolicy({host});
@@ -194,8 +196,13 @@
 			options.outlierDetector ?? new OutlierDetector({clock});
 		this.lengthEstimator = options.lengthEstimator ?? new LengthEstimator();
 		this.retryBudget = options.retryBudget ?? new RetryBudget({clock});
-		this.backlogEstimator = new BacklogEstimator({clock});
-		this.lateBacklogEstimator = new BacklogEstimator({clock});
+		this.backlog = new ModelBacklog({
+			clock,
+			random,
+			fleetQueue: () =>
+				options.admitsByFleetQueue?.() ? options.fleetQueue : undefined,
+			usage: options.callerUsage,
+		});
 		this.hedgingPolicy = new HedgingPolicy({clock, budget: this.retryBudget});
 		this.prefixAffinity = new PrefixAffinity({clock});
 		this.slowdownEstimator = new SlowdownEstimator({clock});
@@ -240,6 +247,14 @@
 		this.startLimiter?.setIncreasePerRound(work !== undefined);
 	}
 
+	/** The waiting and dispatched work of model requests. */
+	queueReport(): QueueReport {
+		return {
+			waiting: sumWaiting(this.queue.promptWork()),
+			dispatched: this.backlog.dispatchedWork(),
+		};
+	}
+
 	/** Queues a message, to be handled by `run`. */
 	post(message: DispatcherMessage): void {
 		this.mailbox.post(message);
@@ -494,8 +509,9 @@
 			return;
 		}
 
-		const backlogMilliseconds = this.hopelessWait(work);
-		if (backlogMilliseconds !== undefined) {
+		const hopeless = this.hopelessWait(work);
+		if (hopeless) {
+			const {waitMilliseconds, retryAfterMilliseconds} = hopeless;
 			this.admissionPolicy.release(item.caller);
 			this.logger.record(dispatchEvents.overloadRefused, {
 				caller: item.caller,
@@ -505,11 +521,8 @@
 				item,
 				code: 'overload',
 				countsAsDemand: true,
-				retryAfterMilliseconds: Math.max(
-					Math.ceil(backlogMilliseconds),
-					overloadRetryMilliseconds,
-				),
-				message: `the requests for the model that wait already take about ${Math.round(backlogMilliseconds)} ms`,
+				retryAfterMilliseconds,
+				message: `the requests for the model that wait already take about ${Math.round(waitMilliseconds)} ms`,
 			});
 			return;
 		}
@@ -540,39 +553,51 @@
 		this.enqueue(tracked);
 	}
 
-	/**
-	 * Expected wait behind the queued requests for the same model, if new work would not start in time: it exceeds the
-	 * time for which the caller waits, or the objective while work that missed its own is being refused.
-	 */
-	private hopelessWait(work: DispatchWork): number | undefined {
-		const {model, startTimeoutMilliseconds} = work.item;
+	/** The wait of new work that would not start in time. */
+	private hopelessWait(work: DispatchWork) {
 		// A stream that has begun is not refused.
-		if (
-			!this.startLimiter ||
-			model === undefined ||
-			work.item.isContinuation === true
-		) {
+		if (!this.startLimiter || work.item.isContinuation === true) {
 			return undefined;
 		}
 
-		const ahead = this.queue.countAhead(
-			work,
-			false,
-			(queued) => queued.item.model === model,
-		);
 		const now = this.clock.monotonic();
-		const isOverloaded =
-			now - (this.overloadedAt.get(model) ?? Number.NEGATIVE_INFINITY) <
-			overloadMilliseconds;
-		if (ahead < (isOverloaded ? 1 : minimumBacklog)) {
-			return undefined;
-		}
+		const arriving = this.arriving(work);
+		return (
+			arriving &&
+			this.backlog.hopelessWait({
+				...arriving,
+				objectiveMilliseconds:
+					(work.startObjectiveDeadline ?? Infinity) -
+					now -
+					this.startMargin(work),
+				timeoutMilliseconds: work.item.startTimeoutMilliseconds ?? Infinity,
+			})
+		);
+	}
 
-		const wait = this.backlogEstimator.waitMilliseconds(model, ahead);
-		const limit = isOverloaded
-			? (work.startObjectiveDeadline ?? Infinity) - now - this.startMargin(work)
-			: (startTimeoutMilliseconds ?? Infinity);
-		return wait > limit ? wait : undefined;
+	/** What is queued ahead of work, undefined for calls to plain services. */
+	private arriving(work: DispatchWork) {
+		const {
+			item: {model},
+			urgency,
+			caller,
+			expectedMilliseconds,
+		} = work;
+		const matches = (queued: DispatchWork) => queued.item.model === model;
+		return model === undefined
+			? undefined
+			: ({
+					model,
+					level: startLevel({urgency}),
+					caller,
+					expectedMilliseconds,
+					requestsAhead: this.queue.countAhead(work, false, matches),
+					workAhead: () =>
+						this.queue.countAhead(work, false, matches, {
+							weigh: (queued) => queued.expectedMilliseconds,
+							turn: expectedMilliseconds,
+						}),
+				} satisfies Partial<ArrivingWork>);
 	}
 
 	/** Refuses work that has missed its objective and is not dispatched before its caller gives up, because there is too much other work for its model. */
@@ -587,7 +612,7 @@
 				const wait =
 					item.model === undefined
 						? 0
-						: this.lateBacklogEstimator.waitMilliseconds(item.model, ahead + 1);
+						: this.backlog.lateWait(item.model, ahead + 1);
 				return now + wait > (startDeadline ?? Infinity);
 			},
 		);
@@ -598,46 +623,33 @@
 			}
 
 			if (item.model !== undefined) {
-				this.overloadedAt.set(item.model, now);
+				this.backlog.recordOverload(item.model, item.caller);
 			}
 
 			this.logger.record(dispatchEvents.deadlineRefused, {request});
 			this.refuseOrFail(tracked, {
 				code: 'overload',
 				countsAsDemand: true,
-				retryAfterMilliseconds: this.retryDelay(item),
+				retryAfterMilliseconds: this.retryDelay(tracked.work),
 				message: 'the request cannot start before its caller gives up',
 			});
 		}
 	}
 
 	/** Time after which the queued requests for the model of a refused request have been dispatched. */
-	private retryDelay({model, urgency}: WorkItem): number {
-		if (model === undefined) {
-			return 0;
-		}
-
-		const ahead = this.queue.countAhead(
-			{urgency, isLong: false},
-			false,
-			(queued) => queued.item.model === model,
-		);
-		return Math.max(
-			overloadRetryMilliseconds,
-			Math.ceil(this.backlogEstimator.waitMilliseconds(model, ahead)),
-		);
+	private retryDelay(work: DispatchWork): number {
+		const arriving = this.arriving({...work, isLong: false});
+		return arriving ? this.backlog.retryDelay(arriving) : 0;
 	}
 
 	/** Time by which work has to be sent earlier than usual to start within its objective. */
 	private startMargin({item}: DispatchWork): number {
-		const usual =
-			this.startLimiter && item.model !== undefined
-				? (this.backlogEstimator.usualStartMilliseconds(item.model) ?? 0)
-				: 0;
-		return Math.min(
-			Math.max(0, usual - expectedStartMilliseconds),
-			(item.startObjectiveMilliseconds ?? 0) * maximumMarginShare,
-		);
+		return this.startLimiter && item.model !== undefined
+			? this.backlog.startMargin(
+					item.model,
+					item.startObjectiveMilliseconds ?? 0,
+				)
+			: 0;
 	}
 
 	private enqueue(tracked: TrackedRequest): void {
@@ -723,10 +735,12 @@
 			const isLate =
 				this.clock.monotonic() + this.startMargin(work) >
 				(work.startObjectiveDeadline ?? Infinity);
-			(isLate
-				? this.lateBacklogEstimator
-				: this.backlogEstimator
-			).recordDispatch(work.item.model);
+			this.backlog.recordDispatch(
+				work.item.model,
+				startLevel(work),
+				work.expectedMilliseconds,
+				isLate,
+			);
 		}
 
 		if (byAge) {
@@ -834,7 +848,11 @@
 		);
 		// If all targets have been tried, as in a pool of one target, a retry may reuse them.
 		const usable = untried.length > 0 ? untried : loads;
-		return this.chooseTarget(work, usable, isAged);
+		return this.chooseTarget(
+			work,
+			leaveHeadroom(usable, work, this.options),
+			isAged,
+		);
 	}
 
 	private targetsToCompare(
@@ -1025,7 +1043,7 @@
 
 	private recordStart({model}: WorkItem, milliseconds: number): void {
 		if (model !== undefined) {
-			this.backlogEstimator.recordStart(model, milliseconds);
+			this.backlog.recordStart(model, milliseconds);
 		}
 	}
 
--- a/src/services/forwarding/attempts/forward-dispatch.ts
+++ b/src/services/forwarding/attempts/forward-dispatch.ts
@@ -9,7 +9,6 @@
 import {forwardingEvents} from '../../../contracts/events/forwarding-events.js';
 import {type Execution} from '../../../contracts/execution.js';
 import {
-	type CallerId,
 	type FailureDomain,
 	type HostId,
 	type ModelId,
@@ -29,6 +28,7 @@
 import {type ByteBudget} from '../../../core/limits/byte-budget.js';
 import {AdmissionPolicy} from '../../../core/admission/admission-policy.js';
 import {AgingShare} from '../../../core/fairness/aging-share.js';
+import {callerOf} from '../../../core/fairness/customer-callers.js';
 import {CallerLimiter} from '../../../core/admission/caller-limiter.js';
 import {type Urgency} from '../../../core/fairness/dispatch-queue.js';
 import {LengthEstimator} from '../../../core/work/length-estimator.js';
@@ -36,6 +36,10 @@
 import {type PermitBook} from '../../../core/limits/permit-book.js';
 import {OutlierDetector} from '../../../core/routing/outlier-detector.js';
 import {RetryBudget} from '../../../core/limits/retry-budget.js';
+import {
+	retryBudgetLimits,
+	type RetryLimits,
+} from '../../../core/limits/retry-limits.js';
 import {RefusedDemand} from '../../../core/placement/refused-demand.js';
 import {type TargetGate} from '../../../core/routing/target-gate.js';
 import {SlotPolicy} from '../../../core/routing/slot-policy.js';
@@ -49,9 +53,9 @@
 	type WorkRefusal,
 } from '../../dispatch/dispatch-contracts.js';
 import {Dispatcher} from '../../dispatch/dispatcher.js';
+import {type FleetSharing} from '../reports/fleet-sharing.js';
 import {type BrittleObserver} from '../targets/brittle-observer.js';
 import {type CrashObserver} from '../targets/crash-observer.js';
-import {retryBudgetLimits, type RetryLimits} from '../limits/retry-limits.js';
 import {type StreamOriginSharing} from '../state/stream-origin-sharing.js';
 import {type TargetConnections} from '../targets/target-connections.js';
 import {
@@ -77,6 +81,8 @@
 	readonly codec: RequestCodec;
 	readonly registry: TargetRegistry;
 	readonly retries: RetryLimits;
+	/** What the other hosts tell of their customers and queues. By default, this host shares and admits by itself. */
+	readonly sharing?: FleetSharing | undefined;
 	readonly crashes: CrashObserver;
 	readonly rateLimits: NamedRateLimits;
 	readonly permits: PermitBook;
@@ -101,8 +107,6 @@
 	readonly gates?: readonly TargetGate[] | undefined;
 };
 
-/** All consumers connect through one load balancer, which does not identify them. */
-const sharedCaller = 'any' as CallerId;
 /** Attempts of one request, including those that no target received or executed. */
 const maximumAttempts = 5;
 /** Speed factor of targets in other failure domains, because traffic between domains is charged. */
@@ -178,10 +182,19 @@
 			lengthEstimator: new LengthEstimator({
 				longThresholdTokens: Number.MAX_SAFE_INTEGER,
 			}),
-			slotPolicy: new SlotPolicy({host, longShare: 1, overcommitShare: 0}),
+			slotPolicy: new SlotPolicy({
+				host,
+				longShare: 1,
+				overcommitShare: 0,
+				allowsForReportAge: (options.workAwareSlots ?? 0) > 0,
+			}),
 			outlierDetector: new OutlierDetector({clock, ejectionRatio}),
 			retryBudget: this.retryBudget,
 			startLimiter: this.startLimiter,
+			callerUsage: options.sharing?.usage(options.pool),
+			fleetQueue: options.sharing?.queue,
+			admitsByFleetQueue: () =>
+				options.sharing?.admitsByQueue(options.pool) ?? false,
 			permits: options.permits,
 			refusalLimits: options.brittle.limits,
 			hedging: false,
@@ -197,6 +210,7 @@
 			...options,
 			dispatcher: this.dispatcher,
 		});
+		options.sharing?.add(this.dispatcher);
 		this.subscriptions = [
 			registry.heldBack.subscribe(({listed}) => {
 				if (listed.pool === options.pool) {
@@ -1033,7 +1047,7 @@
 		const {metadata, route} = request;
 		return {
 			request: request.key,
-			caller: sharedCaller,
+			caller: callerOf(request.options.customer),
 			urgency: urgencyOf(route.priority),
 			offering: route.name as string as OfferingName,
 			...(metadata.model === undefined ? {} : {model: metadata.model}),
--- a/src/services/forwarding/forwarding-service.ts
+++ b/src/services/forwarding/forwarding-service.ts
@@ -27,6 +27,7 @@
 import {type PoolReachability} from '../../contracts/pool-reachability.js';
 import {type ByteBudget} from '../../core/limits/byte-budget.js';
 import {CustomerKeys} from '../../core/fairness/customer-keys.js';
+import {type RetryLimits} from '../../core/limits/retry-limits.js';
 import {LogLimiter} from '../../core/limits/log-limiter.js';
 import {type NamedRateLimits} from '../../core/limits/named-rate-limits.js';
 import {type PermitBook} from '../../core/limits/permit-book.js';
@@ -48,14 +49,14 @@
 	missingVersionReason,
 } from './attempts/forward-dispatch.js';
 import {ForwardedRequest} from './attempts/forwarded-request.js';
+import {headerValue} from './attempts/header-value.js';
 import {
 	ReceivedRequestHandler,
 	type ReceivedRequest,
 } from './forwarding-server.js';
 import {type QuotaEnforcement} from './limits/quota-enforcement.js';
-import {type RetryLimits} from './limits/retry-limits.js';
+import {type FleetSharing} from './reports/fleet-sharing.js';
 import {StopAdmission} from './limits/stop-admission.js';
-import {headerValue} from './attempts/raw-headers.js';
 import {HttpCallerResponse} from './attempts/http-caller-response.js';
 import {type PeerResponse} from './peers/peer-response.js';
 import {type PeerForwarder} from './peers/peer-forwarder.js';
@@ -75,6 +76,8 @@
 	readonly retries: RetryLimits;
 	/** Enforces the quotas of customers. Absent if they are not enforced. */
 	readonly quotas?: QuotaEnforcement | undefined;
+	/** What the other hosts tell of their customers and queues. By default, each host shares and admits by itself. */
+	readonly sharing?: FleetSharing | undefined;
 	readonly crashes: CrashObserver;
 	readonly rateLimits: NamedRateLimits;
 	readonly permits: PermitBook;
@@ -361,6 +364,7 @@
 
 		this.document = document;
 		this.options.quotas?.applyDocument(document);
+		this.options.sharing?.applyDocument(document);
 		this.routes = new RouteTable(document);
 		// Keeps the last known keys if a host of an older build sent the document, which leaves them out.
 		if (document.customers) {
@@ -1118,12 +1122,12 @@
 			this.stopAdmission.recordAnswer(request);
 		}
 
+		const milliseconds = clock.monotonic() - request.options.arrivedAt;
 		metrics.count('daisylever_answers_total', {kind, result: result!});
-		metrics.observe(
-			'daisylever_answer_milliseconds',
-			clock.monotonic() - request.options.arrivedAt,
-			{kind},
-		);
+		metrics.observe('daisylever_answer_milliseconds', milliseconds, {kind});
+		if (result === 'own 503') {
+			metrics.observe('daisylever_refusal_milliseconds', milliseconds, {kind});
+		}
 	}
 
 	private createDispatch(pool: PoolName): ForwardDispatch {
@@ -1139,6 +1143,7 @@
 			codec,
 			registry,
 			retries: {...retries, hosts: this.currentHostCount},
+			sharing: this.options.sharing,
 			crashes: this.options.crashes,
 			rateLimits: this.options.rateLimits,
 			permits: this.options.permits,
--- a/src/services/forwarding/reports/report-part.ts
+++ b/src/services/forwarding/reports/report-part.ts
@@ -1,20 +1,22 @@
-import {type MessageInitShape} from '@bufbuild/protobuf';
+import {type DescMessage, type MessageInitShape} from '@bufbuild/protobuf';
 import {
 	type ReportRequest,
+	type ReportRequestSchema,
 	type ReportResponse,
 	type ReportResponseSchema,
 } from '../../../generated/daisylever/owner/v1/owner_pb.js';
 
-/** Fields of a report that one part sets. Their messages are complete, because the report is sent as it is. */
-export type ReportFields = Partial<
-	Omit<ReportRequest, '$typeName' | '$unknown'>
+/** Fields of a message that has not been created. A message among them would give the result its type. */
+type Fields<Schema extends DescMessage> = Omit<
+	Exclude<MessageInitShape<Schema>, {readonly $typeName: string}>,
+	'$typeName' | '$unknown'
 >;
 
+/** Fields of a report that one part sets. */
+export type ReportFields = Fields<typeof ReportRequestSchema>;
+
 /** Fields of the response to a report that one part sets. */
-export type ReportResponseFields = Omit<
-	MessageInitShape<typeof ReportResponseSchema>,
-	'$typeName' | '$unknown'
->;
+export type ReportResponseFields = Fields<typeof ReportResponseSchema>;
 
 /** What is known of the sender of a response. */
 export type ResponseSender = {
--- a/test/upgrade/message-form.test.ts
+++ b/test/upgrade/message-form.test.ts
@@ -146,6 +146,7 @@
 		9: `text-${number}`,
 		12: Uint8Array.of(number % 256),
 		13: number,
+		17: number - 500_000,
 	};
 	assert.ok(scalar in values, `${name} has the unexpected type ${scalar}`);
 	return values[scalar];
