--- a/src/core/fairness/dispatch-queue.ts
+++ b/src/core/fairness/dispatch-queue.ts
@@ -84,6 +84,14 @@
 
 const urgencies: readonly Urgency[] = ['urgent', 'standard', 'deferred'];
 
+/** What is counted of queued requests, and that of the new work. */
+type CountedWork<T> = {
+	readonly weigh: (queued: T) => number;
+	readonly turn: number;
+};
+
+const countedRequests: CountedWork<unknown> = {weigh: () => 1, turn: 1};
+
 /** Queue of the work with one priority, lateness and routing key. Shares slot time fairly between callers by start-time fair queueing. */
 class Lane<T extends QueuedWork> {
 	readonly itemsByArrival = new Map<RequestId, Item<T>>();
@@ -360,10 +368,7 @@
 			Partial<Pick<QueuedWork, 'caller'>>,
 		isLate: boolean,
 		matches: (queued: T) => boolean,
-		{weigh, turn}: {weigh: (queued: T) => number; turn: number} = {
-			weigh: () => 1,
-			turn: 1,
-		},
+		{weigh, turn}: CountedWork<T> = countedRequests,
 	): number {
 		const priority = priorityOf(work);
 		const counts = new Map<CallerId, number>();
