--- a/test/forwarding/customer-keys.test.ts
+++ b/test/forwarding/customer-keys.test.ts
@@ -7,6 +7,7 @@
 	type ForwardingDocument,
 } from '../../src/contracts/forwarding-document.js';
 import {type CustomerName, type KeyDigest} from '../../src/contracts/ids.js';
+import {callerOf} from '../../src/core/fairness/customer-callers.js';
 import {CustomerKeys} from '../../src/core/fairness/customer-keys.js';
 import {PeerConnections} from '../../src/services/forwarding/peers/peer-connections.js';
 import {
@@ -330,3 +331,14 @@
 		assert.equal(decision.customer!.name, `c${index % 4}`);
 	}
 });
+
+// Guards against customers that share one turn in the queue, so that one of them delays the others.
+test('the work of a request counts for its customer', async () => {
+	const usage = host.sharing.usage(poolName);
+	const workOf = (name: string | undefined) =>
+		usage.get(callerOf(name as CustomerName | undefined));
+	assert.equal(await statusOf({'api-key': 'key-s1'}), 200);
+	assert.ok(workOf('south') > 0);
+	assert.equal(workOf('north'), 0);
+	assert.equal(workOf(undefined), 0);
+});
--- a/test/forwarding/forwarding-harness.ts
+++ b/test/forwarding/forwarding-harness.ts
@@ -40,6 +40,7 @@
 import {BrittleObserver} from '../../src/services/forwarding/targets/brittle-observer.js';
 import {CrashObserver} from '../../src/services/forwarding/targets/crash-observer.js';
 import {ForwardingServer} from '../../src/services/forwarding/forwarding-server.js';
+import {FleetSharing} from '../../src/services/forwarding/reports/fleet-sharing.js';
 import {ForwardingService} from '../../src/services/forwarding/forwarding-service.js';
 import {PeerConnections} from '../../src/services/forwarding/peers/peer-connections.js';
 import {PeerForwarder} from '../../src/services/forwarding/peers/peer-forwarder.js';
@@ -176,6 +177,8 @@
 	/** Addresses of the hosts to which requests may be forwarded. */
 	knownPeers: readonly string[] = [];
 	private readonly polls = new PolledQueue(this.clock);
+	/** What the host knows of the customers and queues of other hosts. */
+	readonly sharing: FleetSharing;
 	private readonly eventLogger = new RecordingEventLogger();
 	private readonly peerConnections = new PeerConnections();
 	private readonly peers: PeerForwarder;
@@ -191,6 +194,11 @@
 	) {
 		this.streams = createSharing(this.clock, askOthers);
 		const events = this.eventLogger;
+		this.sharing = new FleetSharing({
+			clock: this.clock,
+			events,
+			workAwareSlots: 0,
+		});
 		const random = new SeededRandomSource(5);
 		const rateLimits = new NamedRateLimits({clock: this.clock});
 		const {polls} = this;
@@ -239,6 +247,7 @@
 			peers: this.peers,
 			budget: budgets.answers,
 			retries: {ratio: 0.2, slack: 56, windowMilliseconds: 10_000, hosts: 8},
+			sharing: this.sharing,
 			onAdapterMissing: () => {
 				this.missingAdapterCount++;
 			},
