--- a/src/core/fairness/dispatch-queue.ts
+++ b/src/core/fairness/dispatch-queue.ts
@@ -360,11 +360,12 @@
 			Partial<Pick<QueuedWork, 'caller'>>,
 		isLate: boolean,
 		matches: (queued: T) => boolean,
-		{weigh, turn}: {weigh: (queued: T) => number; turn: number} = {
-			weigh: () => 1,
-			turn: 1,
+		weighing?: {
+			readonly weigh: (queued: T) => number;
+			readonly turn: number;
 		},
 	): number {
+		const {weigh, turn} = weighing ?? {weigh: () => 1, turn: 1};
 		const priority = priorityOf(work);
 		const counts = new Map<CallerId, number>();
 		let count = 0;
