--- a/test/process/forwarding-host.ts
+++ b/test/process/forwarding-host.ts
@@ -53,10 +53,13 @@
 	name: string,
 	settings: TestSettings,
 	programFile = defaultProgramFile,
+	maximumDescriptors?: number,
 ): Promise<ForwardingTestHost> {
 	for (;;) {
 		const {file, ports} = await writeForwardingSettings(name, settings);
-		const host = new TestProcess(spawnForwarding(file, undefined, programFile));
+		const host = new TestProcess(
+			spawnForwarding(file, undefined, programFile, maximumDescriptors),
+		);
 		const {lines} = host;
 		const isPortTaken = () => lines.some((line) => line.includes('EADDRINUSE'));
 		await waitUntil(
@@ -79,12 +82,22 @@
 	settingsFile: string,
 	stdio: ReadonlyArray<'pipe' | 'ignore' | number> = ['pipe', 'pipe'],
 	programFile = defaultProgramFile,
+	maximumDescriptors?: number,
 ): ChildProcess {
-	return spawn(
-		process.execPath,
-		[programFile, 'forward', '--settings', settingsFile],
-		{stdio: ['ignore', ...stdio]},
-	);
+	const program = [programFile, 'forward', '--settings', settingsFile];
+	const [command, args] =
+		maximumDescriptors === undefined
+			? [process.execPath, program]
+			: [
+					'/bin/sh',
+					[
+						'-c',
+						`ulimit -n ${Math.floor(maximumDescriptors)}; exec "$0" "$@"`,
+						process.execPath,
+						...program,
+					],
+				];
+	return spawn(command, args, {stdio: ['ignore', ...stdio]});
 }
 
 /** Writes the settings of a forwarding host to a new file. The settings replace or extend the usual ones. Listeners without a given port get free ones. */
--- a/test/process/odd-input.ts
+++ b/test/process/odd-input.ts
@@ -88,11 +88,14 @@
 		storeAddress,
 		programFile,
 		settings,
+		maximumDescriptors,
 	}: {
 		readonly storeAddress?: string;
 		readonly programFile?: string;
 		/** Settings in addition to the usual ones. */
 		readonly settings?: Readonly<Record<string, unknown>>;
+		/** Descriptors that the process may have. No limit if absent. */
+		readonly maximumDescriptors?: number;
 	} = {}): Promise<void> {
 		this.storeAddress = await this.store.start();
 		this.soundWorker.behaviour = respondWith('served');
@@ -103,6 +106,7 @@
 			'h1',
 			{store: storeAddress ?? this.storeAddress, ...settings},
 			programFile,
+			maximumDescriptors,
 		);
 		this.host.process.child.stderr!.on('data', (data: Buffer) => {
 			this.standardError += data.toString('utf8');
