Bound what clients cost a host

Cause: nothing bounded the number of chunks, heads, connections by descriptors, the time of a body, parsing in one turn of the event loop, unread responses or bodies at the port between hosts.

Change: one sum for all that is held (HeldMemory, ByteBudget), derived from the memory of the machine; chunks are copied into blocks that are used again; a pacer bounds parsing per turn and takes connections in turn; a guard bounds connections, bodies in time and unread responses; bodies of calls between hosts are read within the sum.

--- a/src/contracts/events/forwarding-events.ts
+++ b/src/contracts/events/forwarding-events.ts
@@ -469,6 +469,13 @@
 		description:
 			'A request with a large body was refused as not run, because the bodies of all requests that this host holds exceed their share of machine.memoryMegabytes. The field heldBytes is the sum, omittedLines the number of such requests since the last line. Look for callers that send bodies slowly or wait long for their answers.',
 	},
+	clientClosed: {
+		number: 7092,
+		name: 'client-closed',
+		level: 'warn',
+		description:
+			'The connection of a client was closed for a limit of `clients` in the settings. The field reason names it: connections (there are as many as allowed), memory (what is held for all clients exceeds heldMegabytes), slow-body (a body took longer than bodySeconds or came slower than bytesPerSecond; callers get 408) or unread (nothing of a response was read for unreadSeconds, or for 3 s while others need the memory). The field listener is callers or peers, connections the number of open ones, heldBytes the sum, omittedLines the number of lines that were left out. Look for clients that do not behave; raise the limit if they do.',
+	},
 	logLinesDropped: {
 		number: 7060,
 		name: 'log-lines-dropped',
--- a/src/core/limits/byte-budget.ts
+++ b/src/core/limits/byte-budget.ts
@@ -11,13 +11,17 @@
 
 	/** False when a body of this size would be refused at present. */
 	admits(bytes: number): boolean {
-		return bytes <= smallBodyBytes || this.budget.admits(bytes);
+		return bytes <= smallBodyBytes
+			? this.budget.admitsSmall(bytes)
+			: this.budget.admits(bytes);
 	}
 
 	/** Counts the next bytes of the body as held, unless it is large and they exceed the budget. */
 	tryTake(bytes: number): boolean {
 		if (this.bytes + bytes <= smallBodyBytes) {
-			this.budget.take(bytes);
+			if (!this.budget.tryTakeSmall(bytes)) {
+				return false;
+			}
 		} else if (!this.budget.tryTake(bytes)) {
 			return false;
 		}
@@ -33,13 +37,24 @@
 	}
 }
 
+/** How a budget is part of a sum. */
+export type BudgetPart = {
+	/** The budget of the sum, in which the bytes of this one count too. */
+	readonly total: ByteBudget;
+	/** True when small bodies are refused that exceed the sum. */
+	readonly mayRefuseSmall: boolean;
+};
+
 /** Limits the bytes that a process holds at once for the bodies of requests or answers, so that many of them do not exceed its memory. */
 export class ByteBudget {
 	/** Bytes were refused. */
 	readonly refused = new TypedEvent<void>();
 	private held = 0;
 
-	constructor(private readonly limit: number) {}
+	constructor(
+		private readonly limit: number,
+		private readonly part?: BudgetPart,
+	) {}
 
 	/** Bytes that are held at the moment. */
 	get heldBytes(): number {
@@ -53,7 +68,17 @@
 
 	/** False, and the refusal is published, when so many bytes exceed the limit together with those that are held. */
 	admits(bytes: number): boolean {
-		if (this.held + bytes > this.limit) {
+		if (this.held + bytes > this.limit || !this.admitsInTotal(bytes)) {
+			this.refused.publish();
+			return false;
+		}
+
+		return true;
+	}
+
+	/** The same for a body that only the sum limits. */
+	admitsSmall(bytes: number): boolean {
+		if (this.part?.mayRefuseSmall === true && !this.admitsInTotal(bytes)) {
 			this.refused.publish();
 			return false;
 		}
@@ -67,17 +92,33 @@
 			return false;
 		}
 
-		this.held += bytes;
+		this.take(bytes);
+		return true;
+	}
+
+	/** Counts the bytes of a small body as held, unless they exceed the sum. */
+	tryTakeSmall(bytes: number): boolean {
+		if (!this.admitsSmall(bytes)) {
+			return false;
+		}
+
+		this.take(bytes);
 		return true;
 	}
 
 	/** Counts bytes as held that cannot be refused any more. */
 	take(bytes: number): void {
 		this.held += bytes;
+		this.part?.total.take(bytes);
 	}
 
 	/** Counts bytes as held no more. */
 	release(bytes: number): void {
 		this.held -= bytes;
+		this.part?.total.release(bytes);
+	}
+
+	private admitsInTotal(bytes: number): boolean {
+		return this.part?.total.admits(bytes) ?? true;
 	}
 }
--- a/src/program/forwarding-root.ts
+++ b/src/program/forwarding-root.ts
@@ -10,12 +10,14 @@
 	Disposable,
 	DisposableStore,
 } from '../base/common/disposable.js';
-import {
-	type EventLogger,
-	type LogEventDefinition,
-} from '../base/common/event-logger.js';
+import {type EventLogger} from '../base/common/event-logger.js';
 import {SeededRandomSource} from '../base/common/random-source.js';
 import {listenOn, type ListenError} from '../base/node/listen.js';
+import {
+	boundGarbage,
+	descriptorLimit,
+	machineMemoryBytes,
+} from '../base/node/machine-resources.js';
 import {type EndedConnection} from '../base/node/served-connections.js';
 import {PolledQueue} from '../base/node/polled-queue.js';
 import {SystemClock} from '../base/node/system-clock.js';
@@ -23,9 +25,8 @@
 import {forwardingEvents} from '../contracts/events/forwarding-events.js';
 import {type TargetListChange} from '../contracts/listed-target.js';
 import {type DocumentChange} from '../contracts/shared-store.js';
-import {ByteBudget} from '../core/limits/byte-budget.js';
+import {clientLimits} from '../core/limits/client-limits.js';
 import {CrashCorrelation} from '../core/crashes/crash-correlation.js';
-import {LogLimiter} from '../core/limits/log-limiter.js';
 import {NamedRateLimits} from '../core/limits/named-rate-limits.js';
 import {OwnerLease} from '../core/leases/owner-lease.js';
 import {PeerSelection} from '../core/routing/peer-selection.js';
@@ -53,7 +54,9 @@
 import {
 	addPeerRoutes,
 	isForwardCall,
+	limitCallBody,
 } from '../services/forwarding/peers/peer-routes.js';
+import {HeldMemory} from '../services/forwarding/limits/held-memory.js';
 import {PermitClient} from '../services/forwarding/limits/permit-client.js';
 import {PlacementOwner} from '../services/forwarding/owner/placement-owner.js';
 import {ReachabilityProber} from '../services/forwarding/targets/reachability-prober.js';
@@ -143,12 +146,8 @@
 const maximumClaimDelayMilliseconds = 1000;
 
 const bytesPerMegabyte = 1_000_000;
-/** Share of the memory of the machine for the bodies of answers. A process without requests takes about a third of a small machine, and each body is held up to twice. */
-const answerMemoryShare = 0.2;
-/** Share of the memory of the machine for the bodies of requests, which are refused as not run without a loss at a target. */
-const requestMemoryShare = 0.1;
-/** Time between log lines about bodies that exceed the memory. */
-const memoryLogIntervalMilliseconds = 10_000;
+/** Share of the memory of the operating system that a host without `machine.memoryMegabytes` uses, because other processes use it too. */
+const defaultMemoryShare = 0.25;
 
 /** A host that forwards the requests of callers to listed targets, as the operators’ document says. */
 export class ForwardingHost extends Disposable {
@@ -161,6 +160,7 @@
 	private readonly output: BoundedOutput;
 	private readonly registry: TargetRegistry;
 	private readonly service: ForwardingService;
+	private readonly memory: HeldMemory;
 	private readonly server: ForwardingServer;
 	private readonly owner: PlacementOwner;
 	private readonly view: FleetView;
@@ -314,16 +314,24 @@
 		client.generationChanged.subscribe(() => {
 			this.streamRecorder.handleRestore();
 		});
-		const answerBudget = this.createBudget({
-			memoryShare: answerMemoryShare,
-			metric: 'daisylever_answers_over_memory_total',
-			event: forwardingEvents.answersExceedMemory,
-		});
-		const requestBudget = this.createBudget({
-			memoryShare: requestMemoryShare,
-			metric: 'daisylever_requests_over_memory_total',
-			event: forwardingEvents.requestsExceedMemory,
-		});
+		if (settings.machine.memoryMegabytes) {
+			boundGarbage();
+		}
+
+		const memory = components.add(
+			new HeldMemory({
+				clock,
+				events,
+				metrics,
+				limits: clientLimits(settings.clients, {
+					memoryBytes: settings.machine.memoryMegabytes
+						? settings.machine.memoryMegabytes * bytesPerMegabyte
+						: machineMemoryBytes() * defaultMemoryShare,
+					descriptors: descriptorLimit(),
+				}),
+			}),
+		);
+		this.memory = memory;
 		this.reportServer = components.add(
 			new ReportServer({
 				host,
@@ -364,10 +372,16 @@
 						serve: (request) => {
 							this.service.handlePeerRequest(request);
 						},
-						requestBudget,
-						answerBudget,
+						requestBudget: memory.requests,
+						answerBudget: memory.answers,
 					});
 				},
+				guard(server, connections) {
+					memory.guardPeers(server, connections);
+				},
+				limitBody(message, response) {
+					limitCallBody(message, response, memory.requests);
+				},
 			}),
 		);
 		const peerAddress = `${listen.peers.address}:${listen.peers.port}`;
@@ -395,7 +409,7 @@
 			polls,
 			mayRelyOnKeys: () => this.mayRelyOnKeys(),
 			targetListAge: () => this.targets.ageMilliseconds,
-			budget: answerBudget,
+			budget: memory.answers,
 			peers: components.add(
 				new PeerForwarder({
 					host,
@@ -419,7 +433,11 @@
 		components.addCallback(() => {
 			service.dispose();
 		});
-		this.server = components.add(new ForwardingServer(service, requestBudget));
+		this.server = components.add(
+			new ForwardingServer(service, memory.requests, (server, connections) => {
+				memory.guardCallers(server, connections);
+			}),
+		);
 		const {processorShare} = settings.machine;
 		this.reportClient = components.add(
 			new ReportClient({
@@ -774,40 +792,6 @@
 		);
 	}
 
-	/** Limits the bodies that are held at once, and logs when some exceed the limit. */
-	private createBudget({
-		memoryShare,
-		metric,
-		event,
-	}: {
-		readonly memoryShare: number;
-		readonly metric: string;
-		readonly event: LogEventDefinition;
-	}): ByteBudget {
-		const {memoryMegabytes} = this.settings.machine;
-		const budget = new ByteBudget(
-			memoryMegabytes
-				? memoryMegabytes * bytesPerMegabyte * memoryShare
-				: Number.POSITIVE_INFINITY,
-		);
-		const log = new LogLimiter({
-			clock: this.clock,
-			intervalMilliseconds: memoryLogIntervalMilliseconds,
-			maximumLines: 1,
-		});
-		budget.refused.subscribe(() => {
-			this.metrics.count(metric);
-			const omittedLines = log.admit(event.name);
-			if (omittedLines !== undefined) {
-				this.events.record(event, {
-					heldBytes: budget.heldBytes,
-					omittedLines,
-				});
-			}
-		});
-		return budget;
-	}
-
 	private connectComponents(): void {
 		const {registry, service, owner, events} = this;
 		this.documents.changed.subscribe(({changes}) => {
@@ -1007,6 +991,7 @@
 	}
 
 	private updateGauges(): void {
+		this.memory.updateGauges();
 		this.metrics.gauge('daisylever_open_requests', this.service.openRequests);
 		this.metrics.gauge(
 			'daisylever_log_lines_dropped',
--- a/src/program/forwarding-settings.ts
+++ b/src/program/forwarding-settings.ts
@@ -47,7 +47,7 @@
 		.strictObject({
 			/** Processor cores of this machine that the host may use. Relays and the owner are chosen among the strongest machines. */
 			processorShare: z.number().positive().default(1),
-			/** Memory that the process may use. The bodies of answers are not limited if it is absent, null or 0. */
+			/** Memory that the process may use. A quarter of that of the operating system if it is absent, null or 0. */
 			memoryMegabytes: z.number().nonnegative().nullish(),
 		})
 		.prefault({}),
@@ -78,6 +78,25 @@
 			slackUnits: z.number().nonnegative().nullish(),
 		})
 		.prefault({}),
+	/** Limits for clients that the operators do not control. No client within the limits of the document reaches the defaults. */
+	clients: z
+		.strictObject({
+			/** Open connections of callers. Follows from the memory and the file descriptors if it is absent. */
+			connections: z.number().int().positive().nullish(),
+			/** Open connections of other hosts. Follows from the memory and the file descriptors if it is absent. */
+			peerConnections: z.number().int().positive().nullish(),
+			/** Sum of all that is held for callers, other hosts and targets. Follows from the memory of the machine if it is absent. */
+			heldMegabytes: z.number().positive().nullish(),
+			/** Requests on one connection that were read and have no whole response. No more are read until one has ended. */
+			requestsPerConnection: z.number().int().positive().default(4),
+			/** Time for the end of a body. */
+			bodySeconds: z.number().positive().default(60),
+			/** Lowest mean rate of a body after its first 20 s. */
+			bytesPerSecond: z.number().nonnegative().default(256),
+			/** Time in which a client must read some of a response. */
+			unreadSeconds: z.number().positive().default(30),
+		})
+		.prefault({}),
 	/** Longest time from the first SIGTERM to the end of the process. */
 	stopSeconds: z.number().positive(),
 	log: logSettingsSchema.prefault({}),
--- a/src/services/forwarding/attempts/forward-attempt.ts
+++ b/src/services/forwarding/attempts/forward-attempt.ts
@@ -1,4 +1,5 @@
 import {type Dispatcher} from 'undici';
+import {BodyBuffer} from '../../../base/node/body-buffer.js';
 import {ExpiryTimer} from '../../../base/node/expiry-timer.js';
 import {type RequestId, type TargetId} from '../../../contracts/ids.js';
 import {
@@ -81,6 +82,9 @@
 	readonly connections: Pick<TargetConnections, 'isConnectionFailing'>;
 };
 
+/** Largest status code of HTTP. The HTTP client rejects statuses without three digits, and those below 100. */
+export const maximumStatus = 599;
+
 /** Sends one request over one connection to a target. It reports one outcome and ignores everything after it. */
 export class ForwardAttempt implements Dispatcher.DispatchHandler {
 	private controller: Dispatcher.DispatchController | undefined;
@@ -89,8 +93,7 @@
 	private isStreaming = false;
 	private isStalled = false;
 	private response: ResponseMetadata | undefined;
-	private readonly chunks: Buffer[] = [];
-	private bodyBytes = 0;
+	private readonly body = new BodyBuffer();
 	/** The part of the budget that the body of the answer has taken. */
 	private readonly held: HeldBody | undefined;
 	private readonly inactivityTimer: ExpiryTimer | undefined;
@@ -180,6 +183,12 @@
 			return;
 		}
 
+		if (status > maximumStatus) {
+			// Nothing that comes with such a status can be relied on, not even the statement that the request has not run.
+			this.fail(`the status ${status} is none of HTTP`, true);
+			return;
+		}
+
 		const {codec, request, listener, onResponseMetadata, isStream, target} =
 			this.options;
 		const response = codec.decodeResponse(status, headers);
@@ -234,8 +243,7 @@
 		}
 
 		this.restartInactivityTimer();
-		this.bodyBytes += chunk.length;
-		if (this.bodyBytes > this.options.maximumBodyBytes) {
+		if (this.body.length + chunk.length > this.options.maximumBodyBytes) {
 			this.fail('the response body exceeds the size limit', true);
 			return;
 		}
@@ -248,7 +256,7 @@
 			return;
 		}
 
-		this.chunks.push(chunk);
+		this.body.append(chunk);
 	}
 
 	onResponseEnd(): void {
@@ -264,7 +272,7 @@
 			return;
 		}
 
-		const body = Buffer.concat(this.chunks);
+		const body = this.body.take();
 		this.finish();
 		if (this.isStreaming) {
 			this.options.listener.onStreamEnd();
@@ -356,7 +364,7 @@
 
 	private finish(): void {
 		this.isDone = true;
-		this.chunks.length = 0;
+		this.body.clear();
 		this.held?.release();
 		this.inactivityTimer?.stop();
 	}
--- a/src/services/forwarding/forwarding-server.ts
+++ b/src/services/forwarding/forwarding-server.ts
@@ -10,6 +10,7 @@
 import {type Result} from 'neverthrow';
 import {Disposable} from '../../base/common/disposable.js';
 import {ServedConnections} from '../../base/node/served-connections.js';
+import {BodyBuffer} from '../../base/node/body-buffer.js';
 import {SystemClock} from '../../base/node/system-clock.js';
 import {
 	listenOn,
@@ -55,8 +56,6 @@
 const maximumHeaderBytes = 131_072;
 /** Interval at which connections are checked for the header timeout. */
 const connectionCheckIntervalMilliseconds = 500;
-/** Concurrent connections of callers. Less than the limit of file descriptors of a small machine. */
-const maximumConnections = 3000;
 
 /** HTTP server for callers. It enforces the limits of the document on headers, bodies and connections. */
 export class ForwardingServer extends Disposable {
@@ -79,6 +78,8 @@
 		private readonly handler: ReceivedRequestHandler,
 		/** Limit for the bodies of all requests that are held at once. No limit if absent. */
 		private readonly budget?: ByteBudget,
+		/** Limits what the connections may cost. */
+		guard?: (server: Server, connections: ServedConnections) => void,
 	) {
 		super();
 		const app = new Hono<{Bindings: HttpBindings}>();
@@ -115,7 +116,7 @@
 		this.server.on('connection', (socket: Socket) => {
 			this.connections.add(socket);
 		});
-		this.server.maxConnections = maximumConnections;
+		guard?.(this.server, this.connections);
 		this.server.requestTimeout = 0;
 		this.applyLimits(this.limits);
 	}
@@ -207,7 +208,7 @@
 			return;
 		}
 
-		const chunks: Buffer[] = [];
+		const received = new BodyBuffer();
 		let size = 0;
 		let isRejected = false;
 		const endIncomplete = () => {
@@ -236,22 +237,22 @@
 			}
 
 			if (isRejected) {
-				chunks.length = 0;
+				received.clear();
 			} else {
-				chunks.push(chunk);
+				received.append(chunk);
 			}
 		});
 		message.on('end', () => {
 			this.incomplete.delete(endIncomplete);
 			if (!isRejected) {
-				// The listeners outlive the request's body, so the chunks are released here.
-				const body = Buffer.concat(chunks.splice(0));
-				this.handler.handle({message, response, body});
+				// The listeners outlive the request's body, so the buffer is emptied here.
+				this.handler.handle({message, response, body: received.take()});
 			}
 		});
 		message.on('error', () => {
 			// The connection failed before the request was complete, so there is no caller to respond to.
 			isRejected = true;
+			received.clear();
 		});
 	}
 }
--- /dev/null
+++ b/src/services/forwarding/limits/connection-guard.ts
@@ -0,0 +1,299 @@
+import {
+	type IncomingMessage,
+	type Server,
+	type ServerResponse,
+} from 'node:http';
+import {type Socket} from 'node:net';
+import {type Clock} from '../../../base/common/clock.js';
+import {Disposable} from '../../../base/common/disposable.js';
+import {TypedEvent} from '../../../base/common/typed-event.js';
+import {type ReadPacer} from '../../../base/node/read-pacer.js';
+import {type ByteBudget} from '../../../core/limits/byte-budget.js';
+import {
+	connectionBytes,
+	isBodyTooSlow,
+	type ClientLimits,
+} from '../../../core/limits/client-limits.js';
+
+/** Why the guard closed a connection. */
+export type GuardReason =
+	/** There are as many connections as the host may have. */
+	| 'connections'
+	/** What the host holds for all clients exceeds its memory. */
+	| 'memory'
+	/** The end of a body did not arrive in time, or its bytes arrive too slowly. */
+	| 'slow-body'
+	/** The client does not read a response. */
+	| 'unread';
+
+/** Options of a guard. */
+export type ConnectionGuardOptions = {
+	readonly server: Server;
+	readonly clock: Clock;
+	readonly pacer: ReadPacer;
+	readonly limits: ClientLimits;
+	/** Connections that may be open at once. */
+	readonly maximumConnections: number;
+	/** The sum of all that is held. */
+	readonly total: ByteBudget;
+	/** True for a connection that can carry no more responses. What its client still sends is not parsed. */
+	readonly isEnding: (socket: Socket) => boolean;
+	/** Responds to a request whose body is too slow, if there is a true response. */
+	readonly endSlowBody: (response: ServerResponse) => void;
+};
+
+/** What is known of a connection. */
+type GuardedConnection = {
+	readonly socket: Socket;
+	/** Responses to requests that were read. */
+	readonly answering: Set<ServerResponse>;
+	/** The request whose body is arriving. */
+	arriving: {response: ServerResponse; startedAt: number} | undefined;
+	/** Time since which the client owes the end of a head or body. */
+	owingSince: number;
+	hasSentRequest: boolean;
+	/** Bytes received since the last head. */
+	receivedBytes: number;
+	/** Bytes received and not parsed. */
+	waitingBytes: number;
+	/** Bytes of the head that is arriving. */
+	headBytes: number;
+	/** What waited to be sent when the client was last seen to read. */
+	unsent: string;
+	readAt: number;
+};
+
+const checkIntervalMilliseconds = 500;
+/** Time without reading from which a client may be closed for the sake of others. */
+const deafMilliseconds = 3000;
+/** Time in which a client that has just connected sends its request, also while the host is busy. */
+const newMilliseconds = 500;
+
+/**
+ * Bounds what the clients of an HTTP server cost: connections, bytes that are held, time for bodies, time without reading
+ * and requests that one connection has open. When there are too many connections, or too many bytes are held, it closes
+ * the client that has owed the end of a request for the longest time. A request that was read keeps its connection, as
+ * long as its client reads the response.
+ */
+export class ConnectionGuard extends Disposable {
+	/** The guard has closed a connection. */
+	readonly closed = new TypedEvent<GuardReason>();
+	private readonly connections = new Map<Socket, GuardedConnection>();
+	private readonly timer: NodeJS.Timeout;
+
+	constructor(private readonly options: ConnectionGuardOptions) {
+		super();
+		const {server, maximumConnections} = options;
+		// The new connection that is one too many takes the place of another one.
+		server.maxConnections = maximumConnections + 1;
+		server.on('connection', (socket: Socket) => {
+			this.add(socket);
+		});
+		server.prependListener('request', (message, response) => {
+			this.addRequest(message, response);
+		});
+		this.timer = setInterval(() => {
+			this.check();
+		}, checkIntervalMilliseconds);
+		this.timer.unref();
+	}
+
+	/** Number of open connections. */
+	get openConnections(): number {
+		return this.connections.size;
+	}
+
+	/** Closes the client that has not read for the longest time, so that others can have the memory. */
+	closeDeaf(): void {
+		const now = this.options.clock.monotonic();
+		const candidates = [...this.connections.values()].filter(
+			(connection) => this.deafTime(connection, now) >= deafMilliseconds,
+		);
+		const [first] = candidates.sort((a, b) => a.readAt - b.readAt);
+		if (first) {
+			this.close(first, 'unread');
+		}
+	}
+
+	dispose(): void {
+		clearInterval(this.timer);
+	}
+
+	private add(socket: Socket): void {
+		const {clock, pacer, limits, total, maximumConnections} = this.options;
+		const now = clock.monotonic();
+		const connection: GuardedConnection = {
+			socket,
+			answering: new Set(),
+			arriving: undefined,
+			owingSince: now,
+			hasSentRequest: false,
+			receivedBytes: 0,
+			waitingBytes: 0,
+			headBytes: 0,
+			unsent: '',
+			readAt: now,
+		};
+		if (this.connections.size >= maximumConnections) {
+			this.makeRoom('connections', connection);
+		}
+
+		if (!total.tryTake(connectionBytes)) {
+			this.makeRoom('memory', connection);
+			total.take(connectionBytes);
+		}
+
+		this.connections.set(socket, connection);
+		socket.once('close', () => {
+			this.connections.delete(socket);
+			total.release(connectionBytes + connection.headBytes);
+		});
+		pacer.add({
+			socket,
+			isBodyArriving: () => connection.arriving !== undefined,
+			isDiscarded: () => this.options.isEnding(socket),
+			mayParse: () => connection.answering.size < limits.requestsPerConnection,
+			onReceived(bytes) {
+				connection.waitingBytes += bytes;
+				connection.receivedBytes += bytes;
+				total.take(bytes);
+			},
+			onTaken: (bytes) => {
+				connection.waitingBytes -= bytes;
+				total.release(bytes);
+				this.countHead(connection, bytes);
+			},
+		});
+	}
+
+	/** Counts what the parser keeps of a head until it is complete. */
+	private countHead(connection: GuardedConnection, bytes: number): void {
+		if (connection.arriving ?? connection.socket.destroyed) {
+			return;
+		}
+
+		const {total} = this.options;
+		connection.headBytes += bytes;
+		if (!total.tryTake(bytes)) {
+			total.take(bytes);
+			this.makeRoom('memory', connection);
+		}
+	}
+
+	private addRequest(message: IncomingMessage, response: ServerResponse): void {
+		const connection = this.connections.get(message.socket);
+		if (!connection) {
+			return;
+		}
+
+		const {clock, pacer, total} = this.options;
+		const {headBytes} = connection;
+		connection.headBytes = 0;
+		connection.receivedBytes = 0;
+		connection.arriving = {response, startedAt: clock.monotonic()};
+		connection.hasSentRequest = true;
+		message.once('end', () => {
+			connection.arriving = undefined;
+			if (!response.closed) {
+				connection.answering.add(response);
+			}
+		});
+		response.once('close', () => {
+			total.release(headBytes);
+			connection.answering.delete(response);
+			if (connection.arriving?.response === response) {
+				connection.arriving = undefined;
+			}
+
+			connection.owingSince = clock.monotonic();
+			pacer.resume(message.socket);
+		});
+	}
+
+	/** Closes the client with the highest rank, or else the new one. */
+	private makeRoom(reason: GuardReason, newest: GuardedConnection): void {
+		const now = this.options.clock.monotonic();
+		let chosen: GuardedConnection | undefined;
+		let chosenRank = 0;
+		for (const connection of this.connections.values()) {
+			const rank = this.rank(connection, now);
+			if (
+				!connection.socket.destroyed &&
+				rank > 0 &&
+				(rank > chosenRank ||
+					(rank === chosenRank && connection.owingSince < chosen!.owingSince))
+			) {
+				chosen = connection;
+				chosenRank = rank;
+			}
+		}
+
+		this.close(chosen ?? newest, reason);
+	}
+
+	/**
+	 * Higher for clients that are closed first: those that owe the end of a request, those with several open requests or
+	 * without any reading, idle ones, and new ones, whose request may be about to be read. 0 for those whose only request
+	 * is being served.
+	 */
+	private rank(connection: GuardedConnection, now: number): number {
+		const {answering, arriving, hasSentRequest, headBytes} = connection;
+		if (answering.size > 0) {
+			return answering.size > 1 ||
+				this.deafTime(connection, now) >= deafMilliseconds
+				? 3
+				: 0;
+		}
+
+		if (arriving !== undefined || !hasSentRequest || headBytes > 0) {
+			return now - connection.owingSince >= newMilliseconds ? 4 : 1;
+		}
+
+		return 2;
+	}
+
+	/** Time for which a client has had a response to read and has read nothing of it. */
+	private deafTime(connection: GuardedConnection, now: number): number {
+		const {socket} = connection;
+		const unsent = unsentOf(socket);
+		if (socket.writableLength === 0 || unsent !== connection.unsent) {
+			connection.unsent = unsent;
+			connection.readAt = now;
+		}
+
+		return now - connection.readAt;
+	}
+
+	private check(): void {
+		const {clock, limits, endSlowBody} = this.options;
+		const now = clock.monotonic();
+		for (const connection of this.connections.values()) {
+			const {arriving, receivedBytes, waitingBytes} = connection;
+			if (this.deafTime(connection, now) > limits.unreadMilliseconds) {
+				this.close(connection, 'unread');
+			} else if (
+				arriving &&
+				// What this host has not parsed is not the fault of the client.
+				waitingBytes === 0 &&
+				isBodyTooSlow(limits, receivedBytes, now - arriving.startedAt)
+			) {
+				connection.arriving = undefined;
+				this.closed.publish('slow-body');
+				endSlowBody(arriving.response);
+			}
+		}
+	}
+
+	private close(connection: GuardedConnection, reason: GuardReason): void {
+		connection.socket.destroy();
+		this.closed.publish(reason);
+	}
+}
+
+/** Changes whenever the client takes bytes, also while one large write is under way, which only the queue of the handle shows. */
+function unsentOf(socket: Socket): string {
+	const {_handle: handle} = socket as Socket & {
+		readonly _handle?: {readonly writeQueueSize?: number} | null;
+	};
+	return `${socket.bytesWritten - socket.writableLength} ${handle?.writeQueueSize ?? 0}`;
+}
--- a/src/services/forwarding/peers/peer-call.ts
+++ b/src/services/forwarding/peers/peer-call.ts
@@ -1,6 +1,7 @@
 import {validateHeaderName, validateHeaderValue} from 'node:http';
 import {type MessageInitShape} from '@bufbuild/protobuf';
 import {Code, ConnectError, type Client} from '@connectrpc/connect';
+import {BodyBuffer} from '../../../base/node/body-buffer.js';
 import {ExpiryTimer} from '../../../base/node/expiry-timer.js';
 import {type SoftwareVersion} from '../../../contracts/ids.js';
 import {type ResponseMetadata} from '../../../contracts/request-codec.js';
@@ -17,6 +18,7 @@
 	type Head,
 	type PeerForwardingService,
 } from '../../../generated/daisylever/forwarding/v1/forwarding_pb.js';
+import {maximumStatus} from '../attempts/forward-attempt.js';
 import {type ForwardedRequest} from '../attempts/forwarded-request.js';
 import {isConnectFailure} from './peer-connections.js';
 
@@ -69,8 +71,7 @@
 		this.handleSilence();
 	});
 
-	private readonly chunks: Uint8Array[] = [];
-	private bodyBytes = 0;
+	private readonly body = new BodyBuffer();
 	private readonly splitter = new EventStreamSplitter();
 	private head: Head | undefined;
 	private outcome: PeerCallOutcome | undefined;
@@ -99,7 +100,7 @@
 		}
 
 		this.silence.stop();
-		this.chunks.length = 0;
+		this.body.clear();
 		this.held?.release();
 		return (
 			this.outcome ?? {
@@ -189,8 +190,7 @@
 	private async handleData({bytes, softwareVersion}: Data): Promise<void> {
 		const {request, onStreamStart} = this.options;
 		if (!this.head?.isStream) {
-			this.bodyBytes += bytes.length;
-			if (this.bodyBytes > this.options.maximumBodyBytes) {
+			if (this.body.length + bytes.length > this.options.maximumBodyBytes) {
 				this.end({kind: 'lost', reason: 'the body exceeds the size limit'});
 				return;
 			}
@@ -204,7 +204,7 @@
 				return;
 			}
 
-			this.chunks.push(bytes);
+			this.body.append(bytes);
 			return;
 		}
 
@@ -260,10 +260,7 @@
 				isSuspect: false,
 			};
 		} else if (!this.head.isStream) {
-			request.forwardResponse(
-				toMetadata(this.head),
-				Buffer.concat(this.chunks.splice(0)),
-			);
+			request.forwardResponse(toMetadata(this.head), this.body.take());
 		} else if (this.splitter.remainder.length > 0) {
 			this.outcome = {
 				kind: 'lost',
@@ -275,9 +272,9 @@
 	}
 }
 
-/** True when Node.js accepts the head of a final response. It throws for any other. */
+/** True for the head of a final response that may be sent. Node.js throws for malformed headers. */
 function canSendHead({status, headers}: Head): boolean {
-	if (status < 200 || status > 999 || headers.length % 2 !== 0) {
+	if (status < 200 || status > maximumStatus || headers.length % 2 !== 0) {
 		return false;
 	}
 
--- a/src/services/forwarding/peers/peer-routes.ts
+++ b/src/services/forwarding/peers/peer-routes.ts
@@ -1,4 +1,4 @@
-import {type IncomingMessage} from 'node:http';
+import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {type ConnectRouter} from '@connectrpc/connect';
 import {type Clock} from '../../../base/common/clock.js';
 import {type ByteBudget} from '../../../core/limits/byte-budget.js';
@@ -12,6 +12,7 @@
 	type ForwardRequest,
 } from '../../../generated/daisylever/forwarding/v1/forwarding_pb.js';
 import {type PeerRequest} from '../attempts/arrived-request.js';
+import {gatherBody} from './gathered-body.js';
 import {PeerResponse} from './peer-response.js';
 
 /** Collaborators of the routes for other hosts. */
@@ -34,6 +35,29 @@
 	return url.startsWith(`/${PeerForwardingService.typeName}/`);
 }
 
+/** Limits the body of a call of another host while it arrives. A request whose body is refused has not run. */
+export function limitCallBody(
+	message: IncomingMessage,
+	response: ServerResponse,
+	requestBudget: ByteBudget,
+): void {
+	const held = requestBudget.hold();
+	response.once('close', () => {
+		held.release();
+	});
+	gatherBody(message, {
+		held,
+		refuse() {
+			// The calling host, also of an older build, takes 404 for a host that does not know the call: the request has not run.
+			response.writeHead(isForwardCall(message) ? 404 : 503, {
+				'Content-Length': '0',
+				Connection: 'close',
+			});
+			response.end();
+		},
+	});
+}
+
 /** Adds the call by which other hosts forward requests to this one. */
 export function addPeerRoutes(
 	router: ConnectRouter,
--- a/src/services/forwarding/reports/report-server.ts
+++ b/src/services/forwarding/reports/report-server.ts
@@ -1,4 +1,9 @@
-import {createServer, type IncomingMessage, type Server} from 'node:http';
+import {
+	createServer,
+	type IncomingMessage,
+	type Server,
+	type ServerResponse,
+} from 'node:http';
 import {type ConnectRouter} from '@connectrpc/connect';
 import {connectNodeAdapter} from '@connectrpc/connect-node';
 import {type Result} from 'neverthrow';
@@ -35,6 +40,7 @@
 	type FindStreamRequest,
 	type ReportRequest,
 } from '../../../generated/daisylever/owner/v1/owner_pb.js';
+import {maximumCallBytes} from '../peers/gathered-body.js';
 import {type CrashObserver} from '../targets/crash-observer.js';
 import {type PlacementOwner} from '../owner/placement-owner.js';
 import {type StreamOriginSharing} from '../state/stream-origin-sharing.js';
@@ -113,6 +119,13 @@
 	readonly addRoutes?: (router: ConnectRouter) => void;
 	/** True for calls of these whose responses must have arrived before the process ends. */
 	readonly mustArrive?: (message: IncomingMessage) => boolean;
+	/** Limits what the connections may cost. */
+	readonly guard?: (server: Server, connections: ServedConnections) => void;
+	/** Limits the body of a call. Its memory is that of the bodies of requests. */
+	readonly limitBody?: (
+		message: IncomingMessage,
+		response: ServerResponse,
+	) => void;
 };
 
 type Waiter = {readonly isUrgent: boolean; readonly wake: () => void};
@@ -153,6 +166,7 @@
 		this.connections = new ServedConnections(clock);
 		this.server = createServer(
 			connectNodeAdapter({
+				readMaxBytes: maximumCallBytes,
 				routes: (router) => {
 					router.service(OwnerService, {
 						report: async (request) => this.report(request),
@@ -173,6 +187,11 @@
 				options.mustArrive?.(message) ?? false,
 			);
 		});
+		// The calls begin to read their bodies after this listener.
+		this.server.prependListener('request', (message, response) => {
+			options.limitBody?.(message, response);
+		});
+		options.guard?.(this.server, this.connections);
 		view.changed.subscribe((urgency) => {
 			this.scheduleWake(
 				urgency === 'prompt' || this.waiters.size <= maximumPromptWaiters,
