--- a/src/contracts/events/forwarding-events.ts
+++ b/src/contracts/events/forwarding-events.ts
@@ -483,6 +483,13 @@
 		description:
 			'A request was refused as not run (429) because its customer exceeds its quota. With the reason quota, the owner admits only admittedShare of what arrives; usedShare is the use of all hosts as a share of the quota, ageMilliseconds the time since the owner computed both. With quota-without-word, this host has heard nothing of the owner for that time, or nothing yet if the field is absent, and keeps to its part: look for events 7033 and 7035. One line for each customer and reason in ten seconds; omittedLines counts the others.',
 	},
+	clientClosed: {
+		number: 7093,
+		name: 'client-closed',
+		level: 'warn',
+		description:
+			'The connection of a client was closed for a limit of `clients` in the settings. The field reason names it: connections (there are as many as allowed), memory (what is held for all clients exceeds heldMegabytes), slow-body (a body took longer than bodySeconds or came slower than bytesPerSecond; callers get 408) or unread (nothing of a response was read for unreadSeconds, or for 3 s while others need the memory). The field listener is callers or peers, connections the number of open ones, heldBytes the sum, omittedLines the number of lines that were left out. Look for clients that do not behave; raise the limit if they do.',
+	},
 	logLinesDropped: {
 		number: 7060,
 		name: 'log-lines-dropped',
