Add a test of a host without processor time and its new connections

Cause: nothing shows that a host which says ready may take no new connection. Change: a process test runs a host for 6 of each 50 ms while 400 callers keep their connections and a new connection is opened every 110 ms.

--- /dev/null
+++ b/test/process/starved-host.test.ts
@@ -0,0 +1,182 @@
+import assert from 'node:assert/strict';
+import {connect, type Socket} from 'node:net';
+import {after, before, test} from 'node:test';
+import {setTimeout as delay} from 'node:timers/promises';
+import {
+	startForwardingHost,
+	type ForwardingTestHost,
+} from './forwarding-host.js';
+import {waitUntil} from './processes.js';
+import {callServed, ServedFleet, statusOf} from './served-fleet.js';
+
+/** Part of each period in which the host runs, as on a machine with 0.12 cores. */
+const pace = {runMilliseconds: 6, pauseMilliseconds: 44};
+/** Callers that keep their connections and send their next request at once. */
+const keptCallers = 400;
+const newConnectionIntervalMilliseconds = 110;
+const loadMilliseconds = 16_000;
+/** Time within which a host that says ready takes or refuses a new connection. */
+const takenMilliseconds = 4000;
+/** Share of the time for which a host may be not ready. */
+const maximumNotReadyShare = 1 / 8;
+
+/** A connection that was opened under load, and the time until the host sent something on it or closed it. */
+type Attempt = {readonly at: number; takenAfter: number};
+
+const fleet = new ServedFleet();
+let store = '';
+let lastRequest = 0;
+
+before(async () => {
+	store = await fleet.start();
+});
+
+after(() => {
+	fleet.stop();
+});
+
+function writeRequest(socket: Socket): void {
+	lastRequest++;
+	socket.write(
+		`GET /x/y HTTP/1.1\r\nHost: a.example\r\nRequest-Id: s-${lastRequest}\r\nDeadline-Ms: 5000\r\n\r\n`,
+	);
+}
+
+/** Lets the host run for a part of each period only. Returns a function that ends this. */
+function takeProcessor({process}: ForwardingTestHost): () => void {
+	let timer: NodeJS.Timeout;
+	const pause = () => {
+		process.signal('SIGSTOP');
+		timer = setTimeout(run, pace.pauseMilliseconds);
+	};
+
+	const run = () => {
+		process.signal('SIGCONT');
+		timer = setTimeout(pause, pace.runMilliseconds);
+	};
+
+	pause();
+	return () => {
+		clearTimeout(timer);
+		process.signal('SIGCONT');
+	};
+}
+
+/** A caller that repeats its request on one connection for as long as the host lets it, and comes back when a refusal says. */
+function keepCalling(port: number, signal: AbortSignal): void {
+	const socket = connect(port, '127.0.0.1', () => {
+		writeRequest(socket);
+	});
+	let pauseMilliseconds = 0;
+	socket.on('data', (data: Buffer) => {
+		const refusal = /^HTTP\/1.1 503[^]*?retry-after: ([\d.]+)/i.exec(
+			data.toString('latin1'),
+		);
+		pauseMilliseconds = Number(refusal?.[1] ?? 0) * 1000;
+		setTimeout(() => {
+			if (socket.writable) {
+				writeRequest(socket);
+			}
+		}, pauseMilliseconds);
+	});
+	socket.on('error', () => undefined);
+	socket.once('close', () => {
+		if (!signal.aborted) {
+			setTimeout(() => {
+				keepCalling(port, signal);
+			}, pauseMilliseconds + 10);
+		}
+	});
+	signal.addEventListener('abort', () => {
+		socket.destroy();
+	});
+}
+
+function openConnection(port: number): Attempt {
+	const attempt = {at: performance.now(), takenAfter: Number.POSITIVE_INFINITY};
+	const socket = connect(port, '127.0.0.1', () => {
+		writeRequest(socket);
+	});
+	const take = () => {
+		attempt.takenAfter = Math.min(
+			attempt.takenAfter,
+			performance.now() - attempt.at,
+		);
+		socket.destroy();
+	};
+
+	socket.once('data', take);
+	socket.once('close', take);
+	socket.on('error', () => undefined);
+	return attempt;
+}
+
+// Guards against a host that says ready while new connections wait in its backlog: Node.js accepts one connection a turn
+// of the event loop, and the work of open requests makes the turns long.
+test('a host without processor time takes or refuses each new connection while it says ready', async () => {
+	const host = await startForwardingHost('starved', {
+		store,
+		machine: {processorShare: 0.12},
+	});
+	const ended = new AbortController();
+	const attempts: Attempt[] = [];
+	const notReadyAt: number[] = [];
+	let readinessAnswers = 0;
+	const returnProcessor = await waitUntil(
+		'the host serves',
+		async () => (await callServed(host.ports.callers!)) === 200,
+	).then(() => takeProcessor(host));
+	try {
+		for (let each = 0; each < keptCallers; each++) {
+			keepCalling(host.ports.callers!, ended.signal);
+		}
+
+		const startedAt = performance.now();
+		const opening = setInterval(() => {
+			attempts.push(openConnection(host.ports.callers!));
+		}, newConnectionIntervalMilliseconds);
+		const asking = setInterval(async () => {
+			const askedAt = performance.now();
+			const status = await statusOf(host.ports.readiness!, '/ready');
+			readinessAnswers++;
+			if (status === 503) {
+				notReadyAt.push(askedAt);
+			}
+		}, 1000);
+		await delay(loadMilliseconds);
+		clearInterval(opening);
+		clearInterval(asking);
+		await delay(takenMilliseconds);
+		const untaken = attempts.filter(
+			({at, takenAfter}) =>
+				takenAfter > takenMilliseconds &&
+				!notReadyAt.some(
+					(notReady) =>
+						notReady > at - 1000 && notReady < at + takenMilliseconds,
+				),
+		);
+		const taken = attempts
+			.map(({takenAfter}) => takenAfter)
+			.sort((a, b) => a - b);
+		const summary = {
+			attempts: attempts.length,
+			untaken: untaken.length,
+			firstUntaken: Math.round((untaken[0]?.at ?? startedAt) - startedAt),
+			median: Math.round(taken[Math.floor(taken.length / 2)]!),
+			longest: Math.round(taken.at(-1)!),
+			readinessAnswers,
+			notReady: notReadyAt.length,
+		};
+		console.log(JSON.stringify(summary));
+		assert.ok(attempts.length > 50, JSON.stringify(summary));
+		assert.equal(untaken.length, 0, JSON.stringify(summary));
+		assert.ok(
+			notReadyAt.length <= (loadMilliseconds / 1000) * maximumNotReadyShare,
+			JSON.stringify(summary),
+		);
+	} finally {
+		returnProcessor();
+		ended.abort();
+		await host.process.kill();
+	}
+});
