--- a/src/services/forwarding/limits/host-intake.ts
+++ b/src/services/forwarding/limits/host-intake.ts
@@ -1,5 +1,6 @@
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {type Clock} from '../../../base/common/clock.js';
+import {type MetricRegistry} from '../../../base/common/metric-registry.js';
 import {type ForwardingDocument} from '../../../contracts/forwarding-document.js';
 import {type RequestCodec} from '../../../contracts/request-codec.js';
 import {AcceptPressure} from '../../../core/admission/accept-pressure.js';
@@ -24,6 +25,7 @@
 /** Collaborators of the intake. */
 export type HostIntakeOptions = {
 	readonly clock: Clock;
+	readonly metrics: MetricRegistry;
 	readonly policy: HostLoadPolicy;
 	readonly handler: () => RefusingRequestHandler;
 	readonly codec: RequestCodec;
@@ -38,13 +40,16 @@
 
 /** What decides when a request is handled. */
 type Rank = {
-	/** 0 is the most urgent. */
+	/** 0 is the most urgent, except for the rests of streams. */
 	readonly priority: number;
 	readonly objectiveMilliseconds: number;
-	/** True for the rest of a stream, which is never refused for the load of the host. */
-	readonly hasBegun: boolean;
 };
 
+/** The rest of a stream goes first and is never refused for the load of the host, because its caller has received the beginning. */
+const streamRestRank: Rank = {
+	priority: -1,
+	objectiveMilliseconds: Number.POSITIVE_INFINITY,
+};
 /** Time for which requests are handled in one turn of the event loop, in which the listener accepts one connection. */
 const sliceMilliseconds = 5;
 /** Requests that one turn starts at most. The later work of a request, its answer above all, takes ten times as long as its start. */
@@ -130,14 +135,7 @@
 			return;
 		}
 
-		const {priority, hasBegun, objectiveMilliseconds} = this.rank(
-			request.message,
-		);
-		if (hasBegun) {
-			this.start(request);
-			return;
-		}
-
+		const {priority, objectiveMilliseconds} = this.rank(request.message);
 		const entry = {
 			...request,
 			arrivedAt: request.arrivedAt ?? clock.monotonic(),
@@ -190,6 +188,7 @@
 
 	private refuse({message, response}: WaitingRequest): void {
 		this.refusals++;
+		this.options.metrics.count('daisylever_host_load_refusals_total');
 		this.options
 			.handler()
 			.refuseForLoad(
@@ -216,18 +215,19 @@
 		const objectiveMilliseconds =
 			route?.latencyObjectiveMilliseconds ?? policy.objectiveMilliseconds;
 		if (!route || metadata.isErr()) {
-			return {priority: 0, objectiveMilliseconds, hasBegun: false};
+			return {priority: 0, objectiveMilliseconds};
 		}
 
 		const {keyDigest, lastEventId} = metadata.value;
+		if (route.kind === 'stream' && lastEventId !== undefined) {
+			return streamRestRank;
+		}
+
 		const decision = this.keys.check(route, keyDigest);
+		const customer = decision.isAccepted ? decision.customer : undefined;
 		return {
-			priority: this.keys.rank(
-				route,
-				decision.isAccepted ? decision.customer : undefined,
-			).priority,
+			priority: this.keys.rank(route, customer).priority,
 			objectiveMilliseconds,
-			hasBegun: lastEventId !== undefined,
 		};
 	}
 
--- a/src/services/forwarding/limits/host-load-monitor.ts
+++ b/src/services/forwarding/limits/host-load-monitor.ts
@@ -153,14 +153,13 @@
 	}
 
 	private updateMetrics(): void {
-		const {metrics, policy, intake, readiness} = this.options;
+		const {metrics, policy, readiness} = this.options;
 		const {usedShare} = policy.measured;
 		metrics.gauge('daisylever_processor_used_share', usedShare);
 		metrics.gauge(
 			'daisylever_host_limit_requests_per_second',
 			policy.isLimited ? policy.limitPerSecond : 0,
 		);
-		metrics.gauge('daisylever_host_load_refusals', intake.refusedRequests);
 		metrics.gauge('daisylever_readiness_withdrawn', readiness.isReady ? 0 : 1);
 	}
 }
