Let the limit of a host's work follow its capacity, and describe host load

Change: the wait counts only while there is room; the limit rises by a quarter until its first decrease and by 5% of itself afterwards. The setting switches everything off. Relays pass on the load of usual hosts once a second.

--- a/src/core/admission/host-load-policy.ts
+++ b/src/core/admission/host-load-policy.ts
@@ -35,8 +35,10 @@
 	readonly minimumPart?: number;
 	/** Part of the above at which the limit begins at least: the rate before it may have been low because connections were accepted first. */
 	readonly initialPart?: number;
-	/** Part of the above that is added with each sample within the permitted delay. */
+	/** Part of the limit after the last decrease, or of the above if that is more, that is added with each sample in time. */
 	readonly increasePart?: number;
+	/** Factor of an increase until the first decrease: the rate at which the limit began says little of the capacity. */
+	readonly seekingFactor?: number;
 	/** Factor of a decrease. */
 	readonly decrease?: number;
 	/** Time of requests at the limit that may be handled at once. */
@@ -60,6 +62,8 @@
 	private lateSamples = 0;
 	private inTimeSince: number | undefined;
 	private mayDecrease = true;
+	/** Requests a second that an increase adds, undefined until the first decrease. */
+	private step: number | undefined;
 	private tokens = 0;
 	private tokensAt = 0;
 	/** Time up to which room was promised to refused requests. */
@@ -77,6 +81,7 @@
 			minimumPart: 0.2,
 			initialPart: 0.5,
 			increasePart: 0.05,
+			seekingFactor: 1.25,
 			decrease: 0.7,
 			burstMilliseconds: 100,
 			maximumRetryMilliseconds: 4000,
@@ -188,6 +193,7 @@
 		this.tokensAt = clock.monotonic();
 		this.inTimeSince = undefined;
 		this.mayDecrease = false;
+		this.step = undefined;
 		return 'engaged';
 	}
 
@@ -198,17 +204,23 @@
 
 	/** A sample after a decrease still shows work from before it, so it causes no further one. */
 	private adapt(isLate: boolean, {hasUnmetDemand}: HostLoadSample): void {
-		const {increasePart, decrease, minimumPart} = this.options;
+		const {increasePart, seekingFactor, decrease, minimumPart} = this.options;
 		if (!isLate) {
 			this.mayDecrease = true;
 			// Without unmet demand, a higher limit would not be used and says nothing of what the host can do.
-			this.limit += hasUnmetDemand ? this.usualPerSecond * increasePart : 0;
+			if (hasUnmetDemand) {
+				this.limit =
+					this.step === undefined
+						? this.limit * seekingFactor
+						: this.limit + this.step;
+			}
 		} else if (this.mayDecrease) {
 			this.mayDecrease = false;
 			this.limit = Math.max(
 				this.usualPerSecond * minimumPart,
 				this.limit * decrease,
 			);
+			this.step = Math.max(this.limit, this.usualPerSecond) * increasePart;
 		} else {
 			this.mayDecrease = true;
 		}
--- a/src/core/admission/readiness-grants.ts
+++ b/src/core/admission/readiness-grants.ts
@@ -82,8 +82,8 @@
 	grantFor(host: HostId): number | undefined {
 		const {clock, maximumShare, validMilliseconds} = this.options;
 		const now = clock.monotonic();
-		const known = this.known();
-		const asking = known.find((each) => each.host === host);
+		// Nearly all hosts ask for nothing, so that the others are looked at only for one that does.
+		const asking = this.hosts.get(host);
 		if (!asking?.wantsRest || now - this.ownerSince < validMilliseconds) {
 			return undefined;
 		}
@@ -95,7 +95,9 @@
 		}
 
 		const {failureDomain} = asking;
-		const domain = known.filter((each) => each.failureDomain === failureDomain);
+		const domain = this.known().filter(
+			(each) => each.failureDomain === failureDomain,
+		);
 		const away = new Set(
 			[...this.granted]
 				.filter(([, grant]) => grant.failureDomain === failureDomain)
--- a/src/program/forwarding-root.ts
+++ b/src/program/forwarding-root.ts
@@ -638,7 +638,7 @@
 		const startedAt = this.clock.monotonic() - noticedAfterMilliseconds;
 		const elapsed = () => this.clock.monotonic() - startedAt;
 		this.isStopping = true;
-		this.hostLoad.intake.open();
+		this.hostLoad.intake.passAll();
 		this.service.beginStop(
 			startedAt + endMilliseconds,
 			startedAt + stopListeningMilliseconds,
--- a/src/services/forwarding/limits/host-intake.ts
+++ b/src/services/forwarding/limits/host-intake.ts
@@ -75,7 +75,9 @@
 	private keys = new CustomerKeys({routes: []});
 	private readonly pressure: AcceptPressure;
 	private isScheduled = false;
-	private isOpen = true;
+	/** True if the last turn found requests and no room for them. */
+	private lacksRoom = false;
+	private passesAll = false;
 	private started = 0;
 	private refusals = 0;
 
@@ -96,11 +98,15 @@
 
 	/** True in a turn that only accepts connections. */
 	get isAccepting(): boolean {
-		return this.pressure.isHolding;
+		return !this.passesAll && this.pressure.isHolding;
 	}
 
-	/** Time for which the oldest request has waited to be handled. */
+	/** Time for which the oldest request has waited although there is room for it, which shows that the processor does not suffice. */
 	get longestWaitMilliseconds(): number {
+		if (this.lacksRoom) {
+			return 0;
+		}
+
 		const now = this.options.clock.monotonic();
 		return Math.max(
 			0,
@@ -122,6 +128,10 @@
 
 	/** Records that a connection of a caller was accepted. */
 	recordAccepted(): void {
+		if (this.passesAll) {
+			return;
+		}
+
 		this.pressure.recordAccepted();
 		this.schedule();
 	}
@@ -130,7 +140,7 @@
 		const {policy, clock} = this.options;
 		const hasOthers = this.waitingRequests > 0 || this.refused.length > 0;
 		const mustWait = policy.isLimited || this.pressure.isActive || hasOthers;
-		if (!this.isOpen || !mustWait) {
+		if (this.passesAll || !mustWait) {
 			this.start(request);
 			return;
 		}
@@ -167,9 +177,9 @@
 		this.options.handler().refuseForMemory(message, response);
 	}
 
-	/** Passes on all requests at once from now on, because the host stops and ends them itself. */
-	open(): void {
-		this.isOpen = false;
+	/** Passes on all requests at once from now on, because the host stops and ends them itself, or by its settings limits no work. */
+	passAll(): void {
+		this.passesAll = true;
 		for (const request of [...this.refused.splice(0), ...this.takeAll()]) {
 			this.start(request);
 		}
@@ -266,6 +276,7 @@
 		}
 
 		const hasRoom = this.runSlice();
+		this.lacksRoom = !hasRoom;
 		if (this.refused.length > 0 || (hasRoom && this.waitingRequests > 0)) {
 			this.schedule();
 		} else if (this.waitingRequests > 0) {
--- a/src/services/forwarding/limits/host-load-control.ts
+++ b/src/services/forwarding/limits/host-load-control.ts
@@ -49,6 +49,10 @@
 		const policy = new HostLoadPolicy({clock, processorShare});
 		this.readiness = new HostReadiness({clock});
 		this.intake = new HostIntake({...options, policy});
+		if (!isLimited) {
+			this.intake.passAll();
+		}
+
 		this.monitor = new HostLoadMonitor({
 			...options,
 			policy,
--- a/src/services/forwarding/limits/host-load-monitor.ts
+++ b/src/services/forwarding/limits/host-load-monitor.ts
@@ -70,7 +70,7 @@
 		const elapsedMilliseconds = now - this.sampledAt;
 		const {user, system} = process.cpuUsage(this.usage);
 		const startedRequests = intake.startedRequests - this.started;
-		// Requests that wait in the intake keep the turns short, so that their wait counts as well.
+		// Requests that wait in the intake keep the turns short, so that their wait counts as well, unless it is for the limit.
 		const delayMilliseconds = Math.max(
 			this.takeDelay(elapsedMilliseconds),
 			intake.longestWaitMilliseconds,
--- a/src/services/forwarding/limits/host-load-reports.ts
+++ b/src/services/forwarding/limits/host-load-reports.ts
@@ -32,12 +32,17 @@
 };
 
 const permillePerShare = 1000;
+/** Interval at which a relay passes on what is usual of its hosts. A report counts for three times as long. */
+const usualReportMilliseconds = 1000;
 
 /** Reports the load and the readiness of the hosts, and passes on the owner's permissions to be not ready. */
 export class HostLoadReports extends ReportPart {
 	/** Permissions of the hosts that report to this one, with the monotonic time until which they are valid. */
 	private readonly relayed = new Map<HostId, number>();
 
+	/** Monotonic time at which the load of each host was passed on last. */
+	private readonly reportedAt = new Map<HostId, number>();
+
 	constructor(private readonly options: HostLoadReportsOptions) {
 		super();
 	}
@@ -46,8 +51,16 @@
 		const {clock, grants, host} = this.options;
 		this.recordOwn();
 		const now = clock.monotonic();
+		const known = grants.known();
+		removeOthers(this.reportedAt, known);
+		removeOthers(this.relayed, known);
+		const loads = known.filter((load) => this.isDue(load, now));
+		for (const load of loads) {
+			this.reportedAt.set(load.host, now);
+		}
+
 		return {
-			hostLoads: grants.known().map((load) => ({
+			hostLoads: loads.map((load) => ({
 				host: load.host,
 				failureDomain: load.failureDomain,
 				isReady: load.isReady,
@@ -107,6 +120,16 @@
 		}
 	}
 
+	private isDue({host, isReady, wantsRest}: ReportedHostLoad, now: number) {
+		const reportedAt = this.reportedAt.get(host) ?? Number.NEGATIVE_INFINITY;
+		return (
+			host === this.options.host ||
+			wantsRest ||
+			!isReady ||
+			now - reportedAt >= usualReportMilliseconds
+		);
+	}
+
 	private recordOwn(): void {
 		const {host, failureDomain, policy, readiness, grants, isServing} =
 			this.options;
@@ -149,3 +172,16 @@
 		usedShare: load.usedPermille / permillePerShare,
 	};
 }
+
+/** Removes the entries of hosts that no longer report, so that hosts that are replaced leave nothing. */
+function removeOthers(
+	entries: Map<HostId, number>,
+	known: readonly ReportedHostLoad[],
+): void {
+	const names = new Set(known.map(({host}) => host));
+	for (const host of entries.keys()) {
+		if (!names.has(host)) {
+			entries.delete(host);
+		}
+	}
+}
--- a/test/forwarding/host-intake.test.ts
+++ b/test/forwarding/host-intake.test.ts
@@ -145,7 +145,7 @@
 		send(id, '/once/x');
 	}
 
-	intake.open();
+	intake.passAll();
 	send('d', '/once/x');
 	assert.deepEqual(handler.handled.sort(), ['a', 'b', 'c', 'd']);
 });
