--- a/src/contracts/events/forwarding-events.ts
+++ b/src/contracts/events/forwarding-events.ts
@@ -490,6 +490,33 @@
 		description:
 			'The connection of a client was closed for a limit of `clients` in the settings. The field reason names it: connections (there are as many as allowed), memory (what is held for all clients exceeds heldMegabytes), slow-body (a body took longer than bodySeconds or came slower than bytesPerSecond; callers get 408) or unread (nothing of a response was read for unreadSeconds, or for 3 s while others need the memory). The field listener is callers or peers, connections the number of open ones, heldBytes the sum, omittedLines the number of lines that were left out. Look for clients that do not behave; raise the limit if they do.',
 	},
+	hostLoadLimited: {
+		number: 7120,
+		name: 'host-load-limited',
+		level: 'warn',
+		description:
+			'The event loop is late by half of the shortest objective or more while the process uses nearly all of machine.processorShare. From now on the host begins to handle at most requestsPerSecond requests, which adapts, and refuses others as not run. The field usedShare is the processor time as a share of machine.processorShare. Give the machine more processor time, or send it fewer requests.',
+	},
+	hostLoadReleased: {
+		number: 7121,
+		name: 'host-load-released',
+		level: 'info',
+		description:
+			'The processor suffices again, and the host handles all requests. The field refusedRequests counts those refused for the load of the host since the process started.',
+	},
+	readinessWithdrawn: {
+		number: 7122,
+		name: 'readiness-withdrawn',
+		level: 'warn',
+		description:
+			'The host says that it is not ready although it serves, for 2.5 to 5 s, because its event loop is late by a whole objective in spite of the limit. At most a quarter of the hosts of a failure domain do so at once, each for at most a tenth of its time.',
+	},
+	readinessRestored: {
+		number: 7123,
+		name: 'readiness-restored',
+		level: 'info',
+		description: 'The host says that it is ready again.',
+	},
 	logLinesDropped: {
 		number: 7060,
 		name: 'log-lines-dropped',
--- a/test/forwarding/forwarding-harness.ts
+++ b/test/forwarding/forwarding-harness.ts
@@ -42,6 +42,7 @@
 import {ForwardingServer} from '../../src/services/forwarding/forwarding-server.js';
 import {FleetSharing} from '../../src/services/forwarding/reports/fleet-sharing.js';
 import {ForwardingService} from '../../src/services/forwarding/forwarding-service.js';
+import {EventLoopDelay} from '../../src/services/forwarding/limits/event-loop-delay.js';
 import {PeerConnections} from '../../src/services/forwarding/peers/peer-connections.js';
 import {PeerForwarder} from '../../src/services/forwarding/peers/peer-forwarder.js';
 import {addPeerRoutes} from '../../src/services/forwarding/peers/peer-routes.js';
@@ -171,6 +172,12 @@
 	readonly service: ForwardingService;
 	/** What the host knows of the customers and queues of other hosts. */
 	readonly sharing: FleetSharing;
+	readonly eventLoop = new EventLoopDelay({
+		clock: this.clock,
+		events: new NullEventLogger(),
+		metrics: new NullMetricRegistry(),
+	});
+
 	/** False while a key may have been taken away for too long. */
 	mayRelyOnKeys = true;
 	/** Number of calls of `onAdapterMissing`. */
