Weigh what is known of the speed of a target, and draw among near-equal targets

A target of which nothing was known counted as fast, reports of any age were replaced by the mean of the pool instead of what is usual at the target, and hosts that knew the same reports chose the same target.

Slowdowns now come from reports and from the times between events of own streams and move to the mean of the pool as they age; old loads move to what is usual at the target; and targets whose costs differ by less than some milliseconds are drawn at random.

Measured: test/work and test/dispatch pass.

--- a/src/core/routing/remaining-work.ts
+++ b/src/core/routing/remaining-work.ts
@@ -1,4 +1,3 @@
-import {type Clock} from '../../base/common/clock.js';
 import {type RequestId, type TargetId} from '../../contracts/ids.js';
 import {
 	remainingMilliseconds,
@@ -7,12 +6,9 @@
 } from '../work/work-estimator.js';
 import {type TargetLoad} from './target-load-tracker.js';
 
-/** Collaborators and settings. */
+/** Collaborators. */
 export type RemainingWorkOptions = {
-	readonly clock: Clock;
 	readonly estimator: WorkEstimator;
-	/** Time after which a reported slowdown has halved. Noisy neighbours slow a machine down for about 600 ms. */
-	readonly slowdownHalfLifeMilliseconds?: number;
 };
 
 type OwnRequest = {
@@ -21,21 +17,14 @@
 	producedTokens: number;
 };
 
-type ReportedSlowdown = {readonly value: number; readonly measuredAt: number};
-
 /**
  * Work that the targets have left: the requests of this host at their cost less what they have produced, and those of
  * other hosts, of which only the number is known, at the usual rest of a request.
  */
 export class RemainingWork {
-	private readonly slowdownHalfLifeMilliseconds: number;
 	private readonly requests = new Map<TargetId, Map<RequestId, OwnRequest>>();
-	private readonly slowdowns = new Map<TargetId, ReportedSlowdown>();
 
-	constructor(private readonly options: RemainingWorkOptions) {
-		this.slowdownHalfLifeMilliseconds =
-			options.slowdownHalfLifeMilliseconds ?? 400;
-	}
+	constructor(private readonly options: RemainingWorkOptions) {}
 
 	/** Records that a request of this host was sent. */
 	recordSent(
@@ -67,22 +56,9 @@
 		this.requests.get(target)?.delete(request);
 	}
 
-	/** Records the slowdown that a target has reported. */
-	recordSlowdown(
-		target: TargetId,
-		value: number,
-		ageMilliseconds: number,
-	): void {
-		this.slowdowns.set(target, {
-			value: Math.max(1, value),
-			measuredAt: this.options.clock.monotonic() - ageMilliseconds,
-		});
-	}
-
 	/** Forgets a target that has ended. */
 	removeTarget(target: TargetId): void {
 		this.requests.delete(target);
-		this.slowdowns.delete(target);
 	}
 
 	/** Work that a target has left, in milliseconds of a slot. */
@@ -102,20 +78,6 @@
 			: this.millisecondsAt(load) / count;
 	}
 
-	/** Duration of work at a target relative to the usual one, from its last report. */
-	slowdown(target: TargetId): number {
-		const reported = this.slowdowns.get(target);
-		if (!reported) {
-			return 1;
-		}
-
-		const age = this.options.clock.monotonic() - reported.measuredAt;
-		return (
-			1 +
-			(reported.value - 1) * 0.5 ** (age / this.slowdownHalfLifeMilliseconds)
-		);
-	}
-
 	private ownMilliseconds(target: TargetId): number {
 		let sum = 0;
 		for (const own of this.requests.get(target)?.values() ?? []) {
--- a/src/core/routing/target-load-tracker.ts
+++ b/src/core/routing/target-load-tracker.ts
@@ -54,10 +54,18 @@
 	incarnation: string;
 	sequence: number;
 	remoteOutstanding: number;
+	/** Reports of this incarnation. */
+	reports: number;
+	/** Mean of the requests of other hosts over the last reports. */
+	usualRemote: number;
 	/** Monotonic time at which the last report was measured. */
 	measuredAt: number;
 };
 
+/** Smallest weight of a report in the usual number of requests at a target. Demand shifts to other models within seconds. */
+const usualStep = 0.2;
+/** Reports at which the usual number at a target weighs as much as the mean of the pool. */
+const usualPriorReports = 2;
 /** Period kept in the history. */
 const historyMilliseconds = 5000;
 
@@ -106,6 +114,8 @@
 			incarnation: '',
 			sequence: -1,
 			remoteOutstanding: 0,
+			reports: 0,
+			usualRemote: 0,
 			measuredAt: Number.NEGATIVE_INFINITY,
 		});
 		this.order.push(target);
@@ -186,6 +196,10 @@
 			0,
 			total - localCountAt(state, state.measuredAt),
 		);
+		state.reports = isSameIncarnation ? state.reports + 1 : 1;
+		state.usualRemote +=
+			Math.max(usualStep, 1 / state.reports) *
+			(remoteOutstanding - state.usualRemote);
 		state.remoteOutstanding +=
 			(isSameIncarnation && !this.aging ? this.smoothingFactor : 1) *
 			(remoteOutstanding - state.remoteOutstanding);
@@ -224,7 +238,7 @@
 				localLong: state.localLong,
 				remoteOutstanding:
 					confidence * state.remoteOutstanding +
-					(1 - confidence) * mean * state.slots,
+					(1 - confidence) * this.usualRemote(state, mean),
 				remoteConfidence: confidence,
 			};
 		});
@@ -241,6 +255,14 @@
 		);
 	}
 
+	/** Requests of other hosts to expect at a target of which nothing was reported lately, given the mean load per slot of the pool. */
+	private usualRemote(state: TargetState, mean: number): number {
+		const share = this.aging
+			? state.reports / (state.reports + usualPriorReports)
+			: 0;
+		return share * state.usualRemote + (1 - share) * mean * state.slots;
+	}
+
 	/** Share of a report of an age in the estimate. */
 	private confidence(ageMilliseconds: number): number {
 		return this.aging
--- a/src/core/routing/work-aware-policy.ts
+++ b/src/core/routing/work-aware-policy.ts
@@ -14,6 +14,8 @@
 	readonly random: RandomSource;
 	/** Number of random candidates compared. With all of them, hosts with the same reports would choose the same target. */
 	readonly sampleSize?: number;
+	/** Difference of two costs at which the cheaper target is chosen e times as often. Without it, hosts that know the same reports would all send to the same target until the next ones. */
+	readonly indifferenceMilliseconds?: number;
 	/** Weight of a millisecond by which all streams of a full target pause, relative to one of the wait of the request. */
 	readonly pauseWeight?: number;
 	/** Time for which a slowdown usually lasts. A longer request is slowed for this part only. */
@@ -39,8 +41,9 @@
 	constructor(options: WorkAwarePolicyOptions) {
 		super();
 		this.options = {
-			sampleSize: 8,
+			sampleSize: 16,
 			pauseWeight: 1,
+			indifferenceMilliseconds: 5,
 			slowdownMilliseconds: 600,
 			paceWeight: 0.5,
 			loadWeight: 0.1,
@@ -73,7 +76,7 @@
 			compared.push(holder);
 		}
 
-		return leastBy(compared, (candidate) => this.cost(candidate));
+		return this.drawByCost(compared);
 	}
 
 	/** Expected cost of the request at a target in milliseconds. */
@@ -98,6 +101,24 @@
 			(loadWeight * outstanding * work.remainingMilliseconds) / slots
 		);
 	}
+
+	/** Draws a candidate, the cheaper ones with a higher probability. */
+	private drawByCost(
+		candidates: readonly RoutingCandidate[],
+	): RoutingCandidate | undefined {
+		const {random, indifferenceMilliseconds} = this.options;
+		const costs = candidates.map((candidate) => this.cost(candidate));
+		const least = Math.min(...costs);
+		const weights = costs.map((cost) =>
+			Math.exp((least - cost) / indifferenceMilliseconds),
+		);
+		let draw = random.next() * weights.reduce((sum, each) => sum + each, 0);
+		const index = weights.findIndex((weight) => {
+			draw -= weight;
+			return draw < 0;
+		});
+		return candidates[Math.max(0, index)];
+	}
 }
 
 /**
--- a/src/measure/work-strategies.ts
+++ b/src/measure/work-strategies.ts
@@ -63,6 +63,7 @@
 		options: ConstructorParameters<typeof WorkScheduling>[0],
 		private readonly targets: ReadonlyMap<TargetId, TargetModel>,
 		private readonly requestOf: (request: RequestId) => WorkloadRequest,
+		private readonly knowsSlowdowns: boolean,
 	) {
 		super(options);
 	}
@@ -88,7 +89,9 @@
 			remoteSpread: 0,
 			remainingMilliseconds:
 				count === 0 ? 0 : target.remainingMilliseconds() / count,
-			slowdown: target.slowdown(),
+			slowdown: this.knowsSlowdowns
+				? target.slowdown()
+				: super.describe(load, item, estimate, 0).slowdown,
 			promptMilliseconds: estimate.promptMilliseconds,
 			milliseconds: estimate.milliseconds,
 		};
@@ -151,8 +154,8 @@
 					...rest,
 				),
 		},
-		{
-			name: 'oracle',
+		...[false, true].map((knowsSlowdowns): Strategy => ({
+			name: knowsSlowdowns ? 'oracle with slowdowns' : 'oracle of work',
 			dispatcher(timeline, random, host, targets) {
 				const models = new Map(targets.map((each) => [each.id, each]));
 				return {
@@ -162,10 +165,11 @@
 						{clock: timeline, tokensPerEvent},
 						models,
 						(request) => workload[Number(request)]!,
+						knowsSlowdowns,
 					),
 				};
 			},
-		},
+		})),
 	];
 }
 
--- a/src/program/forwarding-root.ts
+++ b/src/program/forwarding-root.ts
@@ -1040,6 +1040,9 @@
 			this.registry.reachability.cutOffPools().length,
 		);
 		this.metrics.gauge('daisylever_hosts', this.service.hostCount);
+		for (const {pool, work} of this.service.dispatches()) {
+			work.updateGauges(pool, this.metrics);
+		}
 	}
 
 	private createAuxiliaryServer(path: '/ready' | '/metrics') {
--- a/src/services/dispatch/dispatcher.ts
+++ b/src/services/dispatch/dispatcher.ts
@@ -998,6 +998,7 @@
 			const {model} = tracked.work.item;
 			if (model !== undefined) {
 				this.slowdownEstimator.observe(attempt.target, model, between);
+				this.work?.recordGap(attempt.target, tracked.work.item, between);
 			}
 
 			this.serviceTimeEstimator.observeBetweenTokens(between);
--- a/src/services/dispatch/work-scheduling.ts
+++ b/src/services/dispatch/work-scheduling.ts
@@ -10,6 +10,7 @@
 	type GatedRequest,
 	type TargetGate,
 } from '../../core/routing/target-gate.js';
+import {TargetSlowdowns} from '../../core/routing/target-slowdowns.js';
 import {type TargetLoad} from '../../core/routing/target-load-tracker.js';
 import {LearnedWorkEstimator} from '../../core/work/learned-work-estimator.js';
 import {
@@ -55,6 +56,7 @@
 export class WorkScheduling {
 	readonly estimator: WorkEstimator;
 	private readonly remaining: RemainingWork;
+	private readonly slowdowns: TargetSlowdowns;
 	private readonly gates: readonly TargetGate[];
 	private readonly sent = new Map<RequestId, Map<TargetId, SentRequest>>();
 	private tokensPerEvent: number;
@@ -64,7 +66,8 @@
 	constructor(private readonly options: WorkSchedulingOptions) {
 		const {clock} = options;
 		this.estimator = options.estimator ?? new LearnedWorkEstimator();
-		this.remaining = new RemainingWork({clock, estimator: this.estimator});
+		this.remaining = new RemainingWork({estimator: this.estimator});
+		this.slowdowns = new TargetSlowdowns({clock});
 		this.gates = options.gates ?? [];
 		this.tokensPerEvent = options.tokensPerEvent ?? 1;
 	}
@@ -133,7 +136,7 @@
 				Math.max(0, remoteOutstanding * (1 - remoteConfidence ** 2)),
 			),
 			remainingMilliseconds: this.remaining.meanMillisecondsAt(load),
-			slowdown: this.remaining.slowdown(load.target),
+			slowdown: this.slowdowns.slowdown(load.target),
 			promptMilliseconds: estimate.promptMilliseconds * (1 - heldShare),
 			milliseconds: remainingMilliseconds(estimate, this.producedOf(item)),
 		};
@@ -178,6 +181,17 @@
 		}
 	}
 
+	/** Records the time between two events of a stream, divided by their number. */
+	recordGap(target: TargetId, item: WorkItem, milliseconds: number): void {
+		const estimate = this.sent.get(item.request)?.get(target)?.estimate;
+		if (estimate) {
+			this.slowdowns.recordGap(
+				target,
+				milliseconds / (estimate.millisecondsPerToken * this.tokensPerEvent),
+			);
+		}
+	}
+
 	/** Learns from an attempt that has ended with the complete response to a request. */
 	observe(item: WorkItem, attempt: RunningAttempt): void {
 		const {target, startedAt, firstTokenAt, lastTokenAt, tokens} = attempt;
@@ -230,12 +244,13 @@
 		slowdown: number,
 		ageMilliseconds: number,
 	): void {
-		this.remaining.recordSlowdown(target, slowdown, ageMilliseconds);
+		this.slowdowns.recordReport(target, slowdown, ageMilliseconds);
 	}
 
 	/** Forgets a target that has ended. */
 	removeTarget(target: TargetId): void {
 		this.remaining.removeTarget(target);
+		this.slowdowns.removeTarget(target);
 		for (const gate of this.gates) {
 			gate.removeTarget(target);
 		}
--- a/src/services/forwarding/attempts/forwarded-request.ts
+++ b/src/services/forwarding/attempts/forwarded-request.ts
@@ -438,3 +438,8 @@
 		this.options.onFinished(this, outcome);
 	}
 }
+
+/** True when the caller has received events of the stream before. */
+export function isTakenUpAgain({route, metadata}: ForwardedRequest): boolean {
+	return route.kind === 'stream' && metadata.lastEventId !== undefined;
+}
--- a/src/services/forwarding/attempts/pool-work.ts
+++ b/src/services/forwarding/attempts/pool-work.ts
@@ -1,5 +1,6 @@
 import {type Clock} from '../../../base/common/clock.js';
 import {type EventLogger} from '../../../base/common/event-logger.js';
+import {type MetricRegistry} from '../../../base/common/metric-registry.js';
 import {dispatchEvents} from '../../../contracts/events/dispatch-events.js';
 import {
 	type EnginePool,
@@ -8,10 +9,7 @@
 import {type ModelId, type PoolName} from '../../../contracts/ids.js';
 import {type TargetGate} from '../../../core/routing/target-gate.js';
 import {type Dispatcher} from '../../dispatch/dispatcher.js';
-import {
-	WorkScheduling,
-	type WorkFigures,
-} from '../../dispatch/work-scheduling.js';
+import {WorkScheduling} from '../../dispatch/work-scheduling.js';
 
 /** Collaborators and settings. */
 export type PoolWorkOptions = {
@@ -31,9 +29,19 @@
 
 	constructor(private readonly options: PoolWorkOptions) {}
 
-	/** Figures of the estimates, undefined unless the pool is scheduled by work. */
-	get figures(): WorkFigures | undefined {
-		return this.scheduling?.figures;
+	/** Shows how good the estimates are, if the pool is scheduled by work. */
+	updateGauges(pool: PoolName, metrics: MetricRegistry): void {
+		if (!this.scheduling) {
+			return;
+		}
+
+		const {meanMilliseconds, lengthRatio, aboveUpperShare} =
+			this.scheduling.figures;
+		metrics.gauge('daisylever_work_milliseconds', meanMilliseconds, {pool});
+		metrics.gauge('daisylever_work_length_ratio', lengthRatio, {pool});
+		metrics.gauge('daisylever_work_above_upper_share', aboveUpperShare, {
+			pool,
+		});
 	}
 
 	/** Applies the fields of the pool in a new version of the document. */
--- a/src/services/forwarding/forwarding-service.ts
+++ b/src/services/forwarding/forwarding-service.ts
@@ -47,7 +47,10 @@
 	ForwardDispatch,
 	missingVersionReason,
 } from './attempts/forward-dispatch.js';
-import {ForwardedRequest} from './attempts/forwarded-request.js';
+import {
+	ForwardedRequest,
+	isTakenUpAgain,
+} from './attempts/forwarded-request.js';
 import {type RetryLimits} from './attempts/retry-limits.js';
 import {
 	ReceivedRequestHandler,
@@ -380,6 +383,11 @@
 		return true;
 	}
 
+	/** Dispatches of all pools. */
+	dispatches(): readonly ForwardDispatch[] {
+		return [...this.pools.values()].map(({dispatch}) => dispatch);
+	}
+
 	/** Number of hosts that share the targets and the retry budget. */
 	get hostCount(): number {
 		return this.currentHostCount;
@@ -1149,11 +1157,6 @@
 	}
 }
 
-/** True when the caller has received events of the stream before. */
-function isTakenUpAgain({route, metadata}: ForwardedRequest): boolean {
-	return route.kind === 'stream' && metadata.lastEventId !== undefined;
-}
-
 /** True for an answer of a target that is neither an own response nor broken. */
 function isCompleteAnswer(outcome: string): boolean {
 	return outcome === 'complete' || outcome.startsWith('status ');
