--- a/src/core/routing/target-slowdowns.ts
+++ b/src/core/routing/target-slowdowns.ts
@@ -28,7 +28,7 @@
 	private mean = 1;
 
 	constructor(private readonly options: TargetSlowdownsOptions) {
-		this.relaxationMilliseconds = options.relaxationMilliseconds ?? 500;
+		this.relaxationMilliseconds = options.relaxationMilliseconds ?? 400;
 	}
 
 	/** Records the slowdown that a target has reported. */
--- a/src/core/routing/work-aware-policy.ts
+++ b/src/core/routing/work-aware-policy.ts
@@ -12,7 +12,7 @@
 /** Collaborators and settings of the policy. */
 export type WorkAwarePolicyOptions = {
 	readonly random: RandomSource;
-	/** Number of random candidates compared. With all of them, hosts with the same reports would choose the same target. */
+	/** Number of random candidates compared. */
 	readonly sampleSize?: number;
 	/** Difference of two costs at which the cheaper target is chosen e times as often. Without it, hosts that know the same reports would all send to the same target until the next ones. */
 	readonly indifferenceMilliseconds?: number;
@@ -45,7 +45,7 @@
 			pauseWeight: 1,
 			indifferenceMilliseconds: 5,
 			slowdownMilliseconds: 600,
-			paceWeight: 0.5,
+			paceWeight: 1,
 			loadWeight: 0.1,
 			...options,
 		};
