Limit how far an absurd declared prompt moves the regression

Found by review: a caller that declares a prompt of 10^9 tokens would flatten the line from which the time for prompts is derived, for all callers, for hundreds of requests. Positions now count as at most four deviations from the mean, as distances from the line do.

Measured: test/work passes, with a test of this case.

--- a/src/core/work/decaying-regression.ts
+++ b/src/core/work/decaying-regression.ts
@@ -4,7 +4,7 @@
 	readonly minimumStep?: number;
 	/** Bounds of the slope. */
 	readonly slopeBounds: readonly [number, number];
-	/** Distance of a point from the line, in standard deviations, beyond which it counts as at this distance. */
+	/** Distance of a point from the line and of its position from the mean, in standard deviations, beyond which it counts as at this distance. A caller that declares an absurd value would otherwise flatten the line for all. */
 	readonly maximumDeviation?: number;
 };
 
@@ -53,17 +53,19 @@
 		const {minimumStep = 0.02, maximumDeviation = 4} = this.options;
 		this.points++;
 		const step = Math.max(minimumStep, 1 / this.points);
-		const limit =
-			this.points > unlimitedPoints
-				? maximumDeviation * Math.sqrt(this.residual)
+		const limitOf = (variance: number) =>
+			this.points > unlimitedPoints && variance > 0
+				? maximumDeviation * Math.sqrt(variance)
 				: Infinity;
-		const expected = this.valueAt(x);
+		const limitX = limitOf(this.varianceX);
+		const fromMeanX = clamp(x - this.meanX, -limitX, limitX);
+		const limit = limitOf(this.residual);
+		const expected = this.valueAt(this.meanX + fromMeanX);
 		const distance = clamp(y - expected, -limit, limit);
 		if (this.points > 1) {
 			this.residual += step * (distance * distance - this.residual);
 		}
 
-		const fromMeanX = x - this.meanX;
 		const fromMeanY = expected + distance - this.meanY;
 		this.meanX += step * fromMeanX;
 		this.meanY += step * fromMeanY;
--- a/test/work/learned-work-estimator.test.ts
+++ b/test/work/learned-work-estimator.test.ts
@@ -78,6 +78,32 @@
 	assert.ok(Math.abs(estimate.millisecondsPerToken - 5) < 0.1);
 });
 
+// Guards against a caller whose declared prompt is absurd and makes prompts seem free for all.
+test('an absurd prompt does not change what is learned of prompts', () => {
+	const estimator = new LearnedWorkEstimator();
+	const random = new SeededRandomSource(7);
+	for (let index = 0; index < 300; index++) {
+		observe(estimator, 100, {promptTokens: logNormal(random, 500, 1)});
+		if (index >= 200 && index % 10 === 0) {
+			estimator.observe(
+				{...features, promptTokens: 1e9},
+				{
+					tokens: 100,
+					startMilliseconds: 20,
+					millisecondsPerToken: 5,
+					promptTokensRead: 1e9,
+				},
+			);
+		}
+	}
+
+	const {promptMilliseconds} = estimator.estimate({
+		...features,
+		promptTokens: 1920,
+	});
+	assert.ok(promptMilliseconds > 20 && promptMilliseconds < 80);
+});
+
 // Guards against trust in hints before they have proved right, and against no use of hints that are.
 test('hints are used as far as they have been right', () => {
 	const useful = new LearnedWorkEstimator();
