--- a/src/program/forwarding-settings.ts
+++ b/src/program/forwarding-settings.ts
@@ -66,6 +66,11 @@
 			 * request. On a target that runs more of them at once, their differences even out. 0 for none.
 			 */
 			workAwareSlots: z.number().int().nonnegative().default(0),
+			/**
+			 * True if the pools that are scheduled by work admit requests by the queue of all hosts instead of that of each
+			 * host. All hosts then refuse the same share; under a lasting overload fewer requests start in time.
+			 */
+			admitsByFleetQueue: z.boolean().default(false),
 		})
 		.prefault({}),
 	quotas: z
--- a/src/services/forwarding/forwarding-service.ts
+++ b/src/services/forwarding/forwarding-service.ts
@@ -345,6 +345,11 @@
 		return true;
 	}
 
+	/** Dispatches of all pools. */
+	dispatches(): readonly ForwardDispatch[] {
+		return [...this.pools.values()].map(({dispatch}) => dispatch);
+	}
+
 	/** Number of hosts that share the targets and the retry budget. */
 	get hostCount(): number {
 		return this.currentHostCount;
--- a/src/services/forwarding/reports/fleet-sharing.ts
+++ b/src/services/forwarding/reports/fleet-sharing.ts
@@ -20,6 +20,8 @@
 	readonly events: EventLogger;
 	/** Slots up to which the targets of a pool are scheduled by work, 0 for none. */
 	readonly workAwareSlots: number;
+	/** True if these pools are admitted by the queue of all hosts instead of that of each host. */
+	readonly admitsByFleetQueue: boolean;
 };
 
 /** A dispatcher whose queue is reported. */
@@ -86,7 +88,7 @@
 
 	/** True when requests for a pool are admitted by the queue of all hosts. */
 	admitsByQueue(pool: PoolName): boolean {
-		return this.workAwarePools.has(pool);
+		return this.options.admitsByFleetQueue && this.workAwarePools.has(pool);
 	}
 
 	/** Adds the queue of a dispatcher to the reports. */
@@ -96,7 +98,10 @@
 
 	/** True when a decision depends on the queues of others. */
 	private get isActive(): boolean {
-		return this.hasCustomers || this.workAwarePools.size > 0;
+		return (
+			this.hasCustomers ||
+			(this.options.admitsByFleetQueue && this.workAwarePools.size > 0)
+		);
 	}
 
 	/** The queues of this host. A host that answers many reports reads them once for several. */
--- a/test/forwarding/forwarding-harness.ts
+++ b/test/forwarding/forwarding-harness.ts
@@ -205,6 +205,7 @@
 			clock: this.clock,
 			events,
 			workAwareSlots: 0,
+			admitsByFleetQueue: false,
 		});
 		const random = new SeededRandomSource(5);
 		const rateLimits = new NamedRateLimits({clock: this.clock});
