--- a/src/core/quotas/quota-account.ts
+++ b/src/core/quotas/quota-account.ts
@@ -23,6 +23,8 @@
 	readonly ageMilliseconds: number;
 	/** True while the use of this host may not grow before the owner knows of it. */
 	readonly isPending: boolean;
+	/** True when newer word should have come. The use then keeps to a rate. */
+	readonly isOutdated: boolean;
 };
 
 /** What an account is told by the quotas of its host. */
@@ -135,7 +137,11 @@
 		this.demandMeter.setTimeConstant(this.demandTimeConstant(), now);
 		this.demandMeter.add(units, now);
 		const outlook = this.follow(this.source.outlook());
-		if (outlook.mode === 'share' && !this.tryShare(units, outlook)) {
+		if (
+			outlook.mode === 'share' &&
+			!outlook.isOutdated &&
+			!this.tryShare(units, outlook)
+		) {
 			decide(this.refusal(units, outlook));
 			return;
 		}
@@ -255,9 +261,13 @@
 	}
 
 	/** True when word of the owner, or the units of a short time, may admit a request. */
-	private mayGainByWaiting({mode, ageMilliseconds}: QuotaOutlook): boolean {
+	private mayGainByWaiting({
+		mode,
+		isOutdated,
+		ageMilliseconds,
+	}: QuotaOutlook): boolean {
 		if (mode !== 'part' || !Number.isFinite(ageMilliseconds)) {
-			return true;
+			return mode !== 'share' || !isOutdated;
 		}
 
 		let queued = 0;
--- a/src/core/quotas/quota-allocator.ts
+++ b/src/core/quotas/quota-allocator.ts
@@ -88,23 +88,34 @@
 		const bucket = this.buckets.get(key);
 		if (bucket) {
 			this.refill(bucket);
-			const isFirstUse = bucket.levelAt - this.since < takeoverMilliseconds;
-			const earlier =
-				isFirstUse && units > 0 ? Math.min(units, bucket.earlierUnits) : 0;
-			bucket.earlierUnits -= earlier;
-			bucket.level = Math.min(
-				bucket.quota.burst,
-				bucket.level - units + earlier,
-			);
+			bucket.level = Math.min(bucket.quota.burst, bucket.level - units);
 			bucket.use.add(units, bucket.levelAt);
 		}
 	}
 
-	/** Takes the units that a customer is assumed to have used before this process became the owner, from the demand in the first report of a host. */
-	assumeUse(key: QuotaKey, demand: number): void {
+	/** Takes the units in the first report of a host. Soon after a change of the owner, they were used while there was none. */
+	useFirst(key: QuotaKey, units: number, demand: number): void {
 		const bucket = this.buckets.get(key);
+		if (!bucket) {
+			return;
+		}
+
 		const now = this.options.clock.monotonic();
-		if (bucket && now - this.since < takeoverMilliseconds) {
+		if (now - this.since >= takeoverMilliseconds) {
+			this.use(key, units);
+			return;
+		}
+
+		const earlier = Math.max(0, Math.min(units, bucket.earlierUnits));
+		bucket.earlierUnits -= earlier;
+		this.use(key, units - earlier);
+		this.assumeUse(key, demand);
+	}
+
+	/** Takes the units that a customer is assumed to have used before, from the demand of a host. */
+	assumeUse(key: QuotaKey, demand: number): void {
+		const bucket = this.buckets.get(key);
+		if (bucket) {
 			const {burst, perSecond} = bucket.quota;
 			this.refill(bucket);
 			bucket.level = Math.max(
--- a/src/core/quotas/quota-exchange.ts
+++ b/src/core/quotas/quota-exchange.ts
@@ -87,9 +87,10 @@
 		this.collector = new UseCollector(
 			options.clock,
 			(key, units, {firstDemand}) => {
-				this.allocator?.use(key, units);
-				if (firstDemand !== undefined) {
-					this.allocator?.assumeUse(key, firstDemand);
+				if (firstDemand === undefined) {
+					this.allocator?.use(key, units);
+				} else {
+					this.allocator?.useFirst(key, units, firstDemand);
 				}
 			},
 		);
@@ -346,6 +347,8 @@
 			usedShare,
 			ageMilliseconds,
 			isPending,
+			isOutdated:
+				ageMilliseconds > feedbackMilliseconds(this.options.hostCount()),
 		};
 	}
 
@@ -416,12 +419,16 @@
 			admittedShare: share,
 			sustainedShare,
 			usedShare,
-			isPending: this.isPending(key, share),
+			isPending: this.isPending(key, share, isOutdated && sustainedShare < 1),
 		};
 	}
 
 	/** True while the use that the owner does not know exceeds what the hosts of this relay may grow by. */
-	private isPending(key: QuotaKey, admittedShare: number): boolean {
+	private isPending(
+		key: QuotaKey,
+		admittedShare: number,
+		isOutdated: boolean,
+	): boolean {
 		const collected = this.collector.get(key);
 		const quota = this.customersByKey.get(key)?.account.currentQuota;
 		if (!collected || !quota) {
@@ -437,6 +444,7 @@
 			{
 				...collected,
 				admittedShare,
+				isOutdated,
 				hosts: this.collector.reporterCount,
 			},
 			margins,
--- a/src/core/quotas/quota-policy.ts
+++ b/src/core/quotas/quota-policy.ts
@@ -98,23 +98,24 @@
 	readonly usualUnits: number;
 	/** Hosts whose growth the units contain. */
 	readonly hosts: number;
+	/** True for a customer near its limit when newer word should have come, so that the use may not grow at all. */
+	readonly isOutdated: boolean;
 };
 
 /** True while the units that the receiver of the reports does not know are explained by chance or covered by the growth that is allowed without word. */
 export function isWithinGrowth(
-	{units, confirmed, admittedShare, usualUnits, hosts}: GrowingUse,
+	{units, confirmed, admittedShare, usualUnits, hosts, isOutdated}: GrowingUse,
 	{growthUnits, maximumWordAgeMilliseconds}: QuotaMargins,
 	now: number,
 ): boolean {
 	const elapsed = Math.min(maximumWordAgeMilliseconds, now - confirmed.at);
 	const expected = (admittedShare * confirmed.demand * elapsed) / 1000;
-	return (
-		unitsSince(units, confirmed.units) <=
-		growthUnits * hosts +
+	const growth = isOutdated
+		? 0
+		: growthUnits * hosts +
 			unevenRequests * usualUnits +
-			expected +
-			unevenDeviations * Math.sqrt(expected * usualUnits)
-	);
+			unevenDeviations * Math.sqrt(expected * usualUnits);
+	return unitsSince(units, confirmed.units) <= expected + growth;
 }
 
 /** Returns the units that a request counts. At least 1, so that no limit is without effect. */
