--- a/src/core/quotas/quota-account.ts
+++ b/src/core/quotas/quota-account.ts
@@ -249,6 +249,10 @@
 
 	/** Admits the share of the demand, in an even order. */
 	private tryShare(units: number, {admittedShare}: QuotaOutlook): boolean {
+		if (admittedShare >= 1) {
+			return true;
+		}
+
 		this.shareCredit += units * admittedShare;
 		if (this.shareCredit <= 0) {
 			return false;
--- a/src/core/quotas/quota-allocator.ts
+++ b/src/core/quotas/quota-allocator.ts
@@ -16,6 +16,8 @@
 	readonly sustainedShare: number;
 	/** Use of the fleet as a share of the quota. */
 	readonly usedShare: number;
+	/** True when the customer is near its limit, so that hosts need to know. */
+	readonly isLimited: boolean;
 };
 
 type Bucket = {
@@ -33,6 +35,9 @@
 
 /** Time after a change of the owner in which the first reports of hosts tell what they used before. */
 const takeoverMilliseconds = 2500;
+/** A customer counts as near its limit when its bucket is emptier than this share of the burst, or its demand above this share of the rate. */
+const limitedLevelShare = 0.25;
+const limitedDemandShare = 0.8;
 /** Part of the feedback time in which hosts still follow earlier decisions. The level expected at its end decides, so that the share does not oscillate. */
 const lagShare = 0.6;
 /** Time constant of the use that operators see. */
@@ -129,7 +134,12 @@
 	allocate(key: QuotaKey, demand: number): QuotaAllocation {
 		const bucket = this.buckets.get(key);
 		if (!bucket) {
-			return {admittedShare: 1, sustainedShare: 1, usedShare: 0};
+			return {
+				admittedShare: 1,
+				sustainedShare: 1,
+				usedShare: 0,
+				isLimited: false,
+			};
 		}
 
 		this.refill(bucket);
@@ -158,6 +168,9 @@
 			admittedShare,
 			sustainedShare: shareOf(sustained, demand),
 			usedShare: bucket.use.perSecond(now) / quota.perSecond,
+			isLimited:
+				level < limitedLevelShare * quota.burst ||
+				demand > limitedDemandShare * sustained,
 		};
 	}
 
--- a/src/core/quotas/quota-exchange.ts
+++ b/src/core/quotas/quota-exchange.ts
@@ -243,9 +243,7 @@
 		}
 
 		this.words = new Map(
-			words
-				.filter(({sustainedShare}) => sustainedShare < 1)
-				.map((word) => [word.key, word]),
+			words.filter(({isLimited}) => isLimited).map((word) => [word.key, word]),
 		);
 	}
 
@@ -423,6 +421,7 @@
 			admittedShare: share,
 			sustainedShare,
 			usedShare,
+			isLimited: word !== undefined,
 			isPending: this.isPending(key, share, isOutdated && sustainedShare < 1),
 		};
 	}
@@ -467,6 +466,7 @@
 				...collected,
 				admittedShare,
 				isOutdated,
+				isLimited: this.words.has(key),
 				hosts: this.collector.reporterCount,
 			},
 			margins,
--- a/src/core/quotas/quota-messages.ts
+++ b/src/core/quotas/quota-messages.ts
@@ -31,6 +31,8 @@
 	readonly sustainedShare: number;
 	/** Use of the fleet as a share of the quota, for operators. */
 	readonly usedShare: number;
+	/** True when the customer is near its limit. Word that only asks to wait is false here. */
+	readonly isLimited: boolean;
 	/** True when the sender has not told the owner of the use yet, so that the host must not grow further. */
 	readonly isPending: boolean;
 };
--- a/src/core/quotas/quota-policy.ts
+++ b/src/core/quotas/quota-policy.ts
@@ -18,12 +18,16 @@
 	readonly maximumWordAgeMilliseconds: number;
 	/** Units by which a host may exceed the use that it has reported, besides the rest of one request. */
 	readonly growthUnits: number;
+	/** Units by which the use of one host may exceed its reported demand by chance, for a customer near its limit. */
+	readonly unevenUnits: number;
 };
 
 /** Share of the excess that the owner admits beyond the bucket. */
 const reserveShare = 0.15;
 /** Share of the excess and of the burst that hosts may use before the owner knows of it. */
 const growthShare = 0.25;
+/** Share of the excess for chance. */
+const unevenShare = 0.25;
 /** The growth of a host and that of its relay are unknown to the owner at the same time. */
 const growthHops = 2;
 /** Share of the excess for the use of hosts that are cut off and go on with the last word. */
@@ -64,6 +68,8 @@
  *
  * - The owner's reserve is E / 4.
  * - Each of N hosts, and each relay for its hosts, may grow by g beyond what it has reported: 2 N g = (E + B) / 4.
+ * - Near the limit, the use of each host may exceed what it has reported by c because requests arrive unevenly:
+ *   N c = E / 4.
  * - Hosts that are cut off go on with up to an eighth of R in sum while their word is usable: R / 8 * T = E / 2.
  */
 export function quotaMargins(
@@ -84,6 +90,7 @@
 		growthUnits:
 			((excess + quota.burst) * growthShare) /
 			(growthHops * Math.max(1, hostCount)),
+		unevenUnits: (excess * unevenShare) / Math.max(1, hostCount),
 	};
 }
 
@@ -100,20 +107,27 @@
 	readonly hosts: number;
 	/** True for a customer near its limit when newer word should have come, so that the use may not grow at all. */
 	readonly isOutdated: boolean;
+	/** True for a customer near its limit. */
+	readonly isLimited: boolean;
 };
 
 /** True while the units that the receiver of the reports does not know are explained by chance or covered by the growth that is allowed without word. */
 export function isWithinGrowth(
-	{units, confirmed, admittedShare, usualUnits, hosts, isOutdated}: GrowingUse,
-	{growthUnits, maximumWordAgeMilliseconds}: QuotaMargins,
+	use: GrowingUse,
+	margins: QuotaMargins,
 	now: number,
 ): boolean {
+	const {units, confirmed, admittedShare, usualUnits, hosts} = use;
+	const {growthUnits, unevenUnits, maximumWordAgeMilliseconds} = margins;
 	const elapsed = Math.min(maximumWordAgeMilliseconds, now - confirmed.at);
 	const expected = (admittedShare * confirmed.demand * elapsed) / 1000;
-	const growth = isOutdated
+	const growth = use.isOutdated
 		? 0
 		: growthUnits * hosts +
-			unevenRequests * usualUnits +
+			Math.min(
+				unevenRequests * usualUnits,
+				use.isLimited ? unevenUnits * hosts : Number.POSITIVE_INFINITY,
+			) +
 			unevenDeviations * Math.sqrt(expected * usualUnits);
 	return unitsSince(units, confirmed.units) <= expected + growth;
 }
--- a/src/services/forwarding/reports/quota-report-part.ts
+++ b/src/services/forwarding/reports/quota-report-part.ts
@@ -112,6 +112,7 @@
 				2 ** 31,
 				Math.max(0, Math.round(word.usedShare * 100)),
 			),
+			isLimited: word.isLimited,
 			isPending: word.isPending,
 		})),
 	};
@@ -130,6 +131,7 @@
 			admittedShare: Math.min(1, word.admittedMillionths / millionths),
 			sustainedShare: Math.min(1, word.sustainedMillionths / millionths),
 			usedShare: word.usedPercent / 100,
+			isLimited: word.isLimited,
 			isPending: word.isPending,
 		})),
 	};
