--- a/src/core/quotas/quota-allocator.ts
+++ b/src/core/quotas/quota-allocator.ts
@@ -111,7 +111,9 @@
 			return;
 		}
 
-		const earlier = Math.max(0, Math.min(units, bucket.earlierUnits));
+		// What exceeds the steady use may have been used in the last moment.
+		const steady = (demand * this.ownerlessMilliseconds) / 1000;
+		const earlier = Math.max(0, Math.min(units, steady, bucket.earlierUnits));
 		bucket.earlierUnits -= earlier;
 		this.use(key, units - earlier);
 		this.assumeUse(key, demand);
--- a/src/core/quotas/quota-exchange.ts
+++ b/src/core/quotas/quota-exchange.ts
@@ -188,16 +188,23 @@
 	}
 
 	/** The response to the report of a host, undefined while this host has no usable word of the owner. */
-	respond(sequence: number): QuotaResponse | undefined {
+	respond(
+		host: string,
+		report: Pick<QuotaReport, 'process' | 'sequence'>,
+	): QuotaResponse | undefined {
 		const allocator = this.decidingAllocator();
 		const isListening = this.allocator !== undefined && !allocator;
-		if (isListening || this.hasStalled()) {
+		if (isListening || !this.collector.hasTaken(host, report)) {
 			return undefined;
 		}
 
 		const ageMilliseconds = allocator ? 0 : this.now - this.wordAt;
 		return Number.isFinite(ageMilliseconds)
-			? {sequence, ageMilliseconds, words: this.currentWords(allocator)}
+			? {
+					sequence: report.sequence,
+					ageMilliseconds,
+					words: this.currentWords(allocator),
+				}
 			: undefined;
 	}
 
--- a/src/core/quotas/use-collector.ts
+++ b/src/core/quotas/use-collector.ts
@@ -33,6 +33,8 @@
 
 type Reporter = {
 	process: number;
+	/** Number of the newest report that was taken. */
+	sequence: number;
 	reportedAt: number;
 	isWaiting: boolean;
 	readonly uses: Map<QuotaKey, ReporterUse>;
@@ -80,13 +82,25 @@
 	}
 
 	/** Takes the report of a host. */
-	apply(host: string, {process, uses, isWaiting}: QuotaReport): void {
+	apply(host: string, report: QuotaReport): void {
+		const {process, sequence, uses, isWaiting} = report;
 		this.keep(host, process, isWaiting);
 		for (const use of uses) {
 			this.applyUse(host, process, use);
 		}
 
-		this.returnAssumed(this.reporterOf(host, process));
+		const reporter = this.reporterOf(host, process);
+		reporter.sequence = Math.max(reporter.sequence, sequence);
+		this.returnAssumed(reporter);
+	}
+
+	/** True when a report of a host was taken, so that it may be confirmed. */
+	hasTaken(
+		host: string,
+		{process, sequence}: Pick<QuotaReport, 'process' | 'sequence'>,
+	): boolean {
+		const reporter = this.reporters.get(host);
+		return reporter?.process === process && reporter.sequence >= sequence;
 	}
 
 	/** Takes the use of one customer by a host. */
@@ -241,6 +255,7 @@
 
 		const reporter = {
 			process,
+			sequence: 0,
 			reportedAt: this.clock.monotonic(),
 			isWaiting: false,
 			uses: new Map<QuotaKey, ReporterUse>(),
--- a/src/services/forwarding/reports/quota-report-part.ts
+++ b/src/services/forwarding/reports/quota-report-part.ts
@@ -44,10 +44,10 @@
 		return this.exchange.isActive && quotas?.isWaiting === true;
 	}
 
-	responseFields({quotas}: ReportRequest): ReportResponseFields {
+	responseFields({host, quotas}: ReportRequest): ReportResponseFields {
 		const response =
 			quotas && this.exchange.isActive
-				? this.exchange.respond(quotas.sequence)
+				? this.exchange.respond(host, quotas)
 				: undefined;
 		return response && response.ageMilliseconds < maximumAgeMilliseconds
 			? {quotas: toResponseField(response)}
--- a/test/quotas/quota-fleet.ts
+++ b/test/quotas/quota-fleet.ts
@@ -356,7 +356,7 @@
 
 			const held = report.isWaiting ? 0 : 250;
 			this.schedule(this.now + held, () => {
-				const response = receiver.exchange.respond(report.sequence);
+				const response = receiver.exchange.respond(host.id, report);
 				const {hostCount} = receiver;
 				const count = isOwner ? this.countHosts() : hostCount;
 				this.send(receiver, host, () => {
