--- a/src/core/quotas/quota-allocator.ts
+++ b/src/core/quotas/quota-allocator.ts
@@ -205,5 +205,9 @@
 }
 
 function shareOf(admitted: number, demand: number): number {
-	return demand <= admitted ? 1 : Math.max(0, admitted) / demand;
+	if (demand <= 0) {
+		return admitted < 0 ? 0 : 1;
+	}
+
+	return Math.min(1, Math.max(0, admitted) / demand);
 }
--- a/src/core/quotas/quota-exchange.ts
+++ b/src/core/quotas/quota-exchange.ts
@@ -57,6 +57,8 @@
 const stallMilliseconds = 2000;
 /** Time in which the reports are handled that have waited. */
 const stallEndMilliseconds = 300;
+/** Time by which one lost report delays word. */
+const lossMilliseconds = 750;
 /** Requests per second by which the demand may seem to grow by chance. */
 const unevenRequestsPerSecond = 2;
 /** Longest time without an owner whose use the first reports may still tell. */
@@ -347,7 +349,7 @@
 			mode:
 				ageMilliseconds > maximumWordAgeMilliseconds
 					? 'part'
-					: sustainedShare < 1
+					: Math.min(admittedShare, sustainedShare) < 1
 						? 'share'
 						: 'free',
 			admittedShare,
@@ -411,10 +413,12 @@
 		}
 
 		// Without newer word, what the bucket had saved up is used up, and half of the rate is left to pay a debt.
-		const isOutdated =
-			this.now - this.wordAt > feedbackMilliseconds(this.options.hostCount());
+		const age = this.now - this.wordAt;
+		const feedback = feedbackMilliseconds(this.options.hostCount());
+		const isOutdated = age > feedback;
 		const word = this.words.get(key);
-		const partShare = isOutdated && !word ? this.partShare(key) : 1;
+		const partShare =
+			age > feedback + lossMilliseconds && !word ? this.partShare(key) : 1;
 		const {
 			admittedShare = partShare,
 			sustainedShare = partShare,
--- a/src/core/quotas/quota-policy.ts
+++ b/src/core/quotas/quota-policy.ts
@@ -23,7 +23,7 @@
 };
 
 /** Share of the excess that the owner admits beyond the bucket. */
-const reserveShare = 0.15;
+const reserveShare = 0.1;
 /** Share of the excess and of the burst that hosts may use before the owner knows of it. */
 const growthShare = 0.25;
 /** Share of the excess for chance. */
@@ -66,7 +66,7 @@
 /**
  * Divides the allowed excess E of a quota with rate R and burst B among its causes:
  *
- * - The owner's reserve is E / 4.
+ * - The owner's reserve is E / 10.
  * - Each of N hosts, and each relay for its hosts, may grow by g beyond what it has reported: 2 N g = (E + B) / 4.
  * - Near the limit, the use of each host may exceed what it has reported by c because requests arrive unevenly:
  *   N c = E / 4.
--- a/src/platform/document-state.ts
+++ b/src/platform/document-state.ts
@@ -34,6 +34,9 @@
 /** Size of a configuration. The check of a larger one would block the event loop. */
 const maximumConfigurationBytes = 16_777_216;
 
+/** Characters of a wrong value in the reason of a refusal. */
+const maximumShownCharacters = 20;
+
 const routeSchema = z.object({
 	name: z.string(),
 	host: z.string(),
@@ -74,14 +77,25 @@
 		.default([]),
 });
 
+/** A number of a quota. The reason of a refusal names the value and the limit, and zod adds the path. */
+const quotaNumberSchema = z
+	.number({error: describeQuotaValue})
+	.nonnegative({error: describeQuotaValue})
+	.nullish();
+
 const tenantSchema = z.object({
 	name: customerNameSchema,
 	api_keys: keyDigestsSchema.default([]),
 	priority: z.number().nullish(),
-	per_s: z.number().nonnegative().nullish(),
-	burst: z.number().nonnegative().nullish(),
-	unit: z.enum(['requests', 'tokens']).nullish(),
-	plain_tokens: z.number().nonnegative().nullish(),
+	per_s: quotaNumberSchema,
+	burst: quotaNumberSchema,
+	unit: z
+		.enum(['requests', 'tokens'], {
+			error: ({input}) =>
+				`expected "requests" or "tokens", received ${describeValue(input)}`,
+		})
+		.nullish(),
+	plain_tokens: quotaNumberSchema,
 });
 
 const configurationSchema = z.object({
@@ -236,6 +250,19 @@
 		: undefined;
 }
 
+function describeQuotaValue({input}: {readonly input?: unknown}): string {
+	return `expected a number of at least 0, received ${describeValue(input)}`;
+}
+
+/** Describes a value of any size in a few characters. */
+function describeValue(value: unknown): string {
+	return typeof value === 'number'
+		? String(value)
+		: typeof value === 'string'
+			? JSON.stringify(value.slice(0, maximumShownCharacters))
+			: typeof value;
+}
+
 function toMilliseconds(seconds: number | undefined): number | undefined {
 	return seconds === undefined ? undefined : toFinite(seconds * 1000);
 }
--- a/test/forwarding/forwarding-harness.ts
+++ b/test/forwarding/forwarding-harness.ts
@@ -41,6 +41,7 @@
 import {CrashObserver} from '../../src/services/forwarding/targets/crash-observer.js';
 import {ForwardingServer} from '../../src/services/forwarding/forwarding-server.js';
 import {ForwardingService} from '../../src/services/forwarding/forwarding-service.js';
+import {type QuotaEnforcement} from '../../src/services/forwarding/limits/quota-enforcement.js';
 import {PeerConnections} from '../../src/services/forwarding/peers/peer-connections.js';
 import {PeerForwarder} from '../../src/services/forwarding/peers/peer-forwarder.js';
 import {addPeerRoutes} from '../../src/services/forwarding/peers/peer-routes.js';
@@ -152,6 +153,8 @@
 export type BodyBudgets = {
 	readonly requests?: ByteBudget;
 	readonly answers?: ByteBudget;
+	/** Enforces quotas. They are not enforced if absent. */
+	readonly quotas?: QuotaEnforcement;
 };
 
 /** A forwarding server in this process. The test provides the targets. */
@@ -238,6 +241,7 @@
 			targetListAge: () => 0,
 			peers: this.peers,
 			budget: budgets.answers,
+			quotas: budgets.quotas,
 			retries: {ratio: 0.2, slack: 56, windowMilliseconds: 10_000, hosts: 8},
 			onAdapterMissing: () => {
 				this.missingAdapterCount++;
--- a/test/platform/decoders.test.ts
+++ b/test/platform/decoders.test.ts
@@ -194,8 +194,13 @@
 	assert.equal(change.kind, 'document');
 	const {customers, routes} = change.document;
 	assert.deepEqual(customers, [
-		{name: 'north', keyDigests: [sha256('secret-1')], priority: 2},
-		{name: 'south', keyDigests: [], priority: undefined},
+		{
+			name: 'north',
+			keyDigests: [sha256('secret-1')],
+			priority: 2,
+			quota: {unit: 'tokens', perSecond: 10, burst: 20, plainUnits: 200},
+		},
+		{name: 'south', keyDigests: [], priority: undefined, quota: undefined},
 	]);
 	assert.deepEqual(
 		routes.map(({isKeyless}) => isKeyless),
@@ -225,6 +230,22 @@
 	}
 });
 
+test('a quota that is no limit makes a configuration unreadable, and the reason names path, value and limit', () => {
+	const cases: Array<[Record<string, unknown>, RegExp]> = [
+		[{per_s: -5}, /at least 0, received -5[\s\S]*tenants\[0\]\.per_s/],
+		[{burst: 'all'}, /at least 0, received "all"[\s\S]*tenants\[0\]\.burst/],
+		[{plain_tokens: {}}, /received object[\s\S]*tenants\[0\]\.plain_tokens/],
+		[{unit: 'bytes'}, /"tokens", received "bytes"[\s\S]*tenants\[0\]\.unit/],
+	];
+	for (const [quota, reason] of cases) {
+		const change = decodeDocument(
+			bytes({...configuration, tenants: [{name: 'a', per_s: 1, ...quota}]}),
+		);
+		assert.ok(change.kind === 'unreadable');
+		assert.match(change.reason, reason);
+	}
+});
+
 const codec = new PlatformRequestCodec();
 const requestHeaders = [
 	'Host',
