--- a/src/core/quotas/quota-exchange.ts
+++ b/src/core/quotas/quota-exchange.ts
@@ -57,6 +57,8 @@
 const stallMilliseconds = 2000;
 /** Time in which the reports are handled that have waited. */
 const stallEndMilliseconds = 300;
+/** Part of the last rate that a host uses without newer word. The owner may have given the rest to other hosts. */
+const outdatedFactor = 0.8;
 /** Time by which one lost report delays word. */
 const lossMilliseconds = 750;
 /** Requests per second by which the demand may seem to grow by chance. */
@@ -425,7 +427,10 @@
 			usedShare = 0,
 		} = word ?? {};
 		const share = isOutdated
-			? Math.min(sustainedShare, (admittedShare + sustainedShare) / 2)
+			? Math.min(
+					sustainedShare * (word ? outdatedFactor : 1),
+					(admittedShare + sustainedShare) / 2,
+				)
 			: admittedShare;
 		return {
 			key,
