--- a/src/platform/document-state.ts
+++ b/src/platform/document-state.ts
@@ -6,9 +6,13 @@
 	durationSchema,
 	uniquelyNamed,
 } from '../contracts/bounded-json.js';
+import {
+	quotaNumberSchema,
+	quotaUnitSchema,
+	toQuota,
+} from '../contracts/quota-values.js';
 import {keyDigestsSchema} from '../contracts/key-digest.js';
 import {
-	type CustomerQuota,
 	type ForwardingDocument,
 	type RouteKind,
 } from '../contracts/forwarding-document.js';
@@ -34,9 +38,6 @@
 /** Size of a configuration. The check of a larger one would block the event loop. */
 const maximumConfigurationBytes = 16_777_216;
 
-/** Characters of a wrong value in the reason of a refusal. */
-const maximumShownCharacters = 20;
-
 const routeSchema = z.object({
 	name: z.string(),
 	host: z.string(),
@@ -77,24 +78,13 @@
 		.default([]),
 });
 
-/** A number of a quota. The reason of a refusal names the value and the limit, and zod adds the path. */
-const quotaNumberSchema = z
-	.number({error: describeQuotaValue})
-	.nonnegative({error: describeQuotaValue})
-	.nullish();
-
 const tenantSchema = z.object({
 	name: customerNameSchema,
 	api_keys: keyDigestsSchema.default([]),
 	priority: z.number().nullish(),
 	per_s: quotaNumberSchema,
 	burst: quotaNumberSchema,
-	unit: z
-		.enum(['requests', 'tokens'], {
-			error: ({input}) =>
-				`expected "requests" or "tokens", received ${describeValue(input)}`,
-		})
-		.nullish(),
+	unit: quotaUnitSchema,
 	plain_tokens: quotaNumberSchema,
 });
 
@@ -228,41 +218,16 @@
 			name: tenant.name,
 			keyDigests: tenant.api_keys,
 			priority: tenant.priority ?? undefined,
-			quota: toQuota(tenant),
+			quota: toQuota({
+				unit: tenant.unit,
+				perSecond: tenant.per_s,
+				burst: tenant.burst,
+				plainUnits: tenant.plain_tokens,
+			}),
 		})),
 	};
 }
 
-/** A limit of 0, like an absent one, is none. */
-function toQuota({
-	unit,
-	per_s: perSecond,
-	burst,
-	plain_tokens: plainTokens,
-}: z.infer<typeof tenantSchema>): CustomerQuota | undefined {
-	return perSecond
-		? {
-				unit: unit ?? 'requests',
-				perSecond: toFinite(perSecond),
-				burst: toFinite(burst ?? 0),
-				plainUnits: unit === 'tokens' ? toFinite(plainTokens ?? 0) : 1,
-			}
-		: undefined;
-}
-
-function describeQuotaValue({input}: {readonly input?: unknown}): string {
-	return `expected a number of at least 0, received ${describeValue(input)}`;
-}
-
-/** Describes a value of any size in a few characters. */
-function describeValue(value: unknown): string {
-	return typeof value === 'number'
-		? String(value)
-		: typeof value === 'string'
-			? JSON.stringify(value.slice(0, maximumShownCharacters))
-			: typeof value;
-}
-
 function toMilliseconds(seconds: number | undefined): number | undefined {
 	return seconds === undefined ? undefined : toFinite(seconds * 1000);
 }
