--- a/src/core/quotas/quota-account.ts
+++ b/src/core/quotas/quota-account.ts
@@ -23,6 +23,8 @@
 	readonly ageMilliseconds: number;
 	/** True while the use of this host may not grow before the owner knows of it. */
 	readonly isPending: boolean;
+	/** True when newer word should have come. The use then keeps to a rate. */
+	readonly isOutdated: boolean;
 };
 
 /** What an account is told by the quotas of its host. */
@@ -57,6 +59,8 @@
 	minimumMilliseconds: 500,
 	maximumMilliseconds: 5000,
 };
+/** Requests per second above which a rate admits requests evenly. */
+const steadyRequests = 3;
 /** Weight of the latest request in the usual size of a request. */
 const sizeWeight = 0.1;
 const minimumRetryMilliseconds = 250;
@@ -135,7 +139,11 @@
 		this.demandMeter.setTimeConstant(this.demandTimeConstant(), now);
 		this.demandMeter.add(units, now);
 		const outlook = this.follow(this.source.outlook());
-		if (outlook.mode === 'share' && !this.tryShare(units, outlook)) {
+		if (
+			outlook.mode === 'share' &&
+			!this.hasSteadyRate(outlook) &&
+			!this.tryShare(units, outlook)
+		) {
 			decide(this.refusal(units, outlook));
 			return;
 		}
@@ -241,6 +249,10 @@
 
 	/** Admits the share of the demand, in an even order. */
 	private tryShare(units: number, {admittedShare}: QuotaOutlook): boolean {
+		if (admittedShare >= 1) {
+			return true;
+		}
+
 		this.shareCredit += units * admittedShare;
 		if (this.shareCredit <= 0) {
 			return false;
@@ -250,14 +262,26 @@
 		return true;
 	}
 
+	/** True when word is outdated and the rate that it admits is that of several requests, so that the rate alone can decide. */
+	private hasSteadyRate({isOutdated, admittedShare}: QuotaOutlook): boolean {
+		return (
+			isOutdated &&
+			admittedShare * this.demand > steadyRequests * this.usualUnits
+		);
+	}
+
 	private mayTake({mode, isPending}: QuotaOutlook): boolean {
 		return mode === 'part' ? this.partCredit > 0 : !isPending;
 	}
 
 	/** True when word of the owner, or the units of a short time, may admit a request. */
-	private mayGainByWaiting({mode, ageMilliseconds}: QuotaOutlook): boolean {
+	private mayGainByWaiting({
+		mode,
+		isOutdated,
+		ageMilliseconds,
+	}: QuotaOutlook): boolean {
 		if (mode !== 'part' || !Number.isFinite(ageMilliseconds)) {
-			return true;
+			return mode !== 'share' || !isOutdated;
 		}
 
 		let queued = 0;
--- a/src/core/quotas/quota-allocator.ts
+++ b/src/core/quotas/quota-allocator.ts
@@ -16,6 +16,8 @@
 	readonly sustainedShare: number;
 	/** Use of the fleet as a share of the quota. */
 	readonly usedShare: number;
+	/** True when the customer is near its limit, so that hosts need to know. */
+	readonly isLimited: boolean;
 };
 
 type Bucket = {
@@ -33,6 +35,9 @@
 
 /** Time after a change of the owner in which the first reports of hosts tell what they used before. */
 const takeoverMilliseconds = 2500;
+/** A customer counts as near its limit when its bucket is emptier than this share of the burst, or its demand above this share of the rate. */
+const limitedLevelShare = 0.25;
+const limitedDemandShare = 0.8;
 /** Part of the feedback time in which hosts still follow earlier decisions. The level expected at its end decides, so that the share does not oscillate. */
 const lagShare = 0.6;
 /** Time constant of the use that operators see. */
@@ -88,23 +93,36 @@
 		const bucket = this.buckets.get(key);
 		if (bucket) {
 			this.refill(bucket);
-			const isFirstUse = bucket.levelAt - this.since < takeoverMilliseconds;
-			const earlier =
-				isFirstUse && units > 0 ? Math.min(units, bucket.earlierUnits) : 0;
-			bucket.earlierUnits -= earlier;
-			bucket.level = Math.min(
-				bucket.quota.burst,
-				bucket.level - units + earlier,
-			);
+			bucket.level = Math.min(bucket.quota.burst, bucket.level - units);
 			bucket.use.add(units, bucket.levelAt);
 		}
 	}
 
-	/** Takes the units that a customer is assumed to have used before this process became the owner, from the demand in the first report of a host. */
-	assumeUse(key: QuotaKey, demand: number): void {
+	/** Takes the units in the first report of a host. Soon after a change of the owner, they were used while there was none. */
+	useFirst(key: QuotaKey, units: number, demand: number): void {
 		const bucket = this.buckets.get(key);
+		if (!bucket) {
+			return;
+		}
+
 		const now = this.options.clock.monotonic();
-		if (bucket && now - this.since < takeoverMilliseconds) {
+		if (now - this.since >= takeoverMilliseconds) {
+			this.use(key, units);
+			return;
+		}
+
+		// What exceeds the steady use may have been used in the last moment.
+		const steady = (demand * this.ownerlessMilliseconds) / 1000;
+		const earlier = Math.max(0, Math.min(units, steady, bucket.earlierUnits));
+		bucket.earlierUnits -= earlier;
+		this.use(key, units - earlier);
+		this.assumeUse(key, demand);
+	}
+
+	/** Takes the units that a customer is assumed to have used before, from the demand of a host. */
+	assumeUse(key: QuotaKey, demand: number): void {
+		const bucket = this.buckets.get(key);
+		if (bucket) {
 			const {burst, perSecond} = bucket.quota;
 			this.refill(bucket);
 			bucket.level = Math.max(
@@ -118,7 +136,12 @@
 	allocate(key: QuotaKey, demand: number): QuotaAllocation {
 		const bucket = this.buckets.get(key);
 		if (!bucket) {
-			return {admittedShare: 1, sustainedShare: 1, usedShare: 0};
+			return {
+				admittedShare: 1,
+				sustainedShare: 1,
+				usedShare: 0,
+				isLimited: false,
+			};
 		}
 
 		this.refill(bucket);
@@ -147,6 +170,9 @@
 			admittedShare,
 			sustainedShare: shareOf(sustained, demand),
 			usedShare: bucket.use.perSecond(now) / quota.perSecond,
+			isLimited:
+				level < limitedLevelShare * quota.burst ||
+				demand > limitedDemandShare * sustained,
 		};
 	}
 
@@ -179,5 +205,9 @@
 }
 
 function shareOf(admitted: number, demand: number): number {
-	return demand <= admitted ? 1 : Math.max(0, admitted) / demand;
+	if (demand <= 0) {
+		return admitted < 0 ? 0 : 1;
+	}
+
+	return Math.min(1, Math.max(0, admitted) / demand);
 }
--- a/src/core/quotas/quota-exchange.ts
+++ b/src/core/quotas/quota-exchange.ts
@@ -57,6 +57,12 @@
 const stallMilliseconds = 2000;
 /** Time in which the reports are handled that have waited. */
 const stallEndMilliseconds = 300;
+/** Part of the last rate that a host uses without newer word. The owner may have given the rest to other hosts. */
+const outdatedFactor = 0.8;
+/** Time by which one lost report delays word. */
+const lossMilliseconds = 750;
+/** Requests per second by which the demand may seem to grow by chance. */
+const unevenRequestsPerSecond = 2;
 /** Longest time without an owner whose use the first reports may still tell. */
 const maximumOwnerlessMilliseconds = 8000;
 
@@ -87,9 +93,10 @@
 		this.collector = new UseCollector(
 			options.clock,
 			(key, units, {firstDemand}) => {
-				this.allocator?.use(key, units);
-				if (firstDemand !== undefined) {
-					this.allocator?.assumeUse(key, firstDemand);
+				if (firstDemand === undefined) {
+					this.allocator?.use(key, units);
+				} else {
+					this.allocator?.useFirst(key, units, firstDemand);
 				}
 			},
 		);
@@ -185,16 +192,23 @@
 	}
 
 	/** The response to the report of a host, undefined while this host has no usable word of the owner. */
-	respond(sequence: number): QuotaResponse | undefined {
+	respond(
+		host: string,
+		report: Pick<QuotaReport, 'process' | 'sequence'>,
+	): QuotaResponse | undefined {
 		const allocator = this.decidingAllocator();
 		const isListening = this.allocator !== undefined && !allocator;
-		if (isListening || this.hasStalled()) {
+		if (isListening || !this.collector.hasTaken(host, report)) {
 			return undefined;
 		}
 
 		const ageMilliseconds = allocator ? 0 : this.now - this.wordAt;
 		return Number.isFinite(ageMilliseconds)
-			? {sequence, ageMilliseconds, words: this.currentWords(allocator)}
+			? {
+					sequence: report.sequence,
+					ageMilliseconds,
+					words: this.currentWords(allocator),
+				}
 			: undefined;
 	}
 
@@ -240,9 +254,7 @@
 		}
 
 		this.words = new Map(
-			words
-				.filter(({sustainedShare}) => sustainedShare < 1)
-				.map((word) => [word.key, word]),
+			words.filter(({isLimited}) => isLimited).map((word) => [word.key, word]),
 		);
 	}
 
@@ -339,13 +351,15 @@
 			mode:
 				ageMilliseconds > maximumWordAgeMilliseconds
 					? 'part'
-					: sustainedShare < 1
+					: Math.min(admittedShare, sustainedShare) < 1
 						? 'share'
 						: 'free',
 			admittedShare,
 			usedShare,
 			ageMilliseconds,
 			isPending,
+			isOutdated:
+				ageMilliseconds > feedbackMilliseconds(this.options.hostCount()),
 		};
 	}
 
@@ -400,28 +414,58 @@
 			return {key, ...allocation, isPending: false};
 		}
 
+		// Without newer word, what the bucket had saved up is used up, and half of the rate is left to pay a debt.
+		const age = this.now - this.wordAt;
+		const feedback = feedbackMilliseconds(this.options.hostCount());
+		const isOutdated = age > feedback;
+		const word = this.words.get(key);
+		const partShare =
+			age > feedback + lossMilliseconds && !word ? this.partShare(key) : 1;
 		const {
-			admittedShare = 1,
-			sustainedShare = 1,
+			admittedShare = partShare,
+			sustainedShare = partShare,
 			usedShare = 0,
-		} = this.words.get(key) ?? {};
-		// Without newer word, what the bucket had saved up is used up, and half of the rate is left to pay a debt.
-		const isOutdated =
-			this.now - this.wordAt > feedbackMilliseconds(this.options.hostCount());
+		} = word ?? {};
 		const share = isOutdated
-			? Math.min(sustainedShare, (admittedShare + sustainedShare) / 2)
+			? Math.min(
+					sustainedShare * (word ? outdatedFactor : 1),
+					(admittedShare + sustainedShare) / 2,
+				)
 			: admittedShare;
 		return {
 			key,
 			admittedShare: share,
 			sustainedShare,
 			usedShare,
-			isPending: this.isPending(key, share),
+			isLimited: word !== undefined,
+			isPending: this.isPending(key, share, isOutdated && sustainedShare < 1),
 		};
 	}
 
+	/** Share of the demand within the part of this host and those that report to it, for a customer whose demand grows without word of the owner. */
+	private partShare(key: QuotaKey): number {
+		const collected = this.collector.get(key);
+		const quota = this.customersByKey.get(key)?.account.currentQuota;
+		if (!collected || !quota) {
+			return 1;
+		}
+
+		const {demand, confirmed, usualUnits} = collected;
+		const part =
+			(quota.perSecond * this.collector.reporterCount) /
+			this.quotaOptions.fullHostCount();
+		const admitted = Math.max(part, confirmed.demand);
+		return demand > admitted + unevenRequestsPerSecond * usualUnits
+			? admitted / demand
+			: 1;
+	}
+
 	/** True while the use that the owner does not know exceeds what the hosts of this relay may grow by. */
-	private isPending(key: QuotaKey, admittedShare: number): boolean {
+	private isPending(
+		key: QuotaKey,
+		admittedShare: number,
+		isOutdated: boolean,
+	): boolean {
 		const collected = this.collector.get(key);
 		const quota = this.customersByKey.get(key)?.account.currentQuota;
 		if (!collected || !quota) {
@@ -437,6 +481,8 @@
 			{
 				...collected,
 				admittedShare,
+				isOutdated,
+				isLimited: this.words.has(key),
 				hosts: this.collector.reporterCount,
 			},
 			margins,
--- a/src/platform/document-state.ts
+++ b/src/platform/document-state.ts
@@ -6,9 +6,13 @@
 	durationSchema,
 	uniquelyNamed,
 } from '../contracts/bounded-json.js';
+import {
+	quotaNumberSchema,
+	quotaUnitSchema,
+	toQuota,
+} from '../contracts/quota-values.js';
 import {keyDigestsSchema} from '../contracts/key-digest.js';
 import {
-	type CustomerQuota,
 	type ForwardingDocument,
 	type RouteKind,
 } from '../contracts/forwarding-document.js';
@@ -78,10 +82,10 @@
 	name: customerNameSchema,
 	api_keys: keyDigestsSchema.default([]),
 	priority: z.number().nullish(),
-	per_s: z.number().nonnegative().nullish(),
-	burst: z.number().nonnegative().nullish(),
-	unit: z.enum(['requests', 'tokens']).nullish(),
-	plain_tokens: z.number().nonnegative().nullish(),
+	per_s: quotaNumberSchema,
+	burst: quotaNumberSchema,
+	unit: quotaUnitSchema,
+	plain_tokens: quotaNumberSchema,
 });
 
 const configurationSchema = z.object({
@@ -214,28 +218,16 @@
 			name: tenant.name,
 			keyDigests: tenant.api_keys,
 			priority: tenant.priority ?? undefined,
-			quota: toQuota(tenant),
+			quota: toQuota({
+				unit: tenant.unit,
+				perSecond: tenant.per_s,
+				burst: tenant.burst,
+				plainUnits: tenant.plain_tokens,
+			}),
 		})),
 	};
 }
 
-/** A limit of 0, like an absent one, is none. */
-function toQuota({
-	unit,
-	per_s: perSecond,
-	burst,
-	plain_tokens: plainTokens,
-}: z.infer<typeof tenantSchema>): CustomerQuota | undefined {
-	return perSecond
-		? {
-				unit: unit ?? 'requests',
-				perSecond: toFinite(perSecond),
-				burst: toFinite(burst ?? 0),
-				plainUnits: unit === 'tokens' ? toFinite(plainTokens ?? 0) : 1,
-			}
-		: undefined;
-}
-
 function toMilliseconds(seconds: number | undefined): number | undefined {
 	return seconds === undefined ? undefined : toFinite(seconds * 1000);
 }
