--- a/src/contracts/quota-values.ts
+++ b/src/contracts/quota-values.ts
@@ -6,19 +6,25 @@
 const maximumShownCharacters = 20;
 
 /** A number of a quota. The reason of a refusal names the value and the limit, to which the path is added. */
-export const quotaNumberSchema = z
+const quotaNumberSchema = z
 	.number({error: describeNumber})
 	.nonnegative({error: describeNumber})
 	.nullish();
 
 /** What a quota counts, in the same way. */
-export const quotaUnitSchema = z
+const quotaUnitSchema = z
 	.enum(['requests', 'tokens'], {
 		error: ({input}) =>
 			`expected "requests" or "tokens", received ${describeValue(input)}`,
 	})
 	.nullish();
 
+/** Schemas of the values of a quota. */
+export const quotaSchemas = {
+	number: quotaNumberSchema,
+	unit: quotaUnitSchema,
+} as const;
+
 /** Returns the quota of these values. A limit of 0, like an absent one, is none. */
 export function toQuota({
 	unit,
@@ -26,10 +32,10 @@
 	burst,
 	plainUnits,
 }: {
-	readonly unit: z.infer<typeof quotaUnitSchema>;
-	readonly perSecond: z.infer<typeof quotaNumberSchema>;
-	readonly burst: z.infer<typeof quotaNumberSchema>;
-	readonly plainUnits: z.infer<typeof quotaNumberSchema>;
+	readonly unit?: z.infer<typeof quotaUnitSchema>;
+	readonly perSecond?: z.infer<typeof quotaNumberSchema>;
+	readonly burst?: z.infer<typeof quotaNumberSchema>;
+	readonly plainUnits?: z.infer<typeof quotaNumberSchema>;
 }): CustomerQuota | undefined {
 	return perSecond
 		? {
--- a/src/platform/document-state.ts
+++ b/src/platform/document-state.ts
@@ -6,11 +6,7 @@
 	durationSchema,
 	uniquelyNamed,
 } from '../contracts/bounded-json.js';
-import {
-	quotaNumberSchema,
-	quotaUnitSchema,
-	toQuota,
-} from '../contracts/quota-values.js';
+import {quotaSchemas, toQuota} from '../contracts/quota-values.js';
 import {keyDigestsSchema} from '../contracts/key-digest.js';
 import {
 	type ForwardingDocument,
@@ -82,10 +78,10 @@
 	name: customerNameSchema,
 	api_keys: keyDigestsSchema.default([]),
 	priority: z.number().nullish(),
-	per_s: quotaNumberSchema,
-	burst: quotaNumberSchema,
-	unit: quotaUnitSchema,
-	plain_tokens: quotaNumberSchema,
+	per_s: quotaSchemas.number,
+	burst: quotaSchemas.number,
+	unit: quotaSchemas.unit,
+	plain_tokens: quotaSchemas.number,
 });
 
 const configurationSchema = z.object({
@@ -219,9 +215,8 @@
 			keyDigests: tenant.api_keys,
 			priority: tenant.priority ?? undefined,
 			quota: toQuota({
-				unit: tenant.unit,
+				...tenant,
 				perSecond: tenant.per_s,
-				burst: tenant.burst,
 				plainUnits: tenant.plain_tokens,
 			}),
 		})),
