--- a/src/base/node/body-buffer.ts
+++ b/src/base/node/body-buffer.ts
@@ -27,7 +27,12 @@
 		for (let from = 0; from < chunk.length;) {
 			let block = this.blocks.at(-1);
 			if (!block || this.filled === block.length) {
-				block = createBlock(block ? block.length * 2 : firstBlockBytes);
+				block = createBlock(
+					Math.max(
+						block ? block.length * 2 : firstBlockBytes,
+						chunk.length - from,
+					),
+				);
 				this.blocks.push(block);
 				this.filled = 0;
 			}
@@ -41,7 +46,7 @@
 
 	/** Returns the content and forgets it. */
 	take(): Buffer {
-		const content = Buffer.allocUnsafeSlow(this.bytes);
+		const content = Buffer.allocUnsafe(this.bytes);
 		let offset = 0;
 		for (const block of this.blocks) {
 			offset += block.copy(content, offset, 0, this.bytes - offset);
@@ -70,6 +75,6 @@
 
 function createBlock(size: number): Buffer {
 	return size < blockBytes
-		? Buffer.allocUnsafeSlow(size)
+		? Buffer.allocUnsafe(size)
 		: (freeBlocks.pop() ?? Buffer.allocUnsafeSlow(blockBytes));
 }
