Refuse prompts that no target can hold

A target refuses a request that is larger than its memory as if it were full, so the request went from target to target until its caller gave up.

Measured: the new test passes.

--- a/src/services/forwarding/attempts/forward-dispatch.ts
+++ b/src/services/forwarding/attempts/forward-dispatch.ts
@@ -285,6 +285,11 @@
 
 	/** Queues a request. Its outcome is reported through the methods of the request. */
 	submit(request: ForwardedRequest): void {
+		if (this.work.exceedsMemory(request.metadata.promptTokens)) {
+			request.refuse('the prompt exceeds the memory of the targets', undefined);
+			return;
+		}
+
 		this.requests.set(request.key, request);
 		this.dispatcher.post({
 			kind: 'submitted',
--- a/src/services/forwarding/attempts/pool-work.ts
+++ b/src/services/forwarding/attempts/pool-work.ts
@@ -26,6 +26,7 @@
 export class PoolWork {
 	private scheduling: WorkScheduling | undefined;
 	private models: ReadonlyMap<ModelId, PoolModel> = new Map();
+	private memoryTokens = Number.POSITIVE_INFINITY;
 
 	constructor(private readonly options: PoolWorkOptions) {}
 
@@ -44,6 +45,14 @@
 		});
 	}
 
+	/**
+	 * True when the prompt of a request does not fit into the memory of any target. A target refuses such a request as if
+	 * it were full, so it would be sent from target to target until its caller gives up.
+	 */
+	exceedsMemory(promptTokens: number): boolean {
+		return this.scheduling !== undefined && promptTokens > this.memoryTokens;
+	}
+
 	/** Applies the fields of the pool in a new version of the document. */
 	applyEngine(engine: EnginePool | undefined): void {
 		const {clock, events, dispatcher, pool, gates, workAwareSlots} =
@@ -62,6 +71,7 @@
 			});
 		}
 
+		this.memoryTokens = engine?.memoryTokens ?? Number.POSITIVE_INFINITY;
 		this.scheduling?.setTokensPerEvent(engine?.tokensPerEvent);
 		this.resetChangedModels(engine?.models ?? []);
 	}
--- a/test/work/pool-work.test.ts
+++ b/test/work/pool-work.test.ts
@@ -153,6 +153,30 @@
 	}
 });
 
+// Guards against a prompt that no target can hold being sent from target to target until its caller gives up.
+test('a prompt exceeds the memory of the targets only in a pool that is scheduled by work', () => {
+	const engine = {
+		slots: 12,
+		memoryTokens: 36_672,
+		models: [],
+	} as unknown as EnginePool;
+	for (const workAwareSlots of [0, 12]) {
+		const {clock, dispatcher} = setUp();
+		const work = new PoolWork({
+			pool: 'p' as PoolName,
+			clock,
+			events: new NullEventLogger(),
+			dispatcher,
+			workAwareSlots,
+		});
+		work.applyEngine(engine);
+		assert.ok(!work.exceedsMemory(36_672));
+		assert.equal(work.exceedsMemory(36_673), workAwareSlots > 0);
+		work.applyEngine({...engine, memoryTokens: undefined});
+		assert.ok(!work.exceedsMemory(1_000_000));
+	}
+});
+
 // Guards against gates that are not asked, or that miss a request which then counts for ever.
 test('gates decide which target receives a request and see it until its end', () => {
 	const {clock, port, dispatcher, item} = setUp();
