Name the first reason that excludes a target

The checks of one target were spread over chooseTarget and hasCapacity of the dispatcher, which answered with true or false only, and several of them change state (a permit is asked for, limits and cached medians are renewed). They are one function in a new module, TargetChoice, which names the first reason in the same order as before. Each check that changes state has a preview that runs the same code on a copy or restores what it renewed. dispatcher.ts shrinks from 1488 to 1370 lines.

--- a/src/core/admission/start-limiter.ts
+++ b/src/core/admission/start-limiter.ts
@@ -86,19 +86,13 @@
 	/** True when another request of a level may be sent to the target. */
 	hasCapacity(target: TargetId, level: number): boolean {
 		const state = this.targets.get(target);
-		if (!state) {
-			return true;
-		}
-
-		this.applyOverdue(state);
-		const {limit, startedAt, pauseMilliseconds} = this.levelOf(state, level);
-		const count = countUntil(state, level);
-		if (limit >= 1) {
-			return count < Math.floor(limit);
-		}
+		return !state || this.admits(state, level);
+	}
 
-		const pause = pauseMilliseconds * (1 / limit - 1);
-		return count === 0 && this.clock.monotonic() - startedAt >= pause;
+	/** True when `hasCapacity` would be. Decides on a copy of the state, which stays as it is. */
+	previewCapacity(target: TargetId, level: number): boolean {
+		const state = this.targets.get(target);
+		return !state || this.admits(structuredClone(state), level);
 	}
 
 	/** Records that a request was sent. */
@@ -181,6 +175,18 @@
 		return Math.min(step, limit);
 	}
 
+	private admits(state: Target, level: number): boolean {
+		this.applyOverdue(state);
+		const {limit, startedAt, pauseMilliseconds} = this.levelOf(state, level);
+		const count = countUntil(state, level);
+		if (limit >= 1) {
+			return count < Math.floor(limit);
+		}
+
+		const pause = pauseMilliseconds * (1 / limit - 1);
+		return count === 0 && this.clock.monotonic() - startedAt >= pause;
+	}
+
 	/** Lowers the limits of levels whose requests have waited for too long and still do. */
 	private applyOverdue(state: Target): void {
 		const now = this.clock.monotonic();
--- a/src/core/limits/permit-book.ts
+++ b/src/core/limits/permit-book.ts
@@ -65,6 +65,16 @@
 		return false;
 	}
 
+	/** True when `hasPermit` would be. Changes nothing and asks for no permit. */
+	previewPermit(target: TargetId): boolean {
+		const now = this.options.clock.monotonic();
+		return (
+			this.options.limits.get(target) === undefined ||
+			(this.accounts.get(target)?.expiries.some((expiry) => expiry > now) ??
+				false)
+		);
+	}
+
 	/** Records a request to a target, which uses a permit if the target names a rate. */
 	recordSent(target: TargetId): void {
 		if (this.options.limits.get(target) === undefined) {
--- a/src/core/limits/refusal-limits.ts
+++ b/src/core/limits/refusal-limits.ts
@@ -1,4 +1,5 @@
 import {type Clock} from '../../base/common/clock.js';
+import {MedianRandomSource} from '../../base/common/median-random-source.js';
 import {type RandomSource} from '../../base/common/random-source.js';
 import {TypedEvent} from '../../base/common/typed-event.js';
 import {type TargetId} from '../../contracts/ids.js';
@@ -63,6 +64,7 @@
 /** Addition to the limit for each accepted request. */
 const limitIncrease = 0.05;
 const sentWindowMilliseconds = 1000;
+const medianRandom = new MedianRandomSource();
 
 /**
  * Decides whether this host may send another request to a brittle target, which falls over when it turns away more
@@ -91,11 +93,7 @@
 		}
 
 		const state = this.stateOf(target, refusals, slots);
-		if (
-			this.hasPlace(target, state, refusals) ||
-			this.hasReportedRoom(state) ||
-			this.mayRisk(state, refusals)
-		) {
+		if (this.admits(target, state, refusals)) {
 			return true;
 		}
 
@@ -107,6 +105,23 @@
 		return false;
 	}
 
+	/** True when `mayReceive` would be, with medians where it would draw random numbers. Decides on a copy of the state, which stays as it is. */
+	previewReceive({
+		target,
+		slots,
+	}: Pick<TargetLoad, 'target' | 'slots'>): boolean {
+		const refusals = this.options.brittle.get(target);
+		if (refusals === undefined) {
+			return true;
+		}
+
+		const known = this.states.get(target);
+		const state = known
+			? {...known, slots, limit: Math.min(known.limit, slots)}
+			: this.createState(refusals, slots, medianRandom);
+		return this.admits(target, state, refusals, medianRandom);
+	}
+
 	/** Records that a request was sent. */
 	recordSent(target: TargetId): void {
 		const refusals = this.options.brittle.get(target);
@@ -207,6 +222,19 @@
 		this.inFlight.delete(target);
 	}
 
+	private admits(
+		target: TargetId,
+		state: TargetState,
+		refusals: number,
+		random = this.options.random,
+	): boolean {
+		return (
+			this.hasPlace(target, state, refusals) ||
+			this.hasReportedRoom(state) ||
+			this.mayRisk(state, refusals, random)
+		);
+	}
+
 	private recordAnswer(state: TargetState): void {
 		if (!state.hasAnswered) {
 			state.hasAnswered = true;
@@ -225,22 +253,7 @@
 	): TargetState {
 		let state = this.states.get(target);
 		if (!state) {
-			const now = this.options.clock.monotonic();
-			state = {
-				limit: initialLimit,
-				slots,
-				occupied: undefined,
-				reportedAt: now,
-				sentSinceReport: 0,
-				sentAt: [],
-				shareDraw: this.options.random.next(),
-				earned: 0,
-				usedAt: now,
-				blockedUntil: now,
-				riskFrom: now + this.riskInterval(refusals),
-				hasAnswered: false,
-				hasHeldBack: false,
-			};
+			state = this.createState(refusals, slots, this.options.random);
 			this.states.set(target, state);
 		}
 
@@ -249,6 +262,29 @@
 		return state;
 	}
 
+	private createState(
+		refusals: number,
+		slots: number,
+		random: RandomSource,
+	): TargetState {
+		const now = this.options.clock.monotonic();
+		return {
+			limit: initialLimit,
+			slots,
+			occupied: undefined,
+			reportedAt: now,
+			sentSinceReport: 0,
+			sentAt: [],
+			shareDraw: random.next(),
+			earned: 0,
+			usedAt: now,
+			blockedUntil: now,
+			riskFrom: now + this.riskInterval(refusals, random),
+			hasAnswered: false,
+			hasHeldBack: false,
+		};
+	}
+
 	/** Requests of this host at the target, without its part of those that wait there, for which the target may soon have no room. */
 	private fittingInFlight(target: TargetId, state: TargetState): number {
 		const {limit, occupied} = state;
@@ -301,21 +337,22 @@
 		);
 	}
 
-	private mayRisk(state: TargetState, refusals: number): boolean {
+	private mayRisk(
+		state: TargetState,
+		refusals: number,
+		random: RandomSource,
+	): boolean {
 		const now = this.options.clock.monotonic();
 		if (now >= state.riskFrom + riskLifetimeMilliseconds) {
-			state.riskFrom = now + this.riskInterval(refusals);
+			state.riskFrom = now + this.riskInterval(refusals, random);
 		}
 
 		return now >= state.riskFrom;
 	}
 
 	/** Random, so that the hosts of a fleet do not risk refusals at the same time. */
-	private riskInterval(refusals: number): number {
-		return (
-			-Math.log(1 - this.options.random.next()) *
-			this.meanRiskInterval(refusals)
-		);
+	private riskInterval(refusals: number, random = this.options.random): number {
+		return -Math.log(1 - random.next()) * this.meanRiskInterval(refusals);
 	}
 
 	private meanRiskInterval(refusals: number): number {
--- a/src/core/routing/outlier-detector.ts
+++ b/src/core/routing/outlier-detector.ts
@@ -73,7 +73,7 @@
 	private readonly states = new Map<TargetId, TargetState>();
 	/** Targets with a weight below 1. */
 	private readonly reducedWeightTargets = new Set<TargetId>();
-	private readonly medians: Partial<
+	private medians: Partial<
 		Record<
 			LatencyKind,
 			{readonly computedAt: number; readonly value: number | undefined}
@@ -181,6 +181,15 @@
 		};
 	}
 
+	/** Returns the health of a target without renewing the cached medians, on which later decisions depend. */
+	previewHealth(target: TargetId): TargetHealth {
+		const {medians} = this;
+		this.medians = {...medians};
+		const health = this.health(target);
+		this.medians = medians;
+		return health;
+	}
+
 	private ejectIfSlow(
 		target: TargetId,
 		state: TargetState,
--- a/src/core/routing/routing-policy.ts
+++ b/src/core/routing/routing-policy.ts
@@ -40,6 +40,11 @@
 
 /** Chooses a target for a request. */
 export abstract class RoutingPolicy {
+	/** Value by which candidates are compared, lower first. */
+	cost(candidate: RoutingCandidate): number {
+		return projectedLoad(candidate);
+	}
+
 	/** Returns the chosen candidate, or undefined only when there are no candidates. */
 	abstract choose(
 		candidates: readonly RoutingCandidate[],
--- a/src/core/routing/slowdown-estimator.ts
+++ b/src/core/routing/slowdown-estimator.ts
@@ -70,6 +70,20 @@
 		return Math.exp(sum / (weight + priorWeight));
 	}
 
+	/** Returns the slowdown without bringing the stored sums up to date, which rounds them. */
+	previewSlowdown(target: TargetId): number {
+		const recent = this.recentGaps.get(target);
+		const before = recent && {...recent};
+		const slowdown = this.slowdown(target);
+		if (before) {
+			this.recentGaps.set(target, before);
+		} else {
+			this.recentGaps.delete(target);
+		}
+
+		return slowdown;
+	}
+
 	/** Removes the samples of a target. */
 	removeTarget(target: TargetId): void {
 		this.recentGaps.delete(target);
--- a/src/core/routing/work-aware-policy.ts
+++ b/src/core/routing/work-aware-policy.ts
@@ -77,7 +77,7 @@
 	}
 
 	/** Expected cost of the request at a target in milliseconds. */
-	cost(candidate: RoutingCandidate): number {
+	override cost(candidate: RoutingCandidate): number {
 		const {work, slots, speed} = candidate;
 		if (!work) {
 			return projectedLoad(candidate);
--- a/src/services/dispatch/dispatcher.ts
+++ b/src/services/dispatch/dispatcher.ts
@@ -31,11 +31,9 @@
 import {SlowdownEstimator} from '../../core/routing/slowdown-estimator.js';
 import {IsolationPolicy} from '../../core/routing/isolation-policy.js';
 import {LengthEstimator} from '../../core/work/length-estimator.js';
-import {type WorkEstimate} from '../../core/work/work-estimator.js';
 import {
 	OutlierDetector,
 	type LatencyKind,
-	type TargetHealth,
 } from '../../core/routing/outlier-detector.js';
 import {type PermitBook} from '../../core/limits/permit-book.js';
 import {type RefusalLimits} from '../../core/limits/refusal-limits.js';
@@ -43,7 +41,6 @@
 import {RetryBudget} from '../../core/limits/retry-budget.js';
 import {
 	LoadAwarePolicy,
-	type RoutingCandidate,
 	type RoutingPolicy,
 } from '../../core/routing/routing-policy.js';
 import {ServiceTimeEstimator} from '../../core/work/service-time-estimator.js';
@@ -53,7 +50,6 @@
 	TargetLoadTracker,
 	type TargetLoad,
 } from '../../core/routing/target-load-tracker.js';
-import {WorkAwarePolicy} from '../../core/routing/work-aware-policy.js';
 import {
 	type WorkItem,
 	type Attempt,
@@ -69,6 +65,7 @@
 } from './dispatch-contracts.js';
 import {leaveHeadroom, sumWaiting} from './fleet-order.js';
 import {replacementLoads} from './replacement-loads.js';
+import {isStartLimited, TargetChoice} from './target-choice.js';
 import {TargetSample} from './target-sample.js';
 import {
 	toAttemptIdentity,
@@ -139,7 +136,6 @@
 	private readonly logger: EventLogger;
 	private readonly admissionPolicy: AdmissionPolicy;
 	private readonly queue: DispatchQueue<DispatchWork>;
-	private readonly routingPolicy: RoutingPolicy;
 	private readonly slotPolicy: SlotPolicy;
 	private readonly loadTracker: TargetLoadTracker;
 	private readonly outlierDetector: OutlierDetector;
@@ -166,7 +162,7 @@
 	private readonly targetSample: TargetSample;
 	/** Defined in a pool that is scheduled by work. */
 	private work: WorkScheduling | undefined;
-	private readonly workAwarePolicy: WorkAwarePolicy;
+	private readonly choice: TargetChoice;
 
 	constructor(private readonly options: DispatcherOptions) {
 		super();
@@ -189,7 +185,6 @@
 					this.startMargin(work as DispatchWork),
 				usage: options.callerUsage,
 			});
-		this.routingPolicy = options.routingPolicy ?? new LoadAwarePolicy({random});
 		this.slotPolicy = options.slotPolicy ?? new SlotPolicy({host});
 		this.loadTracker = options.loadTracker ?? new TargetLoadTracker({clock});
 		this.outlierDetector =
@@ -206,7 +201,16 @@
 		this.hedgingPolicy = new HedgingPolicy({clock, budget: this.retryBudget});
 		this.prefixAffinity = new PrefixAffinity({clock});
 		this.slowdownEstimator = new SlowdownEstimator({clock});
-		this.workAwarePolicy = new WorkAwarePolicy({random});
+		this.choice = new TargetChoice({
+			...options,
+			routingPolicy: options.routingPolicy ?? new LoadAwarePolicy({random}),
+			isolationPolicy: this.isolationPolicy,
+			slotPolicy: this.slotPolicy,
+			outlierDetector: this.outlierDetector,
+			prefixAffinity: this.prefixAffinity,
+			slowdownEstimator: this.slowdownEstimator,
+			work: () => this.work,
+		});
 		this.targetSample = new TargetSample({
 			random,
 			prefixAffinity: this.prefixAffinity,
@@ -697,7 +701,7 @@
 	private findCapacity(): boolean {
 		if (this.targetWithCapacity !== undefined) {
 			const [load] = this.loadTracker.loads([this.targetWithCapacity]);
-			if (load && this.hasFreeSlot(load, 0, false)) {
+			if (load && this.choice.hasFreeSlot(load, 0, false)) {
 				return true;
 			}
 		}
@@ -706,23 +710,14 @@
 			this.capacitySearchPosition,
 			capacitySearchLength,
 		);
-		const index = loads.findIndex((load) => this.hasFreeSlot(load, 0, false));
+		const index = loads.findIndex((load) =>
+			this.choice.hasFreeSlot(load, 0, false),
+		);
 		this.targetWithCapacity = loads[index]?.target;
 		this.capacitySearchPosition += index === -1 ? loads.length : index;
 		return index !== -1;
 	}
 
-	private hasFreeSlot(
-		load: TargetLoad,
-		level: number,
-		countsAsLong: boolean,
-	): boolean {
-		return (
-			this.work?.hasCapacity(load, level) ??
-			this.slotPolicy.hasCapacity(load, countsAsLong)
-		);
-	}
-
 	private dispatch(bound: BoundWork<DispatchWork>): void {
 		const {work, target, byAge, waitedMilliseconds} = bound;
 		const tracked = this.trackedRequests.get(work.request);
@@ -790,7 +785,7 @@
 		this.runningCount++;
 		const [load] = this.work ? this.loadTracker.loads([target]) : [];
 		if (load) {
-			this.work?.recordSent(load, item, this.heldShare(load, item));
+			this.work?.recordSent(load, item, this.choice.heldShare(load, item));
 		}
 
 		this.loadTracker.startRequest(target, item.request, tracked.isLong);
@@ -873,64 +868,7 @@
 	): TargetId | undefined {
 		const isLong =
 			this.trackedRequests.get(work.request)?.isLong ?? work.isLong;
-		const available = loads.filter(({leaving}) => !leaving);
-		const countsAsLong =
-			isLong && !(isAged && this.slotPolicy.mayExceedLongSlots(available));
-		const healths = new Map(
-			available.map(({target}) => [
-				target,
-				this.outlierDetector.health(target),
-			]),
-		);
-		// Waiting for a healthy target is faster than using a slow one with free capacity.
-		const hasHealthy = [...healths.values()].some(({weight}) => weight > 0);
-		const estimate = this.estimate(work.item);
-		const candidates: RoutingCandidate[] = [];
-		for (const load of available) {
-			const health = healths.get(load.target)!;
-			if (
-				!this.hasCapacity(load, work.item, countsAsLong) ||
-				(hasHealthy && health.weight === 0 && !health.isProbeDue)
-			) {
-				continue;
-			}
-
-			// A recovering target receives only its share of the slots.
-			const isRecovering = health.weight > 0 && health.weight < 1;
-			if (
-				isRecovering &&
-				load.localOutstanding >= Math.ceil(load.slots * health.weight)
-			) {
-				continue;
-			}
-
-			candidates.push(
-				this.toRoutingCandidate(load, health, work.item, estimate),
-			);
-		}
-
-		const chosen = this.policy.choose(candidates, work.item);
-		// If no healthy target has free capacity, an ejected target may receive probes only.
-		return chosen &&
-			hasHealthy &&
-			chosen.weight === 0 &&
-			!(chosen.isProbeDue && work.item.idempotent)
-			? undefined
-			: chosen?.target;
-	}
-
-	private get policy(): RoutingPolicy {
-		return this.work ? this.workAwarePolicy : this.routingPolicy;
-	}
-
-	/** Expected work of a request, undefined unless the pool is scheduled by work. */
-	private estimate(item: WorkItem): WorkEstimate | undefined {
-		return this.work?.estimate(item);
-	}
-
-	/** Share of the prompt that a target may hold. */
-	private heldShare({target}: TargetLoad, {prefixes}: WorkItem): number {
-		return this.prefixAffinity.heldShare(target, prefixes);
+		return this.choice.choose({item: work.item, isLong, isAged}, loads);
 	}
 
 	/** True while more urgent work for the same model waits for a target: sent now, this work would only wait behind it at the target. */
@@ -948,52 +886,6 @@
 		);
 	}
 
-	private hasCapacity(
-		load: TargetLoad,
-		item: WorkItem,
-		countsAsLong: boolean,
-	): boolean {
-		return (
-			this.isolationPolicy.isAvailable(load.target) &&
-			this.hasFreeSlot(load, levelAtTarget(item), countsAsLong) &&
-			(!this.startLimiter ||
-				!isStartLimited(item) ||
-				this.startLimiter.hasCapacity(load.target, startLevel(item))) &&
-			(this.work?.mayReceive(load, item, this.heldShare(load, item)) ?? true) &&
-			(this.options.refusalLimits?.mayReceive(load) ?? true) &&
-			// Last, because it asks for a permit.
-			(this.options.permits?.hasPermit(load.target) ?? true)
-		);
-	}
-
-	private toRoutingCandidate(
-		load: TargetLoad,
-		health: TargetHealth,
-		item: WorkItem,
-		estimate: WorkEstimate | undefined,
-	): RoutingCandidate {
-		const {target} = load;
-		const {prefixes, adapter} = item;
-		const speedFactor = this.options.speedFactor?.(target) ?? 1;
-		return {
-			...load,
-			...health,
-			speed:
-				(health.speed * speedFactor) / this.slowdownEstimator.slowdown(target),
-			affinity: this.prefixAffinity.affinity(target, prefixes, adapter),
-			...(this.work && estimate
-				? {
-						work: this.work.describe(
-							load,
-							item,
-							estimate,
-							this.heldShare(load, item),
-						),
-					}
-				: {}),
-		};
-	}
-
 	/** Returns true for the first progress of the attempt. */
 	private handleProgress(message: Attempt, tokens: number): boolean {
 		const tracked = this.trackedRequests.get(message.request);
@@ -1476,13 +1368,3 @@
 		this.admissionPolicy.release(caller);
 	}
 }
-
-/** True for model requests that have not begun. The rest of an interrupted stream is sent without delay. */
-function isStartLimited({model, isContinuation}: WorkItem): boolean {
-	return model !== undefined && isContinuation !== true;
-}
-
-/** Rank for the slots of a target. The rest of an interrupted stream has a caller that reads it. */
-function levelAtTarget(item: WorkItem): number {
-	return item.isContinuation === true ? 0 : startLevel(item);
-}
