Preview the dispatch of a request without changing state

Operators could not ask a dispatcher what it would do with a request: admission counts the request, asks for permits, draws random numbers and renews cached values. Dispatcher.preview runs the code that decides (createWork, admit, TargetChoice) with readings that change nothing, shows all candidates instead of a sample, and uses the median where a decision draws a random number.

--- a/src/core/admission/admission-policy.ts
+++ b/src/core/admission/admission-policy.ts
@@ -78,6 +78,57 @@
 
 	/** Admits a request and counts it against its caller, or refuses it. The caller of this method must `release` each admitted request exactly once. */
 	admit(request: AdmissionRequest): Result<Admission, AdmissionRefusedError> {
+		const decision = this.decide(request);
+		if (decision.isOk()) {
+			this.limiter.acquire(request.caller);
+		}
+
+		return decision;
+	}
+
+	/** Returns what `admit` would, and changes nothing. */
+	preview(request: AdmissionRequest): Result<Admission, AdmissionRefusedError> {
+		const {dispatchedMilliseconds, decayedAt} = this;
+		const decision = this.decide(request);
+		// Bringing the sum up to date rounds it, which could change a later decision.
+		this.dispatchedMilliseconds = dispatchedMilliseconds;
+		this.decayedAt = decayedAt;
+		return decision;
+	}
+
+	/** Releases an admitted request when it ends. */
+	release(caller: CallerId): void {
+		this.limiter.release(caller);
+	}
+
+	/** Records dispatched work for the drain rate, in expected milliseconds like the queued work, so that a bias of the service time estimates cancels out. */
+	recordDispatch(expectedMilliseconds: number): void {
+		this.decayDispatched();
+		this.dispatchedMilliseconds += expectedMilliseconds;
+	}
+
+	/** Estimated milliseconds in the queue: the queued work ahead divided by the drain rate of the queue. */
+	estimateWait(workAheadMilliseconds: number, runningRequests: number): number {
+		if (workAheadMilliseconds <= 0) {
+			return 0;
+		}
+
+		this.decayDispatched();
+		// At a constant drain rate the decayed sum settles at the rate times this period, the integral of the decay.
+		const period = this.options.drainHalfLifeMilliseconds / Math.LN2;
+		// After an idle period the measured rate is too low, and the first burst would be refused. The requests in
+		// flight then give a lower bound of the slots available to this host; half of them allows for slow targets.
+		const rate = Math.max(
+			1,
+			this.dispatchedMilliseconds / period,
+			runningRequests / 2,
+		);
+		return workAheadMilliseconds / rate;
+	}
+
+	private decide(
+		request: AdmissionRequest,
+	): Result<Admission, AdmissionRefusedError> {
 		const {limit, isOverLimit, isRefused} = this.limiter.check(request.caller);
 		if (isRefused) {
 			return err(
@@ -118,40 +169,9 @@
 			);
 		}
 
-		this.limiter.acquire(request.caller);
 		return ok({isOverLimit, estimatedWaitMilliseconds: wait});
 	}
 
-	/** Releases an admitted request when it ends. */
-	release(caller: CallerId): void {
-		this.limiter.release(caller);
-	}
-
-	/** Records dispatched work for the drain rate, in expected milliseconds like the queued work, so that a bias of the service time estimates cancels out. */
-	recordDispatch(expectedMilliseconds: number): void {
-		this.decayDispatched();
-		this.dispatchedMilliseconds += expectedMilliseconds;
-	}
-
-	/** Estimated milliseconds in the queue: the queued work ahead divided by the drain rate of the queue. */
-	estimateWait(workAheadMilliseconds: number, runningRequests: number): number {
-		if (workAheadMilliseconds <= 0) {
-			return 0;
-		}
-
-		this.decayDispatched();
-		// At a constant drain rate the decayed sum settles at the rate times this period, the integral of the decay.
-		const period = this.options.drainHalfLifeMilliseconds / Math.LN2;
-		// After an idle period the measured rate is too low, and the first burst would be refused. The requests in
-		// flight then give a lower bound of the slots available to this host; half of them allows for slow targets.
-		const rate = Math.max(
-			1,
-			this.dispatchedMilliseconds / period,
-			runningRequests / 2,
-		);
-		return workAheadMilliseconds / rate;
-	}
-
 	private decayDispatched(): void {
 		const now = this.options.clock.monotonic();
 		this.dispatchedMilliseconds *=
--- a/src/core/admission/model-backlog.ts
+++ b/src/core/admission/model-backlog.ts
@@ -135,14 +135,17 @@
 	 * Expected wait behind the queued requests for the same model, if new work would not start in time: it exceeds the
 	 * time for which the caller waits, or the objective while other work of its kind meets it.
 	 */
-	hopelessWait(work: ArrivingWork): HopelessWait | undefined {
+	hopelessWait(
+		work: ArrivingWork,
+		random = this.options.random,
+	): HopelessWait | undefined {
 		const ofFleet = this.fleetWait(work);
 		if (ofFleet !== undefined) {
 			return ofFleet >
 				Math.min(work.objectiveMilliseconds, work.timeoutMilliseconds)
 				? {
 						waitMilliseconds: ofFleet,
-						retryAfterMilliseconds: this.spread(ofFleet),
+						retryAfterMilliseconds: spread(ofFleet, random),
 					}
 				: undefined;
 		}
@@ -196,7 +199,7 @@
 						this.estimator.waitMilliseconds(work.model, work.requestsAhead),
 					),
 				)
-			: this.spread(ofFleet);
+			: spread(ofFleet, this.options.random);
 	}
 
 	/** Expected wait in a single queue of all hosts, undefined while it is unknown. */
@@ -238,14 +241,13 @@
 		const left = drained - sum(drainedByLevel.slice(0, level));
 		return ahead / slotsOf(Math.max(left, drained * minimumLevelShare));
 	}
+}
 
-	/** The time at which the queue has room, later by up to as much again, so that refused callers do not return together. */
-	private spread(waitMilliseconds: number): number {
-		return Math.ceil(
-			Math.max(waitMilliseconds, overloadMilliseconds) *
-				(1 + this.options.random.next()),
-		);
-	}
+/** The time at which the queue has room, later by up to as much again, so that refused callers do not return together. */
+function spread(waitMilliseconds: number, random: RandomSource): number {
+	return Math.ceil(
+		Math.max(waitMilliseconds, overloadMilliseconds) * (1 + random.next()),
+	);
 }
 
 function sum(values: readonly number[]): number {
--- a/src/core/fairness/caller-usage.ts
+++ b/src/core/fairness/caller-usage.ts
@@ -65,6 +65,14 @@
 		return this.get(caller) >= largestShare * this.largest;
 	}
 
+	/** Runs a read and restores what it cached, on which later decisions depend. */
+	preview<T>(read: () => T): T {
+		const {ownWork, ownReadAt, largest, largestAt} = this;
+		const value = read();
+		Object.assign(this, {ownWork, ownReadAt, largest, largestAt});
+		return value;
+	}
+
 	/** Whole milliseconds of the work on this host, by caller. A host that answers many reports reads them once for several. */
 	ownByCaller(): ReadonlyMap<CallerId, number> {
 		const now = this.options.clock.monotonic();
--- a/src/services/dispatch/dispatcher.ts
+++ b/src/services/dispatch/dispatcher.ts
@@ -1,7 +1,9 @@
+import {err, ok, type Result} from 'neverthrow';
 import {type Clock} from '../../base/common/clock.js';
 import {Disposable} from '../../base/common/disposable.js';
 import {type EventLogger} from '../../base/common/event-logger.js';
 import {Mailbox} from '../../base/common/mailbox.js';
+import {MedianRandomSource} from '../../base/common/median-random-source.js';
 import {type RandomSource} from '../../base/common/random-source.js';
 import {dispatchEvents} from '../../contracts/events/dispatch-events.js';
 import {
@@ -12,7 +14,11 @@
 	type SoftwareVersion,
 } from '../../contracts/ids.js';
 import {type RefusalReason} from '../../contracts/target-error.js';
-import {AdmissionPolicy} from '../../core/admission/admission-policy.js';
+import {
+	AdmissionPolicy,
+	type Admission,
+	type AdmissionRefusal,
+} from '../../core/admission/admission-policy.js';
 import {CallerLimiter} from '../../core/admission/caller-limiter.js';
 import {
 	type FleetQueue,
@@ -63,6 +69,7 @@
 	startLevel,
 	urgencyOrder,
 } from './dispatch-contracts.js';
+import {describePreview, type DispatchPreview} from './dispatch-preview.js';
 import {leaveHeadroom, sumWaiting} from './fleet-order.js';
 import {replacementLoads} from './replacement-loads.js';
 import {isStartLimited, TargetChoice} from './target-choice.js';
@@ -127,6 +134,11 @@
 
 /** Maximum number of targets examined in one search for free capacity. */
 const capacitySearchLength = 64;
+const medianRandom = new MedianRandomSource();
+
+type ArrivalRefusal = Omit<WorkRefusal, 'item' | 'code'> & {
+	readonly code: AdmissionRefusal;
+};
 
 /** Owns the queue of one pool on the entry host and assigns work to targets as capacity becomes free. */
 export class Dispatcher extends Disposable {
@@ -259,6 +271,34 @@
 		};
 	}
 
+	/** Returns what would be done with new work that is not suspect, and changes nothing. All candidates are compared instead of a sample. */
+	preview(item: WorkItem): DispatchPreview {
+		const read = () => {
+			const work = this.createWork(item);
+			const loads = this.loadTracker.loads(
+				this.options.directory.targetsFor(item),
+			);
+			return {
+				admission: this.admit(work, true),
+				yieldsToUrgentWork: this.yieldsToUrgentWork(work),
+				loads,
+				withHeadroom: leaveHeadroom(loads, work, this.options),
+				assessed: this.choice.preview(
+					{item, isLong: work.isLong, isAged: false},
+					loads,
+				),
+				expectedMilliseconds: work.expectedMilliseconds,
+				waitingRequests: this.queue.size,
+			};
+		};
+
+		return describePreview(
+			this.options.callerUsage?.preview(read) ?? read(),
+			this.choice,
+			this.work,
+		);
+	}
+
 	/** Queues a message, to be handled by `run`. */
 	post(message: DispatcherMessage): void {
 		this.mailbox.post(message);
@@ -463,71 +503,16 @@
 			return;
 		}
 
-		const estimate = this.lengthEstimator.estimate(item);
-		const work: DispatchWork = {
-			item,
-			request: item.request,
-			caller: item.caller,
-			urgency: item.urgency,
-			isLong: estimate.isLong,
-			// A suspect waits for an empty target, so it is queued separately to avoid blocking other work.
-			routingKey: `${item.model ?? item.offering}|${item.adapter ?? ''}|${item.softwareVersion ?? ''}|${item.suspect ? 'suspect' : item.idempotent}`,
-			// The rest of a stream takes less time than a whole one, and its caller has begun to read it.
-			expectedMilliseconds:
-				item.isContinuation === true
-					? 0
-					: (this.work?.expectedMilliseconds(item) ??
-						this.serviceTimeEstimator.estimate(estimate.tokens)),
-			deadline: this.clock.monotonic() + item.remainingMilliseconds,
-			startObjectiveDeadline:
-				this.clock.monotonic() + (item.startObjectiveMilliseconds ?? Infinity),
-			startDeadline:
-				this.clock.monotonic() + (item.startTimeoutMilliseconds ?? Infinity),
-		};
-		const admission = this.admissionPolicy.admit({
-			caller: item.caller,
-			// Work that would exceed the start timeout of its caller is refused immediately, so that the caller can retry in time.
-			remainingMilliseconds: Math.min(
-				item.remainingMilliseconds,
-				(item.startTimeoutMilliseconds ?? Infinity) + work.expectedMilliseconds,
-			),
-			expectedMilliseconds: work.expectedMilliseconds,
-			workAheadMilliseconds: this.queue.workAhead(work),
-			runningRequests: this.runningCount,
-		});
+		const work = this.createWork(item);
+		const admission = this.admit(work, false);
 		if (admission.isErr()) {
-			const {code, countsAsDemand, retryAfterMilliseconds} = admission.error;
 			const event = {
 				'caller-limit': dispatchEvents.callerLimitReached,
 				overload: dispatchEvents.overloadRefused,
 				deadline: dispatchEvents.deadlineRefused,
-			}[code];
+			}[admission.error.code];
 			this.logger.record(event, {caller: item.caller, request: item.request});
-			this.port.refuse({
-				item,
-				code,
-				countsAsDemand,
-				retryAfterMilliseconds,
-				message: admission.error.message,
-			});
-			return;
-		}
-
-		const hopeless = this.hopelessWait(work);
-		if (hopeless) {
-			const {waitMilliseconds, retryAfterMilliseconds} = hopeless;
-			this.admissionPolicy.release(item.caller);
-			this.logger.record(dispatchEvents.overloadRefused, {
-				caller: item.caller,
-				request: item.request,
-			});
-			this.port.refuse({
-				item,
-				code: 'overload',
-				countsAsDemand: true,
-				retryAfterMilliseconds,
-				message: `the requests for the model that wait already take about ${Math.round(waitMilliseconds)} ms`,
-			});
+			this.port.refuse({item, ...admission.error});
 			return;
 		}
 
@@ -557,8 +542,79 @@
 		this.enqueue(tracked);
 	}
 
+	private createWork(item: WorkItem): DispatchWork {
+		const estimate = this.lengthEstimator.estimate(item);
+		return {
+			item,
+			request: item.request,
+			caller: item.caller,
+			urgency: item.urgency,
+			isLong: estimate.isLong,
+			// A suspect waits for an empty target, so it is queued separately to avoid blocking other work.
+			routingKey: `${item.model ?? item.offering}|${item.adapter ?? ''}|${item.softwareVersion ?? ''}|${item.suspect ? 'suspect' : item.idempotent}`,
+			// The rest of a stream takes less time than a whole one, and its caller has begun to read it.
+			expectedMilliseconds:
+				item.isContinuation === true
+					? 0
+					: (this.work?.expectedMilliseconds(item) ??
+						this.serviceTimeEstimator.estimate(estimate.tokens)),
+			deadline: this.clock.monotonic() + item.remainingMilliseconds,
+			startObjectiveDeadline:
+				this.clock.monotonic() + (item.startObjectiveMilliseconds ?? Infinity),
+			startDeadline:
+				this.clock.monotonic() + (item.startTimeoutMilliseconds ?? Infinity),
+		};
+	}
+
+	/** Admits new work, or returns why it is refused. A preview counts nothing. */
+	private admit(
+		work: DispatchWork,
+		isPreview: boolean,
+	): Result<Admission, ArrivalRefusal> {
+		const {item, caller, expectedMilliseconds} = work;
+		const request = {
+			caller,
+			// Work that would exceed the start timeout of its caller is refused immediately, so that the caller can retry in time.
+			remainingMilliseconds: Math.min(
+				item.remainingMilliseconds,
+				(item.startTimeoutMilliseconds ?? Infinity) + expectedMilliseconds,
+			),
+			expectedMilliseconds,
+			workAheadMilliseconds: this.queue.workAhead(work),
+			runningRequests: this.runningCount,
+		};
+		const admission = isPreview
+			? this.admissionPolicy.preview(request)
+			: this.admissionPolicy.admit(request);
+		if (admission.isErr()) {
+			const {code, countsAsDemand, retryAfterMilliseconds, message} =
+				admission.error;
+			return err({code, countsAsDemand, retryAfterMilliseconds, message});
+		}
+
+		const hopeless = this.hopelessWait(
+			work,
+			isPreview ? medianRandom : this.options.random,
+		);
+		if (!hopeless) {
+			return ok(admission.value);
+		}
+
+		if (!isPreview) {
+			this.admissionPolicy.release(caller);
+		}
+
+		const {waitMilliseconds, retryAfterMilliseconds} = hopeless;
+		return err({
+			code: 'overload',
+			countsAsDemand: true,
+			retryAfterMilliseconds,
+			message: `the requests for the model that wait already take about ${Math.round(waitMilliseconds)} ms`,
+		});
+	}
+
 	/** The wait of new work that would not start in time. */
-	private hopelessWait(work: DispatchWork) {
+	private hopelessWait(work: DispatchWork, random: RandomSource) {
 		// A stream that has begun is not refused.
 		if (!this.startLimiter || work.item.isContinuation === true) {
 			return undefined;
@@ -568,14 +624,17 @@
 		const arriving = this.arriving(work);
 		return (
 			arriving &&
-			this.backlog.hopelessWait({
-				...arriving,
-				objectiveMilliseconds:
-					(work.startObjectiveDeadline ?? Infinity) -
-					now -
-					this.startMargin(work),
-				timeoutMilliseconds: work.item.startTimeoutMilliseconds ?? Infinity,
-			})
+			this.backlog.hopelessWait(
+				{
+					...arriving,
+					objectiveMilliseconds:
+						(work.startObjectiveDeadline ?? Infinity) -
+						now -
+						this.startMargin(work),
+					timeoutMilliseconds: work.item.startTimeoutMilliseconds ?? Infinity,
+				},
+				random,
+			)
 		);
 	}
 
--- a/src/services/dispatch/work-scheduling.ts
+++ b/src/services/dispatch/work-scheduling.ts
@@ -120,6 +120,11 @@
 		return this.gates.every((gate) => gate.mayReceive(load, request));
 	}
 
+	/** Work that a target has left, in milliseconds of a slot. */
+	remainingMillisecondsAt(load: TargetLoad): number {
+		return this.remaining.millisecondsAt(load);
+	}
+
 	/** Describes the work at a target, and that of the request there. */
 	describe(
 		load: TargetLoad,
