Explain the route of a request without sending it

Nobody could see which pool, targets and refusal a request would get. ForwardingService.explain answers from the code that decides: the route table, the keys of customers, decideForPool (moved out of submit), the first reason for which the registry leaves a target out, and the preview of the dispatcher. Pools are shown with their shares instead of being drawn, quotas by a preview that collects no use.

--- a/src/core/fairness/caller-usage.ts
+++ b/src/core/fairness/caller-usage.ts
@@ -53,11 +53,7 @@
 		if (now - this.largestAt >= lifetimeMilliseconds) {
 			this.largestAt = now;
 			this.largest = 0;
-			const callers = new Set([
-				...this.ownByCaller().keys(),
-				...this.options.callers(),
-			]);
-			for (const each of callers) {
+			for (const each of this.allCallers()) {
 				this.largest = Math.max(this.largest, this.get(each));
 			}
 		}
@@ -65,6 +61,16 @@
 		return this.get(caller) >= largestShare * this.largest;
 	}
 
+	/** Work of all callers on this host and the others. */
+	total(): number {
+		let sum = 0;
+		for (const caller of this.allCallers()) {
+			sum += this.get(caller);
+		}
+
+		return sum;
+	}
+
 	/** Runs a read and restores what it cached, on which later decisions depend. */
 	preview<T>(read: () => T): T {
 		const {ownWork, ownReadAt, largest, largestAt} = this;
@@ -83,4 +89,8 @@
 
 		return this.ownWork;
 	}
+
+	private allCallers(): ReadonlySet<CallerId> {
+		return new Set([...this.ownByCaller().keys(), ...this.options.callers()]);
+	}
 }
--- a/src/core/quotas/quota-allocator.ts
+++ b/src/core/quotas/quota-allocator.ts
@@ -150,6 +150,19 @@
 		};
 	}
 
+	/** Returns what `allocate` would, and changes nothing. */
+	preview(key: QuotaKey, demand: number): QuotaAllocation {
+		const bucket = this.buckets.get(key);
+		if (!bucket) {
+			return this.allocate(key, demand);
+		}
+
+		this.buckets.set(key, {...bucket});
+		const allocation = this.allocate(key, demand);
+		this.buckets.set(key, bucket);
+		return allocation;
+	}
+
 	/** Use of a customer in units per second, for operators. */
 	usePerSecond(key: QuotaKey): number {
 		return (
--- a/src/core/quotas/quota-exchange.ts
+++ b/src/core/quotas/quota-exchange.ts
@@ -32,6 +32,13 @@
 	readonly onWordWanted: () => void;
 };
 
+/** The quota of a customer and what limits it on this host now. */
+export type QuotaPreview = QuotaOutlook & {
+	readonly quota: CustomerQuota;
+	/** Units per second of the requests that arrive on this host. */
+	readonly demand: number;
+};
+
 /** What operators see of one customer on this host. */
 export type QuotaState = {
 	readonly customer: CustomerName;
@@ -141,6 +148,33 @@
 		return this.customers.get(name)?.account;
 	}
 
+	/** What limits a customer now, undefined if it has no quota. Changes nothing, so that use since the last decision or report of this host is not part of it. */
+	preview(name: CustomerName): QuotaPreview | undefined {
+		const customer = this.customers.get(name);
+		if (!customer) {
+			return undefined;
+		}
+
+		const {account, key} = customer;
+		const isDeciding =
+			this.options.isOwner() &&
+			this.now - this.ownerSince >=
+				feedbackMilliseconds(this.options.hostCount());
+		const allocator = isDeciding ? this.allocator : undefined;
+		const word = allocator
+			? {
+					key,
+					...allocator.preview(key, this.collector.get(key)?.demand ?? 0),
+					isPending: false,
+				}
+			: this.wordOf(key, undefined);
+		return {
+			quota: account.currentQuota,
+			demand: account.demand,
+			...this.outlookOf(customer, allocator, word),
+		};
+	}
+
 	/** What operators see of the customers with a quota. */
 	states(): QuotaState[] {
 		const allocator = this.updateRole();
@@ -322,13 +356,20 @@
 
 	/** What this host knows of a customer's quota. */
 	private outlook(customer: LimitedCustomer): QuotaOutlook {
-		const {key} = customer;
 		const allocator = this.decidingAllocator();
 		this.collectOwnUse(customer);
-		const {admittedShare, sustainedShare, usedShare, isPending} = this.wordOf(
-			key,
+		return this.outlookOf(
+			customer,
 			allocator,
+			this.wordOf(customer.key, allocator),
 		);
+	}
+
+	private outlookOf(
+		customer: LimitedCustomer,
+		allocator: QuotaAllocator | undefined,
+		{admittedShare, sustainedShare, usedShare, isPending}: QuotaWord,
+	): QuotaOutlook {
 		const ageMilliseconds = allocator ? 0 : this.now - this.wordAt;
 		const {maximumWordAgeMilliseconds} = quotaMargins(
 			customer.account.currentQuota,
--- a/src/program/forwarding-root.ts
+++ b/src/program/forwarding-root.ts
@@ -628,7 +628,8 @@
 		// The end counts from the signal, which a blocked event loop notices late.
 		const endMilliseconds =
 			this.settings.stopSeconds * 1000 - stopMarginMilliseconds;
-		const signalDelayMilliseconds = this.service.signalDelayMilliseconds();
+		const signalDelayMilliseconds =
+			this.service.eventLoopDelay.signalMilliseconds();
 		// A process whose signal is older than the stop period has been killed, so the signal came at the end of a longer delay.
 		const noticedAfterMilliseconds =
 			signalDelayMilliseconds < endMilliseconds ? signalDelayMilliseconds : 0;
@@ -1005,7 +1006,7 @@
 	}
 
 	private update(): void {
-		this.service.recordEventLoopDelay(updateIntervalMilliseconds);
+		this.service.eventLoopDelay.record(updateIntervalMilliseconds);
 		if (this.leaseManager.isHolder) {
 			this.owner.start();
 		}
--- a/src/services/forwarding/attempts/forward-dispatch.ts
+++ b/src/services/forwarding/attempts/forward-dispatch.ts
@@ -12,7 +12,6 @@
 	type FailureDomain,
 	type HostId,
 	type ModelId,
-	type OfferingName,
 	type PoolName,
 	type RequestId,
 	type SoftwareVersion,
@@ -28,9 +27,7 @@
 import {type ByteBudget} from '../../../core/limits/byte-budget.js';
 import {AdmissionPolicy} from '../../../core/admission/admission-policy.js';
 import {AgingShare} from '../../../core/fairness/aging-share.js';
-import {callerOf} from '../../../core/fairness/customer-callers.js';
 import {CallerLimiter} from '../../../core/admission/caller-limiter.js';
-import {type Urgency} from '../../../core/fairness/dispatch-queue.js';
 import {LengthEstimator} from '../../../core/work/length-estimator.js';
 import {type NamedRateLimits} from '../../../core/limits/named-rate-limits.js';
 import {type PermitBook} from '../../../core/limits/permit-book.js';
@@ -53,6 +50,7 @@
 	type WorkRefusal,
 } from '../../dispatch/dispatch-contracts.js';
 import {Dispatcher} from '../../dispatch/dispatcher.js';
+import {type DispatchPreview} from '../../dispatch/dispatch-preview.js';
 import {type FleetSharing} from '../reports/fleet-sharing.js';
 import {type BrittleObserver} from '../targets/brittle-observer.js';
 import {type CrashObserver} from '../targets/crash-observer.js';
@@ -69,6 +67,7 @@
 import {type ForwardedRequest} from './forwarded-request.js';
 import {RegisteredCandidates} from './registered-candidates.js';
 import {RequestAttempt} from './request-attempt.js';
+import {toWorkItem, urgencyOf} from './work-items.js';
 
 /** Collaborators of the dispatch of one pool. */
 export type ForwardDispatchOptions = {
@@ -107,6 +106,12 @@
 	readonly gates?: readonly TargetGate[] | undefined;
 };
 
+/** Why a pool refuses a request before it is queued. */
+export type PoolObstacle = {
+	readonly reason: string;
+	readonly retryAfterMilliseconds: number;
+};
+
 /** Attempts of one request, including those that no target received or executed. */
 const maximumAttempts = 5;
 /** Speed factor of targets in other failure domains, because traffic between domains is charged. */
@@ -288,7 +293,7 @@
 		this.requests.set(request.key, request);
 		this.dispatcher.post({
 			kind: 'submitted',
-			item: this.createWorkItem(request, false),
+			item: toWorkItem(request, false),
 		});
 	}
 
@@ -671,25 +676,41 @@
 
 	/** Refuses requests whose targets have all turned this host away for longer than their callers wait. */
 	refuseHeldBack(request: ForwardedRequest): boolean {
-		const {metadata, softwareVersion} = request;
+		const refusal = this.findHold(request);
+		if (refusal) {
+			this.abandon(request);
+			request.refuse(refusal.reason, refusal.retryAfterMilliseconds);
+		}
+
+		return refusal !== undefined;
+	}
+
+	/** Returns why a request is refused whose targets all turned this host away, undefined if it is not. */
+	findHold(request: ForwardedRequest): PoolObstacle | undefined {
+		const {
+			metadata: {model, adapter},
+			softwareVersion,
+		} = request;
 		const hold = this.options.registry.holdMilliseconds(
 			this.pool,
-			metadata.model,
-			metadata.adapter,
+			model,
+			adapter,
 			softwareVersion,
 		);
-		if (hold === undefined || hold <= request.startTimeoutMilliseconds()) {
-			return false;
-		}
+		return hold === undefined || hold <= request.startTimeoutMilliseconds()
+			? undefined
+			: {
+					reason: 'all targets with the model turned this host away',
+					retryAfterMilliseconds:
+						model === undefined
+							? Math.ceil(hold)
+							: Math.min(Math.ceil(hold), newReplicaMilliseconds),
+				};
+	}
 
-		this.abandon(request);
-		request.refuse(
-			'all targets with the model turned this host away',
-			metadata.model === undefined
-				? Math.ceil(hold)
-				: Math.min(Math.ceil(hold), newReplicaMilliseconds),
-		);
-		return true;
+	/** Returns what would be done with a request now, and changes nothing. */
+	preview(request: ForwardedRequest): DispatchPreview {
+		return this.dispatcher.preview(toWorkItem(request, false));
 	}
 
 	/** Records that a target has answered a request completely. */
@@ -776,7 +797,7 @@
 		request.brokenStreamTargets.push(attempt.target);
 		this.dispatcher.post({
 			kind: 'submitted',
-			item: this.createWorkItem(request, true),
+			item: toWorkItem(request, true),
 		});
 	}
 
@@ -1040,38 +1061,6 @@
 			: route.priority;
 	}
 
-	private createWorkItem(
-		request: ForwardedRequest,
-		isContinuation: boolean,
-	): WorkItem {
-		const {metadata, route} = request;
-		return {
-			request: request.key,
-			caller: callerOf(request.options.customer),
-			urgency: urgencyOf(route.priority),
-			offering: route.name as string as OfferingName,
-			...(metadata.model === undefined ? {} : {model: metadata.model}),
-			...(metadata.adapter === undefined ? {} : {adapter: metadata.adapter}),
-			...(request.softwareVersion === undefined
-				? {}
-				: {softwareVersion: request.softwareVersion}),
-			promptCharacters: metadata.promptTokens,
-			hintedTokens: metadata.expectedTokens,
-			producedEvents: request.eventCount,
-			maximumTokens: metadata.maximumTokens,
-			prefixes: metadata.prefixKeys,
-			remainingMilliseconds: request.remainingMilliseconds(),
-			startObjectiveMilliseconds: request.startObjectiveMilliseconds(),
-			startTimeoutMilliseconds: request.startTimeoutMilliseconds(),
-			idempotent: request.isRepeatable,
-			fingerprint: request.options.fingerprint,
-			suspect: false,
-			maximumExecutions: route.maximumExecutions - request.executions,
-			isContinuation,
-			avoidedTargets: request.brokenStreamTargets,
-		};
-	}
-
 	private handleTargetChange({listed}: RegisteredTarget): void {
 		if (listed.pool !== this.options.pool) {
 			return;
@@ -1197,7 +1186,3 @@
 function toAttempt({request, attempt, target}: Attempt): Attempt {
 	return {request, attempt, target};
 }
-
-function urgencyOf(priority: number): Urgency {
-	return priority <= 0 ? 'urgent' : priority === 1 ? 'standard' : 'deferred';
-}
--- a/src/services/forwarding/attempts/forwarded-request.ts
+++ b/src/services/forwarding/attempts/forwarded-request.ts
@@ -75,7 +75,7 @@
 /** Parts of a prompt in a log line. Longer prompts are cut, because the parts that requests share come first. */
 const maximumLoggedParts = 8;
 /** Delay after which a quarantined request may come back: by then a trial may have cleared a harmless part of its prompt. */
-const quarantineRetryMilliseconds = 10_000;
+export const quarantineRetryMilliseconds = 10_000;
 /** Share of the objective after which a request that has not started is aged. */
 const agedObjectiveShare = 0.5;
 /** Time that a caller waits at most beyond the deadline, so that the response that a target sends at its own deadline arrives first. */
--- a/src/services/forwarding/forwarding-service.ts
+++ b/src/services/forwarding/forwarding-service.ts
@@ -9,6 +9,7 @@
 import {forwardingEvents} from '../../contracts/events/forwarding-events.js';
 import {
 	type ForwardingDocument,
+	type Customer,
 	type RouteRule,
 } from '../../contracts/forwarding-document.js';
 import {
@@ -49,6 +50,11 @@
 	missingVersionReason,
 } from './attempts/forward-dispatch.js';
 import {ForwardedRequest} from './attempts/forwarded-request.js';
+import {
+	decideForPool,
+	servesModel,
+	unknownModelReason,
+} from './attempts/pool-decision.js';
 import {headerValue} from './attempts/header-value.js';
 import {
 	ReceivedRequestHandler,
@@ -62,6 +68,14 @@
 import {type PeerForwarder} from './peers/peer-forwarder.js';
 import {type StreamOriginSharing} from './state/stream-origin-sharing.js';
 import {type TargetRegistry} from './targets/target-registry.js';
+import {EventLoopDelay} from './event-loop-delay.js';
+import {
+	explainRoute,
+	startRetryMilliseconds,
+	stoppingReason,
+	unknownKeyReason,
+	type RouteQuestion,
+} from './route-explanation.js';
 
 /** Options of the forwarding service. */
 export type ForwardingServiceOptions = {
@@ -128,12 +142,8 @@
 
 /** Interval at which the deadlines of queued requests are checked. */
 const tickIntervalMilliseconds = 25;
-/** Delay of a tick that is logged as a stall. Half of the delay that callers notice is far above it. */
-const stallThresholdMilliseconds = 30;
 /** Time for which a host reports the last request for a model to the owner. Longer than any model counts as busy. */
 const lastRequestLifetimeMilliseconds = 20_000;
-/** Retry delay sent by a host without a document or one that is stopping. A starting host receives a document within this time, or not before its callers time out. */
-const startRetryMilliseconds = 500;
 
 /** Delay after which a request that finds no memory may come back: the bodies of others are held until their answers. */
 const memoryRetryMilliseconds = 1000;
@@ -145,10 +155,7 @@
 
 /** Beginning of the outcome of a request whose answer was ended early. */
 const interruptedOutcome = 'broken: ';
-/** Reason of the refusals of a stopping host. */
-const stoppingReason = 'the host is stopping';
 const cutOffReason = 'the host reaches no target of the pool';
-const unknownKeyReason = 'the key is unknown';
 const outdatedKeysReason =
 	'the key may have been taken away since the store was read';
 const unknownVersionReason =
@@ -156,11 +163,10 @@
 /** Delay after which a refused rest of a stream may come back. By then the report of the host that forwarded its beginning has arrived. */
 const unknownVersionRetryMilliseconds = 500;
 
-/** Retry delay while all targets of a pool leave: the time in which another one starts and loads a model. */
-const newTargetMilliseconds = 3000;
-
 /** Forwards the requests of callers according to the current document. */
 export class ForwardingService extends ReceivedRequestHandler {
+	/** Observes the timer of the host, which calls it. */
+	readonly eventLoopDelay: EventLoopDelay;
 	private document: ForwardingDocument | undefined;
 	private routes: RouteTable | undefined;
 	private keys = new CustomerKeys({routes: []});
@@ -171,12 +177,6 @@
 	private firstRequestAt: number | undefined;
 	private lastKey = 0;
 	private currentHostCount: number;
-	private lastIntervalAt: number;
-	/** Interval of the timer that calls `recordEventLoopDelay`. Infinite before its first call. */
-	private intervalMilliseconds = Number.POSITIVE_INFINITY;
-	private stalledAt = Number.NEGATIVE_INFINITY;
-	/** Time from the last run of the timer before the last stall to its end. */
-	private stalledMilliseconds = 0;
 	private readonly stopAdmission: StopAdmission;
 	private readonly interruptedLog: LogLimiter;
 	/** Responses to callers whose bytes have not all left the process, with the ids of their requests, by connection. */
@@ -232,7 +232,7 @@
 			});
 		});
 		this.currentHostCount = options.retries.hosts;
-		this.lastIntervalAt = options.clock.monotonic();
+		this.eventLoopDelay = new EventLoopDelay(options);
 	}
 
 	/** Version of the current document, undefined before the first one. */
@@ -270,25 +270,6 @@
 		return this.lastRequests.get(socket);
 	}
 
-	/** Records by how much a timer with this interval was late. Called by it. */
-	recordEventLoopDelay(intervalMilliseconds: number): void {
-		const now = this.options.clock.monotonic();
-		const delay = now - this.lastIntervalAt - intervalMilliseconds;
-		this.lastIntervalAt = now;
-		this.intervalMilliseconds = intervalMilliseconds;
-		this.options.metrics.observe(
-			'daisylever_event_loop_delay_milliseconds',
-			Math.max(0, delay),
-		);
-		if (delay >= stallThresholdMilliseconds) {
-			this.stalledAt = now;
-			this.stalledMilliseconds = delay + intervalMilliseconds;
-			this.options.events.record(forwardingEvents.eventLoopStalled, {
-				milliseconds: Math.round(delay),
-			});
-		}
-	}
-
 	dispose(): void {
 		clearInterval(this.timer);
 		for (const {dispatch} of this.pools.values()) {
@@ -302,19 +283,6 @@
 		this.stopAdmission.begin({mustEndFrom, endsAt});
 	}
 
-	/** Time by which a signal that is noticed now may be older: the event loop was blocked for so long until a moment ago. */
-	signalDelayMilliseconds(): number {
-		const now = this.options.clock.monotonic();
-		const overdue = now - this.lastIntervalAt - this.intervalMilliseconds;
-		if (overdue >= stallThresholdMilliseconds) {
-			return now - this.lastIntervalAt;
-		}
-
-		return now - this.stalledAt < stallThresholdMilliseconds
-			? this.stalledMilliseconds + now - this.stalledAt
-			: 0;
-	}
-
 	/** Refuses new requests and those not sent yet as not executed, because an execution that began now would be interrupted at the end of the stop. Called repeatedly, because a target may still refuse a request that was sent before. */
 	refuseUnsentRequests(): void {
 		this.isAcceptingRequests = false;
@@ -388,6 +356,20 @@
 		return true;
 	}
 
+	/** Explains where a request would go now and why, without sending it. */
+	explain(question: RouteQuestion) {
+		const {document, routes, keys, pools} = this;
+		return explainRoute(question, {
+			...this.options,
+			document,
+			routes,
+			keys,
+			pools,
+			findHostRefusal: (customer) => this.findHostRefusal(customer),
+			mayBegin: (request) => this.mayBegin(request),
+		});
+	}
+
 	/** Number of hosts that share the targets and the retry budget. */
 	get hostCount(): number {
 		return this.currentHostCount;
@@ -516,7 +498,7 @@
 		}
 
 		const {customer} = decision;
-		if (customer && !this.options.mayRelyOnKeys()) {
+		if (this.findHostRefusal(customer)) {
 			metrics.count('daisylever_outdated_key_refusals_total');
 			events.record(forwardingEvents.requestRejected, {
 				request: metadata.value.id,
@@ -680,6 +662,22 @@
 		);
 	}
 
+	/** Why all requests of a customer are refused, undefined if they are not. */
+	private findHostRefusal(customer: Customer | undefined) {
+		const reason = this.isAcceptingRequests
+			? customer && !this.options.mayRelyOnKeys()
+				? outdatedKeysReason
+				: undefined
+			: stoppingReason;
+		return reason === undefined
+			? undefined
+			: ({
+					status: 503,
+					reason,
+					retryAfterMilliseconds: startRetryMilliseconds,
+				} as const);
+	}
+
 	/** True for the current version with the customers that a host of an older build has left out. */
 	private isCompletion(document: ForwardingDocument): boolean {
 		return (
@@ -794,11 +792,8 @@
 		});
 		this.requests.add(request);
 		this.recordRequestTime(metadata.model);
-		if (
-			!pool ||
-			(metadata.model !== undefined && !pool.models?.has(metadata.model))
-		) {
-			request.refuse('the pool or model does not exist', 0);
+		if (!pool || !servesModel(pool, metadata.model)) {
+			request.refuse(unknownModelReason, 0);
 			return request;
 		}
 
@@ -940,17 +935,18 @@
 
 	private submit(request: ForwardedRequest, {dispatch}: Pool): void {
 		const {metadata} = request;
-		if (this.options.reachability.isCutOff(dispatch.pool)) {
+		const decision = decideForPool(dispatch, request, this.options);
+		if (decision.kind === 'other-host') {
 			this.forwardToPeer(request, dispatch);
 			return;
 		}
 
-		if (this.options.registry.isLeavingAltogether(dispatch.pool)) {
-			request.refuse('all targets of the pool leave', newTargetMilliseconds);
-			return;
-		}
+		if (decision.kind !== 'submit') {
+			if (decision.kind === 'held-back') {
+				dispatch.abandon(request);
+			}
 
-		if (dispatch.refuseHeldBack(request)) {
+			request.refuse(decision.reason, decision.retryAfterMilliseconds);
 			return;
 		}
 
--- a/src/services/forwarding/limits/quota-enforcement.ts
+++ b/src/services/forwarding/limits/quota-enforcement.ts
@@ -7,7 +7,10 @@
 import {LogLimiter} from '../../../core/limits/log-limiter.js';
 import {QuotaCharge} from '../../../core/quotas/quota-charge.js';
 import {type QuotaDecision} from '../../../core/quotas/quota-account.js';
-import {type QuotaExchange} from '../../../core/quotas/quota-exchange.js';
+import {
+	type QuotaExchange,
+	type QuotaPreview,
+} from '../../../core/quotas/quota-exchange.js';
 import {requestUnits} from '../../../core/quotas/quota-policy.js';
 import {type ForwardedRequest} from '../attempts/forwarded-request.js';
 
@@ -75,6 +78,11 @@
 		}
 	}
 
+	/** What limits a customer now, undefined if it has no quota. Changes nothing. */
+	preview(customer: CustomerName): QuotaPreview | undefined {
+		return this.options.exchange.preview(customer);
+	}
+
 	/** Updates the metrics of the customers with a quota. */
 	updateMetrics(): void {
 		const {exchange, metrics} = this.options;
--- a/src/services/forwarding/targets/target-registry.ts
+++ b/src/services/forwarding/targets/target-registry.ts
@@ -61,6 +61,21 @@
 	connections: TargetConnections | undefined;
 };
 
+/** Why a target gets no request, for reasons that the registry knows. */
+export type TargetUnsuitability =
+	| 'leaving'
+	| 'other-version'
+	| 'unreachable'
+	| 'model-missing'
+	| 'adapter-missing'
+	/** The target has refused the model or adapter, or its process has ended. */
+	| 'refused-as-missing';
+
+type NeededArtifacts = {
+	readonly model: ModelId | undefined;
+	readonly adapter: AdapterId | undefined;
+};
+
 /** Options of the target registry. */
 export type TargetRegistryOptions = {
 	readonly clock: Clock;
@@ -267,6 +282,27 @@
 		);
 	}
 
+	/** The other targets of the pool, with the first reason for which each gets no request for the model and adapter. */
+	unsuitableTargets(
+		pool: PoolName,
+		model: ModelId | undefined,
+		adapter: AdapterId | undefined,
+	): Map<TargetId, TargetUnsuitability | 'held-back'> {
+		const now = this.options.clock.monotonic();
+		const found = new Map<TargetId, TargetUnsuitability | 'held-back'>();
+		for (const target of this.targetsOfPool(pool)) {
+			const {id} = target.listed;
+			const reason =
+				findUnsuitability(target, {model, adapter, version: undefined}, now) ??
+				(this.isHeldBack(id) ? 'held-back' : undefined);
+			if (reason) {
+				found.set(id, reason);
+			}
+		}
+
+		return found;
+	}
+
 	/** Returns what no target of the pool offers of a model and adapter, whether the targets that do can be used now or not. */
 	findMissing(
 		pool: PoolName,
@@ -464,22 +500,12 @@
 		const now = this.options.clock.monotonic();
 		const found: TargetId[] = [];
 		for (const target of this.targets.values()) {
-			const {listed, content, unreachableUntil} = target;
 			if (
-				listed.pool !== pool ||
-				listed.isLeaving ||
-				(version !== undefined && versionOf(listed) !== version) ||
-				now < unreachableUntil ||
-				(model !== undefined && !content.has(model)) ||
-				(model !== undefined &&
-					adapter !== undefined &&
-					!content.get(model)!.has(adapter)) ||
-				isMissing(target, {model, adapter}, now)
+				target.listed.pool === pool &&
+				!findUnsuitability(target, {model, adapter, version}, now)
 			) {
-				continue;
+				found.push(target.listed.id);
 			}
-
-			found.push(listed.id);
 		}
 
 		return found;
@@ -702,13 +728,7 @@
 
 function isMissing(
 	{missingUntil, emptyUntil}: RegisteredTarget,
-	{
-		model,
-		adapter,
-	}: {
-		readonly model: ModelId | undefined;
-		readonly adapter: AdapterId | undefined;
-	},
+	{model, adapter}: NeededArtifacts,
 	now: number,
 ): boolean {
 	if (model === undefined) {
@@ -723,3 +743,43 @@
 		(name) => now < (missingUntil.get(missingKey(model, name)) ?? -Infinity),
 	);
 }
+
+/** Returns the first reason for which a target of the pool gets no request. */
+function findUnsuitability(
+	target: RegisteredTarget,
+	{
+		model,
+		adapter,
+		version,
+	}: NeededArtifacts & {readonly version: SoftwareVersion | undefined},
+	now: number,
+): TargetUnsuitability | undefined {
+	const {listed, content, unreachableUntil} = target;
+	if (listed.isLeaving) {
+		return 'leaving';
+	}
+
+	if (version !== undefined && versionOf(listed) !== version) {
+		return 'other-version';
+	}
+
+	if (now < unreachableUntil) {
+		return 'unreachable';
+	}
+
+	if (model !== undefined && !content.has(model)) {
+		return 'model-missing';
+	}
+
+	if (
+		model !== undefined &&
+		adapter !== undefined &&
+		!content.get(model)!.has(adapter)
+	) {
+		return 'adapter-missing';
+	}
+
+	return isMissing(target, {model, adapter}, now)
+		? 'refused-as-missing'
+		: undefined;
+}
--- a/test/forwarding/left-callers.test.ts
+++ b/test/forwarding/left-callers.test.ts
@@ -49,7 +49,7 @@
 test('a host that stood still does not send on the requests of callers that have left', async () => {
 	for (let call = 0; call < 5; call++) {
 		await delay(50);
-		harness.service.recordEventLoopDelay(0);
+		harness.service.eventLoopDelay.record(0);
 		await sendAndLeave(`left-${call}`);
 	}
 
@@ -59,7 +59,7 @@
 	);
 	await delay(50);
 	assert.equal(worker.requests.length, 0);
-	harness.service.recordEventLoopDelay(0);
+	harness.service.eventLoopDelay.record(0);
 	const result = await harness.call('/idempotent/x');
 	assert.equal(result.body, 'served');
 });
@@ -67,10 +67,10 @@
 // Guards against a stall that is detected only after the requests that waited during it were read.
 test('a host whose timer is overdue counts as having stood still', async () => {
 	const before = worker.requests.length;
-	harness.service.recordEventLoopDelay(-1000);
+	harness.service.eventLoopDelay.record(-1000);
 	// Longer than the memory of the last stall.
 	await delay(700);
-	harness.service.recordEventLoopDelay(1000);
+	harness.service.eventLoopDelay.record(1000);
 	await delay(1100);
 	for (let call = 0; call < 3; call++) {
 		await sendAndLeave(`overdue-${call}`);
