Add the command explain route and GET /explain of forwarding hosts

Operators had no way to ask a host for ForwardingService.explain. The metrics listener answers GET /explain, and daisylever explain route prints the answer as a table or JSON. An unknown route, model or customer ends with the new exit code 8.

Missing: the section in docs/OPERATIONS.md and docs/design/explain.md.

--- a/src/program/command-failure.ts
+++ b/src/program/command-failure.ts
@@ -14,6 +14,10 @@
 		meaning: 'the host or the log service cannot be reached',
 	},
 	notFound: {code: 7, meaning: 'there is no such order or document'},
+	unknownSubject: {
+		code: 8,
+		meaning: 'the host knows no such route, model or customer',
+	},
 } as const;
 
 /** Key of an exit code in `exitCodes`. */
--- a/src/program/forwarding-root.ts
+++ b/src/program/forwarding-root.ts
@@ -44,6 +44,7 @@
 import {BrittleObserver} from '../services/forwarding/targets/brittle-observer.js';
 import {ChargedOrderPort} from '../services/forwarding/limits/charged-order-port.js';
 import {CrashObserver} from '../services/forwarding/targets/crash-observer.js';
+import {addExplainRoute} from '../services/forwarding/explain-router.js';
 import {ForwardingServer} from '../services/forwarding/forwarding-server.js';
 import {ForwardingService} from '../services/forwarding/forwarding-service.js';
 import {FleetView} from '../services/forwarding/reports/fleet-view.js';
@@ -1076,6 +1077,10 @@
 				? context.text('', this.isReady ? 200 : 503)
 				: context.text(this.exposition()),
 		);
+		if (path === '/metrics') {
+			addExplainRoute(app, (question) => this.service.explain(question));
+		}
+
 		const listener = getRequestListener(app.fetch, {
 			overrideGlobalObjects: false,
 		});
--- a/src/program/inspection-commands.ts
+++ b/src/program/inspection-commands.ts
@@ -16,6 +16,7 @@
 	type CommandResult,
 	type HostOptions,
 } from './command-context.js';
+import {addExplainRouteCommand} from './explain-route-command.js';
 
 function formatGigabytes(bytes: number): string {
 	return (bytes / 1e9).toFixed(1);
@@ -244,6 +245,7 @@
 		);
 	}
 
+	addExplainRouteCommand(explainCommand);
 	addHostOptions(explainCommand).action(
 		async (request: string | undefined, options: ExplainOptions) => {
 			writeResult(await explain(request, options));
