Explain where a request would go, and run crowds of clients apart

daisylever explain route asks a running host and sends nothing. The checks of one target are one function now (TargetChoice), used by dispatch and explanation.

--- a/scripts/run-tests.sh
+++ b/scripts/run-tests.sh
@@ -8,11 +8,27 @@
 # several times until a dead host is considered gone and takes about two minutes.
 readonly test_timeout_ms=270000
 
-mapfile -t files < <(find build/test -name '*.test.js' | grep -E "${DAISYLEVER_TESTS:-.}" | sort)
+# Crowds of clients need the processor and the memory of the machine, so their file runs alone after the others.
+readonly alone='/uncontrolled-clients\.test\.js$'
+
+mapfile -t selected < <(find build/test -name '*.test.js' | grep -E "${DAISYLEVER_TESTS:-.}" | sort)
+mapfile -t together < <(printf '%s\n' "${selected[@]}" | grep -vE "$alone")
+mapfile -t separate < <(printf '%s\n' "${selected[@]}" | grep -E "$alone")
 output=$(mktemp)
 trap 'rm -f "$output"' EXIT
-node --test --test-reporter=tap --test-concurrency=4 --test-timeout="$test_timeout_ms" "${files[@]}" | tee "$output"
-status=${PIPESTATUS[0]}
+status=0
+
+run_tests() {
+	local concurrency=$1
+	shift
+	[ "$#" -gt 0 ] || return 0
+	node --test --test-reporter=tap --test-concurrency="$concurrency" --test-timeout="$test_timeout_ms" "$@" | tee -a "$output"
+	local result=${PIPESTATUS[0]}
+	[ "$result" -eq 0 ] || status=$result
+}
+
+run_tests 4 "${together[@]}"
+run_tests 1 "${separate[@]}"
 [ "$status" -eq 0 ] && exit 0
 
 failed=$(sed -n 's/^not ok [0-9]* - //p' "$output" | sed 's/ # .*$//')
--- a/src/program/command-line.ts
+++ b/src/program/command-line.ts
@@ -23,6 +23,8 @@
 	const program = new Command('daisylever')
 		.description('Serves many models on fewer accelerators.')
 		.showSuggestionAfterError()
+		// A command and its subcommand have options of the same names.
+		.enablePositionalOptions()
 		.exitOverride()
 		.addHelpText('afterAll', `\nExit codes:\n${formatExitCodes()}`);
 	addHostCommands(program, runHost);
--- a/src/program/forwarding-root.ts
+++ b/src/program/forwarding-root.ts
@@ -47,6 +47,7 @@
 import {CrashObserver} from '../services/forwarding/targets/crash-observer.js';
 import {EventLoopDelay} from '../services/forwarding/limits/event-loop-delay.js';
 import {HostLoadControl} from '../services/forwarding/limits/host-load-control.js';
+import {addExplainRoute} from '../services/forwarding/explain-router.js';
 import {ForwardingServer} from '../services/forwarding/forwarding-server.js';
 import {ForwardingService} from '../services/forwarding/forwarding-service.js';
 import {FleetView} from '../services/forwarding/reports/fleet-view.js';
@@ -1097,6 +1098,10 @@
 				? context.text('', this.isServing && this.hostLoad.isReady ? 200 : 503)
 				: context.text(this.exposition()),
 		);
+		if (path === '/metrics') {
+			addExplainRoute(app, (question) => this.service.explain(question));
+		}
+
 		const listener = getRequestListener(app.fetch, {
 			overrideGlobalObjects: false,
 		});
--- a/src/services/dispatch/dispatcher.ts
+++ b/src/services/dispatch/dispatcher.ts
@@ -1,7 +1,9 @@
+import {err, ok, type Result} from 'neverthrow';
 import {type Clock} from '../../base/common/clock.js';
 import {Disposable} from '../../base/common/disposable.js';
 import {type EventLogger} from '../../base/common/event-logger.js';
 import {Mailbox} from '../../base/common/mailbox.js';
+import {MedianRandomSource} from '../../base/common/median-random-source.js';
 import {type RandomSource} from '../../base/common/random-source.js';
 import {dispatchEvents} from '../../contracts/events/dispatch-events.js';
 import {
@@ -12,7 +14,11 @@
 	type SoftwareVersion,
 } from '../../contracts/ids.js';
 import {type RefusalReason} from '../../contracts/target-error.js';
-import {AdmissionPolicy} from '../../core/admission/admission-policy.js';
+import {
+	AdmissionPolicy,
+	type Admission,
+	type AdmissionRefusal,
+} from '../../core/admission/admission-policy.js';
 import {CallerLimiter} from '../../core/admission/caller-limiter.js';
 import {
 	type FleetQueue,
@@ -31,11 +37,9 @@
 import {SlowdownEstimator} from '../../core/routing/slowdown-estimator.js';
 import {IsolationPolicy} from '../../core/routing/isolation-policy.js';
 import {LengthEstimator} from '../../core/work/length-estimator.js';
-import {type WorkEstimate} from '../../core/work/work-estimator.js';
 import {
 	OutlierDetector,
 	type LatencyKind,
-	type TargetHealth,
 } from '../../core/routing/outlier-detector.js';
 import {type PermitBook} from '../../core/limits/permit-book.js';
 import {type RefusalLimits} from '../../core/limits/refusal-limits.js';
@@ -43,7 +47,6 @@
 import {RetryBudget} from '../../core/limits/retry-budget.js';
 import {
 	LoadAwarePolicy,
-	type RoutingCandidate,
 	type RoutingPolicy,
 } from '../../core/routing/routing-policy.js';
 import {ServiceTimeEstimator} from '../../core/work/service-time-estimator.js';
@@ -53,7 +56,6 @@
 	TargetLoadTracker,
 	type TargetLoad,
 } from '../../core/routing/target-load-tracker.js';
-import {WorkAwarePolicy} from '../../core/routing/work-aware-policy.js';
 import {
 	type WorkItem,
 	type Attempt,
@@ -67,8 +69,10 @@
 	startLevel,
 	urgencyOrder,
 } from './dispatch-contracts.js';
+import {describePreview, type DispatchPreview} from './dispatch-preview.js';
 import {leaveHeadroom, sumWaiting} from './fleet-order.js';
 import {replacementLoads} from './replacement-loads.js';
+import {isStartLimited, TargetChoice} from './target-choice.js';
 import {TargetSample} from './target-sample.js';
 import {
 	toAttemptIdentity,
@@ -130,6 +134,11 @@
 
 /** Maximum number of targets examined in one search for free capacity. */
 const capacitySearchLength = 64;
+const medianRandom = new MedianRandomSource();
+
+type ArrivalRefusal = Omit<WorkRefusal, 'item' | 'code'> & {
+	readonly code: AdmissionRefusal;
+};
 
 /** Owns the queue of one pool on the entry host and assigns work to targets as capacity becomes free. */
 export class Dispatcher extends Disposable {
@@ -139,7 +148,6 @@
 	private readonly logger: EventLogger;
 	private readonly admissionPolicy: AdmissionPolicy;
 	private readonly queue: DispatchQueue<DispatchWork>;
-	private readonly routingPolicy: RoutingPolicy;
 	private readonly slotPolicy: SlotPolicy;
 	private readonly loadTracker: TargetLoadTracker;
 	private readonly outlierDetector: OutlierDetector;
@@ -166,7 +174,7 @@
 	private readonly targetSample: TargetSample;
 	/** Defined in a pool that is scheduled by work. */
 	private work: WorkScheduling | undefined;
-	private readonly workAwarePolicy: WorkAwarePolicy;
+	private readonly choice: TargetChoice;
 
 	constructor(private readonly options: DispatcherOptions) {
 		super();
@@ -189,7 +197,6 @@
 					this.startMargin(work as DispatchWork),
 				usage: options.callerUsage,
 			});
-		this.routingPolicy = options.routingPolicy ?? new LoadAwarePolicy({random});
 		this.slotPolicy = options.slotPolicy ?? new SlotPolicy({host});
 		this.loadTracker = options.loadTracker ?? new TargetLoadTracker({clock});
 		this.outlierDetector =
@@ -206,7 +213,16 @@
 		this.hedgingPolicy = new HedgingPolicy({clock, budget: this.retryBudget});
 		this.prefixAffinity = new PrefixAffinity({clock});
 		this.slowdownEstimator = new SlowdownEstimator({clock});
-		this.workAwarePolicy = new WorkAwarePolicy({random});
+		this.choice = new TargetChoice({
+			...options,
+			routingPolicy: options.routingPolicy ?? new LoadAwarePolicy({random}),
+			isolationPolicy: this.isolationPolicy,
+			slotPolicy: this.slotPolicy,
+			outlierDetector: this.outlierDetector,
+			prefixAffinity: this.prefixAffinity,
+			slowdownEstimator: this.slowdownEstimator,
+			work: () => this.work,
+		});
 		this.targetSample = new TargetSample({
 			random,
 			prefixAffinity: this.prefixAffinity,
@@ -256,6 +272,34 @@
 		};
 	}
 
+	/** Returns what would be done with new work that is not suspect, and changes nothing. All candidates are compared instead of a sample. */
+	preview(item: WorkItem): DispatchPreview {
+		const read = () => {
+			const work = this.createWork(item);
+			const loads = this.loadTracker.loads(
+				this.options.directory.targetsFor(item),
+			);
+			return {
+				admission: this.admit(work, true),
+				yieldsToUrgentWork: this.yieldsToUrgentWork(work),
+				loads,
+				withHeadroom: leaveHeadroom(loads, work, this.options),
+				assessed: this.choice.preview(
+					{item, isLong: work.isLong, isAged: false},
+					loads,
+				),
+				expectedMilliseconds: work.expectedMilliseconds,
+				waitingRequests: this.queue.size,
+			};
+		};
+
+		return describePreview(
+			this.options.callerUsage?.preview(read) ?? read(),
+			this.choice,
+			this.work,
+		);
+	}
+
 	/** Queues a message, to be handled by `run`. */
 	post(message: DispatcherMessage): void {
 		this.mailbox.post(message);
@@ -460,71 +504,16 @@
 			return;
 		}
 
-		const estimate = this.lengthEstimator.estimate(item);
-		const work: DispatchWork = {
-			item,
-			request: item.request,
-			caller: item.caller,
-			urgency: item.urgency,
-			isLong: estimate.isLong,
-			// A suspect waits for an empty target, so it is queued separately to avoid blocking other work.
-			routingKey: `${item.model ?? item.offering}|${item.adapter ?? ''}|${item.softwareVersion ?? ''}|${item.suspect ? 'suspect' : item.idempotent}`,
-			// The rest of a stream takes less time than a whole one, and its caller has begun to read it.
-			expectedMilliseconds:
-				item.isContinuation === true
-					? 0
-					: (this.work?.expectedMilliseconds(item) ??
-						this.serviceTimeEstimator.estimate(estimate.tokens)),
-			deadline: this.clock.monotonic() + item.remainingMilliseconds,
-			startObjectiveDeadline:
-				this.clock.monotonic() + (item.startObjectiveMilliseconds ?? Infinity),
-			startDeadline:
-				this.clock.monotonic() + (item.startTimeoutMilliseconds ?? Infinity),
-		};
-		const admission = this.admissionPolicy.admit({
-			caller: item.caller,
-			// Work that would exceed the start timeout of its caller is refused immediately, so that the caller can retry in time.
-			remainingMilliseconds: Math.min(
-				item.remainingMilliseconds,
-				(item.startTimeoutMilliseconds ?? Infinity) + work.expectedMilliseconds,
-			),
-			expectedMilliseconds: work.expectedMilliseconds,
-			workAheadMilliseconds: this.queue.workAhead(work),
-			runningRequests: this.runningCount,
-		});
+		const work = this.createWork(item);
+		const admission = this.admit(work, false);
 		if (admission.isErr()) {
-			const {code, countsAsDemand, retryAfterMilliseconds} = admission.error;
 			const event = {
 				'caller-limit': dispatchEvents.callerLimitReached,
 				overload: dispatchEvents.overloadRefused,
 				deadline: dispatchEvents.deadlineRefused,
-			}[code];
+			}[admission.error.code];
 			this.logger.record(event, {caller: item.caller, request: item.request});
-			this.port.refuse({
-				item,
-				code,
-				countsAsDemand,
-				retryAfterMilliseconds,
-				message: admission.error.message,
-			});
-			return;
-		}
-
-		const hopeless = this.hopelessWait(work);
-		if (hopeless) {
-			const {waitMilliseconds, retryAfterMilliseconds} = hopeless;
-			this.admissionPolicy.release(item.caller);
-			this.logger.record(dispatchEvents.overloadRefused, {
-				caller: item.caller,
-				request: item.request,
-			});
-			this.port.refuse({
-				item,
-				code: 'overload',
-				countsAsDemand: true,
-				retryAfterMilliseconds,
-				message: `the requests for the model that wait already take about ${Math.round(waitMilliseconds)} ms`,
-			});
+			this.port.refuse({item, ...admission.error});
 			return;
 		}
 
@@ -554,8 +543,79 @@
 		this.enqueue(tracked);
 	}
 
+	private createWork(item: WorkItem): DispatchWork {
+		const estimate = this.lengthEstimator.estimate(item);
+		return {
+			item,
+			request: item.request,
+			caller: item.caller,
+			urgency: item.urgency,
+			isLong: estimate.isLong,
+			// A suspect waits for an empty target, so it is queued separately to avoid blocking other work.
+			routingKey: `${item.model ?? item.offering}|${item.adapter ?? ''}|${item.softwareVersion ?? ''}|${item.suspect ? 'suspect' : item.idempotent}`,
+			// The rest of a stream takes less time than a whole one, and its caller has begun to read it.
+			expectedMilliseconds:
+				item.isContinuation === true
+					? 0
+					: (this.work?.expectedMilliseconds(item) ??
+						this.serviceTimeEstimator.estimate(estimate.tokens)),
+			deadline: this.clock.monotonic() + item.remainingMilliseconds,
+			startObjectiveDeadline:
+				this.clock.monotonic() + (item.startObjectiveMilliseconds ?? Infinity),
+			startDeadline:
+				this.clock.monotonic() + (item.startTimeoutMilliseconds ?? Infinity),
+		};
+	}
+
+	/** Admits new work, or returns why it is refused. A preview counts nothing. */
+	private admit(
+		work: DispatchWork,
+		isPreview: boolean,
+	): Result<Admission, ArrivalRefusal> {
+		const {item, caller, expectedMilliseconds} = work;
+		const request = {
+			caller,
+			// Work that would exceed the start timeout of its caller is refused immediately, so that the caller can retry in time.
+			remainingMilliseconds: Math.min(
+				item.remainingMilliseconds,
+				(item.startTimeoutMilliseconds ?? Infinity) + expectedMilliseconds,
+			),
+			expectedMilliseconds,
+			workAheadMilliseconds: this.queue.workAhead(work),
+			runningRequests: this.runningCount,
+		};
+		const admission = isPreview
+			? this.admissionPolicy.preview(request)
+			: this.admissionPolicy.admit(request);
+		if (admission.isErr()) {
+			const {code, countsAsDemand, retryAfterMilliseconds, message} =
+				admission.error;
+			return err({code, countsAsDemand, retryAfterMilliseconds, message});
+		}
+
+		const hopeless = this.hopelessWait(
+			work,
+			isPreview ? medianRandom : this.options.random,
+		);
+		if (!hopeless) {
+			return ok(admission.value);
+		}
+
+		if (!isPreview) {
+			this.admissionPolicy.release(caller);
+		}
+
+		const {waitMilliseconds, retryAfterMilliseconds} = hopeless;
+		return err({
+			code: 'overload',
+			countsAsDemand: true,
+			retryAfterMilliseconds,
+			message: `the requests for the model that wait already take about ${Math.round(waitMilliseconds)} ms`,
+		});
+	}
+
 	/** The wait of new work that would not start in time. */
-	private hopelessWait(work: DispatchWork) {
+	private hopelessWait(work: DispatchWork, random: RandomSource) {
 		// A stream that has begun is not refused.
 		if (!this.startLimiter || work.item.isContinuation === true) {
 			return undefined;
@@ -565,14 +625,17 @@
 		const arriving = this.arriving(work);
 		return (
 			arriving &&
-			this.backlog.hopelessWait({
-				...arriving,
-				objectiveMilliseconds:
-					(work.startObjectiveDeadline ?? Infinity) -
-					now -
-					this.startMargin(work),
-				timeoutMilliseconds: work.item.startTimeoutMilliseconds ?? Infinity,
-			})
+			this.backlog.hopelessWait(
+				{
+					...arriving,
+					objectiveMilliseconds:
+						(work.startObjectiveDeadline ?? Infinity) -
+						now -
+						this.startMargin(work),
+					timeoutMilliseconds: work.item.startTimeoutMilliseconds ?? Infinity,
+				},
+				random,
+			)
 		);
 	}
 
@@ -698,7 +761,7 @@
 	private findCapacity(): boolean {
 		if (this.targetWithCapacity !== undefined) {
 			const [load] = this.loadTracker.loads([this.targetWithCapacity]);
-			if (load && this.hasFreeSlot(load, 0, false)) {
+			if (load && this.choice.hasFreeSlot(load, 0, false)) {
 				return true;
 			}
 		}
@@ -707,23 +770,14 @@
 			this.capacitySearchPosition,
 			capacitySearchLength,
 		);
-		const index = loads.findIndex((load) => this.hasFreeSlot(load, 0, false));
+		const index = loads.findIndex((load) =>
+			this.choice.hasFreeSlot(load, 0, false),
+		);
 		this.targetWithCapacity = loads[index]?.target;
 		this.capacitySearchPosition += index === -1 ? loads.length : index;
 		return index !== -1;
 	}
 
-	private hasFreeSlot(
-		load: TargetLoad,
-		level: number,
-		countsAsLong: boolean,
-	): boolean {
-		return (
-			this.work?.hasCapacity(load, level) ??
-			this.slotPolicy.hasCapacity(load, countsAsLong)
-		);
-	}
-
 	private dispatch(bound: BoundWork<DispatchWork>): void {
 		const {work, target, byAge, waitedMilliseconds} = bound;
 		const tracked = this.trackedRequests.get(work.request);
@@ -791,7 +845,7 @@
 		this.runningCount++;
 		const [load] = this.work ? this.loadTracker.loads([target]) : [];
 		if (load) {
-			this.work?.recordSent(load, item, this.heldShare(load, item));
+			this.work?.recordSent(load, item, this.choice.heldShare(load, item));
 		}
 
 		this.loadTracker.startRequest(target, item.request, tracked.isLong);
@@ -874,64 +928,7 @@
 	): TargetId | undefined {
 		const isLong =
 			this.trackedRequests.get(work.request)?.isLong ?? work.isLong;
-		const available = loads.filter(({leaving}) => !leaving);
-		const countsAsLong =
-			isLong && !(isAged && this.slotPolicy.mayExceedLongSlots(available));
-		const healths = new Map(
-			available.map(({target}) => [
-				target,
-				this.outlierDetector.health(target),
-			]),
-		);
-		// Waiting for a healthy target is faster than using a slow one with free capacity.
-		const hasHealthy = [...healths.values()].some(({weight}) => weight > 0);
-		const estimate = this.estimate(work.item);
-		const candidates: RoutingCandidate[] = [];
-		for (const load of available) {
-			const health = healths.get(load.target)!;
-			if (
-				!this.hasCapacity(load, work.item, countsAsLong) ||
-				(hasHealthy && health.weight === 0 && !health.isProbeDue)
-			) {
-				continue;
-			}
-
-			// A recovering target receives only its share of the slots.
-			const isRecovering = health.weight > 0 && health.weight < 1;
-			if (
-				isRecovering &&
-				load.localOutstanding >= Math.ceil(load.slots * health.weight)
-			) {
-				continue;
-			}
-
-			candidates.push(
-				this.toRoutingCandidate(load, health, work.item, estimate),
-			);
-		}
-
-		const chosen = this.policy.choose(candidates, work.item);
-		// If no healthy target has free capacity, an ejected target may receive probes only.
-		return chosen &&
-			hasHealthy &&
-			chosen.weight === 0 &&
-			!(chosen.isProbeDue && work.item.idempotent)
-			? undefined
-			: chosen?.target;
-	}
-
-	private get policy(): RoutingPolicy {
-		return this.work ? this.workAwarePolicy : this.routingPolicy;
-	}
-
-	/** Expected work of a request, undefined unless the pool is scheduled by work. */
-	private estimate(item: WorkItem): WorkEstimate | undefined {
-		return this.work?.estimate(item);
-	}
-
-	/** Share of the prompt that a target may hold. */
-	private heldShare({target}: TargetLoad, {prefixes}: WorkItem): number {
-		return this.prefixAffinity.heldShare(target, prefixes);
+		return this.choice.choose({item: work.item, isLong, isAged}, loads);
 	}
 
 	/** True while more urgent work for the same model waits for a target: sent now, this work would only wait behind it at the target. */
@@ -949,52 +946,6 @@
 		);
 	}
 
-	private hasCapacity(
-		load: TargetLoad,
-		item: WorkItem,
-		countsAsLong: boolean,
-	): boolean {
-		return (
-			this.isolationPolicy.isAvailable(load.target) &&
-			this.hasFreeSlot(load, levelAtTarget(item), countsAsLong) &&
-			(!this.startLimiter ||
-				!isStartLimited(item) ||
-				this.startLimiter.hasCapacity(load.target, startLevel(item))) &&
-			(this.work?.mayReceive(load, item, this.heldShare(load, item)) ?? true) &&
-			(this.options.refusalLimits?.mayReceive(load) ?? true) &&
-			// Last, because it asks for a permit.
-			(this.options.permits?.hasPermit(load.target) ?? true)
-		);
-	}
-
-	private toRoutingCandidate(
-		load: TargetLoad,
-		health: TargetHealth,
-		item: WorkItem,
-		estimate: WorkEstimate | undefined,
-	): RoutingCandidate {
-		const {target} = load;
-		const {prefixes, adapter} = item;
-		const speedFactor = this.options.speedFactor?.(target) ?? 1;
-		return {
-			...load,
-			...health,
-			speed:
-				(health.speed * speedFactor) / this.slowdownEstimator.slowdown(target),
-			affinity: this.prefixAffinity.affinity(target, prefixes, adapter),
-			...(this.work && estimate
-				? {
-						work: this.work.describe(
-							load,
-							item,
-							estimate,
-							this.heldShare(load, item),
-						),
-					}
-				: {}),
-		};
-	}
-
 	/** Returns true for the first progress of the attempt. */
 	private handleProgress(message: Attempt, tokens: number): boolean {
 		const tracked = this.trackedRequests.get(message.request);
@@ -1478,13 +1429,3 @@
 		this.admissionPolicy.release(caller);
 	}
 }
-
-/** True for model requests that have not begun. The rest of an interrupted stream is sent without delay. */
-function isStartLimited({model, isContinuation}: WorkItem): boolean {
-	return model !== undefined && isContinuation !== true;
-}
-
-/** Rank for the slots of a target. The rest of an interrupted stream has a caller that reads it. */
-function levelAtTarget(item: WorkItem): number {
-	return item.isContinuation === true ? 0 : startLevel(item);
-}
--- a/src/services/forwarding/forwarding-service.ts
+++ b/src/services/forwarding/forwarding-service.ts
@@ -9,6 +9,7 @@
 import {forwardingEvents} from '../../contracts/events/forwarding-events.js';
 import {
 	type ForwardingDocument,
+	type Customer,
 	type RouteRule,
 } from '../../contracts/forwarding-document.js';
 import {
@@ -49,6 +50,11 @@
 	missingVersionReason,
 } from './attempts/forward-dispatch.js';
 import {ForwardedRequest} from './attempts/forwarded-request.js';
+import {
+	decideForPool,
+	servesModel,
+	unknownModelReason,
+} from './attempts/pool-decision.js';
 import {headerValue} from './attempts/header-value.js';
 import {type ReceivedRequest} from './forwarding-server.js';
 import {RefusingRequestHandler} from './limits/host-intake.js';
@@ -60,6 +66,13 @@
 import {type PeerForwarder} from './peers/peer-forwarder.js';
 import {type StreamOriginSharing} from './state/stream-origin-sharing.js';
 import {type TargetRegistry} from './targets/target-registry.js';
+import {
+	explainRoute,
+	startRetryMilliseconds,
+	stoppingReason,
+	unknownKeyReason,
+	type RouteQuestion,
+} from './route-explanation.js';
 
 /** Options of the forwarding service. */
 export type ForwardingServiceOptions = {
@@ -128,8 +141,6 @@
 const tickIntervalMilliseconds = 25;
 /** Time for which a host reports the last request for a model to the owner. Longer than any model counts as busy. */
 const lastRequestLifetimeMilliseconds = 20_000;
-/** Retry delay sent by a host without a document or one that is stopping. A starting host receives a document within this time, or not before its callers time out. */
-const startRetryMilliseconds = 500;
 
 /** Delay after which a request that finds no memory may come back: the bodies of others are held until their answers. */
 const memoryRetryMilliseconds = 1000;
@@ -141,10 +152,7 @@
 
 /** Beginning of the outcome of a request whose answer was ended early. */
 const interruptedOutcome = 'broken: ';
-/** Reason of the refusals of a stopping host. */
-const stoppingReason = 'the host is stopping';
 const cutOffReason = 'the host reaches no target of the pool';
-const unknownKeyReason = 'the key is unknown';
 const outdatedKeysReason =
 	'the key may have been taken away since the store was read';
 const unknownVersionReason =
@@ -152,9 +160,6 @@
 /** Delay after which a refused rest of a stream may come back. By then the report of the host that forwarded its beginning has arrived. */
 const unknownVersionRetryMilliseconds = 500;
 
-/** Retry delay while all targets of a pool leave: the time in which another one starts and loads a model. */
-const newTargetMilliseconds = 3000;
-
 /** Forwards the requests of callers according to the current document. */
 export class ForwardingService extends RefusingRequestHandler {
 	private document: ForwardingDocument | undefined;
@@ -350,6 +355,20 @@
 		return [...this.pools.values()].map(({dispatch}) => dispatch);
 	}
 
+	/** Explains where a request would go now and why, without sending it. */
+	explain(question: RouteQuestion) {
+		const {document, routes, keys, pools} = this;
+		return explainRoute(question, {
+			...this.options,
+			document,
+			routes,
+			keys,
+			pools,
+			findHostRefusal: (customer) => this.findHostRefusal(customer),
+			mayBegin: (request) => this.mayBegin(request),
+		});
+	}
+
 	/** Number of hosts that share the targets and the retry budget. */
 	get hostCount(): number {
 		return this.currentHostCount;
@@ -478,7 +497,7 @@
 		}
 
 		const {customer} = decision;
-		if (customer && !this.options.mayRelyOnKeys()) {
+		if (this.findHostRefusal(customer)) {
 			metrics.count('daisylever_outdated_key_refusals_total');
 			events.record(forwardingEvents.requestRejected, {
 				request: metadata.value.id,
@@ -659,6 +678,22 @@
 		);
 	}
 
+	/** Why all requests of a customer are refused, undefined if they are not. */
+	private findHostRefusal(customer: Customer | undefined) {
+		const reason = this.isAcceptingRequests
+			? customer && !this.options.mayRelyOnKeys()
+				? outdatedKeysReason
+				: undefined
+			: stoppingReason;
+		return reason === undefined
+			? undefined
+			: ({
+					status: 503,
+					reason,
+					retryAfterMilliseconds: startRetryMilliseconds,
+				} as const);
+	}
+
 	/** True for the current version with the customers that a host of an older build has left out. */
 	private isCompletion(document: ForwardingDocument): boolean {
 		return (
@@ -773,11 +808,8 @@
 		});
 		this.requests.add(request);
 		this.recordRequestTime(metadata.model);
-		if (
-			!pool ||
-			(metadata.model !== undefined && !pool.models?.has(metadata.model))
-		) {
-			request.refuse('the pool or model does not exist', 0);
+		if (!pool || !servesModel(pool, metadata.model)) {
+			request.refuse(unknownModelReason, 0);
 			return request;
 		}
 
@@ -919,17 +951,18 @@
 
 	private submit(request: ForwardedRequest, {dispatch}: Pool): void {
 		const {metadata} = request;
-		if (this.options.reachability.isCutOff(dispatch.pool)) {
+		const decision = decideForPool(dispatch, request, this.options);
+		if (decision.kind === 'other-host') {
 			this.forwardToPeer(request, dispatch);
 			return;
 		}
 
-		if (this.options.registry.isLeavingAltogether(dispatch.pool)) {
-			request.refuse('all targets of the pool leave', newTargetMilliseconds);
-			return;
-		}
+		if (decision.kind !== 'submit') {
+			if (decision.kind === 'held-back') {
+				dispatch.abandon(request);
+			}
 
-		if (dispatch.refuseHeldBack(request)) {
+			request.refuse(decision.reason, decision.retryAfterMilliseconds);
 			return;
 		}
 
