--- a/src/program/explain-route-command.ts
+++ b/src/program/explain-route-command.ts
@@ -165,7 +165,8 @@
 
 	const detail =
 		failure.detail ?? `the host responded with status ${String(status)}`;
-	switch (failure.code) {
+	// A listener of another kind names no code.
+	switch (failure.code ?? '') {
 		case 'unknown-route':
 		case 'unknown-model':
 		case 'unknown-customer': {
