--- a/src/base/node/read-pacer.ts
+++ b/src/base/node/read-pacer.ts
@@ -89,7 +89,7 @@
 				connection.onReceived(chunk.length);
 			}
 
-			// The end of a connection is told at once: a request of a client that has left is not to be sent on.
+			// The end of a connection is passed on at once: a request of a client that has left is not to be sent on.
 			const isEnd = reads.hasEnded && reads.chunks.length === 0;
 			if (isEnd || (!reads.isQueued && this.mayContinue())) {
 				this.parseSlice(reads);
--- a/src/contracts/events/forwarding-events.ts
+++ b/src/contracts/events/forwarding-events.ts
@@ -474,7 +474,7 @@
 		name: 'fleet-queue-outdated',
 		level: 'warn',
 		description:
-			'This host has not heard of the queues of the other hosts for longer than it may rely on them, and decides by its own queue which requests it refuses. The field ageMilliseconds is the age of what it knows. Look for an owner or relay that does not respond.',
+			'What this host knows of the queues of the other hosts is older than it may rely on, and decides by its own queue which requests it refuses. The field ageMilliseconds is the age of what it knows. Look for an owner or relay that does not respond.',
 	},
 	quotaExceeded: {
 		number: 7100,
--- a/src/core/admission/fleet-queue.ts
+++ b/src/core/admission/fleet-queue.ts
@@ -211,7 +211,7 @@
 		return sum;
 	}
 
-	/** Records the queue of this host as it is reported, from which growth is told until the next report. */
+	/** Records the queue of this host as it is reported, from which growth is judged until the next report. */
 	recordOwn(own: QueueReport): void {
 		this.reported = toWork(own);
 	}
--- a/src/core/quotas/quota-account.ts
+++ b/src/core/quotas/quota-account.ts
@@ -27,7 +27,7 @@
 	readonly isOutdated: boolean;
 };
 
-/** What an account is told by the quotas of its host. */
+/** What an account receives from the quotas of its host. */
 export type QuotaSource = {
 	/** Units that an earlier account of the customer has taken, modulo 2^32. */
 	readonly takenUnits: number;
