--- a/review/common-2/worker.js
+++ b/review/common-2/worker.js
@@ -43,6 +43,12 @@
 		this.#server.close();
 	}
 
+	/** Reports that the worker is removed after a time. It serves on until then. */
+	leave(remainingMilliseconds) {
+		this.notice = {state: 'draining', remaining_ms: remainingMilliseconds};
+		this.#write();
+	}
+
 	/** Answers a request that has begun to run. Replaced by cases. */
 	behaviour(request, response) {
 		this.answer(request, response, 'done');
@@ -107,6 +113,7 @@
 			cold_left_ms: 0,
 			seq: this.#writes,
 			born: this.#born,
+			...this.notice,
 		});
 	}
 }
