Show what crowds of clients do to a host that the tests did not show

Cause: the crowds until now look at the resident memory while clients are connected. They miss what happens after the clients have left, what a single client within the limits gets, and the received bytes that are not read, which the platform counts as memory.

Change: two files of tests with their crowds and bounds, which run alone after the others. Memory is the resident one with the receive queues of the sockets of the process. The bounds follow from targets: the memory of the machine, a tenth of the parsing that the bodies of a crowd would take once it has left, an answer to a request within the limits. The product is unchanged.

--- a/scripts/run-tests.sh
+++ b/scripts/run-tests.sh
@@ -8,8 +8,8 @@
 # several times until a dead host is considered gone and takes about two minutes.
 readonly test_timeout_ms=270000
 
-# Crowds of clients need the processor and the memory of the machine, so their file runs alone after the others.
-readonly alone='/uncontrolled-clients\.test\.js$'
+# Crowds of clients need the processor and the memory of the machine, and single clients are to meet a calm host, so their files run one after the other after the others.
+readonly alone='/(uncontrolled-clients|crowd-aftermath|calm-clients)\.test\.js$'
 
 mapfile -t selected < <(find build/test -name '*.test.js' | grep -E "${DAISYLEVER_TESTS:-.}" | sort)
 mapfile -t together < <(printf '%s\n' "${selected[@]}" | grep -vE "$alone")
--- a/test/process/client-crowd.ts
+++ b/test/process/client-crowd.ts
@@ -21,6 +21,7 @@
 export class ClientCrowd {
 	private readonly sockets = new Set<Socket>();
 	private isOver = false;
+	private sent = 0;
 
 	constructor(
 		private readonly ports: Readonly<Record<string, number>>,
@@ -32,6 +33,11 @@
 		}
 	}
 
+	/** Bytes that the operating system has taken of all clients. */
+	get sentBytes(): number {
+		return this.sent;
+	}
+
 	/** Closes all connections. */
 	end(): void {
 		this.isOver = true;
@@ -59,20 +65,80 @@
 		}
 
 		socket.write(kind.first, () => {
-			send(socket, kind, kind.repetitions ?? Number.POSITIVE_INFINITY);
+			this.sendRest(socket, kind, kind.repetitions ?? Number.POSITIVE_INFINITY);
 		});
 	}
-}
 
-function send(socket: Socket, kind: ClientKind, repetitions: number): void {
-	const {rest, pauseMilliseconds = 0} = kind;
-	if (!rest || repetitions === 0 || socket.destroyed) {
-		return;
+	private sendRest(
+		socket: Socket,
+		kind: ClientKind,
+		repetitions: number,
+	): void {
+		const {rest, pauseMilliseconds = 0} = kind;
+		if (!rest || repetitions === 0 || socket.destroyed) {
+			return;
+		}
+
+		socket.write(rest, (error) => {
+			this.sent += error ? 0 : rest.length;
+			setTimeout(() => {
+				this.sendRest(socket, kind, repetitions - 1);
+			}, pauseMilliseconds);
+		});
 	}
+}
+
+/** What a client sends whose request is complete. */
+export type WholeRequest = {
+	readonly head: string;
+	/** The body in its transfer coding, sent as fast as the connection takes it. */
+	readonly parts: readonly Buffer[];
+	/** Pause before each part. */
+	readonly pauseMilliseconds?: number;
+};
 
-	socket.write(rest, () => {
-		setTimeout(() => {
-			send(socket, kind, repetitions - 1);
-		}, pauseMilliseconds);
+/** Sends one request on a connection of its own. Returns the status of the response, or 0 if the connection ends without one. */
+export async function sendWhole(
+	port: number,
+	{head, parts, pauseMilliseconds = 0}: WholeRequest,
+): Promise<number> {
+	const socket = connect(port, '127.0.0.1');
+	const status = new Promise<number>((resolve) => {
+		let received = '';
+		socket.setEncoding('latin1');
+		socket.on('error', () => undefined);
+		socket.on('data', (data: string) => {
+			received += data;
+			const match = /^HTTP\/1\.1 (\d{3}) /.exec(received);
+			if (match) {
+				resolve(Number(match[1]));
+			}
+		});
+		socket.on('close', () => {
+			resolve(0);
+		});
 	});
+	const answered = status.then(() => true);
+	socket.write(head);
+	for (const part of parts) {
+		const pause = new Promise<void>((resolve) => {
+			setTimeout(resolve, pauseMilliseconds);
+		});
+		if (await Promise.race([answered, pause])) {
+			break;
+		}
+
+		const taken = new Promise<void>((resolve) => {
+			socket.write(part, () => {
+				resolve();
+			});
+		});
+		await Promise.race([answered, taken]);
+	}
+
+	try {
+		return await status;
+	} finally {
+		socket.destroy();
+	}
 }
--- a/test/process/processes.ts
+++ b/test/process/processes.ts
@@ -1,5 +1,5 @@
 import {spawn, type ChildProcess} from 'node:child_process';
-import {readFileSync} from 'node:fs';
+import {readdirSync, readFileSync, readlinkSync} from 'node:fs';
 import {mkdtemp, writeFile} from 'node:fs/promises';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
@@ -127,6 +127,53 @@
 	return (Number(/VmHWM:\s+(\d+)/.exec(status)?.[1]) * 1024) / 1_000_000;
 }
 
+/** Returns the memory that counts towards that of the machine: what is resident, and what its connections have received and not read. */
+export function countedMegabytes({child}: TestProcess): number {
+	const status = readFileSync(`/proc/${child.pid}/status`, 'utf8');
+	const residentBytes = Number(/VmRSS:\s+(\d+)/.exec(status)?.[1]) * 1024;
+	const inodes = new Set(descriptorTargets(child.pid!));
+	const [, ...connections] = readFileSync(
+		`/proc/${child.pid}/net/tcp`,
+		'utf8',
+	).split('\n');
+	let unreadBytes = 0;
+	for (const connection of connections) {
+		// The columns are documented in proc(5): local, remote, state, queues to send and to read, then others and the inode.
+		const columns = connection.trim().split(/\s+/);
+		const [state, queues, inode] = [columns[3], columns[4], columns[9]];
+		// A listening socket counts connections there instead of bytes.
+		if (state !== '0A' && inodes.has(`socket:[${inode}]`)) {
+			unreadBytes += Number.parseInt(queues!.split(':')[1]!, 16);
+		}
+	}
+
+	return (residentBytes + unreadBytes) / 1_000_000;
+}
+
+/** Returns the number of open descriptors of a process. */
+export function descriptorCount({child}: TestProcess): number {
+	return readdirSync(`/proc/${child.pid}/fd`).length;
+}
+
+/** Returns the processor time that a process has used. */
+export function processorMilliseconds({child}: TestProcess): number {
+	const text = readFileSync(`/proc/${child.pid}/stat`, 'utf8');
+	// The name of the program, in parentheses, may contain spaces. The times are in ticks of 10 ms.
+	const fields = text.slice(text.lastIndexOf(')') + 2).split(' ');
+	return (Number(fields[11]) + Number(fields[12])) * 10;
+}
+
+function descriptorTargets(pid: number): string[] {
+	return readdirSync(`/proc/${pid}/fd`).flatMap((name) => {
+		try {
+			return [readlinkSync(`/proc/${pid}/fd/${name}`)];
+		} catch {
+			// The descriptor was closed meanwhile.
+			return [];
+		}
+	});
+}
+
 /** A stand-in that runs in its own process. */
 export type TestStandIn = {
 	readonly process: TestProcess;
