Forget requests that wait in the intake when their clients have left

What callers saw: beside clients that send requests without reading and connect again, a host was killed for its memory or answered nobody.

Cause: HostIntake kept each request with its body until its turn. It found out only then that its client had left, and not at all for a response that waited behind others on its connection, which Node.js never marks as closed.

Change: a waiting request is removed with the close event of its response. Sets keep the order in which requests arrived and remove from the middle.

The new test fails with the listener taken out.

--- a/src/services/forwarding/limits/host-intake.ts
+++ b/src/services/forwarding/limits/host-intake.ts
@@ -68,8 +68,8 @@
  */
 export class HostIntake extends ReceivedRequestHandler {
 	/** Requests by their priority. */
-	private readonly waiting = new Map<number, WaitingRequest[]>();
-	private readonly refused: WaitingRequest[] = [];
+	private readonly waiting = new Map<number, Set<WaitingRequest>>();
+	private readonly refused = new Set<WaitingRequest>();
 	private document: ForwardingDocument | undefined;
 	private routes = new RouteTable({routes: []});
 	private keys = new CustomerKeys({routes: []});
@@ -110,9 +110,10 @@
 		const now = this.options.clock.monotonic();
 		return Math.max(
 			0,
-			...[...this.waiting.values()].map(([oldest]) =>
-				oldest ? now - oldest.arrivedAt : 0,
-			),
+			...[...this.waiting.values()].map((requests) => {
+				const oldest = firstOf(requests);
+				return oldest ? now - oldest.arrivedAt : 0;
+			}),
 		);
 	}
 
@@ -120,12 +121,17 @@
 	get waitingRequests(): number {
 		let count = 0;
 		for (const requests of this.waiting.values()) {
-			count += requests.length;
+			count += requests.size;
 		}
 
 		return count;
 	}
 
+	/** Requests that wait to be handled or refused. */
+	get heldRequests(): number {
+		return this.waitingRequests + this.refused.size;
+	}
+
 	/** Records that a connection of a caller was accepted. */
 	recordAccepted(): void {
 		if (this.passesAll) {
@@ -138,7 +144,7 @@
 
 	handle(request: ReceivedRequest): void {
 		const {policy, clock} = this.options;
-		const hasOthers = this.waitingRequests > 0 || this.refused.length > 0;
+		const hasOthers = this.heldRequests > 0;
 		const mustWait = policy.isLimited || this.pressure.isActive || hasOthers;
 		if (this.passesAll || !mustWait) {
 			this.start(request);
@@ -155,13 +161,18 @@
 			policy.waitMilliseconds(this.countUpTo(priority)) >
 			objectiveMilliseconds * waitObjectiveShare
 		) {
-			this.refused.push(entry);
+			this.refused.add(entry);
 		} else {
-			const requests = this.waiting.get(priority) ?? [];
-			requests.push(entry);
+			const requests = this.waiting.get(priority) ?? new Set();
+			requests.add(entry);
 			this.waiting.set(priority, requests);
 		}
 
+		// Node.js never marks a response as closed that waited behind others on its connection; there is only the event.
+		request.response.once('close', () => {
+			this.refused.delete(entry);
+			this.waiting.get(priority)?.delete(entry);
+		});
 		this.schedule();
 	}
 
@@ -180,13 +191,17 @@
 	/** Passes on all requests at once from now on, because the host stops and ends them itself, or by its settings limits no work. */
 	passAll(): void {
 		this.passesAll = true;
-		for (const request of [...this.refused.splice(0), ...this.takeAll()]) {
+		for (const request of this.takeAll()) {
 			this.start(request);
 		}
 	}
 
 	private takeAll(): WaitingRequest[] {
-		const requests = [...this.waiting.values()].flat();
+		const requests = [
+			...this.refused,
+			...[...this.waiting.values()].flatMap((each) => [...each]),
+		];
+		this.refused.clear();
 		this.waiting.clear();
 		return requests;
 	}
@@ -245,7 +260,7 @@
 	private countUpTo(priority: number): number {
 		let count = 0;
 		for (const [each, requests] of this.waiting) {
-			count += each <= priority ? requests.length : 0;
+			count += each <= priority ? requests.size : 0;
 		}
 
 		return count;
@@ -277,7 +292,7 @@
 
 		const hasRoom = this.runSlice();
 		this.lacksRoom = !hasRoom;
-		if (this.refused.length > 0 || (hasRoom && this.waitingRequests > 0)) {
+		if (this.refused.size > 0 || (hasRoom && this.waitingRequests > 0)) {
 			this.schedule();
 		} else if (this.waitingRequests > 0) {
 			this.schedule(noRoomMilliseconds);
@@ -297,11 +312,11 @@
 				hasRoom = policy.tryStart();
 				if (hasRoom) {
 					starts++;
-					this.start(next.shift()!);
+					this.start(takeFirst(next)!);
 				}
 			}
 
-			if (!next && this.refused.length === 0) {
+			if (!next && this.refused.size === 0) {
 				break;
 			}
 		} while (
@@ -313,21 +328,26 @@
 	}
 
 	private refuseNext(): void {
-		const next = this.refused.shift();
+		const next = takeFirst(this.refused);
 		if (next && !next.response.closed) {
 			this.refuse(next);
 		}
 	}
 
 	/** Returns the most urgent requests that wait, the first of which may still be handled. */
-	private peek(): WaitingRequest[] | undefined {
+	private peek(): Set<WaitingRequest> | undefined {
 		for (const priority of [...this.waiting.keys()].sort((a, b) => a - b)) {
 			const requests = this.waiting.get(priority)!;
-			while (requests[0] && this.mustLeave(requests[0])) {
-				this.refused.push(requests.shift()!);
+			for (
+				let first = firstOf(requests);
+				first && this.mustLeave(first);
+				first = firstOf(requests)
+			) {
+				requests.delete(first);
+				this.refused.add(first);
 			}
 
-			if (requests.length > 0) {
+			if (requests.size > 0) {
 				return requests;
 			}
 
@@ -347,3 +367,17 @@
 		);
 	}
 }
+
+function firstOf(requests: ReadonlySet<WaitingRequest>) {
+	const [first] = requests;
+	return first;
+}
+
+function takeFirst(requests: Set<WaitingRequest>) {
+	const first = firstOf(requests);
+	if (first) {
+		requests.delete(first);
+	}
+
+	return first;
+}
--- a/test/forwarding/host-intake.test.ts
+++ b/test/forwarding/host-intake.test.ts
@@ -1,4 +1,5 @@
 import assert from 'node:assert/strict';
+import {EventEmitter} from 'node:events';
 import {type IncomingMessage, type ServerResponse} from 'node:http';
 import {test} from 'node:test';
 import {setImmediate as turn} from 'node:timers/promises';
@@ -67,20 +68,23 @@
 			})),
 		}),
 	});
+	const responses: EventEmitter[] = [];
 	const send = (id: string, url: string, lastEventId?: string) => {
 		const rawHeaders = [headerNames.requestId, id];
 		if (lastEventId !== undefined) {
 			rawHeaders.push(headerNames.lastEventId, lastEventId);
 		}
 
+		const response = Object.assign(new EventEmitter(), {closed: false});
+		responses.push(response);
 		intake.handle({
 			message: {url, rawHeaders, headers: {host: 'a.example'}},
-			response: {closed: false},
+			response,
 			body: Buffer.alloc(0),
 		} as unknown as ReceivedRequest);
 	};
 
-	return {clock, handler, policy, intake, send};
+	return {clock, handler, policy, intake, responses, send};
 }
 
 /** Samples of a host whose event loop is late and whose processor is in use. */
@@ -137,6 +141,32 @@
 	}
 });
 
+// Guards against requests that are held, with their bodies, after their clients have left. Node.js does not mark a response as closed that never had the connection.
+test('requests whose clients have left are held no more', () => {
+	const {handler, policy, intake, responses, send} = createIntake();
+	overload(policy);
+	for (let each = 0; each < 100; each++) {
+		send(`left-${each}`, '/once/x');
+	}
+
+	try {
+		assert.ok(intake.heldRequests > 50);
+		for (const response of responses) {
+			response.emit('close');
+		}
+
+		assert.equal(intake.heldRequests, 0);
+	} finally {
+		// The intake looks at requests that wait again and again.
+		intake.passAll();
+	}
+
+	assert.deepEqual(
+		[...handler.handled, ...handler.refused.map(({id}) => id)],
+		[],
+	);
+});
+
 // Guards against requests that are neither answered nor refused when the host stops.
 test('a stopping host passes on what waits', () => {
 	const {handler, policy, send, intake} = createIntake();
