Count the open requests of a connection when the parser has read them

What callers saw: beside clients that send many requests on a connection and read no answers, a host was killed for its memory or answered nobody.

Cause: the guard counted a request as open with the end event of its body, which comes after the turn of the event loop. Until then it took what followed on the connection for the body, so the pacer gave the parser slices of up to 64 KiB, and the limit of open requests did not hold.

Change: a request is open from its head on, and whether its body is arriving is read from the parser.

--- a/src/services/forwarding/limits/connection-guard.ts
+++ b/src/services/forwarding/limits/connection-guard.ts
@@ -45,10 +45,12 @@
 /** What is known of a connection. */
 type GuardedConnection = {
 	readonly socket: Socket;
-	/** Responses to requests that were read. */
-	readonly answering: Set<ServerResponse>;
-	/** The request whose body is arriving. */
-	arriving: {response: ServerResponse; startedAt: number} | undefined;
+	/** Responses that have not ended. */
+	readonly open: Set<ServerResponse>;
+	/** The last request, until its response or body has ended. */
+	arriving:
+		| {message: IncomingMessage; response: ServerResponse; startedAt: number}
+		| undefined;
 	/** Time since which the client owes the end of a head or body. */
 	owingSince: number;
 	hasSentRequest: boolean;
@@ -124,7 +126,7 @@
 		const now = clock.monotonic();
 		const connection: GuardedConnection = {
 			socket,
-			answering: new Set(),
+			open: new Set(),
 			arriving: undefined,
 			owingSince: now,
 			hasSentRequest: false,
@@ -150,9 +152,9 @@
 		});
 		pacer.add({
 			socket,
-			isBodyArriving: () => connection.arriving !== undefined,
+			isBodyArriving: () => isBodyArriving(connection),
 			isDiscarded: () => this.options.isEnding(socket),
-			mayParse: () => connection.answering.size < limits.requestsPerConnection,
+			mayParse: () => answeringCount(connection) < limits.requestsPerConnection,
 			onReceived(bytes) {
 				connection.waitingBytes += bytes;
 				connection.receivedBytes += bytes;
@@ -168,7 +170,7 @@
 
 	/** Counts what the parser keeps of a head until it is complete. */
 	private countHead(connection: GuardedConnection, bytes: number): void {
-		if (connection.arriving ?? connection.socket.destroyed) {
+		if (isBodyArriving(connection) || connection.socket.destroyed) {
 			return;
 		}
 
@@ -190,17 +192,17 @@
 		const {headBytes} = connection;
 		connection.headBytes = 0;
 		connection.receivedBytes = 0;
-		connection.arriving = {response, startedAt: clock.monotonic()};
+		connection.arriving = {message, response, startedAt: clock.monotonic()};
+		connection.open.add(response);
 		connection.hasSentRequest = true;
 		message.once('end', () => {
-			connection.arriving = undefined;
-			if (!response.closed) {
-				connection.answering.add(response);
+			if (connection.arriving?.response === response) {
+				connection.arriving = undefined;
 			}
 		});
 		response.once('close', () => {
 			total.release(headBytes);
-			connection.answering.delete(response);
+			connection.open.delete(response);
 			if (connection.arriving?.response === response) {
 				connection.arriving = undefined;
 			}
@@ -237,15 +239,15 @@
 	 * is being served.
 	 */
 	private rank(connection: GuardedConnection, now: number): number {
-		const {answering, arriving, hasSentRequest, headBytes} = connection;
-		if (answering.size > 0) {
-			return answering.size > 1 ||
-				this.deafTime(connection, now) >= deafMilliseconds
+		const {hasSentRequest, headBytes} = connection;
+		const answering = answeringCount(connection);
+		if (answering > 0) {
+			return answering > 1 || this.deafTime(connection, now) >= deafMilliseconds
 				? 3
 				: 0;
 		}
 
-		if (arriving !== undefined || !hasSentRequest || headBytes > 0) {
+		if (isBodyArriving(connection) || !hasSentRequest || headBytes > 0) {
 			return now - connection.owingSince >= newMilliseconds ? 4 : 1;
 		}
 
@@ -273,6 +275,7 @@
 				this.close(connection, 'unread');
 			} else if (
 				arriving &&
+				isBodyArriving(connection) &&
 				// What this host has not parsed is not the fault of the client.
 				waitingBytes === 0 &&
 				isBodyTooSlow(limits, receivedBytes, now - arriving.startedAt)
@@ -290,6 +293,16 @@
 	}
 }
 
+/** Follows the parser: the event for the end of a body comes later, when the parser may have been given further requests. */
+function isBodyArriving({arriving}: GuardedConnection): boolean {
+	return arriving !== undefined && !arriving.message.complete;
+}
+
+/** Number of requests that were read and whose responses have not ended. */
+function answeringCount(connection: GuardedConnection): number {
+	return connection.open.size - (isBodyArriving(connection) ? 1 : 0);
+}
+
 /** Changes whenever the client takes bytes, also while one large write is under way, which only the queue of the handle shows. */
 function unsentOf(socket: Socket): string {
 	const {_handle: handle} = socket as Socket & {
