Refuse bodies in small chunks that compete for the parser

What callers saw: after clients that sent bodies in one-byte chunks had left, the host used a whole core for up to a minute, and a body in small chunks waited that long or got no answer.

Cause: a chunk costs the parser the same whatever it carries, and the end of a connection shows only behind its bytes.

Change: ChunkCost counts the chunks of a body beyond one for each 64 bytes. Of the bodies with more than 256 of them, clients.fragmentedBodies (4) may wait for the parser at once; beyond, the most expensive one is refused (503, not run, Retry-After 1 s) and its connection is read without parsing. Event 7093 and daisylever_clients_closed_total name the reason fragmented-body. Connections that have used much parsing time get 2 ms a turn together, and a first slice has 4 KiB.

--- a/src/base/node/read-pacer.ts
+++ b/src/base/node/read-pacer.ts
@@ -13,6 +13,8 @@
 	readonly onReceived: (bytes: number) => void;
 	/** Bytes are about to be parsed, or were dropped with the connection. */
 	readonly onTaken: (bytes: number) => void;
+	/** A slice was parsed. */
+	readonly onParsed: () => void;
 };
 
 type PacedReads = {
@@ -35,7 +37,7 @@
 const turnMilliseconds = 20;
 /** Parsing time that one slice is to take. */
 const sliceMilliseconds = 1;
-const firstSliceBytes = 16_384;
+const firstSliceBytes = 4096;
 /** Outside of bodies, more than this may be many requests, which all begin while a slice is parsed. */
 const usualHeadBytes = 2048;
 const headSliceBytes = 256;
@@ -44,6 +46,8 @@
 /** Recent parsing time from which a connection waits for those that have used less. */
 const heavyMilliseconds = 4;
 const recentPeriodMilliseconds = 200;
+/** Parsing time in one turn of such connections. Longer turns would accept fewer connections, and so parse more for each that waits in the backlog. */
+const heavyTurnMilliseconds = 2;
 /** Bytes that wait to be parsed on all connections, above which no further connection is read. */
 const maximumWaitingBytes = 2_097_152;
 
@@ -125,6 +129,12 @@
 		}
 	}
 
+	/** True while a connection waits for its turn to be parsed or read. */
+	isWaiting(socket: Socket): boolean {
+		const reads = this.reads.get(socket);
+		return reads !== undefined && (reads.isQueued || reads.chunks.length > 0);
+	}
+
 	private mayContinue(): boolean {
 		this.scheduleTurn();
 		return this.spentMilliseconds < this.parsingMilliseconds;
@@ -172,7 +182,9 @@
 		this.continueNext(this.heavy);
 		while (
 			this.spentMilliseconds < this.parsingMilliseconds &&
-			(this.continueNext(this.light) || this.continueNext(this.heavy))
+			(this.continueNext(this.light) ||
+				(this.spentMilliseconds < heavyTurnMilliseconds &&
+					this.continueNext(this.heavy)))
 		) {
 			// Continues until the turn is over.
 		}
@@ -249,6 +261,7 @@
 				Math.floor((slice.length * sliceMilliseconds) / milliseconds),
 			),
 		);
+		reads.connection.onParsed();
 	}
 
 	private discard(reads: PacedReads): void {
--- a/src/contracts/events/forwarding-events.ts
+++ b/src/contracts/events/forwarding-events.ts
@@ -488,7 +488,7 @@
 		name: 'client-closed',
 		level: 'warn',
 		description:
-			'The connection of a client was closed for a limit of `clients` in the settings. The field reason names it: connections (there are as many as allowed), memory (what is held for all clients exceeds heldMegabytes), slow-body (a body took longer than bodySeconds or came slower than bytesPerSecond; callers get 408) or unread (nothing of a response was read for unreadSeconds, or for 3 s while others need the memory). The field listener is callers or peers, connections the number of open ones, heldBytes the sum, omittedLines the number of lines that were left out. Look for clients that do not behave; raise the limit if they do.',
+			'The connection of a client was closed for a limit of `clients` in the settings. The field reason names it: connections (there are as many as allowed), memory (what is held for all clients exceeds heldMegabytes), slow-body (a body took longer than bodySeconds or came slower than bytesPerSecond; callers get 408), fragmented-body (more than fragmentedBodies bodies in small chunks waited to be parsed; callers get 503) or unread (nothing of a response was read for unreadSeconds, or for 3 s while others need the memory). The field listener is callers or peers, connections the number of open ones, heldBytes the sum, omittedLines the number of lines that were left out. Look for clients that do not behave; raise the limit if they do.',
 	},
 	hostLoadLimited: {
 		number: 7120,
--- a/src/core/limits/client-limits.ts
+++ b/src/core/limits/client-limits.ts
@@ -4,6 +4,7 @@
 	readonly peerConnections?: number | null | undefined;
 	readonly heldMegabytes?: number | null | undefined;
 	readonly requestsPerConnection: number;
+	readonly fragmentedBodies: number;
 	readonly bodySeconds: number;
 	readonly bytesPerSecond: number;
 	readonly unreadSeconds: number;
@@ -26,6 +27,8 @@
 	readonly heldBytes: number;
 	/** Requests on one connection that were read and have no whole response. */
 	readonly requestsPerConnection: number;
+	/** Bodies in small chunks that may wait to be parsed at once. */
+	readonly fragmentedBodies: number;
 	/** Time for the end of a body. */
 	readonly bodyMilliseconds: number;
 	/** Mean rate of a body, from its start. */
@@ -92,6 +95,7 @@
 			),
 		heldBytes,
 		requestsPerConnection: settings.requestsPerConnection,
+		fragmentedBodies: settings.fragmentedBodies,
 		bodyMilliseconds: settings.bodySeconds * 1000,
 		bytesPerSecond: settings.bytesPerSecond,
 		unreadMilliseconds: settings.unreadSeconds * 1000,
--- a/src/program/forwarding-root.ts
+++ b/src/program/forwarding-root.ts
@@ -488,8 +488,8 @@
 			new ForwardingServer(
 				this.hostLoad.intake,
 				memory.requests,
-				(server, connections) => {
-					memory.guardCallers(server, connections);
+				(server, connections, refuseForLoad) => {
+					memory.guardCallers(server, connections, refuseForLoad);
 				},
 			),
 		);
--- a/src/program/forwarding-settings.ts
+++ b/src/program/forwarding-settings.ts
@@ -94,6 +94,8 @@
 			heldMegabytes: z.number().positive().nullish(),
 			/** Requests on one connection that were read and have no whole response. No more are read until one has ended. */
 			requestsPerConnection: z.number().int().positive().default(4),
+			/** Bodies in chunks of less than 64 bytes on average that may wait to be parsed at once. The one that has cost most is refused. */
+			fragmentedBodies: z.number().int().positive().default(4),
 			/** Time for the end of a body. */
 			bodySeconds: z.number().positive().default(60),
 			/** Lowest mean rate of a body after its first 20 s. */
--- a/src/services/forwarding/forwarding-server.ts
+++ b/src/services/forwarding/forwarding-server.ts
@@ -81,7 +81,14 @@
 		/** Limit for the bodies of all requests that are held at once. No limit if absent. */
 		private readonly budget?: ByteBudget,
 		/** Limits what the connections may cost. */
-		guard?: (server: Server, connections: ServedConnections) => void,
+		guard?: (
+			server: Server,
+			connections: ServedConnections,
+			refuseForLoad: (
+				message: IncomingMessage,
+				response: ServerResponse,
+			) => void,
+		) => void,
 	) {
 		super();
 		const app = new Hono<{Bindings: HttpBindings}>();
@@ -118,7 +125,9 @@
 		this.server.on('connection', (socket: Socket) => {
 			this.connections.add(socket);
 		});
-		guard?.(this.server, this.connections);
+		guard?.(this.server, this.connections, (message, response) => {
+			this.handler.refuseForMemory(message, response);
+		});
 		this.server.requestTimeout = 0;
 		this.applyLimits(this.limits);
 	}
@@ -215,7 +224,8 @@
 		let isRejected = false;
 		const endIncomplete = () => {
 			this.incomplete.delete(endIncomplete);
-			if (!isRejected) {
+			// The guard of the connections may have refused the request.
+			if (!isRejected && !response.headersSent) {
 				isRejected = true;
 				this.handler.handle({message, response, body: Buffer.alloc(0)});
 			}
--- a/src/services/forwarding/limits/connection-guard.ts
+++ b/src/services/forwarding/limits/connection-guard.ts
@@ -9,6 +9,7 @@
 import {TypedEvent} from '../../../base/common/typed-event.js';
 import {type ReadPacer} from '../../../base/node/read-pacer.js';
 import {type ByteBudget} from '../../../core/limits/byte-budget.js';
+import {ChunkCost} from '../../../core/limits/chunk-cost.js';
 import {
 	connectionBytes,
 	isBodyTooSlow,
@@ -23,6 +24,8 @@
 	| 'memory'
 	/** The end of a body did not arrive in time, or its bytes arrive too slowly. */
 	| 'slow-body'
+	/** The body comes in small chunks, and more such bodies wait to be parsed than may. */
+	| 'fragmented-body'
 	/** The client does not read a response. */
 	| 'unread';
 
@@ -40,6 +43,19 @@
 	readonly isEnding: (socket: Socket) => boolean;
 	/** Responds to a request whose body is too slow, if there is a true response. */
 	readonly endSlowBody: (response: ServerResponse) => void;
+	/** Refuses a request, which was not read, for the load that its body causes. */
+	readonly refuseForLoad: (
+		message: IncomingMessage,
+		response: ServerResponse,
+	) => void;
+};
+
+/** A request whose body may not have ended. */
+type ArrivingRequest = {
+	readonly message: IncomingMessage;
+	readonly response: ServerResponse;
+	readonly startedAt: number;
+	readonly cost: ChunkCost;
 };
 
 /** What is known of a connection. */
@@ -48,9 +64,9 @@
 	/** Responses that have not ended. */
 	readonly open: Set<ServerResponse>;
 	/** The last request, until its response or body has ended. */
-	arriving:
-		| {message: IncomingMessage; response: ServerResponse; startedAt: number}
-		| undefined;
+	arriving: ArrivingRequest | undefined;
+	/** True once a body was refused. What follows it is not parsed. */
+	isRefused: boolean;
 	/** Time since which the client owes the end of a head or body. */
 	owingSince: number;
 	hasSentRequest: boolean;
@@ -81,6 +97,8 @@
 	/** The guard has closed a connection. */
 	readonly closed = new TypedEvent<GuardReason>();
 	private readonly connections = new Map<Socket, GuardedConnection>();
+	/** Connections on which a body arrives in small chunks. */
+	private readonly fragmented = new Set<GuardedConnection>();
 	private readonly timer: NodeJS.Timeout;
 
 	constructor(private readonly options: ConnectionGuardOptions) {
@@ -128,6 +146,7 @@
 			socket,
 			open: new Set(),
 			arriving: undefined,
+			isRefused: false,
 			owingSince: now,
 			hasSentRequest: false,
 			receivedBytes: 0,
@@ -148,12 +167,13 @@
 		this.connections.set(socket, connection);
 		socket.once('close', () => {
 			this.connections.delete(socket);
+			this.fragmented.delete(connection);
 			total.release(connectionBytes + connection.headBytes);
 		});
 		pacer.add({
 			socket,
 			isBodyArriving: () => isBodyArriving(connection),
-			isDiscarded: () => this.options.isEnding(socket),
+			isDiscarded: () => connection.isRefused || this.options.isEnding(socket),
 			mayParse: () => answeringCount(connection) < limits.requestsPerConnection,
 			onReceived(bytes) {
 				connection.waitingBytes += bytes;
@@ -165,6 +185,9 @@
 				total.release(bytes);
 				this.countHead(connection, bytes);
 			},
+			onParsed: () => {
+				this.limitFragmentedBodies(connection);
+			},
 		});
 	}
 
@@ -192,7 +215,22 @@
 		const {headBytes} = connection;
 		connection.headBytes = 0;
 		connection.receivedBytes = 0;
-		connection.arriving = {message, response, startedAt: clock.monotonic()};
+		const cost = new ChunkCost();
+		const push = message.push.bind(message);
+		message.push = (chunk: Buffer | null, encoding?: BufferEncoding) => {
+			if (chunk !== null) {
+				cost.add(chunk.length);
+			}
+
+			return push(chunk, encoding);
+		};
+
+		connection.arriving = {
+			message,
+			response,
+			startedAt: clock.monotonic(),
+			cost,
+		};
 		connection.open.add(response);
 		connection.hasSentRequest = true;
 		message.once('end', () => {
@@ -212,6 +250,38 @@
 		});
 	}
 
+	/** Refuses the body that has cost most while more fragmented ones than allowed wait to be parsed. A single one is parsed whatever it costs. */
+	private limitFragmentedBodies(parsed: GuardedConnection): void {
+		if (!isFragmented(parsed)) {
+			return;
+		}
+
+		const {pacer, limits, refuseForLoad} = this.options;
+		this.fragmented.add(parsed);
+		let waiting = 0;
+		let chosen: ArrivingRequest | undefined;
+		let chosenConnection = parsed;
+		for (const connection of this.fragmented) {
+			const {arriving, socket} = connection;
+			if (!arriving || !isFragmented(connection)) {
+				this.fragmented.delete(connection);
+			} else if (pacer.isWaiting(socket)) {
+				waiting++;
+				if (!chosen || arriving.cost.excessChunks > chosen.cost.excessChunks) {
+					chosen = arriving;
+					chosenConnection = connection;
+				}
+			}
+		}
+
+		if (chosen && waiting > limits.fragmentedBodies) {
+			chosenConnection.isRefused = true;
+			this.fragmented.delete(chosenConnection);
+			this.closed.publish('fragmented-body');
+			refuseForLoad(chosen.message, chosen.response);
+		}
+	}
+
 	/** Closes the client with the highest rank, or else the new one. */
 	private makeRoom(reason: GuardReason, newest: GuardedConnection): void {
 		const now = this.options.clock.monotonic();
@@ -275,6 +345,7 @@
 				this.close(connection, 'unread');
 			} else if (
 				arriving &&
+				!connection.isRefused &&
 				isBodyArriving(connection) &&
 				// What this host has not parsed is not the fault of the client.
 				waitingBytes === 0 &&
@@ -298,6 +369,15 @@
 	return arriving !== undefined && !arriving.message.complete;
 }
 
+/** True while a body arrives that costs much more to parse than its payload is worth. */
+function isFragmented(connection: GuardedConnection): boolean {
+	return (
+		!connection.isRefused &&
+		connection.arriving?.cost.isFragmented === true &&
+		isBodyArriving(connection)
+	);
+}
+
 /** Number of requests that were read and whose responses have not ended. */
 function answeringCount(connection: GuardedConnection): number {
 	return connection.open.size - (isBodyArriving(connection) ? 1 : 0);
--- a/src/services/forwarding/limits/held-memory.ts
+++ b/src/services/forwarding/limits/held-memory.ts
@@ -12,7 +12,12 @@
 import {ByteBudget} from '../../../core/limits/byte-budget.js';
 import {type ClientLimits} from '../../../core/limits/client-limits.js';
 import {LogLimiter} from '../../../core/limits/log-limiter.js';
-import {ConnectionGuard} from './connection-guard.js';
+import {
+	ConnectionGuard,
+	type ConnectionGuardOptions,
+} from './connection-guard.js';
+
+type RefuseForLoad = ConnectionGuardOptions['refuseForLoad'];
 
 /** Options of the memory that is held for clients and targets. */
 export type HeldMemoryOptions = {
@@ -72,11 +77,16 @@
 	}
 
 	/** Limits the connections of callers. */
-	guardCallers(server: Server, connections: ServedConnections): void {
+	guardCallers(
+		server: Server,
+		connections: ServedConnections,
+		refuseForLoad: RefuseForLoad,
+	): void {
 		this.guard(server, connections, {
 			listener: 'callers',
 			maximumConnections: this.options.limits.connections,
 			slowBodyStatus: 408,
+			refuseForLoad,
 		});
 	}
 
@@ -86,6 +96,9 @@
 			listener: 'peers',
 			maximumConnections: this.options.limits.peerConnections,
 			slowBodyStatus: undefined,
+			refuseForLoad(_message, response) {
+				response.destroy();
+			},
 		});
 	}
 
@@ -110,10 +123,12 @@
 			listener,
 			maximumConnections,
 			slowBodyStatus,
+			refuseForLoad,
 		}: {
 			readonly listener: string;
 			readonly maximumConnections: number;
 			readonly slowBodyStatus: number | undefined;
+			readonly refuseForLoad: RefuseForLoad;
 		},
 	): void {
 		const {clock, metrics, limits} = this.options;
@@ -126,6 +141,7 @@
 				maximumConnections,
 				total: this.total,
 				isEnding: (socket) => connections.isEnding(socket),
+				refuseForLoad,
 				endSlowBody(response) {
 					if (
 						slowBodyStatus === undefined ||
