Limit the time of a body only while others need its memory

What callers saw: a client with a few small chunks, one each 9 s, got 408 after 20 s alone on a host, though it stayed within the limits of the document. And beside 120 clients that stopped just short of the end of large bodies, no other large body was served: each attempt got 503.

Cause: one for both. Bodies had a time (60 s) and a lowest rate (256 bytes a second) in all cases, because nothing took the memory back from those that had stopped. In calm that was too strict, and beside a crowd far too slow.

Change: a body of which nothing arrives for the document's idle time is ended (408). When the memory for bodies is exceeded, the largest body that has made no progress for clients.stalledSeconds (1) is ended as well (408, not run; reason stalled-body in event 7093 and daisylever_clients_closed_total). clients.bodySeconds and clients.bytesPerSecond have no default any more. The checks run after what arrived in a stall was read.

A body without a byte for an idle time of 2 s gets 408.

--- a/src/core/limits/client-limits.ts
+++ b/src/core/limits/client-limits.ts
@@ -5,8 +5,9 @@
 	readonly heldMegabytes?: number | null | undefined;
 	readonly requestsPerConnection: number;
 	readonly fragmentedBodies: number;
-	readonly bodySeconds: number;
-	readonly bytesPerSecond: number;
+	readonly bodySeconds?: number | null | undefined;
+	readonly bytesPerSecond?: number | null | undefined;
+	readonly stalledSeconds: number;
 	readonly unreadSeconds: number;
 };
 
@@ -29,10 +30,12 @@
 	readonly requestsPerConnection: number;
 	/** Bodies in small chunks that may wait to be parsed at once. */
 	readonly fragmentedBodies: number;
-	/** Time for the end of a body. */
+	/** Time for the end of a body. Infinite if there is no limit. */
 	readonly bodyMilliseconds: number;
-	/** Mean rate of a body, from its start. */
+	/** Mean rate of a body, from its start. 0 if there is no limit. */
 	readonly bytesPerSecond: number;
+	/** Time without progress from which a body is ended while others need the memory. */
+	readonly stalledMilliseconds: number;
 	/** Time in which a client that has a response to read must read some of it. */
 	readonly unreadMilliseconds: number;
 };
@@ -96,8 +99,11 @@
 		heldBytes,
 		requestsPerConnection: settings.requestsPerConnection,
 		fragmentedBodies: settings.fragmentedBodies,
-		bodyMilliseconds: settings.bodySeconds * 1000,
-		bytesPerSecond: settings.bytesPerSecond,
+		bodyMilliseconds: settings.bodySeconds
+			? settings.bodySeconds * 1000
+			: Number.POSITIVE_INFINITY,
+		bytesPerSecond: settings.bytesPerSecond ?? 0,
+		stalledMilliseconds: settings.stalledSeconds * 1000,
 		unreadMilliseconds: settings.unreadSeconds * 1000,
 	};
 }
--- a/src/program/forwarding-settings.ts
+++ b/src/program/forwarding-settings.ts
@@ -96,10 +96,12 @@
 			requestsPerConnection: z.number().int().positive().default(4),
 			/** Bodies in chunks of less than 64 bytes on average that may wait to be parsed at once. The one that has cost most is refused. */
 			fragmentedBodies: z.number().int().positive().default(4),
-			/** Time for the end of a body. */
-			bodySeconds: z.number().positive().default(60),
-			/** Lowest mean rate of a body after its first 20 s. */
-			bytesPerSecond: z.number().nonnegative().default(256),
+			/** Time for the end of a body. No limit if it is absent. */
+			bodySeconds: z.number().positive().nullish(),
+			/** Lowest mean rate of a body after its first 20 s. No limit if it is absent. */
+			bytesPerSecond: z.number().nonnegative().nullish(),
+			/** Time without a byte of a body from which the body is ended while others need the memory. */
+			stalledSeconds: z.number().positive().default(1),
 			/** Time in which a client must read some of a response. */
 			unreadSeconds: z.number().positive().default(30),
 		})
--- a/src/services/forwarding/limits/connection-guard.ts
+++ b/src/services/forwarding/limits/connection-guard.ts
@@ -22,8 +22,10 @@
 	| 'connections'
 	/** What the host holds for all clients exceeds its memory. */
 	| 'memory'
-	/** The end of a body did not arrive in time, or its bytes arrive too slowly. */
+	/** The end of a body did not arrive in time, its bytes arrive too slowly, or none arrived for the idle time. */
 	| 'slow-body'
+	/** A body makes no progress while others need the memory. */
+	| 'stalled-body'
 	/** The body comes in small chunks, and more such bodies wait to be parsed than may. */
 	| 'fragmented-body'
 	/** The client does not read a response. */
@@ -39,6 +41,8 @@
 	readonly maximumConnections: number;
 	/** The sum of all that is held. */
 	readonly total: ByteBudget;
+	/** Time for which a client may send nothing of a body. */
+	readonly idleMilliseconds: () => number;
 	/** True for a connection that can carry no more responses. What its client still sends is not parsed. */
 	readonly isEnding: (socket: Socket) => boolean;
 	/** Responds to a request whose body is too slow, if there is a true response. */
@@ -72,6 +76,10 @@
 	hasSentRequest: boolean;
 	/** Bytes received since the last head. */
 	receivedBytes: number;
+	/** Time at which bytes were last received. */
+	receivedAt: number;
+	/** Bytes received, and the time, when the body was last seen to make progress. */
+	progress: {bytes: number; at: number};
 	/** Bytes received and not parsed. */
 	waitingBytes: number;
 	/** Bytes of the head that is arriving. */
@@ -82,6 +90,8 @@
 };
 
 const checkIntervalMilliseconds = 500;
+/** Bytes from which a body is seen to make progress. */
+const progressBytes = 1024;
 /** Time without reading from which a client may be closed for the sake of others. */
 const deafMilliseconds = 3000;
 /** Time in which a client that has just connected sends its request, also while the host is busy. */
@@ -113,7 +123,10 @@
 			this.addRequest(message, response);
 		});
 		this.timer = setInterval(() => {
-			this.check();
+			// After a stall, what has arrived meanwhile is read first.
+			setImmediate(() => {
+				this.check();
+			});
 		}, checkIntervalMilliseconds);
 		this.timer.unref();
 	}
@@ -135,6 +148,29 @@
 		}
 	}
 
+	/** Ends the largest body that makes no progress, so that others can have the memory. Returns false if there is none. */
+	endStalledBody(): boolean {
+		const {clock, limits} = this.options;
+		const now = clock.monotonic();
+		let chosen: GuardedConnection | undefined;
+		for (const connection of this.connections.values()) {
+			if (
+				isReceivingBody(connection) &&
+				progressTime(connection, now) >= limits.stalledMilliseconds &&
+				connection.receivedBytes > (chosen?.receivedBytes ?? 0)
+			) {
+				chosen = connection;
+			}
+		}
+
+		if (!chosen) {
+			return false;
+		}
+
+		this.endBody(chosen, 'stalled-body');
+		return true;
+	}
+
 	dispose(): void {
 		clearInterval(this.timer);
 	}
@@ -150,6 +186,8 @@
 			owingSince: now,
 			hasSentRequest: false,
 			receivedBytes: 0,
+			receivedAt: now,
+			progress: {bytes: 0, at: now},
 			waitingBytes: 0,
 			headBytes: 0,
 			unsent: '',
@@ -178,6 +216,7 @@
 			onReceived(bytes) {
 				connection.waitingBytes += bytes;
 				connection.receivedBytes += bytes;
+				connection.receivedAt = clock.monotonic();
 				total.take(bytes);
 			},
 			onTaken: (bytes) => {
@@ -215,6 +254,8 @@
 		const {headBytes} = connection;
 		connection.headBytes = 0;
 		connection.receivedBytes = 0;
+		connection.receivedAt = clock.monotonic();
+		connection.progress = {bytes: 0, at: clock.monotonic()};
 		const cost = new ChunkCost();
 		const push = message.push.bind(message);
 		message.push = (chunk: Buffer | null, encoding?: BufferEncoding) => {
@@ -337,27 +378,33 @@
 	}
 
 	private check(): void {
-		const {clock, limits, endSlowBody} = this.options;
+		const {clock, limits, idleMilliseconds} = this.options;
 		const now = clock.monotonic();
 		for (const connection of this.connections.values()) {
-			const {arriving, receivedBytes, waitingBytes} = connection;
+			const {arriving, receivedBytes, receivedAt} = connection;
+			progressTime(connection, now);
 			if (this.deafTime(connection, now) > limits.unreadMilliseconds) {
 				this.close(connection, 'unread');
 			} else if (
 				arriving &&
-				!connection.isRefused &&
-				isBodyArriving(connection) &&
-				// What this host has not parsed is not the fault of the client.
-				waitingBytes === 0 &&
-				isBodyTooSlow(limits, receivedBytes, now - arriving.startedAt)
+				isReceivingBody(connection) &&
+				(now - receivedAt > idleMilliseconds() ||
+					isBodyTooSlow(limits, receivedBytes, now - arriving.startedAt))
 			) {
-				connection.arriving = undefined;
-				this.closed.publish('slow-body');
-				endSlowBody(arriving.response);
+				this.endBody(connection, 'slow-body');
 			}
 		}
 	}
 
+	private endBody(connection: GuardedConnection, reason: GuardReason): void {
+		const {arriving} = connection;
+		connection.isRefused = true;
+		this.closed.publish(reason);
+		if (arriving) {
+			this.options.endSlowBody(arriving.response);
+		}
+	}
+
 	private close(connection: GuardedConnection, reason: GuardReason): void {
 		connection.socket.destroy();
 		this.closed.publish(reason);
@@ -369,6 +416,29 @@
 	return arriving !== undefined && !arriving.message.complete;
 }
 
+/** True while the end of a body is awaited and all that was received of it is parsed: what this host has not parsed is not the fault of the client. */
+function isReceivingBody(connection: GuardedConnection): boolean {
+	return (
+		!connection.isRefused &&
+		connection.waitingBytes === 0 &&
+		!connection.socket.destroyed &&
+		isBodyArriving(connection)
+	);
+}
+
+/** Time since a body has made progress, which is more than some bytes now and then. */
+function progressTime(connection: GuardedConnection, now: number): number {
+	const {progress, receivedBytes} = connection;
+	if (
+		!isReceivingBody(connection) ||
+		receivedBytes - progress.bytes >= progressBytes
+	) {
+		connection.progress = {bytes: receivedBytes, at: now};
+	}
+
+	return now - connection.progress.at;
+}
+
 /** True while a body arrives that costs much more to parse than its payload is worth. */
 function isFragmented(connection: GuardedConnection): boolean {
 	return (
--- a/src/services/forwarding/limits/held-memory.ts
+++ b/src/services/forwarding/limits/held-memory.ts
@@ -33,6 +33,8 @@
 const answerShare = 0.6;
 /** A body of the largest size that a document allows by default fits in any case. */
 const minimumBytes = 5_000_000;
+/** Time for which another host may send nothing of a body. */
+const peerIdleMilliseconds = 15_000;
 /** Time between log lines about the same limit. */
 const logIntervalMilliseconds = 10_000;
 
@@ -69,6 +71,9 @@
 			metric: 'daisylever_answers_over_memory_total',
 			event: forwardingEvents.answersExceedMemory,
 		});
+		this.requests.refused.subscribe(() => {
+			this.guards.some((guard) => guard.endStalledBody());
+		});
 		this.answers.refused.subscribe(() => {
 			for (const guard of this.guards) {
 				guard.closeDeaf();
@@ -86,6 +91,8 @@
 			listener: 'callers',
 			maximumConnections: this.options.limits.connections,
 			slowBodyStatus: 408,
+			// The document's idle time, which the server has for persistent connections.
+			idleMilliseconds: () => server.keepAliveTimeout,
 			refuseForLoad,
 		});
 	}
@@ -96,6 +103,7 @@
 			listener: 'peers',
 			maximumConnections: this.options.limits.peerConnections,
 			slowBodyStatus: undefined,
+			idleMilliseconds: () => peerIdleMilliseconds,
 			refuseForLoad(_message, response) {
 				response.destroy();
 			},
@@ -123,11 +131,13 @@
 			listener,
 			maximumConnections,
 			slowBodyStatus,
+			idleMilliseconds,
 			refuseForLoad,
 		}: {
 			readonly listener: string;
 			readonly maximumConnections: number;
 			readonly slowBodyStatus: number | undefined;
+			readonly idleMilliseconds: () => number;
 			readonly refuseForLoad: RefuseForLoad;
 		},
 	): void {
@@ -140,6 +150,7 @@
 				limits,
 				maximumConnections,
 				total: this.total,
+				idleMilliseconds,
 				isEnding: (socket) => connections.isEnding(socket),
 				refuseForLoad,
 				endSlowBody(response) {
--- a/test/forwarding/connection-guard.test.ts
+++ b/test/forwarding/connection-guard.test.ts
@@ -42,10 +42,12 @@
 				fragmentedBodies,
 				bodyMilliseconds: 60_000,
 				bytesPerSecond: 256,
+				stalledMilliseconds: 1000,
 				unreadMilliseconds: 60_000,
 			},
 			maximumConnections: 10,
 			total: new ByteBudget(10_000_000),
+			idleMilliseconds: () => 15_000,
 			isEnding: () => false,
 			endSlowBody: () => undefined,
 			refuseForLoad: (message, response) => {
--- a/test/process/calm-clients.test.ts
+++ b/test/process/calm-clients.test.ts
@@ -49,3 +49,23 @@
 	assert.equal(await deployment.plainStatus(), 200);
 	assert.equal(deployment.standardError, '');
 });
+
+// Guards against bodies that are held for ever, because nothing limits their time.
+test('a body of which nothing arrives for the idle time is refused as not run', async () => {
+	await deployment.waitForConfiguration(
+		deployment.putConfiguration({
+			limits: {...usual.limits, max_body_bytes: bodyBytes, idle_ms: 2000},
+		}),
+	);
+	const status = await sendWhole(deployment.host.ports.callers!, {
+		head: head('silent'),
+		parts: [Buffer.from('5\r\nxxxxx\r\n')],
+	});
+	assert.equal(status, 408);
+	assert.equal(
+		deployment.soundWorker.requests.some(
+			({headers}) => headers.get('request-id') === 'silent',
+		),
+		false,
+	);
+});
