--- a/src/services/forwarding/limits/connection-guard.ts
+++ b/src/services/forwarding/limits/connection-guard.ts
@@ -9,6 +9,7 @@
 import {TypedEvent} from '../../../base/common/typed-event.js';
 import {type ReadPacer} from '../../../base/node/read-pacer.js';
 import {type ByteBudget} from '../../../core/limits/byte-budget.js';
+import {ChunkCost} from '../../../core/limits/chunk-cost.js';
 import {
 	connectionBytes,
 	isBodyTooSlow,
@@ -21,8 +22,12 @@
 	| 'connections'
 	/** What the host holds for all clients exceeds its memory. */
 	| 'memory'
-	/** The end of a body did not arrive in time, or its bytes arrive too slowly. */
+	/** The end of a body did not arrive in time, its bytes arrive too slowly, or none arrived for the idle time. */
 	| 'slow-body'
+	/** A body makes no progress while others need the memory. */
+	| 'stalled-body'
+	/** The body comes in small chunks, and more such bodies wait to be parsed than may. */
+	| 'fragmented-body'
 	/** The client does not read a response. */
 	| 'unread';
 
@@ -36,10 +41,25 @@
 	readonly maximumConnections: number;
 	/** The sum of all that is held. */
 	readonly total: ByteBudget;
+	/** Time for which a client may send nothing of a body. */
+	readonly idleMilliseconds: () => number;
 	/** True for a connection that can carry no more responses. What its client still sends is not parsed. */
 	readonly isEnding: (socket: Socket) => boolean;
 	/** Responds to a request whose body is too slow, if there is a true response. */
 	readonly endSlowBody: (response: ServerResponse) => void;
+	/** Refuses a request, which was not read, for the load that its body causes. */
+	readonly refuseForLoad: (
+		message: IncomingMessage,
+		response: ServerResponse,
+	) => void;
+};
+
+/** A request whose body may not have ended. */
+type ArrivingRequest = {
+	readonly message: IncomingMessage;
+	readonly response: ServerResponse;
+	readonly startedAt: number;
+	readonly cost: ChunkCost;
 };
 
 /** What is known of a connection. */
@@ -48,14 +68,18 @@
 	/** Responses that have not ended. */
 	readonly open: Set<ServerResponse>;
 	/** The last request, until its response or body has ended. */
-	arriving:
-		| {message: IncomingMessage; response: ServerResponse; startedAt: number}
-		| undefined;
+	arriving: ArrivingRequest | undefined;
+	/** True once a body was refused. What follows it is not parsed. */
+	isRefused: boolean;
 	/** Time since which the client owes the end of a head or body. */
 	owingSince: number;
 	hasSentRequest: boolean;
 	/** Bytes received since the last head. */
 	receivedBytes: number;
+	/** Time at which bytes were last received. */
+	receivedAt: number;
+	/** Bytes received, and the time, when the body was last seen to make progress. */
+	progress: {bytes: number; at: number};
 	/** Bytes received and not parsed. */
 	waitingBytes: number;
 	/** Bytes of the head that is arriving. */
@@ -66,6 +90,8 @@
 };
 
 const checkIntervalMilliseconds = 500;
+/** Bytes from which a body is seen to make progress. */
+const progressBytes = 1024;
 /** Time without reading from which a client may be closed for the sake of others. */
 const deafMilliseconds = 3000;
 /** Time in which a client that has just connected sends its request, also while the host is busy. */
@@ -81,6 +107,8 @@
 	/** The guard has closed a connection. */
 	readonly closed = new TypedEvent<GuardReason>();
 	private readonly connections = new Map<Socket, GuardedConnection>();
+	/** Connections on which a body arrives in small chunks. */
+	private readonly fragmented = new Set<GuardedConnection>();
 	private readonly timer: NodeJS.Timeout;
 
 	constructor(private readonly options: ConnectionGuardOptions) {
@@ -95,7 +123,10 @@
 			this.addRequest(message, response);
 		});
 		this.timer = setInterval(() => {
-			this.check();
+			// After a stall, what has arrived meanwhile is read first.
+			setImmediate(() => {
+				this.check();
+			});
 		}, checkIntervalMilliseconds);
 		this.timer.unref();
 	}
@@ -117,6 +148,29 @@
 		}
 	}
 
+	/** Ends the largest body that makes no progress, so that others can have the memory. Returns false if there is none. */
+	endStalledBody(): boolean {
+		const {clock, limits} = this.options;
+		const now = clock.monotonic();
+		let chosen: GuardedConnection | undefined;
+		for (const connection of this.connections.values()) {
+			if (
+				isReceivingBody(connection) &&
+				progressTime(connection, now) >= limits.stalledMilliseconds &&
+				connection.receivedBytes > (chosen?.receivedBytes ?? 0)
+			) {
+				chosen = connection;
+			}
+		}
+
+		if (!chosen) {
+			return false;
+		}
+
+		this.endBody(chosen, 'stalled-body');
+		return true;
+	}
+
 	dispose(): void {
 		clearInterval(this.timer);
 	}
@@ -128,9 +182,12 @@
 			socket,
 			open: new Set(),
 			arriving: undefined,
+			isRefused: false,
 			owingSince: now,
 			hasSentRequest: false,
 			receivedBytes: 0,
+			receivedAt: now,
+			progress: {bytes: 0, at: now},
 			waitingBytes: 0,
 			headBytes: 0,
 			unsent: '',
@@ -148,16 +205,18 @@
 		this.connections.set(socket, connection);
 		socket.once('close', () => {
 			this.connections.delete(socket);
+			this.fragmented.delete(connection);
 			total.release(connectionBytes + connection.headBytes);
 		});
 		pacer.add({
 			socket,
 			isBodyArriving: () => isBodyArriving(connection),
-			isDiscarded: () => this.options.isEnding(socket),
+			isDiscarded: () => connection.isRefused || this.options.isEnding(socket),
 			mayParse: () => answeringCount(connection) < limits.requestsPerConnection,
 			onReceived(bytes) {
 				connection.waitingBytes += bytes;
 				connection.receivedBytes += bytes;
+				connection.receivedAt = clock.monotonic();
 				total.take(bytes);
 			},
 			onTaken: (bytes) => {
@@ -165,6 +224,9 @@
 				total.release(bytes);
 				this.countHead(connection, bytes);
 			},
+			onParsed: () => {
+				this.limitFragmentedBodies(connection);
+			},
 		});
 	}
 
@@ -192,7 +254,24 @@
 		const {headBytes} = connection;
 		connection.headBytes = 0;
 		connection.receivedBytes = 0;
-		connection.arriving = {message, response, startedAt: clock.monotonic()};
+		connection.receivedAt = clock.monotonic();
+		connection.progress = {bytes: 0, at: clock.monotonic()};
+		const cost = new ChunkCost();
+		const push = message.push.bind(message);
+		message.push = (chunk: Buffer | null, encoding?: BufferEncoding) => {
+			if (chunk !== null) {
+				cost.add(chunk.length);
+			}
+
+			return push(chunk, encoding);
+		};
+
+		connection.arriving = {
+			message,
+			response,
+			startedAt: clock.monotonic(),
+			cost,
+		};
 		connection.open.add(response);
 		connection.hasSentRequest = true;
 		message.once('end', () => {
@@ -212,6 +291,38 @@
 		});
 	}
 
+	/** Refuses the body that has cost most while more fragmented ones than allowed wait to be parsed. A single one is parsed whatever it costs. */
+	private limitFragmentedBodies(parsed: GuardedConnection): void {
+		if (!isFragmented(parsed)) {
+			return;
+		}
+
+		const {pacer, limits, refuseForLoad} = this.options;
+		this.fragmented.add(parsed);
+		let waiting = 0;
+		let chosen: ArrivingRequest | undefined;
+		let chosenConnection = parsed;
+		for (const connection of this.fragmented) {
+			const {arriving, socket} = connection;
+			if (!arriving || !isFragmented(connection)) {
+				this.fragmented.delete(connection);
+			} else if (pacer.isWaiting(socket)) {
+				waiting++;
+				if (!chosen || arriving.cost.excessChunks > chosen.cost.excessChunks) {
+					chosen = arriving;
+					chosenConnection = connection;
+				}
+			}
+		}
+
+		if (chosen && waiting > limits.fragmentedBodies) {
+			chosenConnection.isRefused = true;
+			this.fragmented.delete(chosenConnection);
+			this.closed.publish('fragmented-body');
+			refuseForLoad(chosen.message, chosen.response);
+		}
+	}
+
 	/** Closes the client with the highest rank, or else the new one. */
 	private makeRoom(reason: GuardReason, newest: GuardedConnection): void {
 		const now = this.options.clock.monotonic();
@@ -267,26 +378,33 @@
 	}
 
 	private check(): void {
-		const {clock, limits, endSlowBody} = this.options;
+		const {clock, limits, idleMilliseconds} = this.options;
 		const now = clock.monotonic();
 		for (const connection of this.connections.values()) {
-			const {arriving, receivedBytes, waitingBytes} = connection;
+			const {arriving, receivedBytes, receivedAt} = connection;
+			progressTime(connection, now);
 			if (this.deafTime(connection, now) > limits.unreadMilliseconds) {
 				this.close(connection, 'unread');
 			} else if (
 				arriving &&
-				isBodyArriving(connection) &&
-				// What this host has not parsed is not the fault of the client.
-				waitingBytes === 0 &&
-				isBodyTooSlow(limits, receivedBytes, now - arriving.startedAt)
+				isReceivingBody(connection) &&
+				(now - receivedAt > idleMilliseconds() ||
+					isBodyTooSlow(limits, receivedBytes, now - arriving.startedAt))
 			) {
-				connection.arriving = undefined;
-				this.closed.publish('slow-body');
-				endSlowBody(arriving.response);
+				this.endBody(connection, 'slow-body');
 			}
 		}
 	}
 
+	private endBody(connection: GuardedConnection, reason: GuardReason): void {
+		const {arriving} = connection;
+		connection.isRefused = true;
+		this.closed.publish(reason);
+		if (arriving) {
+			this.options.endSlowBody(arriving.response);
+		}
+	}
+
 	private close(connection: GuardedConnection, reason: GuardReason): void {
 		connection.socket.destroy();
 		this.closed.publish(reason);
@@ -298,6 +416,38 @@
 	return arriving !== undefined && !arriving.message.complete;
 }
 
+/** True while the end of a body is awaited and all that was received of it is parsed: what this host has not parsed is not the fault of the client. */
+function isReceivingBody(connection: GuardedConnection): boolean {
+	return (
+		!connection.isRefused &&
+		connection.waitingBytes === 0 &&
+		!connection.socket.destroyed &&
+		isBodyArriving(connection)
+	);
+}
+
+/** Time since a body has made progress, which is more than some bytes now and then. */
+function progressTime(connection: GuardedConnection, now: number): number {
+	const {progress, receivedBytes} = connection;
+	if (
+		!isReceivingBody(connection) ||
+		receivedBytes - progress.bytes >= progressBytes
+	) {
+		connection.progress = {bytes: receivedBytes, at: now};
+	}
+
+	return now - connection.progress.at;
+}
+
+/** True while a body arrives that costs much more to parse than its payload is worth. */
+function isFragmented(connection: GuardedConnection): boolean {
+	return (
+		!connection.isRefused &&
+		connection.arriving?.cost.isFragmented === true &&
+		isBodyArriving(connection)
+	);
+}
+
 /** Number of requests that were read and whose responses have not ended. */
 function answeringCount(connection: GuardedConnection): number {
 	return connection.open.size - (isBodyArriving(connection) ? 1 : 0);
--- a/src/services/forwarding/limits/held-memory.ts
+++ b/src/services/forwarding/limits/held-memory.ts
@@ -12,7 +12,12 @@
 import {ByteBudget} from '../../../core/limits/byte-budget.js';
 import {type ClientLimits} from '../../../core/limits/client-limits.js';
 import {LogLimiter} from '../../../core/limits/log-limiter.js';
-import {ConnectionGuard} from './connection-guard.js';
+import {
+	ConnectionGuard,
+	type ConnectionGuardOptions,
+} from './connection-guard.js';
+
+type RefuseForLoad = ConnectionGuardOptions['refuseForLoad'];
 
 /** Options of the memory that is held for clients and targets. */
 export type HeldMemoryOptions = {
@@ -28,6 +33,8 @@
 const answerShare = 0.6;
 /** A body of the largest size that a document allows by default fits in any case. */
 const minimumBytes = 5_000_000;
+/** Time for which another host may send nothing of a body. */
+const peerIdleMilliseconds = 15_000;
 /** Time between log lines about the same limit. */
 const logIntervalMilliseconds = 10_000;
 
@@ -64,6 +71,9 @@
 			metric: 'daisylever_answers_over_memory_total',
 			event: forwardingEvents.answersExceedMemory,
 		});
+		this.requests.refused.subscribe(() => {
+			this.guards.some((guard) => guard.endStalledBody());
+		});
 		this.answers.refused.subscribe(() => {
 			for (const guard of this.guards) {
 				guard.closeDeaf();
@@ -72,11 +82,18 @@
 	}
 
 	/** Limits the connections of callers. */
-	guardCallers(server: Server, connections: ServedConnections): void {
+	guardCallers(
+		server: Server,
+		connections: ServedConnections,
+		refuseForLoad: RefuseForLoad,
+	): void {
 		this.guard(server, connections, {
 			listener: 'callers',
 			maximumConnections: this.options.limits.connections,
 			slowBodyStatus: 408,
+			// The document's idle time, which the server has for persistent connections.
+			idleMilliseconds: () => server.keepAliveTimeout,
+			refuseForLoad,
 		});
 	}
 
@@ -86,6 +103,10 @@
 			listener: 'peers',
 			maximumConnections: this.options.limits.peerConnections,
 			slowBodyStatus: undefined,
+			idleMilliseconds: () => peerIdleMilliseconds,
+			refuseForLoad(_message, response) {
+				response.destroy();
+			},
 		});
 	}
 
@@ -110,10 +131,14 @@
 			listener,
 			maximumConnections,
 			slowBodyStatus,
+			idleMilliseconds,
+			refuseForLoad,
 		}: {
 			readonly listener: string;
 			readonly maximumConnections: number;
 			readonly slowBodyStatus: number | undefined;
+			readonly idleMilliseconds: () => number;
+			readonly refuseForLoad: RefuseForLoad;
 		},
 	): void {
 		const {clock, metrics, limits} = this.options;
@@ -125,7 +150,9 @@
 				limits,
 				maximumConnections,
 				total: this.total,
+				idleMilliseconds,
 				isEnding: (socket) => connections.isEnding(socket),
+				refuseForLoad,
 				endSlowBody(response) {
 					if (
 						slowBodyStatus === undefined ||
