Parse only expensive bodies more slowly

Cause, suspected: the limit of 2 ms a turn and the smaller first slice held for all connections that had used parsing time. Handling a request is part of that time, so on a small machine ordinary persistent connections were held back as well.

Change: bodies that ChunkCost finds fragmented have a queue of their own, which gets at least one slice and at most 2 ms of a turn after the others.

--- a/src/base/node/read-pacer.ts
+++ b/src/base/node/read-pacer.ts
@@ -7,6 +7,8 @@
 	readonly isDiscarded: () => boolean;
 	/** False between the end of a request and the end of the next head. */
 	readonly isBodyArriving: () => boolean;
+	/** True while a body arrives that costs much more to parse than its payload is worth. */
+	readonly isBodyExpensive: () => boolean;
 	/** False while nothing more is to be parsed on the connection. */
 	readonly mayParse: () => boolean;
 	/** Bytes were received that are not parsed yet. */
@@ -37,7 +39,9 @@
 const turnMilliseconds = 20;
 /** Parsing time that one slice is to take. */
 const sliceMilliseconds = 1;
-const firstSliceBytes = 4096;
+const firstSliceBytes = 16_384;
+/** The same while bodies wait that are expensive to parse: a new connection may bring another one. */
+const firstSliceBytesBesideExpensive = 4096;
 /** Outside of bodies, more than this may be many requests, which all begin while a slice is parsed. */
 const usualHeadBytes = 2048;
 const headSliceBytes = 256;
@@ -46,8 +50,8 @@
 /** Recent parsing time from which a connection waits for those that have used less. */
 const heavyMilliseconds = 4;
 const recentPeriodMilliseconds = 200;
-/** Parsing time in one turn of such connections. Longer turns would accept fewer connections, and so parse more for each that waits in the backlog. */
-const heavyTurnMilliseconds = 2;
+/** Parsing time of expensive bodies in one turn. Longer turns would accept fewer connections, and so parse more for each that waits in the backlog. */
+const expensiveTurnMilliseconds = 2;
 /** Bytes that wait to be parsed on all connections, above which no further connection is read. */
 const maximumWaitingBytes = 2_097_152;
 
@@ -60,6 +64,7 @@
 export class ReadPacer {
 	private readonly light: PacedReads[] = [];
 	private readonly heavy: PacedReads[] = [];
+	private readonly expensive: PacedReads[] = [];
 	private readonly reads = new WeakMap<Socket, PacedReads>();
 	private spentMilliseconds = 0;
 	private parsingMilliseconds = maximumParsingMilliseconds;
@@ -79,7 +84,10 @@
 			chunks: [],
 			hasEnded: false,
 			isQueued: false,
-			sliceBytes: firstSliceBytes,
+			sliceBytes:
+				this.expensive.length > 0
+					? firstSliceBytesBesideExpensive
+					: firstSliceBytes,
 			recentMilliseconds: 0,
 			recentSince: performance.now(),
 		};
@@ -152,10 +160,18 @@
 		}
 
 		reads.isQueued = true;
-		(recentOf(reads) < heavyMilliseconds ? this.light : this.heavy).push(reads);
+		this.queueOf(reads).push(reads);
 		this.scheduleTurn();
 	}
 
+	private queueOf(reads: PacedReads): PacedReads[] {
+		if (reads.connection.isBodyExpensive()) {
+			return this.expensive;
+		}
+
+		return recentOf(reads) < heavyMilliseconds ? this.light : this.heavy;
+	}
+
 	private scheduleTurn(): void {
 		if (!this.isTurnScheduled) {
 			this.isTurnScheduled = true;
@@ -182,14 +198,23 @@
 		this.continueNext(this.heavy);
 		while (
 			this.spentMilliseconds < this.parsingMilliseconds &&
-			(this.continueNext(this.light) ||
-				(this.spentMilliseconds < heavyTurnMilliseconds &&
-					this.continueNext(this.heavy)))
+			(this.continueNext(this.light) || this.continueNext(this.heavy))
 		) {
 			// Continues until the turn is over.
 		}
 
-		if (this.light.length > 0 || this.heavy.length > 0) {
+		while (
+			this.continueNext(this.expensive) &&
+			this.spentMilliseconds < expensiveTurnMilliseconds
+		) {
+			// Parses at least one slice, so that the others do not hold such bodies up for ever.
+		}
+
+		if (
+			this.light.length > 0 ||
+			this.heavy.length > 0 ||
+			this.expensive.length > 0
+		) {
 			this.turnStartedAt = now;
 			this.scheduleTurn();
 		}
--- a/src/core/limits/chunk-cost.ts
+++ b/src/core/limits/chunk-cost.ts
@@ -1,6 +1,6 @@
-/** Payload that is worth parsing a chunk. */
+/** Payload from which a chunk costs little to parse in comparison. */
 const chunkPayloadBytes = 64;
-/** Chunks that any body may have in excess. */
+/** Chunks in excess up to which a body is not fragmented. */
 const excessAllowance = 256;
 
 /** Counts what the chunks of a body cost to parse beyond the payload that they carry. */
--- a/src/core/limits/client-limits.ts
+++ b/src/core/limits/client-limits.ts
@@ -34,7 +34,7 @@
 	readonly bodyMilliseconds: number;
 	/** Mean rate of a body, from its start. 0 if there is no limit. */
 	readonly bytesPerSecond: number;
-	/** Time without progress from which a body is ended while others need the memory. */
+	/** Time without progress from which a body may be ended while others need the memory. */
 	readonly stalledMilliseconds: number;
 	/** Time in which a client that has a response to read must read some of it. */
 	readonly unreadMilliseconds: number;
--- a/src/program/forwarding-root.ts
+++ b/src/program/forwarding-root.ts
@@ -488,8 +488,8 @@
 			new ForwardingServer(
 				this.hostLoad.intake,
 				memory.requests,
-				(server, connections, refuseForLoad) => {
-					memory.guardCallers(server, connections, refuseForLoad);
+				(server, connections, refuseBody) => {
+					memory.guardCallers(server, connections, refuseBody);
 				},
 			),
 		);
--- a/src/program/forwarding-settings.ts
+++ b/src/program/forwarding-settings.ts
@@ -100,7 +100,7 @@
 			bodySeconds: z.number().positive().nullish(),
 			/** Lowest mean rate of a body after its first 20 s. No limit if it is absent. */
 			bytesPerSecond: z.number().nonnegative().nullish(),
-			/** Time without a byte of a body from which the body is ended while others need the memory. */
+			/** Time in which less than 1 KiB of a body arrives, from which it may be ended while others need the memory. */
 			stalledSeconds: z.number().positive().default(1),
 			/** Time in which a client must read some of a response. */
 			unreadSeconds: z.number().positive().default(30),
--- a/src/services/forwarding/forwarding-server.ts
+++ b/src/services/forwarding/forwarding-server.ts
@@ -84,7 +84,7 @@
 		guard?: (
 			server: Server,
 			connections: ServedConnections,
-			refuseForLoad: (
+			refuseBody: (
 				message: IncomingMessage,
 				response: ServerResponse,
 			) => void,
--- a/src/services/forwarding/limits/connection-guard.ts
+++ b/src/services/forwarding/limits/connection-guard.ts
@@ -47,8 +47,8 @@
 	readonly isEnding: (socket: Socket) => boolean;
 	/** Responds to a request whose body is too slow, if there is a true response. */
 	readonly endSlowBody: (response: ServerResponse) => void;
-	/** Refuses a request, which was not read, for the load that its body causes. */
-	readonly refuseForLoad: (
+	/** Refuses a request whose body costs too much to read to its end. */
+	readonly refuseBody: (
 		message: IncomingMessage,
 		response: ServerResponse,
 	) => void;
@@ -211,6 +211,7 @@
 		pacer.add({
 			socket,
 			isBodyArriving: () => isBodyArriving(connection),
+			isBodyExpensive: () => isFragmented(connection),
 			isDiscarded: () => connection.isRefused || this.options.isEnding(socket),
 			mayParse: () => answeringCount(connection) < limits.requestsPerConnection,
 			onReceived(bytes) {
@@ -257,6 +258,7 @@
 		connection.receivedAt = clock.monotonic();
 		connection.progress = {bytes: 0, at: clock.monotonic()};
 		const cost = new ChunkCost();
+		// The parser passes each chunk of the body to this method.
 		const push = message.push.bind(message);
 		message.push = (chunk: Buffer | null, encoding?: BufferEncoding) => {
 			if (chunk !== null) {
@@ -297,7 +299,7 @@
 			return;
 		}
 
-		const {pacer, limits, refuseForLoad} = this.options;
+		const {pacer, limits, refuseBody} = this.options;
 		this.fragmented.add(parsed);
 		let waiting = 0;
 		let chosen: ArrivingRequest | undefined;
@@ -319,7 +321,7 @@
 			chosenConnection.isRefused = true;
 			this.fragmented.delete(chosenConnection);
 			this.closed.publish('fragmented-body');
-			refuseForLoad(chosen.message, chosen.response);
+			refuseBody(chosen.message, chosen.response);
 		}
 	}
 
@@ -396,6 +398,7 @@
 		}
 	}
 
+	/** Gives a request up whose end is awaited in vain. */
 	private endBody(connection: GuardedConnection, reason: GuardReason): void {
 		const {arriving} = connection;
 		connection.isRefused = true;
--- a/src/services/forwarding/limits/held-memory.ts
+++ b/src/services/forwarding/limits/held-memory.ts
@@ -17,7 +17,7 @@
 	type ConnectionGuardOptions,
 } from './connection-guard.js';
 
-type RefuseForLoad = ConnectionGuardOptions['refuseForLoad'];
+type RefuseBody = ConnectionGuardOptions['refuseBody'];
 
 /** Options of the memory that is held for clients and targets. */
 export type HeldMemoryOptions = {
@@ -85,7 +85,7 @@
 	guardCallers(
 		server: Server,
 		connections: ServedConnections,
-		refuseForLoad: RefuseForLoad,
+		refuseBody: RefuseBody,
 	): void {
 		this.guard(server, connections, {
 			listener: 'callers',
@@ -93,7 +93,7 @@
 			slowBodyStatus: 408,
 			// The document's idle time, which the server has for persistent connections.
 			idleMilliseconds: () => server.keepAliveTimeout,
-			refuseForLoad,
+			refuseBody,
 		});
 	}
 
@@ -104,7 +104,7 @@
 			maximumConnections: this.options.limits.peerConnections,
 			slowBodyStatus: undefined,
 			idleMilliseconds: () => peerIdleMilliseconds,
-			refuseForLoad(_message, response) {
+			refuseBody(_message, response) {
 				response.destroy();
 			},
 		});
@@ -132,13 +132,13 @@
 			maximumConnections,
 			slowBodyStatus,
 			idleMilliseconds,
-			refuseForLoad,
+			refuseBody,
 		}: {
 			readonly listener: string;
 			readonly maximumConnections: number;
 			readonly slowBodyStatus: number | undefined;
 			readonly idleMilliseconds: () => number;
-			readonly refuseForLoad: RefuseForLoad;
+			readonly refuseBody: RefuseBody;
 		},
 	): void {
 		const {clock, metrics, limits} = this.options;
@@ -152,7 +152,7 @@
 				total: this.total,
 				idleMilliseconds,
 				isEnding: (socket) => connections.isEnding(socket),
-				refuseForLoad,
+				refuseBody,
 				endSlowBody(response) {
 					if (
 						slowBodyStatus === undefined ||
--- a/test/forwarding/connection-guard.test.ts
+++ b/test/forwarding/connection-guard.test.ts
@@ -50,7 +50,7 @@
 			idleMilliseconds: () => 15_000,
 			isEnding: () => false,
 			endSlowBody: () => undefined,
-			refuseForLoad: (message, response) => {
+			refuseBody: (message, response) => {
 				this.refused.push(message);
 				response.writeHead(503, {'Content-Length': '0'});
 				response.end();
