--- a/src/services/forwarding/forwarding-server.ts
+++ b/src/services/forwarding/forwarding-server.ts
@@ -84,10 +84,7 @@
 		guard?: (
 			server: Server,
 			connections: ServedConnections,
-			refuseBody: (
-				message: IncomingMessage,
-				response: ServerResponse,
-			) => void,
+			refuseBody: (message: IncomingMessage, response: ServerResponse) => void,
 		) => void,
 	) {
 		super();
