Free the body of a request that the guard has ended

What callers saw: nothing outside the tests.

A stalled body was ended and its bytes were released from the sum when its response closed, but its blocks lived as long as the connection, which is read for up to 3 s more. Bodies that took its place came on top.

Change: the blocks are freed, and what follows is dropped, when the response closes.

--- a/src/services/forwarding/forwarding-server.ts
+++ b/src/services/forwarding/forwarding-server.ts
@@ -208,17 +208,20 @@
 		}
 
 		const held = this.budget?.hold();
+		const received = new BodyBuffer();
+		let isRejected = false;
 		response.once('close', () => {
 			held?.release();
+			// The guard may have ended the request. Its connection is read for some seconds more.
+			isRejected = true;
+			received.clear();
 		});
 		if (held?.admits(declaredBytes) === false) {
 			this.handler.refuseForMemory(message, response);
 			return;
 		}
 
-		const received = new BodyBuffer();
 		let size = 0;
-		let isRejected = false;
 		const endIncomplete = () => {
 			this.incomplete.delete(endIncomplete);
 			// The guard of the connections may have refused the request.
